Thin path: a request from a caller to its owner's backend server and back

Cause: nothing existed. Modules (core, wire, daemon, cli, standins, bench, integration) with dependencies one way; the daemon forwards a caller's request at most one hop over authenticated MessagePack frames to the owner's daemon, which hands it to the backend server beside it under a fence and checks its holding again before it relays the answer. Ownership is static for now.

Conclusion: the boundaries stand; ownership, policy, documents and stand-ins fill them in.

--- /dev/null
+++ b/core/src/main/java/org/brasspier/core/CallerId.java
@@ -0,0 +1,30 @@
+package org.brasspier.core;
+
+/**
+ * The name under which a caller's share of a service is counted. Immutable and
+ * thread-safe.
+ *
+ * @param value the text, of one to 64 characters from {@code a-z}, {@code A-Z},
+ * {@code 0-9}, dot, underscore and hyphen
+ */
+public record CallerId(String value) implements Comparable<CallerId> {
+
+	/**
+	 * Checks the text.
+	 * @throws IllegalArgumentException if the text is not a valid name
+	 */
+	public CallerId {
+		Names.check("caller id", value);
+	}
+
+	@Override
+	public int compareTo(CallerId other) {
+		return this.value.compareTo(other.value);
+	}
+
+	@Override
+	public String toString() {
+		return this.value;
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/brasspier/core/InstanceId.java
@@ -0,0 +1,30 @@
+package org.brasspier.core;
+
+/**
+ * The identity of an instance: one daemon and the backend server beside it. Immutable and
+ * thread-safe.
+ *
+ * @param value the text, of one to 64 characters from {@code a-z}, {@code A-Z},
+ * {@code 0-9}, dot, underscore and hyphen
+ */
+public record InstanceId(String value) implements Comparable<InstanceId> {
+
+	/**
+	 * Checks the text.
+	 * @throws IllegalArgumentException if the text is not a valid name
+	 */
+	public InstanceId {
+		Names.check("instance id", value);
+	}
+
+	@Override
+	public int compareTo(InstanceId other) {
+		return this.value.compareTo(other.value);
+	}
+
+	@Override
+	public String toString() {
+		return this.value;
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/brasspier/core/event/EventKind.java
@@ -0,0 +1,86 @@
+package org.brasspier.core.event;
+
+/**
+ * The closed list of events. Numbers are never used again: 1xx process, 2xx ownership,
+ * 3xx requests, 4xx configuration, 5xx backend servers, 6xx peers, 7xx platform.
+ */
+public enum EventKind {
+
+	/** The daemon listens on all its ports. */
+	DAEMON_STARTED(100),
+
+	/** The daemon begins to leave. */
+	DAEMON_STOPPING(101),
+
+	/** The daemon has ended with nothing in flight. */
+	DAEMON_STOPPED(102),
+
+	/** Events were lost because a ring was full. */
+	EVENTS_LOST(103),
+
+	/** Settings were refused. */
+	SETTINGS_REFUSED(104),
+
+	/** This member's lease was granted anew. */
+	LEASE_GRANTED(200),
+
+	/** This member's lease ran out. */
+	LEASE_LAPSED(201),
+
+	/** A range is owned by this instance from now on. */
+	RANGE_GRANTED(202),
+
+	/** A range was given up by this instance. */
+	RANGE_RELEASED(203),
+
+	/** A request was refused before it reached a backend server. */
+	REQUEST_REFUSED(300),
+
+	/** A request was handed to a backend server. */
+	REQUEST_HANDED_OVER(301),
+
+	/** A request was answered. */
+	REQUEST_ANSWERED(302),
+
+	/** A request was forwarded to its owner. */
+	REQUEST_FORWARDED(303),
+
+	/** A caller sent something malformed. */
+	BAD_CALLER_INPUT(304),
+
+	/** A backend server announced itself. */
+	BACKEND_ANNOUNCED(500),
+
+	/** A backend server is gone or no longer answers. */
+	BACKEND_LOST(501),
+
+	/** A backend server sent something malformed. */
+	BAD_BACKEND_INPUT(502),
+
+	/** A peer proved the shared key. */
+	PEER_CONNECTED(600),
+
+	/** A peer failed to prove the shared key or sent something malformed. */
+	PEER_REFUSED(601),
+
+	/** The platform's store answers again. */
+	STORE_REACHED(700),
+
+	/** The platform's store does not answer. */
+	STORE_LOST(701);
+
+	private final int number;
+
+	EventKind(int number) {
+		this.number = number;
+	}
+
+	/**
+	 * The number under which the catalogue lists this event.
+	 * @return a number unique to this kind
+	 */
+	public int number() {
+		return this.number;
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/brasspier/core/request/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * A caller's request and its answer, as they travel through the daemons.
+ */
+@NullMarked
+package org.brasspier.core.request;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/core/src/main/java/org/brasspier/core/routing/OwnershipSnapshot.java
@@ -0,0 +1,45 @@
+package org.brasspier.core.routing;
+
+import java.util.Optional;
+
+import org.brasspier.core.InstanceId;
+import org.brasspier.core.KeyHash;
+import org.brasspier.core.ServiceName;
+
+/**
+ * What the thread that keeps the lease tells the thread that serves requests. The lease
+ * is checked against the monotonic clock before a request is handed to a backend server
+ * and again before its answer is relayed, so a process that was paused past its lease
+ * finds out by itself. Immutable and thread-safe.
+ *
+ * @param self this instance
+ * @param routes all known assignments
+ * @param held the assignments that this instance was granted; its own routes may be newer
+ * or older than this
+ * @param leaseEndNanos when the lease ends, as {@link System#nanoTime()} counts
+ * @param addresses how peers are reached
+ */
+public record OwnershipSnapshot(InstanceId self, RouteTable routes, RouteTable held, long leaseEndNanos,
+		PeerAddresses addresses) {
+
+	/**
+	 * The assignment that covers a point, if this instance holds it now.
+	 * @param service the service
+	 * @param hash the point
+	 * @param nowNanos the time, as {@link System#nanoTime()} counts
+	 * @return empty if the point isn't held or the lease has run out
+	 */
+	public Optional<Assignment> holding(ServiceName service, KeyHash hash, long nowNanos) {
+		return (leaseValid(nowNanos)) ? this.held.find(service, hash) : Optional.empty();
+	}
+
+	/**
+	 * Whether the lease still runs.
+	 * @param nowNanos the time, as {@link System#nanoTime()} counts
+	 * @return false from the end of the lease on
+	 */
+	public boolean leaseValid(long nowNanos) {
+		return nowNanos - this.leaseEndNanos < 0;
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/brasspier/core/routing/PeerAddress.java
@@ -0,0 +1,13 @@
+package org.brasspier.core.routing;
+
+/**
+ * The ports of one daemon. Immutable and thread-safe.
+ *
+ * @param host the IP number
+ * @param controlPort the port for heartbeats, leases and grants
+ * @param forwardPort the port for forwarded requests
+ * @param callerPort the port for callers, given to them as a hint where to go next time
+ */
+public record PeerAddress(String host, int controlPort, int forwardPort, int callerPort) {
+
+}
--- /dev/null
+++ b/core/src/test/java/org/brasspier/core/CoreBoundaryTests.java
@@ -0,0 +1,45 @@
+package org.brasspier.core;
+
+import com.tngtech.archunit.core.domain.JavaClasses;
+import com.tngtech.archunit.core.importer.ClassFileImporter;
+import com.tngtech.archunit.core.importer.ImportOption;
+import com.tngtech.archunit.lang.syntax.ArchRuleDefinition;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Decisions perform no input or output and read no clock: time and randomness are passed
+ * in, so that every decision can be repeated from its inputs.
+ */
+class CoreBoundaryTests {
+
+	private final JavaClasses core = new ClassFileImporter().withImportOption(new ImportOption.DoNotIncludeTests())
+		.importPackages("org.brasspier.core");
+
+	@Test
+	void coreDoesNoInputOrOutput() {
+		ArchRuleDefinition.noClasses()
+			.should()
+			.dependOnClassesThat()
+			.resideInAnyPackage("java.net..", "java.nio.channels..", "java.nio.file..", "java.io..", "io.activej..",
+					"org.slf4j..", "java.util.concurrent.locks..")
+			.check(this.core);
+	}
+
+	@Test
+	void coreReadsNoClock() {
+		ArchRuleDefinition.noClasses()
+			.should()
+			.callMethod(System.class, "nanoTime")
+			.orShould()
+			.callMethod(System.class, "currentTimeMillis")
+			.orShould()
+			.callMethod(java.time.Instant.class, "now")
+			.check(this.core);
+	}
+
+	@Test
+	void coreStartsNoThread() {
+		ArchRuleDefinition.noClasses().should().dependOnClassesThat().areAssignableTo(Thread.class).check(this.core);
+	}
+
+}
--- /dev/null
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/backend/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * The backend server beside this daemon: announcements, orders, grants.
+ */
+@NullMarked
+package org.brasspier.daemon.internal.backend;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/caller/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * The port for callers.
+ */
+@NullMarked
+package org.brasspier.daemon.internal.caller;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/loop/Duty.java
@@ -0,0 +1,74 @@
+package org.brasspier.daemon.internal.loop;
+
+import java.util.concurrent.TimeUnit;
+
+import io.activej.eventloop.Eventloop;
+import io.activej.reactor.nio.NioReactor;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * One thread with one event loop and one duty. What another thread wants of it goes
+ * through a {@link Ring}. Starting and stopping is thread-safe; all else belongs to the
+ * thread itself.
+ */
+public final class Duty {
+
+	private static final Logger logger = LoggerFactory.getLogger(Duty.class);
+
+	private static final long STOP_WAIT_MILLIS = TimeUnit.SECONDS.toMillis(5);
+
+	private final Eventloop loop;
+
+	private final Thread thread;
+
+	/**
+	 * Creates a duty that is not yet running.
+	 * @param name the name of its thread
+	 */
+	public Duty(String name) {
+		this.loop = Eventloop.builder().withThreadName(name).withFatalErrorHandler(Duty::report).build();
+		this.thread = new Thread(this.loop, name);
+		this.thread.setDaemon(true);
+	}
+
+	private static void report(Throwable error, @org.jspecify.annotations.Nullable Object context) {
+		logger.error("a task of the event loop failed", error);
+	}
+
+	/**
+	 * The loop's reactor, for building servers and clients on.
+	 * @return the reactor
+	 */
+	public NioReactor reactor() {
+		return this.loop;
+	}
+
+	/**
+	 * Starts the thread.
+	 */
+	public void start() {
+		this.loop.keepAlive(true);
+		this.thread.start();
+	}
+
+	/**
+	 * Runs a task in the thread. For starting and stopping only: what flows during normal
+	 * work goes through a {@link Ring}, which is bounded.
+	 * @param task the task
+	 */
+	public void execute(Runnable task) {
+		this.loop.execute(task);
+	}
+
+	/**
+	 * Ends the thread after the tasks at hand.
+	 * @throws InterruptedException if the calling thread is interrupted while it waits
+	 */
+	public void stop() throws InterruptedException {
+		this.loop.execute(() -> this.loop.keepAlive(false));
+		this.loop.execute(this.loop::breakEventloop);
+		this.thread.join(STOP_WAIT_MILLIS);
+	}
+
+}
--- /dev/null
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/peer/PeerConnection.java
@@ -0,0 +1,174 @@
+package org.brasspier.daemon.internal.peer;
+
+import io.activej.bytebuf.ByteBuf;
+import io.activej.net.socket.tcp.ITcpSocket;
+import io.activej.promise.Promise;
+import io.activej.promise.SettablePromise;
+import org.brasspier.wire.FrameDecoder;
+import org.brasspier.wire.FrameReader;
+import org.brasspier.wire.Handshake;
+import org.brasspier.wire.WireException;
+
+/**
+ * One connection between two daemons: handshake, then frames both ways. Belongs to the
+ * thread of its socket.
+ */
+public final class PeerConnection {
+
+	/** The largest frame before the handshake is over: nobody unproven may send much. */
+	private static final int MAX_HANDSHAKE_BYTES = 1024;
+
+	private final ITcpSocket socket;
+
+	private final int maxFrameBytes;
+
+	private final FrameDecoder decoder = new FrameDecoder(MAX_HANDSHAKE_BYTES);
+
+	private final SettablePromise<Exception> closed = new SettablePromise<>();
+
+	private FrameHandler handler = (frame) -> {
+		throw new WireException("a frame came before the handshake was over");
+	};
+
+	private PeerConnection(ITcpSocket socket, int maxFrameBytes) {
+		this.socket = socket;
+		this.maxFrameBytes = maxFrameBytes;
+	}
+
+	/**
+	 * Opens the connector's side.
+	 * @param socket the connected socket
+	 * @param handshake a new handshake
+	 * @param maxFrameBytes the largest frame accepted afterwards
+	 * @return the connection once both sides have proved the key
+	 */
+	public static Promise<Opened> connector(ITcpSocket socket, Handshake handshake, int maxFrameBytes) {
+		PeerConnection connection = new PeerConnection(socket, maxFrameBytes);
+		SettablePromise<Opened> opened = new SettablePromise<>();
+		connection.handler = (challenge) -> {
+			connection.send(handshake.answer(challenge));
+			connection.handler = (reply) -> connection.open(opened, handshake.confirm(reply));
+		};
+		connection.begin(opened);
+		return opened;
+	}
+
+	/**
+	 * Opens the acceptor's side.
+	 * @param socket the accepted socket
+	 * @param handshake a new handshake
+	 * @param maxFrameBytes the largest frame accepted afterwards
+	 * @return the connection once the connector has proved the key
+	 */
+	public static Promise<Opened> acceptor(ITcpSocket socket, Handshake handshake, int maxFrameBytes) {
+		PeerConnection connection = new PeerConnection(socket, maxFrameBytes);
+		SettablePromise<Opened> opened = new SettablePromise<>();
+		connection.handler = (answer) -> {
+			Handshake.Accepted accepted = handshake.accept(answer);
+			connection.send(accepted.reply());
+			connection.open(opened, accepted.peer());
+		};
+		connection.begin(opened);
+		connection.send(handshake.challenge());
+		return opened;
+	}
+
+	private void begin(SettablePromise<Opened> opened) {
+		this.closed.whenResult((reason) -> opened.trySetException(reason));
+		read();
+	}
+
+	private void open(SettablePromise<Opened> opened, Handshake.Peer peer) {
+		this.decoder.limit(this.maxFrameBytes);
+		opened.trySet(new Opened(this, peer));
+	}
+
+	private void read() {
+		this.socket.read().whenComplete((buf, ex) -> {
+			if (ex != null) {
+				close(ex);
+			}
+			else if (buf == null) {
+				close(new WireException("the peer closed the connection"));
+			}
+			else {
+				take(buf.asArray());
+			}
+		});
+	}
+
+	private void take(byte[] bytes) {
+		try {
+			for (FrameReader frame : this.decoder.accept(bytes)) {
+				this.handler.handle(frame);
+			}
+			if (!this.socket.isClosed()) {
+				read();
+			}
+		}
+		catch (WireException ex) {
+			close(ex);
+		}
+	}
+
+	/**
+	 * Sets who receives frames from now on.
+	 * @param frameHandler called for each whole frame
+	 */
+	public void onFrame(FrameHandler frameHandler) {
+		this.handler = frameHandler;
+	}
+
+	/**
+	 * Sends a frame.
+	 * @param frame the whole frame, length included
+	 */
+	public void send(byte[] frame) {
+		if (this.socket.isClosed()) {
+			return;
+		}
+		this.socket.write(ByteBuf.wrapForReading(frame)).whenException((ex) -> close(ex));
+	}
+
+	/**
+	 * Closes the connection.
+	 * @param reason told to {@link #closed()}
+	 */
+	public void close(Exception reason) {
+		this.socket.closeEx(reason);
+		this.closed.trySet(reason);
+	}
+
+	/**
+	 * Completes when the connection is closed by either side.
+	 * @return the reason
+	 */
+	public Promise<Exception> closed() {
+		return this.closed;
+	}
+
+	/**
+	 * Receives frames.
+	 */
+	public interface FrameHandler {
+
+		/**
+		 * Takes one frame.
+		 * @param frame the frame
+		 * @throws WireException if it makes no sense; the connection is then closed
+		 */
+		void handle(FrameReader frame) throws WireException;
+
+	}
+
+	/**
+	 * A connection whose handshake is over.
+	 *
+	 * @param connection the connection
+	 * @param peer who is at the other end
+	 */
+	public record Opened(PeerConnection connection, Handshake.Peer peer) {
+
+	}
+
+}
--- /dev/null
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/peer/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Connections between daemons.
+ */
+@NullMarked
+package org.brasspier.daemon.internal.peer;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/settings/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Settings from flags and environment variables, checked whole.
+ */
+@NullMarked
+package org.brasspier.daemon.internal.settings;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/wire/src/main/java/org/brasspier/wire/FrameReader.java
@@ -0,0 +1,93 @@
+package org.brasspier.wire;
+
+import java.io.IOException;
+
+import org.msgpack.core.MessageFormatException;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessagePackException;
+import org.msgpack.core.MessageUnpacker;
+
+/**
+ * Reads the fields of one frame in order. Not thread-safe.
+ */
+public final class FrameReader {
+
+	private final MessageUnpacker unpacker;
+
+	FrameReader(byte[] payload) {
+		this.unpacker = MessagePack.newDefaultUnpacker(payload);
+	}
+
+	/**
+	 * Reads a whole number.
+	 * @return the number
+	 * @throws WireException if the next field is something else
+	 */
+	public long number() throws WireException {
+		return read(MessageUnpacker::unpackLong);
+	}
+
+	/**
+	 * Reads a whole number that fits an {@code int}.
+	 * @return the number
+	 * @throws WireException if the next field is something else
+	 */
+	public int small() throws WireException {
+		return read(MessageUnpacker::unpackInt);
+	}
+
+	/**
+	 * Reads a text.
+	 * @return the text
+	 * @throws WireException if the next field is something else
+	 */
+	public String text() throws WireException {
+		return read(MessageUnpacker::unpackString);
+	}
+
+	/**
+	 * Reads a truth value.
+	 * @return the value
+	 * @throws WireException if the next field is something else
+	 */
+	public boolean flag() throws WireException {
+		return read(MessageUnpacker::unpackBoolean);
+	}
+
+	/**
+	 * Reads bytes.
+	 * @return the bytes
+	 * @throws WireException if the next field is something else
+	 */
+	public byte[] bytes() throws WireException {
+		return read((in) -> in.readPayload(in.unpackBinaryHeader()));
+	}
+
+	/**
+	 * Reads the length of a list.
+	 * @return how many entries follow
+	 * @throws WireException if the next field is something else
+	 */
+	public int count() throws WireException {
+		return read(MessageUnpacker::unpackArrayHeader);
+	}
+
+	private <T> T read(Field<T> field) throws WireException {
+		try {
+			return field.read(this.unpacker);
+		}
+		catch (MessageFormatException ex) {
+			throw new WireException("a field of the frame has another type than expected", ex);
+		}
+		catch (MessagePackException | IOException | NegativeArraySizeException ex) {
+			throw new WireException("the frame is cut short or damaged", ex);
+		}
+	}
+
+	private interface Field<T> {
+
+		T read(MessageUnpacker in) throws IOException;
+
+	}
+
+}
--- /dev/null
+++ b/wire/src/main/java/org/brasspier/wire/FrameWriter.java
@@ -0,0 +1,97 @@
+package org.brasspier.wire;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
+
+/**
+ * Writes the fields of one frame in order. Not thread-safe.
+ */
+public final class FrameWriter {
+
+	private static final int LENGTH_BYTES = Integer.BYTES;
+
+	private final MessageBufferPacker packer = MessagePack.newDefaultBufferPacker();
+
+	/**
+	 * Writes a whole number.
+	 * @param value the number
+	 * @return this writer
+	 */
+	public FrameWriter number(long value) {
+		return write(() -> this.packer.packLong(value));
+	}
+
+	/**
+	 * Writes a text.
+	 * @param value the text
+	 * @return this writer
+	 */
+	public FrameWriter text(String value) {
+		return write(() -> this.packer.packString(value));
+	}
+
+	/**
+	 * Writes a truth value.
+	 * @param value the value
+	 * @return this writer
+	 */
+	public FrameWriter flag(boolean value) {
+		return write(() -> this.packer.packBoolean(value));
+	}
+
+	/**
+	 * Writes bytes.
+	 * @param value the bytes
+	 * @return this writer
+	 */
+	public FrameWriter bytes(byte[] value) {
+		return write(() -> {
+			this.packer.packBinaryHeader(value.length);
+			this.packer.writePayload(value);
+		});
+	}
+
+	/**
+	 * Writes the length of a list.
+	 * @param value how many entries follow
+	 * @return this writer
+	 */
+	public FrameWriter count(int value) {
+		return write(() -> this.packer.packArrayHeader(value));
+	}
+
+	/**
+	 * The whole frame: four bytes of length, then the fields.
+	 * @return the bytes to send
+	 */
+	public byte[] frame() {
+		byte[] payload = this.packer.toByteArray();
+		byte[] frame = new byte[LENGTH_BYTES + payload.length];
+		frame[0] = (byte) (payload.length >>> 24);
+		frame[1] = (byte) (payload.length >>> 16);
+		frame[2] = (byte) (payload.length >>> 8);
+		frame[3] = (byte) payload.length;
+		System.arraycopy(payload, 0, frame, LENGTH_BYTES, payload.length);
+		return frame;
+	}
+
+	private FrameWriter write(Field field) {
+		try {
+			field.write();
+			return this;
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException("writing to memory failed", ex);
+		}
+	}
+
+	private interface Field {
+
+		void write() throws IOException;
+
+	}
+
+}
--- /dev/null
+++ b/wire/src/main/java/org/brasspier/wire/Handshake.java
@@ -0,0 +1,158 @@
+package org.brasspier.wire;
+
+import java.security.SecureRandom;
+
+import org.brasspier.core.InstanceId;
+
+/**
+ * The opening of a connection between two daemons. The acceptor sends a challenge, the
+ * connector answers with a proof over both sides' random numbers, the acceptor proves
+ * itself in turn. No key travels, and a recorded proof is worthless, since the other
+ * side's random number is new each time. The highest version that both know is used. One
+ * object serves one connection; not thread-safe.
+ */
+public final class Handshake {
+
+	/** The lowest version of the peer protocol that this build speaks. */
+	public static final int MIN_VERSION = 1;
+
+	/** The highest version of the peer protocol that this build speaks. */
+	public static final int MAX_VERSION = 1;
+
+	private static final int NONCE_BYTES = 16;
+
+	private static final SecureRandom RANDOM = new SecureRandom();
+
+	private final InstanceId self;
+
+	private final SharedKeys keys;
+
+	private final byte[] nonce = new byte[NONCE_BYTES];
+
+	private byte[] transcript = new byte[0];
+
+	private int version;
+
+	/**
+	 * Begins a handshake.
+	 * @param self this instance
+	 * @param keys the shared keys
+	 */
+	public Handshake(InstanceId self, SharedKeys keys) {
+		this.self = self;
+		this.keys = keys;
+		RANDOM.nextBytes(this.nonce);
+	}
+
+	/**
+	 * Acceptor, first: the challenge.
+	 * @return the frame to send
+	 */
+	public byte[] challenge() {
+		return new FrameWriter().number(MIN_VERSION).number(MAX_VERSION).bytes(this.nonce).frame();
+	}
+
+	/**
+	 * Connector: answers the challenge.
+	 * @param challenge the frame received
+	 * @return the frame to send
+	 * @throws WireException if the challenge is malformed or no version is common
+	 */
+	public byte[] answer(FrameReader challenge) throws WireException {
+		int lowest = challenge.small();
+		int highest = challenge.small();
+		byte[] theirs = challenge.bytes();
+		this.version = Math.min(highest, MAX_VERSION);
+		if (this.version < Math.max(lowest, MIN_VERSION)) {
+			throw new WireException("peer speaks versions %d to %d, this build %d to %d".formatted(lowest, highest,
+					MIN_VERSION, MAX_VERSION));
+		}
+		this.transcript = transcript(this.version, this.self, theirs, this.nonce);
+		return new FrameWriter().number(this.version)
+			.text(this.self.value())
+			.bytes(this.nonce)
+			.bytes(this.keys.prove(this.transcript))
+			.frame();
+	}
+
+	/**
+	 * Acceptor, second: checks the connector's proof.
+	 * @param answer the frame received
+	 * @return who is connected, with the frame to send
+	 * @throws WireException if the proof is wrong or the frame malformed
+	 */
+	public Accepted accept(FrameReader answer) throws WireException {
+		int version = answer.small();
+		InstanceId peer = instance(answer);
+		byte[] theirs = answer.bytes();
+		byte[] proof = answer.bytes();
+		if (version < MIN_VERSION || version > MAX_VERSION) {
+			throw new WireException("peer chose version %d, which was not offered".formatted(version));
+		}
+		byte[] message = transcript(version, peer, this.nonce, theirs);
+		String key = this.keys.matching(message, proof)
+			.orElseThrow(() -> new WireException("peer %s does not know the shared key".formatted(peer)));
+		byte[] reply = new FrameWriter().text(this.self.value())
+			.bytes(this.keys.proveWith(key, reply(message, this.self)))
+			.frame();
+		return new Accepted(new Peer(peer, version), reply);
+	}
+
+	/**
+	 * Connector, last: checks the acceptor's proof.
+	 * @param reply the frame received
+	 * @return who is connected
+	 * @throws WireException if the proof is wrong or the frame malformed
+	 */
+	public Peer confirm(FrameReader reply) throws WireException {
+		InstanceId peer = instance(reply);
+		byte[] proof = reply.bytes();
+		if (this.keys.matching(reply(this.transcript, peer), proof).isEmpty()) {
+			throw new WireException("peer %s does not know the shared key".formatted(peer));
+		}
+		return new Peer(peer, this.version);
+	}
+
+	private static InstanceId instance(FrameReader frame) throws WireException {
+		try {
+			return new InstanceId(frame.text());
+		}
+		catch (IllegalArgumentException ex) {
+			throw new WireException("peer has no valid instance id", ex);
+		}
+	}
+
+	private static byte[] transcript(int version, InstanceId connector, byte[] acceptorNonce, byte[] connectorNonce) {
+		return new FrameWriter().text("brasspier connector")
+			.number(version)
+			.text(connector.value())
+			.bytes(acceptorNonce)
+			.bytes(connectorNonce)
+			.frame();
+	}
+
+	private static byte[] reply(byte[] transcript, InstanceId acceptor) {
+		return new FrameWriter().text("brasspier acceptor").text(acceptor.value()).bytes(transcript).frame();
+	}
+
+	/**
+	 * A peer that proved the key.
+	 *
+	 * @param instance who it is
+	 * @param version the version of the protocol to speak with it
+	 */
+	public record Peer(InstanceId instance, int version) {
+
+	}
+
+	/**
+	 * The outcome on the acceptor's side.
+	 *
+	 * @param peer who is connected
+	 * @param reply the frame to send
+	 */
+	public record Accepted(Peer peer, byte[] reply) {
+
+	}
+
+}
--- /dev/null
+++ b/wire/src/test/java/org/brasspier/wire/HandshakeTests.java
@@ -0,0 +1,66 @@
+package org.brasspier.wire;
+
+import java.util.List;
+
+import org.brasspier.core.InstanceId;
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+class HandshakeTests {
+
+	private static final InstanceId A = new InstanceId("a");
+
+	private static final InstanceId B = new InstanceId("b");
+
+	private static final String OLD = "old-shared-key-0001";
+
+	private static final String NEW = "new-shared-key-0002";
+
+	@Test
+	void bothSidesLearnWhoIsAtTheOtherEnd() throws WireException {
+		Handshake connector = new Handshake(A, new SharedKeys(List.of(OLD)));
+		Handshake acceptor = new Handshake(B, new SharedKeys(List.of(OLD)));
+		Handshake.Accepted accepted = acceptor.accept(frame(connector.answer(frame(acceptor.challenge()))));
+		assertThat(accepted.peer().instance()).isEqualTo(A);
+		assertThat(connector.confirm(frame(accepted.reply())).instance()).isEqualTo(B);
+	}
+
+	@Test
+	void aConnectorWithAnotherKeyIsRefused() throws WireException {
+		Handshake connector = new Handshake(A, new SharedKeys(List.of(NEW)));
+		Handshake acceptor = new Handshake(B, new SharedKeys(List.of(OLD)));
+		byte[] answer = connector.answer(frame(acceptor.challenge()));
+		assertThrows(WireException.class, () -> acceptor.accept(frame(answer)));
+	}
+
+	@Test
+	void aRecordedProofIsWorthlessOnAnotherConnection() throws WireException {
+		SharedKeys keys = new SharedKeys(List.of(OLD));
+		byte[] recorded = new Handshake(A, keys).answer(frame(new Handshake(B, keys).challenge()));
+		Handshake second = new Handshake(B, keys);
+		second.challenge();
+		assertThrows(WireException.class, () -> second.accept(frame(recorded)));
+	}
+
+	@Test
+	void duringARotationTheOldAndTheNewKeyAreBothAccepted() throws WireException {
+		Handshake connector = new Handshake(A, new SharedKeys(List.of(OLD, NEW)));
+		Handshake acceptor = new Handshake(B, new SharedKeys(List.of(NEW, OLD)));
+		Handshake.Accepted accepted = acceptor.accept(frame(connector.answer(frame(acceptor.challenge()))));
+		assertThat(connector.confirm(frame(accepted.reply())).instance()).isEqualTo(B);
+	}
+
+	@Test
+	void aPeerWithNoCommonVersionIsRefused() {
+		byte[] challenge = new FrameWriter().number(7).number(9).bytes(new byte[16]).frame();
+		Handshake connector = new Handshake(A, new SharedKeys(List.of(OLD)));
+		assertThrows(WireException.class, () -> connector.answer(frame(challenge)));
+	}
+
+	private static FrameReader frame(byte[] bytes) throws WireException {
+		return new FrameDecoder(1024).accept(bytes).getFirst();
+	}
+
+}
