Settings checked as a whole, and the daemon as joined duties

Cause: the thin path took five unchecked flags and ran everything in one class. Settings now come from flags, environment variables and files of secrets, and one message names every fault; the daemon is a context and one class for each duty, so that ownership, requests and operators can grow apart. Static ownership is gone: until the ownership duty works, nothing is owned.

--- /dev/null
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/Daemon.java
@@ -0,0 +1,70 @@
+package org.brasspier.daemon.internal;
+
+import java.io.IOException;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+
+import com.codahale.metrics.MetricRegistry;
+import org.brasspier.core.event.EventKind;
+import org.brasspier.daemon.internal.event.EventLog;
+import org.brasspier.daemon.internal.ownership.OwnershipDuty;
+import org.brasspier.daemon.internal.request.RequestsDuty;
+import org.brasspier.daemon.internal.settings.Settings;
+
+/**
+ * One daemon: its duties, joined. Starting and leaving is thread-safe.
+ */
+public final class Daemon {
+
+	private static final int KEPT_EVENTS = 4096;
+
+	private final DaemonContext context;
+
+	private final OwnershipDuty ownership;
+
+	private final RequestsDuty requests;
+
+	/**
+	 * Creates a daemon that does not listen yet.
+	 * @param settings the checked settings
+	 */
+	public Daemon(Settings settings) {
+		this.context = new DaemonContext(settings, new EventLog(KEPT_EVENTS), new MetricRegistry());
+		this.ownership = new OwnershipDuty(this.context);
+		this.requests = new RequestsDuty(this.context, this.ownership::snapshot);
+	}
+
+	/**
+	 * Opens all ports and begins to work.
+	 * @throws IOException if a port can't be opened
+	 */
+	public void start() throws IOException {
+		this.requests.start();
+		this.ownership.start();
+		this.context.events()
+			.record(EventKind.DAEMON_STARTED, this.context.settings().instance(),
+					this.context.settings().listen().callers().toString());
+	}
+
+	/**
+	 * Leaves: hands over what this instance owns, waits until nothing is in flight, or
+	 * for as long as the settings allow, then ends.
+	 */
+	public void leave() {
+		this.context.events().record(EventKind.DAEMON_STOPPING, this.context.settings().instance(), "");
+		CountDownLatch left = new CountDownLatch(1);
+		this.ownership.leave(left::countDown);
+		try {
+			boolean clean = left.await(this.context.settings().limits().maxLeaveMillis(), TimeUnit.MILLISECONDS);
+			this.requests.stop();
+			this.ownership.stop();
+			this.context.events()
+				.record(EventKind.DAEMON_STOPPED, this.context.settings().instance(),
+						(clean) ? "nothing in flight" : "the time to leave ran out");
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
+}
--- /dev/null
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/settings/Flags.java
@@ -0,0 +1,71 @@
+package org.brasspier.daemon.internal.settings;
+
+import com.beust.jcommander.Parameter;
+
+/**
+ * The daemon's flags as JCommander fills them in. Each flag may come from the environment
+ * as well, see {@link EnvironmentDefaults}; secrets come from the environment or from
+ * files only, so that they don't show in a list of processes.
+ */
+final class Flags {
+
+	@Parameter(names = "--help", help = true, description = "show this help and end")
+	boolean help;
+
+	@Parameter(names = "--instance", description = "identity of this instance")
+	String instance = "";
+
+	@Parameter(names = "--failure-domain", description = "failure domain this instance is in")
+	String failureDomain = "";
+
+	@Parameter(names = "--cell", description = "cell this instance belongs to")
+	String cell = "main";
+
+	@Parameter(names = "--caller-listen", description = "IP:PORT for callers")
+	String callerListen = "127.0.0.1:7000";
+
+	@Parameter(names = "--forward-listen", description = "IP:PORT for requests forwarded by other daemons")
+	String forwardListen = "127.0.0.1:7001";
+
+	@Parameter(names = "--control-listen", description = "IP:PORT for heartbeats and grants of other daemons")
+	String controlListen = "127.0.0.1:7002";
+
+	@Parameter(names = "--backend-listen", description = "IP:PORT for the backend server beside this daemon")
+	String backendListen = "127.0.0.1:7003";
+
+	@Parameter(names = "--operator-listen", description = "IP:PORT for operators")
+	String operatorListen = "127.0.0.1:7004";
+
+	@Parameter(names = "--advertise",
+			description = "IP under which other daemons and callers reach this one, if not that of the listeners")
+	String advertise = "";
+
+	@Parameter(names = "--peer-ports",
+			description = "INSTANCE=IP:CONTROL:FORWARD of peers reached another way than they advertise, by comma")
+	String peerPorts = "";
+
+	@Parameter(names = "--table", description = "IP:PORT of the platform's table service")
+	String table = "";
+
+	@Parameter(names = "--object-store", description = "IP:PORT of the platform's object store")
+	String objectStore = "";
+
+	@Parameter(names = "--platform-token-file", description = "file with the platform's bearer token")
+	String platformTokenFile = "";
+
+	@Parameter(names = "--shared-keys-file", description = "file with the keys that daemons share, one a line")
+	String sharedKeysFile = "";
+
+	@Parameter(names = "--operator-secrets-file", description = "file with the operators' secrets, one a line")
+	String operatorSecretsFile = "";
+
+	@Parameter(names = "--max-body-bytes", description = "largest body of a request or answer, in bytes")
+	int maxBodyBytes = 1 << 20;
+
+	@Parameter(names = "--log-format", description = "text or json")
+	String logFormat = "text";
+
+	@Parameter(names = "--max-leave-millis", description = "how long a planned stop may take, in milliseconds")
+	int maxLeaveMillis = 60_000;
+
+}
--- a/daemon/src/main/java/org/brasspier/daemon/internal/settings/Settings.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/settings/Settings.java
@@ -1,34 +1,104 @@
 package org.brasspier.daemon.internal.settings;
 
-import java.util.ArrayList;
+import java.net.InetSocketAddress;
 import java.util.List;
+import java.util.Map;
 
-import com.beust.jcommander.Parameter;
+import org.brasspier.core.FailureDomain;
+import org.brasspier.core.InstanceId;
+import org.brasspier.wire.SharedKeys;
 
 /**
- * The settings as flags; each may also come from the environment as {@code BRASSPIER_}
- * and the flag's name in capitals, the flag going first.
+ * The daemon's settings, checked as a whole by {@link SettingsReader}. Immutable and
+ * thread-safe; its text shows no secret.
+ *
+ * @param instance this instance
+ * @param failureDomain the failure domain it is in
+ * @param cell the cell it belongs to
+ * @param listen where it listens
+ * @param advertisedHost the IP number under which others reach it
+ * @param peerPorts peers that are reached another way than they advertise
+ * @param platform where the platform's services are
+ * @param secrets the secrets
+ * @param limits bounds on sizes and times
  */
-public final class Settings {
+public record Settings(InstanceId instance, FailureDomain failureDomain, String cell, Listen listen,
+		String advertisedHost, Map<InstanceId, PeerPorts> peerPorts, Platform platform, Secrets secrets,
+		Limits limits) {
 
-	/** This instance's identity. */
-	@Parameter(names = "--instance", description = "identity of this instance", required = true)
-	public String instance = "";
+	/**
+	 * Copies the map.
+	 */
+	public Settings {
+		peerPorts = Map.copyOf(peerPorts);
+	}
 
-	/** Where callers connect. */
-	@Parameter(names = "--caller-listen", description = "IP:PORT for callers")
-	public String callerListen = "127.0.0.1:7000";
+	/**
+	 * Where the daemon listens.
+	 *
+	 * @param callers the port for callers
+	 * @param forwards the port for requests forwarded by other daemons
+	 * @param control the port for heartbeats and grants
+	 * @param backend the port for the backend server beside this daemon
+	 * @param operators the port for operators
+	 */
+	public record Listen(InetSocketAddress callers, InetSocketAddress forwards, InetSocketAddress control,
+			InetSocketAddress backend, InetSocketAddress operators) {
 
-	/** Where peers send requests. */
-	@Parameter(names = "--forward-listen", description = "IP:PORT for requests forwarded by peers")
-	public String forwardListen = "127.0.0.1:7001";
+	}
 
-	/** Where the backend server announces itself. */
-	@Parameter(names = "--backend-listen", description = "IP:PORT for the backend server beside this daemon")
-	public String backendListen = "127.0.0.1:7002";
+	/**
+	 * Another way to a peer than the one it advertises, as where networks are translated.
+	 *
+	 * @param host the IP number
+	 * @param control its control port
+	 * @param forward its port for forwarded requests
+	 */
+	public record PeerPorts(String host, int control, int forward) {
 
-	/** The instances of the thin path. */
-	@Parameter(names = "--members", description = "ID=SERVICE@IP:FORWARD_PORT of each instance")
-	public List<String> members = new ArrayList<>();
+	}
+
+	/**
+	 * Where the platform's services are.
+	 *
+	 * @param table the table service's IP:PORT
+	 * @param objectStore the object store's IP:PORT
+	 */
+	public record Platform(String table, String objectStore) {
+
+	}
+
+	/**
+	 * The secrets. Its text shows none of them.
+	 *
+	 * @param sharedKeys the keys that daemons share
+	 * @param operatorSecrets the operators' secrets, each of them accepted
+	 * @param platformToken the platform's bearer token
+	 */
+	public record Secrets(SharedKeys sharedKeys, List<String> operatorSecrets, String platformToken) {
+
+		/**
+		 * Copies the list.
+		 */
+		public Secrets {
+			operatorSecrets = List.copyOf(operatorSecrets);
+		}
+
+		@Override
+		public String toString() {
+			return "Secrets[]";
+		}
+
+	}
+
+	/**
+	 * Bounds on sizes and times.
+	 *
+	 * @param maxBodyBytes the largest body of a request or answer, in bytes
+	 * @param maxLeaveMillis how long a planned stop may take, in milliseconds
+	 */
+	public record Limits(int maxBodyBytes, int maxLeaveMillis) {
+
+	}
 
 }
