Seams between ownership, requests and operators

Passing the whole row object was ruled out: the request thread would then depend on how leases are kept. No behaviour changes; the duty still holds nothing.

--- /dev/null
+++ b/core/src/main/java/org/brasspier/core/ownership/CrashMark.java
@@ -0,0 +1,26 @@
+package org.brasspier.core.ownership;
+
+/**
+ * A request that was in flight when a backend server was lost. Marks travel with a range
+ * to its next owner before any request does, so that the same request can't bring down
+ * one backend server after the other. Immutable and thread-safe.
+ *
+ * @param requestHash the hash of the request's id or fingerprint
+ * @param crashes how many losses it was in flight at, at least 1
+ */
+public record CrashMark(long requestHash, int crashes) {
+
+	/** How many marks travel with one range; the latest ones are kept. */
+	public static final int MAX_PER_RANGE = 16;
+
+	/**
+	 * Checks the count.
+	 * @throws IllegalArgumentException if the count is not positive
+	 */
+	public CrashMark {
+		if (crashes < 1) {
+			throw new IllegalArgumentException("crashes %d must be at least 1".formatted(crashes));
+		}
+	}
+
+}
