Decide for each backend server what runs, waits or is refused

Cause: the gate handed every request over at once, so a burst became a queue inside the backend server, where nobody orders or bounds it. Chosen: exact slots in one place; a queue for each class, callers in turn by slot time used, each caller's requests by deadline; refusal before the wait where the deadline can't be met; slots kept for internal calls so that a circle of calls can move; retry times one after the other. Ruled out: one queue with priorities as numbers (starves audit reading), a token bucket for each caller (needs a rate that nobody knows).

--- /dev/null
+++ b/core/src/main/java/org/brasspier/core/admission/AdmissionController.java
@@ -0,0 +1,258 @@
+package org.brasspier.core.admission;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.EnumMap;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import org.brasspier.core.ErrorKind;
+import org.brasspier.core.Failure;
+import org.brasspier.core.RequestClass;
+import org.brasspier.core.admission.AdmissionDecision.Queued;
+import org.brasspier.core.admission.AdmissionDecision.Refuse;
+import org.brasspier.core.admission.AdmissionDecision.Run;
+
+/**
+ * Decides for one backend server which request runs, waits or is refused at once. All
+ * times are nanoseconds of one monotonic clock that the caller reads. Never refuses a
+ * request that it has let run, so each of its refusals is "not run". Not thread-safe.
+ * <p>
+ * Use: {@link #offer} each request; hand over what is to run; call {@link #finished} once
+ * for each handed over when the backend server is certainly no longer at it (its answer
+ * came, or its connection is closed); call {@link #expired} every few milliseconds while
+ * anything waits; carry out what the calls return.
+ */
+public final class AdmissionController {
+
+	private final AdmissionSettings settings;
+
+	private final ServiceTimes times;
+
+	private final ClassTurns turns;
+
+	private final CallerShares shares = new CallerShares();
+
+	private final RetryTimes retryTimes = new RetryTimes();
+
+	private final Map<RequestClass, ClassQueue> queues = new EnumMap<>(RequestClass.class);
+
+	private final Map<Long, PendingRequest> waiting = new HashMap<>();
+
+	private final Map<Long, Running> running = new HashMap<>();
+
+	private final SlotRules slots;
+
+	private boolean draining;
+
+	/**
+	 * Creates a controller with nothing running.
+	 * @param limits what the backend server announced
+	 * @param settings the rules of each class
+	 */
+	public AdmissionController(AdmissionLimits limits, AdmissionSettings settings) {
+		this.settings = settings;
+		this.times = new ServiceTimes(settings);
+		this.turns = new ClassTurns(settings, this.times);
+		this.slots = new SlotRules(limits);
+		Arrays.stream(RequestClass.values())
+			.forEach((requestClass) -> this.queues.put(requestClass, new ClassQueue(this.shares)));
+	}
+
+	/**
+	 * Decides on a new request.
+	 * @param request the request; its id must not be waiting or running
+	 * @param now the time
+	 * @return whether it runs, waits or is refused
+	 */
+	public AdmissionDecision offer(PendingRequest request, long now) {
+		this.slots.seen(request.requestClass(), now);
+		if (this.draining) {
+			return new Refuse(Failure.of(ErrorKind.NO_BACKEND, "the backend server is leaving"));
+		}
+		if (request.deadlineNanos() - now <= 0) {
+			return new Refuse(Failure.of(ErrorKind.DEADLINE_PASSED, "the deadline passed on the way"));
+		}
+		if (queue(request.requestClass()).isEmpty() && this.slots.free(request.requestClass(), now)) {
+			start(request, now);
+			return new Run();
+		}
+		return enqueue(request, now);
+	}
+
+	/**
+	 * Takes back the slot of a request.
+	 * @param id the number of a request that was to run; unknown ones are ignored
+	 * @param outcome how it ended
+	 * @param now the time
+	 * @return what runs next and what is given up
+	 */
+	public NextRequests finished(long id, RunOutcome outcome, long now) {
+		Running ended = this.running.remove(id);
+		if (ended == null) {
+			return NextRequests.NONE;
+		}
+		long took = now - ended.sinceNanos();
+		RequestClass requestClass = ended.request().requestClass();
+		this.slots.release(requestClass);
+		this.shares.charge(ended.request().caller(), took - ended.chargedNanos());
+		switch (outcome) {
+			case ANSWERED -> this.times.observe(requestClass, took);
+			case BROKEN -> this.times.observeAtLeast(requestClass, took);
+			case SHED -> {
+			}
+		}
+		return expired(now);
+	}
+
+	/**
+	 * Gives up what can no longer make its deadline and fills slots that are free.
+	 * @param now the time
+	 * @return what runs next and what is given up
+	 */
+	public NextRequests expired(long now) {
+		if (this.waiting.isEmpty()) {
+			return NextRequests.NONE;
+		}
+		List<RefusedRequest> refused = giveUpLate(now);
+		List<Long> run = new ArrayList<>();
+		for (Optional<PendingRequest> next = take(now); next.isPresent(); next = take(now)) {
+			run.add(next.get().id());
+		}
+		return new NextRequests(run, refused);
+	}
+
+	/**
+	 * Forgets a waiting request whose caller is gone. A running one keeps its slot until
+	 * {@link #finished}.
+	 * @param id the number of the request
+	 * @return true if it was waiting and so certainly will not run
+	 */
+	public boolean cancelled(long id) {
+		PendingRequest request = this.waiting.remove(id);
+		return request != null && queue(request.requestClass()).remove(request);
+	}
+
+	/**
+	 * Takes over what the backend server announces now.
+	 * @param limits the new limits
+	 */
+	public void limits(AdmissionLimits limits) {
+		this.slots.limits(limits);
+	}
+
+	/**
+	 * Refuses new requests from now on, or takes them again. What waits or runs goes on.
+	 * @param leaving whether the backend server is leaving
+	 */
+	public void draining(boolean leaving) {
+		this.draining = leaving;
+	}
+
+	/**
+	 * Gives up everything that waits, as when the backend server is lost.
+	 * @param failure the answer for all of it; its kind must be one that did not run
+	 * @return the requests given up
+	 */
+	public List<RefusedRequest> refuseWaiting(Failure failure) {
+		List<PendingRequest> all = List.copyOf(this.waiting.values());
+		all.forEach((request) -> cancelled(request.id()));
+		return all.stream().map((request) -> new RefusedRequest(request.id(), failure)).toList();
+	}
+
+	/**
+	 * How many requests hold a slot.
+	 * @return at least 0
+	 */
+	public int running() {
+		return this.running.size();
+	}
+
+	/**
+	 * How many requests wait.
+	 * @return at least 0
+	 */
+	public int waiting() {
+		return this.waiting.size();
+	}
+
+	private AdmissionDecision enqueue(PendingRequest request, long now) {
+		RequestClass requestClass = request.requestClass();
+		double wait = expectedWait(requestClass);
+		// Saturation: a request that can't make its deadline only takes a slot from one
+		// that can, so it is told so before it waits.
+		if (now + wait + this.times.mean(requestClass) > request.deadlineNanos()) {
+			return new Refuse(overloaded("the deadline can't be met", requestClass, now));
+		}
+		Optional<RefusedRequest> displaced = Optional.empty();
+		if (wait > this.settings.of(requestClass).longestWait().toNanos()) {
+			displaced = queue(requestClass).displaceFor(request.caller()).map((other) -> giveUp(other, now));
+			if (displaced.isEmpty()) {
+				return new Refuse(overloaded("the queue is full", requestClass, now));
+			}
+		}
+		this.waiting.put(request.id(), request);
+		queue(requestClass).add(request);
+		return new Queued(displaced);
+	}
+
+	private List<RefusedRequest> giveUpLate(long now) {
+		List<RefusedRequest> refused = new ArrayList<>();
+		for (RequestClass requestClass : RequestClass.values()) {
+			long latestStart = now + (long) (this.times.mean(requestClass) / 2);
+			queue(requestClass).removeDueBefore(latestStart).forEach((late) -> refused.add(giveUp(late, now)));
+		}
+		return refused;
+	}
+
+	private RefusedRequest giveUp(PendingRequest request, long now) {
+		this.waiting.remove(request.id());
+		return new RefusedRequest(request.id(),
+				overloaded("gave way to what can still be served in time", request.requestClass(), now));
+	}
+
+	private Optional<PendingRequest> take(long now) {
+		Optional<RequestClass> turn = this.turns
+			.next((requestClass) -> !queue(requestClass).isEmpty() && this.slots.free(requestClass, now));
+		Optional<PendingRequest> next = turn.flatMap((requestClass) -> queue(requestClass).take());
+		next.ifPresent((request) -> {
+			this.waiting.remove(request.id());
+			start(request, now);
+			this.turns.taken(request.requestClass(), (other) -> !queue(other).isEmpty());
+		});
+		return next;
+	}
+
+	private void start(PendingRequest request, long now) {
+		double expected = this.times.mean(request.requestClass());
+		this.slots.take(request.requestClass());
+		this.shares.charge(request.caller(), expected);
+		this.running.put(request.id(), new Running(request, now, expected));
+	}
+
+	private double expectedWait(RequestClass requestClass) {
+		double ahead = Arrays.stream(RequestClass.values())
+			.filter((other) -> other.compareTo(requestClass) <= 0)
+			.mapToDouble((other) -> queue(other).size() * this.times.mean(other))
+			.sum();
+		return ahead / this.slots.usable();
+	}
+
+	private Failure overloaded(String detail, RequestClass requestClass, long now) {
+		double turn = this.times.mean(requestClass) / this.slots.usable();
+		Duration pause = this.retryTimes.next(now, expectedWait(requestClass), turn);
+		return new Failure(ErrorKind.OVERLOADED, detail, pause);
+	}
+
+	private ClassQueue queue(RequestClass requestClass) {
+		return this.queues.computeIfAbsent(requestClass, (key) -> new ClassQueue(this.shares));
+	}
+
+	private record Running(PendingRequest request, long sinceNanos, double chargedNanos) {
+
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/brasspier/core/admission/AdmissionSettings.java
@@ -0,0 +1,78 @@
+package org.brasspier.core.admission;
+
+import java.time.Duration;
+import java.util.EnumMap;
+import java.util.Map;
+
+import org.brasspier.core.RequestClass;
+
+/**
+ * How each class of request is queued. Immutable and thread-safe.
+ *
+ * @param classes the rules of each class
+ */
+public record AdmissionSettings(Map<RequestClass, ClassRules> classes) {
+
+	/**
+	 * Rules that fit services whose lookups take some tens of milliseconds. Waits: a
+	 * lookup is worth nothing to a crew after a second, so its queue holds no more than a
+	 * short burst; a posting may wait a little; an audit reader can wait. Shares: what a
+	 * class is sure of when a class before it could use everything.
+	 */
+	public static final AdmissionSettings DEFAULT = new AdmissionSettings(
+			Map.of(RequestClass.INTERNAL, new ClassRules(Duration.ofMillis(100), 1.0, Duration.ofMillis(5)),
+					RequestClass.LOOKUP, new ClassRules(Duration.ofMillis(100), 0.5, Duration.ofMillis(10)),
+					RequestClass.POSTING, new ClassRules(Duration.ofMillis(500), 0.2, Duration.ofMillis(20)),
+					RequestClass.AUDIT, new ClassRules(Duration.ofSeconds(2), 0.05, Duration.ofMillis(200))));
+
+	/**
+	 * Copies the map.
+	 * @throws IllegalArgumentException if a class has no rules
+	 */
+	public AdmissionSettings {
+		classes = new EnumMap<>(classes);
+		for (RequestClass requestClass : RequestClass.values()) {
+			if (!classes.containsKey(requestClass)) {
+				throw new IllegalArgumentException("class %s has no rules".formatted(requestClass));
+			}
+		}
+	}
+
+	/**
+	 * The rules of one class.
+	 * @param requestClass the class
+	 * @return its rules
+	 */
+	public ClassRules of(RequestClass requestClass) {
+		ClassRules rules = this.classes.get(requestClass);
+		if (rules == null) {
+			throw new IllegalStateException("class %s has no rules".formatted(requestClass));
+		}
+		return rules;
+	}
+
+	/**
+	 * The rules of one class.
+	 *
+	 * @param longestWait the expected wait beyond which a new request is refused at once
+	 * @param sureShare the share of slot time that the class gets even if a class before
+	 * it asks for more than there is
+	 * @param firstGuess the service time assumed before any was observed
+	 */
+	public record ClassRules(Duration longestWait, double sureShare, Duration firstGuess) {
+
+		/**
+		 * Checks the rules.
+		 * @throws IllegalArgumentException if one is out of its range
+		 */
+		public ClassRules {
+			if (!longestWait.isPositive() || !firstGuess.isPositive() || sureShare < 0 || sureShare > 1) {
+				throw new IllegalArgumentException(
+						"longestWait %s and firstGuess %s must be positive, sureShare %s from 0 to 1"
+							.formatted(longestWait, firstGuess, sureShare));
+			}
+		}
+
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/brasspier/core/admission/RetryTimes.java
@@ -0,0 +1,36 @@
+package org.brasspier.core.admission;
+
+import java.time.Duration;
+
+/**
+ * When refused callers should come back: one after the other, as fast as the backend
+ * server can take them. Made for bursts: if all were told the same moment, the burst
+ * would only be put off. Not thread-safe.
+ */
+final class RetryTimes {
+
+	/** Sooner than this a resend would meet the same queue. */
+	private static final long SHORTEST_NANOS = Duration.ofMillis(50).toNanos();
+
+	/**
+	 * Longer than this a person would resend by hand; the backlog is anybody's guess by
+	 * then.
+	 */
+	private static final long LONGEST_NANOS = Duration.ofSeconds(10).toNanos();
+
+	private long nextNanos;
+
+	/**
+	 * The pause for one more refused request.
+	 * @param now the time
+	 * @param waitNanos how long a request of its class would wait now
+	 * @param turnNanos how often the backend server takes a request
+	 * @return from 50 ms to 10 s
+	 */
+	Duration next(long now, double waitNanos, double turnNanos) {
+		long earliest = now + (long) Math.min(LONGEST_NANOS, Math.max(SHORTEST_NANOS, waitNanos));
+		this.nextNanos = Math.max(earliest, Math.min(this.nextNanos + (long) turnNanos, now + LONGEST_NANOS));
+		return Duration.ofNanos(this.nextNanos - now);
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/brasspier/core/admission/RunOutcome.java
@@ -0,0 +1,19 @@
+package org.brasspier.core.admission;
+
+/**
+ * How a request's time on the backend server ended.
+ */
+public enum RunOutcome {
+
+	/** The backend server answered. */
+	ANSWERED,
+
+	/** The backend server said that it shed the request; its time tells nothing. */
+	SHED,
+
+	/**
+	 * It was cancelled, timed out or its connection broke; its time tells a lower bound.
+	 */
+	BROKEN
+
+}
--- /dev/null
+++ b/core/src/main/java/org/brasspier/core/admission/SlotRules.java
@@ -0,0 +1,96 @@
+package org.brasspier.core.admission;
+
+import java.time.Duration;
+import java.util.EnumMap;
+import java.util.Map;
+
+import org.brasspier.core.RequestClass;
+
+/**
+ * Which slots of the backend server each class may use. Not thread-safe.
+ */
+final class SlotRules {
+
+	/**
+	 * One slot in eight, at least one, is kept for internal calls. Made for circles:
+	 * outer calls that fill all slots while each waits for an internal call to this very
+	 * server would stall until their deadlines. One slot is enough to get a circle
+	 * moving; an eighth lets the internal calls of a full server keep up.
+	 */
+	private static final int INTERNAL_ONE_IN = 8;
+
+	/**
+	 * Audit reads use at most a third of the slots while others come: they are long, so a
+	 * lookup that arrives must not find all slots taken by them.
+	 */
+	private static final int AUDIT_ONE_IN = 3;
+
+	/**
+	 * How long after the last request of a class its slots are kept from others. A server
+	 * that has no internal calls, or only audit reads, uses all its slots for what comes.
+	 */
+	private static final long KEPT_NANOS = Duration.ofMinutes(10).toNanos();
+
+	private final Map<RequestClass, Integer> taken = new EnumMap<>(RequestClass.class);
+
+	private final Map<RequestClass, Long> lastSeen = new EnumMap<>(RequestClass.class);
+
+	private AdmissionLimits limits;
+
+	SlotRules(AdmissionLimits limits) {
+		this.limits = limits;
+	}
+
+	void limits(AdmissionLimits announced) {
+		this.limits = announced;
+	}
+
+	void seen(RequestClass requestClass, long now) {
+		this.lastSeen.put(requestClass, now);
+	}
+
+	void take(RequestClass requestClass) {
+		this.taken.merge(requestClass, 1, Integer::sum);
+	}
+
+	void release(RequestClass requestClass) {
+		this.taken.merge(requestClass, -1, Integer::sum);
+	}
+
+	int usable() {
+		return this.limits.concurrency();
+	}
+
+	boolean free(RequestClass requestClass, long now) {
+		int all = usable();
+		int total = this.taken.values().stream().mapToInt(Integer::intValue).sum();
+		if (total >= all) {
+			return false;
+		}
+		if (requestClass == RequestClass.INTERNAL) {
+			return true;
+		}
+		int outer = total - used(RequestClass.INTERNAL);
+		return outer < outerSlots(all, now) && (requestClass != RequestClass.AUDIT || auditFree(all, now));
+	}
+
+	private int outerSlots(int all, long now) {
+		boolean reserve = all > 1 && recent(RequestClass.INTERNAL, now);
+		return reserve ? all - Math.max(1, all / INTERNAL_ONE_IN) : all;
+	}
+
+	private boolean auditFree(int all, long now) {
+		boolean others = recent(RequestClass.LOOKUP, now) || recent(RequestClass.POSTING, now);
+		return !others || used(RequestClass.AUDIT) < Math.max(1, all / AUDIT_ONE_IN);
+	}
+
+	private boolean recent(RequestClass requestClass, long now) {
+		Long seen = this.lastSeen.get(requestClass);
+		return seen != null && now - seen < KEPT_NANOS;
+	}
+
+	private int used(RequestClass requestClass) {
+		return this.taken.getOrDefault(requestClass, 0);
+	}
+
+}
--- /dev/null
+++ b/core/src/test/java/org/brasspier/core/admission/AdmissionControllerTests.java
@@ -0,0 +1,172 @@
+package org.brasspier.core.admission;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.IntStream;
+
+import org.brasspier.core.CallerId;
+import org.brasspier.core.ErrorKind;
+import org.brasspier.core.Failure;
+import org.brasspier.core.Ran;
+import org.brasspier.core.RequestClass;
+import org.brasspier.core.admission.AdmissionDecision.Queued;
+import org.brasspier.core.admission.AdmissionDecision.Refuse;
+import org.brasspier.core.admission.AdmissionDecision.Run;
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+
+class AdmissionControllerTests {
+
+	private static final long MILLI = 1_000_000;
+
+	private static final CallerId CREW = new CallerId("crew");
+
+	private static final CallerId CROWD = new CallerId("crowd");
+
+	private final AdmissionController admission = controller(2, 100);
+
+	private long lastId;
+
+	@Test
+	void neverRunsMoreThanTheSlots() {
+		assertThat(offer(RequestClass.LOOKUP, CREW, 1000)).isInstanceOf(Run.class);
+		assertThat(offer(RequestClass.LOOKUP, CREW, 1000)).isInstanceOf(Run.class);
+		assertThat(offer(RequestClass.LOOKUP, CREW, 1000)).isInstanceOf(Queued.class);
+		assertThat(this.admission.finished(1, RunOutcome.ANSWERED, 10 * MILLI).run()).containsExactly(3L);
+		assertThat(this.admission.running()).isEqualTo(2);
+	}
+
+	@Test
+	void neverRunsMoreThanTheConnections() {
+		AdmissionController narrow = controller(17, 1);
+		assertThat(narrow.offer(request(RequestClass.LOOKUP, CREW, 1000), 0)).isInstanceOf(Run.class);
+		assertThat(narrow.offer(request(RequestClass.LOOKUP, CREW, 1000), 0)).isInstanceOf(Queued.class);
+	}
+
+	@Test
+	void lookupsGoBeforePostingsAndPostingsBeforeAuditReading() {
+		fill();
+		offer(RequestClass.AUDIT, CREW, 60_000);
+		offer(RequestClass.POSTING, CREW, 60_000);
+		offer(RequestClass.LOOKUP, CREW, 60_000);
+		List<Long> order = new ArrayList<>(this.admission.finished(1, RunOutcome.ANSWERED, MILLI).run());
+		order.addAll(this.admission.finished(2, RunOutcome.ANSWERED, MILLI).run());
+		order.addAll(this.admission.finished(5, RunOutcome.ANSWERED, 2 * MILLI).run());
+		assertThat(order).containsExactly(5L, 4L, 3L).inOrder();
+	}
+
+	@Test
+	void auditReadingIsNotStarvedByLookups() {
+		fill();
+		offer(RequestClass.AUDIT, CREW, 600_000);
+		long audit = this.lastId;
+		List<Long> taken = new ArrayList<>();
+		long running = 1;
+		for (int i = 0; i < 600 && !taken.contains(audit); i++) {
+			offer(RequestClass.LOOKUP, CREW, 60_000);
+			List<Long> run = this.admission.finished(running, RunOutcome.ANSWERED, i * 10 * MILLI).run();
+			taken.addAll(run);
+			running = run.getFirst();
+		}
+		assertThat(taken).contains(audit);
+	}
+
+	@Test
+	void whatCanNotMakeItsDeadlineIsRefusedAtOnce() {
+		fill();
+		IntStream.range(0, 6).forEach((i) -> offer(RequestClass.LOOKUP, CREW, 1000));
+		AdmissionDecision decision = offer(RequestClass.LOOKUP, CREW, 20);
+		Failure failure = ((Refuse) decision).failure();
+		assertThat(failure.kind()).isEqualTo(ErrorKind.OVERLOADED);
+		assertThat(failure.kind().ran()).isEqualTo(Ran.NOT_RUN);
+		assertThat(failure.retryAfter().toMillis()).isAtLeast(50);
+	}
+
+	@Test
+	void aWaitingRequestWhoseDeadlineComesIsGivenUpWithoutRunning() {
+		fill();
+		offer(RequestClass.LOOKUP, CREW, 30);
+		NextRequests next = this.admission.expired(40 * MILLI);
+		assertThat(next.run()).isEmpty();
+		assertThat(next.refused().stream().map(RefusedRequest::id)).containsExactly(3L);
+		assertThat(this.admission.finished(1, RunOutcome.ANSWERED, 41 * MILLI)).isEqualTo(NextRequests.NONE);
+	}
+
+	@Test
+	void refusedCallersAreToldDifferentTimesToComeBack() {
+		fill();
+		long distinct = IntStream.range(0, 100)
+			.mapToObj((i) -> offer(RequestClass.LOOKUP, CREW, 1000))
+			.filter(Refuse.class::isInstance)
+			.map((refuse) -> ((Refuse) refuse).failure().retryAfter())
+			.distinct()
+			.count();
+		assertThat(distinct).isAtLeast(70);
+	}
+
+	/**
+	 * A crew's lookup at a marina is turned away although the crew asks for little: one
+	 * office's script fills the queue first. The office's last request must make room.
+	 */
+	@Test
+	void aCallerThatFillsTheQueueMakesRoomForOthers() {
+		fill();
+		IntStream.range(0, 100).forEach((i) -> offer(RequestClass.LOOKUP, CROWD, 1000));
+		AdmissionDecision decision = offer(RequestClass.LOOKUP, CREW, 1000);
+		assertThat(decision).isInstanceOf(Queued.class);
+		assertThat(((Queued) decision).displaced()).isPresent();
+		assertThat(this.admission.finished(1, RunOutcome.ANSWERED, 10 * MILLI).run()).containsExactly(this.lastId);
+	}
+
+	/**
+	 * Every answer stops: bookings fill all slots, each waits for a slip assignment, and
+	 * that waits for an internal lookup to this very server. A slot kept for internal
+	 * calls lets the circle move.
+	 */
+	@Test
+	void internalCallsFindASlotThoughOuterCallsWantAll() {
+		AdmissionController wide = controller(6, 100);
+		wide.offer(request(RequestClass.INTERNAL, CREW, 1000), 0);
+		wide.finished(this.lastId, RunOutcome.ANSWERED, MILLI);
+		IntStream.range(0, 20).forEach((i) -> wide.offer(request(RequestClass.POSTING, CREW, 1000), MILLI));
+		assertThat(wide.running()).isEqualTo(5);
+		assertThat(wide.offer(request(RequestClass.INTERNAL, CREW, 1000), MILLI)).isInstanceOf(Run.class);
+	}
+
+	@Test
+	void aCancelledRequestThatWaitedNeverRuns() {
+		fill();
+		offer(RequestClass.POSTING, CREW, 1000);
+		assertThat(this.admission.cancelled(3)).isTrue();
+		assertThat(this.admission.finished(1, RunOutcome.BROKEN, 10 * MILLI).run()).isEmpty();
+		assertThat(this.admission.cancelled(2)).isFalse();
+	}
+
+	@Test
+	void aDrainingServerTakesNothingNewAndFinishesWhatWaits() {
+		fill();
+		offer(RequestClass.LOOKUP, CREW, 1000);
+		this.admission.draining(true);
+		assertThat(offer(RequestClass.LOOKUP, CREW, 1000)).isInstanceOf(Refuse.class);
+		assertThat(this.admission.finished(1, RunOutcome.ANSWERED, 5 * MILLI).run()).containsExactly(3L);
+	}
+
+	private void fill() {
+		offer(RequestClass.LOOKUP, CROWD, 1000);
+		offer(RequestClass.LOOKUP, CROWD, 1000);
+	}
+
+	private AdmissionDecision offer(RequestClass requestClass, CallerId caller, long deadlineMillis) {
+		return this.admission.offer(request(requestClass, caller, deadlineMillis), 0);
+	}
+
+	private PendingRequest request(RequestClass requestClass, CallerId caller, long deadlineMillis) {
+		return new PendingRequest(++this.lastId, requestClass, caller, deadlineMillis * MILLI);
+	}
+
+	private static AdmissionController controller(int slots, int connections) {
+		return new AdmissionController(new AdmissionLimits(slots, connections), AdmissionSettings.DEFAULT);
+	}
+
+}
