--- /dev/null
+++ b/core/src/main/java/org/brasspier/core/document/DocumentCheck.java
@@ -0,0 +1,125 @@
+package org.brasspier.core.document;
+
+import java.util.Arrays;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import java.util.stream.Stream;
+
+import org.brasspier.core.RequestClass;
+import org.brasspier.core.ServiceName;
+
+/**
+ * Says what keeps a document from taking effect: all faults at once, so that an operator
+ * mends them in one go. Stateless and thread-safe.
+ */
+public final class DocumentCheck {
+
+	/** Some 3,500 daemons hold the document in 32 MB each beside everything else. */
+	private static final int MAX_FIELDS = 10_000;
+
+	private static final int ALL_SLOTS_PERCENT = 100;
+
+	private DocumentCheck() {
+	}
+
+	/**
+	 * Checks a document as a whole.
+	 * @param document the document
+	 * @return all faults, in the order of their places; empty if it may take effect
+	 */
+	public static List<Fault> faults(Document document) {
+		List<Fault> single = document.values().entrySet().stream().flatMap((entry) -> field(entry).stream()).toList();
+		// Rules over several fields read numbers, which only holds where each is one.
+		return (single.isEmpty()) ? whole(document) : single;
+	}
+
+	private static Optional<Fault> field(Map.Entry<FieldPath, String> entry) {
+		Optional<Field> field = Form.fieldAt(entry.getKey());
+		String place = entry.getKey().text();
+		if (field.isEmpty()) {
+			return Optional.of(new Fault(place, entry.getValue(), "no form has this field: take it out"));
+		}
+		return (field.get().rule().allows(entry.getValue())) ? Optional.empty()
+				: Optional.of(new Fault(place, entry.getValue(), "enter " + field.get().rule().allowed()));
+	}
+
+	private static List<Fault> whole(Document document) {
+		return Stream
+			.of(size(document), services(document), limitsOfNoService(document), reservedSlots(document),
+					domains(document), weights(document), secrets(document))
+			.flatMap((faults) -> faults)
+			.toList();
+	}
+
+	private static Stream<Fault> size(Document document) {
+		int fields = document.values().size();
+		return (fields <= MAX_FIELDS) ? Stream.empty() : Stream
+			.of(new Fault("document", fields + " fields", "take fields out until there are %d".formatted(MAX_FIELDS)));
+	}
+
+	private static Stream<Fault> services(Document document) {
+		if (document.services().isEmpty()) {
+			return Stream.of(new Fault(Form.SERVICE.key(), "", "fill in the form of at least one service"));
+		}
+		return document.services()
+			.stream()
+			.map((service) -> Form.SERVICE.path(service.value(), "divided-by-key"))
+			.filter((path) -> document.value(path).isEmpty())
+			.map((path) -> new Fault(path.text(), "", "say yes or no: keys of this service have one owner or not"));
+	}
+
+	private static Stream<Fault> limitsOfNoService(Document document) {
+		return document.values()
+			.entrySet()
+			.stream()
+			.filter((entry) -> entry.getKey().parts().getFirst().equals(Form.LIMITS.key()))
+			.filter((entry) -> !document.services().contains(new ServiceName(entry.getKey().parts().get(1))))
+			.map((entry) -> new Fault(entry.getKey().text(), entry.getValue(),
+					"no form describes this service: fill in its service form or take the limit out"));
+	}
+
+	private static Stream<Fault> reservedSlots(Document document) {
+		ServiceCatalog catalog = document.catalog();
+		return document.services().stream().flatMap((service) -> {
+			int reserved = Arrays.stream(RequestClass.values())
+				.mapToInt((requestClass) -> catalog.find(service).orElseThrow().limit(requestClass).sharePercent())
+				.sum();
+			return (reserved <= ALL_SLOTS_PERCENT) ? Stream.empty()
+					: Stream.of(new Fault(Form.LIMITS.key() + "/" + service, reserved + " %",
+							"reserve at most 100 % over the classes " + classes()));
+		});
+	}
+
+	private static String classes() {
+		return String.join(", ",
+				Arrays.stream(RequestClass.values())
+					.map((requestClass) -> requestClass.name().toLowerCase(Locale.ROOT))
+					.toList());
+	}
+
+	private static Stream<Fault> domains(Document document) {
+		return (document.regions().isEmpty())
+				? Stream.of(new Fault(Form.DOMAINS.path("", "regions").text(), "", "name at least one failure domain"))
+				: Stream.empty();
+	}
+
+	private static Stream<Fault> weights(Document document) {
+		boolean anyWeight = Form.WEIGHTS.fields()
+			.stream()
+			.map((field) -> document.value(Form.WEIGHTS.path("", field.name())).orElse(field.usual()))
+			.anyMatch((value) -> Double.parseDouble(value) > 0);
+		return (anyWeight) ? Stream.empty()
+				: Stream.of(new Fault(Form.WEIGHTS.key(), "0", "give at least one of the three a weight above 0"));
+	}
+
+	private static Stream<Fault> secrets(Document document) {
+		String current = document.value(Form.SECRETS.path("", "operators-current")).orElse("");
+		String retiring = document.value(Form.SECRETS.path("", "operators-retiring")).orElse("");
+		return (!current.isEmpty() || retiring.isEmpty()) ? Stream.empty()
+				: Stream.of(new Fault(Form.SECRETS.path("", "operators-current").text(), "",
+						"name the secret that takes over from " + retiring));
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/brasspier/core/document/Field.java
@@ -0,0 +1,14 @@
+package org.brasspier.core.document;
+
+/**
+ * One field of a form, as forms and flags show it. Immutable and thread-safe.
+ *
+ * @param name its name, also that of the flag
+ * @param unit the unit of its value, empty if it has none
+ * @param rule which values it allows
+ * @param usual the value that holds where the document says nothing; empty if none
+ * @param meaning what it does, for a person
+ */
+public record Field(String name, String unit, ValueRule rule, String usual, String meaning) {
+
+}
--- /dev/null
+++ b/core/src/main/java/org/brasspier/core/document/ValueRule.java
@@ -0,0 +1,166 @@
+package org.brasspier.core.document;
+
+import java.util.Arrays;
+import java.util.List;
+import java.util.Optional;
+import java.util.regex.Pattern;
+import java.util.stream.Collectors;
+
+/**
+ * Which values a field allows. Immutable and thread-safe.
+ */
+public sealed interface ValueRule {
+
+	/**
+	 * Checks a value as it's entered.
+	 * @param value the value
+	 * @return whether the field allows it
+	 */
+	default boolean allows(String value) {
+		return switch (this) {
+			case Whole whole -> whole.holds(value);
+			case Decimal decimal -> decimal.holds(value);
+			case Choice choice -> choice.values().contains(value);
+			case Names names -> value.isEmpty() || Arrays.stream(value.split(",", -1)).allMatch(Text::isName);
+			case Shares shares -> value.isEmpty() || Entry.list(value)
+				.filter((entries) -> entries.stream().allMatch((entry) -> shares.share().holds(entry.value())))
+				.isPresent();
+			case Pairs pairs -> value.isEmpty() || Entry.list(value)
+				.filter((entries) -> entries.stream().allMatch((entry) -> Text.isName(entry.value())))
+				.isPresent();
+		};
+	}
+
+	/**
+	 * The allowed values in words.
+	 * @return the text for forms and faults
+	 */
+	default String allowed() {
+		return switch (this) {
+			case Whole whole -> "a whole number from %d to %d".formatted(whole.min(), whole.max());
+			case Decimal decimal -> "a number from %s to %s".formatted(decimal.min(), decimal.max());
+			case Choice choice -> String.join(" or ", choice.values());
+			case Names names -> "names by comma, or nothing";
+			case Shares shares -> "NAME=N by comma, each N %s, or nothing".formatted(shares.share().allowed());
+			case Pairs pairs -> pairs.left() + "=" + pairs.right() + " by comma, or nothing";
+		};
+	}
+
+	/**
+	 * A whole number.
+	 *
+	 * @param min the least
+	 * @param max the largest
+	 */
+	record Whole(long min, long max) implements ValueRule {
+
+		boolean holds(String value) {
+			return value.matches("[0-9]{1,12}") && Long.parseLong(value) >= this.min
+					&& Long.parseLong(value) <= this.max;
+		}
+
+	}
+
+	/**
+	 * A number that may have decimals.
+	 *
+	 * @param min the least
+	 * @param max the largest
+	 */
+	record Decimal(double min, double max) implements ValueRule {
+
+		boolean holds(String value) {
+			return value.matches("[0-9]{1,9}(\\.[0-9]{1,6})?") && Double.parseDouble(value) >= this.min
+					&& Double.parseDouble(value) <= this.max;
+		}
+
+	}
+
+	/**
+	 * One of a few words.
+	 *
+	 * @param values the words
+	 */
+	record Choice(List<String> values) implements ValueRule {
+
+		/**
+		 * Copies the list.
+		 * @param values the words
+		 */
+		public Choice {
+			values = List.copyOf(values);
+		}
+
+	}
+
+	/**
+	 * Names by comma.
+	 */
+	record Names() implements ValueRule {
+
+	}
+
+	/**
+	 * A number for each of some names, as {@code NAME=N} by comma.
+	 *
+	 * @param share what each number may be
+	 */
+	record Shares(Whole share) implements ValueRule {
+
+	}
+
+	/**
+	 * A name for each of some names, as {@code NAME=NAME} by comma.
+	 *
+	 * @param left what stands before the sign, for forms
+	 * @param right what stands after it, for forms
+	 */
+	record Pairs(String left, String right) implements ValueRule {
+
+	}
+
+	/**
+	 * One {@code NAME=VALUE} of a list.
+	 *
+	 * @param name the name
+	 * @param value the value
+	 */
+	record Entry(String name, String value) {
+
+		/**
+		 * Reads a list.
+		 * @param text {@code NAME=VALUE} by comma
+		 * @return the entries, or empty if the text is no such list or names one twice
+		 */
+		static Optional<List<Entry>> list(String text) {
+			if (text.isEmpty()) {
+				return Optional.of(List.of());
+			}
+			List<String[]> parts = Arrays.stream(text.split(",", -1)).map((part) -> part.split("=", -1)).toList();
+			if (!parts.stream().allMatch((part) -> part.length == 2 && Text.isName(part[0]))) {
+				return Optional.empty();
+			}
+			List<Entry> entries = parts.stream().map((part) -> new Entry(part[0], part[1])).toList();
+			long names = entries.stream().map(Entry::name).collect(Collectors.toSet()).size();
+			return (names == entries.size()) ? Optional.of(entries) : Optional.empty();
+		}
+
+	}
+
+	/**
+	 * The rule for names, the same as for services and instances.
+	 */
+	final class Text {
+
+		private static final Pattern NAME = Pattern.compile("[A-Za-z0-9._-]{1,64}");
+
+		private Text() {
+		}
+
+		static boolean isName(String text) {
+			return NAME.matcher(text).matches();
+		}
+
+	}
+
+}
--- /dev/null
+++ b/core/src/test/java/org/brasspier/core/document/ServiceCatalogTests.java
@@ -0,0 +1,38 @@
+package org.brasspier.core.document;
+
+import java.util.Map;
+
+import org.brasspier.core.CallerId;
+import org.brasspier.core.RequestClass;
+import org.brasspier.core.ServiceName;
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * What the way of a request reads from the document.
+ */
+class ServiceCatalogTests {
+
+	private static final ServiceName HULLBOOK = new ServiceName("hullbook");
+
+	@Test
+	void beforeAnyDocumentEachServiceIsServedWithTheUsualLimits() {
+		ServicePolicy policy = ServiceCatalog.OPEN.find(HULLBOOK).orElseThrow();
+		assertThat(policy.division()).isEqualTo(ServicePolicy.Division.BY_KEY_IF_GIVEN);
+		assertThat(policy.limit(RequestClass.LOOKUP).deadlineMillis()).isEqualTo(1000);
+	}
+
+	@Test
+	void onceADocumentIsInForceOnlyItsServicesAreServed() {
+		ServiceCatalog catalog = Document
+			.of(Map.of(new FieldPath("service/hullbook/divided-by-key"), "no",
+					new FieldPath("limits/hullbook/caller-shares"), "duluth-office=40"))
+			.catalog();
+		ServicePolicy policy = catalog.find(HULLBOOK).orElseThrow();
+		assertThat(policy.division()).isEqualTo(ServicePolicy.Division.BY_REQUEST_ID);
+		assertThat(policy.callerShares()).containsExactly(new CallerId("duluth-office"), 40);
+		assertThat(catalog.find(new ServiceName("divecal"))).isEmpty();
+	}
+
+}
