--- a/core/src/main/java/org/brasspier/core/event/EventKind.java
+++ b/core/src/main/java/org/brasspier/core/event/EventKind.java
@@ -33,6 +33,27 @@
 	/** A range was given up by this instance. */
 	RANGE_RELEASED(203),
 
+	/** The lease managers of the cell have changed. */
+	EPOCH_CHANGED(204),
+
+	/** A lease manager has heard nothing of a member for too long. */
+	MEMBER_SUSPECTED(205),
+
+	/** A member is lost: its ranges go to others. */
+	MEMBER_LOST(206),
+
+	/** A lease manager has heard nothing of the other one for too long. */
+	MANAGER_SUSPECTED(207),
+
+	/** A member that hears no lease manager tries to become one. */
+	TAKEOVER_TRIED(208),
+
+	/** A write of the row has an unknown outcome and is being settled. */
+	WRITE_UNKNOWN(209),
+
+	/** The cell's row is damaged or newer than this build; it's left alone. */
+	ROW_REFUSED(210),
+
 	/** A request was refused before it reached a backend server. */
 	REQUEST_REFUSED(300),
 
--- /dev/null
+++ b/core/src/main/java/org/brasspier/core/ownership/CellRow.java
@@ -0,0 +1,180 @@
+package org.brasspier.core.ownership;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.UnaryOperator;
+
+import org.brasspier.core.InstanceId;
+import org.brasspier.core.ServiceName;
+
+/**
+ * What the table keeps of a cell. Whoever wrote the latest version decides; a member that
+ * has a lease and knows a version holds what that version gives it. Immutable and
+ * thread-safe.
+ *
+ * @param epoch grows each time the lease managers change
+ * @param managers the lease managers; empty once the last member has left
+ * @param unclosed earlier lease managers that may still be renewing
+ * @param members the members, by instance
+ * @param drained instances that operators took out of service
+ * @param ranges the ranges, by service and point
+ * @param challenger who asks the lease managers to show that they reach the table
+ */
+public record CellRow(long epoch, Optional<ManagerPair> managers, List<ManagerPair> unclosed, List<MemberInfo> members,
+		Set<InstanceId> drained, List<RangeState> ranges, Optional<MemberKey> challenger) {
+
+	/** The row before the first member has come. */
+	public static final CellRow EMPTY = new CellRow(0, Optional.empty(), List.of(), List.of(), Set.of(), List.of(),
+			Optional.empty());
+
+	/**
+	 * Copies and sorts the lists.
+	 */
+	public CellRow {
+		unclosed = List.copyOf(unclosed);
+		members = members.stream().sorted(Comparator.comparing(MemberInfo::key)).toList();
+		drained = Set.copyOf(drained);
+		ranges = ranges.stream()
+			.sorted(Comparator.comparing(RangeState::service).thenComparing(RangeState::range))
+			.toList();
+	}
+
+	/**
+	 * Finds a member.
+	 * @param instance its instance
+	 * @return the member, empty if it is none
+	 */
+	public Optional<MemberInfo> member(InstanceId instance) {
+		return this.members.stream().filter((member) -> member.instance().equals(instance)).findFirst();
+	}
+
+	/**
+	 * Whether exactly this process is a member.
+	 * @param key the process
+	 * @return true if it is
+	 */
+	public boolean has(MemberKey key) {
+		return this.members.stream().anyMatch((member) -> member.key().equals(key));
+	}
+
+	/**
+	 * The ranges of an instance.
+	 * @param instance the instance
+	 * @return what it owns
+	 */
+	public List<RangeState> ownedBy(InstanceId instance) {
+		return this.ranges.stream().filter((range) -> range.owner().filter(instance::equals).isPresent()).toList();
+	}
+
+	/**
+	 * The ranges of a service.
+	 * @param service the service
+	 * @return its ranges in order
+	 */
+	public List<RangeState> rangesOf(ServiceName service) {
+		return this.ranges.stream().filter((range) -> range.service().equals(service)).toList();
+	}
+
+	/**
+	 * The row in the next epoch.
+	 * @param primary who writes the row from now on
+	 * @param secondary the other manager, if there is one
+	 * @param stillOpen earlier managers that may still be renewing
+	 * @return the row, without a challenge
+	 */
+	public CellRow nextEpoch(MemberKey primary, Optional<MemberKey> secondary, List<ManagerPair> stillOpen) {
+		long next = this.epoch + 1;
+		return new CellRow(next, Optional.of(new ManagerPair(next, primary, secondary)), stillOpen, this.members,
+				this.drained, this.ranges, Optional.empty());
+	}
+
+	/**
+	 * The row in the next epoch, with nobody left to manage it.
+	 * @return the row
+	 */
+	public CellRow abandoned() {
+		return new CellRow(this.epoch + 1, Optional.empty(), this.unclosed, this.members, this.drained, this.ranges,
+				Optional.empty());
+	}
+
+	/**
+	 * The row with other members.
+	 * @param others the members
+	 * @return the row
+	 */
+	public CellRow withMembers(List<MemberInfo> others) {
+		return new CellRow(this.epoch, this.managers, this.unclosed, others, this.drained, this.ranges,
+				this.challenger);
+	}
+
+	/**
+	 * The row with one member added or replaced.
+	 * @param member the member
+	 * @return the row
+	 */
+	public CellRow withMember(MemberInfo member) {
+		List<MemberInfo> others = new ArrayList<>(withoutMember(member.instance()).members);
+		others.add(member);
+		return withMembers(others);
+	}
+
+	/**
+	 * The row without a member; its ranges stay as they are.
+	 * @param instance the member's instance
+	 * @return the row
+	 */
+	public CellRow withoutMember(InstanceId instance) {
+		return withMembers(this.members.stream().filter((member) -> !member.instance().equals(instance)).toList());
+	}
+
+	/**
+	 * The row with other ranges.
+	 * @param others the ranges
+	 * @return the row
+	 */
+	public CellRow withRanges(List<RangeState> others) {
+		return new CellRow(this.epoch, this.managers, this.unclosed, this.members, this.drained, others,
+				this.challenger);
+	}
+
+	/**
+	 * The row with each range changed.
+	 * @param change what to do with a range
+	 * @return the row
+	 */
+	public CellRow mapRanges(UnaryOperator<RangeState> change) {
+		return withRanges(this.ranges.stream().map(change).toList());
+	}
+
+	/**
+	 * The row with other instances taken out of service.
+	 * @param instances the instances
+	 * @return the row
+	 */
+	public CellRow withDrained(Set<InstanceId> instances) {
+		return new CellRow(this.epoch, this.managers, this.unclosed, this.members, instances, this.ranges,
+				this.challenger);
+	}
+
+	/**
+	 * The row with other pairs that may still be renewing.
+	 * @param pairs the pairs
+	 * @return the row
+	 */
+	public CellRow withUnclosed(List<ManagerPair> pairs) {
+		return new CellRow(this.epoch, this.managers, pairs, this.members, this.drained, this.ranges, this.challenger);
+	}
+
+	/**
+	 * The row with or without a challenge.
+	 * @param key who asks, empty to answer
+	 * @return the row
+	 */
+	public CellRow challengedBy(Optional<MemberKey> key) {
+		return new CellRow(this.epoch, this.managers, this.unclosed, this.members, this.drained, this.ranges, key);
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/brasspier/core/ownership/Guards.java
@@ -0,0 +1,23 @@
+package org.brasspier.core.ownership;
+
+import java.util.Set;
+
+/**
+ * Which guards are on: all of them, but in the tests that prove each one needed.
+ * Immutable and thread-safe.
+ *
+ * @param off those that are off
+ */
+record Guards(Set<Guard> off) {
+
+	static final Guards ALL_ON = new Guards(Set.of());
+
+	Guards {
+		off = Set.copyOf(off);
+	}
+
+	boolean on(Guard guard) {
+		return !this.off.contains(guard);
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/brasspier/core/ownership/OrderDesk.java
@@ -0,0 +1,108 @@
+package org.brasspier.core.ownership;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+
+import org.brasspier.core.InstanceId;
+import org.brasspier.core.placement.PlacementStep.MoveCause;
+
+/**
+ * Takes operators' orders at the primary. An order that is accepted is on its way, not
+ * done: the row shows when it is.
+ *
+ * @param known the newest known row
+ * @param manager the lease manager's side
+ * @param memory what the primary remembers
+ * @param access the way to the row
+ */
+record OrderDesk(VersionedRow known, LeaseManager manager, PrimaryMemory memory, RowAccess access) {
+
+	Answer take(ControlMessage.Order order, long now) {
+		if (!this.manager.primary()) {
+			return refused("this instance is not the primary lease manager; try again");
+		}
+		if (!this.access.reachable()) {
+			return refused("the table can't be reached, so nothing can be moved now");
+		}
+		return switch (order) {
+			case ControlMessage.Order.Drain drain -> drain(drain);
+			case ControlMessage.Order.Move move -> move(move);
+			case ControlMessage.Order.DeclareLost lost -> declareLost(lost.instance(), now);
+		};
+	}
+
+	private Answer drain(ControlMessage.Order.Drain order) {
+		Set<InstanceId> drained = new HashSet<>(this.memory.drained(this.known.row()));
+		if (order.out() && this.known.row().member(order.instance()).isEmpty()) {
+			return refused("%s is no member of this cell".formatted(order.instance()));
+		}
+		boolean changed = (order.out()) ? drained.add(order.instance()) : drained.remove(order.instance());
+		this.memory.drain(drained);
+		return accepted(
+				(changed) ? "%s is being %s".formatted(order.instance(), (order.out()) ? "drained" : "undrained")
+						: "%s already was".formatted(order.instance()));
+	}
+
+	private Answer move(ControlMessage.Order.Move order) {
+		Optional<RangeState> range = this.known.row()
+			.rangesOf(order.service())
+			.stream()
+			.filter((state) -> state.range().equals(order.range()))
+			.findFirst();
+		if (range.isEmpty() || range.get().owner().isEmpty()) {
+			return refused("%s has no owned range %s".formatted(order.service(), order.range()));
+		}
+		boolean placeable = this.known.row()
+			.member(order.to())
+			.filter((member) -> member.phase() == MemberPhase.ACTIVE)
+			.flatMap(MemberInfo::backend)
+			.filter((backend) -> backend.service().equals(order.service()))
+			.isPresent();
+		if (!placeable || this.known.row().drained().contains(order.to())) {
+			return refused("%s can't own ranges of %s now".formatted(order.to(), order.service()));
+		}
+		HeldRange held = range.get().held();
+		List<PlannedMove> moves = new ArrayList<>(this.memory.moves());
+		moves.removeIf((move) -> move.held().equals(held));
+		moves.add(new PlannedMove(held, Optional.of(order.to()), MoveCause.ORDER));
+		this.memory.moves(List.copyOf(moves));
+		return accepted("%s %s is moving to %s".formatted(order.service(), order.range(), order.to()));
+	}
+
+	private Answer declareLost(InstanceId instance, long now) {
+		Optional<MemberInfo> member = this.known.row().member(instance);
+		if (member.filter((known) -> !this.manager.silent(known.key(), now)).isPresent()) {
+			return refused("%s is heard, so it can't be declared lost".formatted(instance));
+		}
+		List<ManagerPair> pairs = this.known.row()
+			.unclosed()
+			.stream()
+			.filter((pair) -> pair.find(instance).isPresent())
+			.toList();
+		pairs.forEach((pair) -> this.manager.closes(pair, now));
+		return accepted((pairs.isEmpty()) ? "nothing waits for %s".formatted(instance)
+				: "%d ended pairs of managers no longer wait for %s".formatted(pairs.size(), instance));
+	}
+
+	private static Answer accepted(String detail) {
+		return new Answer(true, detail);
+	}
+
+	private static Answer refused(String detail) {
+		return new Answer(false, detail);
+	}
+
+	/**
+	 * The answer to an order.
+	 *
+	 * @param accepted whether it was accepted
+	 * @param detail a sentence for the operator
+	 */
+	record Answer(boolean accepted, String detail) {
+
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/brasspier/core/ownership/PrimaryMemory.java
@@ -0,0 +1,214 @@
+package org.brasspier.core.ownership;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
+
+import io.vavr.collection.SortedMap;
+import io.vavr.collection.SortedSet;
+import io.vavr.collection.TreeMap;
+import io.vavr.collection.TreeSet;
+import org.brasspier.core.InstanceId;
+import org.brasspier.core.placement.PlacementPolicy;
+import org.brasspier.core.placement.PlacementWeights;
+
+/**
+ * What a primary learns between two writes of the row. All of it may be forgotten with
+ * the process: members repeat it until the row shows it. Not thread-safe; copied cheaply.
+ */
+final class PrimaryMemory {
+
+	/**
+	 * An announcement is repeated five times in this time, so an older one is of a gone
+	 * process.
+	 */
+	private static final long ANNOUNCEMENT_MILLIS = 1000;
+
+	private SortedMap<InstanceId, Announced> announced = TreeMap.empty();
+
+	private SortedMap<HeldRange, List<CrashMark>> released = TreeMap.empty();
+
+	private List<PlannedMove> moves = List.of();
+
+	private Optional<Set<InstanceId>> drained = Optional.empty();
+
+	private SortedMap<HeldRange, RangeLoad> loads = TreeMap.empty();
+
+	private SortedMap<HeldRange, Long> movedAt = TreeMap.empty();
+
+	private SortedMap<MemberKey, Long> activeSince = TreeMap.empty();
+
+	private SortedSet<MemberKey> warm = TreeSet.empty();
+
+	private long since;
+
+	PrimaryMemory copy() {
+		PrimaryMemory copy = new PrimaryMemory();
+		copy.announced = this.announced;
+		copy.released = this.released;
+		copy.moves = this.moves;
+		copy.drained = this.drained;
+		copy.loads = this.loads;
+		copy.movedAt = this.movedAt;
+		copy.activeSince = this.activeSince;
+		copy.warm = this.warm;
+		copy.since = this.since;
+		return copy;
+	}
+
+	List<Object> state() {
+		return List.of(this.announced, this.released, this.moves, this.drained);
+	}
+
+	/**
+	 * Begins anew with an epoch. Members that were serving before are taken as warm.
+	 * @param row the row
+	 * @param now the time
+	 */
+	void begin(CellRow row, long now) {
+		this.released = TreeMap.empty();
+		this.moves = List.of();
+		this.drained = Optional.empty();
+		this.loads = TreeMap.empty();
+		this.movedAt = TreeMap.empty();
+		this.since = now;
+		this.warm = TreeSet.ofAll(row.members()
+			.stream()
+			.filter((member) -> !row.ownedBy(member.instance()).isEmpty())
+			.map(MemberInfo::key)
+			.toList());
+	}
+
+	void adopt(VersionedRow known, long now) {
+		SortedSet<HeldRange> owned = TreeSet.ofAll(known.row()
+			.ranges()
+			.stream()
+			.filter((range) -> range.owner().isPresent())
+			.map(RangeState::held)
+			.toList());
+		this.released = this.released.filterKeys(owned::contains);
+		this.loads = this.loads.filterKeys(owned::contains);
+		this.movedAt = this.movedAt.filterKeys(owned::contains);
+		owned.filter((held) -> held.fence().value() == known.version())
+			.forEach((held) -> this.movedAt = this.movedAt.put(held, now));
+		known.row()
+			.members()
+			.stream()
+			.filter((member) -> member.phase() == MemberPhase.ACTIVE && !this.activeSince.containsKey(member.key()))
+			.forEach((member) -> this.activeSince = this.activeSince.put(member.key(), now));
+		this.activeSince = this.activeSince.filterKeys(known.row()::has);
+		if (this.drained.filter(known.row().drained()::equals).isPresent()) {
+			this.drained = Optional.empty();
+		}
+	}
+
+	void announced(MemberInfo member, long now) {
+		this.announced = this.announced.put(member.instance(), new Announced(member, now));
+	}
+
+	void forget(Set<MemberKey> lost) {
+		this.announced = this.announced.filterValues((entry) -> !lost.contains(entry.member().key()));
+	}
+
+	void released(InstanceId from, ControlMessage.Released message, CellRow row) {
+		boolean sameProcess = row.has(new MemberKey(from, message.incarnation()));
+		Set<HeldRange> owned = row.ownedBy(from).stream().map(RangeState::held).collect(Collectors.toSet());
+		message.ranges()
+			.stream()
+			.filter((range) -> sameProcess && owned.contains(range.held()))
+			.forEach((range) -> this.released = this.released.put(range.held(), range.marks()));
+	}
+
+	void loads(ControlMessage.Loads message, CellRow row) {
+		for (RangeLoad load : message.loads()) {
+			row.rangesOf(message.service())
+				.stream()
+				.filter((range) -> range.range().equals(load.range()))
+				.forEach((range) -> this.loads = this.loads.put(range.held(), load));
+		}
+	}
+
+	List<PlannedMove> moves() {
+		return this.moves;
+	}
+
+	void moves(List<PlannedMove> planned) {
+		this.moves = planned;
+	}
+
+	boolean isReleased(HeldRange held) {
+		return this.released.containsKey(held);
+	}
+
+	Set<InstanceId> drained(CellRow row) {
+		return this.drained.orElse(row.drained());
+	}
+
+	void drain(Set<InstanceId> instances) {
+		this.drained = Optional.of(Set.copyOf(instances));
+	}
+
+	/**
+	 * What is to be planned from.
+	 * @param known the newest known row
+	 * @param manager the lease manager's side
+	 * @param placement decides what goes where
+	 * @param balance whether the policy is asked even if every range has an owner
+	 * @param now the time
+	 * @return the facts
+	 */
+	PlanFacts facts(VersionedRow known, LeaseManager manager, Placement placement, boolean balance, long now) {
+		Set<MemberKey> lost = manager.lost(known.row(), now);
+		Set<InstanceId> suspects = manager.revoking()
+			.keySet()
+			.toStream()
+			.map(MemberKey::instance)
+			.collect(Collectors.toUnmodifiableSet());
+		List<MemberInfo> fresh = this.announced.values()
+			.filter((entry) -> now - entry.at() <= ANNOUNCEMENT_MILLIS && !lost.contains(entry.member().key()))
+			.map(Announced::member)
+			.toJavaList();
+		Map<HeldRange, List<CrashMark>> letGo = this.released.toJavaMap();
+		return new PlanFacts(known, now, lost, suspects, fresh, letGo, this.moves, manager.closed(known.row(), now),
+				drained(known.row()), balance, placement.policy(), placement.weights(), this::load,
+				(member) -> warmShare(member, now), (held) -> this.movedAt.get(held).getOrElse(this.since));
+	}
+
+	private RangeLoad load(HeldRange held) {
+		return this.loads.get(held).getOrElse(() -> new RangeLoad(held.range(), 0, Optional.empty()));
+	}
+
+	// A server that has just come runs slowly until its state is warm: its share grows
+	// with the time since, over the cold start that it announced itself.
+	private double warmShare(MemberInfo member, long now) {
+		int coldStart = member.backend().map(MemberInfo.Backend::coldStartMillis).orElse(0);
+		if (coldStart <= 0 || this.warm.contains(member.key())) {
+			return 1;
+		}
+		long served = now - this.activeSince.get(member.key()).getOrElse(now);
+		return Math.clamp(served / (double) coldStart, 0.1, 1);
+	}
+
+	/**
+	 * An announcement.
+	 *
+	 * @param member what it said
+	 * @param at when it came
+	 */
+	private record Announced(MemberInfo member, long at) {
+
+	}
+
+	/**
+	 * How ranges are placed.
+	 *
+	 * @param policy decides what goes where
+	 * @param weights what the operators weigh
+	 */
+	record Placement(PlacementPolicy policy, PlacementWeights weights) {
+
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/brasspier/core/ownership/RowChange.java
@@ -0,0 +1,71 @@
+package org.brasspier.core.ownership;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.stream.Stream;
+
+import org.brasspier.core.event.EventKind;
+
+/**
+ * What a newer row means to one process, for its time line and its thread of requests.
+ *
+ * @param self the process
+ * @param before the row it knew
+ * @param after the newer one
+ */
+record RowChange(MemberKey self, VersionedRow before, VersionedRow after) {
+
+	boolean newEpoch() {
+		return this.after.row().epoch() > this.before.row().epoch();
+	}
+
+	List<OwnershipAction> marks() {
+		return gained().filter((range) -> !range.marks().isEmpty())
+			.<OwnershipAction>map((range) -> new OwnershipAction.HandMarks(range.held(), range.marks()))
+			.toList();
+	}
+
+	List<OwnershipAction> events() {
+		Stream<OwnershipAction> epoch = (newEpoch()) ? Stream.of(tell(EventKind.EPOCH_CHANGED, this.self.instance(),
+				"epoch %d under %s".formatted(this.after.row().epoch(), managers()))) : Stream.empty();
+		Stream<OwnershipAction> granted = gained()
+			.map((range) -> tell(EventKind.RANGE_GRANTED, subject(range), "fence " + range.fence()));
+		Stream<OwnershipAction> gone = lost()
+			.map((range) -> tell(EventKind.RANGE_RELEASED, subject(range), "fence " + range.fence()));
+		return Stream.of(epoch, granted, gone).flatMap((events) -> events).toList();
+	}
+
+	private String managers() {
+		return this.after.row()
+			.managers()
+			.map((pair) -> pair.primary().instance()
+					+ pair.secondary().map((key) -> " and " + key.instance()).orElse(""))
+			.orElse("nobody");
+	}
+
+	private Stream<RangeState> gained() {
+		Set<RangeState> old = new HashSet<>(this.before.row().ownedBy(this.self.instance()));
+		return this.after.row()
+			.ownedBy(this.self.instance())
+			.stream()
+			.filter((range) -> old.stream().noneMatch((known) -> known.held().equals(range.held())));
+	}
+
+	private Stream<RangeState> lost() {
+		Set<RangeState> next = new HashSet<>(this.after.row().ownedBy(this.self.instance()));
+		return this.before.row()
+			.ownedBy(this.self.instance())
+			.stream()
+			.filter((range) -> next.stream().noneMatch((known) -> known.held().equals(range.held())));
+	}
+
+	private static String subject(RangeState range) {
+		return range.service() + "/" + range.range();
+	}
+
+	private static OwnershipAction tell(EventKind kind, Object subject, String detail) {
+		return new OwnershipAction.Tell(kind, subject.toString(), detail);
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/brasspier/core/ownership/RowPlanner.java
@@ -0,0 +1,192 @@
+package org.brasspier.core.ownership;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
+
+import org.brasspier.core.Fence;
+import org.brasspier.core.InstanceId;
+import org.brasspier.core.KeyRange;
+import org.brasspier.core.ServiceName;
+
+/**
+ * Works out the next row from the newest known one and all that the primary has learnt
+ * since: who has come, gone or let go of what. Everything that is due goes into one
+ * write, since the table takes a few hundred a second for all cells together, and the
+ * loss of a failure domain moves the ranges of many members at once. Serves one plan.
+ */
+final class RowPlanner {
+
+	/**
+	 * The number of ranges a service begins with: a few for each member of a full cell.
+	 */
+	static final int INITIAL_RANGES = 64;
+
+	private final PlanFacts facts;
+
+	private final long version;
+
+	private final List<PlannedMove> moves;
+
+	private CellRow row;
+
+	RowPlanner(PlanFacts facts) {
+		this.facts = facts;
+		this.version = facts.known().version() + 1;
+		this.row = facts.known().row();
+		this.moves = new ArrayList<>(facts.moves());
+	}
+
+	/**
+	 * Plans.
+	 * @return the next row, equal to the known one if nothing is due, and the moves that
+	 * wait for their owners to let go
+	 */
+	Plan plan() {
+		closePairs();
+		removeLost();
+		takeAnnouncements();
+		removeLeft();
+		addServices();
+		takeReleased();
+		place();
+		this.moves.removeIf((move) -> owned(move.held()).isEmpty());
+		return new Plan(this.row, List.copyOf(this.moves));
+	}
+
+	private void closePairs() {
+		List<ManagerPair> open = new ArrayList<>(this.row.unclosed());
+		open.removeAll(this.facts.closed());
+		this.row = this.row.withUnclosed(open).challengedBy(Optional.empty()).withDrained(this.facts.drained());
+	}
+
+	private void removeLost() {
+		for (MemberKey key : this.facts.lost()) {
+			this.row = this.row.withoutMember(key.instance())
+				.mapRanges((range) -> (range.owner().filter(key.instance()::equals).isPresent())
+						? range.unowned(range.marks()) : range);
+		}
+	}
+
+	private void takeAnnouncements() {
+		for (MemberInfo member : this.facts.announced()) {
+			Optional<MemberInfo> present = this.row.member(member.instance());
+			boolean joins = present.isEmpty() && member.phase() != MemberPhase.LEAVING;
+			boolean changes = present.filter((known) -> known.key().equals(member.key())).isPresent();
+			if (joins || changes) {
+				this.row = this.row.withMember(member);
+			}
+		}
+	}
+
+	private void removeLeft() {
+		List<MemberInfo> staying = this.row.members()
+			.stream()
+			.filter((member) -> member.phase() != MemberPhase.LEAVING || manages(member.key())
+					|| !this.row.ownedBy(member.instance()).isEmpty())
+			.toList();
+		this.row = this.row.withMembers(staying);
+	}
+
+	private boolean manages(MemberKey key) {
+		return this.row.managers().filter((pair) -> pair.includes(key)).isPresent();
+	}
+
+	private void addServices() {
+		Set<ServiceName> known = new TreeSet<>(this.row.ranges().stream().map(RangeState::service).toList());
+		List<RangeState> ranges = new ArrayList<>(this.row.ranges());
+		this.row.members()
+			.stream()
+			.flatMap((member) -> member.backend().stream())
+			.map(MemberInfo.Backend::service)
+			.filter(known::add)
+			.forEach((service) -> KeyRange.split(INITIAL_RANGES)
+				.forEach((range) -> ranges
+					.add(new RangeState(service, range, Optional.empty(), Fence.NONE, List.of()))));
+		this.row = this.row.withRanges(ranges);
+	}
+
+	private void takeReleased() {
+		this.row = this.row.mapRanges((range) -> {
+			List<CrashMark> marks = this.facts.released().get(range.held());
+			return (range.owner().isPresent() && marks != null)
+					? target(range.held()).map((to) -> range.unowned(marks).ownedBy(to, this.version))
+						.orElse(range.unowned(marks))
+					: range;
+		});
+	}
+
+	private Optional<InstanceId> target(HeldRange held) {
+		return this.moves.stream()
+			.filter((move) -> move.held().equals(held))
+			.findFirst()
+			.flatMap(PlannedMove::to)
+			.filter((to) -> placeable(held.service()).contains(to));
+	}
+
+	private List<InstanceId> placeable(ServiceName service) {
+		return this.row.members()
+			.stream()
+			.filter((member) -> member.phase() == MemberPhase.ACTIVE && !this.row.drained().contains(member.instance())
+					&& !this.facts.suspects().contains(member.instance()))
+			.filter((member) -> member.backend().filter((backend) -> backend.service().equals(service)).isPresent())
+			.map(MemberInfo::instance)
+			.toList();
+	}
+
+	private void place() {
+		Set<ServiceName> services = new LinkedHashSet<>(this.row.ranges().stream().map(RangeState::service).toList());
+		for (ServiceName service : services) {
+			List<RangeState> ranges = this.row.rangesOf(service);
+			if (this.facts.balance() || ranges.stream().anyMatch((range) -> range.owner().isEmpty())) {
+				ServicePlan plan = new ServicePlan(this.facts, this.row, service, this.moves, placeable(service));
+				plan.run();
+				this.row = plan.row(this.version);
+				this.moves.addAll(plan.newMoves());
+			}
+		}
+	}
+
+	private Optional<RangeState> owned(HeldRange held) {
+		return this.row.ranges()
+			.stream()
+			.filter((range) -> range.owner().isPresent() && range.held().equals(held))
+			.findFirst();
+	}
+
+	// Gives ranges without an owner to the emptiest instance where the policy's choice
+	// can't be taken.
+	static Optional<InstanceId> emptiest(List<InstanceId> placeable, Map<InstanceId, Long> points) {
+		return placeable.stream().min((a, b) -> Long.compare(points.getOrDefault(a, 0L), points.getOrDefault(b, 0L)));
+	}
+
+	static Map<InstanceId, Long> points(List<RangeState> ranges) {
+		Map<InstanceId, Long> points = new HashMap<>();
+		ranges.forEach(
+				(range) -> range.owner().ifPresent((owner) -> points.merge(owner, range.range().size(), Long::sum)));
+		return points;
+	}
+
+	static Map<KeyRange, RangeState> byRange(List<RangeState> ranges) {
+		Map<KeyRange, RangeState> byRange = new LinkedHashMap<>();
+		ranges.forEach((range) -> byRange.put(range.range(), range));
+		return byRange;
+	}
+
+	/**
+	 * The outcome.
+	 *
+	 * @param row the next row
+	 * @param moves the moves that wait for their owners to let go
+	 */
+	record Plan(CellRow row, List<PlannedMove> moves) {
+
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/brasspier/core/ownership/Takeover.java
@@ -0,0 +1,166 @@
+package org.brasspier.core.ownership;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+import io.vavr.collection.SortedMap;
+import io.vavr.collection.TreeMap;
+import org.brasspier.core.InstanceId;
+
+/**
+ * What a member does that hears neither lease manager. It may be that both are lost, or
+ * that this member alone is cut off; taking over in the second case would stop a healthy
+ * cell. So the others are asked: if more than half of the members hear no manager either,
+ * one of them takes over at once. Where they can't be asked, a challenge in the row gives
+ * managers that reach the table time to show it. Not thread-safe; copied cheaply.
+ */
+final class Takeover {
+
+	/** How often the others are asked. */
+	static final long PROBE_MILLIS = 100;
+
+	/** How old an answer may be that still counts. */
+	private static final long ANSWER_MILLIS = 300;
+
+	/** How long the member with the lowest name among those that agree goes first. */
+	private static final long STAGGER_MILLIS = 300;
+
+	/** How long a member is without a lease before it challenges the managers. */
+	private static final long CHALLENGE_AFTER_MILLIS = 2000;
+
+	private final MemberKey self;
+
+	private final Timing timing;
+
+	private SortedMap<InstanceId, Answer> answers = TreeMap.empty();
+
+	private long challengeSeenAt;
+
+	private Optional<MemberKey> challenger = Optional.empty();
+
+	Takeover(MemberKey self, Timing timing) {
+		this.self = self;
+		this.timing = timing;
+	}
+
+	Takeover copy() {
+		Takeover copy = new Takeover(this.self, this.timing);
+		copy.answers = this.answers;
+		copy.challengeSeenAt = this.challengeSeenAt;
+		copy.challenger = this.challenger;
+		return copy;
+	}
+
+	List<Object> state() {
+		return List.of(this.answers, this.challengeSeenAt, this.challenger);
+	}
+
+	void answered(InstanceId from, ControlMessage.ProbeAnswer answer, long now) {
+		this.answers = this.answers.put(from, new Answer(now, answer));
+	}
+
+	/**
+	 * Takes note of the newest row.
+	 * @param row the row
+	 * @param now the time
+	 */
+	void adopt(CellRow row, long now) {
+		if (!row.challenger().equals(this.challenger)) {
+			this.challenger = row.challenger();
+			this.challengeSeenAt = now;
+		}
+	}
+
+	// How long no manager must be heard before the others are asked.
+	long patience() {
+		return this.timing.peerSilence() + this.timing.memberSilence() / 2;
+	}
+
+	/**
+	 * What this process should write, if anything.
+	 * @param row the newest known row
+	 * @param silentFor how long it has heard of no lease manager
+	 * @param now the time
+	 * @return the row to write
+	 */
+	Optional<CellRow> attempt(CellRow row, long silentFor, long now) {
+		if (row.managers().isEmpty()) {
+			return Optional.of(row.nextEpoch(this.self, Optional.empty(), row.unclosed()));
+		}
+		ManagerPair pair = row.managers().get();
+		if (pair.managers().allMatch((manager) -> gone(manager, now))) {
+			// Both processes have ended, so nobody confirms anybody: the time that is
+			// waited in any case is enough.
+			return Optional.of(row.nextEpoch(this.self, Optional.empty(), row.unclosed()));
+		}
+		if (silentFor > patience() && othersAgree(row, pair, silentFor, now)) {
+			return Optional.of(takeOver(row, pair));
+		}
+		return (silentFor > CHALLENGE_AFTER_MILLIS) ? challenge(row, pair, now) : Optional.empty();
+	}
+
+	// Whether a manager's process has certainly ended: its instance runs another one at
+	// the same place.
+	private boolean gone(MemberKey manager, long now) {
+		if (manager.instance().equals(this.self.instance())) {
+			return manager.incarnation() != this.self.incarnation();
+		}
+		return this.answers.get(manager.instance())
+			.filter((answer) -> answer.fresh(now) && answer.message().incarnation() != manager.incarnation())
+			.isDefined();
+	}
+
+	private boolean othersAgree(CellRow row, ManagerPair pair, long silentFor, long now) {
+		List<InstanceId> voters = row.members()
+			.stream()
+			.filter((member) -> !pair.includes(member.key()))
+			.map(MemberInfo::instance)
+			.toList();
+		List<InstanceId> agreeing = voters.stream().filter((voter) -> agrees(voter, row.epoch(), now)).toList();
+		boolean first = agreeing.stream().allMatch((voter) -> voter.compareTo(this.self.instance()) > 0);
+		boolean enough = row.has(this.self) && (agreeing.size() + 1) * 2 > voters.size();
+		return enough && (first || silentFor > patience() + STAGGER_MILLIS);
+	}
+
+	private boolean agrees(InstanceId voter, long epoch, long now) {
+		return this.answers.get(voter)
+			.filter((answer) -> answer.fresh(now) && answer.message().epoch() <= epoch
+					&& answer.message().heardAgo() > this.timing.peerSilence())
+			.isDefined();
+	}
+
+	private Optional<CellRow> challenge(CellRow row, ManagerPair pair, long now) {
+		if (row.challenger().isEmpty()) {
+			return Optional.of(row.challengedBy(Optional.of(this.self)));
+		}
+		boolean mine = row.challenger().filter(this.self::equals).isPresent();
+		// The challenge of a process that has ended since must not keep others waiting.
+		long wait = (mine) ? this.timing.challenge() : this.timing.challenge() * 2;
+		return (now - this.challengeSeenAt > wait) ? Optional.of(takeOver(row, pair)) : Optional.empty();
+	}
+
+	private CellRow takeOver(CellRow row, ManagerPair pair) {
+		List<ManagerPair> open = new ArrayList<>(row.unclosed());
+		// A lone manager's authority comes from reading the table, so it ends by itself.
+		if (pair.secondary().isPresent()) {
+			open.add(pair);
+		}
+		return row.nextEpoch(this.self, Optional.empty(), open);
+	}
+
+	/**
+	 * An answer to a probe.
+	 *
+	 * @param at when it came
+	 * @param message the answer
+	 */
+	private record Answer(long at, ControlMessage.ProbeAnswer message) {
+
+		boolean fresh(long now) {
+			return now - this.at <= ANSWER_MILLIS;
+		}
+
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/brasspier/core/ownership/Timers.java
@@ -0,0 +1,108 @@
+package org.brasspier.core.ownership;
+
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+
+import io.vavr.collection.SortedMap;
+import io.vavr.collection.TreeMap;
+import org.brasspier.core.InstanceId;
+
+/**
+ * When what is done repeatedly was done last. Not thread-safe.
+ */
+final class Timers {
+
+	private static final long BALANCE_MILLIS = 1000;
+
+	private final Map<Kind, Long> last = new EnumMap<>(Kind.class);
+
+	private SortedMap<InstanceId, Long> pushedAt = TreeMap.empty();
+
+	private boolean leaseRan;
+
+	Timers copy() {
+		Timers copy = new Timers();
+		copy.last.putAll(this.last);
+		copy.pushedAt = this.pushedAt;
+		copy.leaseRan = this.leaseRan;
+		return copy;
+	}
+
+	List<Object> state() {
+		return List.of(Map.copyOf(this.last), this.pushedAt, this.leaseRan);
+	}
+
+	private boolean due(Kind kind, long now, long every) {
+		Long before = this.last.get(kind);
+		if (before != null && now - before < every) {
+			return false;
+		}
+		this.last.put(kind, now);
+		return true;
+	}
+
+	boolean readDue(long now, long every) {
+		return due(Kind.READ, now, every);
+	}
+
+	boolean heartbeatDue(long now, long every) {
+		return due(Kind.HEARTBEAT, now, every);
+	}
+
+	boolean announceDue(long now, long every) {
+		return due(Kind.ANNOUNCE, now, every);
+	}
+
+	boolean releasedDue(long now, long every) {
+		return due(Kind.RELEASED, now, every);
+	}
+
+	boolean beatDue(long now, long every) {
+		return due(Kind.BEAT, now, every);
+	}
+
+	boolean releaseDue(long now, long every) {
+		return due(Kind.RELEASE, now, every);
+	}
+
+	boolean probeDue(long now, long every) {
+		return due(Kind.PROBE, now, every);
+	}
+
+	boolean epochDue(long now, long every) {
+		return due(Kind.EPOCH, now, every);
+	}
+
+	boolean balanceDue(long now) {
+		return due(Kind.BALANCE, now, BALANCE_MILLIS);
+	}
+
+	boolean pushDue(InstanceId to, long now, long every) {
+		boolean due = this.pushedAt.get(to).filter((before) -> now - before < every).isEmpty();
+		if (due) {
+			this.pushedAt = this.pushedAt.put(to, now);
+		}
+		return due;
+	}
+
+	void rowChanged() {
+		this.last.remove(Kind.BALANCE);
+		this.last.remove(Kind.HEARTBEAT);
+	}
+
+	boolean leaseRan() {
+		return this.leaseRan;
+	}
+
+	void leaseRuns(boolean runs) {
+		this.leaseRan = runs;
+	}
+
+	private enum Kind {
+
+		READ, HEARTBEAT, ANNOUNCE, RELEASED, BEAT, RELEASE, PROBE, EPOCH, BALANCE
+
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/brasspier/core/ownership/Timing.java
@@ -0,0 +1,58 @@
+package org.brasspier.core.ownership;
+
+/**
+ * The times that ownership is built on, all in milliseconds. docs/DESIGN.md gives the
+ * reasons. Every member of a cell must use the same ones. Immutable and thread-safe.
+ *
+ * @param heartbeat how often a member tells each lease manager that it's alive
+ * @param lease how long a renewal lasts from when the member sent the heartbeat it
+ * answers
+ * @param memberSilence how long a lease manager hears nothing of a member before it wants
+ * to revoke
+ * @param beat how often lease managers ask each other for confirmation
+ * @param peerSilence how long a lease manager hears nothing of the other one before it
+ * replaces it
+ * @param authority how long a lease manager may renew after it sent the beat that was
+ * confirmed last
+ * @param withoutTable how long lease managers confirm each other after they last read
+ * their epoch in the table
+ * @param challenge how long a challenge must stand in the row before a member that hears
+ * no lease manager takes over without the others' agreement
+ * @param guard how long after a lease's end an order of a server that checks no fences
+ * may still take effect
+ * @param driftPermille the allowance for clocks that run differently, in thousandths
+ */
+public record Timing(long heartbeat, long lease, long memberSilence, long beat, long peerSilence, long authority,
+		long withoutTable, long challenge, long guard, long driftPermille) {
+
+	/**
+	 * The times for production: a lost member's ranges move about 0.65 s after its last
+	 * heartbeat, which leaves a third of a second of the promised one for the write, the
+	 * grant and a scheduler's delay.
+	 */
+	public static final Timing STANDARD = new Timing(150, 600, 350, 100, 300, 600, 900_000, 10_000, 200, 10);
+
+	private static final long WHOLE = 1000;
+
+	/**
+	 * Checks the times.
+	 * @throws IllegalArgumentException if they contradict each other
+	 */
+	public Timing {
+		if (heartbeat < 1 || lease <= heartbeat || beat < 1 || authority <= beat || driftPermille < 0) {
+			throw new IllegalArgumentException(
+					"a lease of %d must outlast heartbeats of %d, and authority of %d beats of %d".formatted(lease,
+							heartbeat, authority, beat));
+		}
+	}
+
+	/**
+	 * How long to wait on this clock until a span has certainly passed on another.
+	 * @param span the span on the other clock, in milliseconds
+	 * @return the span with the allowance, rounded up
+	 */
+	public long withDrift(long span) {
+		return span + (span * this.driftPermille + WHOLE - 1) / WHOLE;
+	}
+
+}
--- a/wire/src/main/java/org/brasspier/wire/FrameReader.java
+++ b/wire/src/main/java/org/brasspier/wire/FrameReader.java
@@ -1,6 +1,8 @@
 package org.brasspier.wire;
 
 import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
 
 import org.msgpack.core.MessageFormatException;
 import org.msgpack.core.MessagePack;
@@ -72,6 +74,22 @@
 		return read(MessageUnpacker::unpackArrayHeader);
 	}
 
+	/**
+	 * Reads a list.
+	 * @param <T> the type of its entries
+	 * @param entry reads one entry
+	 * @return the entries
+	 * @throws WireException if an entry is malformed
+	 */
+	public <T> List<T> list(Entry<T> entry) throws WireException {
+		int count = count();
+		List<T> entries = new ArrayList<>();
+		for (int i = 0; i < count; i++) {
+			entries.add(entry.read(this));
+		}
+		return List.copyOf(entries);
+	}
+
 	private <T> T read(Field<T> field) throws WireException {
 		try {
 			return field.read(this.unpacker);
@@ -84,6 +102,23 @@
 		}
 	}
 
+	/**
+	 * Reads one entry of a list.
+	 *
+	 * @param <T> the type of the entry
+	 */
+	public interface Entry<T> {
+
+		/**
+		 * Reads the entry.
+		 * @param frame the frame, at the entry
+		 * @return the entry
+		 * @throws WireException if the entry is malformed
+		 */
+		T read(FrameReader frame) throws WireException;
+
+	}
+
 	private interface Field<T> {
 
 		T read(MessageUnpacker in) throws IOException;
