--- a/standins/src/main/java/org/brasspier/standins/BackendStandIn.java
+++ b/standins/src/main/java/org/brasspier/standins/BackendStandIn.java
@@ -3,39 +3,71 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 
 import com.beust.jcommander.JCommander;
-import com.beust.jcommander.Parameter;
 import com.google.gson.Gson;
+import com.google.gson.JsonObject;
+import com.google.gson.JsonParseException;
+import com.google.gson.JsonParser;
+import com.google.gson.annotations.SerializedName;
 import io.activej.bytebuf.ByteBuf;
 import io.activej.dns.DnsClient;
 import io.activej.eventloop.Eventloop;
 import io.activej.http.HttpClient;
-import io.activej.http.HttpHeaders;
 import io.activej.http.HttpRequest;
 import io.activej.http.HttpResponse;
 import io.activej.http.HttpServer;
 import io.activej.promise.Promise;
-import io.activej.promise.Promises;
 
 /**
- * A backend server that answers each request after a set time and announces itself to the
- * daemon beside it.
+ * A backend server as docs/API.md describes it. Its history goes to the standard output.
+ * On SIGTERM it drains and ends once its daemon says that it may.
  */
 public final class BackendStandIn {
 
 	private static final long ANNOUNCE_EVERY_MILLIS = 1000;
 
-	private final Flags flags;
+	/** A draining server wants to know at once when it may end. */
+	private static final long DRAINING_EVERY_MILLIS = 50;
+
+	private static final long MAX_DRAIN_SECONDS = 30;
+
+	private static final int MAX_BODY_BYTES = 4 << 20;
+
+	private static final Duration CALL_TIMEOUT = Duration.ofSeconds(3);
+
+	private static final Gson GSON = new Gson();
+
+	private final BackendFlags flags;
 
 	private final Eventloop loop = Eventloop.builder().withCurrentThread().build();
 
 	private final HttpClient http = HttpClient
 		.builder(this.loop, DnsClient.create(this.loop, new InetSocketAddress("127.0.0.1", 53)))
+		.withKeepAliveTimeout(Duration.ofSeconds(30))
+		.withConnectTimeout(CALL_TIMEOUT)
+		.withReadWriteTimeout(CALL_TIMEOUT)
 		.build();
 
-	private BackendStandIn(Flags flags) {
+	private final CountDownLatch drained = new CountDownLatch(1);
+
+	private final GrantTable grants;
+
+	private final OrderRunner orders;
+
+	private final ServerHistory history;
+
+	private volatile boolean draining;
+
+	private BackendStandIn(BackendFlags flags) {
 		this.flags = flags;
+		this.history = new ServerHistory(System.out, flags.name, flags.service);
+		this.grants = new GrantTable(this.history, flags.service);
+		this.orders = new OrderRunner(flags, this.history, this.grants, new InternalCalls(this.http, flags.callers));
 	}
 
 	/**
@@ -43,42 +75,90 @@
 	 * @param arguments the flags
 	 */
 	public static void main(String[] arguments) {
-		Flags flags = new Flags();
+		BackendFlags flags = new BackendFlags();
 		JCommander.newBuilder().addObject(flags).programName("backend-standin").build().parse(arguments);
 		new BackendStandIn(flags).run();
 	}
 
 	private void run() {
 		try {
-			HttpServer.builder(this.loop, this::serve).withListenAddress(address(this.flags.listen)).build().listen();
+			HttpServer.builder(this.loop, this::serve)
+				.withListenAddress(Ports.parse(this.flags.listen))
+				.build()
+				.listen();
 		}
 		catch (IOException ex) {
 			throw new UncheckedIOException(ex);
 		}
+		this.history.started();
+		Runtime.getRuntime().addShutdownHook(new Thread(this::drain, "drain"));
 		announce();
 		this.loop.keepAlive(true);
 		this.loop.run();
 	}
 
 	private Promise<HttpResponse> serve(HttpRequest request) {
-		String key = String.valueOf(request.getHeader(HttpHeaders.of("Brasspier-Key")));
-		return request.loadBody()
-			.then((body) -> Promises.delay(this.flags.latencyMillis))
-			.then(() -> HttpResponse.ok200().withPlainText("answer for " + key).toPromise());
+		return request.loadBody(MAX_BODY_BYTES).then((body) -> switch (request.getPath()) {
+			case "/brasspier/grants" -> grant(body);
+			case "/brasspier/cancel" -> cancel(body);
+			case "/brasspier/health" -> health();
+			default -> this.orders.run(request);
+		});
+	}
+
+	private Promise<HttpResponse> grant(ByteBuf body) {
+		try {
+			this.grants.replace(GSON.fromJson(body.getString(StandardCharsets.UTF_8), GrantTable.Message.class));
+			return HttpResponse.ok200().withJson("{}").toPromise();
+		}
+		catch (JsonParseException | IllegalArgumentException ex) {
+			return HttpResponse.ofCode(400).withPlainText(String.valueOf(ex.getMessage())).toPromise();
+		}
+	}
+
+	private Promise<HttpResponse> cancel(ByteBuf body) {
+		JsonObject message = JsonParser.parseString(body.getString(StandardCharsets.UTF_8)).getAsJsonObject();
+		this.orders.cancel(message.get("request_id").getAsString());
+		return HttpResponse.ok200().withJson("{}").toPromise();
+	}
+
+	private Promise<HttpResponse> health() {
+		int running = (this.flags.lying) ? 0 : this.orders.running();
+		Health health = new Health((this.flags.lying) ? "ready" : state(), running,
+				running / (double) this.flags.slots);
+		return HttpResponse.ok200().withJson(GSON.toJson(health)).toPromise();
+	}
+
+	private String state() {
+		return (this.draining) ? "draining" : "ready";
 	}
 
 	private void announce() {
-		String body = new Gson().toJson(new Announcement(this.flags.service, this.flags.listen, this.flags.slots,
-				this.flags.connections, true));
-		this.http.request(HttpRequest.post("http://" + this.flags.daemon + "/announce").withBody(body).build())
+		String address = (this.flags.advertise.isEmpty()) ? this.flags.listen : this.flags.advertise;
+		String body = GSON.toJson(new Announcement(this.flags.service, address, state(), this.flags.slots,
+				this.flags.connections, this.flags.checksFences, this.flags.coldStartMillis));
+		this.http.request(HttpRequest.post("http://" + this.flags.daemon + "/v1/announce").withBody(body).build())
 			.then((response) -> response.loadBody())
-			.map(ByteBuf::getArray)
-			.whenComplete(() -> this.loop.delay(ANNOUNCE_EVERY_MILLIS, this::announce));
+			.whenResult((answer) -> heard(answer.getString(StandardCharsets.UTF_8)))
+			.whenComplete(() -> this.loop.delay((this.draining) ? DRAINING_EVERY_MILLIS : ANNOUNCE_EVERY_MILLIS,
+					this::announce));
 	}
 
-	private static InetSocketAddress address(String text) {
-		int colon = text.lastIndexOf(':');
-		return new InetSocketAddress(text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
+	private void heard(String answer) {
+		if (this.draining && answer.replace(" ", "").contains("\"drained\":true")) {
+			this.drained.countDown();
+		}
+	}
+
+	private void drain() {
+		this.draining = true;
+		this.loop.execute(this::announce);
+		try {
+			this.drained.await(MAX_DRAIN_SECONDS, TimeUnit.SECONDS);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
 	}
 
 	/**
@@ -86,36 +166,26 @@
 	 *
 	 * @param service its service
 	 * @param address where it listens
+	 * @param state ready or draining
 	 * @param slots how many requests it runs at once
 	 * @param connections how many connections it accepts
 	 * @param checksFences whether it refuses old fences
+	 * @param coldStartMillis how long it is slow after its start
 	 */
-	private record Announcement(String service, String address, int slots, int connections, boolean checksFences) {
+	private record Announcement(String service, String address, String state, int slots, int connections,
+			@SerializedName("checks_fences") boolean checksFences,
+			@SerializedName("cold_start_millis") int coldStartMillis) {
 
 	}
 
 	/**
-	 * The flags.
+	 * The answer of the health path.
+	 *
+	 * @param state ready or draining
+	 * @param running how many orders run
+	 * @param load share of the slots that are taken
 	 */
-	private static final class Flags {
-
-		@Parameter(names = "--service", required = true)
-		private String service = "";
-
-		@Parameter(names = "--listen", required = true)
-		private String listen = "";
-
-		@Parameter(names = "--daemon", required = true, description = "IP:PORT of the daemon's backend port")
-		private String daemon = "";
-
-		@Parameter(names = "--slots")
-		private int slots = 17;
-
-		@Parameter(names = "--connections")
-		private int connections = 120;
-
-		@Parameter(names = "--latency-millis")
-		private int latencyMillis = 2;
+	private record Health(String state, int running, double load) {
 
 	}
 
--- /dev/null
+++ b/standins/src/main/java/org/brasspier/standins/CallerClient.java
@@ -0,0 +1,127 @@
+package org.brasspier.standins;
+
+import java.net.ConnectException;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Locale;
+import java.util.Optional;
+
+import io.activej.async.exception.AsyncTimeoutException;
+import io.activej.bytebuf.ByteBuf;
+import io.activej.dns.DnsClient;
+import io.activej.http.HttpClient;
+import io.activej.http.HttpHeaders;
+import io.activej.http.HttpMethod;
+import io.activej.http.HttpRequest;
+import io.activej.http.HttpResponse;
+import io.activej.promise.Promise;
+import io.activej.promise.Promises;
+import io.activej.reactor.nio.NioReactor;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Sends one request to one daemon and records what came of it. Belongs to one thread.
+ */
+final class CallerClient {
+
+	/** Callers wait this much longer than the deadline that they tell. */
+	private static final int GRACE_MILLIS = 300;
+
+	private static final Duration KEEP_ALIVE = Duration.ofSeconds(20);
+
+	private static final Duration IDLE = Duration.ofSeconds(30);
+
+	private static final Duration CONNECT = Duration.ofSeconds(1);
+
+	private final HttpClient http;
+
+	CallerClient(NioReactor reactor) {
+		this.http = HttpClient.builder(reactor, DnsClient.create(reactor, new InetSocketAddress("127.0.0.1", 53)))
+			.withKeepAliveTimeout(KEEP_ALIVE)
+			.withConnectTimeout(CONNECT)
+			.withReadWriteTimeout(IDLE)
+			.build();
+	}
+
+	/**
+	 * Sends a request.
+	 * @param request the request
+	 * @param daemon where to
+	 * @param ticket the ticket, empty if none
+	 * @param deadlineMillis how long the answer may take, in milliseconds
+	 * @return what came of it, never an exception
+	 */
+	Promise<Attempt> send(StandInRequest request, InetSocketAddress daemon, String ticket, int deadlineMillis) {
+		long sent = ServerHistory.nowMicros();
+		Promise<Heard> heard = this.http.request(build(request, daemon, ticket, deadlineMillis))
+			.then((response) -> response.loadBody().map((body) -> heard(request, response, body)));
+		return Promises.timeout((long) deadlineMillis + GRACE_MILLIS, heard)
+			.then((answer, ex) -> Promise.of(attempt(request, daemon, sent, (ex != null) ? silence(ex) : answer)));
+	}
+
+	private static HttpRequest build(StandInRequest request, InetSocketAddress daemon, String ticket,
+			int deadlineMillis) {
+		HttpMethod method = (request.posting()) ? HttpMethod.POST : HttpMethod.GET;
+		HttpRequest.Builder builder = HttpRequest
+			.builder(method, "http://" + Ports.text(daemon) + "/v1/" + request.service() + request.path())
+			.withHeader(HttpHeaders.of("Brasspier-Request-Id"), request.id())
+			.withHeader(HttpHeaders.of("Brasspier-Class"), request.requestClass())
+			.withHeader(HttpHeaders.of("Brasspier-Caller"), request.caller())
+			.withHeader(HttpHeaders.of("Brasspier-Deadline-Millis"), Integer.toString(deadlineMillis));
+		if (!request.key().isEmpty()) {
+			builder.withHeader(HttpHeaders.of("Brasspier-Key"), request.key());
+		}
+		if (!ticket.isEmpty()) {
+			builder.withHeader(HttpHeaders.of("Brasspier-Ticket"), ticket);
+		}
+		if (request.posting()) {
+			builder.withBody("{\"posting\": \"%s\"}".formatted(request.id()));
+		}
+		return builder.build();
+	}
+
+	private static Heard heard(StandInRequest request, HttpResponse response, ByteBuf body) {
+		String ran = field(response, "Brasspier-Ran").toLowerCase(Locale.ROOT);
+		String pause = field(response, "Brasspier-Retry-After-Millis");
+		boolean own = EchoedAnswer.answers(body.getString(StandardCharsets.UTF_8), request.id(), request.key(),
+				request.padding());
+		return new Heard(response.getCode(), (ran.isEmpty()) ? Attempt.UNKNOWN : ran,
+				field(response, "Brasspier-Error"), own, field(response, "Brasspier-Ticket"),
+				(pause.matches("[0-9]{1,6}")) ? Integer.parseInt(pause) : 0);
+	}
+
+	private static String field(HttpResponse response, String name) {
+		return Optional.ofNullable(response.getHeader(HttpHeaders.of(name))).orElse("");
+	}
+
+	private static Heard silence(Exception ex) {
+		boolean refused = hasCause(ex, ConnectException.class);
+		String what = (ex instanceof AsyncTimeoutException) ? "no answer in time" : String.valueOf(ex);
+		return new Heard(0, (refused) ? Attempt.NOT_RUN : Attempt.UNKNOWN, what, false, "", 0);
+	}
+
+	private static boolean hasCause(@Nullable Throwable ex, Class<? extends Throwable> type) {
+		return ex != null && (type.isInstance(ex) || hasCause(ex.getCause(), type));
+	}
+
+	private static Attempt attempt(StandInRequest request, InetSocketAddress daemon, long sent, Heard heard) {
+		return new Attempt(request.id(), daemon, sent, ServerHistory.nowMicros(), heard.status, heard.ran, heard.error,
+				heard.own, heard.ticket, heard.retryAfterMillis);
+	}
+
+	/**
+	 * What came back.
+	 *
+	 * @param status see {@link Attempt}
+	 * @param ran see {@link Attempt}
+	 * @param error see {@link Attempt}
+	 * @param own see {@link Attempt}
+	 * @param ticket see {@link Attempt}
+	 * @param retryAfterMillis see {@link Attempt}
+	 */
+	private record Heard(int status, String ran, String error, boolean own, String ticket, int retryAfterMillis) {
+
+	}
+
+}
--- /dev/null
+++ b/standins/src/main/java/org/brasspier/standins/Deployment.java
@@ -0,0 +1,238 @@
+package org.brasspier.standins;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Predicate;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
+
+import org.brasspier.core.KeyHash;
+
+/**
+ * A deployment of real processes on this machine: the platform's stand-in, and a daemon
+ * and a backend server for each instance, each link between them through the proxy. Links
+ * are named {@code FROM>TO} for daemons, {@code FROM>store}, {@code callers>TO} and
+ * {@code NAME>server}. Thread-safe.
+ */
+public final class Deployment implements AutoCloseable {
+
+	private final DeploymentShape shape;
+
+	private final Path folder;
+
+	private final FaultProxy proxy = new FaultProxy();
+
+	private final PlatformStandIn platform = new PlatformStandIn(Ports.free(), InstanceBuilder.PLATFORM_TOKEN);
+
+	private final List<StandInInstance> instances;
+
+	private volatile boolean keepFiles;
+
+	private Deployment(DeploymentShape shape, Path folder) {
+		this.shape = shape;
+		this.folder = folder;
+		InstanceBuilder builder = new InstanceBuilder(shape, this.proxy, this.platform.address(), folder);
+		shape.services()
+			.forEach((service) -> IntStream.range(0, service.servers()).forEach((i) -> builder.add(service, i)));
+		this.instances = builder.build();
+	}
+
+	/**
+	 * Starts a deployment; its instances may not own anything yet.
+	 * @param shape its shape
+	 * @return the deployment, to be closed
+	 */
+	public static Deployment start(DeploymentShape shape) {
+		Deployment deployment = prepare(shape);
+		deployment.instances().forEach(StandInInstance::start);
+		return deployment;
+	}
+
+	/**
+	 * Prepares a deployment of which no instance is started.
+	 * @param shape its shape
+	 * @return the deployment, to be closed
+	 */
+	public static Deployment prepare(DeploymentShape shape) {
+		try {
+			return new Deployment(shape, Files.createTempDirectory("brasspier-" + shape.name() + "-"));
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+	}
+
+	/**
+	 * The shape it was started with.
+	 * @return the shape
+	 */
+	public DeploymentShape shape() {
+		return this.shape;
+	}
+
+	/**
+	 * Where histories and logs are.
+	 * @return the folder
+	 */
+	public Path folder() {
+		return this.folder;
+	}
+
+	/**
+	 * All instances, also those that are not running.
+	 * @return the instances, service by service
+	 */
+	public List<StandInInstance> instances() {
+		return this.instances;
+	}
+
+	/**
+	 * One instance.
+	 * @param name its name
+	 * @return the instance
+	 */
+	public StandInInstance instance(String name) {
+		return this.instances.stream()
+			.filter((instance) -> instance.name().equals(name))
+			.findFirst()
+			.orElseThrow(() -> new IllegalArgumentException("no instance is named " + name));
+	}
+
+	/**
+	 * The platform.
+	 * @return the stand-in
+	 */
+	public PlatformStandIn platform() {
+		return this.platform;
+	}
+
+	/**
+	 * The proxy.
+	 * @return the proxy that all links pass
+	 */
+	public FaultProxy proxy() {
+		return this.proxy;
+	}
+
+	/**
+	 * Where callers reach the daemons.
+	 * @return the proxied addresses, in the order of the instances
+	 */
+	public List<InetSocketAddress> callerAddresses() {
+		return this.instances.stream().map(StandInInstance::callers).toList();
+	}
+
+	/**
+	 * Changes the links between two daemons, both ways.
+	 * @param one an instance
+	 * @param other another
+	 * @param state what their links do from now on
+	 */
+	public void between(StandInInstance one, StandInInstance other, LinkState state) {
+		links((name) -> connects(name, one.name(), other.name()) || connects(name, other.name(), one.name()), state);
+	}
+
+	private static boolean connects(String link, String from, String to) {
+		return link.startsWith(from + ">" + to + ":");
+	}
+
+	/**
+	 * Changes the link between a daemon and the platform's store.
+	 * @param instance the daemon's instance
+	 * @param state what the link does from now on
+	 */
+	public void toStore(StandInInstance instance, LinkState state) {
+		links((name) -> name.equals(instance.name() + ">store"), state);
+	}
+
+	/**
+	 * Changes the links of a daemon to all other daemons.
+	 * @param instance the daemon's instance
+	 * @param state what the links do from now on
+	 */
+	public void isolate(StandInInstance instance, LinkState state) {
+		this.instances.stream()
+			.filter((other) -> !other.equals(instance))
+			.forEach((other) -> between(instance, other, state));
+	}
+
+	/**
+	 * Changes all links whose name is wanted.
+	 * @param names which ones
+	 * @param state what they do from now on
+	 */
+	public void links(Predicate<String> names, LinkState state) {
+		this.proxy.links(names).forEach((link) -> link.state(state));
+	}
+
+	/**
+	 * Waits until each service answers at each of a number of keys, through every running
+	 * daemon.
+	 */
+	public void awaitServed() {
+		try (CallerFleet probe = new CallerFleet(this.instances.stream()
+			.filter((instance) -> instance.daemon().alive())
+			.map(StandInInstance::callers)
+			.toList())) {
+			this.shape.services().forEach((service) -> Probe.served(probe, service));
+		}
+	}
+
+	/**
+	 * Reads what all backend servers have recorded so far.
+	 * @return the records in the order of time
+	 */
+	public List<ServerRecord> serverRecords() {
+		return ServerRecords.read(this.instances.stream().map((instance) -> instance.server().output()).toList());
+	}
+
+	/**
+	 * The instance that owns a key now, by what the servers recorded.
+	 * @param service the service
+	 * @param key the key
+	 * @return the instance, empty if the key was never granted
+	 */
+	public Optional<StandInInstance> owner(String service, String key) {
+		return ServerRecords.owner(serverRecords(), service, KeyHash.of(key)).map(this::instance);
+	}
+
+	/**
+	 * Keeps histories and logs after the end, for somebody to read.
+	 * @return the folder
+	 */
+	public Path keepFiles() {
+		this.keepFiles = true;
+		return this.folder;
+	}
+
+	@Override
+	public void close() {
+		this.instances.stream()
+			.flatMap((instance) -> Stream.of(instance.daemon(), instance.server()))
+			.filter(ProgramProcess::alive)
+			.forEach(ProgramProcess::kill);
+		this.proxy.close();
+		this.platform.close();
+		if (!this.keepFiles) {
+			delete();
+		}
+	}
+
+	private void delete() {
+		try (Stream<Path> files = Files.list(this.folder)) {
+			for (Path file : files.toList()) {
+				Files.delete(file);
+			}
+			Files.delete(this.folder);
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+	}
+
+}
--- /dev/null
+++ b/standins/src/main/java/org/brasspier/standins/EchoedAnswer.java
@@ -0,0 +1,43 @@
+package org.brasspier.standins;
+
+import com.google.gson.Gson;
+import com.google.gson.JsonParseException;
+
+/**
+ * The body of a stand-in server's answer, by which a caller sees whether it got the
+ * answer to its own request, and all of it. Immutable and thread-safe.
+ *
+ * @param id the request's id
+ * @param key the request's key, empty if none
+ * @param service the service
+ * @param server who ran it
+ * @param fence the fence it ran under
+ * @param padding as many characters as the caller asked for
+ * @param end {@link #END}, the last field
+ */
+record EchoedAnswer(String id, String key, String service, String server, long fence, String padding, String end) {
+
+	static final String END = "whole";
+
+	private static final Gson GSON = new Gson();
+
+	/**
+	 * Whether a body is the whole answer to one request.
+	 * @param body the body
+	 * @param id the request's id
+	 * @param key its key, empty if none
+	 * @param padding how many characters the caller asked for
+	 * @return true if it is
+	 */
+	static boolean answers(String body, String id, String key, int padding) {
+		try {
+			EchoedAnswer answer = GSON.fromJson(body, EchoedAnswer.class);
+			return answer != null && id.equals(answer.id) && key.equals(answer.key) && END.equals(answer.end)
+					&& answer.padding.length() == padding;
+		}
+		catch (JsonParseException ex) {
+			return false;
+		}
+	}
+
+}
--- /dev/null
+++ b/standins/src/main/java/org/brasspier/standins/FaultLink.java
@@ -0,0 +1,167 @@
+package org.brasspier.standins;
+
+import java.net.InetSocketAddress;
+import java.util.HashSet;
+import java.util.Set;
+
+import io.activej.net.SimpleServer;
+import io.activej.net.socket.tcp.ITcpSocket;
+import io.activej.net.socket.tcp.TcpSocket;
+import io.activej.reactor.nio.NioReactor;
+
+/**
+ * One TCP address of the proxy and where it leads. Its fault can be changed at any time.
+ * Thread-safe.
+ */
+public final class FaultLink {
+
+	private final StandInLoop loop;
+
+	private final String name;
+
+	private final InetSocketAddress listen;
+
+	private final InetSocketAddress target;
+
+	private final double delayMillis;
+
+	private final Set<Pair> pairs = new HashSet<>();
+
+	private LinkState state = LinkState.WHOLE;
+
+	FaultLink(StandInLoop loop, String name, InetSocketAddress target, double delayMillis) {
+		this.loop = loop;
+		this.name = name;
+		this.listen = Ports.free();
+		this.target = target;
+		this.delayMillis = delayMillis;
+		loop.call(() -> {
+			SimpleServer.builder(loop.reactor(), this::accept).withListenAddress(this.listen).build().listen();
+			return true;
+		});
+	}
+
+	/**
+	 * The link's name.
+	 * @return who it leads from and to
+	 */
+	public String name() {
+		return this.name;
+	}
+
+	/**
+	 * The address to connect to in place of the target's.
+	 * @return the address
+	 */
+	public InetSocketAddress address() {
+		return this.listen;
+	}
+
+	/**
+	 * Changes what the link does, for open and for new connections.
+	 * @param next the new state
+	 */
+	public void state(LinkState next) {
+		this.loop.call(() -> {
+			this.state = next;
+			if (next == LinkState.RESET) {
+				Set.copyOf(this.pairs).forEach(Pair::end);
+			}
+			this.pairs.forEach((pair) -> pair.obey(next));
+			return true;
+		});
+	}
+
+	/**
+	 * Makes each connection that is open now silent for good: what is sent over it is
+	 * lost and neither end is told. New connections work.
+	 */
+	public void silenceOpenConnections() {
+		this.loop.call(() -> {
+			this.pairs.forEach(Pair::silence);
+			return true;
+		});
+	}
+
+	/**
+	 * How many connections are open through this link.
+	 * @return the number
+	 */
+	public int openConnections() {
+		return this.loop.call(this.pairs::size);
+	}
+
+	private void accept(ITcpSocket near) {
+		if (this.state == LinkState.RESET) {
+			near.close();
+			return;
+		}
+		TcpSocket.connect(this.loop.reactor(), this.target)
+			.whenException((ex) -> near.close())
+			.whenResult((far) -> join(near, far));
+	}
+
+	private void join(ITcpSocket near, ITcpSocket far) {
+		Pair pair = new Pair(this.loop.reactor(), near, far);
+		this.pairs.add(pair);
+		pair.obey(this.state);
+		pair.start();
+	}
+
+	/**
+	 * The two ends of one connection.
+	 */
+	private final class Pair {
+
+		private final ITcpSocket near;
+
+		private final ITcpSocket far;
+
+		private final FaultPipe forth;
+
+		private final FaultPipe back;
+
+		private boolean silent;
+
+		Pair(NioReactor reactor, ITcpSocket near, ITcpSocket far) {
+			this.near = near;
+			this.far = far;
+			this.forth = new FaultPipe(reactor, near, far, this::ended);
+			this.back = new FaultPipe(reactor, far, near, this::ended);
+			this.forth.delay(FaultLink.this.delayMillis);
+			this.back.delay(FaultLink.this.delayMillis);
+		}
+
+		void start() {
+			this.forth.start();
+			this.back.start();
+		}
+
+		void obey(LinkState next) {
+			this.forth.hold(next.holdsForth());
+			this.back.hold(next.holdsBack());
+		}
+
+		void silence() {
+			this.silent = true;
+			this.forth.silence();
+			this.back.silence();
+		}
+
+		// The end of one side is a message too: over a silent connection the other side
+		// never hears of it.
+		private void ended() {
+			if (!this.silent) {
+				end();
+			}
+		}
+
+		private void end() {
+			this.near.close();
+			this.far.close();
+			FaultLink.this.pairs.remove(this);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/standins/src/main/java/org/brasspier/standins/FaultPipe.java
@@ -0,0 +1,142 @@
+package org.brasspier.standins;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+
+import io.activej.bytebuf.ByteBuf;
+import io.activej.net.socket.tcp.ITcpSocket;
+import io.activej.reactor.nio.NioReactor;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * One direction of one connection through the proxy. While its direction is held, bytes
+ * wait and are delivered afterwards, as TCP does after a partition; once it is silenced,
+ * bytes are dropped for good. Belongs to the proxy's thread.
+ */
+final class FaultPipe {
+
+	private final NioReactor reactor;
+
+	private final ITcpSocket from;
+
+	private final ITcpSocket to;
+
+	private final Runnable onEnd;
+
+	private final Deque<Chunk> chunks = new ArrayDeque<>();
+
+	private double delayMillis;
+
+	private boolean held;
+
+	private boolean silent;
+
+	private boolean writing;
+
+	FaultPipe(NioReactor reactor, ITcpSocket from, ITcpSocket to, Runnable onEnd) {
+		this.reactor = reactor;
+		this.from = from;
+		this.to = to;
+		this.onEnd = onEnd;
+	}
+
+	void start() {
+		this.from.read().whenComplete((buf, ex) -> {
+			if (ex != null) {
+				this.onEnd.run();
+				return;
+			}
+			take(buf);
+		});
+	}
+
+	private void take(@Nullable ByteBuf buf) {
+		if (this.silent) {
+			if (buf != null) {
+				buf.recycle();
+				start();
+			}
+			return;
+		}
+		this.chunks.add(new Chunk(buf, System.nanoTime() + delayNanos()));
+		write();
+		if (buf != null) {
+			start();
+		}
+	}
+
+	private long delayNanos() {
+		long whole = (long) this.delayMillis;
+		double rest = this.delayMillis - whole;
+		// Timers count milliseconds: 1.5 ms is one or two, each half of the time.
+		return TimeUnit.MILLISECONDS
+			.toNanos(whole + ((rest > 0 && ThreadLocalRandom.current().nextDouble() < rest) ? 1 : 0));
+	}
+
+	private void write() {
+		Chunk next = this.chunks.peek();
+		if (next == null || this.writing || this.held) {
+			return;
+		}
+		long wait = next.dueNanos() - System.nanoTime();
+		this.writing = true;
+		if (wait > 0) {
+			this.reactor.delay(Math.max(1, TimeUnit.NANOSECONDS.toMillis(wait)), this::deliver);
+		}
+		else {
+			deliver();
+		}
+	}
+
+	private void deliver() {
+		this.writing = false;
+		Chunk chunk = this.chunks.peek();
+		if (chunk == null || this.held) {
+			return;
+		}
+		this.chunks.poll();
+		this.writing = true;
+		this.to.write(chunk.bytes()).whenComplete((done, ex) -> {
+			this.writing = false;
+			if (ex != null || chunk.bytes() == null) {
+				this.onEnd.run();
+				return;
+			}
+			write();
+		});
+	}
+
+	void delay(double millis) {
+		this.delayMillis = millis;
+	}
+
+	void hold(boolean hold) {
+		this.held = hold;
+		write();
+	}
+
+	void silence() {
+		this.silent = true;
+		this.chunks.forEach(Chunk::recycle);
+		this.chunks.clear();
+	}
+
+	/**
+	 * Bytes on their way.
+	 *
+	 * @param bytes the bytes, null for the end of the stream
+	 * @param dueNanos when they arrive
+	 */
+	private record Chunk(@Nullable ByteBuf bytes, long dueNanos) {
+
+		void recycle() {
+			if (this.bytes != null) {
+				this.bytes.recycle();
+			}
+		}
+
+	}
+
+}
--- /dev/null
+++ b/standins/src/main/java/org/brasspier/standins/FaultProxy.java
@@ -0,0 +1,65 @@
+package org.brasspier.standins;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.channels.DatagramChannel;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Predicate;
+
+/**
+ * A proxy between processes that injects faults, one thread with any number of links.
+ * Thread-safe.
+ */
+public final class FaultProxy implements AutoCloseable {
+
+	private final StandInLoop loop = new StandInLoop("fault-proxy");
+
+	private final Map<String, FaultLink> links = new ConcurrentHashMap<>();
+
+	/**
+	 * Opens a TCP link, or gives the one that has this name.
+	 * @param name who it leads from and to
+	 * @param target where it leads
+	 * @param delayMillis how long each way takes, in milliseconds
+	 * @return the link
+	 */
+	public FaultLink link(String name, InetSocketAddress target, double delayMillis) {
+		return this.links.computeIfAbsent(name, (unused) -> new FaultLink(this.loop, name, target, delayMillis));
+	}
+
+	/**
+	 * Opens a UDP link.
+	 * @param target where it leads
+	 * @param delayMillis how long each way takes, in milliseconds
+	 * @return the link
+	 * @throws IOException if no port can be opened
+	 */
+	public DatagramLink datagramLink(InetSocketAddress target, double delayMillis) throws IOException {
+		DatagramChannel channel = DatagramChannel.open().bind(Ports.free());
+		return new DatagramLink(this.loop, channel, target, delayMillis);
+	}
+
+	/**
+	 * The links that were opened so far.
+	 * @param names which ones, by their name
+	 * @return the links
+	 */
+	public List<FaultLink> links(Predicate<String> names) {
+		return this.links.values().stream().filter((link) -> names.test(link.name())).toList();
+	}
+
+	/**
+	 * Makes every link whole again.
+	 */
+	public void heal() {
+		this.links.values().forEach((link) -> link.state(LinkState.WHOLE));
+	}
+
+	@Override
+	public void close() {
+		this.loop.close();
+	}
+
+}
--- /dev/null
+++ b/standins/src/main/java/org/brasspier/standins/GrantTable.java
@@ -0,0 +1,91 @@
+package org.brasspier.standins;
+
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
+
+import com.google.gson.annotations.SerializedName;
+import org.brasspier.core.KeyRange;
+
+/**
+ * What the daemon has granted to a backend server, as docs/API.md describes it. Belongs
+ * to one thread.
+ */
+final class GrantTable {
+
+	private final ServerHistory history;
+
+	private final String service;
+
+	private Set<Grant> grants = Set.of();
+
+	private long untilNanos = System.nanoTime();
+
+	private long untilMillis;
+
+	GrantTable(ServerHistory history, String service) {
+		this.history = history;
+		this.service = service;
+	}
+
+	void replace(Message message) {
+		this.untilNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(message.validMillis);
+		this.untilMillis = message.validUntil;
+		Set<Grant> next = message.grants.stream()
+			.filter((grant) -> grant.service().equals(this.service))
+			.collect(Collectors.toUnmodifiableSet());
+		tell(ServerRecord.Kind.WITHDRAWN, this.grants, next);
+		tell(ServerRecord.Kind.GRANTED, next, this.grants);
+		this.grants = next;
+	}
+
+	private void tell(ServerRecord.Kind kind, Set<Grant> present, Set<Grant> absent) {
+		present.stream()
+			.filter((grant) -> !absent.contains(grant))
+			.forEach((grant) -> this.history.grant(kind, grant.fence(), grant.range().toString()));
+	}
+
+	/**
+	 * Whether an order may begin or take effect.
+	 * @param order the order
+	 * @param atMillis the time it would, in milliseconds since 1970
+	 * @return true if a grant that is still valid covers its point with the same fence
+	 */
+	boolean covers(Order order, long atMillis) {
+		return atMillis <= this.untilMillis && System.nanoTime() - this.untilNanos <= 0 && this.grants.stream()
+			.anyMatch((grant) -> grant.fence() == order.fence() && grant.range().contains(order.point()));
+	}
+
+	/**
+	 * The daemon's message.
+	 */
+	static final class Message {
+
+		private List<Grant> grants = List.of();
+
+		@SerializedName("valid_millis")
+		private long validMillis;
+
+		@SerializedName("valid_until")
+		private long validUntil;
+
+	}
+
+	/**
+	 * One granted range.
+	 *
+	 * @param service the service
+	 * @param low the first point
+	 * @param high the point after the last
+	 * @param fence the fence
+	 */
+	record Grant(String service, long low, long high, long fence) {
+
+		KeyRange range() {
+			return new KeyRange(this.low, this.high);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/standins/src/main/java/org/brasspier/standins/InternalCalls.java
@@ -0,0 +1,54 @@
+package org.brasspier.standins;
+
+import io.activej.http.HttpClient;
+import io.activej.http.HttpHeaders;
+import io.activej.http.HttpRequest;
+import io.activej.promise.Promise;
+
+/**
+ * The calls that a backend server makes to other services while it runs an order, through
+ * the daemon beside it. Belongs to one thread.
+ */
+final class InternalCalls {
+
+	private static final int DEADLINE_MILLIS = 1000;
+
+	private final HttpClient http;
+
+	private final String callers;
+
+	/**
+	 * Creates a caller.
+	 * @param http the HTTP client
+	 * @param callers the IP:PORT of the daemon's caller port, empty if no calls are made
+	 */
+	InternalCalls(HttpClient http, String callers) {
+		this.http = http;
+		this.callers = callers;
+	}
+
+	/**
+	 * Makes the call that a plan asks for.
+	 * @param plan the plan
+	 * @param order the order that is running
+	 * @return completes when the call is over, however it ended
+	 */
+	Promise<Void> ask(WorkPlan plan, Order order) {
+		int colon = plan.ask().indexOf(':');
+		if (colon < 0 || this.callers.isEmpty()) {
+			return Promise.complete();
+		}
+		HttpRequest request = HttpRequest
+			.get("http://" + this.callers + "/v1/" + plan.ask().substring(0, colon) + "/asked")
+			.withHeader(HttpHeaders.of("Brasspier-Key"), plan.ask().substring(colon + 1))
+			.withHeader(HttpHeaders.of("Brasspier-Request-Id"), order.id() + "/asked")
+			.withHeader(HttpHeaders.of("Brasspier-Class"), "internal")
+			.withHeader(HttpHeaders.of("Brasspier-Caller"), "standin")
+			.withHeader(HttpHeaders.of("Brasspier-Deadline-Millis"), Integer.toString(DEADLINE_MILLIS))
+			.build();
+		return this.http.request(request)
+			.then((response) -> response.loadBody())
+			.then((body, ex) -> Promise.complete());
+	}
+
+}
--- /dev/null
+++ b/standins/src/main/java/org/brasspier/standins/PersistentCaller.java
@@ -0,0 +1,136 @@
+package org.brasspier.standins;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ThreadLocalRandom;
+
+import io.activej.promise.Promise;
+import io.activej.promise.Promises;
+
+/**
+ * A caller that follows docs/API.md: it keeps tickets, resends with the same id and
+ * ticket to any daemon, and gives up when its time is over. Belongs to one thread.
+ */
+final class PersistentCaller {
+
+	/**
+	 * A sending waits this long for its answer, so that a silent connection costs one.
+	 */
+	private static final int MAX_ATTEMPT_MILLIS = 1500;
+
+	private static final int PAUSE_MILLIS = 20;
+
+	private static final int MAX_PAUSE_MILLIS = 200;
+
+	private static final int MIN_ATTEMPT_MILLIS = 20;
+
+	private static final Set<String> FINAL_ERRORS = Set.of("BAD_REQUEST", "UNAUTHORIZED", "UNKNOWN_SERVICE",
+			"BODY_TOO_LARGE", "ID_REUSED", "POSSIBLY_RAN_BEFORE", "CRASHED_BACKENDS");
+
+	private final CallerClient client;
+
+	private final List<InetSocketAddress> daemons;
+
+	private final Map<String, String> tickets = new ConcurrentHashMap<>();
+
+	PersistentCaller(CallerClient client, List<InetSocketAddress> daemons) {
+		this.client = client;
+		this.daemons = List.copyOf(daemons);
+	}
+
+	Promise<CallerRecord> ask(StandInRequest request) {
+		Conversation conversation = new Conversation(request);
+		return send(conversation).map((done) -> new CallerRecord(request, conversation.attempts));
+	}
+
+	private Promise<Void> send(Conversation conversation) {
+		int left = conversation.millisLeft();
+		if (left < MIN_ATTEMPT_MILLIS) {
+			return Promise.complete();
+		}
+		StandInRequest request = conversation.request;
+		return this.client.send(request, daemon(conversation), conversation.ticket, Math.min(left, MAX_ATTEMPT_MILLIS))
+			.then((attempt) -> {
+				conversation.attempts.add(attempt);
+				return next(conversation, attempt);
+			});
+	}
+
+	private Promise<Void> next(Conversation conversation, Attempt attempt) {
+		StandInRequest request = conversation.request;
+		if (request.posting() && !attempt.ticket().isEmpty() && !request.key().isEmpty()) {
+			this.tickets.put(request.service() + ":" + request.key(), attempt.ticket());
+		}
+		if (attempt.error().equals("TICKET_REQUIRED")) {
+			conversation.ticket = attempt.ticket();
+			return send(conversation);
+		}
+		if (attempt.error().equals("POSSIBLY_RAN_BEFORE") && conversation.neverSentBefore()) {
+			// The ticket was older than the owner, but this id was never sent before: the
+			// caller knows that it did not run, and takes a new id and a new ticket.
+			conversation.startOver();
+			return send(conversation);
+		}
+		if (attempt.answered() || FINAL_ERRORS.contains(attempt.error()) || attempt.ran().equals(Attempt.RAN)) {
+			return Promise.complete();
+		}
+		int pause = (attempt.retryAfterMillis() > 0) ? Math.min(attempt.retryAfterMillis(), MAX_PAUSE_MILLIS)
+				: PAUSE_MILLIS;
+		return Promises.delay(pause).then(() -> send(conversation));
+	}
+
+	private InetSocketAddress daemon(Conversation conversation) {
+		List<InetSocketAddress> others = (conversation.attempts.isEmpty()) ? this.daemons
+				: this.daemons.stream()
+					.filter((daemon) -> !daemon.equals(conversation.attempts.getLast().daemon()))
+					.toList();
+		List<InetSocketAddress> choice = (others.isEmpty()) ? this.daemons : others;
+		return choice.get(ThreadLocalRandom.current().nextInt(choice.size()));
+	}
+
+	/**
+	 * One request on its way.
+	 */
+	private final class Conversation {
+
+		private final long endNanos;
+
+		private final List<Attempt> attempts = new ArrayList<>();
+
+		private StandInRequest request;
+
+		private String ticket;
+
+		private int startsOver;
+
+		Conversation(StandInRequest request) {
+			this.request = request;
+			this.endNanos = System.nanoTime() + request.waitMillis() * 1_000_000L;
+			this.ticket = (request.posting())
+					? PersistentCaller.this.tickets.getOrDefault(request.service() + ":" + request.key(), "") : "";
+		}
+
+		int millisLeft() {
+			return (int) ((this.endNanos - System.nanoTime()) / 1_000_000L);
+		}
+
+		boolean neverSentBefore() {
+			return this.attempts.stream()
+				.filter((attempt) -> attempt.id().equals(this.request.id()))
+				.filter((attempt) -> !attempt.equals(this.attempts.getLast()))
+				.allMatch(Attempt::notRun);
+		}
+
+		void startOver() {
+			this.startsOver++;
+			this.request = this.request.as(this.request.id() + "~" + this.startsOver);
+			this.ticket = "";
+		}
+
+	}
+
+}
--- /dev/null
+++ b/standins/src/main/java/org/brasspier/standins/PlatformStandIn.java
@@ -0,0 +1,272 @@
+package org.brasspier.standins;
+
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.regex.Pattern;
+
+import com.beust.jcommander.JCommander;
+import com.beust.jcommander.Parameter;
+import com.google.gson.Gson;
+import io.activej.bytebuf.ByteBuf;
+import io.activej.http.HttpHeader;
+import io.activej.http.HttpHeaders;
+import io.activej.http.HttpMethod;
+import io.activej.http.HttpRequest;
+import io.activej.http.HttpResponse;
+import io.activej.http.HttpServer;
+import io.activej.promise.Promise;
+import io.activej.promise.Promises;
+import io.activej.promise.SettablePromise;
+
+/**
+ * The platform's table service and object store of docs/API.md, both on one port, kept in
+ * memory. Its faults can be set by {@link #faults(PlatformFaults)} or with
+ * {@code PUT /control}. Thread-safe.
+ */
+public final class PlatformStandIn implements AutoCloseable {
+
+	/** The brief: several hundred writes a second. */
+	private static final int WRITES_A_SECOND = 400;
+
+	/** The brief: about two thousand reads a second. */
+	private static final int READS_A_SECOND = 2000;
+
+	private static final int MAX_BODY_BYTES = 8 << 20;
+
+	private static final int TOO_MANY = 429;
+
+	private static final int UNAVAILABLE = 503;
+
+	private static final HttpHeader VERSION = HttpHeaders.of("Version");
+
+	private static final HttpHeader IF_VERSION = HttpHeaders.of("If-Version");
+
+	private static final Pattern VALID_NAME = Pattern.compile("[a-zA-Z0-9._/-]{1,512}");
+
+	private static final Gson GSON = new Gson();
+
+	private final StandInLoop loop = new StandInLoop("platform-standin");
+
+	private final Map<String, Row> table = new HashMap<>();
+
+	private final Map<String, byte[]> objects = new HashMap<>();
+
+	private final RateLimit writeLimit = new RateLimit(WRITES_A_SECOND);
+
+	private final RateLimit readLimit = new RateLimit(READS_A_SECOND);
+
+	private final AtomicLong reads = new AtomicLong();
+
+	private final AtomicLong writes = new AtomicLong();
+
+	private final InetSocketAddress address;
+
+	private final String token;
+
+	private volatile PlatformFaults faults = PlatformFaults.NONE;
+
+	/**
+	 * Starts to listen.
+	 * @param address where
+	 * @param token the bearer token that calls must carry
+	 */
+	public PlatformStandIn(InetSocketAddress address, String token) {
+		this.address = address;
+		this.token = token;
+		this.loop.call(() -> {
+			HttpServer.builder(this.loop.reactor(), this::serve).withListenAddress(address).build().listen();
+			return true;
+		});
+	}
+
+	/**
+	 * Runs the platform as a process of its own.
+	 * @param arguments the flags
+	 * @throws InterruptedException if the main thread is interrupted
+	 */
+	public static void main(String[] arguments) throws InterruptedException {
+		Flags flags = new Flags();
+		JCommander.newBuilder().addObject(flags).programName("platform-standin").build().parse(arguments);
+		PlatformStandIn platform = new PlatformStandIn(Ports.parse(flags.listen), flags.token);
+		platform.loop.join();
+	}
+
+	/**
+	 * Where it listens.
+	 * @return the address
+	 */
+	public InetSocketAddress address() {
+		return this.address;
+	}
+
+	/**
+	 * Sets what is wrong from now on.
+	 * @param faults the faults
+	 */
+	public void faults(PlatformFaults faults) {
+		this.loop.call(() -> {
+			this.faults = faults;
+			return true;
+		});
+	}
+
+	/**
+	 * What was asked of it since its start.
+	 * @return the counts
+	 */
+	public Counts counts() {
+		return new Counts(this.reads.get(), this.writes.get());
+	}
+
+	/**
+	 * A row's value.
+	 * @param key the row's key
+	 * @return its present value, empty if there is none
+	 */
+	public Optional<byte[]> row(String key) {
+		return this.loop.call(() -> Optional.ofNullable(this.table.get(key)).map(Row::value));
+	}
+
+	/**
+	 * Replaces a row's value past all rules, as a fault of the platform would.
+	 * @param key the row's key
+	 * @param value the new value
+	 */
+	public void damage(String key, byte[] value) {
+		this.loop.call(() -> this.table.merge(key, new Row(1, value),
+				(old, given) -> new Row(old.version() + 1, given.value())));
+	}
+
+	private Promise<HttpResponse> serve(HttpRequest request) {
+		String path = request.getPath();
+		if (path.equals("/control")) {
+			return control(request);
+		}
+		if (!("Bearer " + this.token).equals(request.getHeader(HttpHeaders.AUTHORIZATION))) {
+			return status(401);
+		}
+		boolean write = request.getMethod() == HttpMethod.PUT;
+		((write) ? this.writes : this.reads).incrementAndGet();
+		if (this.faults.outage()) {
+			return status(UNAVAILABLE);
+		}
+		if (!((write) ? this.writeLimit : this.readLimit).pass()) {
+			return status(TOO_MANY);
+		}
+		int half = this.faults.slowMillis() / 2;
+		return request.loadBody(MAX_BODY_BYTES)
+			.then((body) -> pause(half, body.getArray()))
+			.then((body) -> (write) ? write(request, path, body) : read(path))
+			.then((response) -> pause(half, response));
+	}
+
+	private static <T> Promise<T> pause(int millis, T value) {
+		return (millis == 0) ? Promise.of(value) : Promises.delay(millis, value);
+	}
+
+	private Promise<HttpResponse> control(HttpRequest request) {
+		if (request.getMethod() == HttpMethod.GET) {
+			return HttpResponse.ok200().withJson(GSON.toJson(counts())).toPromise();
+		}
+		return request.loadBody(MAX_BODY_BYTES).then((ByteBuf body) -> {
+			this.faults = GSON.fromJson(body.getString(StandardCharsets.UTF_8), PlatformFaults.class);
+			return HttpResponse.ok200().toPromise();
+		});
+	}
+
+	private Promise<HttpResponse> read(String path) {
+		if (path.startsWith("/table/")) {
+			Row row = this.table.get(path.substring("/table/".length()));
+			return (row != null) ? HttpResponse.ok200()
+				.withHeader(VERSION, Long.toString(row.version()))
+				.withBody(row.value().clone())
+				.toPromise() : status(404);
+		}
+		if (path.startsWith("/objects/")) {
+			byte[] body = this.objects.get(path.substring("/objects/".length()));
+			return (body != null) ? HttpResponse.ok200().withBody(body.clone()).toPromise() : status(404);
+		}
+		return status(404);
+	}
+
+	private Promise<HttpResponse> write(HttpRequest request, String path, byte[] body) {
+		if (path.startsWith("/table/")) {
+			return writeRow(request, path.substring("/table/".length()), body);
+		}
+		if (path.startsWith("/objects/") && VALID_NAME.matcher(path).matches()) {
+			this.objects.put(path.substring("/objects/".length()), body);
+			return answer(HttpResponse.ok200());
+		}
+		return status(400);
+	}
+
+	private Promise<HttpResponse> writeRow(HttpRequest request, String key, byte[] body) {
+		String expected = request.getHeader(IF_VERSION);
+		if (expected == null || !expected.matches("[0-9]{1,18}") || !VALID_NAME.matcher(key).matches()) {
+			return status(400);
+		}
+		Row row = this.table.get(key);
+		long actual = (row != null) ? row.version() : 0;
+		if (actual != Long.parseLong(expected)) {
+			return answer(HttpResponse.ofCode(412).withHeader(VERSION, Long.toString(actual)));
+		}
+		this.table.put(key, new Row(actual + 1, body));
+		return answer(HttpResponse.ok200().withHeader(VERSION, Long.toString(actual + 1)));
+	}
+
+	// The write is over; what is left is to tell of it, or not to.
+	private Promise<HttpResponse> answer(HttpResponse.Builder response) {
+		if (this.faults.lostAnswers() > 0) {
+			this.faults = this.faults.withOneLost();
+			return new SettablePromise<>();
+		}
+		return response.toPromise();
+	}
+
+	private static Promise<HttpResponse> status(int code) {
+		return HttpResponse.ofCode(code).toPromise();
+	}
+
+	@Override
+	public void close() {
+		this.loop.close();
+	}
+
+	/**
+	 * How often the platform was asked.
+	 *
+	 * @param reads the reads
+	 * @param writes the writes
+	 */
+	public record Counts(long reads, long writes) {
+
+	}
+
+	/**
+	 * A row of the table.
+	 *
+	 * @param version one higher with each write
+	 * @param value the value
+	 */
+	private record Row(long version, byte[] value) {
+
+	}
+
+	/**
+	 * The flags.
+	 */
+	private static final class Flags {
+
+		@Parameter(names = "--listen", required = true, description = "IP:PORT")
+		private String listen = "";
+
+		@Parameter(names = "--token", required = true)
+		private String token = "";
+
+	}
+
+}
--- /dev/null
+++ b/standins/src/main/java/org/brasspier/standins/Ports.java
@@ -0,0 +1,71 @@
+package org.brasspier.standins;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.util.HashSet;
+import java.util.Set;
+import java.util.concurrent.ThreadLocalRandom;
+
+/**
+ * Hands out free ports of 127.0.0.1, below those that the system gives to outgoing
+ * connections, so that a port stays free until its process has started. Thread-safe.
+ */
+public final class Ports {
+
+	private static final int LOWEST = 12_000;
+
+	private static final int HIGHEST = 32_000;
+
+	private static final int MAX_TRIES = 1000;
+
+	private static final Set<Integer> given = new HashSet<>();
+
+	private Ports() {
+	}
+
+	/**
+	 * A port that nothing listens on and that this process has not handed out before.
+	 * @return the address on 127.0.0.1
+	 */
+	public static synchronized InetSocketAddress free() {
+		for (int i = 0; i < MAX_TRIES; i++) {
+			int port = ThreadLocalRandom.current().nextInt(LOWEST, HIGHEST);
+			if (!given.contains(port) && bindable(port)) {
+				given.add(port);
+				return new InetSocketAddress("127.0.0.1", port);
+			}
+		}
+		throw new IllegalStateException("no free port was found in %d tries".formatted(MAX_TRIES));
+	}
+
+	private static boolean bindable(int port) {
+		try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
+			return socket.isBound();
+		}
+		catch (IOException ex) {
+			return false;
+		}
+	}
+
+	/**
+	 * Reads an address.
+	 * @param text as {@code IP:PORT}
+	 * @return the address
+	 */
+	public static InetSocketAddress parse(String text) {
+		int colon = text.lastIndexOf(':');
+		return new InetSocketAddress(text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
+	}
+
+	/**
+	 * Writes an address.
+	 * @param address the address
+	 * @return as {@code IP:PORT}
+	 */
+	public static String text(InetSocketAddress address) {
+		return address.getAddress().getHostAddress() + ":" + address.getPort();
+	}
+
+}
--- /dev/null
+++ b/standins/src/main/java/org/brasspier/standins/ProgramProcess.java
@@ -0,0 +1,193 @@
+package org.brasspier.standins;
+
+import java.io.File;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.lang.ProcessBuilder.Redirect;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+
+import org.jspecify.annotations.Nullable;
+
+/**
+ * A program of this build in a process of its own. It is ended with this JVM at the
+ * latest. Thread-safe.
+ */
+public final class ProgramProcess {
+
+	private static final Set<Process> started = ConcurrentHashMap.newKeySet();
+
+	static {
+		Runtime.getRuntime()
+			.addShutdownHook(new Thread(() -> started.forEach(Process::destroyForcibly), "end-processes"));
+	}
+
+	private final String name;
+
+	private final List<String> command;
+
+	private final Map<String, String> environment;
+
+	private final File output;
+
+	private final File log;
+
+	private @Nullable Process process;
+
+	/**
+	 * Describes a process that is not yet started.
+	 * @param name its name, which names its files too
+	 * @param mainClass the program
+	 * @param arguments its arguments
+	 * @param environment variables of its environment, besides those of this process
+	 * @param folder where its output goes, each time it is started at the end of what is
+	 * there
+	 */
+	public ProgramProcess(String name, String mainClass, List<String> arguments, Map<String, String> environment,
+			Path folder) {
+		this.name = name;
+		this.command = command(mainClass, arguments);
+		this.environment = Map.copyOf(environment);
+		this.output = folder.resolve(name + ".out").toFile();
+		this.log = folder.resolve(name + ".log").toFile();
+	}
+
+	private static List<String> command(String mainClass, List<String> arguments) {
+		List<String> command = new ArrayList<>(
+				List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-Xmx64m", "-Xss512k",
+						"-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xshare:auto", "-XX:-UsePerfData",
+						"--sun-misc-unsafe-memory-access=allow", "--enable-native-access=ALL-UNNAMED", "-cp",
+						System.getProperty("java.class.path"), mainClass));
+		command.addAll(arguments);
+		return List.copyOf(command);
+	}
+
+	/**
+	 * Starts the process.
+	 * @return this
+	 */
+	public synchronized ProgramProcess start() {
+		if (alive()) {
+			throw new IllegalStateException(this.name + " is running already");
+		}
+		ProcessBuilder builder = new ProcessBuilder(this.command).redirectOutput(Redirect.appendTo(this.output))
+			.redirectError(Redirect.appendTo(this.log));
+		builder.environment().putAll(this.environment);
+		try {
+			Process fresh = builder.start();
+			started.add(fresh);
+			fresh.onExit().thenAccept(started::remove);
+			this.process = fresh;
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+		return this;
+	}
+
+	/**
+	 * Whether the process runs, paused or not.
+	 * @return true if it does
+	 */
+	public synchronized boolean alive() {
+		return this.process != null && this.process.isAlive();
+	}
+
+	/**
+	 * Ends the process at once, without warning.
+	 */
+	public void kill() {
+		current().destroyForcibly();
+		awaitExit(Await.LIMIT);
+	}
+
+	/**
+	 * Tells the process to end in good order, and does not wait.
+	 */
+	public void terminate() {
+		current().destroy();
+	}
+
+	/**
+	 * Stops the process where it is, as a long pause of its machine does.
+	 */
+	public void pause() {
+		signal("-STOP");
+	}
+
+	/**
+	 * Lets a paused process go on.
+	 */
+	public void resume() {
+		signal("-CONT");
+	}
+
+	private void signal(String signal) {
+		try {
+			new ProcessBuilder("kill", signal, Long.toString(current().pid())).start().waitFor();
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
+	/**
+	 * Waits for the end of the process.
+	 * @param limit how long at most
+	 * @return the exit code
+	 * @throws IllegalStateException if the process does not end in time
+	 */
+	public int awaitExit(Duration limit) {
+		Process running = current();
+		try {
+			if (!running.waitFor(limit.toMillis(), TimeUnit.MILLISECONDS)) {
+				throw new IllegalStateException("%s did not end within %d ms".formatted(this.name, limit.toMillis()));
+			}
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+		return running.exitValue();
+	}
+
+	/**
+	 * The process id of the latest start.
+	 * @return the id
+	 */
+	public long pid() {
+		return current().pid();
+	}
+
+	/**
+	 * What it writes to its standard output.
+	 * @return the file
+	 */
+	public Path output() {
+		return this.output.toPath();
+	}
+
+	/**
+	 * What it writes to its standard error.
+	 * @return the file
+	 */
+	public Path log() {
+		return this.log.toPath();
+	}
+
+	private synchronized Process current() {
+		if (this.process == null) {
+			throw new IllegalStateException(this.name + " was never started");
+		}
+		return this.process;
+	}
+
+}
--- /dev/null
+++ b/standins/src/main/java/org/brasspier/standins/RateLimit.java
@@ -0,0 +1,33 @@
+package org.brasspier.standins;
+
+/**
+ * Lets a number of calls a second pass, with a second's worth saved up at most. Belongs
+ * to one thread.
+ */
+final class RateLimit {
+
+	private static final double NANOS = 1e9;
+
+	private final double perSecond;
+
+	private double saved;
+
+	private long lastNanos = System.nanoTime();
+
+	RateLimit(double perSecond) {
+		this.perSecond = perSecond;
+		this.saved = perSecond;
+	}
+
+	boolean pass() {
+		long now = System.nanoTime();
+		this.saved = Math.min(this.perSecond, this.saved + (now - this.lastNanos) / NANOS * this.perSecond);
+		this.lastNanos = now;
+		if (this.saved < 1) {
+			return false;
+		}
+		this.saved--;
+		return true;
+	}
+
+}
--- /dev/null
+++ b/standins/src/main/java/org/brasspier/standins/ServerRecords.java
@@ -0,0 +1,61 @@
+package org.brasspier.standins;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.stream.Stream;
+
+import com.google.gson.Gson;
+import com.google.gson.JsonParseException;
+import org.brasspier.core.KeyHash;
+
+/**
+ * Reads the histories of backend servers. Stateless and thread-safe.
+ */
+final class ServerRecords {
+
+	private static final Gson GSON = new Gson();
+
+	private ServerRecords() {
+	}
+
+	static List<ServerRecord> read(List<Path> files) {
+		return files.stream()
+			.filter(Files::exists)
+			.flatMap(ServerRecords::lines)
+			.sorted(Comparator.comparingLong(ServerRecord::atMicros))
+			.toList();
+	}
+
+	private static Stream<ServerRecord> lines(Path file) {
+		try {
+			return Files.readAllLines(file).stream().flatMap(ServerRecords::record);
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+	}
+
+	// A process that is killed while it writes leaves half a line.
+	private static Stream<ServerRecord> record(String line) {
+		try {
+			return Stream.ofNullable(GSON.fromJson(line, ServerRecord.class));
+		}
+		catch (JsonParseException ex) {
+			return Stream.empty();
+		}
+	}
+
+	static Optional<String> owner(List<ServerRecord> records, String service, KeyHash point) {
+		return records.stream()
+			.filter((line) -> line.kind() == ServerRecord.Kind.GRANTED && line.service().equals(service))
+			.filter((line) -> line.keyRange().contains(point))
+			.max(Comparator.comparingLong(ServerRecord::fence))
+			.map(ServerRecord::server);
+	}
+
+}
--- /dev/null
+++ b/standins/src/main/java/org/brasspier/standins/StandInInstance.java
@@ -0,0 +1,68 @@
+package org.brasspier.standins;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+
+/**
+ * One instance of a deployment: a daemon and the backend server beside it, each a process
+ * of its own. Thread-safe.
+ *
+ * @param name the instance's name
+ * @param domain its failure domain
+ * @param service its service
+ * @param ports where its daemon listens
+ * @param callers where callers reach it, through the proxy
+ * @param daemon the daemon's process
+ * @param server the backend server's process
+ */
+public record StandInInstance(String name, String domain, ServiceShape service, DaemonPorts ports,
+		InetSocketAddress callers, ProgramProcess daemon, ProgramProcess server) {
+
+	/** A planned stop takes a few seconds; its limit in the daemon is a minute. */
+	private static final Duration MAX_LEAVE = Duration.ofSeconds(60);
+
+	/**
+	 * Starts both processes.
+	 */
+	public void start() {
+		this.daemon.start();
+		this.server.start();
+	}
+
+	/**
+	 * Loses the whole instance without warning.
+	 */
+	public void kill() {
+		this.server.kill();
+		this.daemon.kill();
+	}
+
+	/**
+	 * Pauses the whole instance.
+	 */
+	public void pause() {
+		this.daemon.pause();
+		this.server.pause();
+	}
+
+	/**
+	 * Lets a paused instance go on.
+	 */
+	public void resume() {
+		this.server.resume();
+		this.daemon.resume();
+	}
+
+	/**
+	 * Stops the whole instance as planned: the server drains first, then the daemon
+	 * leaves.
+	 * @throws IllegalStateException if either does not end in time
+	 */
+	public void stop() {
+		this.server.terminate();
+		this.server.awaitExit(MAX_LEAVE);
+		this.daemon.terminate();
+		this.daemon.awaitExit(MAX_LEAVE);
+	}
+
+}
--- /dev/null
+++ b/standins/src/test/java/org/brasspier/standins/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Tests of the stand-ins: what proves others must be proved itself.
+ */
+@NullMarked
+package org.brasspier.standins;
+
+import org.jspecify.annotations.NullMarked;
