The time line as a duty of its own, stamped by a hybrid clock

Recording an event took a lock and wrote to the log in the thread of requests. Now it is one offer to a bounded ring; the thread events keeps and writes. Events of requests have a keep of their own, since three a request would push out within seconds what an operator looks for after a loss.

Until start() and after stop() events are kept by whoever records them, so nothing is lost at either end of the process.

--- a/core/src/main/java/org/brasspier/core/event/EventKind.java
+++ b/core/src/main/java/org/brasspier/core/event/EventKind.java
@@ -48,6 +48,33 @@
 	/** A caller sent something malformed. */
 	BAD_CALLER_INPUT(304),
 
+	/** A document was submitted and accepted through this daemon. */
+	DOCUMENT_ACCEPTED(400),
+
+	/** A submission was refused: faults, or another one was first. */
+	DOCUMENT_REFUSED(401),
+
+	/** A version of the document is in force in this process from now on. */
+	DOCUMENT_IN_FORCE(402),
+
+	/** The outcome of a submission is not known yet; it's being settled. */
+	DOCUMENT_UNSETTLED(403),
+
+	/** A stored document is damaged or newer than this build; it's left as it is. */
+	DOCUMENT_UNREADABLE(404),
+
+	/** An operator gave an order. */
+	OPERATOR_ORDER(410),
+
+	/** Somebody came to the operator port without a valid secret. */
+	OPERATOR_REFUSED(411),
+
+	/** The operators' secrets were read anew. */
+	SECRETS_READ(412),
+
+	/** The measures of a while were kept in the platform's store. */
+	MEASURES_KEPT(420),
+
 	/** A backend server announced itself. */
 	BACKEND_ANNOUNCED(500),
 
--- a/daemon/src/main/java/org/brasspier/daemon/internal/Daemon.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/Daemon.java
@@ -39,6 +39,7 @@
 	 * @throws IOException if a port can't be opened
 	 */
 	public void start() throws IOException {
+		this.context.events().start();
 		this.requests.start();
 		this.ownership.start();
 		this.context.events()
@@ -61,6 +62,7 @@
 			this.context.events()
 				.record(EventKind.DAEMON_STOPPED, this.context.settings().instance(),
 						(clean) ? "nothing in flight" : "the time to leave ran out");
+			this.context.events().stop();
 		}
 		catch (InterruptedException ex) {
 			Thread.currentThread().interrupt();
--- /dev/null
+++ b/daemon/src/test/java/org/brasspier/daemon/internal/event/EventLogTests.java
@@ -0,0 +1,70 @@
+package org.brasspier.daemon.internal.event;
+
+import java.util.concurrent.CountDownLatch;
+
+import org.brasspier.core.InstanceId;
+import org.brasspier.core.event.EventKind;
+import org.brasspier.core.event.HybridTime;
+import org.brasspier.daemon.internal.loop.Duty;
+import org.brasspier.daemon.internal.loop.Ring;
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * The time line of one process.
+ */
+class EventLogTests {
+
+	@Test
+	void requestsDoNotPushOutWhatHappenedToOwnership() {
+		EventLog log = new EventLog(4);
+		log.record(EventKind.LEASE_LAPSED, new InstanceId("duluth-1"), "");
+		for (int i = 0; i < 100; i++) {
+			log.record(EventKind.REQUEST_ANSWERED, "r" + i, "");
+		}
+		assertThat(log.after(0)).hasSize(5);
+		assertThat(log.after(0).getFirst().kind()).isEqualTo(EventKind.LEASE_LAPSED);
+		assertThat(log.pushedOutUntil()).hasValue(97);
+	}
+
+	// An operator follows the time line during a flood. The thread that keeps events
+	// can't keep up, so its ring overflows. The operator must see that something is
+	// missing, and how much.
+	@Test
+	void eventsLostToAFullRingAreCountedAndAreThemselvesAnEvent() throws InterruptedException {
+		EventLog log = new EventLog(4);
+		log.start();
+		CountDownLatch released = new CountDownLatch(1);
+		// The log's own lock keeps its thread from keeping events meanwhile.
+		synchronized (log) {
+			for (int i = 0; i < 20_000; i++) {
+				log.record(EventKind.REQUEST_ANSWERED, "r" + i, "");
+			}
+			released.countDown();
+		}
+		released.await();
+		log.stop();
+		log.record(EventKind.DAEMON_STOPPED, "end", "");
+		assertThat(log.lostInAll()).isGreaterThan(0L);
+		assertThat(log.after(0).stream().map(Event::kind)).contains(EventKind.EVENTS_LOST);
+	}
+
+	@Test
+	void whatFollowsAMessageIsStampedLaterThanTheMessage() {
+		EventLog log = new EventLog(4);
+		HybridTime ahead = new HybridTime((System.currentTimeMillis() + 60_000) << 16);
+		log.receive(ahead);
+		log.record(EventKind.RANGE_GRANTED, "00000000-ffffffff", "");
+		assertThat(log.after(0).getFirst().stamp()).isGreaterThan(ahead);
+	}
+
+	@Test
+	void aRingTakesNoMoreThanItsCapacity() {
+		Ring<String> ring = new Ring<>(2, new Duty("unused"), (entry) -> {
+		});
+		assertThat(ring.offer("a") && ring.offer("b")).isTrue();
+		assertThat(ring.offer("c")).isFalse();
+	}
+
+}
