Test the platform's rate limit with a given clock

The test sent 1000 writes one after another and counted on the machine to be faster than the limit; on a busy machine it is not (1000 writes took 1.97 s, the limit lets 1188 pass in that time).

--- a/standins/src/main/java/org/brasspier/standins/RateLimit.java
+++ b/standins/src/main/java/org/brasspier/standins/RateLimit.java
@@ -12,17 +12,17 @@
 
 	private double saved;
 
-	private long lastNanos = System.nanoTime();
+	private long lastNanos;
 
-	RateLimit(double perSecond) {
+	RateLimit(double perSecond, long nowNanos) {
 		this.perSecond = perSecond;
 		this.saved = perSecond;
+		this.lastNanos = nowNanos;
 	}
 
-	boolean pass() {
-		long now = System.nanoTime();
-		this.saved = Math.min(this.perSecond, this.saved + (now - this.lastNanos) / NANOS * this.perSecond);
-		this.lastNanos = now;
+	boolean pass(long nowNanos) {
+		this.saved = Math.min(this.perSecond, this.saved + (nowNanos - this.lastNanos) / NANOS * this.perSecond);
+		this.lastNanos = nowNanos;
 		if (this.saved < 1) {
 			return false;
 		}
