--- a/standins/src/main/java/org/brasspier/standins/Deployment.java
+++ b/standins/src/main/java/org/brasspier/standins/Deployment.java
@@ -7,7 +7,9 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Predicate;
+import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
 
@@ -201,6 +203,27 @@
 		return ServerRecords.owner(serverRecords(), service, KeyHash.of(key)).map(this::instance);
 	}
 
+	/**
+	 * The ranges that an instance's server was granted last.
+	 * @param instance the instance
+	 * @return the ranges, by what the servers recorded
+	 */
+	public List<OwnedRange> ownedBy(StandInInstance instance) {
+		return ServerRecords.ownedBy(serverRecords(), instance.name(), Long.MAX_VALUE);
+	}
+
+	/**
+	 * The services that are divided by key.
+	 * @return their names
+	 */
+	public Set<String> keyedServices() {
+		return this.shape.services()
+			.stream()
+			.filter(ServiceShape::keyed)
+			.map(ServiceShape::name)
+			.collect(Collectors.toUnmodifiableSet());
+	}
+
 	/**
 	 * Keeps histories and logs after the end, for somebody to read.
 	 * @return the folder
--- a/standins/src/main/java/org/brasspier/standins/GrantTable.java
+++ b/standins/src/main/java/org/brasspier/standins/GrantTable.java
@@ -32,9 +32,10 @@
 	void replace(Message message) {
 		this.untilNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(message.validMillis);
 		this.untilMillis = message.validUntil;
-		Set<Grant> next = message.grants.stream()
-			.filter((grant) -> grant.service().equals(this.service))
-			.collect(Collectors.toUnmodifiableSet());
+		Set<Grant> next = (this.untilMillis < System.currentTimeMillis()) ? Set.of()
+				: message.grants.stream()
+					.filter((grant) -> grant.service().equals(this.service))
+					.collect(Collectors.toUnmodifiableSet());
 		tell(ServerRecord.Kind.WITHDRAWN, this.grants, next);
 		tell(ServerRecord.Kind.GRANTED, next, this.grants);
 		this.grants = next;
--- /dev/null
+++ b/standins/src/main/java/org/brasspier/standins/Loss.java
@@ -0,0 +1,20 @@
+package org.brasspier.standins;
+
+/**
+ * An instance that was lost without warning. Immutable and thread-safe.
+ *
+ * @param server the name of its server
+ * @param atMicros when, in microseconds since 1970
+ */
+public record Loss(String server, long atMicros) {
+
+	/**
+	 * A loss at this moment.
+	 * @param server the name of its server
+	 * @return the loss
+	 */
+	public static Loss now(String server) {
+		return new Loss(server, ServerHistory.nowMicros());
+	}
+
+}
--- /dev/null
+++ b/standins/src/main/java/org/brasspier/standins/Measures.java
@@ -0,0 +1,188 @@
+package org.brasspier.standins;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.LongSummaryStatistics;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.TreeMap;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+
+import org.brasspier.core.KeyHash;
+
+/**
+ * The figures that decide a renewal, from what callers and servers recorded. Stateless
+ * and thread-safe.
+ */
+public final class Measures {
+
+	private static final long WINDOW_MICROS = 1_000_000;
+
+	private static final int MICROS = 1000;
+
+	/** Requests without key are told apart by this many parts of the hash space. */
+	private static final int PARTS = 16;
+
+	private Measures() {
+	}
+
+	/**
+	 * How long each range of a lost server was without answer.
+	 * @param servers the servers' records in the order of time
+	 * @param callers the callers' records
+	 * @param loss the loss
+	 * @return for each range the milliseconds from the loss to the end of the first
+	 * request that was sent afterwards and answered; empty if none was
+	 */
+	public static Map<OwnedRange, OptionalLong> recovery(List<ServerRecord> servers, List<CallerRecord> callers,
+			Loss loss) {
+		return ServerRecords.ownedBy(servers, loss.server(), loss.atMicros())
+			.stream()
+			.collect(Collectors.toMap((owned) -> owned, (owned) -> firstAnswer(callers, owned, loss.atMicros())));
+	}
+
+	private static OptionalLong firstAnswer(List<CallerRecord> callers, OwnedRange owned, long sinceMicros) {
+		return callers.stream()
+			.filter((caller) -> caller.request().service().equals(owned.service())
+					&& owned.range().contains(point(caller.request())))
+			.flatMap((caller) -> caller.attempts().stream())
+			.filter((attempt) -> attempt.answered() && attempt.sentMicros() >= sinceMicros)
+			.mapToLong((attempt) -> (attempt.endMicros() - sinceMicros) / MICROS)
+			.min();
+	}
+
+	private static KeyHash point(StandInRequest request) {
+		return KeyHash.of((request.key().isEmpty()) ? request.id() : request.key());
+	}
+
+	/**
+	 * How unevenly the servers of a service worked.
+	 * @param servers the servers' records in the order of time
+	 * @param losses servers that were lost and when
+	 * @param sinceMicros what began earlier is left out
+	 * @return the busiest server's working time over the mean of all that were running,
+	 * as the mean over all seconds and services, each by its work; 1 is even
+	 */
+	public static double imbalance(List<ServerRecord> servers, List<Loss> losses, long sinceMicros) {
+		Map<String, List<OrderHistory.Run>> byWindow = new OrderHistory(servers).runs()
+			.stream()
+			.filter((run) -> run.tookEffect() && run.began().atMicros() >= sinceMicros)
+			.collect(Collectors
+				.groupingBy((run) -> run.began().service() + "/" + run.began().atMicros() / WINDOW_MICROS));
+		double weighted = 0;
+		double weights = 0;
+		for (List<OrderHistory.Run> window : byWindow.values()) {
+			LongSummaryStatistics busy = busy(window, running(servers, losses, window.getFirst().began()));
+			weighted += busy.getMax() / busy.getAverage() * busy.getSum();
+			weights += busy.getSum();
+		}
+		return (weights > 0) ? weighted / weights : 1;
+	}
+
+	private static List<String> running(List<ServerRecord> servers, List<Loss> losses, ServerRecord at) {
+		return servers.stream()
+			.filter((line) -> line.kind() == ServerRecord.Kind.STARTED && line.service().equals(at.service())
+					&& line.atMicros() < at.atMicros())
+			.map(ServerRecord::server)
+			.distinct()
+			.filter((server) -> losses.stream()
+				.noneMatch((loss) -> loss.server().equals(server) && loss.atMicros() < at.atMicros()))
+			.toList();
+	}
+
+	private static LongSummaryStatistics busy(List<OrderHistory.Run> window, List<String> running) {
+		Map<String, Long> byServer = new HashMap<>();
+		running.forEach((server) -> byServer.put(server, 0L));
+		window.forEach((run) -> byServer.merge(run.began().server(),
+				1 + run.end().orElseThrow().atMicros() - run.began().atMicros(), Long::sum));
+		return byServer.values().stream().mapToLong(Long::longValue).summaryStatistics();
+	}
+
+	/**
+	 * How much ownership moved.
+	 * @param servers the servers' records in the order of time
+	 * @param services how many services there are
+	 * @param sinceMicros grants before this time are where it began
+	 * @return the percentage of the key space of all services that got another owner
+	 */
+	public static double churnPercent(List<ServerRecord> servers, int services, long sinceMicros) {
+		Map<String, String> owners = new HashMap<>();
+		double moved = 0;
+		for (ServerRecord line : servers) {
+			if (line.kind() == ServerRecord.Kind.GRANTED) {
+				String before = owners.put(line.service() + "/" + line.range(), line.server());
+				boolean other = before != null && !before.equals(line.server());
+				moved += (other && line.atMicros() >= sinceMicros) ? line.keyRange().size() : 0;
+			}
+		}
+		return 100 * moved / KeyHash.SPACE / services;
+	}
+
+	/**
+	 * How long callers saw keys unserved.
+	 * @param callers the callers' records
+	 * @return milliseconds from the first sending that was not answered to the next
+	 * answer, summed up and divided by the number of keys; where a service has no keys,
+	 * by sixteenths of the hash space
+	 */
+	public static double unavailableMillis(List<CallerRecord> callers) {
+		Map<String, List<Attempt>> byKey = new TreeMap<>();
+		callers.forEach((caller) -> byKey.computeIfAbsent(keyOrPart(caller.request()), (key) -> new ArrayList<>())
+			.addAll(caller.attempts()));
+		return byKey.values().stream().mapToLong(Measures::unavailableMicros).average().orElse(0) / MICROS;
+	}
+
+	private static String keyOrPart(StandInRequest request) {
+		String part = (request.key().isEmpty()) ? "#" + point(request).point() / (KeyHash.SPACE / PARTS)
+				: request.key();
+		return request.service() + "/" + part;
+	}
+
+	private static long unavailableMicros(List<Attempt> attempts) {
+		List<Attempt> inOrder = attempts.stream()
+			.filter((attempt) -> !attempt.error().equals("TICKET_REQUIRED"))
+			.sorted(Comparator.comparingLong(Attempt::endMicros))
+			.toList();
+		long sum = 0;
+		Optional<Attempt> firstFailed = Optional.empty();
+		for (Attempt attempt : inOrder) {
+			if (!attempt.answered()) {
+				firstFailed = firstFailed.or(() -> Optional.of(attempt));
+			}
+			else if (firstFailed.isPresent()) {
+				sum += attempt.endMicros() - firstFailed.get().sentMicros();
+				firstFailed = Optional.empty();
+			}
+		}
+		return sum;
+	}
+
+	/**
+	 * Counts how requests ended.
+	 * @param callers the callers' records
+	 * @return how many by outcome, each outcome present
+	 */
+	public static Map<CallerRecord.Outcome, Long> outcomes(List<CallerRecord> callers) {
+		Map<CallerRecord.Outcome, Long> counts = callers.stream()
+			.collect(Collectors.groupingBy(CallerRecord::outcome, Collectors.counting()));
+		return Stream.of(CallerRecord.Outcome.values())
+			.collect(Collectors.toMap((outcome) -> outcome, (outcome) -> counts.getOrDefault(outcome, 0L)));
+	}
+
+	/**
+	 * The median.
+	 * @param values the values, at least one
+	 * @return the middle one, the lower of two
+	 */
+	public static long median(long[] values) {
+		long[] sorted = values.clone();
+		Arrays.sort(sorted);
+		return sorted[(sorted.length - 1) / 2];
+	}
+
+}
--- /dev/null
+++ b/standins/src/main/java/org/brasspier/standins/OrderHistory.java
@@ -0,0 +1,75 @@
+package org.brasspier.standins;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import org.jspecify.annotations.Nullable;
+
+/**
+ * What became of each order that began, put together from the servers' records. Immutable
+ * and thread-safe.
+ */
+final class OrderHistory {
+
+	private final Map<String, List<Run>> runsById;
+
+	OrderHistory(List<ServerRecord> records) {
+		Map<String, List<Run>> runs = new HashMap<>();
+		Map<String, ServerRecord> open = new HashMap<>();
+		for (ServerRecord line : records) {
+			String place = line.server() + "/" + line.incarnation() + "/" + line.id();
+			switch (line.kind()) {
+				case BEGAN -> close(runs, open.put(place, line), Optional.empty());
+				case TOOK_EFFECT, NOT_RUN -> close(runs, open.remove(place), Optional.of(line));
+				case STARTED, GRANTED, WITHDRAWN -> {
+				}
+			}
+		}
+		open.values().forEach((began) -> close(runs, began, Optional.empty()));
+		this.runsById = Map.copyOf(runs);
+	}
+
+	private static void close(Map<String, List<Run>> runs, @Nullable ServerRecord began, Optional<ServerRecord> end) {
+		if (began != null) {
+			runs.computeIfAbsent(began.id(), (id) -> new ArrayList<>()).add(new Run(began, end));
+		}
+	}
+
+	/**
+	 * The runs of a request that may have had an effect.
+	 * @param id the request id
+	 * @return all but those that the server itself answered as not run
+	 */
+	List<Run> effective(String id) {
+		return this.runsById.getOrDefault(id, List.of())
+			.stream()
+			.filter((run) -> run.end().isEmpty() || run.end().get().kind() == ServerRecord.Kind.TOOK_EFFECT)
+			.toList();
+	}
+
+	/**
+	 * All runs.
+	 * @return the runs in no order
+	 */
+	List<Run> runs() {
+		return this.runsById.values().stream().flatMap(List::stream).toList();
+	}
+
+	/**
+	 * One run of an order.
+	 *
+	 * @param began its beginning
+	 * @param end its end, empty if the server was lost while it ran
+	 */
+	record Run(ServerRecord began, Optional<ServerRecord> end) {
+
+		boolean tookEffect() {
+			return this.end.filter((line) -> line.kind() == ServerRecord.Kind.TOOK_EFFECT).isPresent();
+		}
+
+	}
+
+}
--- /dev/null
+++ b/standins/src/main/java/org/brasspier/standins/OwnedRange.java
@@ -0,0 +1,16 @@
+package org.brasspier.standins;
+
+import org.brasspier.core.KeyRange;
+
+/**
+ * A range and who was granted it last, by the servers' records. Immutable and
+ * thread-safe.
+ *
+ * @param service the service
+ * @param range the range
+ * @param server the server
+ * @param fence the fence
+ */
+public record OwnedRange(String service, KeyRange range, String server, long fence) {
+
+}
--- /dev/null
+++ b/standins/src/main/java/org/brasspier/standins/RecoveryProbe.java
@@ -0,0 +1,79 @@
+package org.brasspier.standins;
+
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
+
+import org.brasspier.core.KeyHash;
+
+/**
+ * Asks for a key of each of some ranges, again and again, until each has been answered:
+ * so that the time of the first answer is known to some milliseconds. Thread-safe.
+ */
+public final class RecoveryProbe implements AutoCloseable {
+
+	private static final int EVERY_MILLIS = 20;
+
+	private static final int WAIT_MILLIS = 10_000;
+
+	private static final int MAX_KEYS = 1_000_000;
+
+	private final CallerFleet callers;
+
+	private final ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor();
+
+	private final Set<OwnedRange> unanswered = ConcurrentHashMap.newKeySet();
+
+	/**
+	 * Begins to ask.
+	 * @param callers who sends and records the requests
+	 * @param ranges the ranges, each of at least some 10,000 points
+	 * @param keyed the services that are divided by key; others are asked by request id
+	 */
+	public RecoveryProbe(CallerFleet callers, List<OwnedRange> ranges, Set<String> keyed) {
+		this.callers = callers;
+		this.unanswered.addAll(ranges);
+		ranges.forEach((range) -> {
+			boolean byKey = keyed.contains(range.service());
+			String key = (byKey) ? "%s".formatted(keyIn(range, "recovery-")) : "";
+			this.timer.scheduleAtFixedRate(() -> ask(range, key), 0, EVERY_MILLIS, TimeUnit.MILLISECONDS);
+		});
+	}
+
+	private static String keyIn(OwnedRange range, String prefix) {
+		return IntStream.range(0, MAX_KEYS)
+			.mapToObj((i) -> prefix + i)
+			.filter((key) -> range.range().contains(KeyHash.of(key)))
+			.findFirst()
+			.orElseThrow(() -> new IllegalStateException("no key was found in " + range));
+	}
+
+	private void ask(OwnedRange range, String key) {
+		if (!this.unanswered.contains(range)) {
+			return;
+		}
+		String id = (key.isEmpty()) ? keyIn(range, this.callers.newId() + "-") : this.callers.newId();
+		this.callers.ask(StandInRequest.lookup(range.service(), key, id).waiting(WAIT_MILLIS)).thenAccept((done) -> {
+			if (done.outcome() == CallerRecord.Outcome.ANSWERED) {
+				this.unanswered.remove(range);
+			}
+		});
+	}
+
+	/**
+	 * Waits until each range has been answered.
+	 */
+	public void await() {
+		Await.until("each range of the lost owner is answered", this.unanswered::isEmpty);
+	}
+
+	@Override
+	public void close() {
+		this.timer.shutdownNow();
+	}
+
+}
--- a/standins/src/main/java/org/brasspier/standins/ServerRecords.java
+++ b/standins/src/main/java/org/brasspier/standins/ServerRecords.java
@@ -50,6 +50,30 @@
 		}
 	}
 
+	/**
+	 * The ranges that a server was granted last.
+	 * @param records the servers' records in the order of time
+	 * @param server the server
+	 * @param beforeMicros only what was granted before this time
+	 * @return the ranges of which no other server got a higher fence before that time
+	 */
+	static List<OwnedRange> ownedBy(List<ServerRecord> records, String server, long beforeMicros) {
+		List<ServerRecord> grants = records.stream()
+			.filter((line) -> line.kind() == ServerRecord.Kind.GRANTED && line.atMicros() < beforeMicros)
+			.toList();
+		return grants.stream()
+			.filter((line) -> line.server().equals(server))
+			.map((line) -> new OwnedRange(line.service(), line.keyRange(), line.server(), line.fence()))
+			.distinct()
+			.filter((owned) -> grants.stream().noneMatch((line) -> replaces(line, owned)))
+			.toList();
+	}
+
+	private static boolean replaces(ServerRecord line, OwnedRange owned) {
+		return line.service().equals(owned.service()) && line.fence() > owned.fence()
+				&& line.keyRange().low() < owned.range().high() && owned.range().low() < line.keyRange().high();
+	}
+
 	static Optional<String> owner(List<ServerRecord> records, String service, KeyHash point) {
 		return records.stream()
 			.filter((line) -> line.kind() == ServerRecord.Kind.GRANTED && line.service().equals(service))
