--- /dev/null
+++ b/core/src/main/java/org/brasspier/core/choosing/BackendChooser.java
@@ -0,0 +1,155 @@
+package org.brasspier.core.choosing;
+
+import java.time.Duration;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+
+import org.brasspier.core.InstanceId;
+import org.brasspier.core.RequestClass;
+
+/**
+ * Chooses a backend server for each request of a service that is not divided by key, by
+ * the time in which the answer can be expected: what was observed of the server, what
+ * this daemon has in flight there, and the way to it. Reported load is not used, since it
+ * lags or misleads. Not thread-safe.
+ */
+public final class BackendChooser {
+
+	/**
+	 * A server this many times slower than the middle one is avoided. Below three, queues
+	 * and chance would avoid servers that are well.
+	 */
+	private static final double SLOW = 3;
+
+	/** A server whose answers fail more often than this is avoided. */
+	private static final double FAILING = 0.3;
+
+	/**
+	 * A server that nobody chooses gets one request in this time, so that it's seen when
+	 * it is well again or has become the quicker one: about one in a thousand at today's
+	 * rates, which keeps the 99th percentile clear of it.
+	 */
+	private static final long TRICKLE_NANOS = Duration.ofMillis(500).toNanos();
+
+	private final Map<InstanceId, ObservedServer> servers = new HashMap<>();
+
+	private final UsualTimes times = new UsualTimes();
+
+	private final RandomGenerator random;
+
+	private final int choosers;
+
+	/**
+	 * Creates a chooser that has observed nothing.
+	 * @param choosers how many daemons choose among the same servers, at least 1: this
+	 * one's requests in flight stand for that many times as many
+	 * @param random breaks ties, so that daemons don't all choose the same server
+	 */
+	public BackendChooser(int choosers, RandomGenerator random) {
+		this.choosers = choosers;
+		this.random = random;
+	}
+
+	/**
+	 * Chooses a server and counts the request as in flight there.
+	 * @param candidates the servers that may take it
+	 * @param requestClass its class
+	 * @param now the time, in nanoseconds
+	 * @return empty only if there are no candidates
+	 */
+	public Optional<InstanceId> choose(List<Candidate> candidates, RequestClass requestClass, long now) {
+		this.servers.keySet()
+			.removeIf((known) -> candidates.stream().noneMatch((each) -> each.instance().equals(known))
+					&& server(known).inFlight() == 0);
+		Set<InstanceId> avoided = avoided(candidates);
+		Optional<Candidate> chosen = trickle(candidates, requestClass, now)
+			.or(() -> quickest(candidates, avoided, requestClass));
+		chosen.ifPresent((candidate) -> server(candidate.instance()).chosen(now));
+		return chosen.map(Candidate::instance);
+	}
+
+	/**
+	 * Takes what came of a chosen request.
+	 * @param instance the server that had it
+	 * @param requestClass its class
+	 * @param tookNanos from handing it over to its end, without the way
+	 * @param failed whether the server failed it; a refusal is a failure too
+	 */
+	public void ended(InstanceId instance, RequestClass requestClass, long tookNanos, boolean failed) {
+		double relative = failed ? 1 : this.times.relative(requestClass, tookNanos);
+		server(instance).ended(relative, failed);
+	}
+
+	/**
+	 * Forgets a chosen request whose caller is gone.
+	 * @param instance the server that had it
+	 */
+	public void cancelled(InstanceId instance) {
+		server(instance).cancelled();
+	}
+
+	// Never more than half of the servers: when most look bad the cause is shared, and
+	// sending everything to the last one would fell it too.
+	private Set<InstanceId> avoided(List<Candidate> candidates) {
+		double middle = candidates.stream()
+			.mapToDouble((each) -> server(each.instance()).slowness())
+			.sorted()
+			.skip((candidates.size() - 1) / 2)
+			.findFirst()
+			.orElse(1);
+		Set<InstanceId> avoided = new HashSet<>();
+		candidates.stream()
+			.map(Candidate::instance)
+			.filter((each) -> server(each).errors() > FAILING || server(each).slowness() > SLOW * middle)
+			.sorted(Comparator.comparingDouble((InstanceId each) -> badness(server(each))).reversed())
+			.limit(candidates.size() / 2)
+			.forEach(avoided::add);
+		return avoided;
+	}
+
+	private static double badness(ObservedServer server) {
+		return server.slowness() / (1.01 - server.errors());
+	}
+
+	private Optional<Candidate> trickle(List<Candidate> candidates, RequestClass requestClass, long now) {
+		// A posting that fails on trial can't be sent again, so it is no trial.
+		if (!requestClass.idempotent()) {
+			return Optional.empty();
+		}
+		return candidates.stream()
+			.filter((each) -> server(each.instance()).inFlight() == 0)
+			.filter((each) -> now - server(each.instance()).lastChosenNanos() >= TRICKLE_NANOS)
+			.findFirst();
+	}
+
+	private Optional<Candidate> quickest(List<Candidate> candidates, Set<InstanceId> avoided,
+			RequestClass requestClass) {
+		return candidates.stream()
+			.filter((each) -> !avoided.contains(each.instance()))
+			.map((each) -> new Scored(each, expectedNanos(each, requestClass), this.random.nextDouble()))
+			.min(Comparator.comparingDouble(Scored::nanos).thenComparingDouble(Scored::lot))
+			.map(Scored::candidate);
+	}
+
+	private double expectedNanos(Candidate candidate, RequestClass requestClass) {
+		ObservedServer server = server(candidate.instance());
+		double run = this.times.mean(requestClass) * server.slowness();
+		double busy = server.inFlight() * this.choosers / (candidate.slots() * candidate.warmShare());
+		return candidate.distance().toNanos() + run * (1 + busy) / (1.01 - server.errors());
+	}
+
+	private ObservedServer server(InstanceId instance) {
+		return this.servers.computeIfAbsent(instance, (key) -> new ObservedServer());
+	}
+
+	private record Scored(Candidate candidate, double nanos, double lot) {
+
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/brasspier/core/placement/Board.java
@@ -0,0 +1,188 @@
+package org.brasspier.core.placement;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+
+import org.brasspier.core.InstanceId;
+import org.brasspier.core.KeyRange;
+import org.brasspier.core.placement.PlacementInput.HotPoint;
+import org.brasspier.core.placement.PlacementInput.Member;
+import org.brasspier.core.placement.PlacementInput.Phase;
+import org.brasspier.core.placement.PlacementStep.MoveCause;
+
+/**
+ * The ranges and members of one service while a plan is made: every step that is taken
+ * here is recorded. Not thread-safe.
+ */
+final class Board {
+
+	/**
+	 * The load that a range is taken to have for its size alone, as a share of what the
+	 * service carries: ranges that rest now will have requests one day, so they are
+	 * spread as well.
+	 */
+	private static final double RESTING_SHARE = 0.05;
+
+	/**
+	 * The least load to reckon with, in slots, so that an idle service spreads evenly.
+	 */
+	private static final double LEAST_LOAD = 0.01;
+
+	private final PlacementInput input;
+
+	private final Map<InstanceId, Seat> seats;
+
+	private final TreeMap<Long, Piece> pieces = new TreeMap<>();
+
+	private final List<PlacementStep> splits = new ArrayList<>();
+
+	private final List<PlacementStep> moves = new ArrayList<>();
+
+	private final List<PlacementStep> merges = new ArrayList<>();
+
+	private final double restingLoad;
+
+	Board(PlacementInput input) {
+		this.input = input;
+		this.seats = input.members()
+			.stream()
+			.filter((member) -> member.phase() == Phase.ACTIVE || member.phase() == Phase.COLD)
+			.collect(Collectors.toMap(Member::instance, Seat::new, (first, second) -> first, TreeMap::new));
+		double busy = input.ranges().stream().mapToDouble(PlacementInput.Range::busySlots).sum();
+		this.restingLoad = Math.max(LEAST_LOAD, busy * RESTING_SHARE);
+		input.ranges().forEach(this::place);
+	}
+
+	private void place(PlacementInput.Range range) {
+		// An owner that nobody lists any more is as good as lost.
+		Optional<InstanceId> owner = range.owner().filter((instance) -> phase(instance) != Phase.LOST);
+		Piece piece = Piece.of(range, owner);
+		this.pieces.put(range.range().low(), piece);
+		seatOf(piece).ifPresent((seat) -> seat.add(weight(piece)));
+	}
+
+	Collection<Seat> seats() {
+		return this.seats.values();
+	}
+
+	Stream<Piece> pieces() {
+		return List.copyOf(this.pieces.values()).stream();
+	}
+
+	Stream<Piece> piecesOf(Seat seat) {
+		return pieces().filter((piece) -> piece.owner().filter(seat.member().instance()::equals).isPresent());
+	}
+
+	int pieceCount() {
+		return this.pieces.size();
+	}
+
+	Optional<Seat> seatOf(Piece piece) {
+		return piece.owner().map(this.seats::get);
+	}
+
+	Phase phase(InstanceId instance) {
+		return this.input.members()
+			.stream()
+			.filter((member) -> member.instance().equals(instance))
+			.findFirst()
+			.map(Member::phase)
+			.orElse(Phase.LOST);
+	}
+
+	double weight(Piece piece) {
+		return piece.busySlots() + piece.spaceShare() * this.restingLoad;
+	}
+
+	double capacity() {
+		return this.seats.values().stream().mapToDouble(Seat::capacity).sum();
+	}
+
+	// What all pieces weigh, owned or not, over what the seats can take.
+	double meanUtilization() {
+		return this.pieces.values().stream().mapToDouble(this::weight).sum() / capacity();
+	}
+
+	double meanSeatLoad() {
+		return this.pieces.values().stream().mapToDouble(this::weight).sum() / Math.max(1, this.seats.size());
+	}
+
+	double domainLoad(Seat seat) {
+		return this.seats.values()
+			.stream()
+			.filter((other) -> other.member().domain().equals(seat.member().domain()))
+			.mapToDouble(Seat::utilization)
+			.sum();
+	}
+
+	Comparator<Seat> emptiestWith(double weight) {
+		return Comparator.comparingDouble((Seat seat) -> seat.utilizationWith(weight))
+			.thenComparingDouble(this::domainLoad)
+			.thenComparing((seat) -> seat.member().instance());
+	}
+
+	void move(Piece piece, Seat to, MoveCause cause) {
+		seatOf(piece).ifPresent((seat) -> seat.remove(weight(piece)));
+		this.pieces.put(piece.range().low(), piece.ownedBy(to.member().instance()));
+		to.add(weight(piece));
+		this.moves.add(new PlacementStep.Move(piece.range(), to.member().instance(), cause));
+	}
+
+	void split(Piece piece, long at) {
+		replace(piece, List.of(piece.part(piece.range().low(), at), piece.part(at, piece.range().high())));
+		this.splits.add(new PlacementStep.Split(piece.range(), at));
+	}
+
+	// Cuts a hot point out of its neighbours, so that either can move alone.
+	void isolate(Piece piece, HotPoint hot) {
+		Piece rest = piece;
+		if (hot.point() > piece.range().low()) {
+			split(rest, hot.point());
+			rest = pieceAt(hot.point());
+		}
+		if (hot.point() + 1 < rest.range().high()) {
+			split(rest, hot.point() + 1);
+		}
+	}
+
+	void merge(Piece first, Piece second) {
+		seatOf(first).ifPresent((seat) -> seat.remove(0));
+		this.pieces.remove(second.range().low());
+		KeyRange joined = new KeyRange(first.range().low(), second.range().high());
+		this.pieces.put(joined.low(), new Piece(joined, first.owner(), first.busySlots() + second.busySlots(),
+				Optional.empty(), Math.max(first.movedAtMillis(), second.movedAtMillis()), true));
+		this.merges.add(new PlacementStep.Merge(first.range(), second.range()));
+	}
+
+	private Piece pieceAt(long low) {
+		Piece piece = this.pieces.get(low);
+		if (piece == null) {
+			throw new IllegalStateException("no range begins at %d".formatted(low));
+		}
+		return piece;
+	}
+
+	private void replace(Piece piece, List<Piece> parts) {
+		seatOf(piece).ifPresent((seat) -> {
+			seat.remove(weight(piece));
+			parts.forEach((part) -> seat.add(weight(part)));
+		});
+		parts.forEach((part) -> this.pieces.put(part.range().low(), part));
+	}
+
+	// Splits first, since moves name the ranges that they make; merges touch neither.
+	List<PlacementStep> steps() {
+		List<PlacementStep> all = new ArrayList<>(this.splits);
+		all.addAll(this.moves);
+		all.addAll(this.merges);
+		return List.copyOf(all);
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/brasspier/core/placement/LoadMeter.java
@@ -0,0 +1,172 @@
+package org.brasspier.core.placement;
+
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+
+import org.brasspier.core.KeyHash;
+import org.brasspier.core.KeyRange;
+import org.brasspier.core.placement.PlacementInput.HotPoint;
+
+/**
+ * How many slots the points of the hash space keep busy, as placement needs it: fading
+ * sums over cells of the space, and single hot points counted apart. Takes what was
+ * refused as well, since demand is what must be spread, and a full server serves no more
+ * than its slots whatever is asked of it. Some 35 kB a service. Not thread-safe.
+ */
+public final class LoadMeter {
+
+	/**
+	 * Cells of the space: fine enough that sixteen ranges a member of a cell of twenty
+	 * members each still span a dozen.
+	 */
+	private static final int CELLS = 4096;
+
+	private static final long CELL_POINTS = KeyHash.SPACE / CELLS;
+
+	/**
+	 * Points counted apart. A point matters from about an eighth of one member's load;
+	 * twenty members have at most 160 such points among them, and one daemon holds only
+	 * its own few.
+	 */
+	private static final int HOT_POINTS = 64;
+
+	/** Beyond this exponent the fading weights are brought back to one. */
+	private static final double LARGEST_EXPONENT = 50;
+
+	private final double windowNanos;
+
+	private final double[] cells = new double[CELLS];
+
+	private final Map<Long, Counter> hot = new HashMap<>();
+
+	private long originNanos;
+
+	private final long startNanos;
+
+	/**
+	 * Creates a meter that has seen nothing.
+	 * @param windowNanos the time after which an observation counts for a third, in
+	 * nanoseconds
+	 * @param now the time, in nanoseconds
+	 */
+	public LoadMeter(long windowNanos, long now) {
+		this.windowNanos = windowNanos;
+		this.originNanos = now;
+		this.startNanos = now;
+	}
+
+	/**
+	 * Adds slot time that was used, or would have been by a refused request.
+	 * @param hash the request's point
+	 * @param busyNanos the slot time, in nanoseconds
+	 * @param now the time, in nanoseconds
+	 */
+	public void record(KeyHash hash, long busyNanos, long now) {
+		rebase(now);
+		double mass = busyNanos * weight(now);
+		Counter counter = this.hot.get(hash.point());
+		if (counter != null) {
+			counter.own += mass;
+			return;
+		}
+		if (this.hot.size() < HOT_POINTS) {
+			this.hot.put(hash.point(), new Counter(mass, 0));
+			return;
+		}
+		replaceSmallest(hash.point(), mass);
+	}
+
+	/**
+	 * The slots that the requests of a range kept busy.
+	 * @param range the range
+	 * @param now the time, in nanoseconds
+	 * @return the fading average, at least 0
+	 */
+	public double busySlots(KeyRange range, long now) {
+		double mass = 0;
+		for (long cell = range.low() / CELL_POINTS; cell * CELL_POINTS < range.high(); cell++) {
+			long low = Math.max(range.low(), cell * CELL_POINTS);
+			long high = Math.min(range.high(), (cell + 1) * CELL_POINTS);
+			mass += this.cells[(int) cell] * (high - low) / CELL_POINTS;
+		}
+		mass += this.hot.entrySet()
+			.stream()
+			.filter((entry) -> range.contains(new KeyHash(entry.getKey())))
+			.mapToDouble((entry) -> entry.getValue().own)
+			.sum();
+		return slots(mass, now);
+	}
+
+	/**
+	 * The hottest single point of a range.
+	 * @param range the range
+	 * @param now the time, in nanoseconds
+	 * @return empty if no point was counted apart; what it kept busy is a lower bound
+	 */
+	public Optional<HotPoint> hottest(KeyRange range, long now) {
+		return this.hot.entrySet()
+			.stream()
+			.filter((entry) -> range.contains(new KeyHash(entry.getKey())))
+			.max(Comparator.comparingDouble((entry) -> entry.getValue().own))
+			.map((entry) -> new HotPoint(entry.getKey(), slots(entry.getValue().own, now)));
+	}
+
+	private double slots(double mass, long now) {
+		// A young meter has seen only part of its window.
+		double seen = 1 - Math.exp(-Math.max(1, now - this.startNanos) / this.windowNanos);
+		return mass / weight(now) / (this.windowNanos * seen);
+	}
+
+	private double weight(long now) {
+		return Math.exp((now - this.originNanos) / this.windowNanos);
+	}
+
+	private void rebase(long now) {
+		if ((now - this.originNanos) / this.windowNanos < LARGEST_EXPONENT) {
+			return;
+		}
+		double factor = 1 / weight(now);
+		for (int i = 0; i < CELLS; i++) {
+			this.cells[i] *= factor;
+		}
+		this.hot.values().forEach((counter) -> counter.scale(factor));
+		this.originNanos = now;
+	}
+
+	// Space-saving: the newcomer inherits the rank of the smallest, not its load, so a
+	// point that gets hot rises within a few requests while the sum stays right.
+	private void replaceSmallest(long point, double mass) {
+		Map.Entry<Long, Counter> smallest = this.hot.entrySet()
+			.stream()
+			.min(Comparator.comparingDouble((entry) -> entry.getValue().rank()))
+			.orElseThrow();
+		this.hot.remove(smallest.getKey());
+		this.cells[(int) (smallest.getKey() / CELL_POINTS)] += smallest.getValue().own;
+		this.hot.put(point, new Counter(mass, smallest.getValue().rank()));
+	}
+
+	private static final class Counter {
+
+		private double own;
+
+		private double inherited;
+
+		Counter(double own, double inherited) {
+			this.own = own;
+			this.inherited = inherited;
+		}
+
+		double rank() {
+			return this.own + this.inherited;
+		}
+
+		void scale(double factor) {
+			this.own *= factor;
+			this.inherited *= factor;
+		}
+
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/brasspier/core/placement/Piece.java
@@ -0,0 +1,55 @@
+package org.brasspier.core.placement;
+
+import java.util.Optional;
+
+import org.brasspier.core.InstanceId;
+import org.brasspier.core.KeyHash;
+import org.brasspier.core.KeyRange;
+import org.brasspier.core.placement.PlacementInput.HotPoint;
+
+/**
+ * A range while a plan is made. Immutable.
+ *
+ * @param range the points
+ * @param owner who owns it after the steps planned so far
+ * @param busySlots what its requests kept busy
+ * @param hottest the hottest point in it
+ * @param movedAtMillis when it last changed its owner
+ * @param touched whether this plan has moved or cut it
+ */
+record Piece(KeyRange range, Optional<InstanceId> owner, double busySlots, Optional<HotPoint> hottest,
+		long movedAtMillis, boolean touched) {
+
+	static Piece of(PlacementInput.Range range, Optional<InstanceId> owner) {
+		return new Piece(range.range(), owner, range.busySlots(), range.hottest(), range.movedAtMillis(), false);
+	}
+
+	Piece ownedBy(InstanceId instance) {
+		return new Piece(this.range, Optional.of(instance), this.busySlots, this.hottest, this.movedAtMillis, true);
+	}
+
+	/**
+	 * The part between two points, with the load that falls on it: the hot point's on the
+	 * part it lies in, the rest by the number of points, since nothing finer is known.
+	 * @param low the first point
+	 * @param high the point after the last
+	 * @return the part
+	 */
+	Piece part(long low, long high) {
+		KeyRange part = new KeyRange(low, high);
+		Optional<HotPoint> kept = this.hottest.filter((hot) -> part.contains(new KeyHash(hot.point())));
+		double hot = this.hottest.map(HotPoint::busySlots).orElse(0.0);
+		double rest = Math.max(0, this.busySlots - hot) * part.size() / this.range.size();
+		return new Piece(part, this.owner, rest + kept.map(HotPoint::busySlots).orElse(0.0), kept, this.movedAtMillis,
+				this.touched);
+	}
+
+	boolean single() {
+		return this.range.size() == 1;
+	}
+
+	double spaceShare() {
+		return this.range.size() / (double) KeyHash.SPACE;
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/brasspier/core/placement/Seat.java
@@ -0,0 +1,54 @@
+package org.brasspier.core.placement;
+
+import org.brasspier.core.placement.PlacementInput.Member;
+
+/**
+ * A member that may own ranges, with the load that the plan gives it. Not thread-safe.
+ */
+final class Seat {
+
+	private final Member member;
+
+	private double load;
+
+	private int pieces;
+
+	Seat(Member member) {
+		this.member = member;
+	}
+
+	Member member() {
+		return this.member;
+	}
+
+	double load() {
+		return this.load;
+	}
+
+	int pieces() {
+		return this.pieces;
+	}
+
+	double capacity() {
+		return this.member.slots() * this.member.warmShare();
+	}
+
+	double utilization() {
+		return this.load / capacity();
+	}
+
+	double utilizationWith(double weight) {
+		return (this.load + weight) / capacity();
+	}
+
+	void add(double weight) {
+		this.load += weight;
+		this.pieces++;
+	}
+
+	void remove(double weight) {
+		this.load -= weight;
+		this.pieces--;
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/brasspier/core/retry/RetryBudget.java
@@ -0,0 +1,67 @@
+package org.brasspier.core.retry;
+
+/**
+ * How many resends the fresh requests pay for. Made for outages: when everything fails,
+ * each request sent three more times makes four times the load just as servers come back.
+ * Not thread-safe.
+ */
+public final class RetryBudget {
+
+	/** Ten fresh requests pay for one resend, so load grows by a tenth at most. */
+	public static final double USUAL_SHARE = 0.1;
+
+	/**
+	 * What can be saved up: enough for the blip when a range moves, too little for a
+	 * storm after an outage however long it was quiet.
+	 */
+	public static final int USUAL_MOST_SAVED = 20;
+
+	private final double share;
+
+	private final int mostSaved;
+
+	private double saved;
+
+	/**
+	 * Creates a full budget.
+	 * @param share what one fresh request adds, from 0 to 1
+	 * @param mostSaved the most resends that can be saved up, at least 1
+	 */
+	public RetryBudget(double share, int mostSaved) {
+		if (!(share >= 0 && share <= 1) || mostSaved < 1) {
+			throw new IllegalArgumentException(
+					"share %s must be from 0 to 1, mostSaved %d at least 1".formatted(share, mostSaved));
+		}
+		this.share = share;
+		this.mostSaved = mostSaved;
+		this.saved = mostSaved;
+	}
+
+	/**
+	 * A budget with the usual share.
+	 * @return a full budget
+	 */
+	public static RetryBudget usual() {
+		return new RetryBudget(USUAL_SHARE, USUAL_MOST_SAVED);
+	}
+
+	/**
+	 * Counts a request that is sent for the first time.
+	 */
+	public void fresh() {
+		this.saved = Math.min(this.mostSaved, this.saved + this.share);
+	}
+
+	/**
+	 * Pays for one resend.
+	 * @return false if there is nothing left, and the resend must not be
+	 */
+	public boolean spend() {
+		if (this.saved < 1) {
+			return false;
+		}
+		this.saved--;
+		return true;
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/brasspier/core/retry/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * When a request may be sent a second time.
+ */
+@NullMarked
+package org.brasspier.core.retry;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/core/src/test/java/org/brasspier/core/choosing/BackendChooserTests.java
@@ -0,0 +1,109 @@
+package org.brasspier.core.choosing;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.function.Function;
+import java.util.stream.IntStream;
+
+import org.brasspier.core.InstanceId;
+import org.brasspier.core.RequestClass;
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+
+class BackendChooserTests {
+
+	private static final long MILLI = 1_000_000;
+
+	private static final int REQUESTS = 4000;
+
+	private final BackendChooser chooser = new BackendChooser(1, new SplittableRandom(3));
+
+	private final Map<Integer, Integer> chosen = new HashMap<>();
+
+	@Test
+	void theNearFailureDomainIsChosenWhileItIsAsQuick() {
+		run(List.of(candidate(0, 0, 1), candidate(1, 2, 1)), (server) -> 10.0, 2, 0);
+		assertThat(this.chosen.get(0)).isAtLeast(REQUESTS * 9 / 10);
+	}
+
+	@Test
+	void theFarFailureDomainIsChosenWhenTheNearOneCostsMore() {
+		run(List.of(candidate(0, 0, 1), candidate(1, 2, 1)), (server) -> (server == 0) ? 20.0 : 10.0, 2, 0);
+		assertThat(this.chosen.get(1)).isAtLeast(REQUESTS * 8 / 10);
+	}
+
+	/**
+	 * One server in four turns 20 times slower while its health says that it is well. It
+	 * must get a trickle only, and its share again once it is quick.
+	 */
+	@Test
+	void aSlowServerGetsATrickleUntilItIsQuickAgain() {
+		List<Candidate> four = IntStream.range(0, 4).mapToObj((i) -> candidate(i, 1, 1)).toList();
+		run(four, (server) -> (server == 0) ? 200.0 : 10.0, 8, 0);
+		this.chosen.clear();
+		run(four, (server) -> (server == 0) ? 200.0 : 10.0, 8, 60_000);
+		assertThat(this.chosen.getOrDefault(0, 0)).isIn(com.google.common.collect.Range.closed(3, REQUESTS / 100));
+		run(four, (server) -> 10.0, 8, 120_000);
+		IntStream.range(0, 10).forEach((i) -> run(four, (server) -> 10.0, 8, 200_000 + i * 20_000L));
+		this.chosen.clear();
+		run(four, (server) -> 10.0, 8, 600_000);
+		assertThat(this.chosen.get(0)).isAtLeast(REQUESTS / 6);
+	}
+
+	@Test
+	void allServersFailingStillGetRequests() {
+		List<Candidate> two = List.of(candidate(0, 0, 1), candidate(1, 0, 1));
+		IntStream.range(0, 200).forEach((i) -> {
+			InstanceId instance = this.chooser.choose(two, RequestClass.LOOKUP, i * MILLI).orElseThrow();
+			this.chooser.ended(instance, RequestClass.LOOKUP, MILLI, true);
+			this.chosen.merge(index(instance), 1, Integer::sum);
+		});
+		assertThat(this.chosen.keySet()).containsExactly(0, 1);
+	}
+
+	@Test
+	void aColdServerGetsItsWarmShare() {
+		run(List.of(candidate(0, 0, 1), candidate(1, 0, 0.2)), (server) -> 10.0, 12, 0);
+		assertThat(this.chosen.get(1) / (double) REQUESTS).isWithin(0.07).of(1 / 6.0);
+	}
+
+	private void run(List<Candidate> candidates, Function<Integer, Double> millis, int concurrency, long startMillis) {
+		java.util.PriorityQueue<Flight> flights = new java.util.PriorityQueue<>();
+		long now = startMillis * MILLI;
+		for (int i = 0; i < REQUESTS; i++) {
+			if (flights.size() >= concurrency) {
+				Flight flight = flights.remove();
+				now = flight.endNanos();
+				this.chooser.ended(flight.instance(), RequestClass.LOOKUP, now - flight.startNanos(), false);
+			}
+			InstanceId instance = this.chooser.choose(candidates, RequestClass.LOOKUP, now).orElseThrow();
+			this.chosen.merge(index(instance), 1, Integer::sum);
+			long took = (long) (millis.apply(index(instance)) * MILLI);
+			flights.add(new Flight(now, now + took, instance));
+		}
+		flights.forEach((flight) -> this.chooser.ended(flight.instance(), RequestClass.LOOKUP,
+				flight.endNanos() - flight.startNanos(), false));
+	}
+
+	private static int index(InstanceId instance) {
+		return Integer.parseInt(instance.value());
+	}
+
+	private static Candidate candidate(int index, int distanceMillis, double warmShare) {
+		return new Candidate(new InstanceId("" + index), Duration.ofMillis(distanceMillis), 10, warmShare);
+	}
+
+	private record Flight(long startNanos, long endNanos, InstanceId instance) implements Comparable<Flight> {
+
+		@Override
+		public int compareTo(Flight other) {
+			return Long.compare(this.endNanos, other.endNanos);
+		}
+
+	}
+
+}
