Own ranges by leases that two managers renew, from the row of the cell

Decisions are state machines in core, free of input and output; the daemon's duty carries them out over control connections and the platform's table.

What a version gives a member it may hold as long as its lease runs; a member whose lease ran out needs a version at least as new as its renewal names. A separate grant message said nothing that the row did not, and could disagree with it. - A promise not to renew counts only if it answers a beat sent after the revocation began: an older one may have been taken back in between. - A secondary that has taken a promise back renews only for at least the version that the primary named then. - A member that hears no manager asks the others first; it alone can't tell a loss of both from being cut off, and would stop a healthy cell.

Not yet here: the exhaustive exploration, deltas of the row, tests with real processes.

--- a/core/src/main/java/org/brasspier/core/ownership/LeaseManager.java
+++ b/core/src/main/java/org/brasspier/core/ownership/LeaseManager.java
@@ -102,6 +102,7 @@
 		this.minVersion = Math.max(this.minVersion, known.version());
 		Optional<ManagerPair> next = known.row().managers().filter((managers) -> managers.includes(this.self));
 		if (next.equals(this.pair)) {
+			next.ifPresent((managers) -> watchAll(known.row(), now));
 			return false;
 		}
 		Optional<ManagerPair> before = this.pair;
@@ -261,7 +262,7 @@
 	}
 
 	private long leaseLeft(MemberKey member, long now) {
-		return watch(member).map((watch) -> Math.max(0, watch.leaseBound() - now)).orElse(0L);
+		return watch(member).map((watch) -> Math.max(watch.leaseBound(), now) - now).orElse(0L);
 	}
 
 	private boolean neverHeard(MemberKey member) {
--- a/core/src/main/java/org/brasspier/core/ownership/OwnershipMachine.java
+++ b/core/src/main/java/org/brasspier/core/ownership/OwnershipMachine.java
@@ -18,6 +18,11 @@
  */
 public final class OwnershipMachine {
 
+	/**
+	 * The number of ranges a service begins with: a few for each member of a full cell.
+	 */
+	private static final int INITIAL_RANGES = 64;
+
 	private static final long READ_MANAGER_MILLIS = 1000;
 
 	private static final long READ_MEMBER_MILLIS = 500;
@@ -66,7 +71,8 @@
 	 * @param now the time
 	 */
 	public OwnershipMachine(MemberInfo me, Timing timing, PlacementPolicy placement, long now) {
-		this(me, timing, new PrimaryMemory.Placement(placement, PlacementWeights.EQUAL), Guards.ALL_ON, now);
+		this(me, timing, new PrimaryMemory.Placement(placement, PlacementWeights.EQUAL, INITIAL_RANGES), Guards.ALL_ON,
+				now);
 	}
 
 	OwnershipMachine(MemberInfo me, Timing timing, PrimaryMemory.Placement placement, Guards guards, long now) {
@@ -116,8 +122,8 @@
 	 * @return a view that is valid until the next step
 	 */
 	public OwnershipState view() {
-		return new OwnershipState(this.me, this.lease.known(), this.lease.held(), this.lease.leaseEnd(),
-				this.memory.moves(), this.manager.heardAt(), this.access.reachable());
+		return new OwnershipState(this.me, this.lease.known(), this.lease.held(), this.lease.draining(),
+				this.lease.leaseEnd(), this.memory.moves(), this.manager.heardAt(), this.access.reachable());
 	}
 
 	/**
--- a/core/src/main/java/org/brasspier/core/ownership/PlanFacts.java
+++ b/core/src/main/java/org/brasspier/core/ownership/PlanFacts.java
@@ -6,8 +6,6 @@
 import java.util.function.Function;
 
 import org.brasspier.core.InstanceId;
-import org.brasspier.core.placement.PlacementPolicy;
-import org.brasspier.core.placement.PlacementWeights;
 
 /**
  * What the primary plans from. Immutable and thread-safe, but for the functions.
@@ -22,16 +20,15 @@
  * @param closed old pairs that are known to have ended
  * @param drained instances that operators took out of service
  * @param balance whether the policy is asked even if every range has an owner
- * @param policy decides what goes where
- * @param weights what the operators weigh
+ * @param placement decides what goes where
  * @param load the load of each range that is known
  * @param warmShare the share of its capacity that an instance may be given
  * @param movedAt when a range last changed its owner
  */
 record PlanFacts(VersionedRow known, long now, Set<MemberKey> lost, Set<InstanceId> suspects,
 		List<MemberInfo> announced, Map<HeldRange, List<CrashMark>> released, List<PlannedMove> moves,
-		List<ManagerPair> closed, Set<InstanceId> drained, boolean balance, PlacementPolicy policy,
-		PlacementWeights weights, Function<HeldRange, RangeLoad> load, Function<MemberInfo, Double> warmShare,
+		List<ManagerPair> closed, Set<InstanceId> drained, boolean balance, PrimaryMemory.Placement placement,
+		Function<HeldRange, RangeLoad> load, Function<MemberInfo, Double> warmShare,
 		Function<HeldRange, Long> movedAt) {
 
 }
--- a/core/src/main/java/org/brasspier/core/ownership/PrimaryMemory.java
+++ b/core/src/main/java/org/brasspier/core/ownership/PrimaryMemory.java
@@ -172,8 +172,8 @@
 			.toJavaList();
 		Map<HeldRange, List<CrashMark>> letGo = this.released.toJavaMap();
 		return new PlanFacts(known, now, lost, suspects, fresh, letGo, this.moves, manager.closed(known.row(), now),
-				drained(known.row()), balance, placement.policy(), placement.weights(), this::load,
-				(member) -> warmShare(member, now), (held) -> this.movedAt.get(held).getOrElse(this.since));
+				drained(known.row()), balance, placement, this::load, (member) -> warmShare(member, now),
+				(held) -> this.movedAt.get(held).getOrElse(this.since));
 	}
 
 	private RangeLoad load(HeldRange held) {
@@ -206,8 +206,9 @@
 	 *
 	 * @param policy decides what goes where
 	 * @param weights what the operators weigh
+	 * @param initialRanges how many ranges a service begins with
 	 */
-	record Placement(PlacementPolicy policy, PlacementWeights weights) {
+	record Placement(PlacementPolicy policy, PlacementWeights weights, int initialRanges) {
 
 	}
 
--- a/core/src/main/java/org/brasspier/core/ownership/RowPlanner.java
+++ b/core/src/main/java/org/brasspier/core/ownership/RowPlanner.java
@@ -106,7 +106,7 @@
 			.flatMap((member) -> member.backend().stream())
 			.map(MemberInfo.Backend::service)
 			.filter(known::add)
-			.forEach((service) -> KeyRange.split(INITIAL_RANGES)
+			.forEach((service) -> KeyRange.split(this.facts.placement().initialRanges())
 				.forEach((range) -> ranges
 					.add(new RangeState(service, range, Optional.empty(), Fence.NONE, List.of()))));
 		this.row = this.row.withRanges(ranges);
--- a/core/src/main/java/org/brasspier/core/ownership/ServicePlan.java
+++ b/core/src/main/java/org/brasspier/core/ownership/ServicePlan.java
@@ -50,7 +50,7 @@
 	}
 
 	void run() {
-		this.facts.policy().plan(input()).forEach(this::take);
+		this.facts.placement().policy().plan(input()).forEach(this::take);
 		assignTheRest();
 		letGoOfLeavers();
 	}
@@ -63,7 +63,7 @@
 			.map(this::member)
 			.toList();
 		return new PlacementInput(this.facts.now(), this.service, members,
-				this.ranges.values().stream().map(this::range).toList(), this.facts.weights());
+				this.ranges.values().stream().map(this::range).toList(), this.facts.placement().weights());
 	}
 
 	private PlacementInput.Member member(MemberInfo member) {
--- a/core/src/main/java/org/brasspier/core/routing/OwnershipSnapshot.java
+++ b/core/src/main/java/org/brasspier/core/routing/OwnershipSnapshot.java
@@ -16,11 +16,26 @@
  * @param routes all known assignments
  * @param held the assignments that this instance was granted; its own routes may be newer
  * or older than this
+ * @param draining what it was granted and is letting go of: nothing new is admitted, what
+ * is in flight may end as long as the lease runs
  * @param leaseEndNanos when the lease ends, as {@link System#nanoTime()} counts
  * @param addresses how peers are reached
  */
-public record OwnershipSnapshot(InstanceId self, RouteTable routes, RouteTable held, long leaseEndNanos,
-		PeerAddresses addresses) {
+public record OwnershipSnapshot(InstanceId self, RouteTable routes, RouteTable held, RouteTable draining,
+		long leaseEndNanos, PeerAddresses addresses) {
+
+	/**
+	 * A snapshot with nothing draining.
+	 * @param self this instance
+	 * @param routes all known assignments
+	 * @param held the assignments that this instance was granted
+	 * @param leaseEndNanos when the lease ends, as {@link System#nanoTime()} counts
+	 * @param addresses how peers are reached
+	 */
+	public OwnershipSnapshot(InstanceId self, RouteTable routes, RouteTable held, long leaseEndNanos,
+			PeerAddresses addresses) {
+		this(self, routes, held, RouteTable.EMPTY, leaseEndNanos, addresses);
+	}
 
 	/**
 	 * The assignment that covers a point, if this instance holds it now.
--- /dev/null
+++ b/core/src/test/java/org/brasspier/core/ownership/CellModel.java
@@ -0,0 +1,370 @@
+package org.brasspier.core.ownership;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+
+import org.brasspier.core.InstanceId;
+import org.brasspier.core.KeyRange;
+
+/**
+ * A cell in one thread: processes with clocks of their own, messages that take their time
+ * or get lost, and a table that may be down, slow or lose answers. After each event it
+ * checks that nobody else serves what somebody serves, that no older fence is served
+ * again, and that what a process was told is what the table says.
+ */
+final class CellModel {
+
+	static final long TICK = 25;
+
+	final Setup setup;
+
+	final Random random;
+
+	final Map<InstanceId, ModelProcess> processes = new TreeMap<>();
+
+	final Set<String> cuts = new HashSet<>();
+
+	final List<String> violations = new ArrayList<>();
+
+	/** The events that the processes told, for whoever looks into a violation. */
+	final List<String> trace = new ArrayList<>();
+
+	private final PriorityQueue<Event> events = new PriorityQueue<>(
+			Comparator.comparingLong(Event::at).thenComparingLong(Event::number));
+
+	private final Map<Integer, Long> highestFence = new HashMap<>();
+
+	private final Map<Long, CellRow> written = new HashMap<>();
+
+	long now;
+
+	VersionedRow stored = VersionedRow.NONE;
+
+	boolean storeDown;
+
+	long storeDelay = 3;
+
+	int answersToLose;
+
+	int messagesLostPermille;
+
+	int messagesDoubledPermille;
+
+	long reads;
+
+	long writes;
+
+	private long nextNumber;
+
+	private int nextIncarnation = 1;
+
+	CellModel(Setup setup, long seed) {
+		this.setup = setup;
+		this.random = new Random(seed);
+	}
+
+	ModelProcess start(String name, String domain, long ratePermille) {
+		ModelProcess process = new ModelProcess(name, domain, this.nextIncarnation++, ratePermille, this.now,
+				this.setup);
+		this.processes.put(process.instance, process);
+		after(1, () -> tick(process));
+		return process;
+	}
+
+	void kill(ModelProcess process) {
+		this.processes.remove(process.instance, process);
+	}
+
+	boolean alive(ModelProcess process) {
+		return this.processes.get(process.instance) == process;
+	}
+
+	void resume(ModelProcess process) {
+		process.paused = false;
+		List<Runnable> waiting = List.copyOf(process.backlog);
+		process.backlog.clear();
+		waiting.forEach(Runnable::run);
+	}
+
+	private void tick(ModelProcess process) {
+		if (!alive(process)) {
+			return;
+		}
+		after(TICK, () -> tick(process));
+		if (!process.paused) {
+			run(process, process.machine.tick(process.clock(this.now)));
+		}
+	}
+
+	void after(long delay, Runnable event) {
+		this.events.add(new Event(this.now + delay, this.nextNumber++, event));
+	}
+
+	/**
+	 * Lets time pass.
+	 * @param millis how much
+	 */
+	void run(long millis) {
+		long end = this.now + millis;
+		while (!this.events.isEmpty() && this.events.peek().at() <= end && this.violations.isEmpty()) {
+			Event event = this.events.poll();
+			this.now = event.at();
+			event.action().run();
+			check();
+		}
+		this.now = end;
+	}
+
+	/**
+	 * Lets time pass until something holds.
+	 * @param limit how much at most, in milliseconds
+	 * @param condition what must hold
+	 * @return how long it took, or the limit
+	 */
+	long runUntil(long limit, BooleanSupplier condition) {
+		long begin = this.now;
+		while (this.now - begin < limit && !condition.getAsBoolean() && this.violations.isEmpty()) {
+			run(1);
+		}
+		return this.now - begin;
+	}
+
+	/**
+	 * Runs a step of a process, or keeps it until the process is resumed.
+	 * @param process the process
+	 * @param step the step, given the process's time
+	 */
+	void step(ModelProcess process, Consumer<ModelProcess> step) {
+		if (!alive(process)) {
+			return;
+		}
+		if (process.paused) {
+			process.backlog.add(() -> step(process, step));
+			return;
+		}
+		step.accept(process);
+	}
+
+	void run(ModelProcess process, List<OwnershipAction> actions) {
+		for (OwnershipAction action : actions) {
+			switch (action) {
+				case OwnershipAction.Send send -> send(process, send);
+				case OwnershipAction.ReadRow read -> read(process);
+				case OwnershipAction.WriteRow write -> write(process, write);
+				case OwnershipAction.Drain drain -> after(this.random.nextInt(20) + 1L, () -> step(process,
+						(p) -> run(p, p.machine.drained(drain.held(), List.of(), p.clock(this.now)))));
+				case OwnershipAction.Left left -> process.left = true;
+				case OwnershipAction.Publish publish -> {
+				}
+				case OwnershipAction.HandMarks marks -> {
+				}
+				case OwnershipAction.Tell tell -> {
+					this.trace.add(this.now + " " + process.instance + " " + tell);
+				}
+				case OwnershipAction.OrderDone done -> {
+				}
+			}
+		}
+	}
+
+	private void send(ModelProcess from, OwnershipAction.Send send) {
+		int copies = (this.random.nextInt(1000) < this.messagesDoubledPermille) ? 2 : 1;
+		for (int i = 0; i < copies; i++) {
+			boolean lost = this.random.nextInt(1000) < this.messagesLostPermille;
+			long delay = (i == 0) ? 1 + this.random.nextInt(4) : this.random.nextInt(1500);
+			if (!lost && !this.cuts.contains(from.instance + ">" + send.to())) {
+				ModelProcess to = this.processes.get(send.to());
+				after(delay, () -> deliver(from.instance, to, send));
+			}
+		}
+	}
+
+	private void deliver(InstanceId from, ModelProcess to, OwnershipAction.Send send) {
+		if (to != null) {
+			step(to, (p) -> run(p, p.machine.received(from, send.message(), p.clock(this.now))));
+		}
+	}
+
+	private long storeTime() {
+		return this.storeDelay + this.random.nextInt(3);
+	}
+
+	private boolean reachesStore(ModelProcess process) {
+		return !this.storeDown && !this.cuts.contains(process.instance + ">store");
+	}
+
+	private void read(ModelProcess process) {
+		this.reads++;
+		after(storeTime(), () -> {
+			boolean answered = reachesStore(process);
+			VersionedRow row = this.stored;
+			after(1, () -> step(process, (p) -> run(p,
+					(answered) ? p.machine.rowRead(row, p.clock(this.now)) : p.machine.readFailed(p.clock(this.now)))));
+		});
+	}
+
+	private void write(ModelProcess process, OwnershipAction.WriteRow write) {
+		this.writes++;
+		if (!reachesStore(process)) {
+			after(1, () -> step(process, (p) -> run(p, p.machine.writeFailed(p.clock(this.now)))));
+			return;
+		}
+		after(storeTime(), () -> arrive(process, write));
+	}
+
+	private void arrive(ModelProcess process, OwnershipAction.WriteRow write) {
+		boolean lost = this.answersToLose > 0 || !reachesStore(process);
+		boolean matches = this.stored.version() == write.expectedVersion();
+		boolean takesEffect = matches && !(lost && this.random.nextBoolean());
+		this.answersToLose = Math.max(0, this.answersToLose - 1);
+		if (takesEffect) {
+			this.stored = new VersionedRow(write.expectedVersion() + 1, write.row());
+			this.written.put(this.stored.version(), write.row());
+		}
+		else if (matches) {
+			// It reaches the table much later, when everybody has made other plans.
+			after(this.random.nextInt(2000), () -> arriveLate(write));
+		}
+		long version = this.stored.version();
+		after(1, () -> step(process, (p) -> run(p, answer(p, lost, matches, version))));
+	}
+
+	private List<OwnershipAction> answer(ModelProcess process, boolean lost, boolean matches, long version) {
+		long at = process.clock(this.now);
+		if (lost) {
+			return process.machine.writeUnknown(at);
+		}
+		return (matches) ? process.machine.written(version, at) : process.machine.writeConflict(at);
+	}
+
+	private void arriveLate(OwnershipAction.WriteRow write) {
+		if (this.stored.version() == write.expectedVersion()) {
+			this.stored = new VersionedRow(write.expectedVersion() + 1, write.row());
+			this.written.put(this.stored.version(), write.row());
+		}
+	}
+
+	/**
+	 * Who serves a point now, by its own checks.
+	 * @param range the number of the range that has the point
+	 * @return the instances
+	 */
+	List<ModelProcess> servers(int range) {
+		long point = KeyRange.split(this.setup.ranges()).get(range).low();
+		return this.processes.values()
+			.stream()
+			.filter((process) -> process.serves(this.now)
+				.stream()
+				.anyMatch((held) -> held.range().low() <= point && point < held.range().high()))
+			.toList();
+	}
+
+	/**
+	 * Spreads the ranges over all processes, by operators' orders.
+	 */
+	void spread() {
+		List<ModelProcess> all = List.copyOf(this.processes.values());
+		List<KeyRange> ranges = KeyRange.split(this.setup.ranges());
+		for (int range = 0; range < ranges.size(); range++) {
+			InstanceId to = all.get(range % all.size()).instance;
+			ModelProcess primary = primary();
+			run(primary,
+					primary.machine.order(1, new ControlMessage.Order.Move(ModelProcess.SERVICE, ranges.get(range), to),
+							primary.clock(this.now)));
+		}
+		run(2000);
+	}
+
+	boolean allServed() {
+		for (int range = 0; range < this.setup.ranges(); range++) {
+			if (servers(range).isEmpty()) {
+				return false;
+			}
+		}
+		return true;
+	}
+
+	ModelProcess primary() {
+		InstanceId primary = this.stored.row().managers().orElseThrow().primary().instance();
+		return Optional.ofNullable(this.processes.get(primary)).orElseThrow();
+	}
+
+	ModelProcess secondary() {
+		InstanceId secondary = this.stored.row().managers().orElseThrow().secondary().orElseThrow().instance();
+		return Optional.ofNullable(this.processes.get(secondary)).orElseThrow();
+	}
+
+	ModelProcess plain() {
+		ManagerPair pair = this.stored.row().managers().orElseThrow();
+		return this.processes.values()
+			.stream()
+			.filter((process) -> pair.find(process.instance).isEmpty())
+			.findFirst()
+			.orElseThrow();
+	}
+
+	void check() {
+		Map<Long, InstanceId> owners = new HashMap<>();
+		for (ModelProcess process : this.processes.values()) {
+			for (HeldRange held : process.serves(this.now)) {
+				InstanceId other = owners.put(held.range().low(), process.instance);
+				if (other != null) {
+					violate("%s and %s both serve %s".formatted(other, process.instance, held.range()));
+				}
+				checkFence(process, held);
+			}
+			checkTold(process);
+		}
+	}
+
+	private void checkFence(ModelProcess process, HeldRange held) {
+		int point = (int) held.range().low();
+		long highest = this.highestFence.merge(point, held.fence().value(), Math::max);
+		if (held.fence().value() < highest) {
+			violate("%s serves %s under %s after %d".formatted(process.instance, held.range(), held.fence(), highest));
+		}
+	}
+
+	private void checkTold(ModelProcess process) {
+		VersionedRow known = process.machine.view().known();
+		if (known.version() > 0 && !known.row().equals(this.written.get(known.version()))) {
+			violate("%s was told of version %d, which the table never had".formatted(process.instance,
+					known.version()));
+		}
+	}
+
+	private void violate(String what) {
+		this.violations.add(this.now + " ms: " + what);
+	}
+
+	private record Event(long at, long number, Runnable action) {
+
+	}
+
+	/**
+	 * What all processes of a model have in common.
+	 *
+	 * @param timing the times
+	 * @param guards which guards are on
+	 * @param ranges how many ranges the one service has
+	 */
+	record Setup(Timing timing, Guards guards, int ranges) {
+
+		static Setup standard(int ranges) {
+			return new Setup(Timing.STANDARD, Guards.ALL_ON, ranges);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/core/src/test/java/org/brasspier/core/ownership/ModelProcess.java
@@ -0,0 +1,87 @@
+package org.brasspier.core.ownership;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+import org.brasspier.core.FailureDomain;
+import org.brasspier.core.InstanceId;
+import org.brasspier.core.ServiceName;
+import org.brasspier.core.placement.PlacementWeights;
+import org.brasspier.core.placement.SpreadUnowned;
+import org.brasspier.core.routing.PeerAddress;
+
+/**
+ * One process of the model: its state machine and its own clock.
+ */
+final class ModelProcess {
+
+	static final ServiceName SERVICE = new ServiceName("hullbook");
+
+	final InstanceId instance;
+
+	final long ratePermille;
+
+	final long startedAt;
+
+	OwnershipMachine machine;
+
+	boolean paused;
+
+	boolean left;
+
+	/** What waits while the process is paused: the kernel keeps it. */
+	final List<Runnable> backlog = new ArrayList<>();
+
+	ModelProcess(String name, String domain, int incarnation, long ratePermille, long startedAt,
+			CellModel.Setup setup) {
+		this.instance = new InstanceId(name);
+		this.ratePermille = ratePermille;
+		this.startedAt = startedAt;
+		MemberInfo me = new MemberInfo(new MemberKey(this.instance, incarnation), new FailureDomain(domain),
+				new PeerAddress("127.0.0.1", 1, 2, 3, 4), MemberPhase.ACTIVE,
+				Optional.of(new MemberInfo.Backend(SERVICE, 1, true, 0)));
+		this.machine = new OwnershipMachine(me, setup.timing(),
+				new PrimaryMemory.Placement(new SpreadUnowned(), PlacementWeights.EQUAL, setup.ranges()),
+				setup.guards(), 0);
+	}
+
+	private ModelProcess(ModelProcess other) {
+		this.instance = other.instance;
+		this.ratePermille = other.ratePermille;
+		this.startedAt = other.startedAt;
+		this.machine = other.machine.copy();
+		this.paused = other.paused;
+		this.left = other.left;
+	}
+
+	ModelProcess copy() {
+		return new ModelProcess(this);
+	}
+
+	/**
+	 * The process's own clock.
+	 * @param real the real time
+	 * @return milliseconds since its start, as it counts them
+	 */
+	long clock(long real) {
+		return (real - this.startedAt) * this.ratePermille / 1000;
+	}
+
+	/**
+	 * What this process would serve now by its own checks, also while it's paused and
+	 * only its clock runs on.
+	 * @param real the real time
+	 * @return the ranges, empty once its lease has run out
+	 */
+	List<HeldRange> serves(long real) {
+		OwnershipState state = this.machine.view();
+		if (clock(real) >= state.leaseEnd()) {
+			return List.of();
+		}
+		List<HeldRange> ranges = new ArrayList<>(state.held().stream().map(RangeState::held).toList());
+		ranges.addAll(state.draining());
+		return ranges;
+	}
+
+}
--- /dev/null
+++ b/core/src/test/java/org/brasspier/core/ownership/OwnershipMachineTests.java
@@ -0,0 +1,154 @@
+package org.brasspier.core.ownership;
+
+import java.util.List;
+
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * What a cell of four does after one fault: who serves what, and how soon.
+ */
+class OwnershipMachineTests {
+
+	private static final int RANGES = 8;
+
+	private static final long ONE_SECOND = 1000;
+
+	private final CellModel cell = new CellModel(CellModel.Setup.standard(RANGES), 7);
+
+	@BeforeEach
+	void fourMembers() {
+		List.of("a", "b", "c", "d").forEach((name) -> this.cell.start(name, "domain-" + name, 1000));
+		this.cell.runUntil(10_000, () -> this.cell.allServed() && this.cell.stored.row().members().size() == 4
+				&& this.cell.stored.row().managers().flatMap(ManagerPair::secondary).isPresent());
+		this.cell.run(ONE_SECOND);
+		this.cell.spread();
+	}
+
+	private void assertSound() {
+		assertThat(this.cell.violations).isEmpty();
+		assertThat(this.cell.allServed()).isTrue();
+	}
+
+	@Test
+	void afterTheStartEachRangeIsServedAndBothManagersAreThere() {
+		assertSound();
+		assertThat(this.cell.stored.row().managers().orElseThrow().secondary()).isPresent();
+	}
+
+	// A caller's requests fail from the moment a daemon and its server vanish. The
+	// managers
+	// hear nothing, promise not to renew it, wait for its lease and give its ranges away.
+	@Test
+	void theRangesOfALostMemberAreServedAgainWithinASecond() {
+		this.cell.kill(this.cell.plain());
+		this.cell.run(1);
+		assertThat(this.cell.runUntil(10_000, this.cell::allServed)).isLessThan(ONE_SECOND);
+		assertSound();
+	}
+
+	// The same when the lost member was the primary: the secondary replaces it first.
+	@Test
+	void theRangesOfALostPrimaryAreServedAgainWithinASecond() {
+		this.cell.kill(this.cell.primary());
+		this.cell.run(1);
+		assertThat(this.cell.runUntil(10_000, this.cell::allServed)).isLessThan(ONE_SECOND);
+		assertSound();
+	}
+
+	@Test
+	void theRangesOfALostSecondaryAreServedAgainWithinASecond() {
+		this.cell.kill(this.cell.secondary());
+		this.cell.run(1);
+		assertThat(this.cell.runUntil(10_000, this.cell::allServed)).isLessThan(ONE_SECOND);
+		assertSound();
+	}
+
+	// The table goes away for five minutes. Owners are renewed by the managers and serve
+	// on.
+	@Test
+	void ownersServeThroughALongOutageOfTheTable() {
+		this.cell.storeDown = true;
+		for (int i = 0; i < 300; i++) {
+			this.cell.run(ONE_SECOND);
+			assertThat(this.cell.allServed()).isTrue();
+		}
+		this.cell.storeDown = false;
+		this.cell.run(5 * ONE_SECOND);
+		assertSound();
+	}
+
+	// Both managers vanish. The members that are left take over; what the two owned waits
+	// until one of them is back, since the two might only be cut off together.
+	@Test
+	void whenBothManagersAreLostTheOthersGoOnAndTheLostRangesWaitForOneToComeBack() {
+		ModelProcess primary = this.cell.primary();
+		ModelProcess secondary = this.cell.secondary();
+		this.cell.kill(primary);
+		this.cell.kill(secondary);
+		this.cell.run(3 * ONE_SECOND);
+		assertThat(this.cell.stored.row().unclosed()).hasSize(1);
+		this.cell.processes.values().forEach((process) -> assertThat(process.serves(this.cell.now)).isNotEmpty());
+		assertThat(this.cell.allServed()).isFalse();
+		this.cell.start(primary.instance.value(), "domain-a", 1000);
+		this.cell.runUntil(10 * ONE_SECOND, this.cell::allServed);
+		assertSound();
+		assertThat(this.cell.stored.row().unclosed()).isEmpty();
+	}
+
+	// A planned stop: the primary hands its role over, then its ranges, and only then
+	// ends.
+	@Test
+	void aLeavingPrimaryHandsOverItsRoleAndItsRanges() {
+		ModelProcess primary = this.cell.primary();
+		this.cell.run(primary, primary.machine.leave(primary.clock(this.cell.now)));
+		this.cell.runUntil(10 * ONE_SECOND, () -> primary.left);
+		assertThat(primary.left).isTrue();
+		assertThat(this.cell.primary()).isNotEqualTo(primary);
+		this.cell.kill(primary);
+		this.cell.run(1);
+		assertSound();
+	}
+
+	// All instances stop one after another, the last one with nobody to hand over to;
+	// then
+	// others start. Nothing may wait for processes that have left.
+	@Test
+	void afterAllHaveLeftAnotherMayStartAtOnce() {
+		for (ModelProcess process : List.copyOf(this.cell.processes.values())) {
+			this.cell.run(process, process.machine.leave(process.clock(this.cell.now)));
+			this.cell.runUntil(20 * ONE_SECOND, () -> process.left);
+			assertThat(process.left).isTrue();
+			this.cell.kill(process);
+		}
+		this.cell.start("e", "domain-e", 1000);
+		assertThat(this.cell.runUntil(20 * ONE_SECOND, this.cell::allServed)).isLessThan(3 * ONE_SECOND);
+		assertSound();
+	}
+
+	// A holder is frozen past its lease and wakes as if nothing had happened.
+	@Test
+	void aFrozenHolderServesNothingAfterItWakes() {
+		ModelProcess frozen = this.cell.plain();
+		frozen.paused = true;
+		this.cell.run(5 * ONE_SECOND);
+		assertSound();
+		this.cell.resume(frozen);
+		this.cell.run(5 * ONE_SECOND);
+		assertSound();
+	}
+
+	// All processes of the cell end at once and the same instances start again.
+	@Test
+	void aCellWhoseProcessesAllEndedStartsAgain() {
+		List<ModelProcess> all = List.copyOf(this.cell.processes.values());
+		all.forEach(this.cell::kill);
+		this.cell.run(5 * ONE_SECOND);
+		all.forEach((process) -> this.cell.start(process.instance.value(), "domain-" + process.instance, 1000));
+		this.cell.runUntil(20 * ONE_SECOND, this.cell::allServed);
+		assertSound();
+	}
+
+}
--- a/wire/src/main/java/org/brasspier/wire/CellRowCodec.java
+++ b/wire/src/main/java/org/brasspier/wire/CellRowCodec.java
@@ -130,17 +130,18 @@
 		static StoredMember of(MemberInfo member) {
 			PeerAddress address = member.address();
 			return new StoredMember(StoredKey.of(member.key()), member.domain().value(), address.host(),
-					List.of(address.controlPort(), address.forwardPort(), address.callerPort()), member.phase(),
-					member.backend().map(StoredBackend::of).orElse(null));
+					List.of(address.controlPort(), address.forwardPort(), address.callerPort(), address.operatorPort()),
+					member.phase(), member.backend().map(StoredBackend::of).orElse(null));
 		}
 
 		MemberInfo member() {
-			if (this.ports.size() != 3 || this.phase == null) {
+			if (this.ports.size() != 4 || this.phase == null) {
 				throw new IllegalArgumentException("member %s lacks ports or phase".formatted(this.key));
 			}
 			return new MemberInfo(this.key.key(), new FailureDomain(this.domain),
-					new PeerAddress(this.host, this.ports.get(0), this.ports.get(1), this.ports.get(2)), this.phase,
-					Optional.ofNullable(this.backend).map(StoredBackend::backend));
+					new PeerAddress(this.host, this.ports.get(0), this.ports.get(1), this.ports.get(2),
+							this.ports.get(3)),
+					this.phase, Optional.ofNullable(this.backend).map(StoredBackend::backend));
 		}
 
 	}
--- a/wire/src/main/java/org/brasspier/wire/RowFrames.java
+++ b/wire/src/main/java/org/brasspier/wire/RowFrames.java
@@ -138,6 +138,7 @@
 			.number(address.controlPort())
 			.number(address.forwardPort())
 			.number(address.callerPort())
+			.number(address.operatorPort())
 			.number(member.phase().ordinal())
 			.count((member.backend().isPresent()) ? 1 : 0);
 		member.backend()
@@ -150,7 +151,7 @@
 	static MemberInfo readMember(FrameReader in) throws WireException {
 		MemberKey key = readKey(in);
 		FailureDomain domain = new FailureDomain(in.text());
-		PeerAddress address = new PeerAddress(in.text(), in.small(), in.small(), in.small());
+		PeerAddress address = new PeerAddress(in.text(), in.small(), in.small(), in.small(), in.small());
 		MemberPhase phase = phase(in.small());
 		Optional<MemberInfo.Backend> backend = in.list(RowFrames::readBackend).stream().findFirst();
 		return new MemberInfo(key, domain, address, phase, backend);
