--- /dev/null
+++ b/bench/src/main/java/org/brasspier/bench/demo/FaultTrial.java
@@ -0,0 +1,74 @@
+package org.brasspier.bench.demo;
+
+import java.util.List;
+
+import org.brasspier.standins.CallerFleet;
+import org.brasspier.standins.Deployment;
+import org.brasspier.standins.DeploymentShape;
+import org.brasspier.standins.HistoryChecker;
+import org.brasspier.standins.ServiceShape;
+import org.brasspier.standins.TrafficMix;
+import org.brasspier.standins.Violation;
+
+/**
+ * A deployment under light traffic that goes through schedules of faults. Not
+ * thread-safe.
+ */
+public final class FaultTrial implements AutoCloseable {
+
+	private final Deployment deployment;
+
+	private final CallerFleet callers;
+
+	private final FaultInjector injector;
+
+	private FaultTrial(Deployment deployment) {
+		this.deployment = deployment;
+		this.callers = new CallerFleet(deployment.callerAddresses());
+		this.injector = new FaultInjector(deployment);
+	}
+
+	/**
+	 * Starts a small deployment: three servers divided by key that check fences, and two
+	 * that are not divided by key and check none.
+	 * @return the trial, once each service is served
+	 */
+	public static FaultTrial start() {
+		DeploymentShape shape = DeploymentShape.small(new ServiceShape("hullbook", true, 3, 8, 60, true),
+				new ServiceShape("jobdesk", false, 2, 8, 60, false));
+		FaultTrial trial = new FaultTrial(Deployment.start(shape));
+		trial.deployment.awaitServed();
+		return trial;
+	}
+
+	/**
+	 * Goes through the schedule of a seed, mends all faults and waits until each service
+	 * is served again.
+	 * @param seed the seed
+	 * @return every promise broken so far, none if all were kept
+	 */
+	public List<Violation> run(long seed) {
+		DeploymentShape shape = this.deployment.shape();
+		List<TrafficMix> traffic = shape.services()
+			.stream()
+			.flatMap((service) -> Traffic.light(service).stream())
+			.toList();
+		this.callers.send(traffic);
+		this.injector.run(FaultSchedule.of(seed, this.deployment.instances().size(), shape.domains().size()));
+		this.deployment.awaitServed();
+		this.callers.finish();
+		List<Violation> violations = HistoryChecker.check(this.deployment.serverRecords(), this.callers.records(),
+				this.deployment.keyedServices());
+		if (!violations.isEmpty()) {
+			System.err.println("histories and logs are kept in " + this.deployment.keepFiles());
+		}
+		return violations;
+	}
+
+	@Override
+	public void close() {
+		this.callers.close();
+		this.deployment.close();
+	}
+
+}
--- /dev/null
+++ b/bench/src/main/java/org/brasspier/bench/demo/Traffic.java
@@ -0,0 +1,56 @@
+package org.brasspier.bench.demo;
+
+import java.util.List;
+
+import org.brasspier.standins.DeploymentShape;
+import org.brasspier.standins.ServiceShape;
+import org.brasspier.standins.TrafficMix;
+
+/**
+ * The mixed traffic of each deployment. Stateless and thread-safe.
+ */
+final class Traffic {
+
+	/** A busy marina on a summer Saturday, a large bank at the end of a month. */
+	private static final double HOT_SHARE = 0.1;
+
+	private static final int KEYS = 2000;
+
+	private Traffic() {
+	}
+
+	/**
+	 * What callers send to a deployment.
+	 * @param shape the deployment's shape
+	 * @return the streams, some 500 requests a second in all
+	 */
+	static List<TrafficMix> of(DeploymentShape shape) {
+		return switch (shape.name()) {
+			case "lakeshore" -> List.of(stream("hullbook", true, "lookup", 250, "/record"),
+					stream("hullbook", true, "posting", 50, "/book"),
+					stream("jobdesk", false, "posting", 50, "/complete?ask=hullbook:slip-7"),
+					stream("divecal", false, "lookup", 100, "/schedule"));
+			case "kliring" -> List.of(stream("teller-gate", true, "lookup", 250, "/status"),
+					stream("teller-gate", true, "posting", 30, "/hold"),
+					stream("returns-desk", false, "posting", 40, "/return?ask=teller-gate:card-9"),
+					stream("audit-archive", false, "audit", 10, "/batch"));
+			default -> shape.services().stream().flatMap((service) -> light(service).stream()).toList();
+		};
+	}
+
+	/**
+	 * Light traffic for one service.
+	 * @param service the service
+	 * @return lookups and postings
+	 */
+	static List<TrafficMix> light(ServiceShape service) {
+		return List.of(stream(service.name(), service.keyed(), "lookup", 100, "/look"),
+				stream(service.name(), service.keyed(), "posting", 50, "/post"));
+	}
+
+	private static TrafficMix stream(String service, boolean keyed, String requestClass, double perSecond,
+			String path) {
+		return new TrafficMix(service, keyed, requestClass, perSecond, KEYS, HOT_SHARE, path, 0);
+	}
+
+}
--- a/standins/src/main/java/org/brasspier/standins/FaultLink.java
+++ b/standins/src/main/java/org/brasspier/standins/FaultLink.java
@@ -27,6 +27,8 @@
 
 	private final Set<Pair> pairs = new HashSet<>();
 
+	private final SimpleServer server;
+
 	private LinkState state = LinkState.WHOLE;
 
 	FaultLink(StandInLoop loop, String name, InetSocketAddress target, double delayMillis) {
@@ -35,9 +37,12 @@
 		this.listen = Ports.free();
 		this.target = target;
 		this.delayMillis = delayMillis;
-		loop.call(() -> {
-			SimpleServer.builder(loop.reactor(), this::accept).withListenAddress(this.listen).build().listen();
-			return true;
+		this.server = loop.call(() -> {
+			SimpleServer listening = SimpleServer.builder(loop.reactor(), this::accept)
+				.withListenAddress(this.listen)
+				.build();
+			listening.listen();
+			return listening;
 		});
 	}
 
@@ -91,6 +96,13 @@
 		return this.loop.call(this.pairs::size);
 	}
 
+	void close() {
+		this.loop.execute(() -> {
+			this.server.close();
+			Set.copyOf(this.pairs).forEach(Pair::end);
+		});
+	}
+
 	private void accept(ITcpSocket near) {
 		if (this.state == LinkState.RESET) {
 			near.close();
--- a/standins/src/main/java/org/brasspier/standins/FaultProxy.java
+++ b/standins/src/main/java/org/brasspier/standins/FaultProxy.java
@@ -59,6 +59,7 @@
 
 	@Override
 	public void close() {
+		this.links.values().forEach(FaultLink::close);
 		this.loop.close();
 	}
 
--- a/standins/src/main/java/org/brasspier/standins/PlatformStandIn.java
+++ b/standins/src/main/java/org/brasspier/standins/PlatformStandIn.java
@@ -63,6 +63,8 @@
 
 	private final AtomicLong writes = new AtomicLong();
 
+	private final HttpServer server;
+
 	private final InetSocketAddress address;
 
 	private final String token;
@@ -77,9 +79,12 @@
 	public PlatformStandIn(InetSocketAddress address, String token) {
 		this.address = address;
 		this.token = token;
-		this.loop.call(() -> {
-			HttpServer.builder(this.loop.reactor(), this::serve).withListenAddress(address).build().listen();
-			return true;
+		this.server = this.loop.call(() -> {
+			HttpServer listening = HttpServer.builder(this.loop.reactor(), this::serve)
+				.withListenAddress(address)
+				.build();
+			listening.listen();
+			return listening;
 		});
 	}
 
@@ -233,6 +238,7 @@
 
 	@Override
 	public void close() {
+		this.loop.execute(this.server::close);
 		this.loop.close();
 	}
 
--- a/standins/src/main/java/org/brasspier/standins/StandInLoop.java
+++ b/standins/src/main/java/org/brasspier/standins/StandInLoop.java
@@ -7,8 +7,11 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 
+import ch.qos.logback.classic.Level;
+import ch.qos.logback.classic.Logger;
 import io.activej.eventloop.Eventloop;
 import io.activej.reactor.nio.NioReactor;
+import org.slf4j.LoggerFactory;
 
 /**
  * One thread with one event loop, for a stand-in that shares a process with others.
@@ -18,6 +21,13 @@
 
 	private static final Duration CALL_LIMIT = Duration.ofSeconds(10);
 
+	static {
+		// Event loops that end with a deployment list each open channel in the log.
+		if (LoggerFactory.getLogger("io.activej") instanceof Logger logger) {
+			logger.setLevel(Level.ERROR);
+		}
+	}
+
 	private final Eventloop loop;
 
 	private final Thread thread;
