Measure slopes for the capacity page by one command

Ruled out: wall time (other processes count), heap after nulling the structure (the JVM kept the old one alive and every reading was 0); processor time of the thread and growth of the heap with everything kept are used instead.

--- /dev/null
+++ b/bench/src/main/java/org/brasspier/bench/capacity/CapacityBench.java
@@ -0,0 +1,37 @@
+package org.brasspier.bench.capacity;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+
+import com.google.gson.GsonBuilder;
+
+/**
+ * Measures all slopes, works the target size out from them, and writes JSON, tables and
+ * plots.
+ */
+public final class CapacityBench {
+
+	private CapacityBench() {
+	}
+
+	/**
+	 * Runs the measurement.
+	 * @param output the folder for JSON
+	 * @param page the page whose generated parts are replaced
+	 * @throws IOException if a file can't be written
+	 */
+	public static void run(Path output, Path page) throws IOException {
+		List<Slope> slopes = new ArrayList<>();
+		for (SlopeSuite suite : List.of(new RouteSlopes(), new FrameSlopes())) {
+			slopes.addAll(suite.measure());
+		}
+		Files.createDirectories(output);
+		Files.writeString(output.resolve("capacity.json"),
+				new GsonBuilder().setPrettyPrinting().create().toJson(slopes));
+		new CapacityPage(page).write(slopes);
+	}
+
+}
--- /dev/null
+++ b/bench/src/main/java/org/brasspier/bench/capacity/CapacityPage.java
@@ -0,0 +1,89 @@
+package org.brasspier.bench.capacity;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Locale;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import java.util.stream.Collectors;
+
+import org.knowm.xchart.BitmapEncoder;
+import org.knowm.xchart.XYChart;
+import org.knowm.xchart.XYChartBuilder;
+import org.knowm.xchart.style.Styler;
+
+/**
+ * The generated parts of docs/CAPACITY.md: the table of slopes and a plot of each. The
+ * words around them are written by hand.
+ */
+final class CapacityPage {
+
+	private static final Pattern SLOPES = Pattern.compile("(<!-- slopes begin -->\n).*?(<!-- slopes end -->)",
+			Pattern.DOTALL);
+
+	private static final int WIDTH = 480;
+
+	private static final int HEIGHT = 320;
+
+	private final Path page;
+
+	CapacityPage(Path page) {
+		this.page = page;
+	}
+
+	void write(List<Slope> slopes) throws IOException {
+		Path plots = this.page.resolveSibling("plots");
+		Files.createDirectories(plots);
+		for (Slope slope : slopes) {
+			BitmapEncoder.saveBitmap(plot(slope), plots.resolve(fileName(slope)).toString(),
+					BitmapEncoder.BitmapFormat.PNG);
+		}
+		String text = Files.readString(this.page);
+		Files.writeString(this.page, SLOPES.matcher(text)
+			.replaceFirst((match) -> Matcher.quoteReplacement(match.group(1) + table(slopes) + match.group(2))));
+	}
+
+	private static String table(List<Slope> slopes) {
+		return slopes.stream().map(CapacityPage::row).collect(Collectors.joining("\n", """
+				| what | per one of | slope | error of slope | at none | r² | measured at |
+				| --- | --- | --- | --- | --- | --- | --- |
+				""", "\n"));
+	}
+
+	private static String row(Slope slope) {
+		String points = slope.points()
+			.stream()
+			.map((point) -> "%.0f: %s".formatted(point.size(), number(point.value())))
+			.collect(Collectors.joining(", "));
+		return "| [%s](plots/%s) | %s | %s %s | %s | %s | %.3f | %s |".formatted(slope.name(), fileName(slope) + ".png",
+				slope.sizeName(), number(slope.fit().perSize()), slope.unit(), number(slope.fit().error()),
+				number(slope.fit().base()), slope.fit().rSquare(), points);
+	}
+
+	private static String number(double value) {
+		return String.format(Locale.ROOT, (Math.abs(value) >= 100) ? "%.0f" : "%.3g", value);
+	}
+
+	private static String fileName(Slope slope) {
+		return slope.name().replaceAll("[^a-z0-9]+", "-");
+	}
+
+	private static XYChart plot(Slope slope) {
+		double[] sizes = slope.points().stream().mapToDouble(Slope.Point::size).toArray();
+		double[] values = slope.points().stream().mapToDouble(Slope.Point::value).toArray();
+		double[] line = slope.points().stream().mapToDouble((point) -> slope.at(point.size())).toArray();
+		XYChart chart = new XYChartBuilder().width(WIDTH)
+			.height(HEIGHT)
+			.title(slope.name())
+			.xAxisTitle(slope.sizeName())
+			.yAxisTitle(slope.unit())
+			.build();
+		chart.getStyler().setLegendPosition(Styler.LegendPosition.InsideNW);
+		chart.addSeries("measured", sizes, values);
+		chart.addSeries("line", sizes, line);
+		return chart;
+	}
+
+}
--- a/bench/src/main/java/org/brasspier/bench/capacity/Probe.java
+++ b/bench/src/main/java/org/brasspier/bench/capacity/Probe.java
@@ -57,20 +57,21 @@
 	}
 
 	/**
-	 * The heap that a structure keeps, by what is in use after a collection with and
-	 * without it.
+	 * The heap that a structure keeps, by what is in use after a collection before and
+	 * after building it. All that is built stays until the end, so that nothing that a
+	 * collection happens to find late is counted against it.
 	 * @param structure builds the structure
 	 * @return bytes kept, the median of several
 	 */
 	static double bytesKept(Supplier<?> structure) {
+		Object[] kept = new Object[RUNS];
 		double[] samples = new double[RUNS];
 		for (int run = 0; run < RUNS; run++) {
-			sink = null;
 			long before = used();
-			sink = structure.get();
+			kept[run] = structure.get();
 			samples[run] = used() - before;
 		}
-		sink = null;
+		sink = kept;
 		return median(samples);
 	}
 
--- a/bench/src/main/java/org/brasspier/bench/capacity/Slope.java
+++ b/bench/src/main/java/org/brasspier/bench/capacity/Slope.java
@@ -40,11 +40,18 @@
 	public static Slope of(String name, String sizeName, String unit, List<Point> points) {
 		SimpleRegression regression = new SimpleRegression();
 		points.forEach((point) -> regression.addData(point.size(), point.value()));
-		Fit fit = new Fit(regression.getSlope(), regression.getSlopeStdErr(), regression.getIntercept(),
-				regression.getRSquare());
+		Fit fit = new Fit(regression.getSlope(), orZero(regression.getSlopeStdErr()), regression.getIntercept(),
+				orZero(regression.getRSquare()));
 		return new Slope(name, sizeName, unit, points, fit);
 	}
 
+	/**
+	 * Points that lie on a line exactly leave rounding errors below zero under a root.
+	 */
+	private static double orZero(double error) {
+		return (Double.isNaN(error)) ? 0 : error;
+	}
+
 	/**
 	 * What the line says at another size.
 	 * @param size the size
--- /dev/null
+++ b/bench/src/main/java/org/brasspier/bench/capacity/SlopeSuite.java
@@ -0,0 +1,34 @@
+package org.brasspier.bench.capacity;
+
+import java.util.Arrays;
+import java.util.List;
+import java.util.function.IntToDoubleFunction;
+
+/**
+ * A few slopes that are measured together.
+ */
+interface SlopeSuite {
+
+	/**
+	 * Measures.
+	 * @return the slopes
+	 */
+	List<Slope> measure();
+
+	/**
+	 * Measures one quantity at several sizes.
+	 * @param name what is measured
+	 * @param sizeName what the size counts
+	 * @param unit the unit of the values
+	 * @param sizes the sizes, at least four
+	 * @param measurement gives the value at a size
+	 * @return the slope
+	 */
+	static Slope over(String name, String sizeName, String unit, int[] sizes, IntToDoubleFunction measurement) {
+		return Slope.of(name, sizeName, unit,
+				Arrays.stream(sizes)
+					.mapToObj((size) -> new Slope.Point(size, measurement.applyAsDouble(size)))
+					.toList());
+	}
+
+}
