Submitting the document, and keeping up with the version in force

A submission stores the body under its hash, then moves one row conditionally. A write whose answer was lost is settled before anyone is told: the row keeps the ids of the latest submissions, so ours is found there even if another one followed, and as long as the row is unchanged the same conditional write is sent again, of which only one can take effect. The same submission sent again is answered as the first time.

Versions only go up in the holder, whoever brings an older one late. A process that has heard neither from the store nor from a peer serves nothing rather than with the usual limits, which would be a revert. Heartbeats tell versions, bodies come from peers; the row is read by lease managers each second (350 reads a second at 3,500 daemons in 175 cells) and by others only while nobody tells them (583 at worst). Tests run on a fake table with lost, late and never arriving writes.

--- a/core/src/main/java/org/brasspier/core/document/DocumentInForce.java
+++ b/core/src/main/java/org/brasspier/core/document/DocumentInForce.java
@@ -3,14 +3,22 @@
 /**
  * A version of the document with its contents. Immutable and thread-safe.
  *
- * @param version the version; 0 if none has ever come into force
+ * @param version the version; 0 if none is known
+ * @param read whether it's known which version is in force, or that none ever was
  * @param document the document
  * @param catalog the document's services
  */
-public record DocumentInForce(long version, Document document, ServiceCatalog catalog) {
+public record DocumentInForce(long version, boolean read, Document document, ServiceCatalog catalog) {
 
-	/** Before any document is in force. */
-	public static final DocumentInForce NONE = new DocumentInForce(0, Document.EMPTY, ServiceCatalog.OPEN);
+	/** No document was ever in force. */
+	public static final DocumentInForce NONE = new DocumentInForce(0, true, Document.EMPTY, ServiceCatalog.OPEN);
+
+	/**
+	 * A process that has just started and has heard neither from the store nor from a
+	 * peer. It serves nothing: with the usual limits it would revert what the document in
+	 * force says.
+	 */
+	public static final DocumentInForce UNREAD = new DocumentInForce(0, false, Document.EMPTY, ServiceCatalog.UNREAD);
 
 	/**
 	 * A version with its contents.
@@ -22,7 +30,7 @@
 		if (version < 1) {
 			throw new IllegalArgumentException("version %d must be at least 1".formatted(version));
 		}
-		return new DocumentInForce(version, document, document.catalog());
+		return new DocumentInForce(version, true, document, document.catalog());
 	}
 
 }
--- a/core/src/main/java/org/brasspier/core/document/ServiceCatalog.java
+++ b/core/src/main/java/org/brasspier/core/document/ServiceCatalog.java
@@ -1,8 +1,12 @@
 package org.brasspier.core.document;
 
+import java.time.Duration;
 import java.util.Map;
 import java.util.Optional;
 
+import io.vavr.control.Either;
+import org.brasspier.core.ErrorKind;
+import org.brasspier.core.Failure;
 import org.brasspier.core.ServiceName;
 
 /**
@@ -11,12 +15,18 @@
  */
 public final class ServiceCatalog {
 
+	/** The row is read once a second until it answers. */
+	private static final Duration UNREAD_PAUSE = Duration.ofSeconds(1);
+
 	/**
 	 * Before any document is in force: each service that a backend server announces is
 	 * served with the usual limits.
 	 */
 	public static final ServiceCatalog OPEN = new ServiceCatalog(Map.of(), Optional.of(usual()));
 
+	/** Nobody knows yet which document is in force: nothing is served. */
+	public static final ServiceCatalog UNREAD = new ServiceCatalog(Map.of(), Optional.empty());
+
 	private final Map<ServiceName, ServicePolicy> policies;
 
 	private final Optional<ServicePolicy> unlisted;
@@ -41,7 +51,25 @@
 	/**
 	 * What holds for a service.
 	 * @param service the service
-	 * @return empty if a document is in force that doesn't name the service
+	 * @return its policy, or why it isn't served: the document in force doesn't name it,
+	 * or isn't known yet
+	 */
+	public Either<Failure, ServicePolicy> policy(ServiceName service) {
+		if (this == UNREAD) {
+			return Either.left(new Failure(ErrorKind.NO_OWNER,
+					"this daemon does not know yet which configuration is in force (see TROUBLESHOOTING.md#document-unread)",
+					UNREAD_PAUSE));
+		}
+		return find(service).<Either<Failure, ServicePolicy>>map(Either::right)
+			.orElseGet(() -> Either.left(Failure.of(ErrorKind.UNKNOWN_SERVICE,
+					"the configuration in force has no service \"%s\" (see TROUBLESHOOTING.md#unknown-service)"
+						.formatted(service))));
+	}
+
+	/**
+	 * What holds for a service.
+	 * @param service the service
+	 * @return empty if {@link #policy} says why not
 	 */
 	public Optional<ServicePolicy> find(ServiceName service) {
 		return Optional.ofNullable(this.policies.get(service)).or(() -> this.unlisted);
--- a/core/src/test/java/org/brasspier/core/document/ServiceCatalogTests.java
+++ b/core/src/test/java/org/brasspier/core/document/ServiceCatalogTests.java
@@ -3,6 +3,7 @@
 import java.util.Map;
 
 import org.brasspier.core.CallerId;
+import org.brasspier.core.ErrorKind;
 import org.brasspier.core.RequestClass;
 import org.brasspier.core.ServiceName;
 import org.junit.jupiter.api.Test;
@@ -35,4 +36,9 @@
 		assertThat(catalog.find(new ServiceName("divecal"))).isEmpty();
 	}
 
+	@Test
+	void aProcessThatDoesNotKnowTheDocumentYetServesNothing() {
+		assertThat(ServiceCatalog.UNREAD.policy(HULLBOOK).getLeft().kind()).isEqualTo(ErrorKind.NO_OWNER);
+	}
+
 }
--- /dev/null
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/document/DocumentStore.java
@@ -0,0 +1,100 @@
+package org.brasspier.daemon.internal.document;
+
+import java.util.Optional;
+
+import io.activej.promise.Promise;
+import io.vavr.control.Either;
+import org.brasspier.core.ErrorKind;
+import org.brasspier.core.Failure;
+import org.brasspier.daemon.internal.platform.ObjectStore;
+import org.brasspier.daemon.internal.platform.StoreException;
+import org.brasspier.daemon.internal.platform.TableService;
+import org.brasspier.wire.document.DocumentCodec;
+import org.brasspier.wire.document.DocumentPointer;
+import org.brasspier.wire.document.StoredDocument;
+
+/**
+ * The document in the platform's store: bodies that never change, named by their hash,
+ * and one row that points to the one in force. Belongs to the thread of operators.
+ */
+final class DocumentStore {
+
+	static final String POINTER = "document/pointer";
+
+	private static final String BODIES = "document/";
+
+	private final TableService table;
+
+	private final ObjectStore objects;
+
+	DocumentStore(TableService table, ObjectStore objects) {
+		this.table = table;
+		this.objects = objects;
+	}
+
+	/**
+	 * Reads the row.
+	 * @return the row, empty if there is none, or a {@link StoreException}
+	 */
+	Promise<Optional<PointerRow>> pointer() {
+		return this.table.read(POINTER)
+			.then((row) -> (row.isEmpty()) ? Promise.of(Optional.empty())
+					: checked(DocumentCodec.decodePointer(row.get().value()))
+						.map((pointer) -> Optional.of(new PointerRow(row.get().version(), pointer))));
+	}
+
+	/**
+	 * Replaces the row if it still has the expected version.
+	 * @param rowVersion the version the row must have; 0 if it must not exist
+	 * @param pointer the new contents
+	 * @return what became of it
+	 */
+	Promise<TableService.WriteResult> replace(long rowVersion, DocumentPointer pointer) {
+		return this.table.write(POINTER, rowVersion, DocumentCodec.encodePointer(pointer));
+	}
+
+	Promise<Void> put(byte[] bytes) {
+		return this.objects.put(BODIES + DocumentCodec.hash(bytes), bytes);
+	}
+
+	/**
+	 * Fetches a body.
+	 * @param hash the hash that names it
+	 * @return the body, or a {@link StoreException}
+	 */
+	Promise<Body> body(String hash) {
+		return this.objects.get(BODIES + hash).then((found) -> {
+			if (found.isEmpty() || !DocumentCodec.hash(found.get()).equals(hash)) {
+				return Promise.ofException(new StoreException(Failure.of(ErrorKind.STATE_UNREADABLE,
+						"the object store has no undamaged %s%s (TROUBLESHOOTING.md#stored-state)".formatted(BODIES,
+								hash))));
+			}
+			return checked(DocumentCodec.decode(found.get())).map((stored) -> new Body(found.get(), stored));
+		});
+	}
+
+	private static <T> Promise<T> checked(Either<Failure, T> read) {
+		return read.fold((failure) -> Promise.ofException(new StoreException(failure)), Promise::of);
+	}
+
+	/**
+	 * The row as read.
+	 *
+	 * @param rowVersion the row's version in the table
+	 * @param pointer its contents
+	 */
+	record PointerRow(long rowVersion, DocumentPointer pointer) {
+
+	}
+
+	/**
+	 * A body as read.
+	 *
+	 * @param bytes as it's kept
+	 * @param stored the same, decoded
+	 */
+	record Body(byte[] bytes, StoredDocument stored) {
+
+	}
+
+}
--- /dev/null
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/document/Submitter.java
@@ -0,0 +1,181 @@
+package org.brasspier.daemon.internal.document;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.LongSupplier;
+import java.util.stream.Stream;
+
+import io.activej.promise.Promise;
+import io.activej.promise.Promises;
+import org.brasspier.core.ErrorKind;
+import org.brasspier.core.Failure;
+import org.brasspier.core.document.DocumentCheck;
+import org.brasspier.core.document.Fault;
+import org.brasspier.core.event.EventKind;
+import org.brasspier.daemon.internal.event.EventLog;
+import org.brasspier.daemon.internal.platform.StoreException;
+import org.brasspier.daemon.internal.platform.TableService.WriteResult;
+import org.brasspier.wire.document.DocumentCodec;
+import org.brasspier.wire.document.DocumentPointer;
+import org.brasspier.wire.document.StoredDocument;
+
+/**
+ * Brings a submission into force: the body is stored under its hash, then the row is
+ * moved on the condition that it's still the one that was read. Belongs to the thread of
+ * operators.
+ * <p>
+ * A write whose answer was lost may have taken effect, or may yet. Nobody is told
+ * anything until it's settled: the row is read back, and as long as it's still the one
+ * that the write was conditional on, the same write is sent again. Of all these writes
+ * only one can take effect, and its submission's id is then in the row.
+ */
+final class Submitter {
+
+	/** Longer than any caller of the command line waits by default for an answer. */
+	private static final Duration SETTLE_WITHIN = Duration.ofSeconds(20);
+
+	private static final Duration PAUSE = Duration.ofMillis(250);
+
+	private final DocumentStore store;
+
+	private final DocumentHolder holder;
+
+	private final EventLog events;
+
+	private final LongSupplier wallMillis;
+
+	Submitter(DocumentStore store, DocumentHolder holder, EventLog events, LongSupplier wallMillis) {
+		this.store = store;
+		this.holder = holder;
+		this.events = events;
+		this.wallMillis = wallMillis;
+	}
+
+	/**
+	 * Submits.
+	 * @param submission the submission
+	 * @return what became of it; never an exception
+	 */
+	Promise<SubmitOutcome> submit(Submission submission) {
+		List<Fault> faults = DocumentCheck.faults(submission.document());
+		if (!faults.isEmpty()) {
+			return Promise.of(refused(submission, new SubmitOutcome.Invalid(faults)));
+		}
+		return this.store.pointer()
+			.then((row) -> decide(submission, row))
+			.then((outcome, ex) -> Promise.of((ex != null) ? new SubmitOutcome.Failed(failure(ex)) : outcome));
+	}
+
+	private Promise<SubmitOutcome> decide(Submission submission, Optional<DocumentStore.PointerRow> row) {
+		Optional<DocumentPointer.Accepted> earlier = row.flatMap((found) -> found.pointer().find(submission.id()));
+		if (earlier.isPresent()) {
+			return Promise.of(new SubmitOutcome.Accepted(earlier.get().version(), earlier.get().hash()));
+		}
+		long inForce = row.map((found) -> found.pointer().version()).orElse(0L);
+		return (inForce == submission.baseVersion()) ? begin(submission, row) : conflict(submission, row);
+	}
+
+	private Promise<SubmitOutcome> begin(Submission submission, Optional<DocumentStore.PointerRow> row) {
+		StoredDocument next = new StoredDocument(submission.baseVersion() + 1,
+				row.map((found) -> found.pointer().hash()).orElse(""), submission.id(), this.wallMillis.getAsLong(),
+				submission.document());
+		byte[] bytes = DocumentCodec.encode(next);
+		DocumentPointer.Accepted entry = new DocumentPointer.Accepted(submission.id(), next.version(),
+				DocumentCodec.hash(bytes));
+		DocumentPointer pointer = new DocumentPointer(next.version(), entry.hash(),
+				Stream.concat(Stream.of(entry), row.stream().flatMap((found) -> found.pointer().recent().stream()))
+					.limit(DocumentPointer.KEPT)
+					.toList());
+		Attempt attempt = new Attempt(submission, row.map(DocumentStore.PointerRow::rowVersion).orElse(0L), pointer,
+				bytes, next, System.nanoTime() + SETTLE_WITHIN.toNanos());
+		// The body first: a row must never point to what isn't there.
+		return this.store.put(bytes).then(() -> move(attempt, false));
+	}
+
+	private Promise<SubmitOutcome> move(Attempt attempt, boolean unsettled) {
+		return this.store.replace(attempt.rowVersion(), attempt.pointer()).then((result, ex) -> {
+			if (ex != null) {
+				return (unsettled) ? settle(attempt) : Promise.ofException(ex);
+			}
+			return switch (result) {
+				case WriteResult.Written written -> Promise.of(accepted(attempt));
+				case WriteResult.Conflict conflict -> settle(attempt);
+				case WriteResult.Unknown unknown -> {
+					this.events.record(EventKind.DOCUMENT_UNSETTLED, attempt.submission().id(), unknown.cause());
+					yield settle(attempt);
+				}
+			};
+		});
+	}
+
+	private Promise<SubmitOutcome> settle(Attempt attempt) {
+		if (System.nanoTime() - attempt.endNanos() > 0) {
+			return Promise.of(new SubmitOutcome.Failed(Failure.of(ErrorKind.STORE_OUTCOME_UNKNOWN,
+					"the platform's store has not said whether submission %s took effect; submit the same draft again to learn it (see TROUBLESHOOTING.md#submission-unsettled)"
+						.formatted(attempt.submission().id()))));
+		}
+		return this.store.pointer().then((row, ex) -> {
+			if (ex != null) {
+				return Promises.delay(PAUSE).then(() -> settle(attempt));
+			}
+			if (row.flatMap((found) -> found.pointer().find(attempt.submission().id())).isPresent()) {
+				return Promise.of(accepted(attempt));
+			}
+			long rowVersion = row.map(DocumentStore.PointerRow::rowVersion).orElse(0L);
+			// As long as the row is the one that the lost write was conditional on, that
+			// write may still arrive: it's not over until one of them is in, or another
+			// submission is.
+			return (rowVersion == attempt.rowVersion()) ? Promises.delay(PAUSE).then(() -> move(attempt, true))
+					: conflict(attempt.submission(), row);
+		});
+	}
+
+	private SubmitOutcome accepted(Attempt attempt) {
+		this.events.record(EventKind.DOCUMENT_ACCEPTED, attempt.submission().id(),
+				"version " + attempt.next().version());
+		this.holder.offer(attempt.bytes(), attempt.next());
+		return new SubmitOutcome.Accepted(attempt.next().version(), attempt.pointer().hash());
+	}
+
+	private Promise<SubmitOutcome> conflict(Submission submission, Optional<DocumentStore.PointerRow> row) {
+		if (row.isEmpty()) {
+			return Promise.of(refused(submission, new SubmitOutcome.Conflict(Optional.empty())));
+		}
+		String hash = row.get().pointer().hash();
+		return this.store.body(hash).map((body) -> {
+			this.holder.offer(body.bytes(), body.stored());
+			return refused(submission, new SubmitOutcome.Conflict(
+					Optional.of(new DocumentHolder.Held(hash, body.bytes(), body.stored()))));
+		});
+	}
+
+	private SubmitOutcome refused(Submission submission, SubmitOutcome outcome) {
+		this.events.record(EventKind.DOCUMENT_REFUSED, submission.id(), switch (outcome) {
+			case SubmitOutcome.Invalid invalid -> invalid.faults().size() + " faults";
+			default -> "its draft began from version %d, which is not in force".formatted(submission.baseVersion());
+		});
+		return outcome;
+	}
+
+	private static Failure failure(Exception ex) {
+		return (ex instanceof StoreException store) ? store.failure()
+				: Failure.of(ErrorKind.INTERNAL_ERROR, "submitting failed: " + ex);
+	}
+
+	/**
+	 * One submission under way.
+	 *
+	 * @param submission the submission
+	 * @param rowVersion the version that the row must have
+	 * @param pointer the row's new contents
+	 * @param bytes the body
+	 * @param next the same, decoded
+	 * @param endNanos when to give up settling
+	 */
+	private record Attempt(Submission submission, long rowVersion, DocumentPointer pointer, byte[] bytes,
+			StoredDocument next, long endNanos) {
+
+	}
+
+}
--- /dev/null
+++ b/daemon/src/test/java/org/brasspier/daemon/internal/document/DocumentFollowerTests.java
@@ -0,0 +1,167 @@
+package org.brasspier.daemon.internal.document;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+import io.activej.eventloop.Eventloop;
+import io.activej.promise.Promise;
+import org.brasspier.core.InstanceId;
+import org.brasspier.core.event.EventKind;
+import org.brasspier.daemon.internal.event.EventLog;
+import org.brasspier.wire.document.DocumentCodec;
+import org.brasspier.wire.document.StoredDocument;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Each process keeps up with the version in force and never goes back.
+ */
+class DocumentFollowerTests {
+
+	private static final InstanceId PEER = new InstanceId("milwaukee-1");
+
+	private final FakePlatform platform = new FakePlatform();
+
+	private final DocumentStore store = new DocumentStore(this.platform, this.platform);
+
+	private final EventLog events = new EventLog(100);
+
+	private final DocumentHolder peer = new DocumentHolder(this.events);
+
+	private final DocumentHolder self = new DocumentHolder(this.events);
+
+	private final List<InstanceId> asked = new ArrayList<>();
+
+	private boolean peerDown;
+
+	private boolean managing;
+
+	private long nanos;
+
+	private final DocumentFollower follower = new DocumentFollower(this.store, this.self, this::fetch, this.events,
+			() -> this.managing, () -> this.nanos);
+
+	@BeforeEach
+	void runInThisThread() {
+		Eventloop.builder().withCurrentThread().build();
+	}
+
+	@Test
+	void whoIsBehindFetchesTheBodyFromThePeerThatSaidSo() {
+		this.platform.down = true;
+		offer(this.peer, 3);
+		this.follower.seen(PEER, 3);
+		assertThat(this.self.inForce().version()).isEqualTo(3);
+		this.follower.seen(PEER, 3);
+		assertThat(this.asked).containsExactly(PEER);
+	}
+
+	@Test
+	void whereThePeerIsGoneTheStoreIsReadAtOnce() {
+		submit(0);
+		this.peerDown = true;
+		this.follower.seen(PEER, 1);
+		assertThat(this.self.inForce().version()).isEqualTo(1);
+	}
+
+	// A peer that was paused wakes and tells its old version; an answer of the store that
+	// was read earlier arrives late. The newer version must stay in force.
+	@Test
+	void anOlderVersionNeverComesBackWhoeverBringsIt() {
+		offer(this.self, 5);
+		offer(this.self, 4);
+		this.follower.seen(PEER, 4);
+		submit(0);
+		tickAfter(Duration.ofSeconds(10));
+		assertThat(this.self.inForce().version()).isEqualTo(5);
+	}
+
+	// A daemon restarts while the store is down. It must not serve with usual limits what
+	// the document in force says otherwise about, and takes the version of its peers.
+	@Test
+	void aRestartDuringAnOutageServesNothingUntilAPeerTellsTheVersion() {
+		this.platform.down = true;
+		this.follower.tick();
+		assertThat(this.self.inForce().read()).isFalse();
+		offer(this.peer, 2);
+		this.follower.seen(PEER, 2);
+		assertThat(this.self.inForce().version()).isEqualTo(2);
+	}
+
+	@Test
+	void anOutageNeverRevertsTheVersionInForce() {
+		submit(0);
+		this.follower.tick();
+		this.platform.down = true;
+		tickAfter(Duration.ofSeconds(60));
+		assertThat(this.self.inForce().version()).isEqualTo(1);
+		this.platform.down = false;
+		this.platform.rows.clear();
+		tickAfter(Duration.ofSeconds(60));
+		assertThat(this.self.inForce().version()).isEqualTo(1);
+	}
+
+	@Test
+	void aMemberThatHearsVersionsDoesNotReadTheTable() {
+		this.follower.tick();
+		int before = this.platform.reads;
+		for (int second = 0; second < 60; second++) {
+			this.follower.seen(PEER, 0);
+			tickAfter(Duration.ofSeconds(1));
+		}
+		assertThat(this.platform.reads).isEqualTo(before);
+	}
+
+	@Test
+	void aLeaseManagerReadsTheRowAboutOnceASecond() {
+		this.managing = true;
+		this.follower.tick();
+		int before = this.platform.reads;
+		for (int step = 0; step < 600; step++) {
+			this.follower.seen(PEER, 0);
+			tickAfter(Duration.ofMillis(100));
+		}
+		assertThat(this.platform.reads - before).isIn(com.google.common.collect.Range.closed(55, 85));
+	}
+
+	@Test
+	void aDamagedBodyIsRefusedSaidOnceAndLeftAlone() {
+		submit(0);
+		this.platform.objects.replaceAll((name, body) -> new byte[] { 1, 2, 3 });
+		this.managing = true;
+		for (int second = 0; second < 5; second++) {
+			tickAfter(Duration.ofSeconds(2));
+		}
+		assertThat(this.self.inForce().read()).isFalse();
+		assertThat(this.events.after(0).stream().filter((event) -> event.kind() == EventKind.DOCUMENT_UNREADABLE))
+			.hasSize(1);
+	}
+
+	private Promise<byte[]> fetch(InstanceId from) {
+		this.asked.add(from);
+		return (this.peerDown) ? Promise.ofException(new java.io.IOException("gone"))
+				: Promise.of(this.peer.held().orElseThrow().bytes());
+	}
+
+	private void tickAfter(Duration passed) {
+		this.nanos += TimeUnit.MILLISECONDS.toNanos(passed.toMillis());
+		this.follower.tick();
+	}
+
+	private void submit(long base) {
+		Submitter submitter = new Submitter(this.store, new DocumentHolder(this.events), this.events, () -> 0);
+		assertThat(submitter.submit(SubmitterTests.submission("s-" + base, base, "1")).getResult())
+			.isInstanceOf(SubmitOutcome.Accepted.class);
+	}
+
+	private static void offer(DocumentHolder holder, long version) {
+		StoredDocument stored = new StoredDocument(version, "", "s-" + version, 0,
+				SubmitterTests.submission("", 0, "1").document());
+		holder.offer(DocumentCodec.encode(stored), stored);
+	}
+
+}
--- /dev/null
+++ b/daemon/src/test/java/org/brasspier/daemon/internal/document/FakePlatform.java
@@ -0,0 +1,126 @@
+package org.brasspier.daemon.internal.document;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+
+import io.activej.promise.Promise;
+import org.brasspier.core.ErrorKind;
+import org.brasspier.core.Failure;
+import org.brasspier.daemon.internal.platform.ObjectStore;
+import org.brasspier.daemon.internal.platform.StoreException;
+import org.brasspier.daemon.internal.platform.TableService;
+
+/**
+ * A table and object store in memory, with faults on request.
+ */
+final class FakePlatform implements TableService, ObjectStore {
+
+	private static final Runnable NOTHING = () -> {
+	};
+
+	final Map<String, Row> rows = new HashMap<>();
+
+	final Map<String, byte[]> objects = new HashMap<>();
+
+	/** What happens to the next writes, in order; none means they succeed. */
+	final Deque<WriteFault> writeFaults = new ArrayDeque<>();
+
+	/** Run once, before the next write. */
+	Runnable beforeWrite = NOTHING;
+
+	/** Run once, after the next write whose answer is lost. */
+	Runnable afterLostAnswer = NOTHING;
+
+	boolean down;
+
+	int reads;
+
+	private Runnable late = NOTHING;
+
+	@Override
+	public Promise<Optional<Row>> read(String key) {
+		this.reads++;
+		return (this.down) ? unavailable() : Promise.of(Optional.ofNullable(this.rows.get(key)));
+	}
+
+	@Override
+	public Promise<WriteResult> write(String key, long expectedVersion, byte[] value) {
+		run(this.beforeWrite, () -> this.beforeWrite = NOTHING);
+		if (this.down) {
+			return unavailable();
+		}
+		WriteFault fault = (this.writeFaults.isEmpty()) ? WriteFault.NONE : this.writeFaults.removeFirst();
+		switch (fault) {
+			case NONE -> {
+				return Promise.of(apply(key, expectedVersion, value));
+			}
+			case ANSWER_LOST -> {
+				apply(key, expectedVersion, value);
+				run(this.afterLostAnswer, () -> this.afterLostAnswer = NOTHING);
+			}
+			case WRITE_LOST -> {
+			}
+			case WRITE_LATE -> this.late = () -> apply(key, expectedVersion, value);
+		}
+		return Promise.of(new WriteResult.Unknown(fault.name()));
+	}
+
+	private static void run(Runnable hook, Runnable clear) {
+		clear.run();
+		hook.run();
+	}
+
+	void deliverLateWrite() {
+		this.late.run();
+	}
+
+	private WriteResult apply(String key, long expectedVersion, byte[] value) {
+		long actual = (this.rows.containsKey(key)) ? this.rows.get(key).version() : 0;
+		if (actual != expectedVersion) {
+			return new WriteResult.Conflict(actual);
+		}
+		this.rows.put(key, new Row(actual + 1, value));
+		return new WriteResult.Written(actual + 1);
+	}
+
+	@Override
+	public Promise<Void> put(String name, byte[] body) {
+		if (this.down) {
+			return unavailable();
+		}
+		this.objects.put(name, body);
+		return Promise.complete();
+	}
+
+	@Override
+	public Promise<Optional<byte[]>> get(String name) {
+		return (this.down) ? unavailable() : Promise.of(Optional.ofNullable(this.objects.get(name)));
+	}
+
+	private static <T> Promise<T> unavailable() {
+		return Promise.ofException(new StoreException(Failure.of(ErrorKind.STORE_UNAVAILABLE, "down")));
+	}
+
+	/**
+	 * What happens to a write.
+	 */
+	enum WriteFault {
+
+		/** Nothing. */
+		NONE,
+
+		/** It takes effect, and its answer is lost. */
+		ANSWER_LOST,
+
+		/** It never arrives, and nobody says so. */
+		WRITE_LOST,
+
+		/** It arrives when the test says so, and nobody says so. */
+		WRITE_LATE
+
+	}
+
+}
--- /dev/null
+++ b/daemon/src/test/java/org/brasspier/daemon/internal/document/SubmitterTests.java
@@ -0,0 +1,153 @@
+package org.brasspier.daemon.internal.document;
+
+import java.util.Map;
+import java.util.TreeMap;
+
+import io.activej.eventloop.Eventloop;
+import io.activej.promise.Promise;
+import org.brasspier.core.ErrorKind;
+import org.brasspier.core.document.Document;
+import org.brasspier.core.document.FieldPath;
+import org.brasspier.daemon.internal.event.EventLog;
+import org.brasspier.daemon.internal.platform.TableService.Row;
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * A submission wins or is told so, whatever becomes of its writes.
+ */
+class SubmitterTests {
+
+	private final Eventloop loop = Eventloop.builder().withCurrentThread().build();
+
+	private final FakePlatform platform = new FakePlatform();
+
+	private final EventLog events = new EventLog(100);
+
+	private final DocumentHolder holder = new DocumentHolder(this.events);
+
+	private final DocumentStore store = new DocumentStore(this.platform, this.platform);
+
+	private final Submitter submitter = new Submitter(this.store, this.holder, this.events, () -> 1000);
+
+	@Test
+	void anAcceptedSubmissionIsInForceAtOnceWhereItWasSubmitted() {
+		assertThat(submit("first", 0, "1")).isInstanceOf(SubmitOutcome.Accepted.class);
+		assertThat(submit("second", 1, "2")).isInstanceOf(SubmitOutcome.Accepted.class);
+		assertThat(this.holder.inForce().version()).isEqualTo(2);
+		assertThat(this.holder.inForce().document().weights().churn()).isEqualTo(2);
+		assertThat(row().previousHash()).isNotEmpty();
+	}
+
+	// Two operators begin from the same version. Both press submit; the second one's
+	// write reaches the table between the first one's read and write. One of them must
+	// win, and the other must be shown what the winner changed.
+	@Test
+	void ofTwoOperatorsWhoSubmitAtOnceOneWinsAndTheOtherIsToldWhatChanged() {
+		submit("first", 0, "1");
+		this.platform.beforeWrite = () -> assertThat(submit("second", 1, "2"))
+			.isInstanceOf(SubmitOutcome.Accepted.class);
+		SubmitOutcome loser = submit("third", 1, "3");
+		assertThat(loser).isInstanceOf(SubmitOutcome.Conflict.class);
+		assertThat(((SubmitOutcome.Conflict) loser).present().orElseThrow().stored().document().weights().churn())
+			.isEqualTo(2);
+		assertThat(this.holder.inForce().version()).isEqualTo(2);
+	}
+
+	// The operator presses submit; the table takes the write, and its answer is lost on
+	// the way. Telling "refused" or "accepted" by guess would be wrong half of the time.
+	@Test
+	void aWriteWhoseAnswerWasLostIsSettledBeforeAnyoneIsTold() {
+		this.platform.writeFaults.add(FakePlatform.WriteFault.ANSWER_LOST);
+		assertThat(submit("first", 0, "1")).isInstanceOf(SubmitOutcome.Accepted.class);
+		assertThat(this.platform.rows.get(DocumentStore.POINTER).version()).isEqualTo(1);
+	}
+
+	@Test
+	void aWriteThatNeverArrivedIsSentAgain() {
+		this.platform.writeFaults.add(FakePlatform.WriteFault.WRITE_LOST);
+		this.platform.writeFaults.add(FakePlatform.WriteFault.WRITE_LOST);
+		assertThat(submit("first", 0, "1")).isInstanceOf(SubmitOutcome.Accepted.class);
+	}
+
+	// The answer is lost, and before the row is read back another operator's submission
+	// has already followed on ours. Ours did take effect, though the row names theirs.
+	@Test
+	void aLostAnswerIsSettledThoughAnotherSubmissionHasFollowed() {
+		submit("first", 0, "1");
+		this.platform.writeFaults.add(FakePlatform.WriteFault.ANSWER_LOST);
+		this.platform.afterLostAnswer = () -> submit("third", 2, "3");
+		assertThat(submit("second", 1, "2")).isInstanceOf(SubmitOutcome.Accepted.class);
+		assertThat(this.holder.inForce().version()).isEqualTo(3);
+	}
+
+	// A write hangs in the network; another operator's submission wins meanwhile. When
+	// the late write arrives at last, it must change nothing.
+	@Test
+	void aLateWriteNeverOverturnsTheWinner() {
+		submit("first", 0, "1");
+		this.platform.writeFaults.add(FakePlatform.WriteFault.WRITE_LATE);
+		Promise<SubmitOutcome> late = this.submitter.submit(submission("second", 1, "2"));
+		submit("third", 1, "3");
+		this.platform.deliverLateWrite();
+		SubmitOutcome outcome = await(late);
+		long churn = (long) row().document().weights().churn();
+		assertThat(outcome instanceof SubmitOutcome.Accepted).isEqualTo(churn == 2);
+		assertThat(row().version()).isEqualTo(2);
+	}
+
+	@Test
+	void theSameSubmissionSentAgainIsAnsweredAsTheFirstTime() {
+		SubmitOutcome first = submit("first", 0, "1");
+		submit("second", 1, "2");
+		assertThat(submit("first", 0, "1")).isEqualTo(first);
+		assertThat(this.holder.inForce().version()).isEqualTo(2);
+	}
+
+	@Test
+	void whileTheStoreIsDownASubmissionIsRefusedWithoutEffect() {
+		this.platform.down = true;
+		SubmitOutcome outcome = submit("first", 0, "1");
+		assertThat(((SubmitOutcome.Failed) outcome).failure().kind()).isEqualTo(ErrorKind.STORE_UNAVAILABLE);
+	}
+
+	@Test
+	void aDocumentWithFaultsNeverReachesTheStore() {
+		assertThat(submit("first", 0, "much")).isInstanceOf(SubmitOutcome.Invalid.class);
+		assertThat(this.platform.objects).isEmpty();
+	}
+
+	@Test
+	void aDamagedRowIsRefusedAndNeverOverwritten() {
+		byte[] damaged = "brasspier 1 nonsense\n{}".getBytes(java.nio.charset.StandardCharsets.US_ASCII);
+		this.platform.rows.put(DocumentStore.POINTER, new Row(4, damaged));
+		SubmitOutcome outcome = submit("first", 0, "1");
+		assertThat(((SubmitOutcome.Failed) outcome).failure().kind()).isEqualTo(ErrorKind.STATE_UNREADABLE);
+		assertThat(this.platform.rows.get(DocumentStore.POINTER).value()).isEqualTo(damaged);
+	}
+
+	private org.brasspier.wire.document.StoredDocument row() {
+		return await(this.store.pointer().then((row) -> this.store.body(row.orElseThrow().pointer().hash()))).stored();
+	}
+
+	private SubmitOutcome submit(String id, long base, String churn) {
+		return await(this.submitter.submit(submission(id, base, churn)));
+	}
+
+	static Submission submission(String id, long base, String churn) {
+		Map<FieldPath, String> values = new TreeMap<>();
+		values.put(new FieldPath("service/hullbook/divided-by-key"), "yes");
+		values.put(new FieldPath("domains/regions"), "duluth=great-lakes");
+		values.put(new FieldPath("weights/churn"), churn);
+		return new Submission(id, base, Document.of(values));
+	}
+
+	private <T> T await(Promise<T> promise) {
+		if (!promise.isComplete()) {
+			this.loop.run();
+		}
+		return promise.getResult();
+	}
+
+}
--- /dev/null
+++ b/wire/src/main/java/org/brasspier/wire/operator/CellAnswer.java
@@ -0,0 +1,72 @@
+package org.brasspier.wire.operator;
+
+import java.util.List;
+
+/**
+ * What one daemon knows of its cell. Immutable and thread-safe.
+ *
+ * @param cell the cell
+ * @param version the version of the cell's row
+ * @param epoch the epoch of its lease managers
+ * @param primary the primary lease manager, empty if there is none
+ * @param secondary the secondary lease manager, empty if there is none
+ * @param members the members
+ * @param ranges the ranges of all services
+ * @param moves the planned moves under way, known to the primary only
+ */
+public record CellAnswer(String cell, long version, long epoch, String primary, String secondary,
+		List<CellAnswer.Member> members, List<CellAnswer.Range> ranges, List<CellAnswer.Move> moves) {
+
+	/**
+	 * Checks and copies.
+	 */
+	public CellAnswer {
+		members = List.copyOf(OperatorJson.present(members, "members"));
+		ranges = List.copyOf(OperatorJson.present(ranges, "ranges"));
+		moves = List.copyOf(OperatorJson.present(moves, "moves"));
+	}
+
+	/**
+	 * An instance.
+	 *
+	 * @param instance its identity
+	 * @param failureDomain its failure domain
+	 * @param service the service of its backend server, empty if it has none
+	 * @param phase what may be done with it
+	 * @param slots how many requests its backend server runs at once
+	 * @param checksFences whether its backend server refuses old fences
+	 * @param callers IP:PORT of its port for callers
+	 * @param operators IP:PORT of its port for operators
+	 * @param heardMillisAgo how long ago the answering daemon heard of it, in
+	 * milliseconds; -1 unless that daemon is a lease manager
+	 */
+	public record Member(String instance, String failureDomain, String service, String phase, int slots,
+			boolean checksFences, String callers, String operators, long heardMillisAgo) {
+
+	}
+
+	/**
+	 * A range.
+	 *
+	 * @param service the service
+	 * @param range its points, {@code LOW-HIGH} in hexadecimal, both inclusive
+	 * @param owner who owns it, empty if nobody does
+	 * @param fence the fence of its last change of owner
+	 */
+	public record Range(String service, String range, String owner, long fence) {
+
+	}
+
+	/**
+	 * A planned move.
+	 *
+	 * @param service the service
+	 * @param range the range
+	 * @param to who gets it
+	 * @param released whether its owner has let go of it
+	 */
+	public record Move(String service, String range, String to, boolean released) {
+
+	}
+
+}
--- /dev/null
+++ b/wire/src/main/java/org/brasspier/wire/operator/OrderAnswer.java
@@ -0,0 +1,10 @@
+package org.brasspier.wire.operator;
+
+/**
+ * What became of an order. Immutable and thread-safe.
+ *
+ * @param result a sentence for the operator
+ */
+public record OrderAnswer(String result) {
+
+}
