--- /dev/null
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/measure/OutcomeMeter.java
@@ -0,0 +1,158 @@
+package org.brasspier.daemon.internal.measure;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+
+import org.brasspier.core.ErrorKind;
+import org.brasspier.core.InstanceId;
+import org.brasspier.core.ServiceName;
+import org.brasspier.core.measure.MinuteReport;
+
+/**
+ * Counts, minute by minute, what the measures are made from. Thread-safe; the thread of
+ * requests counts, the thread of operators reads once a minute, so the lock is all but
+ * free.
+ */
+public final class OutcomeMeter {
+
+	/**
+	 * A new lease manager collects what its predecessor had not kept yet; that is at most
+	 * the five minutes between two writes, unless the store is down meanwhile.
+	 */
+	private static final int KEPT_MINUTES = 120;
+
+	/** Services have names from callers: a flood of made-up ones must stay bounded. */
+	private static final int MAX_SERVICES = 64;
+
+	private final InstanceId instance;
+
+	private final LongSupplier wallMillis;
+
+	private final TreeMap<Long, Map<ServiceName, Counts>> minutes = new TreeMap<>();
+
+	private final Map<ServiceName, Integer> slots = new HashMap<>();
+
+	/**
+	 * Creates a meter that has counted nothing.
+	 * @param instance this instance
+	 * @param wallMillis the wall clock, in milliseconds since 1970
+	 */
+	public OutcomeMeter(InstanceId instance, LongSupplier wallMillis) {
+		this.instance = instance;
+		this.wallMillis = wallMillis;
+	}
+
+	/**
+	 * A caller of this daemon got its answer from a backend server.
+	 * @param service the service
+	 */
+	public synchronized void answered(ServiceName service) {
+		counts(service).requests++;
+	}
+
+	/**
+	 * A caller of this daemon got an error.
+	 * @param service the service
+	 * @param kind its kind; the caller's own faults don't count
+	 */
+	public synchronized void failed(ServiceName service, ErrorKind kind) {
+		if (!turnsAway(kind)) {
+			return;
+		}
+		Counts counts = counts(service);
+		counts.requests++;
+		counts.turnedAway++;
+		counts.seconds |= 1L << (TimeUnit.MILLISECONDS.toSeconds(this.wallMillis.getAsLong()) % 60);
+	}
+
+	private static boolean turnsAway(ErrorKind kind) {
+		return switch (kind) {
+			case OVERLOADED, NO_OWNER, NOT_OWNER, NO_BACKEND, DEADLINE_PASSED, TIMED_OUT, OUTCOME_UNKNOWN, BAD_ANSWER,
+					POSSIBLY_RAN_BEFORE, INTERNAL_ERROR ->
+				true;
+			case BAD_REQUEST, UNAUTHORIZED, UNKNOWN_SERVICE, BODY_TOO_LARGE, TICKET_REQUIRED, IN_PROGRESS, ID_REUSED,
+					CRASHED_BACKENDS, DOCUMENT_INVALID, DOCUMENT_CONFLICT, STORE_OUTCOME_UNKNOWN, STORE_UNAVAILABLE,
+					STATE_UNREADABLE, ORDER_REFUSED ->
+				false;
+		};
+	}
+
+	/**
+	 * A request ran on the backend server beside this daemon.
+	 * @param service the service
+	 * @param nanos for how long, in nanoseconds
+	 */
+	public synchronized void ran(ServiceName service, long nanos) {
+		counts(service).busyNanos += nanos;
+	}
+
+	/**
+	 * The backend server beside this daemon has told how much it runs at once.
+	 * @param service its service
+	 * @param count its slots
+	 */
+	public synchronized void slots(ServiceName service, int count) {
+		this.slots.put(service, count);
+	}
+
+	/**
+	 * What was counted in whole minutes.
+	 * @param afterMinute only minutes after this one, counted since 1970
+	 * @return one report for each minute and service, oldest first
+	 */
+	public synchronized List<MinuteReport> after(long afterMinute) {
+		long present = TimeUnit.MILLISECONDS.toMinutes(this.wallMillis.getAsLong());
+		List<MinuteReport> reports = new ArrayList<>();
+		if (afterMinute + 1 < present) {
+			this.minutes.subMap(afterMinute + 1, present)
+				.forEach((minute, services) -> services
+					.forEach((service, counts) -> reports.add(report(minute, service, counts))));
+		}
+		return reports;
+	}
+
+	private MinuteReport report(long minute, ServiceName service, Counts counts) {
+		return new MinuteReport(this.instance, service, minute, counts.requests, counts.turnedAway, counts.seconds,
+				TimeUnit.NANOSECONDS.toMillis(counts.busyNanos), this.slots.getOrDefault(service, 0));
+	}
+
+	private Counts counts(ServiceName service) {
+		long minute = TimeUnit.MILLISECONDS.toMinutes(this.wallMillis.getAsLong());
+		Map<ServiceName, Counts> services = this.minutes.get(minute);
+		if (services == null) {
+			services = new HashMap<>();
+			// A server without requests counts as well: an idle one is what imbalance is.
+			for (ServiceName own : this.slots.keySet()) {
+				services.put(own, new Counts());
+			}
+			this.minutes.put(minute, services);
+			while (this.minutes.size() > KEPT_MINUTES) {
+				this.minutes.pollFirstEntry();
+			}
+		}
+		ServiceName counted = (services.size() < MAX_SERVICES || services.containsKey(service)) ? service
+				: new ServiceName("others");
+		return services.computeIfAbsent(counted, (name) -> new Counts());
+	}
+
+	/**
+	 * What is counted of one service in one minute.
+	 */
+	private static final class Counts {
+
+		private long requests;
+
+		private long turnedAway;
+
+		private long seconds;
+
+		private long busyNanos;
+
+	}
+
+}
--- /dev/null
+++ b/daemon/src/test/java/org/brasspier/daemon/internal/measure/OutcomeMeterTests.java
@@ -0,0 +1,64 @@
+package org.brasspier.daemon.internal.measure;
+
+import java.util.List;
+
+import org.brasspier.core.ErrorKind;
+import org.brasspier.core.InstanceId;
+import org.brasspier.core.ServiceName;
+import org.brasspier.core.measure.MinuteReport;
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * What the measures are made from is counted by the minute.
+ */
+class OutcomeMeterTests {
+
+	private static final ServiceName HULLBOOK = new ServiceName("hullbook");
+
+	private long millis = 60_000L * 100;
+
+	private final OutcomeMeter meter = new OutcomeMeter(new InstanceId("duluth-1"), () -> this.millis);
+
+	@Test
+	void aMinuteIsReportedOnceItIsWhole() {
+		this.meter.answered(HULLBOOK);
+		assertThat(this.meter.after(0)).isEmpty();
+		this.millis += 60_000;
+		assertThat(this.meter.after(0)).hasSize(1);
+		assertThat(this.meter.after(100)).isEmpty();
+	}
+
+	@Test
+	void theSecondsInWhichCallersWereTurnedAwayAreMarked() {
+		this.millis += 3_500;
+		this.meter.failed(HULLBOOK, ErrorKind.NO_OWNER);
+		this.meter.failed(HULLBOOK, ErrorKind.TICKET_REQUIRED);
+		MinuteReport report = reports().getFirst();
+		assertThat(report.turnedAwaySeconds()).isEqualTo(0b1000);
+		assertThat(report.requests()).isEqualTo(1);
+	}
+
+	@Test
+	void workIsCountedWithTheServersSlots() {
+		this.meter.slots(HULLBOOK, 17);
+		this.meter.ran(HULLBOOK, 2_500_000);
+		assertThat(reports().getFirst().busyMillis()).isEqualTo(2);
+		assertThat(reports().getFirst().slots()).isEqualTo(17);
+	}
+
+	@Test
+	void aFloodOfMadeUpServicesStaysBounded() {
+		for (int i = 0; i < 1000; i++) {
+			this.meter.failed(new ServiceName("s" + i), ErrorKind.NO_OWNER);
+		}
+		assertThat(reports().size()).isAtMost(65);
+	}
+
+	private List<MinuteReport> reports() {
+		this.millis += 60_000;
+		return this.meter.after(0);
+	}
+
+}
