The operator port: documents, orders, status, time line, metrics and measures

Other daemons ask on the same port for the document and for what was counted, proved by the shared key over question and answer, so that nobody in between can make up a document.

The row says until which minute reports are in and by which write, so neither a lost answer nor another primary counts anything twice.

--- a/daemon/src/main/java/org/brasspier/daemon/internal/Daemon.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/Daemon.java
@@ -1,12 +1,14 @@
 package org.brasspier.daemon.internal;
 
 import java.io.IOException;
+import java.util.Optional;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 
 import com.codahale.metrics.MetricRegistry;
 import org.brasspier.core.event.EventKind;
 import org.brasspier.daemon.internal.event.EventLog;
+import org.brasspier.daemon.internal.operator.OperatorsDuty;
 import org.brasspier.daemon.internal.ownership.OwnershipDuty;
 import org.brasspier.daemon.internal.request.RequestsDuty;
 import org.brasspier.daemon.internal.settings.Settings;
@@ -24,6 +26,8 @@
 
 	private final RequestsDuty requests;
 
+	private final OperatorsDuty operators;
+
 	/**
 	 * Creates a daemon that does not listen yet.
 	 * @param settings the checked settings
@@ -32,6 +36,9 @@
 		this.context = new DaemonContext(settings, new EventLog(KEPT_EVENTS), new MetricRegistry());
 		this.ownership = new OwnershipDuty(this.context);
 		this.requests = new RequestsDuty(this.context, this.ownership::snapshot);
+		this.operators = new OperatorsDuty(this.context, this.ownership::snapshot, this.ownership::view,
+				Optional::empty);
+		this.ownership.joinDocuments(this.operators);
 	}
 
 	/**
@@ -40,6 +47,7 @@
 	 */
 	public void start() throws IOException {
 		this.context.events().start();
+		this.operators.start();
 		this.requests.start();
 		this.ownership.start();
 		this.context.events()
@@ -59,6 +67,7 @@
 			boolean clean = left.await(this.context.settings().limits().maxLeaveMillis(), TimeUnit.MILLISECONDS);
 			this.requests.stop();
 			this.ownership.stop();
+			this.operators.stop();
 			this.context.events()
 				.record(EventKind.DAEMON_STOPPED, this.context.settings().instance(),
 						(clean) ? "nothing in flight" : "the time to leave ran out");
--- /dev/null
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/measure/MeasureStore.java
@@ -0,0 +1,58 @@
+package org.brasspier.daemon.internal.measure;
+
+import java.time.LocalDate;
+
+import io.activej.promise.Promise;
+import org.brasspier.daemon.internal.platform.StoreException;
+import org.brasspier.daemon.internal.platform.TableService;
+
+/**
+ * The rows {@code measures/DAY/CELL}. Belongs to the thread of operators.
+ */
+final class MeasureStore {
+
+	private final TableService table;
+
+	private final String cell;
+
+	MeasureStore(TableService table, String cell) {
+		this.table = table;
+		this.cell = cell;
+	}
+
+	/**
+	 * Reads a day.
+	 * @param day the day, counted since 1970
+	 * @return the day with its row's version, 0 if there is no row; or a
+	 * {@link StoreException}
+	 */
+	Promise<DayRow> read(long day) {
+		return this.table.read(key(day)).then((row) -> {
+			if (row.isEmpty()) {
+				return Promise.of(new DayRow(0, MeasuredDay.begin(day)));
+			}
+			return MeasuredDay.decode(row.get().value())
+				.fold((failure) -> Promise.ofException(new StoreException(failure)),
+						(measured) -> Promise.of(new DayRow(row.get().version(), measured)));
+		});
+	}
+
+	Promise<TableService.WriteResult> write(long day, DayRow row) {
+		return this.table.write(key(day), row.version(), row.day().encode());
+	}
+
+	private String key(long day) {
+		return "measures/" + LocalDate.ofEpochDay(day) + "/" + this.cell;
+	}
+
+	/**
+	 * A day as read.
+	 *
+	 * @param version the row's version; 0 if there is none
+	 * @param day what is kept of the day
+	 */
+	record DayRow(long version, MeasuredDay day) {
+
+	}
+
+}
--- /dev/null
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/measure/MeasuredDay.java
@@ -0,0 +1,73 @@
+package org.brasspier.daemon.internal.measure;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import java.util.TreeMap;
+
+import com.google.gson.Gson;
+import com.google.gson.JsonParseException;
+import io.vavr.control.Either;
+import org.brasspier.core.ErrorKind;
+import org.brasspier.core.Failure;
+import org.brasspier.core.measure.MeasureSums;
+import org.brasspier.wire.StoredState;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * What is kept of one day of one cell, hour by hour. Immutable and thread-safe.
+ *
+ * @param collectedUntil the last minute whose reports are in, counted since 1970
+ * @param write the id of the write that made it, so that a lost answer can be settled
+ * @param hours the measures by hour of the day and service
+ */
+record MeasuredDay(long collectedUntil, String write, Map<Integer, Map<String, MeasureSums>> hours) {
+
+	private static final Gson GSON = new Gson();
+
+	/**
+	 * Begins a day.
+	 * @param day the day, counted since 1970
+	 * @return a day of which nothing is kept
+	 */
+	static MeasuredDay begin(long day) {
+		return new MeasuredDay(day * 24 * 60 - 1, "", Map.of());
+	}
+
+	/**
+	 * This day with more measures.
+	 * @param until the last minute whose reports are in now
+	 * @param id the id of the write
+	 * @param hour the hour that they belong to
+	 * @param more the measures of each service
+	 * @return the day
+	 */
+	MeasuredDay plus(long until, String id, int hour, Map<String, MeasureSums> more) {
+		Map<Integer, Map<String, MeasureSums>> all = new TreeMap<>(this.hours);
+		Map<String, MeasureSums> services = new TreeMap<>(all.getOrDefault(hour, Map.of()));
+		more.forEach((service, sums) -> services.merge(service, sums, MeasureSums::plus));
+		all.put(hour, services);
+		return new MeasuredDay(Math.max(until, this.collectedUntil), id, all);
+	}
+
+	byte[] encode() {
+		return StoredState.wrap(GSON.toJson(this).getBytes(StandardCharsets.UTF_8));
+	}
+
+	static Either<Failure, MeasuredDay> decode(byte[] bytes) {
+		return StoredState.unwrap(bytes).flatMap((contents) -> {
+			try {
+				@Nullable MeasuredDay day = GSON.fromJson(new String(contents, StandardCharsets.UTF_8), MeasuredDay.class);
+				return (day != null && day.hours() != null) ? Either.right(day) : unreadable("it is empty");
+			}
+			catch (JsonParseException ex) {
+				return unreadable(String.valueOf(ex.getMessage()));
+			}
+		});
+	}
+
+	private static Either<Failure, MeasuredDay> unreadable(String why) {
+		return Either.left(Failure.of(ErrorKind.STATE_UNREADABLE,
+				"stored measures refused: " + why + " (TROUBLESHOOTING.md#stored-state)"));
+	}
+
+}
--- /dev/null
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/operator/EventCalls.java
@@ -0,0 +1,85 @@
+package org.brasspier.daemon.internal.operator;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Predicate;
+
+import io.activej.http.HttpRequest;
+import io.activej.http.HttpResponse;
+import io.activej.promise.Promise;
+import org.brasspier.core.InstanceId;
+import org.brasspier.core.KeyHash;
+import org.brasspier.core.KeyRange;
+import org.brasspier.daemon.internal.event.Event;
+import org.brasspier.daemon.internal.event.EventLog;
+import org.brasspier.daemon.internal.event.EventSubject;
+import org.brasspier.wire.operator.EventsAnswer;
+
+/**
+ * The time line of this daemon, filtered as an operator asks. Belongs to the thread of
+ * operators.
+ */
+final class EventCalls {
+
+	/** Some 500 KB of JSON: enough for a page, bounded for the daemon's small heap. */
+	private static final int MAX_EVENTS = 2000;
+
+	private final InstanceId self;
+
+	private final EventLog events;
+
+	EventCalls(InstanceId self, EventLog events) {
+		this.self = self;
+		this.events = events;
+	}
+
+	Promise<HttpResponse> events(HttpRequest request) {
+		Query query = Query.of(request);
+		List<Event> all = this.events.after(query.number("after").orElse(0L));
+		List<Event> page = all.stream().filter(filter(query)).toList();
+		List<Event> latest = page.subList(Math.max(0, page.size() - MAX_EVENTS), page.size());
+		long last = (all.isEmpty()) ? query.number("after").orElse(0L) : all.getLast().number();
+		return Promise.of(Answers.ok(new EventsAnswer(this.self.value(), last, this.events.lostInAll(),
+				this.events.pushedOutUntil().orElse(0L), latest.stream().map((event) -> render(event)).toList())));
+	}
+
+	private static Predicate<Event> filter(Query query) {
+		Predicate<Event> wanted = (event) -> true;
+		Optional<String> kind = query.text("kind");
+		if (kind.isPresent()) {
+			wanted = wanted.and((event) -> event.kind().name().equalsIgnoreCase(kind.get())
+					|| Integer.toString(event.kind().number()).equals(kind.get()));
+		}
+		Optional<String> request = query.text("request");
+		if (request.isPresent()) {
+			wanted = wanted.and((event) -> event.subject().request().equals(request));
+		}
+		Optional<String> instance = query.text("instance");
+		if (instance.isPresent()) {
+			wanted = wanted
+				.and((event) -> event.subject().instance().equals(instance) || event.detail().contains(instance.get()));
+		}
+		Optional<String> key = query.text("key");
+		if (key.isPresent()) {
+			wanted = wanted.and((event) -> touches(event.subject(), key.get()));
+		}
+		Optional<KeyRange> range = query.text("range").map(Ranges::parse);
+		return (range.isPresent()) ? wanted.and((event) -> overlaps(event.subject(), range.get())) : wanted;
+	}
+
+	private static boolean touches(EventSubject subject, String key) {
+		return subject.key().filter(key::equals).isPresent()
+				|| subject.range().filter((range) -> range.contains(KeyHash.of(key))).isPresent();
+	}
+
+	private static boolean overlaps(EventSubject subject, KeyRange range) {
+		return subject.range().filter((other) -> other.low() < range.high() && range.low() < other.high()).isPresent()
+				|| subject.key().filter((key) -> range.contains(KeyHash.of(key))).isPresent();
+	}
+
+	private EventsAnswer.Entry render(Event event) {
+		return new EventsAnswer.Entry(event.number(), event.stamp().packed(), event.stamp().millis(),
+				event.kind().number(), event.kind().name(), this.self.value(), event.subject().text(), event.detail());
+	}
+
+}
--- /dev/null
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/operator/OrderCalls.java
@@ -0,0 +1,82 @@
+package org.brasspier.daemon.internal.operator;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.BiFunction;
+import java.util.function.Supplier;
+
+import io.activej.http.HttpRequest;
+import io.activej.http.HttpResponse;
+import io.activej.promise.Promise;
+import io.vavr.control.Either;
+import org.brasspier.core.ErrorKind;
+import org.brasspier.core.Failure;
+import org.brasspier.core.InstanceId;
+import org.brasspier.core.ServiceName;
+import org.brasspier.core.event.EventKind;
+import org.brasspier.daemon.internal.event.EventLog;
+import org.brasspier.daemon.internal.ownership.OwnershipOrders;
+import org.brasspier.wire.operator.OperatorJson;
+import org.brasspier.wire.operator.OrderAnswer;
+import org.brasspier.wire.operator.OrderRequest;
+
+/**
+ * The operators' orders about ownership. Belongs to the thread of operators.
+ */
+final class OrderCalls {
+
+	private static final int MAX_BODY_BYTES = 4096;
+
+	private final Supplier<Optional<OwnershipOrders>> orders;
+
+	private final EventLog events;
+
+	OrderCalls(Supplier<Optional<OwnershipOrders>> orders, EventLog events) {
+		this.orders = orders;
+		this.events = events;
+	}
+
+	Promise<HttpResponse> drain(HttpRequest request) {
+		return order(request, "drain", (orders, order) -> orders.drain(new InstanceId(order.instance())));
+	}
+
+	Promise<HttpResponse> undrain(HttpRequest request) {
+		return order(request, "undrain", (orders, order) -> orders.undrain(new InstanceId(order.instance())));
+	}
+
+	Promise<HttpResponse> move(HttpRequest request) {
+		return order(request, "move", (orders, order) -> orders.move(new ServiceName(order.service()),
+				Ranges.parse(order.range()), new InstanceId(order.instance())));
+	}
+
+	Promise<HttpResponse> declareLost(HttpRequest request) {
+		return order(request, "declare-lost", (orders, order) -> (order
+			.confirmed()) ? orders.declareLost(new InstanceId(order.instance())) : refused(ErrorKind.BAD_REQUEST,
+					"declare-lost breaks sole ownership if the instance still runs, so it must be confirmed (see TROUBLESHOOTING.md#declare-lost)"));
+	}
+
+	private static CompletableFuture<Either<Failure, String>> refused(ErrorKind kind, String detail) {
+		return CompletableFuture.completedFuture(Either.left(Failure.of(kind, detail)));
+	}
+
+	private Promise<HttpResponse> order(HttpRequest request, String name,
+			BiFunction<OwnershipOrders, OrderRequest, CompletableFuture<Either<Failure, String>>> carryOut) {
+		return request.loadBody(MAX_BODY_BYTES)
+			.map((body) -> OperatorJson.read(body.getString(StandardCharsets.UTF_8), OrderRequest.class))
+			.then((read) -> {
+				if (read.isLeft()) {
+					return Promise.of(Answers.failed(read.getLeft()));
+				}
+				OrderRequest order = read.get();
+				this.events.record(EventKind.OPERATOR_ORDER, new InstanceId(order.instance()),
+						"%s %s %s".formatted(name, order.service(), order.range()).strip());
+				return Promise
+					.ofCompletionStage(this.orders.get()
+						.map((orders) -> carryOut.apply(orders, order))
+						.orElseGet(() -> refused(ErrorKind.ORDER_REFUSED, "this daemon has not joined its cell yet")))
+					.map((done) -> done.fold(Answers::failed, (result) -> Answers.ok(new OrderAnswer(result))));
+			});
+	}
+
+}
--- /dev/null
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/operator/PeerClient.java
@@ -0,0 +1,103 @@
+package org.brasspier.daemon.internal.operator;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.function.Supplier;
+import java.util.stream.Stream;
+
+import io.activej.bytebuf.ByteBuf;
+import io.activej.http.HttpClient;
+import io.activej.http.HttpHeaders;
+import io.activej.http.HttpRequest;
+import io.activej.http.HttpResponse;
+import io.activej.promise.Promise;
+import io.activej.promise.Promises;
+import org.brasspier.core.InstanceId;
+import org.brasspier.core.measure.MinuteReport;
+import org.brasspier.core.routing.PeerAddress;
+import org.brasspier.daemon.internal.DaemonContext;
+import org.brasspier.daemon.internal.document.PeerDocuments;
+import org.brasspier.daemon.internal.measure.MemberReports;
+import org.brasspier.daemon.internal.ownership.CellView;
+import org.brasspier.wire.PeerProof;
+import org.brasspier.wire.SharedKeys;
+import org.brasspier.wire.operator.MinuteReports;
+import org.brasspier.wire.operator.OperatorJson;
+
+/**
+ * Asks other daemons of the cell on their operator ports. Belongs to the thread of its
+ * HTTP client.
+ */
+final class PeerClient implements PeerDocuments, MemberReports {
+
+	private static final int MAX_BODY_BYTES = 4 << 20;
+
+	private final HttpClient http;
+
+	private final DaemonContext context;
+
+	private final Supplier<CellView> cell;
+
+	PeerClient(HttpClient http, DaemonContext context, Supplier<CellView> cell) {
+		this.http = http;
+		this.context = context;
+		this.cell = cell;
+	}
+
+	@Override
+	public Promise<byte[]> fetch(InstanceId peer) {
+		return this.cell.get()
+			.members()
+			.stream()
+			.filter((member) -> member.instance().equals(peer))
+			.findFirst()
+			.map((member) -> ask(member.address(), PeerCalls.DOCUMENT))
+			.orElseGet(() -> Promise.ofException(new IOException("peer %s has no known address".formatted(peer))));
+	}
+
+	@Override
+	public Promise<List<MinuteReport>> after(long afterMinute) {
+		InstanceId self = this.context.settings().instance();
+		Stream<Promise<List<MinuteReport>>> others = this.cell.get()
+			.members()
+			.stream()
+			.filter((member) -> !member.instance().equals(self))
+			.map((member) -> reports(member.address(), afterMinute));
+		Promise<List<MinuteReport>> own = Promise.of(this.context.outcomes().after(afterMinute));
+		return Promises.toList(Stream.concat(Stream.of(own), others))
+			.map((lists) -> lists.stream().flatMap(List::stream).toList());
+	}
+
+	private Promise<List<MinuteReport>> reports(PeerAddress address, long afterMinute) {
+		// A member that doesn't answer must not keep the others' measures from being
+		// kept.
+		return ask(address, PeerCalls.MEASURES + "?after=" + afterMinute)
+			.map((body) -> OperatorJson.read(new String(body, StandardCharsets.UTF_8), MinuteReports.class)
+				.map(MinuteReports::read)
+				.getOrElse(List.of()))
+			.map((reports) -> reports, (ex) -> List.of());
+	}
+
+	private Promise<byte[]> ask(PeerAddress address, String path) {
+		SharedKeys keys = this.context.settings().secrets().sharedKeys();
+		String nonce = PeerProof.nonce();
+		HttpRequest request = HttpRequest.get("http://%s:%d%s".formatted(address.host(), address.operatorPort(), path))
+			.withHeader(PeerCalls.NONCE, nonce)
+			.withHeader(PeerCalls.PROOF, PeerProof.ask(keys, path, nonce))
+			.withHeader(HttpHeaders.ACCEPT_ENCODING, "gzip")
+			.build();
+		return this.http.request(request)
+			.then((response) -> response.loadBody(MAX_BODY_BYTES)
+				.map(ByteBuf::getArray)
+				.then((body) -> checked(keys, nonce, response, body)));
+	}
+
+	private static Promise<byte[]> checked(SharedKeys keys, String nonce, HttpResponse response, byte[] body) {
+		String proof = response.getHeader(PeerCalls.PROOF);
+		boolean proved = response.getCode() == 200 && proof != null && PeerProof.answered(keys, nonce, body, proof);
+		return (proved) ? Promise.of(body)
+				: Promise.ofException(new IOException("peer answered status %d".formatted(response.getCode())));
+	}
+
+}
--- /dev/null
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/operator/Query.java
@@ -0,0 +1,38 @@
+package org.brasspier.daemon.internal.operator;
+
+import java.util.Optional;
+
+import io.activej.http.HttpRequest;
+
+/**
+ * The parameters of a request to the operator port. Belongs to the thread of operators.
+ *
+ * @param request the request
+ */
+record Query(HttpRequest request) {
+
+	static Query of(HttpRequest request) {
+		return new Query(request);
+	}
+
+	Optional<String> text(String name) {
+		return Optional.ofNullable(this.request.getQueryParameter(name)).filter((value) -> !value.isEmpty());
+	}
+
+	String needed(String name) {
+		return text(name).orElseThrow(() -> new IllegalArgumentException(
+				"parameter %s is missing (see TROUBLESHOOTING.md#bad-operator-request)".formatted(name)));
+	}
+
+	Optional<Long> number(String name) {
+		return text(name).map((value) -> {
+			if (!value.matches("-?[0-9]{1,18}")) {
+				throw new IllegalArgumentException(
+						"parameter %s \"%s\" must be a whole number (see TROUBLESHOOTING.md#bad-operator-request)"
+							.formatted(name, value));
+			}
+			return Long.parseLong(value);
+		});
+	}
+
+}
--- /dev/null
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/operator/Ranges.java
@@ -0,0 +1,37 @@
+package org.brasspier.daemon.internal.operator;
+
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+import org.brasspier.core.KeyRange;
+
+/**
+ * Reads ranges as operators write them. Stateless and thread-safe.
+ */
+final class Ranges {
+
+	private static final Pattern RANGE = Pattern.compile("([0-9a-fA-F]{1,8})-([0-9a-fA-F]{1,8})");
+
+	private static final int HEXADECIMAL = 16;
+
+	private Ranges() {
+	}
+
+	/**
+	 * Reads a range.
+	 * @param text {@code LOW-HIGH} in hexadecimal, both inclusive
+	 * @return the range
+	 * @throws IllegalArgumentException if the text is no range
+	 */
+	static KeyRange parse(String text) {
+		Matcher matcher = RANGE.matcher(text);
+		if (!matcher.matches()) {
+			throw new IllegalArgumentException(
+					"range \"%s\" must read LOW-HIGH in hexadecimal (see TROUBLESHOOTING.md#bad-operator-request)"
+						.formatted(text));
+		}
+		return new KeyRange(Long.parseLong(matcher.group(1), HEXADECIMAL),
+				Long.parseLong(matcher.group(2), HEXADECIMAL) + 1);
+	}
+
+}
--- a/daemon/src/main/java/org/brasspier/daemon/internal/operator/package-info.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/operator/package-info.java
@@ -1,5 +1,5 @@
 /**
- * The port for operators.
+ * The operator port: documents, orders, status, time line, metrics and measures.
  */
 @NullMarked
 package org.brasspier.daemon.internal.operator;
--- a/daemon/src/main/java/org/brasspier/daemon/internal/settings/Settings.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/settings/Settings.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 
 import org.brasspier.core.FailureDomain;
 import org.brasspier.core.InstanceId;
@@ -74,8 +75,11 @@
 	 * @param sharedKeys the keys that daemons share
 	 * @param operatorSecrets the operators' secrets, each of them accepted
 	 * @param platformToken the platform's bearer token
+	 * @param operatorSecretsFile the file that the operators' secrets came from, which is
+	 * read anew when it changes; empty if they came from the environment
 	 */
-	public record Secrets(SharedKeys sharedKeys, List<String> operatorSecrets, String platformToken) {
+	public record Secrets(SharedKeys sharedKeys, List<String> operatorSecrets, String platformToken,
+			Optional<String> operatorSecretsFile) {
 
 		/**
 		 * Copies the list.
@@ -84,6 +88,16 @@
 			operatorSecrets = List.copyOf(operatorSecrets);
 		}
 
+		/**
+		 * Secrets that came from the environment.
+		 * @param sharedKeys the keys that daemons share
+		 * @param operatorSecrets the operators' secrets, each of them accepted
+		 * @param platformToken the platform's bearer token
+		 */
+		public Secrets(SharedKeys sharedKeys, List<String> operatorSecrets, String platformToken) {
+			this(sharedKeys, operatorSecrets, platformToken, Optional.empty());
+		}
+
 		@Override
 		public String toString() {
 			return "Secrets[]";
--- a/daemon/src/main/java/org/brasspier/daemon/internal/settings/SettingsReader.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/settings/SettingsReader.java
@@ -150,7 +150,9 @@
 		Optional<String> token = valid("BRASSPIER_PLATFORM_TOKEN or --platform-token-file",
 				() -> secretList("BRASSPIER_PLATFORM_TOKEN", this.flags.platformTokenFile).getFirst());
 		return (keys.isPresent() && operators.isPresent() && token.isPresent())
-				? Optional.of(new Settings.Secrets(keys.get(), operators.get(), token.get())) : Optional.empty();
+				? Optional.of(new Settings.Secrets(keys.get(), operators.get(), token.get(),
+						Optional.of(this.flags.operatorSecretsFile).filter((file) -> !file.isEmpty())))
+				: Optional.empty();
 	}
 
 	private List<String> operatorSecrets() {
--- a/daemon/src/test/java/org/brasspier/daemon/internal/document/FakePlatform.java
+++ b/daemon/src/test/java/org/brasspier/daemon/internal/document/FakePlatform.java
@@ -16,17 +16,17 @@
 /**
  * A table and object store in memory, with faults on request.
  */
-final class FakePlatform implements TableService, ObjectStore {
+public final class FakePlatform implements TableService, ObjectStore {
 
 	private static final Runnable NOTHING = () -> {
 	};
 
-	final Map<String, Row> rows = new HashMap<>();
+	public final Map<String, Row> rows = new HashMap<>();
 
-	final Map<String, byte[]> objects = new HashMap<>();
+	public final Map<String, byte[]> objects = new HashMap<>();
 
 	/** What happens to the next writes, in order; none means they succeed. */
-	final Deque<WriteFault> writeFaults = new ArrayDeque<>();
+	public final Deque<WriteFault> writeFaults = new ArrayDeque<>();
 
 	/** Run once, before the next write. */
 	Runnable beforeWrite = NOTHING;
@@ -34,7 +34,7 @@
 	/** Run once, after the next write whose answer is lost. */
 	Runnable afterLostAnswer = NOTHING;
 
-	boolean down;
+	public boolean down;
 
 	int reads;
 
@@ -107,7 +107,7 @@
 	/**
 	 * What happens to a write.
 	 */
-	enum WriteFault {
+	public enum WriteFault {
 
 		/** Nothing. */
 		NONE,
--- /dev/null
+++ b/daemon/src/test/java/org/brasspier/daemon/internal/measure/MeasureKeeperTests.java
@@ -0,0 +1,145 @@
+package org.brasspier.daemon.internal.measure;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+
+import io.activej.promise.Promise;
+import org.brasspier.core.Fence;
+import org.brasspier.core.InstanceId;
+import org.brasspier.core.KeyHash;
+import org.brasspier.core.KeyRange;
+import org.brasspier.core.ServiceName;
+import org.brasspier.core.measure.MeasureSums;
+import org.brasspier.core.measure.MinuteReport;
+import org.brasspier.daemon.internal.document.FakePlatform;
+import org.brasspier.daemon.internal.event.EventLog;
+import org.brasspier.daemon.internal.ownership.CellView;
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * The measures are kept in the platform's store, each minute and move once.
+ */
+class MeasureKeeperTests {
+
+	private static final ServiceName HULLBOOK = new ServiceName("hullbook");
+
+	private static final long NOON = TimeUnit.DAYS.toMillis(20_000) + TimeUnit.HOURS.toMillis(12);
+
+	private final FakePlatform platform = new FakePlatform();
+
+	private final List<MinuteReport> counted = new ArrayList<>();
+
+	private long millis = NOON;
+
+	private long viewVersion;
+
+	private final MeasureKeeper keeper = keeper();
+
+	@Test
+	void reportsAreAddedOnceHoweverOftenTheyAreCollected() {
+		minute(10);
+		keep(this.keeper, "a");
+		keep(this.keeper, "a");
+		minute(5);
+		keep(this.keeper, "a");
+		assertThat(sums().requests()).isEqualTo(15);
+	}
+
+	// The primary lease manager is lost between two writes. Its successor collects from
+	// the daemons what the lost one had not kept yet, and nothing twice.
+	@Test
+	void anotherPrimaryGoesOnWhereTheLastOneStopped() {
+		minute(10);
+		keep(this.keeper, "a");
+		minute(5);
+		keep(keeper(), "a");
+		assertThat(sums().requests()).isEqualTo(15);
+	}
+
+	// The write of the measures takes effect and its answer is lost. The next run must
+	// neither forget the moves nor count them twice.
+	@Test
+	void movesAreCountedOnceThoughAnAnswerIsLost() {
+		keep(this.keeper, "a");
+		this.platform.writeFaults.add(FakePlatform.WriteFault.ANSWER_LOST);
+		keep(this.keeper, "b");
+		keep(this.keeper, "b");
+		assertThat(sums().movedPoints()).isEqualTo(KeyHash.SPACE);
+	}
+
+	@Test
+	void movesAreKeptThoughAWriteIsLost() {
+		keep(this.keeper, "a");
+		this.platform.writeFaults.add(FakePlatform.WriteFault.WRITE_LOST);
+		keep(this.keeper, "b");
+		keep(this.keeper, "b");
+		assertThat(sums().movedPoints()).isEqualTo(KeyHash.SPACE);
+	}
+
+	@Test
+	void whatIsMeasuredDuringAnOutageIsKeptAfterIt() {
+		this.platform.down = true;
+		minute(10);
+		keep(this.keeper, "a");
+		keep(this.keeper, "b");
+		this.platform.down = false;
+		keep(this.keeper, "b");
+		assertThat(sums().requests()).isEqualTo(10);
+		assertThat(sums().movedPoints()).isEqualTo(KeyHash.SPACE);
+	}
+
+	@Test
+	void theLastMinutesOfADayAreKeptAfterMidnight() {
+		this.millis = TimeUnit.DAYS.toMillis(20_001) - TimeUnit.MINUTES.toMillis(2);
+		minute(10);
+		keep(this.keeper, "a");
+		assertThat(this.platform.rows.keySet().stream().filter((key) -> key.startsWith("measures/2024-10-04")).count())
+			.isEqualTo(1);
+		assertThat(sums().requests()).isEqualTo(10);
+	}
+
+	@Test
+	void onlyThePrimaryWrites() {
+		minute(10);
+		this.millis += MeasureKeeper.PERIOD.toMillis();
+		this.keeper.tick(view("a"), false);
+		assertThat(this.platform.rows).isEmpty();
+	}
+
+	private MeasureKeeper keeper() {
+		return new MeasureKeeper(this.platform, "main",
+				(after) -> Promise.of(this.counted.stream().filter((report) -> report.minute() > after).toList()),
+				new EventLog(100), () -> this.millis);
+	}
+
+	private void minute(long requests) {
+		this.counted.add(new MinuteReport(new InstanceId("a"), HULLBOOK, TimeUnit.MILLISECONDS.toMinutes(this.millis),
+				requests, 0, 0, 0, 1));
+		this.millis += Duration.ofMinutes(1).toMillis();
+	}
+
+	private void keep(MeasureKeeper by, String owner) {
+		this.millis += MeasureKeeper.PERIOD.toMillis();
+		by.tick(view(owner), true);
+	}
+
+	private CellView view(String owner) {
+		CellView.Range range = new CellView.Range(HULLBOOK, KeyRange.ALL, Optional.of(new InstanceId(owner)),
+				Fence.NONE);
+		return new CellView(++this.viewVersion, 1, Optional.empty(), Optional.empty(), List.of(), List.of(range),
+				List.of());
+	}
+
+	private MeasureSums sums() {
+		return this.keeper.read(0L + NOON - TimeUnit.HOURS.toMillis(1), this.millis)
+			.getResult()
+			.services()
+			.getOrDefault(HULLBOOK.value(), MeasureSums.ZERO);
+	}
+
+}
--- /dev/null
+++ b/wire/src/main/java/org/brasspier/wire/PeerProof.java
@@ -0,0 +1,96 @@
+package org.brasspier.wire;
+
+import java.nio.charset.StandardCharsets;
+import java.security.SecureRandom;
+import java.util.HexFormat;
+
+/**
+ * Proofs by the shared key for the few calls that daemons make to each other over HTTP.
+ * The asker proves itself over what it asks and a random number, the answerer over that
+ * number and the answer, so that nobody in between can make up an answer. A recorded
+ * question could be asked again; what it fetches holds no secret. Stateless and
+ * thread-safe.
+ */
+public final class PeerProof {
+
+	private static final SecureRandom RANDOM = new SecureRandom();
+
+	private static final int NONCE_BYTES = 16;
+
+	private PeerProof() {
+	}
+
+	/**
+	 * A random number for a question.
+	 * @return 32 hexadecimal digits
+	 */
+	public static String nonce() {
+		byte[] nonce = new byte[NONCE_BYTES];
+		RANDOM.nextBytes(nonce);
+		return HexFormat.of().formatHex(nonce);
+	}
+
+	/**
+	 * Proves a question.
+	 * @param keys the shared keys
+	 * @param path what is asked
+	 * @param nonce the question's random number
+	 * @return the proof, in hexadecimal
+	 */
+	public static String ask(SharedKeys keys, String path, String nonce) {
+		return HexFormat.of().formatHex(keys.prove(question(path, nonce)));
+	}
+
+	/**
+	 * Checks the proof of a question.
+	 * @param keys the shared keys
+	 * @param path what is asked
+	 * @param nonce the question's random number
+	 * @param proof the proof that came with it
+	 * @return whether the asker knows a shared key
+	 */
+	public static boolean asked(SharedKeys keys, String path, String nonce, String proof) {
+		return holds(keys, question(path, nonce), proof);
+	}
+
+	/**
+	 * Proves an answer.
+	 * @param keys the shared keys
+	 * @param nonce the question's random number
+	 * @param body the answer
+	 * @return the proof, in hexadecimal
+	 */
+	public static String answer(SharedKeys keys, String nonce, byte[] body) {
+		return HexFormat.of().formatHex(keys.prove(reply(nonce, body)));
+	}
+
+	/**
+	 * Checks the proof of an answer.
+	 * @param keys the shared keys
+	 * @param nonce the question's random number
+	 * @param body the answer
+	 * @param proof the proof that came with it
+	 * @return whether the answerer knows a shared key
+	 */
+	public static boolean answered(SharedKeys keys, String nonce, byte[] body, String proof) {
+		return holds(keys, reply(nonce, body), proof);
+	}
+
+	private static boolean holds(SharedKeys keys, byte[] message, String proof) {
+		try {
+			return keys.matching(message, HexFormat.of().parseHex(proof)).isPresent();
+		}
+		catch (IllegalArgumentException ex) {
+			return false;
+		}
+	}
+
+	private static byte[] question(String path, String nonce) {
+		return ("brasspier peer question\n" + nonce + "\n" + path).getBytes(StandardCharsets.UTF_8);
+	}
+
+	private static byte[] reply(String nonce, byte[] body) {
+		return ("brasspier peer answer\n" + nonce + "\n" + StoredState.checksum(body)).getBytes(StandardCharsets.UTF_8);
+	}
+
+}
