--- a/bench/src/main/java/org/brasspier/bench/capacity/CapacityBench.java
+++ b/bench/src/main/java/org/brasspier/bench/capacity/CapacityBench.java
@@ -25,7 +25,7 @@
 	 */
 	public static void run(Path output, Path page) throws IOException {
 		List<Slope> slopes = new ArrayList<>();
-		for (SlopeSuite suite : List.of(new RouteSlopes(), new FrameSlopes())) {
+		for (SlopeSuite suite : List.of(new CellSlopes(), new RouteSlopes(), new FrameSlopes())) {
 			slopes.addAll(suite.measure());
 		}
 		Files.createDirectories(output);
--- /dev/null
+++ b/bench/src/main/java/org/brasspier/bench/capacity/SimulatedCell.java
@@ -0,0 +1,243 @@
+package org.brasspier.bench.capacity;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.stream.IntStream;
+
+import org.brasspier.core.FailureDomain;
+import org.brasspier.core.InstanceId;
+import org.brasspier.core.ServiceName;
+import org.brasspier.core.ownership.CellRow;
+import org.brasspier.core.ownership.ControlMessage;
+import org.brasspier.core.ownership.MemberInfo;
+import org.brasspier.core.ownership.MemberKey;
+import org.brasspier.core.ownership.MemberPhase;
+import org.brasspier.core.ownership.OwnershipAction;
+import org.brasspier.core.ownership.OwnershipMachine;
+import org.brasspier.core.ownership.Timing;
+import org.brasspier.core.ownership.VersionedRow;
+import org.brasspier.core.placement.BalancingPlacement;
+import org.brasspier.core.routing.PeerAddress;
+import org.brasspier.wire.CellRowCodec;
+import org.brasspier.wire.ControlCodec;
+import org.brasspier.wire.FrameDecoder;
+import org.brasspier.wire.WireException;
+
+/**
+ * A cell's ownership machines in one thread, with the real codecs between them and a
+ * table that answers at once: what steady state costs each role in bytes, processor time
+ * and calls of the table, without a network to blur it. Not thread-safe.
+ */
+final class SimulatedCell {
+
+	private static final int TICK_MILLIS = 25;
+
+	private static final int DOMAINS = 4;
+
+	private static final int SLOTS = 17;
+
+	private static final ServiceName SERVICE = new ServiceName("hullbook");
+
+	private final Map<InstanceId, Process> processes = new HashMap<>();
+
+	private VersionedRow row = VersionedRow.NONE;
+
+	private long now;
+
+	private long writes;
+
+	private long reads;
+
+	SimulatedCell(int members) {
+		IntStream.range(0, members).mapToObj(SimulatedCell::member).forEach(this::start);
+	}
+
+	private static MemberInfo member(int index) {
+		return new MemberInfo(new MemberKey(new InstanceId("hullbook-%03d".formatted(index)), 1),
+				new FailureDomain("domain-" + index % DOMAINS),
+				new PeerAddress("10.0.0." + index, 7002, 7001, 7000, 7004), MemberPhase.ACTIVE,
+				Optional.of(new MemberInfo.Backend(SERVICE, SLOTS, true, 0)));
+	}
+
+	private void start(MemberInfo member) {
+		this.processes.put(member.instance(),
+				new Process(new OwnershipMachine(member, Timing.STANDARD, new BalancingPlacement(), 0)));
+	}
+
+	/**
+	 * Runs the cell for a while.
+	 * @param millis how long, on its own clock
+	 */
+	void run(long millis) {
+		long end = this.now + millis;
+		while (this.now < end) {
+			this.now += TICK_MILLIS;
+			this.processes.keySet()
+				.stream()
+				.sorted()
+				.forEach((instance) -> step(instance, (machine) -> machine.tick(this.now)));
+		}
+	}
+
+	/** Forgets what was counted so far. */
+	void resetCounts() {
+		this.processes.values().forEach(Process::reset);
+		this.writes = 0;
+		this.reads = 0;
+	}
+
+	/**
+	 * The primary lease manager's counts.
+	 * @return the counts
+	 */
+	Counts primary() {
+		return process(this.row.row().managers().orElseThrow().primary().instance()).counts();
+	}
+
+	/**
+	 * The counts of a member that manages nothing.
+	 * @return the counts
+	 */
+	Counts member() {
+		return this.row.row()
+			.members()
+			.stream()
+			.map(MemberInfo::key)
+			.filter((key) -> !this.row.row().managers().orElseThrow().includes(key))
+			.findFirst()
+			.map((key) -> process(key.instance()).counts())
+			.orElseThrow();
+	}
+
+	long tableCalls() {
+		return this.reads + this.writes;
+	}
+
+	CellRow row() {
+		return this.row.row();
+	}
+
+	private void step(InstanceId instance, Step step) {
+		Process process = process(instance);
+		long begin = System.nanoTime();
+		List<OwnershipAction> actions = step.take(process.machine);
+		process.nanos += System.nanoTime() - begin;
+		actions.forEach((action) -> carryOut(instance, action));
+	}
+
+	private void carryOut(InstanceId instance, OwnershipAction action) {
+		switch (action) {
+			case OwnershipAction.Send send -> send(instance, send);
+			case OwnershipAction.ReadRow read -> {
+				this.reads++;
+				step(instance, (machine) -> machine.rowRead(this.row, this.now));
+			}
+			case OwnershipAction.WriteRow write -> write(instance, write);
+			case OwnershipAction.Drain drain ->
+				step(instance, (machine) -> machine.drained(drain.held(), List.of(), this.now));
+			case OwnershipAction.Publish publish -> {
+			}
+			case OwnershipAction.HandMarks marks -> {
+			}
+			case OwnershipAction.Tell tell -> {
+			}
+			case OwnershipAction.OrderDone done -> {
+			}
+			case OwnershipAction.Left left -> {
+			}
+		}
+	}
+
+	private void write(InstanceId instance, OwnershipAction.WriteRow write) {
+		this.writes++;
+		if (write.expectedVersion() != this.row.version()) {
+			step(instance, (machine) -> machine.writeConflict(this.now));
+			return;
+		}
+		this.row = new VersionedRow(this.row.version() + 1, CellRowCodec.decode(CellRowCodec.encode(write.row()))
+			.getOrElseThrow((failure) -> new IllegalStateException(failure.detail())));
+		step(instance, (machine) -> machine.written(this.row.version(), this.now));
+	}
+
+	private void send(InstanceId from, OwnershipAction.Send send) {
+		Process sender = process(from);
+		Process receiver = process(send.to());
+		long begin = System.nanoTime();
+		byte[] frame = ControlCodec.encode(send.message());
+		sender.sent(frame.length, System.nanoTime() - begin);
+		begin = System.nanoTime();
+		ControlMessage message = decode(frame);
+		receiver.received(frame.length, System.nanoTime() - begin);
+		step(send.to(), (machine) -> machine.received(from, message, this.now));
+	}
+
+	private static ControlMessage decode(byte[] frame) {
+		try {
+			return ControlCodec.decode(new FrameDecoder(ControlCodec.MAX_FRAME_BYTES).accept(frame).getFirst());
+		}
+		catch (WireException ex) {
+			throw new IllegalStateException("a frame did not survive its own codec", ex);
+		}
+	}
+
+	private Process process(InstanceId instance) {
+		return Objects.requireNonNull(this.processes.get(instance), instance::value);
+	}
+
+	private interface Step {
+
+		List<OwnershipAction> take(OwnershipMachine machine);
+
+	}
+
+	/**
+	 * What a process sent, received and computed.
+	 *
+	 * @param frames frames sent and received
+	 * @param frameBytes the bytes of those frames
+	 * @param nanos the time its decisions and codecs took, in nanoseconds
+	 */
+	record Counts(long frames, long frameBytes, long nanos) {
+
+	}
+
+	private static final class Process {
+
+		private final OwnershipMachine machine;
+
+		private long frames;
+
+		private long frameBytes;
+
+		private long nanos;
+
+		Process(OwnershipMachine machine) {
+			this.machine = machine;
+		}
+
+		void sent(int bytes, long encodingNanos) {
+			this.frames++;
+			this.frameBytes += bytes;
+			this.nanos += encodingNanos;
+		}
+
+		void received(int bytes, long decodingNanos) {
+			sent(bytes, decodingNanos);
+		}
+
+		Counts counts() {
+			return new Counts(this.frames, this.frameBytes, this.nanos);
+		}
+
+		void reset() {
+			this.frames = 0;
+			this.frameBytes = 0;
+			this.nanos = 0;
+		}
+
+	}
+
+}
