The command line tool: forms, draft, document, status, orders, measures, time line

brasspier is built with JCommander. The draft is kept on the operator's machine with the id under which it's submitted, so a submission whose answer was lost is sent again as the same one, to another daemon if need be. A conflict shows what changed and offers to rebase.

Exit codes follow the error kinds; DAEMON_UNREACHABLE (15) is added for the tool.

--- /dev/null
+++ b/cli/src/main/java/org/brasspier/cli/internal/CommandLine.java
@@ -0,0 +1,180 @@
+package org.brasspier.cli.internal;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.Arrays;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+import com.beust.jcommander.JCommander;
+import com.beust.jcommander.ParameterException;
+import io.vavr.control.Either;
+import org.brasspier.core.ErrorKind;
+import org.brasspier.core.Failure;
+import org.brasspier.core.document.Form;
+import org.brasspier.wire.operator.ErrorAnswer;
+import org.brasspier.wire.operator.OperatorJson;
+
+/**
+ * Reads the command line, runs the command and shows what came of it. Serves one command
+ * line; not thread-safe.
+ */
+public final class CommandLine {
+
+	private static final List<String> HELP = List.of("--help", "-h");
+
+	private final Terminal terminal;
+
+	private final Map<String, String> environment;
+
+	private final GlobalFlags flags = new GlobalFlags();
+
+	private final Map<String, Command> commands = new LinkedHashMap<>();
+
+	/**
+	 * Creates the tool.
+	 * @param terminal where the operator sits
+	 * @param environment the environment's variables
+	 */
+	public CommandLine(Terminal terminal, Map<String, String> environment) {
+		this.terminal = terminal;
+		this.environment = Map.copyOf(environment);
+		this.commands.put("form", new FormCommand());
+		this.commands.put("draft", new DraftCommand());
+		this.commands.put("config", new ConfigCommand());
+		this.commands.put("status", new StatusCommand());
+		this.commands.put("owner", new OwnerCommand());
+		this.commands.put("measures", new MeasuresCommand());
+		this.commands.put("timeline", new TimelineCommand());
+		this.commands.put("drain", new DrainCommand());
+		this.commands.put("undrain", new UndrainCommand());
+		this.commands.put("move", new MoveCommand());
+		this.commands.put("declare-lost", new DeclareLostCommand());
+	}
+
+	/**
+	 * Runs one command.
+	 * @param arguments the command line
+	 * @return the exit code
+	 */
+	public int run(String... arguments) {
+		JCommander commander = JCommander.newBuilder().addObject(this.flags).programName("brasspier").build();
+		this.commands.forEach(commander::addCommand);
+		try {
+			// Help is given wherever it's asked for, also in the midst of a half line.
+			if (Arrays.stream(arguments).anyMatch(HELP::contains)) {
+				help(commander, arguments);
+				return 0;
+			}
+			commander.parse(FormCommand.expand(arguments));
+			String name = commander.getParsedCommand();
+			if (name == null) {
+				help(commander, arguments);
+				return ErrorKind.BAD_REQUEST.exitCode();
+			}
+			return finish(command(name).run(session()));
+		}
+		catch (ParameterException | IllegalArgumentException | UncheckedIOException ex) {
+			String detail = "%s; see brasspier --help".formatted(ex.getMessage());
+			return finish(Either.left(ErrorAnswer.of(Failure.of(ErrorKind.BAD_REQUEST, detail))));
+		}
+	}
+
+	private Command command(String name) {
+		Command command = this.commands.get(name);
+		if (command == null) {
+			throw new IllegalArgumentException("there is no command " + name);
+		}
+		return command;
+	}
+
+	private Session session() {
+		if (!List.of("table", "json").contains(this.flags.output)) {
+			throw new IllegalArgumentException("--output \"%s\" must be table or json".formatted(this.flags.output));
+		}
+		Path draft = (this.flags.draft.isEmpty()) ? DraftFile.usual(this.environment) : Path.of(this.flags.draft);
+		return new Session(
+				new OperatorClient(daemons(), secret(), Duration.ofSeconds(Math.max(1, this.flags.timeoutSeconds))),
+				this.terminal, new DraftFile(draft));
+	}
+
+	private List<String> daemons() {
+		List<String> named = (this.flags.daemons.isEmpty())
+				? Arrays.asList(this.environment.getOrDefault("BRASSPIER_DAEMON", "127.0.0.1:7004").split(","))
+				: this.flags.daemons;
+		return named.stream().map(String::strip).toList();
+	}
+
+	private String secret() {
+		if (this.flags.secretFile.isEmpty()) {
+			return this.environment.getOrDefault("BRASSPIER_OPERATOR_SECRET", "");
+		}
+		try {
+			return Files.readString(Path.of(this.flags.secretFile)).strip();
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException("the file of --secret-file can't be read", ex);
+		}
+	}
+
+	private int finish(Either<ErrorAnswer, Report> result) {
+		boolean json = this.flags.output.equals("json");
+		if (result.isRight()) {
+			Report report = result.get();
+			if (json) {
+				this.terminal.out().println(OperatorJson.pretty(report.message()));
+			}
+			else {
+				report.lines().forEach(this.terminal.out()::println);
+			}
+			this.terminal.out().flush();
+			return 0;
+		}
+		ErrorAnswer error = result.getLeft();
+		if (json) {
+			this.terminal.out().println(OperatorJson.pretty(error));
+		}
+		else {
+			this.terminal.err().println("%s: %s".formatted(error.error(), error.detail()));
+			DraftCommand.faults(error.faults()).forEach(this.terminal.err()::println);
+		}
+		this.terminal.out().flush();
+		return error.error().exitCode();
+	}
+
+	private void help(JCommander commander, String[] arguments) {
+		StringBuilder text = new StringBuilder();
+		String asked = Arrays.stream(arguments).filter(this.commands::containsKey).findFirst().orElse("");
+		if (asked.isEmpty()) {
+			commander.getUsageFormatter().usage(text);
+			text.append("\nA first session:\n")
+				.append("  export BRASSPIER_DAEMON=127.0.0.1:7004 BRASSPIER_OPERATOR_SECRET=...\n")
+				.append("  brasspier form service hullbook --divided-by-key yes\n")
+				.append("  brasspier form domains --regions duluth=great-lakes,milwaukee=great-lakes\n")
+				.append("  brasspier draft check && brasspier draft submit\n")
+				.append("  brasspier status\n");
+		}
+		else {
+			commander.getUsageFormatter().usage(asked, text);
+		}
+		if (asked.equals("form")) {
+			fields(text);
+		}
+		this.terminal.out().print(text);
+		this.terminal.out().flush();
+	}
+
+	private static void fields(StringBuilder text) {
+		for (Form form : Form.values()) {
+			text.append("\n  form %s%s\n".formatted(form.key(), (form.hasSubject()) ? " SERVICE" : ""));
+			form.fields()
+				.forEach((field) -> text.append("    --%s  %s%s%n".formatted(field.name(), field.rule().allowed(),
+						(field.unit().isEmpty()) ? "" : " in " + field.unit())));
+		}
+	}
+
+}
--- /dev/null
+++ b/cli/src/main/java/org/brasspier/cli/internal/ConfigCommand.java
@@ -0,0 +1,130 @@
+package org.brasspier.cli.internal;
+
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.Parameters;
+import io.vavr.control.Either;
+import org.brasspier.core.document.DocumentDiff;
+import org.brasspier.wire.operator.DocumentAnswer;
+import org.brasspier.wire.operator.ErrorAnswer;
+import org.brasspier.wire.operator.HistoryAnswer;
+import org.brasspier.wire.operator.StatusAnswer;
+
+/**
+ * Shows the versions of the document.
+ */
+@Parameters(
+		commandDescription = "the document in force and before: show [VERSION] | history | diff [OLD [NEW]] | status")
+final class ConfigCommand implements Command {
+
+	@Parameter(description = "show [VERSION] | history | diff [OLD [NEW]] | status")
+	private List<String> words = new ArrayList<>();
+
+	@Parameter(names = "--count", description = "how many versions to look back, up to 100")
+	private int count = 100;
+
+	@Override
+	public Either<ErrorAnswer, Report> run(Session session) {
+		String verb = (this.words.isEmpty()) ? "" : this.words.getFirst();
+		if (this.words.stream().skip(1).anyMatch((word) -> !word.matches("[0-9]{1,18}"))) {
+			return Session.refuse("a version is a whole number");
+		}
+		return switch (verb) {
+			case "show" -> version(session, 1).map(ConfigCommand::show);
+			case "history" -> history(session).map(ConfigCommand::history);
+			case "diff" -> diff(session);
+			case "status" -> Either.right(status(session));
+			default -> Session.refuse("say one of config show, history, diff or status");
+		};
+	}
+
+	private Either<ErrorAnswer, HistoryAnswer> history(Session session) {
+		return session.client().get("/v1/document/history?count=" + this.count, HistoryAnswer.class);
+	}
+
+	private Either<ErrorAnswer, DocumentAnswer> version(Session session, int word) {
+		if (this.words.size() <= word) {
+			return session.inForce();
+		}
+		long wanted = Long.parseLong(this.words.get(word));
+		return history(session).flatMap((history) -> find(history, wanted));
+	}
+
+	private static Either<ErrorAnswer, DocumentAnswer> find(HistoryAnswer history, long wanted) {
+		if (wanted == 0) {
+			return Either.right(DocumentAnswer.NONE);
+		}
+		Optional<DocumentAnswer> found = history.versions()
+			.stream()
+			.filter((version) -> version.version() == wanted)
+			.findFirst();
+		return found.<Either<ErrorAnswer, DocumentAnswer>>map(Either::right)
+			.orElseGet(() -> Session
+				.refuse("version %d is not among the latest %d".formatted(wanted, history.versions().size())));
+	}
+
+	private static Report show(DocumentAnswer answer) {
+		List<String> lines = new ArrayList<>();
+		lines.add("version %d".formatted(answer.version()));
+		Table table = new Table("PLACE", "VALUE");
+		answer.fields()
+			.entrySet()
+			.stream()
+			.sorted(java.util.Map.Entry.comparingByKey())
+			.forEach((entry) -> table.row(entry.getKey(), entry.getValue()));
+		lines.addAll(table.lines());
+		return new Report(answer, lines);
+	}
+
+	private static Report history(HistoryAnswer history) {
+		Table table = new Table("VERSION", "SUBMITTED", "SUBMISSION", "FIELDS");
+		history.versions()
+			.forEach((version) -> table.row(version.version(), Instant.ofEpochMilli(version.submittedMillis()),
+					version.submission(), version.fields().size()));
+		return new Report(history, table.lines());
+	}
+
+	private Either<ErrorAnswer, Report> diff(Session session) {
+		return version(session, 2).flatMap((newer) -> older(session, newer).map((older) -> {
+			DocumentDiff diff = DocumentDiff.between(Session.document(older), Session.document(newer));
+			List<String> lines = new ArrayList<>();
+			lines.add("version %d -> %d".formatted(older.version(), newer.version()));
+			diff.differences().forEach((difference) -> lines.add("  " + difference));
+			return new Report(Differences.of(diff), lines);
+		}));
+	}
+
+	private Either<ErrorAnswer, DocumentAnswer> older(Session session, DocumentAnswer newer) {
+		return (this.words.size() > 1) ? version(session, 1)
+				: history(session).flatMap((history) -> find(history, Math.max(0, newer.version() - 1)));
+	}
+
+	private static Report status(Session session) {
+		Table table = new Table("DAEMON", "INSTANCE", "VERSION");
+		List<VersionOnDaemon> message = new ArrayList<>();
+		for (String daemon : session.allDaemons()) {
+			Either<ErrorAnswer, StatusAnswer> status = session.client().get(daemon, "/v1/status", StatusAnswer.class);
+			table.row(daemon, status.map(StatusAnswer::instance).getOrElse("(no answer)"),
+					status.map((answer) -> Long.toString(answer.documentVersion())).getOrElse("?"));
+			status.peek(
+					(answer) -> message.add(new VersionOnDaemon(daemon, answer.instance(), answer.documentVersion())));
+		}
+		return new Report(message, table.lines());
+	}
+
+	/**
+	 * The version in force on a daemon, for programs.
+	 *
+	 * @param daemon its address
+	 * @param instance its instance
+	 * @param version the version
+	 */
+	private record VersionOnDaemon(String daemon, String instance, long version) {
+
+	}
+
+}
--- /dev/null
+++ b/cli/src/main/java/org/brasspier/cli/internal/DraftCommand.java
@@ -0,0 +1,153 @@
+package org.brasspier.cli.internal;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.stream.Stream;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.Parameters;
+import io.vavr.control.Either;
+import org.brasspier.core.ErrorKind;
+import org.brasspier.core.document.DocumentDiff;
+import org.brasspier.core.document.Draft;
+import org.brasspier.core.document.Fault;
+import org.brasspier.wire.document.DocumentCodec;
+import org.brasspier.wire.operator.DocumentAnswer;
+import org.brasspier.wire.operator.ErrorAnswer;
+import org.brasspier.wire.operator.FaultsAnswer;
+import org.brasspier.wire.operator.SubmitAnswer;
+import org.brasspier.wire.operator.SubmitRequest;
+
+/**
+ * Shows, checks, submits, moves or discards the draft.
+ */
+@Parameters(commandDescription = "the draft: show|check|submit|rebase|discard")
+final class DraftCommand implements Command {
+
+	@Parameter(description = "show|check|submit|rebase|discard")
+	private List<String> words = new ArrayList<>();
+
+	@Parameter(names = "--no-wait", description = "don't wait until the version is in force on every daemon")
+	private boolean noWait;
+
+	@Override
+	public Either<ErrorAnswer, Report> run(Session session) {
+		String verb = (this.words.size() == 1) ? this.words.getFirst() : "";
+		Optional<DraftFile.Kept> kept = session.drafts().read();
+		if (kept.isEmpty() && Stream.of("check", "submit", "rebase").anyMatch(verb::equals)) {
+			return Session.refuse("there is no draft: fill in a form first (see TROUBLESHOOTING.md#draft-file)");
+		}
+		return switch (verb) {
+			case "show" -> session.draft().map(DraftCommand::show);
+			case "check" -> check(session, kept.orElseThrow());
+			case "submit" -> submit(session, kept.orElseThrow());
+			case "rebase" -> session.inForce().map((present) -> rebase(session, kept.orElseThrow().draft(), present));
+			case "discard" -> Either.right(Report.of(new Discarded(session.drafts().discard()), "the draft is gone"));
+			default -> Session.refuse("say one of draft show, check, submit, rebase or discard");
+		};
+	}
+
+	private static Report show(Draft draft) {
+		DocumentDiff diff = DocumentDiff.between(draft.base(), draft.document());
+		List<String> lines = new ArrayList<>();
+		lines.add("draft on version %d, %d changes".formatted(draft.baseVersion(), diff.differences().size()));
+		diff.differences().forEach((difference) -> lines.add("  " + difference));
+		return new Report(new DraftMessage(draft.baseVersion(), Differences.of(diff)), lines);
+	}
+
+	private static Either<ErrorAnswer, Report> check(Session session, DraftFile.Kept kept) {
+		return session.client()
+			.post("/v1/document/check", request(kept), FaultsAnswer.class, true)
+			.flatMap((answer) -> (answer.faults().isEmpty())
+					? Either.right(Report.of(answer, "the document may take effect"))
+					: Either.left(ErrorAnswer.of(org.brasspier.core.Failure.of(ErrorKind.DOCUMENT_INVALID,
+							"the document has %d faults (see TROUBLESHOOTING.md#document-invalid)"
+								.formatted(answer.faults().size())))
+						.withFaults(answer.faults())));
+	}
+
+	private static SubmitRequest request(DraftFile.Kept kept) {
+		return new SubmitRequest(kept.draft().baseVersion(), kept.submission(),
+				DocumentCodec.fields(kept.draft().document()));
+	}
+
+	private Either<ErrorAnswer, Report> submit(Session session, DraftFile.Kept kept) {
+		Either<ErrorAnswer, SubmitAnswer> answer = session.client()
+			.post("/v1/document", request(kept), SubmitAnswer.class, true);
+		answer.peekLeft((error) -> Optional.ofNullable(error.present())
+			.ifPresent((present) -> conflict(session, kept.draft(), present)));
+		return answer.flatMap((accepted) -> {
+			session.drafts().discard();
+			session.terminal().progress("accepted as version " + accepted.version());
+			return (this.noWait) ? Either.right(Report.of(accepted, "version " + accepted.version()))
+					: new InForceWait(session).await(accepted);
+		});
+	}
+
+	private static void conflict(Session session, Draft draft, DocumentAnswer present) {
+		Terminal terminal = session.terminal();
+		terminal.progress("version %d is in force, the draft began from %d; in between changed:"
+			.formatted(present.version(), draft.baseVersion()));
+		DocumentDiff.between(draft.base(), Session.document(present))
+			.differences()
+			.forEach((difference) -> terminal.progress("  " + difference));
+		if (terminal.confirm("Move the draft's changes onto version %d?".formatted(present.version()))) {
+			rebase(session, draft, present).lines().forEach(terminal::progress);
+		}
+		else {
+			terminal.progress("`brasspier draft rebase` moves the draft's changes onto it.");
+		}
+	}
+
+	private static Report rebase(Session session, Draft draft, DocumentAnswer present) {
+		Draft.Rebased rebased = draft.rebase(present.version(), Session.document(present));
+		session.drafts().write(rebased.draft());
+		List<String> lines = new ArrayList<>();
+		lines.add("the draft is on version %d now, with %d changes".formatted(present.version(),
+				rebased.draft().changes().size()));
+		rebased.overlaps()
+			.forEach((overlap) -> lines.add("  both changed %s; the draft's value stays".formatted(overlap)));
+		return new Report(new RebaseMessage(present.version(), Differences.of(new DocumentDiff(rebased.overlaps()))),
+				lines);
+	}
+
+	static List<String> faults(List<Fault> faults) {
+		if (faults.isEmpty()) {
+			return List.of();
+		}
+		Table table = new Table("PLACE", "VALUE", "REMEDY");
+		faults.forEach((fault) -> table.row(fault.place(), fault.value(), fault.remedy()));
+		return table.lines();
+	}
+
+	/**
+	 * The draft for programs.
+	 *
+	 * @param baseVersion the version that it began from
+	 * @param changes what it changes
+	 */
+	private record DraftMessage(long baseVersion, List<Differences.Entry> changes) {
+
+	}
+
+	/**
+	 * A moved draft for programs.
+	 *
+	 * @param baseVersion the version that it's on now
+	 * @param overlaps what both changed
+	 */
+	private record RebaseMessage(long baseVersion, List<Differences.Entry> overlaps) {
+
+	}
+
+	/**
+	 * Whether there was a draft to discard, for programs.
+	 *
+	 * @param discarded whether there was one
+	 */
+	private record Discarded(boolean discarded) {
+
+	}
+
+}
--- /dev/null
+++ b/cli/src/main/java/org/brasspier/cli/internal/DraftFile.java
@@ -0,0 +1,139 @@
+package org.brasspier.cli.internal;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.UUID;
+
+import org.brasspier.core.document.Draft;
+import org.brasspier.core.document.FieldChange;
+import org.brasspier.core.document.FieldPath;
+import org.brasspier.wire.document.DocumentCodec;
+import org.brasspier.wire.operator.OperatorJson;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Keeps the draft on the operator's own machine, with the id under which it's submitted:
+ * a draft that is submitted again after a lost answer is the same submission. Not
+ * thread-safe.
+ */
+final class DraftFile {
+
+	private final Path file;
+
+	DraftFile(Path file) {
+		this.file = file;
+	}
+
+	/**
+	 * Where the draft is kept unless a flag says otherwise.
+	 * @param environment the environment's variables
+	 * @return the file
+	 */
+	static Path usual(Map<String, String> environment) {
+		String home = environment.getOrDefault("HOME", ".");
+		String state = environment.getOrDefault("XDG_STATE_HOME", home + "/.local/state");
+		return Path.of(state, "brasspier", "draft.json");
+	}
+
+	Optional<Kept> read() {
+		if (!Files.exists(this.file)) {
+			return Optional.empty();
+		}
+		try {
+			DraftJson json = OperatorJson.read(Files.readString(this.file), DraftJson.class)
+				.getOrElseThrow((failure) -> new IllegalArgumentException(
+						"draft %s: %s (see TROUBLESHOOTING.md#draft-file)".formatted(this.file, failure.detail())));
+			return Optional.of(json.kept());
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+	}
+
+	/**
+	 * Keeps a changed draft, as a new submission.
+	 * @param draft the draft
+	 * @return what is kept now
+	 */
+	Kept write(Draft draft) {
+		Kept kept = new Kept(draft, UUID.randomUUID().toString());
+		try {
+			Path folder = this.file.toAbsolutePath().getParent();
+			if (folder != null) {
+				Files.createDirectories(folder);
+			}
+			// Written aside and renamed: a draft is never half there.
+			Path aside = this.file.resolveSibling(this.file.getFileName() + ".new");
+			Files.writeString(aside, OperatorJson.pretty(DraftJson.of(kept)), StandardCharsets.UTF_8);
+			Files.move(aside, this.file, StandardCopyOption.REPLACE_EXISTING, StandardCopyOption.ATOMIC_MOVE);
+			return kept;
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+	}
+
+	boolean discard() {
+		try {
+			return Files.deleteIfExists(this.file);
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+	}
+
+	/**
+	 * A draft as it's kept.
+	 *
+	 * @param draft the draft
+	 * @param submission the id under which it's submitted
+	 */
+	record Kept(Draft draft, String submission) {
+
+	}
+
+	/**
+	 * The file's JSON.
+	 */
+	private record DraftJson(long baseVersion, @Nullable String submission, @Nullable Map<String, String> base,
+			@Nullable List<ChangeJson> changes) {
+
+		static DraftJson of(Kept kept) {
+			return new DraftJson(kept.draft().baseVersion(), kept.submission(),
+					DocumentCodec.fields(kept.draft().base()),
+					kept.draft()
+						.changes()
+						.stream()
+						.map((change) -> new ChangeJson(change.path().text(), change.value().orElse(null)))
+						.toList());
+		}
+
+		Kept kept() {
+			if (this.submission == null || this.base == null || this.changes == null) {
+				throw new IllegalArgumentException("the draft's file lacks a part (see TROUBLESHOOTING.md#draft-file)");
+			}
+			return new Kept(new Draft(this.baseVersion, DocumentCodec.document(this.base),
+					this.changes.stream().map(ChangeJson::change).toList()), this.submission);
+		}
+
+	}
+
+	/**
+	 * One change of the file's JSON.
+	 */
+	private record ChangeJson(String path, @Nullable String value) {
+
+		FieldChange change() {
+			return new FieldChange(new FieldPath(this.path), Optional.ofNullable(this.value));
+		}
+
+	}
+
+}
--- /dev/null
+++ b/cli/src/main/java/org/brasspier/cli/internal/DrainCommand.java
@@ -0,0 +1,69 @@
+package org.brasspier.cli.internal;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.locks.LockSupport;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.Parameters;
+import io.vavr.control.Either;
+import org.brasspier.core.ErrorKind;
+import org.brasspier.core.Failure;
+import org.brasspier.wire.operator.CellAnswer;
+import org.brasspier.wire.operator.ErrorAnswer;
+import org.brasspier.wire.operator.OrderAnswer;
+import org.brasspier.wire.operator.OrderRequest;
+
+/**
+ * Takes all ranges from an instance, and shows how many are left.
+ */
+@Parameters(commandDescription = "take all ranges from an instance, gracefully: drain INSTANCE")
+final class DrainCommand implements Command {
+
+	/** As long as a planned stop of a daemon may take. */
+	private static final Duration LIMIT = Duration.ofSeconds(60);
+
+	private static final Duration PAUSE = Duration.ofMillis(500);
+
+	@Parameter(description = "INSTANCE")
+	private List<String> words = new ArrayList<>();
+
+	@Parameter(names = "--no-wait", description = "don't wait until nothing is owned any more")
+	private boolean noWait;
+
+	@Override
+	public Either<ErrorAnswer, Report> run(Session session) {
+		if (this.words.size() != 1) {
+			return Session.refuse("name one instance: drain INSTANCE");
+		}
+		String instance = this.words.getFirst();
+		return session.client()
+			.post("/v1/drain", new OrderRequest(instance, "", "", false), OrderAnswer.class, true)
+			.flatMap((answer) -> (this.noWait) ? Either.right(Report.of(answer, answer.result()))
+					: await(session, instance, answer));
+	}
+
+	private static Either<ErrorAnswer, Report> await(Session session, String instance, OrderAnswer answer) {
+		long end = System.nanoTime() + LIMIT.toNanos();
+		long last = -1;
+		while (System.nanoTime() - end < 0) {
+			Either<ErrorAnswer, CellAnswer> cell = session.client().get("/v1/cell", CellAnswer.class);
+			long left = cell.map((found) -> found.ranges().stream().filter((range) -> range.owner().equals(instance)))
+				.map((owned) -> owned.count())
+				.getOrElse(last);
+			if (left == 0) {
+				return Either.right(Report.of(answer, "%s owns nothing any more".formatted(instance)));
+			}
+			if (left != last) {
+				session.terminal().progress("%s still owns %d ranges".formatted(instance, left));
+				last = left;
+			}
+			LockSupport.parkNanos(PAUSE.toNanos());
+		}
+		return Either.left(ErrorAnswer.of(Failure.of(ErrorKind.ORDER_REFUSED,
+				"%s is drained, but still owns ranges after %d s (see TROUBLESHOOTING.md#drain-slow)"
+					.formatted(instance, LIMIT.toSeconds()))));
+	}
+
+}
--- /dev/null
+++ b/cli/src/main/java/org/brasspier/cli/internal/FormCommand.java
@@ -0,0 +1,157 @@
+package org.brasspier.cli.internal;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+
+import com.beust.jcommander.DynamicParameter;
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.Parameters;
+import io.vavr.control.Either;
+import org.brasspier.core.Failure;
+import org.brasspier.core.document.Draft;
+import org.brasspier.core.document.Field;
+import org.brasspier.core.document.Form;
+import org.brasspier.wire.document.DocumentCodec;
+import org.brasspier.wire.operator.ErrorAnswer;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Shows a form, and fills it in by flags or by questions. What is filled in goes into the
+ * draft; nothing takes effect before {@code draft submit}.
+ */
+@Parameters(commandDescription = "show or fill in a form: FORM [SERVICE] [--FIELD VALUE ...] [--ask]")
+final class FormCommand implements Command {
+
+	@Parameter(description = "service|limits SERVICE, or domains|targets|weights|secrets")
+	private List<String> words = new ArrayList<>();
+
+	@DynamicParameter(names = "--set", description = "FIELD=VALUE; the same as --FIELD VALUE")
+	private Map<String, String> values = new LinkedHashMap<>();
+
+	@Parameter(names = "--unset", description = "FIELD to take out, so that its usual value holds; several by comma")
+	private List<String> unset = new ArrayList<>();
+
+	@Parameter(names = "--ask", description = "ask for each field, showing its present value")
+	private boolean ask;
+
+	/**
+	 * Makes flags of fields: {@code --FIELD VALUE} becomes {@code --set FIELD=VALUE}.
+	 * @param arguments the whole command line
+	 * @return the command line as JCommander can read it
+	 */
+	static String[] expand(String[] arguments) {
+		List<String> expanded = new ArrayList<>();
+		for (int i = 0; i < arguments.length; i++) {
+			String name = arguments[i].startsWith("--") ? arguments[i].substring(2) : "";
+			boolean isField = Stream.of(Form.values()).anyMatch((form) -> form.field(name).isPresent());
+			if (isField && i + 1 < arguments.length) {
+				expanded.add("--set");
+				expanded.add(name + "=" + arguments[++i]);
+			}
+			else {
+				expanded.add(arguments[i]);
+			}
+		}
+		return expanded.toArray(String[]::new);
+	}
+
+	@Override
+	public Either<ErrorAnswer, Report> run(Session session) {
+		Optional<Form> form = form();
+		if (form.isEmpty()) {
+			return Session.refuse("name one of the forms " + names() + " (see TROUBLESHOOTING.md#bad-field)");
+		}
+		boolean named = this.words.size() == ((form.get().hasSubject()) ? 2 : 1);
+		if (!named) {
+			return Session
+				.refuse((form.get().hasSubject()) ? "name one service: form %s SERVICE".formatted(form.get().key())
+						: "form %s takes no service".formatted(form.get().key()));
+		}
+		String subject = (form.get().hasSubject()) ? this.words.get(1) : "";
+		return session.draft()
+			.flatMap((draft) -> fill(draft, form.get(), subject))
+			.map((draft) -> (this.ask) ? new FormDialog(session.terminal(), form.get(), subject).fill(draft) : draft)
+			.peek((draft) -> keep(session, draft))
+			.map((draft) -> show(draft, form.get(), subject));
+	}
+
+	private Optional<Form> form() {
+		return this.words.stream()
+			.findFirst()
+			.flatMap((word) -> Stream.of(Form.values()).filter((form) -> form.key().equals(word)).findFirst());
+	}
+
+	private static String names() {
+		return Stream.of(Form.values()).map(Form::key).collect(Collectors.joining(", "));
+	}
+
+	private Either<ErrorAnswer, Draft> fill(Draft draft, Form form, String subject) {
+		Either<Failure, Draft> filled = Either.right(draft);
+		for (Map.Entry<String, String> entry : this.values.entrySet()) {
+			filled = filled
+				.flatMap((before) -> before.fill(form, subject, entry.getKey(), Optional.of(entry.getValue())));
+		}
+		for (String field : this.unset) {
+			filled = filled.flatMap((before) -> before.fill(form, subject, field, Optional.empty()));
+		}
+		return filled.mapLeft(ErrorAnswer::of);
+	}
+
+	private void keep(Session session, Draft draft) {
+		boolean changed = !this.values.isEmpty() || !this.unset.isEmpty() || this.ask;
+		if (changed) {
+			session.drafts().write(draft);
+		}
+	}
+
+	private static Report show(Draft draft, Form form, String subject) {
+		Table table = new Table("FIELD", "VALUE", "UNIT", "ALLOWED", "MEANING");
+		List<FieldValue> message = new ArrayList<>();
+		for (Field field : form.fields()) {
+			@Nullable String value = draft.document().value(form.path(subject, field.name())).orElse(null);
+			table.row(field.name(), (value != null) ? value : "(%s)".formatted(field.usual()), field.unit(),
+					field.rule().allowed(), field.meaning());
+			message.add(new FieldValue(form.path(subject, field.name()).text(), value, field.usual(), field.unit(),
+					field.rule().allowed()));
+		}
+		List<String> lines = new ArrayList<>(table.lines());
+		lines.add("");
+		lines.add("A value in brackets is the usual one, which holds as long as the document says nothing.");
+		lines.add("%d changes in the draft on version %d; `brasspier draft submit` brings them into force."
+			.formatted(draft.changes().size(), draft.baseVersion()));
+		return new Report(new FormMessage(form.name().toLowerCase(Locale.ROOT), subject, message,
+				DocumentCodec.fields(draft.document())), lines);
+	}
+
+	/**
+	 * A form for programs.
+	 *
+	 * @param form its name
+	 * @param subject the service, empty if it has none
+	 * @param fields its fields
+	 * @param document the whole draft
+	 */
+	private record FormMessage(String form, String subject, List<FieldValue> fields, Map<String, String> document) {
+
+	}
+
+	/**
+	 * A field for programs.
+	 *
+	 * @param path its place
+	 * @param value its value, absent if the usual one holds
+	 * @param usual the usual value
+	 * @param unit its unit
+	 * @param allowed what it allows
+	 */
+	private record FieldValue(String path, @Nullable String value, String usual, String unit, String allowed) {
+
+	}
+
+}
--- /dev/null
+++ b/cli/src/main/java/org/brasspier/cli/internal/FormDialog.java
@@ -0,0 +1,62 @@
+package org.brasspier.cli.internal;
+
+import java.util.Optional;
+
+import io.vavr.control.Either;
+import org.brasspier.core.Failure;
+import org.brasspier.core.document.Draft;
+import org.brasspier.core.document.Field;
+import org.brasspier.core.document.Form;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Asks for each field of a form, and asks again where a value isn't allowed. Not
+ * thread-safe.
+ */
+final class FormDialog {
+
+	private static final String TAKE_OUT = "-";
+
+	private final Terminal terminal;
+
+	private final Form form;
+
+	private final String subject;
+
+	FormDialog(Terminal terminal, Form form, String subject) {
+		this.terminal = terminal;
+		this.form = form;
+		this.subject = subject;
+	}
+
+	Draft fill(Draft draft) {
+		this.terminal.progress("Enter keeps a value, - takes it out so that the usual one holds.");
+		Draft filled = draft;
+		for (Field field : this.form.fields()) {
+			filled = ask(filled, field);
+		}
+		return filled;
+	}
+
+	private Draft ask(Draft draft, Field field) {
+		String present = draft.document()
+			.value(this.form.path(this.subject, field.name()))
+			.orElseGet(() -> "(" + field.usual() + ")");
+		String unit = (field.unit().isEmpty()) ? "" : " in " + field.unit();
+		this.terminal.progress("");
+		this.terminal.progress("%s: %s".formatted(field.name(), field.meaning()));
+		while (true) {
+			@Nullable String typed = this.terminal.ask("  %s%s [%s]: ".formatted(field.rule().allowed(), unit, present));
+			if (typed == null || typed.isEmpty()) {
+				return draft;
+			}
+			Either<Failure, Draft> filled = draft.fill(this.form, this.subject, field.name(),
+					Optional.of(typed).filter((value) -> !value.equals(TAKE_OUT)));
+			if (filled.isRight()) {
+				return filled.get();
+			}
+			this.terminal.progress("  " + filled.getLeft().detail());
+		}
+	}
+
+}
--- /dev/null
+++ b/cli/src/main/java/org/brasspier/cli/internal/InForceWait.java
@@ -0,0 +1,62 @@
+package org.brasspier.cli.internal;
+
+import java.time.Duration;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.concurrent.locks.LockSupport;
+
+import io.vavr.control.Either;
+import org.brasspier.core.ErrorKind;
+import org.brasspier.core.Failure;
+import org.brasspier.wire.operator.ErrorAnswer;
+import org.brasspier.wire.operator.StatusAnswer;
+import org.brasspier.wire.operator.SubmitAnswer;
+
+/**
+ * Waits until a version is in force on every daemon of the cell, and shows how far it is.
+ * Not thread-safe.
+ */
+final class InForceWait {
+
+	/** A change is in force everywhere within 9 s; a daemon that is gone takes longer. */
+	private static final Duration LIMIT = Duration.ofSeconds(30);
+
+	private static final Duration PAUSE = Duration.ofMillis(200);
+
+	private final Session session;
+
+	InForceWait(Session session) {
+		this.session = session;
+	}
+
+	Either<ErrorAnswer, Report> await(SubmitAnswer accepted) {
+		long end = System.nanoTime() + LIMIT.toNanos();
+		Set<String> daemons = this.session.allDaemons();
+		Set<String> behind = new TreeSet<>(daemons);
+		int last = -1;
+		while (!behind.isEmpty() && System.nanoTime() - end < 0) {
+			behind.removeIf((daemon) -> reached(daemon, accepted.version()));
+			int done = daemons.size() - behind.size();
+			if (done != last) {
+				this.session.terminal().progress("in force on %d of %d daemons".formatted(done, daemons.size()));
+				last = done;
+			}
+			if (!behind.isEmpty()) {
+				LockSupport.parkNanos(PAUSE.toNanos());
+			}
+		}
+		String line = "version %d is in force on all %d daemons".formatted(accepted.version(), daemons.size());
+		return (behind.isEmpty()) ? Either.right(Report.of(accepted, line)) : Either.left(ErrorAnswer.of(Failure.of(
+				ErrorKind.DAEMON_UNREACHABLE,
+				"version %d was accepted, but %s did not say within %d s that it is in force (see TROUBLESHOOTING.md#version-behind)"
+					.formatted(accepted.version(), String.join(", ", behind), LIMIT.toSeconds()))));
+	}
+
+	private boolean reached(String daemon, long version) {
+		return this.session.client()
+			.get(daemon, "/v1/status", StatusAnswer.class)
+			.map((status) -> status.documentVersion() >= version)
+			.getOrElse(false);
+	}
+
+}
--- /dev/null
+++ b/cli/src/main/java/org/brasspier/cli/internal/MeasuresCommand.java
@@ -0,0 +1,73 @@
+package org.brasspier.cli.internal;
+
+import java.time.Instant;
+import java.time.LocalDate;
+import java.time.ZoneOffset;
+import java.time.format.DateTimeParseException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.Parameters;
+import io.vavr.control.Either;
+import org.brasspier.wire.operator.ErrorAnswer;
+import org.brasspier.wire.operator.MeasuresAnswer;
+
+/**
+ * Shows imbalance, churn and unavailable time against the targets.
+ */
+@Parameters(
+		commandDescription = "imbalance, churn and unavailable time against the targets: measures [--from T] [--to T]")
+final class MeasuresCommand implements Command {
+
+	@Parameter(names = "--from",
+			description = "YYYY-MM-DD or YYYY-MM-DDTHH:MM:SSZ; the start of the quarter if not given")
+	private String from = "";
+
+	@Parameter(names = "--to", description = "as --from; now if not given")
+	private String to = "";
+
+	@Override
+	public Either<ErrorAnswer, Report> run(Session session) {
+		try {
+			return session.client()
+				.get("/v1/measures?from=%s&to=%s".formatted(millis(this.from), millis(this.to)), MeasuresAnswer.class)
+				.map(MeasuresCommand::show);
+		}
+		catch (DateTimeParseException ex) {
+			return Session
+				.refuse("\"%s\" is no time such as 2026-10-01 or 2026-10-01T06:00:00Z".formatted(ex.getParsedString()));
+		}
+	}
+
+	private static String millis(String text) {
+		if (text.isEmpty()) {
+			return "";
+		}
+		Instant instant = (text.contains("T")) ? Instant.parse(text)
+				: LocalDate.parse(text).atStartOfDay(ZoneOffset.UTC).toInstant();
+		return Long.toString(instant.toEpochMilli());
+	}
+
+	private static Report show(MeasuresAnswer answer) {
+		List<String> lines = new ArrayList<>();
+		lines.add("cell %s, %s to %s, kept until %s".formatted(answer.cell(), Instant.ofEpochMilli(answer.fromMillis()),
+				Instant.ofEpochMilli(answer.toMillis()), Instant.ofEpochMilli(answer.keptUntilMillis())));
+		Table table = new Table("SERVICE", "REQUESTS", "TURNED AWAY", "IMBALANCE", "TARGET", "CHURN %/DAY", "TARGET",
+				"UNAVAILABLE S/DAY", "TARGET", "MET");
+		answer.services()
+			.forEach((service) -> table.row(service.service(), service.requests(), service.turnedAway(),
+					number(service.imbalanceRatio()), number(service.imbalanceTarget()),
+					number(service.churnPercentADay()), number(service.churnTarget()),
+					number(service.unavailableSecondsADay()), number(service.unavailableTarget()),
+					(service.met()) ? "yes" : "NO"));
+		lines.addAll(table.lines());
+		return new Report(answer, lines);
+	}
+
+	private static String number(double value) {
+		return String.format(Locale.ROOT, "%.2f", value);
+	}
+
+}
--- /dev/null
+++ b/cli/src/main/java/org/brasspier/cli/internal/MoveCommand.java
@@ -0,0 +1,35 @@
+package org.brasspier.cli.internal;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.Parameters;
+import io.vavr.control.Either;
+import org.brasspier.wire.operator.ErrorAnswer;
+import org.brasspier.wire.operator.OrderAnswer;
+import org.brasspier.wire.operator.OrderRequest;
+
+/**
+ * Moves one range to another instance.
+ */
+@Parameters(commandDescription = "move a range to an instance: move SERVICE RANGE INSTANCE")
+final class MoveCommand implements Command {
+
+	private static final int WORDS = 3;
+
+	@Parameter(description = "SERVICE RANGE INSTANCE, the range as `status --ranges` shows it")
+	private List<String> words = new ArrayList<>();
+
+	@Override
+	public Either<ErrorAnswer, Report> run(Session session) {
+		if (this.words.size() != WORDS) {
+			return Session.refuse("name a service, a range and an instance: move SERVICE RANGE INSTANCE");
+		}
+		return session.client()
+			.post("/v1/move", new OrderRequest(this.words.get(2), this.words.get(0), this.words.get(1), false),
+					OrderAnswer.class, false)
+			.map((answer) -> Report.of(answer, answer.result()));
+	}
+
+}
--- /dev/null
+++ b/cli/src/main/java/org/brasspier/cli/internal/OwnerCommand.java
@@ -0,0 +1,41 @@
+package org.brasspier.cli.internal;
+
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.Parameters;
+import io.vavr.control.Either;
+import org.brasspier.wire.operator.ErrorAnswer;
+import org.brasspier.wire.operator.OwnerAnswer;
+
+/**
+ * Says who owns a key.
+ */
+@Parameters(commandDescription = "who owns a key: owner SERVICE KEY")
+final class OwnerCommand implements Command {
+
+	@Parameter(description = "SERVICE KEY")
+	private List<String> words = new ArrayList<>();
+
+	@Override
+	public Either<ErrorAnswer, Report> run(Session session) {
+		if (this.words.size() != 2) {
+			return Session.refuse("name a service and a key: owner SERVICE KEY");
+		}
+		return session.client()
+			.get("/v1/owner?service=%s&key=%s".formatted(encode(this.words.get(0)), encode(this.words.get(1))),
+					OwnerAnswer.class)
+			.map((answer) -> new Report(answer, new Table("SERVICE", "POINT", "RANGE", "OWNER", "FENCE", "CALLERS")
+				.row(answer.service(), answer.point(), answer.range(),
+						(answer.owner().isEmpty()) ? "(none)" : answer.owner(), answer.fence(), answer.callers())
+				.lines()));
+	}
+
+	static String encode(String text) {
+		return URLEncoder.encode(text, StandardCharsets.UTF_8);
+	}
+
+}
--- /dev/null
+++ b/cli/src/main/java/org/brasspier/cli/internal/StatusCommand.java
@@ -0,0 +1,105 @@
+package org.brasspier.cli.internal;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.stream.Collectors;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.Parameters;
+import io.vavr.control.Either;
+import org.brasspier.wire.operator.CellAnswer;
+import org.brasspier.wire.operator.ErrorAnswer;
+import org.brasspier.wire.operator.StatusAnswer;
+
+/**
+ * Shows the cell: services, failure domains, instances, leases and owners.
+ */
+@Parameters(commandDescription = "services, failure domains, instances, leases and owners")
+final class StatusCommand implements Command {
+
+	@Parameter(names = "--ranges", description = "list each range with its owner")
+	private boolean ranges;
+
+	@Override
+	public Either<ErrorAnswer, Report> run(Session session) {
+		return session.client()
+			.get("/v1/cell", CellAnswer.class)
+			.map((cell) -> new Report(new StatusMessage(cell, statuses(session, cell)), lines(session, cell)));
+	}
+
+	private static Map<String, StatusAnswer> statuses(Session session, CellAnswer cell) {
+		Map<String, StatusAnswer> statuses = new TreeMap<>();
+		cell.members()
+			.forEach((member) -> session.client()
+				.get(member.operators(), "/v1/status", StatusAnswer.class)
+				.peek((status) -> statuses.put(member.instance(), status)));
+		return statuses;
+	}
+
+	private List<String> lines(Session session, CellAnswer cell) {
+		Map<String, StatusAnswer> statuses = statuses(session, cell);
+		List<String> lines = new ArrayList<>();
+		lines.add("cell %s, row version %d, epoch %d, primary %s, secondary %s".formatted(cell.cell(), cell.version(),
+				cell.epoch(), orNone(cell.primary()), orNone(cell.secondary())));
+		lines.add("");
+		lines.addAll(members(cell, statuses));
+		lines.add("");
+		lines.addAll(services(cell));
+		cell.moves()
+			.forEach((move) -> lines.add("moving %s %s to %s%s".formatted(move.service(), move.range(), move.to(),
+					(move.released()) ? ", released" : "")));
+		if (this.ranges) {
+			lines.add("");
+			Table table = new Table("SERVICE", "RANGE", "OWNER", "FENCE");
+			cell.ranges()
+				.forEach((range) -> table.row(range.service(), range.range(), orNone(range.owner()), range.fence()));
+			lines.addAll(table.lines());
+		}
+		return lines;
+	}
+
+	private static List<String> members(CellAnswer cell, Map<String, StatusAnswer> statuses) {
+		Table table = new Table("INSTANCE", "FAILURE DOMAIN", "SERVICE", "PHASE", "SLOTS", "FENCES", "LEASE MS",
+				"RANGES", "DOCUMENT");
+		for (CellAnswer.Member member : cell.members()) {
+			StatusAnswer status = statuses.get(member.instance());
+			table.row(member.instance(), member.failureDomain(), orNone(member.service()), member.phase(),
+					member.slots(), (member.checksFences()) ? "checked" : "unchecked",
+					(status != null) ? status.leaseMillisLeft() : "no answer",
+					(status != null) ? status.rangesHeld() : "?", (status != null) ? status.documentVersion() : "?");
+		}
+		return table.lines();
+	}
+
+	private static List<String> services(CellAnswer cell) {
+		Table table = new Table("SERVICE", "RANGES", "WITHOUT OWNER", "OWNERS");
+		cell.ranges()
+			.stream()
+			.collect(Collectors.groupingBy(CellAnswer.Range::service, TreeMap::new, Collectors.toList()))
+			.forEach((service, owned) -> table.row(service, owned.size(),
+					owned.stream().filter((range) -> range.owner().isEmpty()).count(),
+					owned.stream()
+						.map(CellAnswer.Range::owner)
+						.filter((owner) -> !owner.isEmpty())
+						.distinct()
+						.count()));
+		return table.lines();
+	}
+
+	private static String orNone(String text) {
+		return (text.isEmpty()) ? "(none)" : text;
+	}
+
+	/**
+	 * The status for programs.
+	 *
+	 * @param cell the cell
+	 * @param daemons the state of each daemon that answered, by instance
+	 */
+	private record StatusMessage(CellAnswer cell, Map<String, StatusAnswer> daemons) {
+
+	}
+
+}
--- /dev/null
+++ b/cli/src/main/java/org/brasspier/cli/internal/UndrainCommand.java
@@ -0,0 +1,32 @@
+package org.brasspier.cli.internal;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.Parameters;
+import io.vavr.control.Either;
+import org.brasspier.wire.operator.ErrorAnswer;
+import org.brasspier.wire.operator.OrderAnswer;
+import org.brasspier.wire.operator.OrderRequest;
+
+/**
+ * Lets a drained instance own ranges again.
+ */
+@Parameters(commandDescription = "let a drained instance own ranges again: undrain INSTANCE")
+final class UndrainCommand implements Command {
+
+	@Parameter(description = "INSTANCE")
+	private List<String> words = new ArrayList<>();
+
+	@Override
+	public Either<ErrorAnswer, Report> run(Session session) {
+		if (this.words.size() != 1) {
+			return Session.refuse("name one instance: undrain INSTANCE");
+		}
+		return session.client()
+			.post("/v1/undrain", new OrderRequest(this.words.getFirst(), "", "", false), OrderAnswer.class, true)
+			.map((answer) -> Report.of(answer, answer.result()));
+	}
+
+}
--- /dev/null
+++ b/cli/src/main/java/org/brasspier/cli/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * The command line tool for operators.
+ */
+@NullMarked
+package org.brasspier.cli;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/cli/src/test/java/org/brasspier/cli/internal/TimelineCommandTests.java
@@ -0,0 +1,28 @@
+package org.brasspier.cli.internal;
+
+import java.util.List;
+
+import org.brasspier.wire.operator.EventsAnswer;
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * The events of all daemons come in one order.
+ */
+class TimelineCommandTests {
+
+	@Test
+	void theOrderFollowsTheStampsNotTheDaemons() {
+		EventsAnswer sender = new EventsAnswer("a", 2, 0, 0, List.of(entry(1, 10, "a"), entry(2, 30, "a")));
+		EventsAnswer receiver = new EventsAnswer("b", 9, 0, 0, List.of(entry(8, 20, "b"), entry(9, 30, "b")));
+		assertThat(TimelineCommand.merge(List.of(receiver, sender))
+			.stream()
+			.map((entry) -> entry.instance() + entry.number())).containsExactly("a1", "b8", "a2", "b9").inOrder();
+	}
+
+	private static EventsAnswer.Entry entry(long number, long stamp, String instance) {
+		return new EventsAnswer.Entry(number, stamp, stamp, 301, "REQUEST_HANDED_OVER", instance, "r-1", "");
+	}
+
+}
--- a/core/src/main/java/org/brasspier/core/ErrorKind.java
+++ b/core/src/main/java/org/brasspier/core/ErrorKind.java
@@ -75,6 +75,9 @@
 	/** The operator's order does not fit the present state. */
 	ORDER_REFUSED(409, Ran.NOT_RUN, 14),
 
+	/** No daemon answered the command line tool; no daemon says this itself. */
+	DAEMON_UNREACHABLE(503, Ran.UNKNOWN, 15),
+
 	/** A fault in the daemon itself. */
 	INTERNAL_ERROR(500, Ran.UNKNOWN, 1);
 
--- a/wire/src/main/java/org/brasspier/wire/operator/ErrorAnswer.java
+++ b/wire/src/main/java/org/brasspier/wire/operator/ErrorAnswer.java
@@ -39,6 +39,15 @@
 				failure.detail(), failure.retryAfter().toMillis(), List.of(), null);
 	}
 
+	/**
+	 * This error where it's known better whether what was asked took effect.
+	 * @param effect {@code ran}, {@code not_run} or {@code unknown}
+	 * @return the message
+	 */
+	public ErrorAnswer withRan(String effect) {
+		return new ErrorAnswer(this.error, effect, this.detail, this.retryAfterMillis, this.faults, this.present);
+	}
+
 	/**
 	 * This error with the document's faults.
 	 * @param all the faults
