--- a/bench/src/main/java/org/brasspier/bench/capacity/CapacityBench.java
+++ b/bench/src/main/java/org/brasspier/bench/capacity/CapacityBench.java
@@ -25,7 +25,8 @@
 	 */
 	public static void run(Path output, Path page) throws IOException {
 		List<Slope> slopes = new ArrayList<>();
-		for (SlopeSuite suite : List.of(new CellSlopes(), new RouteSlopes(), new FrameSlopes())) {
+		for (SlopeSuite suite : List.of(new CellSlopes(), new RouteSlopes(), new FrameSlopes(), new DocumentSlopes(),
+				new EventSlopes())) {
 			slopes.addAll(suite.measure());
 		}
 		Files.createDirectories(output);
--- /dev/null
+++ b/bench/src/main/java/org/brasspier/bench/capacity/DocumentSlopes.java
@@ -0,0 +1,62 @@
+package org.brasspier.bench.capacity;
+
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.stream.IntStream;
+
+import org.brasspier.core.document.Document;
+import org.brasspier.core.document.DocumentCheck;
+import org.brasspier.core.document.FieldPath;
+import org.brasspier.wire.document.DocumentCodec;
+import org.brasspier.wire.document.StoredDocument;
+
+/**
+ * What the size of the configuration document costs each daemon.
+ */
+final class DocumentSlopes implements SlopeSuite {
+
+	private static final int[] SERVICES = { 3, 30, 100, 300 };
+
+	private static final int MICRO = 1000;
+
+	@Override
+	public List<Slope> measure() {
+		return List.of(
+				SlopeSuite.over("configuration document, size", "services", "bytes", SERVICES,
+						(services) -> encoded(services).length),
+				SlopeSuite.over("configuration document, reading and checking", "services", "us", SERVICES,
+						(services) -> {
+							byte[] body = encoded(services);
+							return Probe.nanosEach(() -> DocumentCheck.faults(decoded(body))) / MICRO;
+						}),
+				SlopeSuite.over("configuration document, memory", "services", "bytes", SERVICES, (services) -> {
+					byte[] body = encoded(services);
+					return Probe.bytesKept(() -> decoded(body));
+				}));
+	}
+
+	private static Document decoded(byte[] body) {
+		return DocumentCodec.decode(body)
+			.getOrElseThrow((failure) -> new IllegalStateException(failure.detail()))
+			.document();
+	}
+
+	private static byte[] encoded(int services) {
+		return DocumentCodec.encode(new StoredDocument(1, "", "bench", 0, document(services)));
+	}
+
+	private static Document document(int services) {
+		Map<FieldPath, String> values = new TreeMap<>();
+		values.put(new FieldPath("domains/regions"), "duluth=great-lakes,milwaukee=great-lakes");
+		IntStream.range(0, services).mapToObj((i) -> "service-%03d".formatted(i)).forEach((service) -> {
+			values.put(new FieldPath("service/%s/divided-by-key".formatted(service)), "yes");
+			values.put(new FieldPath("service/%s/run-limit-millis".formatted(service)), "2000");
+			values.put(new FieldPath("limits/%s/lookup-deadline-millis".formatted(service)), "1000");
+			values.put(new FieldPath("limits/%s/lookup-share-percent".formatted(service)), "60");
+			values.put(new FieldPath("limits/%s/caller-shares".formatted(service)), "duluth-office=40,cleveland=30");
+		});
+		return Document.of(values);
+	}
+
+}
--- /dev/null
+++ b/bench/src/main/java/org/brasspier/bench/capacity/EventSlopes.java
@@ -0,0 +1,59 @@
+package org.brasspier.bench.capacity;
+
+import java.util.List;
+import java.util.stream.IntStream;
+
+import org.brasspier.core.KeyHash;
+import org.brasspier.core.RequestId;
+import org.brasspier.core.event.EventKind;
+import org.brasspier.core.placement.LoadMeter;
+import org.brasspier.daemon.internal.event.EventLog;
+
+/**
+ * What the time line keeps, and what following hot keys costs.
+ */
+final class EventSlopes implements SlopeSuite {
+
+	private static final int[] EVENTS = { 1024, 4096, 8192, 16384 };
+
+	private static final int[] KEYS = { 16, 64, 256, 1024, 4096 };
+
+	private static final long WINDOW_NANOS = 10_000_000_000L;
+
+	private static final long BUSY_NANOS = 2_000_000;
+
+	private static final long APART_NANOS = 100_000;
+
+	@Override
+	public List<Slope> measure() {
+		return List.of(
+				SlopeSuite.over("time line, memory", "kept events", "bytes", EVENTS,
+						(events) -> Probe.bytesKept(() -> filled(events))),
+				SlopeSuite.over("time line, recording", "kept events", "ns", EVENTS, (events) -> {
+					EventLog log = filled(events);
+					RequestId id = new RequestId("0b2c8e1e-6b1e-4a53");
+					return Probe.nanosEach(() -> {
+						log.record(EventKind.REQUEST_ANSWERED, id, "status 200");
+						return log;
+					});
+				}),
+				SlopeSuite.over("following hot keys, memory", "distinct keys", "bytes", KEYS,
+						(keys) -> Probe.bytesKept(() -> watched(keys))),
+				SlopeSuite.over("following hot keys, for each request", "distinct keys", "ns", KEYS,
+						(keys) -> Probe.nanosEach(() -> watched(keys)) / keys));
+	}
+
+	private static EventLog filled(int events) {
+		EventLog log = new EventLog(events);
+		IntStream.range(0, events)
+			.forEach((i) -> log.record(EventKind.REQUEST_ANSWERED, new RequestId("request-" + i), "status 200"));
+		return log;
+	}
+
+	private static LoadMeter watched(int keys) {
+		LoadMeter meter = new LoadMeter(WINDOW_NANOS, 0);
+		IntStream.range(0, keys).forEach((i) -> meter.record(KeyHash.of("hull-" + i), BUSY_NANOS, APART_NANOS * i));
+		return meter;
+	}
+
+}
