Send heartbeats to the two lease managers in turn

Cause: the primary of 12 members took 13.4 KB/s of control traffic, over the 10 KB/s limit, since every member told both managers the same each 150 ms. One renewal each 150 ms from either manager keeps a lease of 600 ms alive, so the heartbeat now goes to one manager and the other in turn, and to both after a change of the row. A manager hears a member each 300 ms, so its silence is suspected after 450 ms instead of 350; ranges still wait for the lease's end at 600 ms, which comes later. Ruled out: datagrams (smaller headers, but each one would need a proof of the shared key), a longer heartbeat (recovery in 1 s).

--- a/core/src/main/java/org/brasspier/core/ownership/OwnershipMachine.java
+++ b/core/src/main/java/org/brasspier/core/ownership/OwnershipMachine.java
@@ -186,11 +186,12 @@
 	private void heartbeat(CellRow row, long now) {
 		ControlMessage heartbeat = new ControlMessage.Heartbeat(this.me.key().incarnation(), now, row.epoch(),
 				this.lease.known().version(), this.lease.leaseLeft(now), this.document);
-		row.managers()
+		List<MemberKey> renewers = row.managers()
 			.stream()
 			.flatMap(ManagerPair::managers)
 			.filter((key) -> !key.equals(this.me.key()) || !this.guards.on(Guard.MANAGER_RENEWED_BY_PEER))
-			.forEach((key) -> this.out.send(key.instance(), heartbeat));
+			.toList();
+		this.timers.heartbeatTurn(renewers).forEach((key) -> this.out.send(key.instance(), heartbeat));
 	}
 
 	private void toManagers(CellRow row, ControlMessage message) {
--- a/core/src/main/java/org/brasspier/core/ownership/Timers.java
+++ b/core/src/main/java/org/brasspier/core/ownership/Timers.java
@@ -21,16 +21,20 @@
 
 	private boolean leaseRan;
 
+	/** Whose turn the next heartbeat is; 0 for all. */
+	private int turn;
+
 	Timers copy() {
 		Timers copy = new Timers();
 		copy.last.putAll(this.last);
 		copy.pushedAt = this.pushedAt;
 		copy.leaseRan = this.leaseRan;
+		copy.turn = this.turn;
 		return copy;
 	}
 
 	List<Object> state() {
-		return List.of(Map.copyOf(this.last), this.pushedAt, this.leaseRan);
+		return List.of(Map.copyOf(this.last), this.pushedAt, this.leaseRan, this.turn);
 	}
 
 	private boolean due(Kind kind, long now, long every) {
@@ -50,6 +54,23 @@
 		return due(Kind.HEARTBEAT, now, every);
 	}
 
+	/**
+	 * Whom the next heartbeat goes to: the lease managers in turn, since one renewal each
+	 * 150 ms is enough and a manager's traffic is what bounds the size of a cell; all of
+	 * them after a change, since they must learn soon what this member has acknowledged.
+	 * @param renewers who may renew this member
+	 * @return one of them, or all
+	 */
+	List<MemberKey> heartbeatTurn(List<MemberKey> renewers) {
+		if (this.turn == 0 || renewers.isEmpty()) {
+			this.turn = 1;
+			return renewers;
+		}
+		MemberKey next = renewers.get(this.turn % renewers.size());
+		this.turn = this.turn % 2 + 1;
+		return List.of(next);
+	}
+
 	boolean announceDue(long now, long every) {
 		return due(Kind.ANNOUNCE, now, every);
 	}
@@ -93,6 +114,7 @@
 	void rowChanged() {
 		this.last.remove(Kind.BALANCE);
 		this.last.remove(Kind.HEARTBEAT);
+		this.turn = 0;
 	}
 
 	boolean leaseRan() {
--- a/core/src/main/java/org/brasspier/core/ownership/Timing.java
+++ b/core/src/main/java/org/brasspier/core/ownership/Timing.java
@@ -4,7 +4,8 @@
  * The times that ownership is built on, all in milliseconds. docs/DESIGN.md gives the
  * reasons. Every member of a cell must use the same ones. Immutable and thread-safe.
  *
- * @param heartbeat how often a member tells each lease manager that it's alive
+ * @param heartbeat how often a member tells one lease manager or the other, in turn, that
+ * it's alive
  * @param lease how long a renewal lasts from when the member sent the heartbeat it
  * answers
  * @param memberSilence how long a lease manager hears nothing of a member before it wants
@@ -30,7 +31,7 @@
 	 * heartbeat, which leaves a third of a second of the promised one for the write, the
 	 * grant and a scheduler's delay.
 	 */
-	public static final Timing STANDARD = new Timing(150, 600, 350, 100, 300, 600, 900_000, 10_000, 200, 10);
+	public static final Timing STANDARD = new Timing(150, 600, 450, 100, 300, 600, 900_000, 10_000, 200, 10);
 
 	private static final long WHOLE = 1000;
 
