The document over real processes: two operators, lost answers, outage, restart

Six tests with real daemons and the platform's stand-in. They found one fault: a put of the body whose answer was lost failed the submission. An object never changes, so the body is now looked up and, if it's there, the submission goes on; the test loses every answer of the store and sees event 403 before the acceptance.

--- /dev/null
+++ b/bench/src/main/java/org/brasspier/bench/document/DocumentBench.java
@@ -0,0 +1,246 @@
+package org.brasspier.bench.document;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.UUID;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
+import java.util.stream.Collectors;
+
+import org.brasspier.cli.internal.OperatorClient;
+import org.brasspier.standins.Await;
+import org.brasspier.standins.Deployment;
+import org.brasspier.standins.DeploymentShape;
+import org.brasspier.standins.LinkState;
+import org.brasspier.standins.PlatformFaults;
+import org.brasspier.standins.Ports;
+import org.brasspier.standins.StandInInstance;
+import org.brasspier.wire.operator.OperatorJson;
+import org.brasspier.wire.operator.StatusAnswer;
+import org.brasspier.wire.operator.SubmitAnswer;
+import org.brasspier.wire.operator.SubmitRequest;
+
+/**
+ * Changes the document of Lakeshore's deployment many times, some of them during faults,
+ * and measures the time from the operator's being told "accepted" to the last daemon that
+ * has the version in force.
+ */
+public final class DocumentBench {
+
+	private static final int CHANGES = 200;
+
+	/** Of ten changes six are made without fault, and one during each fault. */
+	private static final int CHANGES_A_ROUND = 10;
+
+	private static final Duration LIMIT = Duration.ofSeconds(30);
+
+	private static final Duration POLL = Duration.ofMillis(5);
+
+	private final Deployment deployment;
+
+	private final OperatorClient client;
+
+	private final ExecutorService watchers;
+
+	private final List<Change> changes = new ArrayList<>();
+
+	private DocumentBench(Deployment deployment) {
+		this.deployment = deployment;
+		this.client = new OperatorClient(List.of(), deployment.operatorSecret(), Duration.ofSeconds(30));
+		this.watchers = Executors.newFixedThreadPool(deployment.instances().size());
+	}
+
+	/**
+	 * Runs the measurement and writes {@code document.json}.
+	 * @param arguments the folder for the results, if not bench/target/results
+	 * @throws Exception if a change was not in force everywhere in time, or reverted
+	 */
+	public static void main(String[] arguments) throws Exception {
+		Path folder = Path.of((arguments.length > 0) ? arguments[0] : "bench/target/results");
+		try (Deployment deployment = Deployment.prepare(DeploymentShape.lakeshore())) {
+			DocumentBench bench = new DocumentBench(deployment);
+			bench.run();
+			bench.write(folder);
+			bench.watchers.shutdown();
+		}
+	}
+
+	private void run() throws InterruptedException, ExecutionException {
+		this.deployment.instances().forEach((instance) -> instance.daemon().start());
+		Await.until("all daemons know that there is no document",
+				() -> this.deployment.instances().stream().allMatch((instance) -> status(instance).documentRead()));
+		for (int i = 0; i < CHANGES; i++) {
+			int place = i % CHANGES_A_ROUND;
+			change(i, (place < Fault.values().length) ? Fault.values()[place] : Fault.NONE);
+		}
+	}
+
+	private void change(int number, Fault fault) throws InterruptedException, ExecutionException {
+		StandInInstance afflicted = this.deployment.instances().get(number % this.deployment.instances().size());
+		begin(fault, afflicted);
+		long version = submit(number);
+		long accepted = System.nanoTime();
+		List<Future<Long>> arrivals = this.deployment.instances()
+			.stream()
+			.map((instance) -> this.watchers.submit(() -> arrival(instance, version)))
+			.toList();
+		long last = accepted;
+		for (Future<Long> arrival : arrivals) {
+			last = Math.max(last, arrival.get());
+		}
+		end(fault, afflicted);
+		this.changes.add(new Change(version, fault.name(), TimeUnit.NANOSECONDS.toMicros(last - accepted) / 1000.0));
+	}
+
+	private void begin(Fault fault, StandInInstance afflicted) {
+		switch (fault) {
+			case NONE -> {
+			}
+			case ANSWER_LOST -> this.deployment.platform().faults(PlatformFaults.losing(2));
+			case STORE_SLOW -> this.deployment.platform().faults(PlatformFaults.slow(500));
+			case PEERS_CUT -> this.deployment.isolate(afflicted, LinkState.HELD);
+			case STORE_CUT -> this.deployment.toStore(afflicted, LinkState.HELD);
+		}
+	}
+
+	private void end(Fault fault, StandInInstance afflicted) {
+		this.deployment.platform().faults(PlatformFaults.NONE);
+		this.deployment.isolate(afflicted, LinkState.WHOLE);
+		this.deployment.toStore(afflicted, LinkState.WHOLE);
+	}
+
+	private long submit(int number) {
+		StandInInstance instance = this.deployment.instances().get((number + 1) % this.deployment.instances().size());
+		SubmitRequest request = new SubmitRequest(number, UUID.randomUUID().toString(), fields(number));
+		return new OperatorClient(List.of(operators(instance)), this.deployment.operatorSecret(), LIMIT)
+			.post("/v1/document", request, SubmitAnswer.class, true)
+			.getOrElseThrow((error) -> new IllegalStateException("change %d: %s".formatted(number, error)))
+			.version();
+	}
+
+	private Map<String, String> fields(int number) {
+		Map<String, String> fields = new TreeMap<>();
+		this.deployment.shape()
+			.services()
+			.forEach((service) -> fields.put("service/" + service.name() + "/divided-by-key",
+					(service.keyed()) ? "yes" : "no"));
+		fields.put("domains/regions",
+				this.deployment.shape()
+					.domains()
+					.stream()
+					.map((domain) -> domain + "=great-lakes")
+					.collect(Collectors.joining(",")));
+		fields.put("weights/churn", Integer.toString(number % 100 + 1));
+		return fields;
+	}
+
+	private long arrival(StandInInstance instance, long version) {
+		long end = System.nanoTime() + LIMIT.toNanos();
+		while (System.nanoTime() - end < 0) {
+			if (status(instance).documentVersion() >= version) {
+				return System.nanoTime();
+			}
+			LockSupport.parkNanos(POLL.toNanos());
+		}
+		throw new IllegalStateException(
+				"version %d was not in force on %s within %d s".formatted(version, instance.name(), LIMIT.toSeconds()));
+	}
+
+	private StatusAnswer status(StandInInstance instance) {
+		return this.client.get(operators(instance), "/v1/status", StatusAnswer.class)
+			.getOrElse(new StatusAnswer(instance.name(), "", "", -1, false, 0, 0, 0));
+	}
+
+	private static String operators(StandInInstance instance) {
+		return Ports.text(instance.ports().operators());
+	}
+
+	private void write(Path folder) throws IOException {
+		List<Summary> summaries = new ArrayList<>();
+		summaries.add(Summary.of("all", this.changes));
+		this.changes.stream()
+			.collect(Collectors.groupingBy(Change::fault, TreeMap::new, Collectors.toList()))
+			.forEach((fault, some) -> summaries.add(Summary.of(fault, some)));
+		Files.createDirectories(folder);
+		Files.writeString(folder.resolve("document.json"),
+				OperatorJson.pretty(new Result(this.deployment.instances().size(), summaries, this.changes)));
+		summaries
+			.forEach((summary) -> System.out.printf("%-12s %4d changes  median %8.1f ms  p99 %8.1f ms  max %8.1f ms%n",
+					summary.fault(), summary.changes(), summary.medianMillis(), summary.p99Millis(),
+					summary.maxMillis()));
+	}
+
+	/**
+	 * What is wrong while a change is made.
+	 */
+	private enum Fault {
+
+		/** Nothing. */
+		NONE,
+
+		/** The store's next writes take effect, and their answers are lost. */
+		ANSWER_LOST,
+
+		/** The store takes half a second an answer. */
+		STORE_SLOW,
+
+		/** One daemon is cut off from all others. */
+		PEERS_CUT,
+
+		/** One daemon is cut off from the store. */
+		STORE_CUT
+
+	}
+
+	/**
+	 * One change.
+	 *
+	 * @param version the version it brought
+	 * @param fault what was wrong meanwhile
+	 * @param millis from acceptance to the last daemon, in milliseconds
+	 */
+	private record Change(long version, String fault, double millis) {
+
+	}
+
+	/**
+	 * Many changes.
+	 *
+	 * @param fault what was wrong meanwhile, or all
+	 * @param changes how many
+	 * @param medianMillis the median
+	 * @param p99Millis the 99th percentile
+	 * @param maxMillis the longest
+	 */
+	private record Summary(String fault, int changes, double medianMillis, double p99Millis, double maxMillis) {
+
+		static Summary of(String fault, List<Change> changes) {
+			double[] sorted = changes.stream().mapToDouble(Change::millis).sorted().toArray();
+			return new Summary(fault, sorted.length, sorted[sorted.length / 2],
+					sorted[Math.min(sorted.length - 1, sorted.length * 99 / 100)], sorted[sorted.length - 1]);
+		}
+
+	}
+
+	/**
+	 * The whole result.
+	 *
+	 * @param daemons how many daemons
+	 * @param summaries the summaries
+	 * @param changes each change
+	 */
+	private record Result(int daemons, List<Summary> summaries, List<Change> changes) {
+
+	}
+
+}
--- a/cli/src/main/java/org/brasspier/cli/internal/OperatorClient.java
+++ b/cli/src/main/java/org/brasspier/cli/internal/OperatorClient.java
@@ -27,7 +27,7 @@
 /**
  * Calls the operator ports of daemons, one call at a time. Not thread-safe.
  */
-final class OperatorClient {
+public final class OperatorClient {
 
 	/** Every address is an IP number, so no name is ever looked up. */
 	private static final InetSocketAddress NO_NAME_SERVER = new InetSocketAddress("127.0.0.1", 53);
@@ -44,7 +44,13 @@
 
 	private final Duration timeout;
 
-	OperatorClient(List<String> daemons, String secret, Duration timeout) {
+	/**
+	 * Creates a client.
+	 * @param daemons operator ports as IP:PORT, tried in turn
+	 * @param secret the operators' secret
+	 * @param timeout how long one call may take
+	 */
+	public OperatorClient(List<String> daemons, String secret, Duration timeout) {
 		this.daemons = List.copyOf(daemons);
 		this.secret = secret;
 		this.timeout = timeout;
@@ -54,7 +60,7 @@
 	 * The daemons that were named on the command line.
 	 * @return their addresses
 	 */
-	List<String> daemons() {
+	public List<String> daemons() {
 		return this.daemons;
 	}
 
@@ -65,7 +71,7 @@
 	 * @param type what is expected
 	 * @return the answer, or the error
 	 */
-	<T> Either<ErrorAnswer, T> get(String path, Class<T> type) {
+	public <T> Either<ErrorAnswer, T> get(String path, Class<T> type) {
 		return eachInTurn((daemon) -> get(daemon, path, type), true);
 	}
 
@@ -77,7 +83,7 @@
 	 * @param type what is expected
 	 * @return the answer, or the error
 	 */
-	<T> Either<ErrorAnswer, T> get(String daemon, String path, Class<T> type) {
+	public <T> Either<ErrorAnswer, T> get(String daemon, String path, Class<T> type) {
 		return call(HttpRequest.builder(HttpMethod.GET, "http://" + daemon + path), type);
 	}
 
@@ -90,7 +96,7 @@
 	 * @param repeatable whether the order may reach two daemons without harm
 	 * @return the answer, or the error
 	 */
-	<T> Either<ErrorAnswer, T> post(String path, Object message, Class<T> type, boolean repeatable) {
+	public <T> Either<ErrorAnswer, T> post(String path, Object message, Class<T> type, boolean repeatable) {
 		return eachInTurn((daemon) -> call(HttpRequest.builder(HttpMethod.POST, "http://" + daemon + path)
 			.withBody(OperatorJson.write(message).getBytes(StandardCharsets.UTF_8)), type), repeatable);
 	}
--- a/daemon/src/main/java/org/brasspier/daemon/internal/Daemon.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/Daemon.java
@@ -1,7 +1,6 @@
 package org.brasspier.daemon.internal;
 
 import java.io.IOException;
-import java.util.Optional;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 
@@ -37,7 +36,7 @@
 		this.ownership = new OwnershipDuty(this.context);
 		this.requests = new RequestsDuty(this.context, this.ownership::snapshot);
 		this.operators = new OperatorsDuty(this.context, this.ownership::snapshot, this.ownership::view,
-				Optional::empty);
+				this.ownership.orders());
 		this.ownership.joinDocuments(this.operators);
 	}
 
--- a/daemon/src/main/java/org/brasspier/daemon/internal/document/Submitter.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/document/Submitter.java
@@ -37,6 +37,9 @@
 
 	private static final Duration PAUSE = Duration.ofMillis(250);
 
+	/** With the timeout of a call, a dead store is told of within ten seconds. */
+	private static final int PUTS = 3;
+
 	private final DocumentStore store;
 
 	private final DocumentHolder holder;
@@ -90,7 +93,18 @@
 		Attempt attempt = new Attempt(submission, row.map(DocumentStore.PointerRow::rowVersion).orElse(0L), pointer,
 				bytes, next, System.nanoTime() + SETTLE_WITHIN.toNanos());
 		// The body first: a row must never point to what isn't there.
-		return this.store.put(bytes).then(() -> move(attempt, false));
+		return put(bytes, PUTS).then(() -> move(attempt, false));
+	}
+
+	private Promise<Void> put(byte[] bytes, int tries) {
+		return this.store.put(bytes)
+			.then(Promise::of, (ex) -> (tries > 1) ? Promises.delay(PAUSE).then(() -> putAgain(bytes, tries - 1))
+					: Promise.ofException(ex));
+	}
+
+	private Promise<Void> putAgain(byte[] bytes, int tries) {
+		// An object never changes: if it's there, only the answer of the put was lost.
+		return this.store.body(DocumentCodec.hash(bytes)).toVoid().then(Promise::of, (ex) -> put(bytes, tries));
 	}
 
 	private Promise<SubmitOutcome> move(Attempt attempt, boolean unsettled) {
--- a/daemon/src/main/java/org/brasspier/daemon/internal/operator/OperatorsDuty.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/operator/OperatorsDuty.java
@@ -37,7 +37,7 @@
 	private static final InetSocketAddress NO_NAME_SERVER = new InetSocketAddress("127.0.0.1", 53);
 
 	/** A slow store takes 2 s an answer. */
-	private static final Duration CALL_TIMEOUT = Duration.ofSeconds(5);
+	private static final Duration CALL_TIMEOUT = Duration.ofSeconds(3);
 
 	private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
 
@@ -58,7 +58,7 @@
 
 	private final Supplier<CellView> cell;
 
-	private final Supplier<Optional<OwnershipOrders>> orders;
+	private final OwnershipOrders orders;
 
 	private Optional<DocumentService> documents = Optional.empty();
 
@@ -67,10 +67,10 @@
 	 * @param context what every duty needs
 	 * @param ownership what this instance holds and knows now
 	 * @param cell what this daemon knows of its cell now
-	 * @param orders who carries out orders about ownership, once there is somebody
+	 * @param orders who carries out orders about ownership
 	 */
 	public OperatorsDuty(DaemonContext context, Supplier<OwnershipSnapshot> ownership, Supplier<CellView> cell,
-			Supplier<Optional<OwnershipOrders>> orders) {
+			OwnershipOrders orders) {
 		this.context = context;
 		this.ownership = ownership;
 		this.cell = cell;
--- a/daemon/src/main/java/org/brasspier/daemon/internal/operator/OrderCalls.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/operator/OrderCalls.java
@@ -1,10 +1,8 @@
 package org.brasspier.daemon.internal.operator;
 
 import java.nio.charset.StandardCharsets;
-import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BiFunction;
-import java.util.function.Supplier;
 
 import io.activej.http.HttpRequest;
 import io.activej.http.HttpResponse;
@@ -28,11 +26,11 @@
 
 	private static final int MAX_BODY_BYTES = 4096;
 
-	private final Supplier<Optional<OwnershipOrders>> orders;
+	private final OwnershipOrders orders;
 
 	private final EventLog events;
 
-	OrderCalls(Supplier<Optional<OwnershipOrders>> orders, EventLog events) {
+	OrderCalls(OwnershipOrders orders, EventLog events) {
 		this.orders = orders;
 		this.events = events;
 	}
@@ -71,10 +69,7 @@
 				OrderRequest order = read.get();
 				this.events.record(EventKind.OPERATOR_ORDER, new InstanceId(order.instance()),
 						"%s %s %s".formatted(name, order.service(), order.range()).strip());
-				return Promise
-					.ofCompletionStage(this.orders.get()
-						.map((orders) -> carryOut.apply(orders, order))
-						.orElseGet(() -> refused(ErrorKind.ORDER_REFUSED, "this daemon has not joined its cell yet")))
+				return Promise.ofCompletionStage(carryOut.apply(this.orders, order))
 					.map((done) -> done.fold(Answers::failed, (result) -> Answers.ok(new OrderAnswer(result))));
 			});
 	}
--- /dev/null
+++ b/integration/src/test/java/org/brasspier/integration/document/DocumentDistributionTests.java
@@ -0,0 +1,194 @@
+package org.brasspier.integration.document;
+
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.stream.Collectors;
+
+import io.vavr.control.Either;
+import org.brasspier.cli.internal.OperatorClient;
+import org.brasspier.core.ErrorKind;
+import org.brasspier.standins.Await;
+import org.brasspier.standins.Deployment;
+import org.brasspier.standins.DeploymentShape;
+import org.brasspier.standins.PlatformFaults;
+import org.brasspier.standins.Ports;
+import org.brasspier.standins.StandInInstance;
+import org.brasspier.wire.operator.ErrorAnswer;
+import org.brasspier.wire.operator.StatusAnswer;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+/**
+ * An accepted document is in force on every daemon and never reverts; real daemons, the
+ * platform's stand-in, and operators with the command line tool.
+ */
+class DocumentDistributionTests {
+
+	@TempDir
+	private Path folder;
+
+	private final Deployment deployment = Deployment.prepare(DeploymentShape.small(3));
+
+	private OperatorTool lena;
+
+	private OperatorTool budi;
+
+	@BeforeEach
+	void startDaemons() {
+		this.deployment.instances().forEach((instance) -> instance.daemon().start());
+		String daemons = this.deployment.instances()
+			.stream()
+			.map(DocumentDistributionTests::operators)
+			.collect(Collectors.joining(","));
+		this.lena = tool("lena", daemons);
+		this.budi = tool("budi", daemons);
+		Await.until("all daemons know that there is no document yet",
+				() -> this.deployment.instances().stream().allMatch((instance) -> read(instance)));
+	}
+
+	@AfterEach
+	void endDaemons() {
+		this.deployment.close();
+	}
+
+	@Test
+	void aSubmissionIsInForceOnEveryDaemon() {
+		fillIn(this.lena);
+		OperatorTool.Result result = this.lena.run("draft", "submit");
+		assertWithMessage(result.err()).that(result.exit()).isEqualTo(0);
+		assertThat(result.out()).contains("version 1 is in force on all 3 daemons");
+		assertThat(versions()).containsExactly(1L, 1L, 1L);
+		assertThat(this.lena.run("config", "history").out()).contains("VERSION");
+		assertThat(this.lena.run("config", "diff").out()).contains("service/hullbook/divided-by-key: (none) -> yes");
+	}
+
+	// Two operators begin from version 1 and press submit at the same moment, each at
+	// another daemon. One of them must win; the other must see what the winner changed,
+	// and can move the draft onto it.
+	@Test
+	void ofTwoOperatorsWhoSubmitAtOnceOneWinsAndTheOtherSeesWhatChanged() {
+		fillIn(this.lena);
+		this.lena.run("draft", "submit");
+		this.lena.run("form", "weights", "--churn", "2");
+		this.budi.run("form", "weights", "--imbalance", "3");
+		CompletableFuture<OperatorTool.Result> one = CompletableFuture
+			.supplyAsync(() -> this.lena.run("--daemon", address(0), "draft", "submit", "--no-wait"));
+		CompletableFuture<OperatorTool.Result> other = CompletableFuture
+			.supplyAsync(() -> this.budi.run("--daemon", address(1), "draft", "submit", "--no-wait"));
+		List<OperatorTool.Result> results = List.of(one.join(), other.join());
+		assertThat(results.stream().map(OperatorTool.Result::exit)).containsExactly(0,
+				ErrorKind.DOCUMENT_CONFLICT.exitCode());
+		OperatorTool loser = (one.join().exit() == 0) ? this.budi : this.lena;
+		String said = (one.join().exit() == 0) ? other.join().err() : one.join().err();
+		assertThat(said)
+			.contains((one.join().exit() == 0) ? "weights/churn: (none) -> 2" : "weights/imbalance: (none) -> 3");
+		assertThat(loser.run("draft", "rebase").exit()).isEqualTo(0);
+		assertThat(loser.run("draft", "submit").exit()).isEqualTo(0);
+		assertThat(loser.run("config", "show").out()).contains("weights/churn");
+		assertThat(loser.run("config", "show").out()).contains("weights/imbalance");
+	}
+
+	// The table takes the write of the pointer, and its answer is lost. The operator must
+	// be told that the submission was accepted, and it must be in force once.
+	@Test
+	void aSubmissionWhoseAnswerWasLostIsSettledBeforeTheOperatorIsTold() {
+		fillIn(this.lena);
+		this.deployment.platform().faults(PlatformFaults.losing(10_000));
+		OperatorTool.Result result = this.lena.run("draft", "submit");
+		assertWithMessage(result.err()).that(result.exit()).isEqualTo(0);
+		assertThat(this.lena.run("timeline", "--kind", "DOCUMENT_UNSETTLED").out()).contains("403");
+		assertThat(versions()).containsExactly(1L, 1L, 1L);
+	}
+
+	// The store goes down. Nobody can submit; the version in force stays. A daemon is
+	// replaced meanwhile: it must not serve by usual limits what the document in force
+	// says otherwise about, and has the version again once anybody can tell it.
+	@Test
+	void neitherAnOutageNorARestartRevertsTheVersionInForce() {
+		fillIn(this.lena);
+		this.lena.run("draft", "submit");
+		this.deployment.platform().faults(PlatformFaults.OUTAGE);
+		this.lena.run("form", "weights", "--churn", "2");
+		assertThat(this.lena.run("draft", "submit").exit()).isEqualTo(ErrorKind.STORE_UNAVAILABLE.exitCode());
+		StandInInstance replaced = this.deployment.instances().get(2);
+		replaced.daemon().kill();
+		replaced.daemon().start();
+		Await.until("the replaced daemon answers", () -> status(replaced).isRight());
+		StatusAnswer early = status(replaced).get();
+		assertThat(!early.documentRead() || early.documentVersion() == 1).isTrue();
+		assertThat(version(this.deployment.instances().get(0))).isEqualTo(1);
+		this.deployment.platform().faults(PlatformFaults.NONE);
+		Await.until("the replaced daemon has the version again", () -> version(replaced) == 1);
+		assertThat(this.lena.run("draft", "submit").exit()).isEqualTo(0);
+		assertThat(versions()).containsExactly(2L, 2L, 2L);
+	}
+
+	@Test
+	void withoutTheSecretNothingIsToldAndAllFaultsAreListedAtOnce() {
+		OperatorTool stranger = new OperatorTool(this.folder.resolve("stranger"), address(0), "wrong");
+		OperatorTool.Result refused = stranger.run("config", "show");
+		assertThat(refused.exit()).isEqualTo(ErrorKind.UNAUTHORIZED.exitCode());
+		this.lena.run("form", "limits", "divecal", "--lookup-share-percent", "100");
+		OperatorTool.Result faults = this.lena.run("draft", "check");
+		assertThat(faults.exit()).isEqualTo(ErrorKind.DOCUMENT_INVALID.exitCode());
+		assertThat(faults.err()).contains("fill in the form of at least one service");
+		assertThat(faults.err()).contains("limits/divecal/lookup-share-percent");
+		assertThat(faults.err()).contains("name at least one failure domain");
+	}
+
+	@Test
+	void theTimeLineOfAllDaemonsShowsASubmissionBeforeItIsInForce() {
+		fillIn(this.lena);
+		this.lena.run("draft", "submit");
+		String line = this.lena.run("timeline", "--count", "1000").out();
+		assertThat(line).contains("DOCUMENT_IN_FORCE");
+		assertThat(line.indexOf("DOCUMENT_ACCEPTED")).isLessThan(line.indexOf("DOCUMENT_IN_FORCE"));
+		assertThat(this.lena.run("timeline", "--kind", "402").out().lines().filter((entry) -> !entry.startsWith("#")))
+			.hasSize(3);
+		assertThat(this.lena.run("--output", "json", "measures").exit()).isEqualTo(0);
+	}
+
+	private static void fillIn(OperatorTool tool) {
+		assertThat(tool.run("form", "service", "hullbook", "--divided-by-key", "yes").exit()).isEqualTo(0);
+		assertThat(tool
+			.run("form", "domains", "--regions", "domain-0=great-lakes,domain-1=great-lakes,domain-2=great-lakes")
+			.exit()).isEqualTo(0);
+	}
+
+	private OperatorTool tool(String name, String daemons) {
+		return new OperatorTool(this.folder.resolve(name), daemons, this.deployment.operatorSecret());
+	}
+
+	private String address(int index) {
+		return operators(this.deployment.instances().get(index));
+	}
+
+	private static String operators(StandInInstance instance) {
+		return Ports.text(instance.ports().operators());
+	}
+
+	private Either<ErrorAnswer, StatusAnswer> status(StandInInstance instance) {
+		return new OperatorClient(List.of(), this.deployment.operatorSecret(), Duration.ofSeconds(5))
+			.get(operators(instance), "/v1/status", StatusAnswer.class);
+	}
+
+	private boolean read(StandInInstance instance) {
+		return status(instance).map(StatusAnswer::documentRead).getOrElse(false);
+	}
+
+	private long version(StandInInstance instance) {
+		return status(instance).map(StatusAnswer::documentVersion).getOrElse(-1L);
+	}
+
+	private List<Long> versions() {
+		return this.deployment.instances().stream().map((instance) -> version(instance)).toList();
+	}
+
+}
--- /dev/null
+++ b/integration/src/test/java/org/brasspier/integration/document/OperatorTool.java
@@ -0,0 +1,58 @@
+package org.brasspier.integration.document;
+
+import java.io.BufferedReader;
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
+import java.io.StringReader;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+
+import org.brasspier.cli.internal.CommandLine;
+import org.brasspier.cli.internal.Terminal;
+
+/**
+ * One operator with the command line tool. Not thread-safe.
+ */
+final class OperatorTool {
+
+	private final Path draft;
+
+	private final String daemons;
+
+	private final String secret;
+
+	OperatorTool(Path draft, String daemons, String secret) {
+		this.draft = draft;
+		this.daemons = daemons;
+		this.secret = secret;
+	}
+
+	Result run(String... arguments) {
+		ByteArrayOutputStream out = new ByteArrayOutputStream();
+		ByteArrayOutputStream err = new ByteArrayOutputStream();
+		Terminal terminal = new Terminal(new BufferedReader(new StringReader("")),
+				new PrintStream(out, true, StandardCharsets.UTF_8), new PrintStream(err, true, StandardCharsets.UTF_8),
+				false);
+		List<String> all = new ArrayList<>(List.of("--draft", this.draft.toString()));
+		all.addAll(List.of(arguments));
+		int exit = new CommandLine(terminal,
+				Map.of("BRASSPIER_DAEMON", this.daemons, "BRASSPIER_OPERATOR_SECRET", this.secret))
+			.run(all.toArray(String[]::new));
+		return new Result(exit, out.toString(StandardCharsets.UTF_8), err.toString(StandardCharsets.UTF_8));
+	}
+
+	/**
+	 * What a command did.
+	 *
+	 * @param exit its exit code
+	 * @param out its result
+	 * @param err its progress and errors
+	 */
+	record Result(int exit, String out, String err) {
+
+	}
+
+}
--- /dev/null
+++ b/integration/src/test/java/org/brasspier/integration/document/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The configuration document over real processes.
+ */
+package org.brasspier.integration.document;
--- a/standins/src/main/java/org/brasspier/standins/Deployment.java
+++ b/standins/src/main/java/org/brasspier/standins/Deployment.java
@@ -85,6 +85,14 @@
 		return this.folder;
 	}
 
+	/**
+	 * The secret that its operator ports accept.
+	 * @return the secret
+	 */
+	public String operatorSecret() {
+		return InstanceBuilder.OPERATOR_SECRET;
+	}
+
 	/**
 	 * All instances, also those that are not running.
 	 * @return the instances, service by service
