Let links of the proxy change while pairs end

The document's measurement cut links while connections through them ended, and the iteration over the pairs broke (ConcurrentModificationException), because passing on what was held may end a pair. Each pair is told from a copy of the set now.

--- a/bench/src/main/java/org/brasspier/bench/document/DocumentBench.java
+++ b/bench/src/main/java/org/brasspier/bench/document/DocumentBench.java
@@ -69,9 +69,13 @@
 		Path folder = Path.of((arguments.length > 0) ? arguments[0] : "bench/target/results");
 		try (Deployment deployment = Deployment.prepare(DeploymentShape.lakeshore())) {
 			DocumentBench bench = new DocumentBench(deployment);
-			bench.run();
-			bench.write(folder);
-			bench.watchers.shutdown();
+			try {
+				bench.run();
+				bench.write(folder);
+			}
+			finally {
+				bench.watchers.shutdownNow();
+			}
 		}
 	}
 
--- a/standins/src/main/java/org/brasspier/standins/FaultLink.java
+++ b/standins/src/main/java/org/brasspier/standins/FaultLink.java
@@ -72,7 +72,8 @@
 			if (next == LinkState.RESET) {
 				Set.copyOf(this.pairs).forEach(Pair::end);
 			}
-			this.pairs.forEach((pair) -> pair.obey(next));
+			// What was held may end a pair as it's passed on.
+			Set.copyOf(this.pairs).forEach((pair) -> pair.obey(next));
 			return true;
 		});
 	}
@@ -83,7 +84,7 @@
 	 */
 	public void silenceOpenConnections() {
 		this.loop.call(() -> {
-			this.pairs.forEach(Pair::silence);
+			Set.copyOf(this.pairs).forEach(Pair::silence);
 			return true;
 		});
 	}
