--- a/cli/src/main/java/org/brasspier/cli/internal/CommandLine.java
+++ b/cli/src/main/java/org/brasspier/cli/internal/CommandLine.java
@@ -1,6 +1,10 @@
 package org.brasspier.cli.internal;
 
+import java.io.BufferedReader;
 import java.io.IOException;
+import java.io.OutputStream;
+import java.io.PrintStream;
+import java.io.Reader;
 import java.io.UncheckedIOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -9,6 +13,9 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
 
 import com.beust.jcommander.JCommander;
 import com.beust.jcommander.ParameterException;
@@ -62,15 +69,14 @@
 	 * @return the exit code
 	 */
 	public int run(String... arguments) {
-		JCommander commander = JCommander.newBuilder().addObject(this.flags).programName("brasspier").build();
-		this.commands.forEach(commander::addCommand);
+		JCommander commander = commander();
 		try {
 			// Help is given wherever it's asked for, also in the midst of a half line.
 			if (Arrays.stream(arguments).anyMatch(HELP::contains)) {
 				help(commander, arguments);
 				return 0;
 			}
-			commander.parse(FormCommand.expand(arguments));
+			parse(commander, arguments);
 			String name = commander.getParsedCommand();
 			if (name == null) {
 				help(commander, arguments);
@@ -84,6 +90,47 @@
 		}
 	}
 
+	private JCommander commander() {
+		JCommander commander = JCommander.newBuilder().addObject(this.flags).programName("brasspier").build();
+		this.commands.forEach(commander::addCommand);
+		return commander;
+	}
+
+	private static void parse(JCommander commander, String[] arguments) {
+		String[] expanded = FormCommand.expand(arguments);
+		commander.parse(expanded);
+		// A mistyped flag would else pass for one of the command's words.
+		Set<String> known = Stream.concat(Stream.of(commander), commander.getCommands().values().stream())
+			.flatMap((part) -> part.getParameters().stream())
+			.flatMap((description) -> Arrays.stream(description.getParameter().names()))
+			.collect(Collectors.toSet());
+		Arrays.stream(expanded)
+			.filter((argument) -> argument.startsWith("--") && !known.contains(argument))
+			.findFirst()
+			.ifPresent((argument) -> {
+				throw new ParameterException("unknown flag " + argument);
+			});
+	}
+
+	/**
+	 * Whether a command line makes sense, without running it.
+	 * @param arguments the command line
+	 * @return true if its command and flags are known
+	 */
+	public static boolean understands(String... arguments) {
+		Terminal nobody = new Terminal(new BufferedReader(Reader.nullReader()),
+				new PrintStream(OutputStream.nullOutputStream()), new PrintStream(OutputStream.nullOutputStream()),
+				false);
+		JCommander commander = new CommandLine(nobody, Map.of()).commander();
+		try {
+			parse(commander, arguments);
+			return commander.getParsedCommand() != null;
+		}
+		catch (ParameterException ex) {
+			return false;
+		}
+	}
+
 	private Command command(String name) {
 		Command command = this.commands.get(name);
 		if (command == null) {
--- a/cli/src/test/java/org/brasspier/cli/internal/FormCommandTests.java
+++ b/cli/src/test/java/org/brasspier/cli/internal/FormCommandTests.java
@@ -98,6 +98,8 @@
 		assertThat(run("", "frm")).isEqualTo(ErrorKind.BAD_REQUEST.exitCode());
 		assertThat(run("", "--output", "xml", "draft", "show")).isEqualTo(ErrorKind.BAD_REQUEST.exitCode());
 		assertThat(run("", "form", "service")).isEqualTo(ErrorKind.BAD_REQUEST.exitCode());
+		assertThat(run("", "form", "weights", "--chrun", "3")).isEqualTo(ErrorKind.BAD_REQUEST.exitCode());
+		assertThat(said()).contains("unknown flag --chrun");
 	}
 
 	@Test
