--- a/bench/src/main/java/org/brasspier/bench/capacity/FrameSlopes.java
+++ b/bench/src/main/java/org/brasspier/bench/capacity/FrameSlopes.java
@@ -7,8 +7,10 @@
 import org.brasspier.core.RequestClass;
 import org.brasspier.core.RequestId;
 import org.brasspier.core.ServiceName;
+import org.brasspier.core.event.HybridTime;
 import org.brasspier.core.request.CallerRequest;
 import org.brasspier.core.request.HeaderField;
+import org.brasspier.core.request.RequestIdentity;
 import org.brasspier.wire.ForwardCodec;
 import org.brasspier.wire.ForwardMessage;
 import org.brasspier.wire.FrameDecoder;
@@ -22,13 +24,15 @@
 
 	private static final int[] BODIES = { 0, 256, 1024, 4096, 16384 };
 
+	private static final HybridTime STAMP = new HybridTime(1L << 56);
+
 	private static final int MAX_FRAME_BYTES = 1 << 20;
 
 	@Override
 	public List<Slope> measure() {
 		return List.of(
 				SlopeSuite.over("forwarded request, frame", "bytes of body", "bytes", BODIES,
-						(body) -> ForwardCodec.encode(forward(body)).length),
+						(body) -> ForwardCodec.encode(forward(body), STAMP).length),
 				SlopeSuite.over("forwarded request, encoding and decoding", "bytes of body", "ns", BODIES, (body) -> {
 					ForwardMessage message = forward(body);
 					return Probe.nanosEach(() -> passed(message));
@@ -38,7 +42,8 @@
 	private static ForwardMessage passed(ForwardMessage message) {
 		try {
 			return ForwardCodec
-				.decode(new FrameDecoder(MAX_FRAME_BYTES).accept(ForwardCodec.encode(message)).getFirst());
+				.decode(new FrameDecoder(MAX_FRAME_BYTES).accept(ForwardCodec.encode(message, STAMP)).getFirst())
+				.message();
 		}
 		catch (WireException ex) {
 			throw new IllegalStateException("a frame did not survive its own codec", ex);
@@ -46,9 +51,10 @@
 	}
 
 	private static ForwardMessage forward(int bodyBytes) {
-		CallerRequest request = new CallerRequest(new ServiceName("hullbook"), Optional.of("hull-4711"),
-				new RequestId("0b2c8e1e-6b1e-4a53-9d0c-2d5cf2f0a001"), RequestClass.LOOKUP,
-				new CallerId("marina-duluth-7"), Optional.empty(), 1000,
+		CallerRequest request = new CallerRequest(new ServiceName("hullbook"), Optional.of("hull-4711"), true,
+				new RequestIdentity(new RequestId("0b2c8e1e-6b1e-4a53-9d0c-2d5cf2f0a001"), false, false,
+						Optional.empty()),
+				RequestClass.LOOKUP, new CallerId("marina-duluth-7"), 1000,
 				new CallerRequest.Target("GET", "/inspections/hull-4711?last=5"),
 				List.of(new HeaderField("Accept", "application/json")), new byte[bodyBytes]);
 		return new ForwardMessage.Forward(1, request);
--- a/core/src/main/java/org/brasspier/core/event/EventKind.java
+++ b/core/src/main/java/org/brasspier/core/event/EventKind.java
@@ -69,6 +69,24 @@
 	/** A caller sent something malformed. */
 	BAD_CALLER_INPUT(304),
 
+	/** A request may have run, but no answer of it came. */
+	REQUEST_UNKNOWN(305),
+
+	/** A caller went away before its request was answered. */
+	REQUEST_CANCELLED(306),
+
+	/** A posting was sent again and not run again. */
+	REQUEST_REPEATED(307),
+
+	/** A request was in flight when its backend server was lost. */
+	REQUEST_SUSPECT(308),
+
+	/** A request is kept away from backend servers, since it crashed some. */
+	REQUEST_KEPT_AWAY(309),
+
+	/** A connection gave no answer in time, and the request was sent on a new one. */
+	CONNECTION_REPLACED(310),
+
 	/** A document was submitted and accepted through this daemon. */
 	DOCUMENT_ACCEPTED(400),
 
@@ -111,6 +129,9 @@
 	/** A peer failed to prove the shared key or sent something malformed. */
 	PEER_REFUSED(601),
 
+	/** A connection to a peer broke or went silent. */
+	PEER_LOST(602),
+
 	/** The platform's store answers again. */
 	STORE_REACHED(700),
 
--- a/core/src/main/java/org/brasspier/core/request/CallerRequest.java
+++ b/core/src/main/java/org/brasspier/core/request/CallerRequest.java
@@ -3,6 +3,8 @@
 import java.util.List;
 import java.util.Optional;
 
+import com.dynatrace.hash4j.hashing.HashStream64;
+import com.dynatrace.hash4j.hashing.Hashing;
 import org.brasspier.core.CallerId;
 import org.brasspier.core.KeyHash;
 import org.brasspier.core.RequestClass;
@@ -14,35 +16,84 @@
  * long as nobody writes to the body; thread-safe.
  *
  * @param service the service asked for
- * @param key the key, for services divided by key
- * @param id the identity of the request, the same on each resend
+ * @param key the key; always present where the service is divided by key
+ * @param byKey whether the service is divided by key
+ * @param identity what tells this request from others
  * @param requestClass what the request is worth and whether it may run twice
  * @param caller under whose share the request counts
- * @param ticket the ticket that binds a posting to the fence it was first admitted under
  * @param remainingMillis the time until the deadline, in milliseconds, counted from when
  * this process received the request
  * @param target the HTTP method and path for the backend server
  * @param headers header fields passed through
  * @param body the body, empty if none
  */
-public record CallerRequest(ServiceName service, Optional<String> key, RequestId id, RequestClass requestClass,
-		CallerId caller, Optional<String> ticket, int remainingMillis, Target target, List<HeaderField> headers,
+public record CallerRequest(ServiceName service, Optional<String> key, boolean byKey, RequestIdentity identity,
+		RequestClass requestClass, CallerId caller, int remainingMillis, Target target, List<HeaderField> headers,
 		byte[] body) {
 
 	/**
 	 * Copies the header fields.
+	 * @throws IllegalArgumentException if a service divided by key lacks the key
 	 */
 	public CallerRequest {
+		if (byKey && key.isEmpty()) {
+			throw new IllegalArgumentException(
+					"service %s is divided by key, and Brasspier-Key is missing (see TROUBLESHOOTING.md#bad-key)"
+						.formatted(service));
+		}
 		headers = List.copyOf(headers);
 	}
 
+	/**
+	 * The identity of the request.
+	 * @return the id, the same on each resend
+	 */
+	public RequestId id() {
+		return this.identity.id();
+	}
+
 	/**
 	 * The point that decides who owns this request: that of the key, or of the request id
 	 * where the service is not divided by key.
 	 * @return the point
 	 */
 	public KeyHash hash() {
-		return KeyHash.of(this.key.orElseGet(this.id::value));
+		return KeyHash.of((this.byKey) ? this.key.orElseThrow() : id().value());
+	}
+
+	/**
+	 * A hash of what the backend server would see, to tell a resend from another request
+	 * under the same id.
+	 * @return 64 bits
+	 */
+	public long fingerprint() {
+		HashStream64 hash = Hashing.komihash5_0().hashStream();
+		hash.putString(this.service.value())
+			.putString(this.key.orElse(""))
+			.putString(this.target.method())
+			.putString(this.target.path())
+			.putByteArray(this.body);
+		return hash.getAsLong();
+	}
+
+	/**
+	 * Under what this request is counted when its backend server is lost: its id or,
+	 * where that was made up and a resend has another, its contents.
+	 * @return 64 bits
+	 */
+	public long mark() {
+		return (this.identity.madeUp()) ? fingerprint()
+				: Hashing.komihash5_0().hashCharsToLong(this.service.value() + "/" + id().value());
+	}
+
+	/**
+	 * The same request with less time left.
+	 * @param millis the time until the deadline, in milliseconds
+	 * @return the copy
+	 */
+	public CallerRequest withRemainingMillis(int millis) {
+		return new CallerRequest(this.service, this.key, this.byKey, this.identity, this.requestClass, this.caller,
+				millis, this.target, this.headers, this.body);
 	}
 
 	/**
--- /dev/null
+++ b/core/src/test/java/org/brasspier/core/request/CrashMarksTests.java
@@ -0,0 +1,64 @@
+package org.brasspier.core.request;
+
+import org.brasspier.core.KeyHash;
+import org.brasspier.core.KeyRange;
+import org.brasspier.core.ownership.CrashMark;
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+
+class CrashMarksTests {
+
+	private static final KeyHash POINT = new KeyHash(5);
+
+	private static final KeyRange RANGE = new KeyRange(0, 10);
+
+	@Test
+	void theSecondOwnersCrashCountsOnFromTheFirsts() {
+		// A request crashed the first owner's server. Its range, and the mark with it,
+		// went to the second owner, whose server it crashed too. The third must refuse.
+		CrashMarks first = new CrashMarks();
+		first.crashed(77, POINT);
+		CrashMarks second = new CrashMarks();
+		second.merge(first.goingWith(RANGE));
+		assertThat(second.crashed(77, POINT)).isEqualTo(CrashMarks.MAX_CRASHES);
+		CrashMarks third = new CrashMarks();
+		third.merge(second.goingWith(RANGE));
+		third.merge(first.goingWith(RANGE));
+		assertThat(third.count(77)).isEqualTo(CrashMarks.MAX_CRASHES);
+	}
+
+	@Test
+	void marksOfOtherRangesStay() {
+		CrashMarks marks = new CrashMarks();
+		marks.crashed(77, POINT);
+		assertThat(marks.goingWith(new KeyRange(10, 20))).isEmpty();
+	}
+
+	@Test
+	void aRequestThatEndsWellIsNoLongerSuspect() {
+		CrashMarks marks = new CrashMarks();
+		marks.crashed(77, POINT);
+		marks.endedWell(77);
+		assertThat(marks.count(77)).isEqualTo(0);
+	}
+
+	@Test
+	void theHighestCountsTravelAndAreForgottenLast() {
+		CrashMarks marks = new CrashMarks();
+		marks.crashed(500, POINT);
+		marks.crashed(500, POINT);
+		for (int i = 0; i < 100; i++) {
+			marks.crashed(i, POINT);
+		}
+		assertThat(marks.goingWith(RANGE)).hasSize(CrashMark.MAX_PER_RANGE);
+		assertThat(marks.goingWith(RANGE)).contains(new CrashMark(500, 2));
+		for (int i = 1000; i < 2000; i++) {
+			marks.crashed(i, POINT);
+		}
+		assertThat(marks.count(500)).isEqualTo(2);
+		assertThat(marks.count(1000)).isEqualTo(0);
+		assertThat(marks.count(1999)).isEqualTo(1);
+	}
+
+}
--- /dev/null
+++ b/core/src/test/java/org/brasspier/core/request/RequestLedgerTests.java
@@ -0,0 +1,116 @@
+package org.brasspier.core.request;
+
+import java.util.List;
+import java.util.Optional;
+
+import io.vavr.control.Either;
+import org.brasspier.core.ErrorKind;
+import org.brasspier.core.Failure;
+import org.brasspier.core.Fence;
+import org.brasspier.core.RequestId;
+import org.brasspier.core.ServiceName;
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+
+class RequestLedgerTests {
+
+	private static final ServiceName HULLBOOK = new ServiceName("hullbook");
+
+	private static final Fence FENCE = new Fence(7);
+
+	private final RequestLedger ledger = new RequestLedger(99, new LedgerLimits(3, 100, 600_000), 0);
+
+	@Test
+	void aPostingWithoutATicketIsAskedForOne() {
+		assertThat(refusal(this.ledger.admit(posting("a"), Optional.empty(), true, 1)))
+			.isEqualTo(ErrorKind.TICKET_REQUIRED);
+	}
+
+	@Test
+	void aResendWaitsForTheFirstAndThenGetsItsAnswerAgain() {
+		// A crew's booking ran, but the answer was lost on the way. The crew sends it
+		// again, first while it still runs, then afterwards. It must run once, and both
+		// resends must end with the answer of that run.
+		Optional<Ticket> ticket = ticket(1);
+		assertThat(this.ledger.admit(posting("a"), ticket, false, 2)).isInstanceOf(Admission.Run.class);
+		assertThat(this.ledger.admit(posting("a"), ticket, false, 3)).isInstanceOf(Admission.Join.class);
+		Either<Failure, Answer> end = Either.right(new Answer(201, List.of(), new byte[4]));
+		this.ledger.ended(posting("a"), end);
+		assertThat(this.ledger.admit(posting("a"), ticket, false, 4)).isEqualTo(new Admission.Ended(end));
+	}
+
+	@Test
+	void aPostingThatCertainlyDidNotRunMayRunLater() {
+		this.ledger.admit(posting("a"), ticket(1), false, 2);
+		this.ledger.notRun(posting("a"));
+		assertThat(this.ledger.admit(posting("a"), ticket(1), false, 3)).isInstanceOf(Admission.Run.class);
+	}
+
+	@Test
+	void theSameIdWithOtherContentsIsRefused() {
+		this.ledger.admit(posting("a"), ticket(1), false, 2);
+		Posting other = new Posting(HULLBOOK, FENCE, new RequestId("a"), 2);
+		assertThat(refusal(this.ledger.admit(other, ticket(1), false, 3))).isEqualTo(ErrorKind.ID_REUSED);
+	}
+
+	@Test
+	void aTicketOfAnEarlierOwnerDoesNotRunAgain() {
+		// The first owner ran a return and was lost before it answered. The desk sends it
+		// again, and it reaches the next owner, who can't know of it.
+		Optional<Ticket> old = Optional.of(new Ticket(HULLBOOK, new Fence(6), 5, 1));
+		assertThat(refusal(this.ledger.admit(posting("a"), old, false, 2))).isEqualTo(ErrorKind.POSSIBLY_RAN_BEFORE);
+		assertThat(refusal(this.ledger.admit(posting("a"), old, true, 2))).isEqualTo(ErrorKind.TICKET_REQUIRED);
+	}
+
+	@Test
+	void aTicketOfAnotherOwnerUnderTheSameFenceIsForAnotherRange() {
+		Optional<Ticket> other = Optional.of(new Ticket(HULLBOOK, FENCE, 5, 1));
+		assertThat(refusal(this.ledger.admit(posting("a"), other, false, 2))).isEqualTo(ErrorKind.TICKET_REQUIRED);
+	}
+
+	@Test
+	void aTicketOlderThanWhatWasForgottenDoesNotRun() {
+		// More postings come than the ledger holds. The oldest is forgotten; its resend
+		// must not run again, while a new ticket is good.
+		Optional<Ticket> early = ticket(1);
+		List.of("a", "b", "c", "d").forEach((id) -> {
+			assertThat(this.ledger.admit(posting(id), early, false, 2)).isInstanceOf(Admission.Run.class);
+			this.ledger.ended(posting(id), Either.left(Failure.of(ErrorKind.OUTCOME_UNKNOWN, "lost")));
+		});
+		assertThat(this.ledger.size()).isEqualTo(3);
+		assertThat(refusal(this.ledger.admit(posting("a"), early, false, 3))).isEqualTo(ErrorKind.POSSIBLY_RAN_BEFORE);
+		assertThat(this.ledger.admit(posting("e"), ticket(3), false, 3)).isInstanceOf(Admission.Run.class);
+	}
+
+	@Test
+	void whatIsInProgressIsNeverForgotten() {
+		List.of("a", "b", "c").forEach((id) -> this.ledger.admit(posting(id), ticket(1), false, 2));
+		assertThat(refusal(this.ledger.admit(posting("d"), ticket(1), false, 3))).isEqualTo(ErrorKind.OVERLOADED);
+		assertThat(this.ledger.admit(posting("a"), ticket(1), false, 900_000)).isInstanceOf(Admission.Join.class);
+	}
+
+	@Test
+	void anAnswerThatIsNoLongerKeptStillDoesNotRunAgain() {
+		for (String id : List.of("a", "b")) {
+			this.ledger.admit(posting(id), ticket(1), false, 2);
+			this.ledger.ended(posting(id), Either.right(new Answer(200, List.of(), new byte[80])));
+		}
+		assertThat(refusal(this.ledger.admit(posting("a"), ticket(1), false, 3)))
+			.isEqualTo(ErrorKind.POSSIBLY_RAN_BEFORE);
+		assertThat(this.ledger.admit(posting("b"), ticket(1), false, 3)).isInstanceOf(Admission.Ended.class);
+	}
+
+	private Optional<Ticket> ticket(long nowMillis) {
+		return Optional.of(this.ledger.issue(HULLBOOK, FENCE, nowMillis));
+	}
+
+	private static Posting posting(String id) {
+		return new Posting(HULLBOOK, FENCE, new RequestId(id), 1);
+	}
+
+	private static ErrorKind refusal(Admission admission) {
+		return ((Admission.Refused) admission).failure().kind();
+	}
+
+}
--- a/daemon/src/main/java/org/brasspier/daemon/internal/Daemon.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/Daemon.java
@@ -35,7 +35,9 @@
 	public Daemon(Settings settings) {
 		this.context = new DaemonContext(settings, new EventLog(KEPT_EVENTS), new MetricRegistry());
 		this.ownership = new OwnershipDuty(this.context);
-		this.requests = new RequestsDuty(this.context, this.ownership::snapshot);
+		this.requests = new RequestsDuty(this.context, new RequestsDuty.Known(this.ownership::snapshot,
+				this.ownership::view, this.context.documents()::catalog));
+		this.requests.joinOwnership(this.ownership.joinRequests(this.requests.orders()));
 		this.operators = new OperatorsDuty(this.context, this.ownership::snapshot, this.ownership::view,
 				Optional::empty);
 		this.ownership.joinDocuments(this.operators);
@@ -62,10 +64,14 @@
 	public void leave() {
 		this.context.events().record(EventKind.DAEMON_STOPPING, this.context.settings().instance(), "");
 		CountDownLatch left = new CountDownLatch(1);
+		long maxMillis = this.context.settings().limits().maxLeaveMillis();
+		long begunNanos = System.nanoTime();
+		this.requests.leave();
 		this.ownership.leave(left::countDown);
 		try {
-			boolean clean = left.await(this.context.settings().limits().maxLeaveMillis(), TimeUnit.MILLISECONDS);
-			this.requests.stop();
+			boolean clean = left.await(maxMillis, TimeUnit.MILLISECONDS);
+			long spentMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - begunNanos);
+			this.requests.stop(Math.max(1, maxMillis - spentMillis));
 			this.ownership.stop();
 			this.operators.stop();
 			this.context.events()
--- /dev/null
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/backend/BackendCalls.java
@@ -0,0 +1,124 @@
+package org.brasspier.daemon.internal.backend;
+
+import java.net.ConnectException;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+
+import com.google.gson.FieldNamingPolicy;
+import com.google.gson.Gson;
+import com.google.gson.GsonBuilder;
+import io.activej.dns.DnsClient;
+import io.activej.http.HttpClient;
+import io.activej.http.HttpRequest;
+import io.activej.promise.Promise;
+import io.activej.reactor.nio.NioReactor;
+import org.brasspier.core.RequestId;
+
+/**
+ * The daemon's own calls to the backend server, beside orders: grants, cancellations and
+ * health. They never wait long and never hold an order's connection. Belongs to the
+ * thread of requests.
+ */
+public final class BackendCalls {
+
+	/** Two in a row without an answer, and the server counts as frozen. */
+	static final Duration TIMEOUT = Duration.ofMillis(300);
+
+	private static final int MAX_BODY_BYTES = 4096;
+
+	private static final InetSocketAddress NO_NAME_SERVER = new InetSocketAddress("127.0.0.1", 53);
+
+	private static final Gson GSON = new GsonBuilder()
+		.setFieldNamingPolicy(FieldNamingPolicy.LOWER_CASE_WITH_UNDERSCORES)
+		.create();
+
+	private final HttpClient http;
+
+	private String address = "";
+
+	/**
+	 * Creates the calls for a backend server that is not known yet.
+	 * @param reactor the reactor of the thread of requests
+	 */
+	public BackendCalls(NioReactor reactor) {
+		this.http = HttpClient.builder(reactor, DnsClient.create(reactor, NO_NAME_SERVER))
+			.withConnectTimeout(TIMEOUT)
+			.withReadWriteTimeout(TIMEOUT)
+			.withKeepAliveTimeout(BackendConnection.KEEP_ALIVE)
+			.withMaxBodySize(MAX_BODY_BYTES)
+			.build();
+	}
+
+	/**
+	 * Calls this address from now on.
+	 * @param newAddress the IP number and port
+	 */
+	public void address(String newAddress) {
+		this.address = newAddress;
+	}
+
+	/**
+	 * Asks how it is.
+	 * @return how that ended; never an exception
+	 */
+	Promise<Health> health() {
+		return this.http.request(HttpRequest.get(url("/brasspier/health")).build())
+			.then((response) -> response.loadBody(MAX_BODY_BYTES))
+			.map((body) -> Health.ANSWERED, (ex) -> refused(ex) ? Health.REFUSED : Health.SILENT);
+	}
+
+	// A refused connection: nobody listens, so the process is gone. A port that is not a
+	// backend server's may answer with something else, which still shows life.
+	private static boolean refused(Exception ex) {
+		return ex instanceof ConnectException || ex.getCause() instanceof ConnectException;
+	}
+
+	/**
+	 * Sends all grants.
+	 * @param grants the grants
+	 * @return whether they were acknowledged; never an exception
+	 */
+	Promise<Boolean> grants(GrantList grants) {
+		return this.http.request(HttpRequest.put(url("/brasspier/grants")).withBody(GSON.toJson(grants)).build())
+			.then((response) -> response.loadBody(MAX_BODY_BYTES).map((body) -> response.getCode() / 100 == 2))
+			.map((taken) -> taken, (ex) -> false);
+	}
+
+	/**
+	 * Tells the server that an order need not go on. Nothing depends on its answer.
+	 * @param id the order's request id
+	 */
+	public void cancel(RequestId id) {
+		this.http
+			.request(HttpRequest.post(url("/brasspier/cancel")).withBody(GSON.toJson(new Cancel(id.value()))).build())
+			.then((response) -> response.loadBody(MAX_BODY_BYTES))
+			.whenException(() -> {
+				// The order's own deadline ends it.
+			});
+	}
+
+	private String url(String path) {
+		return "http://" + this.address + path;
+	}
+
+	/**
+	 * How a question after its health ended.
+	 */
+	enum Health {
+
+		/** It answered. */
+		ANSWERED,
+
+		/** Nothing came in time. */
+		SILENT,
+
+		/** Nobody listens. */
+		REFUSED
+
+	}
+
+	private record Cancel(String requestId) {
+
+	}
+
+}
--- a/daemon/src/main/java/org/brasspier/daemon/internal/backend/BackendClient.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/backend/BackendClient.java
@@ -1,24 +1,30 @@
 package org.brasspier.daemon.internal.backend;
 
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.List;
 import java.util.Locale;
-import java.util.Optional;
 import java.util.Set;
 
-import io.activej.http.HttpClient;
+import io.activej.http.HttpHeader;
 import io.activej.http.HttpHeaders;
 import io.activej.http.HttpMethod;
 import io.activej.http.HttpRequest;
 import io.activej.http.HttpResponse;
+import io.activej.http.MalformedHttpException;
 import io.activej.promise.Promise;
-import org.brasspier.core.Fence;
+import io.activej.promise.SettablePromise;
+import io.activej.reactor.nio.NioReactor;
+import io.activej.reactor.schedule.ScheduledRunnable;
 import org.brasspier.core.request.Answer;
 import org.brasspier.core.request.CallerRequest;
 import org.brasspier.core.request.HeaderField;
+import org.brasspier.daemon.internal.loop.WholeBody;
 
 /**
- * Hands requests to the backend server beside this daemon over HTTP. Belongs to the
- * thread of requests.
+ * Hands orders to the backend server beside this daemon over HTTP, each on a connection
+ * of its own that is kept for the next. Belongs to the thread of requests.
  */
 public final class BackendClient {
 
@@ -26,55 +32,210 @@
 	private static final Set<String> CONNECTION_FIELDS = Set.of("connection", "keep-alive", "transfer-encoding",
 			"content-length", "content-encoding", "date", "upgrade", "te", "trailer");
 
-	private final HttpClient http;
+	private static final HttpHeader RAN = HttpHeaders.of("Brasspier-Ran");
 
-	private Optional<BackendAnnouncement> backend = Optional.empty();
+	private static final HttpHeader FENCE = HttpHeaders.of("Brasspier-Fence");
+
+	private static final HttpHeader RANGE = HttpHeaders.of("Brasspier-Range");
+
+	private static final HttpHeader ID = HttpHeaders.of("Brasspier-Request-Id");
+
+	private static final HttpHeader KEY = HttpHeaders.of("Brasspier-Key");
+
+	private static final HttpHeader CLASS = HttpHeaders.of("Brasspier-Class");
+
+	private static final HttpHeader CALLER = HttpHeaders.of("Brasspier-Caller");
+
+	private static final HttpHeader DEADLINE_AT = HttpHeaders.of("Brasspier-Deadline-At");
+
+	private static final int NO_CONTENT = 204;
+
+	private static final int NOT_MODIFIED = 304;
+
+	private static final int CONFLICT = 409;
+
+	private static final int UNAVAILABLE = 503;
+
+	private final NioReactor reactor;
+
+	private final int maxAnswerBytes;
+
+	private final Deque<BackendConnection> idle = new ArrayDeque<>();
+
+	private String address = "";
 
 	/**
 	 * Creates a client that knows of no backend server yet.
-	 * @param http the HTTP client of the thread of requests
+	 * @param reactor the reactor of the thread of requests
+	 * @param maxAnswerBytes the largest body of an answer, in bytes
+	 */
+	public BackendClient(NioReactor reactor, int maxAnswerBytes) {
+		this.reactor = reactor;
+		this.maxAnswerBytes = maxAnswerBytes;
+	}
+
+	/**
+	 * Sends orders to this address from now on.
+	 * @param newAddress the IP number and port
 	 */
-	public BackendClient(HttpClient http) {
-		this.http = http;
+	public void address(String newAddress) {
+		if (!this.address.equals(newAddress)) {
+			this.address = newAddress;
+			forgetConnections();
+		}
 	}
 
 	/**
-	 * Takes note of the backend server.
-	 * @param announcement what it said of itself
+	 * Closes the connections that rest, as when the backend server is lost.
 	 */
-	public void announce(BackendAnnouncement announcement) {
-		this.backend = Optional.of(announcement);
+	public void forgetConnections() {
+		this.idle.forEach(BackendConnection::close);
+		this.idle.clear();
 	}
 
 	/**
-	 * Runs a request on the backend server.
-	 * @param request the request
-	 * @param fence the fence under which it is handed over
-	 * @return the whole answer, or an exception if none came
+	 * Hands an order over.
+	 * @param order the order
+	 * @return its run
 	 */
-	public Promise<Answer> run(CallerRequest request, Fence fence) {
-		if (this.backend.isEmpty()) {
-			return Promise.ofException(new IllegalStateException("no backend server has announced itself"));
+	public BackendRun run(BackendOrder order) {
+		Run run = new Run(order.request().target().method(), connection());
+		run.begin(message(order), order.waitMillis());
+		return run;
+	}
+
+	private BackendConnection connection() {
+		BackendConnection resting = this.idle.pollFirst();
+		while (resting != null && !resting.open()) {
+			resting = this.idle.pollFirst();
 		}
-		String url = "http://" + this.backend.get().address() + request.target().path();
-		HttpRequest.Builder builder = HttpRequest.builder(HttpMethod.valueOf(request.target().method()), url)
-			.withHeader(HttpHeaders.of("Brasspier-Fence"), fence.toString())
-			.withHeader(HttpHeaders.of("Brasspier-Request-Id"), request.id().value());
-		request.key().ifPresent((key) -> builder.withHeader(HttpHeaders.of("Brasspier-Key"), key));
+		return (resting != null) ? resting : new BackendConnection(this.reactor);
+	}
+
+	private HttpRequest message(BackendOrder order) {
+		CallerRequest request = order.request();
+		HttpRequest.Builder builder = HttpRequest
+			.builder(HttpMethod.valueOf(request.target().method()), "http://" + this.address + request.target().path())
+			.withHeader(FENCE, order.held().fence().toString())
+			.withHeader(RANGE, order.held().range().toString())
+			.withHeader(ID, request.id().value())
+			.withHeader(CLASS, request.requestClass().name().toLowerCase(Locale.ROOT))
+			.withHeader(CALLER, request.caller().value())
+			.withHeader(DEADLINE_AT, Long.toString(order.deadlineAtMillis()));
+		request.key().ifPresent((key) -> builder.withHeader(KEY, key));
 		request.headers().forEach((header) -> builder.withHeader(HttpHeaders.of(header.name()), header.value()));
 		if (request.body().length > 0) {
 			builder.withBody(request.body());
 		}
-		return this.http.request(builder.build()).then(BackendClient::whole);
+		return builder.build();
 	}
 
-	private static Promise<Answer> whole(HttpResponse response) {
-		List<HeaderField> headers = response.getHeaders()
-			.stream()
-			.map((entry) -> new HeaderField(entry.getKey().toString(), entry.getValue().toString()))
-			.filter((header) -> !CONNECTION_FIELDS.contains(header.name().toLowerCase(Locale.ROOT)))
-			.toList();
-		return response.loadBody().map((body) -> new Answer(response.getCode(), headers, body.getArray()));
+	/**
+	 * One order on one connection.
+	 */
+	private final class Run implements BackendRun {
+
+		private final String method;
+
+		private final BackendConnection connection;
+
+		private final SettablePromise<BackendReply> reply = new SettablePromise<>();
+
+		Run(String method, BackendConnection connection) {
+			this.method = method;
+			this.connection = connection;
+		}
+
+		void begin(HttpRequest message, long waitMillis) {
+			ScheduledRunnable timeout = BackendClient.this.reactor.delay(Math.max(1, waitMillis),
+					() -> end(new BackendReply.TimedOut(), false));
+			this.reply.whenResult(timeout::cancel);
+			this.connection.request(message).whenComplete((response, ex) -> {
+				if (ex != null) {
+					end(noAnswer(ex), false);
+				}
+				else {
+					read(response);
+				}
+			});
+		}
+
+		private BackendReply noAnswer(Exception ex) {
+			if (this.connection.notSent(ex)) {
+				return new BackendReply.NotSent(String.valueOf(ex.getMessage()));
+			}
+			return (ex instanceof MalformedHttpException) ? new BackendReply.BadAnswer(String.valueOf(ex.getMessage()))
+					: new BackendReply.Broken(String.valueOf(ex.getMessage()));
+		}
+
+		private void read(HttpResponse response) {
+			if (!lengthStated(response)) {
+				// Cut short or whole could not be told apart, and half an inspection
+				// record must not reach a crew as if it were all of it.
+				end(new BackendReply.BadAnswer("the answer states no length"), false);
+				return;
+			}
+			WholeBody.read(response, BackendClient.this.maxAnswerBytes).whenComplete((body, ex) -> {
+				if (ex != null) {
+					end(new BackendReply.BadAnswer("the answer was cut short or too large: " + ex.getMessage()), false);
+				}
+				else {
+					end(reply(response, body), true);
+				}
+			});
+		}
+
+		private boolean lengthStated(HttpResponse response) {
+			return response.hasHeader(HttpHeaders.CONTENT_LENGTH) || response.hasHeader(HttpHeaders.TRANSFER_ENCODING)
+					|| response.getCode() == NO_CONTENT || response.getCode() == NOT_MODIFIED
+					|| this.method.equals(HttpMethod.HEAD.name());
+		}
+
+		private BackendReply reply(HttpResponse response, byte[] body) {
+			boolean notRun = "not_run".equals(response.getHeader(RAN));
+			if (notRun && response.getCode() == UNAVAILABLE) {
+				return new BackendReply.Shed(retryAfter(response));
+			}
+			if (notRun && response.getCode() == CONFLICT) {
+				return new BackendReply.FenceRefused();
+			}
+			List<HeaderField> headers = response.getHeaders()
+				.stream()
+				.map((entry) -> new HeaderField(entry.getKey().toString(), entry.getValue().toString()))
+				.filter((header) -> !CONNECTION_FIELDS.contains(header.name().toLowerCase(Locale.ROOT)))
+				.toList();
+			return new BackendReply.Whole(new Answer(response.getCode(), headers, body));
+		}
+
+		private static Duration retryAfter(HttpResponse response) {
+			String text = response.getHeader(HttpHeaders.of("Retry-After"));
+			return (text != null && text.matches("[0-9]{1,4}")) ? Duration.ofSeconds(Long.parseLong(text))
+					: Duration.ZERO;
+		}
+
+		private void end(BackendReply end, boolean reusable) {
+			if (this.reply.isComplete()) {
+				return;
+			}
+			if (reusable) {
+				BackendClient.this.idle.addFirst(this.connection);
+			}
+			this.reply.set(end);
+			if (!reusable) {
+				this.connection.close();
+			}
+		}
+
+		@Override
+		public Promise<BackendReply> reply() {
+			return this.reply;
+		}
+
+		@Override
+		public void abandon(String reason) {
+			end(new BackendReply.Broken(reason), false);
+		}
+
 	}
 
 }
--- a/daemon/src/main/java/org/brasspier/daemon/internal/backend/BackendPort.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/backend/BackendPort.java
@@ -1,16 +1,21 @@
 package org.brasspier.daemon.internal.backend;
 
 import java.nio.charset.StandardCharsets;
+import java.util.function.BooleanSupplier;
 
+import com.codahale.metrics.Counter;
+import com.codahale.metrics.MetricRegistry;
 import com.google.gson.Gson;
-import com.google.gson.JsonParseException;
-import io.activej.bytebuf.ByteBuf;
 import io.activej.http.AsyncServlet;
+import io.activej.http.HttpMethod;
 import io.activej.http.HttpRequest;
 import io.activej.http.HttpResponse;
 import io.activej.promise.Promise;
+import org.brasspier.core.ErrorKind;
 import org.brasspier.core.event.EventKind;
 import org.brasspier.daemon.internal.event.EventLog;
+import org.brasspier.daemon.internal.loop.WholeBody;
+import org.brasspier.daemon.internal.ownership.RequestsReport.BackendState;
 
 /**
  * The port on which the backend server beside this daemon announces itself. Belongs to
@@ -22,37 +27,65 @@
 
 	private static final Gson GSON = new Gson();
 
-	private final BackendClient client;
+	private final BackendWatch watch;
+
+	private final BooleanSupplier drained;
 
 	private final EventLog events;
 
+	private final Counter malformed;
+
 	/**
 	 * Creates the port's servlet.
-	 * @param client told of each announcement
+	 * @param watch told of each announcement
+	 * @param drained whether nothing is owned or in flight any more
 	 * @param events the time line
+	 * @param metrics counts what was malformed
 	 */
-	public BackendPort(BackendClient client, EventLog events) {
-		this.client = client;
+	public BackendPort(BackendWatch watch, BooleanSupplier drained, EventLog events, MetricRegistry metrics) {
+		this.watch = watch;
+		this.drained = drained;
 		this.events = events;
+		this.malformed = metrics.counter("backend.malformed");
 	}
 
 	@Override
 	public Promise<HttpResponse> serve(HttpRequest request) {
-		return request.loadBody(MAX_BODY_BYTES).then((body) -> announce(body));
+		if (request.getMethod() != HttpMethod.POST || !request.getPath().equals("/v1/announce")) {
+			return refuse("this port takes POST /v1/announce only");
+		}
+		return WholeBody.read(request, MAX_BODY_BYTES)
+			.then((body) -> announce(new String(body, StandardCharsets.UTF_8)),
+					(ex) -> refuse(String.valueOf(ex.getMessage())));
 	}
 
-	private Promise<HttpResponse> announce(ByteBuf body) {
+	private Promise<HttpResponse> announce(String body) {
 		try {
-			BackendAnnouncement announcement = GSON.fromJson(body.getString(StandardCharsets.UTF_8),
-					BackendAnnouncement.class);
-			this.client.announce(announcement);
-			this.events.record(EventKind.BACKEND_ANNOUNCED, announcement.service(), announcement.address());
-			return HttpResponse.ok200().withJson("{}").toPromise();
+			BackendAnnouncement announcement = BackendAnnouncement.parse(body);
+			this.watch.announced(announcement);
+			boolean mayStop = announcement.state() == BackendState.DRAINING && this.drained.getAsBoolean();
+			return HttpResponse.ok200().withJson(GSON.toJson(new Accepted(true, mayStop))).toPromise();
 		}
-		catch (JsonParseException | IllegalArgumentException ex) {
-			this.events.record(EventKind.BAD_BACKEND_INPUT, "announcement", String.valueOf(ex.getMessage()));
-			return HttpResponse.ofCode(400).withPlainText(String.valueOf(ex.getMessage())).toPromise();
+		catch (IllegalArgumentException ex) {
+			return refuse(String.valueOf(ex.getMessage()));
 		}
 	}
 
+	private Promise<HttpResponse> refuse(String why) {
+		this.malformed.inc();
+		this.events.record(EventKind.BAD_BACKEND_INPUT, "announcement", why);
+		ErrorKind kind = ErrorKind.BAD_REQUEST;
+		return HttpResponse.ofCode(kind.status())
+			.withJson(GSON.toJson(new Refused(kind.name(), "not_run", why)))
+			.toPromise();
+	}
+
+	private record Accepted(boolean accepted, boolean drained) {
+
+	}
+
+	private record Refused(String error, String ran, String detail) {
+
+	}
+
 }
--- /dev/null
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/backend/GrantList.java
@@ -0,0 +1,38 @@
+package org.brasspier.daemon.internal.backend;
+
+import java.util.List;
+
+import org.brasspier.core.ownership.HeldRange;
+
+/**
+ * The body of {@code PUT /brasspier/grants} as docs/API.md has it. Immutable and
+ * thread-safe.
+ *
+ * @param grants all grants
+ * @param validMillis how long they are valid after receipt, in milliseconds
+ * @param validUntil until when they are valid, in milliseconds since 1970
+ */
+record GrantList(List<Grant> grants, long validMillis, long validUntil) {
+
+	static GrantList of(List<HeldRange> held, long validMillis) {
+		return new GrantList(held.stream().map(Grant::of).toList(), validMillis,
+				System.currentTimeMillis() + validMillis);
+	}
+
+	/**
+	 * One grant.
+	 *
+	 * @param service the service
+	 * @param low the first point
+	 * @param high the point after the last
+	 * @param fence the fence
+	 */
+	record Grant(String service, long low, long high, long fence) {
+
+		static Grant of(HeldRange held) {
+			return new Grant(held.service().value(), held.range().low(), held.range().high(), held.fence().value());
+		}
+
+	}
+
+}
--- /dev/null
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/backend/GrantsKeeper.java
@@ -0,0 +1,131 @@
+package org.brasspier.daemon.internal.backend;
+
+import java.util.List;
+import java.util.Set;
+import java.util.function.Supplier;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+
+import org.brasspier.core.document.ServiceCatalog;
+import org.brasspier.core.document.ServicePolicy;
+import org.brasspier.core.ownership.HeldRange;
+import org.brasspier.core.routing.Assignment;
+import org.brasspier.core.routing.OwnershipSnapshot;
+
+/**
+ * Keeps the backend server's grants in step with the lease. A server that checks fences
+ * gets no order before it has acknowledged the grant it falls under: it would refuse it.
+ * Belongs to the thread of requests.
+ */
+public final class GrantsKeeper {
+
+	/** As often as heartbeats renew the lease; see docs/DESIGN.md, H. */
+	private static final long RENEW_NANOS = 150_000_000;
+
+	private static final long NANOS_PER_MILLI = 1_000_000;
+
+	private final BackendCalls calls;
+
+	private final Supplier<OwnershipSnapshot> ownership;
+
+	private final Supplier<ServiceCatalog> catalog;
+
+	private Set<HeldRange> acknowledged = Set.of();
+
+	private Set<HeldRange> sent = Set.of();
+
+	private long acknowledgedUntilNanos;
+
+	private long sentAtNanos;
+
+	private boolean sending;
+
+	/**
+	 * Creates a keeper that has granted nothing.
+	 * @param calls the way to the backend server
+	 * @param ownership what this instance holds and knows now
+	 * @param catalog the services as the document in force describes them
+	 */
+	public GrantsKeeper(BackendCalls calls, Supplier<OwnershipSnapshot> ownership, Supplier<ServiceCatalog> catalog) {
+		this.calls = calls;
+		this.ownership = ownership;
+		this.catalog = catalog;
+	}
+
+	/**
+	 * Forgets what was acknowledged, as when the backend server is lost or refuses a
+	 * fence that it was granted.
+	 */
+	public void forget() {
+		this.acknowledged = Set.of();
+		this.sent = Set.of();
+	}
+
+	/**
+	 * Whether the server has acknowledged a grant that is still valid.
+	 * @param held the range with its fence
+	 * @param nowNanos the time, as {@link System#nanoTime()} counts
+	 * @return false if an order under it would be refused
+	 */
+	public boolean acknowledged(HeldRange held, long nowNanos) {
+		return nowNanos - this.acknowledgedUntilNanos < 0 && this.acknowledged.contains(held);
+	}
+
+	/**
+	 * Sends what has changed, or all anew when it is time. Called every few milliseconds.
+	 * @param server what the backend server announced
+	 * @param nowNanos the time, as {@link System#nanoTime()} counts
+	 */
+	public void renew(BackendAnnouncement server, long nowNanos) {
+		OwnershipSnapshot snapshot = this.ownership.get();
+		Set<HeldRange> wanted = (snapshot.leaseValid(nowNanos)) ? wanted(server, snapshot) : Set.of();
+		boolean due = nowNanos - this.sentAtNanos >= RENEW_NANOS && !wanted.isEmpty();
+		if (this.sending || (wanted.equals(this.sent) && !due)) {
+			return;
+		}
+		this.sending = true;
+		this.sent = wanted;
+		this.sentAtNanos = nowNanos;
+		long untilNanos = snapshot.leaseEndNanos();
+		long validMillis = Math.max(0, (untilNanos - nowNanos) / NANOS_PER_MILLI);
+		this.calls.grants(GrantList.of(List.copyOf(wanted), validMillis))
+			.whenResult((taken) -> sent(wanted, untilNanos, taken));
+	}
+
+	private void sent(Set<HeldRange> wanted, long untilNanos, boolean taken) {
+		this.sending = false;
+		if (!taken) {
+			// It may or may not have them; the next renewal sends all again.
+			this.sent = Set.of();
+			return;
+		}
+		if (this.sent.equals(wanted)) {
+			this.acknowledged = wanted;
+			this.acknowledgedUntilNanos = untilNanos;
+		}
+	}
+
+	// Where a service is divided by request ids, an order comes under its id's owner's
+	// fence, whoever that is, so the server is granted all ranges that are known. Where
+	// it
+	// is divided by key, only what is held here.
+	private Set<HeldRange> wanted(BackendAnnouncement server, OwnershipSnapshot snapshot) {
+		boolean byId = this.catalog.get()
+			.find(server.service())
+			.filter((policy) -> policy.division() == ServicePolicy.Division.BY_REQUEST_ID)
+			.isPresent();
+		List<Assignment> own = snapshot.held().assignments(server.service());
+		Stream<Assignment> others = snapshot.routes()
+			.assignments(server.service())
+			.stream()
+			.filter((route) -> byId && own.stream().noneMatch((mine) -> overlaps(mine, route)));
+		return Stream.concat(own.stream(), others)
+			.map((assignment) -> new HeldRange(server.service(), assignment.range(), assignment.fence()))
+			.collect(Collectors.toUnmodifiableSet());
+	}
+
+	private static boolean overlaps(Assignment mine, Assignment route) {
+		return mine.range().low() < route.range().high() && route.range().low() < mine.range().high();
+	}
+
+}
--- a/daemon/src/main/java/org/brasspier/daemon/internal/caller/CallerPort.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/caller/CallerPort.java
@@ -1,24 +1,37 @@
 package org.brasspier.daemon.internal.caller;
 
-import java.util.List;
-import java.util.Locale;
+import java.time.Duration;
+import java.util.EnumMap;
+import java.util.Map;
 import java.util.Optional;
+import java.util.function.Supplier;
 
-import io.activej.bytebuf.ByteBuf;
+import com.codahale.metrics.Counter;
+import com.codahale.metrics.MetricRegistry;
+import io.activej.async.exception.AsyncTimeoutException;
 import io.activej.http.AsyncServlet;
-import io.activej.http.HttpHeader;
+import io.activej.http.HttpHeaderValue;
 import io.activej.http.HttpHeaders;
 import io.activej.http.HttpRequest;
 import io.activej.http.HttpResponse;
+import io.activej.http.HttpServer;
 import io.activej.promise.Promise;
-import org.brasspier.core.CallerId;
+import io.activej.promise.Promises;
+import io.activej.reactor.nio.NioReactor;
+import io.vavr.control.Either;
 import org.brasspier.core.ErrorKind;
 import org.brasspier.core.Failure;
-import org.brasspier.core.RequestClass;
-import org.brasspier.core.RequestId;
 import org.brasspier.core.ServiceName;
+import org.brasspier.core.document.ServiceCatalog;
+import org.brasspier.core.event.EventKind;
 import org.brasspier.core.request.CallerRequest;
-import org.brasspier.core.request.HeaderField;
+import org.brasspier.core.routing.Assignment;
+import org.brasspier.core.routing.OwnershipSnapshot;
+import org.brasspier.daemon.internal.DaemonContext;
+import org.brasspier.daemon.internal.event.EventLog;
+import org.brasspier.daemon.internal.loop.WholeBody;
+import org.brasspier.daemon.internal.measure.OutcomeMeter;
+import org.brasspier.daemon.internal.request.Cancellation;
 import org.brasspier.daemon.internal.request.Outcome;
 import org.brasspier.daemon.internal.request.RequestRouter;
 
@@ -28,129 +41,203 @@
  */
 public final class CallerPort implements AsyncServlet {
 
-	private static final String PREFIX = "/v1/";
+	/** A caller that stops halfway through its head or body is cut off after this. */
+	private static final Duration HALF_REQUEST_TIMEOUT = Duration.ofSeconds(10);
 
-	private static final String OWN_FIELDS = "brasspier-";
+	private static final Duration KEEP_ALIVE = Duration.ofSeconds(60);
 
-	private static final HttpHeader KEY = HttpHeaders.of("Brasspier-Key");
+	private static final long NANOS_PER_MILLI = 1_000_000;
 
-	private static final HttpHeader REQUEST_ID = HttpHeaders.of("Brasspier-Request-Id");
+	private final RequestRouter router;
 
-	private static final HttpHeader CLASS = HttpHeaders.of("Brasspier-Class");
+	private final RequestReader reader;
 
-	private static final HttpHeader CALLER = HttpHeaders.of("Brasspier-Caller");
+	private final Supplier<OwnershipSnapshot> ownership;
 
-	private static final HttpHeader TICKET = HttpHeaders.of("Brasspier-Ticket");
+	private final ServiceWatch services;
 
-	private static final HttpHeader DEADLINE = HttpHeaders.of("Brasspier-Deadline-Millis");
+	private final EventLog events;
 
-	private static final int DEFAULT_DEADLINE_MILLIS = 5000;
+	private final OutcomeMeter outcomes;
 
-	private final RequestRouter router;
+	private final CallerConnections connections;
 
 	private final int maxBodyBytes;
 
+	private final Counter answered;
+
+	private final Map<ErrorKind, Counter> failed = new EnumMap<>(ErrorKind.class);
+
+	private boolean leaving;
+
 	/**
 	 * Creates the port's servlet.
+	 * @param context what every duty needs
 	 * @param router where requests go
-	 * @param maxBodyBytes the largest body accepted, in bytes
+	 * @param ownership where owners are
+	 * @param catalog the services as the document in force describes them
+	 * @param services which services exist where no document is in force
 	 */
-	public CallerPort(RequestRouter router, int maxBodyBytes) {
+	public CallerPort(DaemonContext context, RequestRouter router, Supplier<OwnershipSnapshot> ownership,
+			Supplier<ServiceCatalog> catalog, ServiceWatch services) {
 		this.router = router;
-		this.maxBodyBytes = maxBodyBytes;
+		this.reader = new RequestReader(catalog);
+		this.ownership = ownership;
+		this.services = services;
+		this.events = context.events();
+		this.outcomes = context.outcomes();
+		this.connections = new CallerConnections(context.events(), context.metrics());
+		this.maxBodyBytes = context.settings().limits().maxBodyBytes();
+		MetricRegistry metrics = context.metrics();
+		this.answered = metrics.counter("requests.answered");
+		for (ErrorKind kind : ErrorKind.values()) {
+			this.failed.put(kind, metrics.counter("requests.failed." + kind.name()));
+		}
+	}
+
+	/**
+	 * Builds the listening server.
+	 * @param reactor the reactor of the thread of requests
+	 * @param context where to listen, and for how long a planned stop may last
+	 * @return a server to be told to listen
+	 */
+	public HttpServer listenOn(NioReactor reactor, DaemonContext context) {
+		return HttpServer.builder(reactor, this)
+			.withListenAddress(context.settings().listen().callers())
+			.withReadWriteTimeout(HALF_REQUEST_TIMEOUT)
+			.withKeepAliveTimeout(KEEP_ALIVE)
+			.withServeTimeoutShutdown(Duration.ofMillis(context.settings().limits().maxLeaveMillis()))
+			.withSocketInspector(this.connections.sockets())
+			.withInspector(this.connections)
+			.withHttpErrorFormatter((ex) -> Promise.of(internalError(ex)))
+			.build();
+	}
+
+	/**
+	 * Closes each connection after its next answer from now on, so that callers go
+	 * elsewhere.
+	 */
+	public void leave() {
+		this.leaving = true;
 	}
 
 	@Override
 	public Promise<HttpResponse> serve(HttpRequest request) {
-		return request.loadBody(this.maxBodyBytes)
-			.then((body) -> this.router.route(read(request, body)).map(CallerPort::render))
-			.then((response, ex) -> Promise.of((ex != null) ? render(refused(ex)) : response));
+		long begun = System.nanoTime();
+		Either<Failure, RequestReader.Addressed> addressed = this.reader.address(request).flatMap(this::known);
+		if (addressed.isLeft()) {
+			return refuse(addressed.getLeft());
+		}
+		int maxBytes = Math.min(this.maxBodyBytes, addressed.get().policy().maxBodyBytes());
+		if (declaredLength(request) > maxBytes) {
+			return refuse(tooLarge(maxBytes));
+		}
+		return Promises.timeout(HALF_REQUEST_TIMEOUT, WholeBody.read(request, maxBytes))
+			.then((body) -> serve(request, addressed.get(), body, begun), (ex) -> refuse(unread(ex, maxBytes)));
+	}
+
+	private Either<Failure, RequestReader.Addressed> known(RequestReader.Addressed addressed) {
+		ServiceName service = addressed.service();
+		return this.services.mayExist(service) ? Either.right(addressed) : Either.left(RequestReader.unknown(service));
 	}
 
-	private static Outcome refused(Exception ex) {
-		return new Outcome.Failed(Failure.of(ErrorKind.BAD_REQUEST, String.valueOf(ex.getMessage())), "");
+	private static long declaredLength(HttpRequest request) {
+		String length = request.getHeader(HttpHeaders.CONTENT_LENGTH);
+		return (length != null && length.matches("[0-9]{1,18}")) ? Long.parseLong(length) : 0;
 	}
 
-	private static CallerRequest read(HttpRequest request, ByteBuf body) {
-		String path = request.getPathAndQuery();
-		if (!path.startsWith(PREFIX)) {
-			throw new IllegalArgumentException("path must begin with /v1/SERVICE/ (see TROUBLESHOOTING.md#bad-path)");
+	private static Failure tooLarge(int maxBytes) {
+		return Failure.of(ErrorKind.BODY_TOO_LARGE, "the body is larger than %d bytes".formatted(maxBytes));
+	}
+
+	private static Failure unread(Exception ex, int maxBytes) {
+		if (ex instanceof WholeBody.TooLargeException) {
+			return tooLarge(maxBytes);
 		}
-		String rest = path.substring(PREFIX.length());
-		int slash = (rest.indexOf('/') < 0) ? rest.length() : rest.indexOf('/');
-		ServiceName service = new ServiceName(rest.substring(0, slash));
-		String target = (slash == rest.length()) ? "/" : rest.substring(slash);
-		return new CallerRequest(service, field(request, KEY), id(request), requestClass(request), caller(request),
-				field(request, TICKET), deadline(request), new CallerRequest.Target(request.getMethod().name(), target),
-				passedThrough(request), body.getArray());
+		String why = (ex instanceof AsyncTimeoutException) ? "it did not come in time"
+				: String.valueOf(ex.getMessage());
+		return Failure.of(ErrorKind.BAD_REQUEST, "the body could not be read: " + why);
 	}
 
-	private static Optional<String> field(HttpRequest request, HttpHeader header) {
-		return Optional.ofNullable(request.getHeader(header));
+	private Promise<HttpResponse> serve(HttpRequest http, RequestReader.Addressed to, byte[] body, long begunNanos) {
+		long spentMillis = (System.nanoTime() - begunNanos) / NANOS_PER_MILLI;
+		Either<Failure, CallerRequest> read = this.reader.read(http, to, body, spentMillis);
+		if (read.isLeft()) {
+			return refuse(read.getLeft());
+		}
+		CallerRequest request = read.get();
+		Cancellation cancellation = this.connections.begin(http.getConnection());
+		return this.router.route(request, cancellation).map((outcome) -> {
+			this.connections.end(http.getConnection());
+			count(request, outcome);
+			return finish(AnswerWriter.write(request, outcome, owner(request)), this.leaving);
+		});
 	}
 
-	private static RequestId id(HttpRequest request) {
-		return field(request, REQUEST_ID).map(RequestId::new)
-			.orElseThrow(() -> new IllegalArgumentException(
-					"Brasspier-Request-Id is missing (see TROUBLESHOOTING.md#bad-request-id)"));
+	private void count(CallerRequest request, Outcome outcome) {
+		switch (outcome) {
+			case Outcome.Answered ignored -> {
+				this.answered.inc();
+				this.outcomes.answered(request.service());
+			}
+			case Outcome.Failed failure -> {
+				count(failure.failure().kind());
+				this.outcomes.failed(request.service(), failure.failure().kind());
+				this.events.record(EventKind.REQUEST_REFUSED, request,
+						failure.failure().kind() + ": " + failure.failure().detail());
+			}
+		}
 	}
 
-	private static RequestClass requestClass(HttpRequest request) {
-		return field(request, CLASS).map((text) -> RequestClass.valueOf(text.toUpperCase(Locale.ROOT)))
-			.orElse(RequestClass.POSTING);
+	private void count(ErrorKind kind) {
+		Counter counter = this.failed.get(kind);
+		if (counter != null) {
+			counter.inc();
+		}
 	}
 
-	private static CallerId caller(HttpRequest request) {
-		return field(request, CALLER).map(CallerId::new).orElse(new CallerId("anonymous"));
+	// What can't be read is refused; its connection is closed, since the rest of the body
+	// may still be on its way.
+	private Promise<HttpResponse> refuse(Failure failure) {
+		count(failure.kind());
+		this.events.record(EventKind.BAD_CALLER_INPUT, "caller port", failure.kind() + ": " + failure.detail());
+		return Promise.of(finish(AnswerWriter.failed(failure, failure.kind().ran()), true));
 	}
 
-	private static int deadline(HttpRequest request) {
-		return field(request, DEADLINE).map(Integer::parseInt).orElse(DEFAULT_DEADLINE_MILLIS);
+	private HttpResponse internalError(Exception ex) {
+		count(ErrorKind.INTERNAL_ERROR);
+		this.events.record(EventKind.REQUEST_REFUSED, "caller port", "internal error: " + ex);
+		Failure failure = Failure.of(ErrorKind.INTERNAL_ERROR, "the daemon failed to serve the request");
+		return finish(AnswerWriter.failed(failure, failure.kind().ran()), true);
 	}
 
-	private static List<HeaderField> passedThrough(HttpRequest request) {
-		return request.getHeaders()
-			.stream()
-			.map((entry) -> new HeaderField(entry.getKey().toString(), entry.getValue().toString()))
-			.filter((header) -> header.name().equalsIgnoreCase("content-type")
-					|| header.name().equalsIgnoreCase("accept"))
-			.toList();
+	private static HttpResponse finish(HttpResponse.Builder builder, boolean close) {
+		if (close) {
+			builder.withHeader(HttpHeaders.CONNECTION, HttpHeaderValue.of("close"));
+		}
+		return builder.build();
 	}
 
-	private static HttpResponse render(Outcome outcome) {
-		return switch (outcome) {
-			case Outcome.Answered answered -> {
-				HttpResponse.Builder builder = HttpResponse.ofCode(answered.answer().status());
-				answered.answer()
-					.headers()
-					.stream()
-					.filter((header) -> !header.name().toLowerCase(Locale.ROOT).startsWith(OWN_FIELDS))
-					.forEach((header) -> builder.withHeader(HttpHeaders.of(header.name()), header.value()));
-				yield builder.withHeader(HttpHeaders.of("Brasspier-Ran"), "RAN")
-					.withHeader(HttpHeaders.of("Brasspier-Fence"), answered.fence().toString())
-					.withBody(answered.answer().body())
-					.build();
-			}
-			case Outcome.Failed failed -> {
-				ErrorKind kind = failed.failure().kind();
-				yield HttpResponse.ofCode(kind.status())
-					.withHeader(HttpHeaders.of("Brasspier-Error"), kind.name())
-					.withHeader(HttpHeaders.of("Brasspier-Ran"), kind.ran().name())
-					.withJson(new com.google.gson.Gson()
-						.toJson(new ErrorBody(kind.name(), kind.ran().name(), failed.failure().detail())))
-					.build();
-			}
-		};
+	private Optional<String> owner(CallerRequest request) {
+		OwnershipSnapshot snapshot = this.ownership.get();
+		return snapshot.routes()
+			.find(request.service(), request.hash())
+			.map(Assignment::owner)
+			.flatMap(snapshot.addresses()::find)
+			.map((address) -> address.host() + ":" + address.callerPort());
 	}
 
 	/**
-	 * The body of an error's answer.
-	 *
-	 * @param error the error's kind
-	 * @param ran whether the request ran
-	 * @param detail one sentence for a person
+	 * Which services exist.
 	 */
-	private record ErrorBody(String error, String ran, String detail) {
+	public interface ServiceWatch {
+
+		/**
+		 * Whether anything is known of a service, or too little is known to deny it.
+		 * @param service the service
+		 * @return false if it certainly does not exist
+		 */
+		boolean mayExist(ServiceName service);
 
 	}
 
--- a/daemon/src/main/java/org/brasspier/daemon/internal/peer/PeerConnection.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/peer/PeerConnection.java
@@ -26,6 +26,8 @@
 
 	private final SettablePromise<Exception> closed = new SettablePromise<>();
 
+	private long unsentBytes;
+
 	private FrameHandler handler = (frame) -> {
 		throw new WireException("a frame came before the handshake was over");
 	};
@@ -89,7 +91,7 @@
 				close(ex);
 			}
 			else if (buf == null) {
-				close(new WireException("the peer closed the connection"));
+				close(new PeerClosedException());
 			}
 			else {
 				take(buf.asArray());
@@ -127,7 +129,27 @@
 		if (this.socket.isClosed()) {
 			return;
 		}
-		this.socket.write(ByteBuf.wrapForReading(frame)).whenException((ex) -> close(ex));
+		this.unsentBytes += frame.length;
+		this.socket.write(ByteBuf.wrapForReading(frame))
+			.whenComplete(() -> this.unsentBytes -= frame.length)
+			.whenException((ex) -> close(ex));
+	}
+
+	/**
+	 * How much waits to be sent, as where the peer reads slowly or not at all.
+	 * @return bytes, at least 0
+	 */
+	public long unsentBytes() {
+		return this.unsentBytes;
+	}
+
+	/**
+	 * Whether a connection ended because the peer closed it in an orderly way.
+	 * @param reason what {@link #closed()} told
+	 * @return true if so
+	 */
+	public static boolean closedByPeer(Exception reason) {
+		return reason instanceof PeerClosedException;
 	}
 
 	/**
@@ -147,6 +169,16 @@
 		return this.closed;
 	}
 
+	private static final class PeerClosedException extends WireException {
+
+		private static final long serialVersionUID = 1;
+
+		PeerClosedException() {
+			super("the peer closed the connection");
+		}
+
+	}
+
 	/**
 	 * Receives frames.
 	 */
--- a/daemon/src/main/java/org/brasspier/daemon/internal/request/ForwardClient.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/request/ForwardClient.java
@@ -1,159 +1,162 @@
 package org.brasspier.daemon.internal.request;
 
-import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
+import java.util.function.Supplier;
 
-import io.activej.net.socket.tcp.TcpSocket;
 import io.activej.promise.Promise;
 import io.activej.promise.SettablePromise;
 import io.activej.reactor.nio.NioReactor;
 import org.brasspier.core.ErrorKind;
 import org.brasspier.core.Failure;
 import org.brasspier.core.InstanceId;
-import org.brasspier.core.event.EventKind;
 import org.brasspier.core.request.CallerRequest;
+import org.brasspier.core.routing.OwnershipSnapshot;
 import org.brasspier.core.routing.PeerAddress;
-import org.brasspier.core.routing.PeerAddresses;
 import org.brasspier.daemon.internal.event.EventLog;
-import org.brasspier.daemon.internal.peer.PeerConnection;
-import org.brasspier.wire.ForwardCodec;
+import org.brasspier.daemon.internal.settings.Settings;
 import org.brasspier.wire.ForwardMessage;
-import org.brasspier.wire.FrameReader;
-import org.brasspier.wire.Handshake;
-import org.brasspier.wire.SharedKeys;
-import org.brasspier.wire.WireException;
 
 /**
- * Sends requests to the daemons that own them, one connection for each daemon. Belongs to
- * the thread of requests.
+ * Sends requests to other daemons, one link for each. Belongs to the thread of requests.
  */
 public final class ForwardClient {
 
-	/** The largest frame between daemons: the largest body and room for its headers. */
-	static final int MAX_FRAME_BYTES = 2 << 20;
+	private static final Duration RETRY_SOON = Duration.ofMillis(100);
 
-	private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(250);
+	private static final long NANOS_PER_MILLI = 1_000_000;
 
 	private final NioReactor reactor;
 
-	private final InstanceId self;
+	private final Settings settings;
 
-	private final SharedKeys keys;
+	private final Supplier<OwnershipSnapshot> ownership;
 
 	private final EventLog events;
 
-	private final Map<InstanceId, Link> links = new HashMap<>();
+	private final GuardTimes guards;
 
-	private long nextExchange = 1;
+	private final Map<InstanceId, ForwardLink> links = new HashMap<>();
+
+	private final Map<InstanceId, Duration> roundTrips = new HashMap<>();
 
 	/**
 	 * Creates a client with no connections.
 	 * @param reactor the reactor of the thread of requests
-	 * @param self this instance
-	 * @param keys the shared keys
+	 * @param settings this instance and the shared keys
+	 * @param ownership where instances are
 	 * @param events the time line
+	 * @param guards how long orders may outlast the lease they were given under
 	 */
-	public ForwardClient(NioReactor reactor, InstanceId self, SharedKeys keys, EventLog events) {
+	ForwardClient(NioReactor reactor, Settings settings, Supplier<OwnershipSnapshot> ownership, EventLog events,
+			GuardTimes guards) {
 		this.reactor = reactor;
-		this.self = self;
-		this.keys = keys;
+		this.settings = settings;
+		this.ownership = ownership;
 		this.events = events;
+		this.guards = guards;
 	}
 
 	/**
-	 * Forwards a request.
+	 * Forwards a request to its owner.
 	 * @param owner who owns it
-	 * @param addresses where instances are
-	 * @param request the request
+	 * @param request the request, with the time that is left
+	 * @param cancellation tells when its caller is gone
 	 * @return how it ended; never an exception
 	 */
-	public Promise<Outcome> forward(InstanceId owner, PeerAddresses addresses, CallerRequest request) {
-		return addresses.find(owner)
-			.map((address) -> link(owner, address).exchange(request))
-			.orElseGet(() -> Promise.of(failed(ErrorKind.NO_OWNER, "the address of %s is unknown".formatted(owner))));
-	}
-
-	private Link link(InstanceId owner, PeerAddress address) {
-		return this.links.computeIfAbsent(owner, (instance) -> new Link(instance, address));
-	}
-
-	private static Outcome failed(ErrorKind kind, String detail) {
-		return new Outcome.Failed(Failure.of(kind, detail), "");
+	public Promise<Outcome> forward(InstanceId owner, CallerRequest request, Cancellation cancellation) {
+		return exchange(owner, (number) -> new ForwardMessage.Forward(number, request), request.remainingMillis(),
+				cancellation);
 	}
 
 	/**
-	 * The connection to one daemon, with what is waiting for an answer on it.
+	 * Hands an admitted request to the daemon beside the chosen backend server.
+	 * @param chosen the instance
+	 * @param order the order
+	 * @param cancellation tells when its caller is gone
+	 * @return its run
 	 */
-	private final class Link {
-
-		private final InstanceId peer;
-
-		private final Map<Long, SettablePromise<Outcome>> waiting = new HashMap<>();
+	OrderRun execute(InstanceId chosen, Order order, Cancellation cancellation) {
+		long now = System.nanoTime();
+		long leaseEnd = order.leaseEndNanos().getAsLong();
+		if (leaseEnd - now <= 0) {
+			return OrderRun
+				.ended(Outcome.failed(new Failure(ErrorKind.NO_OWNER, "the owner's lease ran out", RETRY_SOON)));
+		}
+		int remaining = order.remainingMillis(now);
+		int authority = (int) ((leaseEnd - now) / NANOS_PER_MILLI);
+		CallerRequest request = order.request().withRemainingMillis(remaining);
+		Promise<Outcome> outcome = exchange(chosen, (number) -> new ForwardMessage.Execute(number, request,
+				order.held().range(), order.held().fence(), authority), remaining, cancellation);
+		return new OrderRun(outcome, over(order, leaseEnd, outcome));
+	}
 
-		private final Promise<PeerConnection> connection;
+	// An order whose outcome is unknown may still take effect there, until its deadline
+	// or
+	// until the lease it was given under has ended, with the guard.
+	private Promise<Void> over(Order order, long leaseEndNanos, Promise<Outcome> outcome) {
+		SettablePromise<Void> over = new SettablePromise<>();
+		outcome.whenResult((end) -> {
+			long until = Math.min(order.deadlineNanos(), leaseEndNanos + this.guards.nanos(order.request().service()));
+			long rest = (until - System.nanoTime()) / NANOS_PER_MILLI;
+			boolean certain = !(end instanceof Outcome.Failed failed) || failed.certainlyNotRun();
+			if (certain || rest <= 0) {
+				over.set(null);
+			}
+			else {
+				this.reactor.delay(Duration.ofMillis(rest + 1), () -> over.set(null));
+			}
+		});
+		return over;
+	}
 
-		Link(InstanceId peer, PeerAddress address) {
-			this.peer = peer;
-			this.connection = TcpSocket
-				.connect(ForwardClient.this.reactor, new InetSocketAddress(address.host(), address.forwardPort()),
-						CONNECT_TIMEOUT, null)
-				.then((socket) -> PeerConnection.connector(socket,
-						new Handshake(ForwardClient.this.self, ForwardClient.this.keys), MAX_FRAME_BYTES))
-				.map(this::ready)
-				.whenException((ex) -> ForwardClient.this.links.remove(peer, this));
+	private Promise<Outcome> exchange(InstanceId peer, ForwardLink.Message message, int waitMillis,
+			Cancellation cancellation) {
+		Optional<PeerAddress> address = this.ownership.get().addresses().find(peer);
+		if (address.isEmpty()) {
+			return Promise.of(unreachable("the address of %s is unknown".formatted(peer)));
 		}
-
-		private PeerConnection ready(PeerConnection.Opened opened) {
-			ForwardClient.this.events.record(EventKind.PEER_CONNECTED, this.peer, "forwarding to it");
-			opened.connection().onFrame(this::receive);
-			opened.connection().closed().whenResult(this::lost);
-			return opened.connection();
+		ForwardLink known = this.links.get(peer);
+		if (known == null || known.closed() || !known.address().equals(address.get())) {
+			known = new ForwardLink(this, peer, address.get());
+			this.links.put(peer, known);
 		}
+		return known.exchange(message, waitMillis, cancellation);
+	}
 
-		Promise<Outcome> exchange(CallerRequest request) {
-			long exchange = ForwardClient.this.nextExchange++;
-			SettablePromise<Outcome> outcome = new SettablePromise<>();
-			this.connection.whenResult((open) -> {
-				this.waiting.put(exchange, outcome);
-				open.send(ForwardCodec.encode(new ForwardMessage.Forward(exchange, request)));
-			})
-				.whenException((ex) -> outcome
-					.trySet(failed(ErrorKind.NO_OWNER, "the daemon of %s can't be reached".formatted(this.peer))));
-			return outcome;
-		}
+	/**
+	 * The time to an instance and back, as its link measured it last.
+	 * @param instance the instance
+	 * @return a millisecond if nothing was measured yet, as between failure domains
+	 */
+	Duration roundTrip(InstanceId instance) {
+		return this.roundTrips.getOrDefault(instance, Duration.ofMillis(1));
+	}
 
-		private void receive(FrameReader frame) throws WireException {
-			switch (ForwardCodec.decode(frame)) {
-				case ForwardMessage.Answered message -> settle(message.exchange(),
-						new Outcome.Answered(message.answer(), message.fence(), message.ticket()));
-				case ForwardMessage.Failed message ->
-					settle(message.exchange(), new Outcome.Failed(message.failure(), message.ticket()));
-				case ForwardMessage.Forward message -> throw unexpected(message);
-				case ForwardMessage.Cancel message -> throw unexpected(message);
-			}
-		}
+	void measured(InstanceId instance, Duration roundTrip) {
+		this.roundTrips.put(instance, roundTrip);
+	}
 
-		private WireException unexpected(ForwardMessage message) {
-			return new WireException("exchange %d was opened by the wrong side".formatted(message.exchange()));
-		}
+	void gone(InstanceId peer, ForwardLink link) {
+		this.links.remove(peer, link);
+	}
 
-		private void settle(long exchange, Outcome outcome) {
-			SettablePromise<Outcome> promise = this.waiting.remove(exchange);
-			if (promise != null) {
-				promise.trySet(outcome);
-			}
-		}
+	NioReactor reactor() {
+		return this.reactor;
+	}
 
-		private void lost(Exception reason) {
-			ForwardClient.this.links.remove(this.peer, this);
-			Outcome outcome = failed(ErrorKind.OUTCOME_UNKNOWN,
-					"the connection to %s broke: %s".formatted(this.peer, reason.getMessage()));
-			this.waiting.values().forEach((promise) -> promise.trySet(outcome));
-			this.waiting.clear();
-		}
+	Settings settings() {
+		return this.settings;
+	}
+
+	EventLog events() {
+		return this.events;
+	}
 
+	static Outcome unreachable(String detail) {
+		return Outcome.failed(new Failure(ErrorKind.NO_OWNER, detail, RETRY_SOON));
 	}
 
 }
--- a/daemon/src/main/java/org/brasspier/daemon/internal/request/ForwardServer.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/request/ForwardServer.java
@@ -1,20 +1,31 @@
 package org.brasspier.daemon.internal.request;
 
-import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Supplier;
 
+import com.codahale.metrics.Counter;
+import com.codahale.metrics.MetricRegistry;
 import io.activej.net.SimpleServer;
 import io.activej.net.socket.tcp.ITcpSocket;
+import io.activej.promise.Promise;
+import io.activej.promise.Promises;
 import io.activej.reactor.nio.NioReactor;
-import org.brasspier.core.InstanceId;
+import org.brasspier.core.ErrorKind;
+import org.brasspier.core.Failure;
+import org.brasspier.core.Fence;
 import org.brasspier.core.event.EventKind;
+import org.brasspier.core.ownership.HeldRange;
 import org.brasspier.core.request.CallerRequest;
+import org.brasspier.core.routing.OwnershipSnapshot;
 import org.brasspier.daemon.internal.event.EventLog;
 import org.brasspier.daemon.internal.peer.PeerConnection;
+import org.brasspier.daemon.internal.settings.Settings;
 import org.brasspier.wire.ForwardCodec;
 import org.brasspier.wire.ForwardMessage;
 import org.brasspier.wire.FrameReader;
-import org.brasspier.wire.Handshake;
-import org.brasspier.wire.SharedKeys;
 import org.brasspier.wire.WireException;
 
 /**
@@ -24,66 +35,155 @@
  */
 public final class ForwardServer {
 
-	private final InstanceId self;
+	private static final Duration HANDSHAKE_TIMEOUT = Duration.ofSeconds(1);
 
-	private final SharedKeys keys;
+	private static final long NANOS_PER_MILLI = 1_000_000;
 
-	private final LocalGate gate;
+	private final Settings settings;
+
+	private final OwnerGate owner;
+
+	private final ServerGate servers;
+
+	private final Supplier<OwnershipSnapshot> ownership;
 
 	private final EventLog events;
 
+	private final Counter refused;
+
 	/**
 	 * Creates a server that does not listen yet.
-	 * @param self this instance
-	 * @param keys the shared keys
-	 * @param gate the way to the backend server
+	 * @param settings this instance, the shared keys and where to listen
+	 * @param owner the way for requests that this instance owns
+	 * @param servers the way for orders that other owners give
+	 * @param ownership what is known of other owners
 	 * @param events the time line
+	 * @param metrics counts connections that were refused
 	 */
-	public ForwardServer(InstanceId self, SharedKeys keys, LocalGate gate, EventLog events) {
-		this.self = self;
-		this.keys = keys;
-		this.gate = gate;
+	ForwardServer(Settings settings, OwnerGate owner, ServerGate servers, Supplier<OwnershipSnapshot> ownership,
+			EventLog events, MetricRegistry metrics) {
+		this.settings = settings;
+		this.owner = owner;
+		this.servers = servers;
+		this.ownership = ownership;
 		this.events = events;
+		this.refused = metrics.counter("peers.refused");
 	}
 
 	/**
 	 * Builds the listening server.
 	 * @param reactor the reactor of the thread of requests
-	 * @param address where to listen
 	 * @return a server to be told to listen
 	 */
-	public SimpleServer listenOn(NioReactor reactor, InetSocketAddress address) {
-		return SimpleServer.builder(reactor, this::accept).withListenAddress(address).build();
+	public SimpleServer listenOn(NioReactor reactor) {
+		return SimpleServer.builder(reactor, this::accept).withListenAddress(this.settings.listen().forwards()).build();
 	}
 
 	private void accept(ITcpSocket socket) {
-		PeerConnection.acceptor(socket, new Handshake(this.self, this.keys), ForwardClient.MAX_FRAME_BYTES)
-			.whenResult((opened) -> opened.connection().onFrame((frame) -> receive(opened.connection(), frame)))
-			.whenException((ex) -> this.events.record(EventKind.PEER_REFUSED, "forward port",
-					String.valueOf(ex.getMessage())));
+		Promises
+			.timeout(HANDSHAKE_TIMEOUT,
+					PeerConnection.acceptor(socket, ForwardLink.handshake(this.settings),
+							ForwardLink.maxFrameBytes(this.settings)))
+			.whenResult((opened) -> new Exchanges(opened.connection()).begin())
+			.whenException((ex) -> {
+				socket.closeEx(ex);
+				this.refused.inc();
+				this.events.record(EventKind.PEER_REFUSED, "forward port", String.valueOf(ex.getMessage()));
+			});
 	}
 
-	private void receive(PeerConnection connection, FrameReader frame) throws WireException {
-		switch (ForwardCodec.decode(frame)) {
-			case ForwardMessage.Forward(long exchange, CallerRequest request) ->
-				this.gate.serve(request).whenResult((outcome) -> reply(connection, exchange, outcome));
-			case ForwardMessage.Cancel message -> {
-			}
-			case ForwardMessage.Answered message -> throw unexpected(message);
-			case ForwardMessage.Failed message -> throw unexpected(message);
+	private Promise<Outcome> execute(ForwardMessage.Execute message, Cancellation cancellation) {
+		CallerRequest request = message.request();
+		Fence known = this.ownership.get()
+			.routes()
+			.find(request.service(), request.hash())
+			.map((route) -> route.fence())
+			.orElse(Fence.NONE);
+		if (message.fence().olderThan(known)) {
+			return Promise.of(Outcome.failed(new Failure(ErrorKind.NO_OWNER,
+					"the id's range has a newer owner than the one who sent this", Duration.ofMillis(100))));
 		}
+		long now = System.nanoTime();
+		long leaseEnd = now + message.authorityMillis() * NANOS_PER_MILLI;
+		HeldRange held = new HeldRange(request.service(), message.range(), message.fence());
+		Order order = new Order(request, held, now + request.remainingMillis() * NANOS_PER_MILLI, () -> leaseEnd);
+		return this.servers.run(order, cancellation).outcome();
 	}
 
-	private static WireException unexpected(ForwardMessage message) {
-		return new WireException("exchange %d was answered by the wrong side".formatted(message.exchange()));
-	}
+	/**
+	 * What one connection asked for and waits for.
+	 */
+	private final class Exchanges {
+
+		private final PeerConnection connection;
+
+		private final Map<Long, Cancellation> running = new HashMap<>();
+
+		Exchanges(PeerConnection connection) {
+			this.connection = connection;
+		}
+
+		void begin() {
+			this.connection.onFrame(this::receive);
+			this.connection.closed().whenResult((reason) -> {
+				if (reason instanceof WireException && !PeerConnection.closedByPeer(reason)) {
+					ForwardServer.this.refused.inc();
+					ForwardServer.this.events.record(EventKind.PEER_REFUSED, "forward port",
+							String.valueOf(reason.getMessage()));
+				}
+			});
+		}
+
+		private void receive(FrameReader frame) throws WireException {
+			ForwardCodec.Stamped received = ForwardCodec.decode(frame);
+			ForwardServer.this.events.receive(received.stamp());
+			switch (received.message()) {
+				case ForwardMessage.Forward(long exchange, CallerRequest request) ->
+					answer(exchange, ForwardServer.this.owner.serve(request, begin(exchange)));
+				case ForwardMessage.Execute message ->
+					answer(message.exchange(), execute(message, begin(message.exchange())));
+				case ForwardMessage.Cancel(long exchange) ->
+					Optional.ofNullable(this.running.get(exchange)).ifPresent(Cancellation::cancel);
+				case ForwardMessage.Ping(long exchange) -> send(new ForwardMessage.Pong(exchange));
+				case ForwardMessage.Pong message -> throw unexpected(message);
+				case ForwardMessage.Answered message -> throw unexpected(message);
+				case ForwardMessage.Failed message -> throw unexpected(message);
+			}
+		}
+
+		private void send(ForwardMessage message) {
+			this.connection.send(ForwardCodec.encode(message, ForwardServer.this.events.stamp()));
+		}
+
+		private Cancellation begin(long exchange) throws WireException {
+			Cancellation cancellation = new Cancellation();
+			if (this.running.put(exchange, cancellation) != null) {
+				throw new WireException("exchange %d was opened twice".formatted(exchange));
+			}
+			return cancellation;
+		}
+
+		private void answer(long exchange, Promise<Outcome> outcome) {
+			outcome.whenResult((end) -> {
+				this.running.remove(exchange);
+				send(message(exchange, end));
+			});
+		}
+
+		private static WireException unexpected(ForwardMessage message) {
+			return new WireException("exchange %d was answered by the wrong side".formatted(message.exchange()));
+		}
+
+		private static ForwardMessage message(long exchange, Outcome outcome) {
+			return switch (outcome) {
+				case Outcome.Answered answered ->
+					new ForwardMessage.Answered(exchange, answered.answer(), answered.fence(), answered.ticket());
+				case Outcome.Failed failed -> new ForwardMessage.Failed(exchange, failed.failure(), failed.ticket(),
+						failed.owner().map(Outcome.Owner::instance),
+						failed.owner().map(Outcome.Owner::fence).orElse(Fence.NONE), failed.backendLost());
+			};
+		}
 
-	private static void reply(PeerConnection connection, long exchange, Outcome outcome) {
-		connection.send(ForwardCodec.encode(switch (outcome) {
-			case Outcome.Answered answered ->
-				new ForwardMessage.Answered(exchange, answered.answer(), answered.fence(), answered.ticket());
-			case Outcome.Failed failed -> new ForwardMessage.Failed(exchange, failed.failure(), failed.ticket());
-		}));
 	}
 
 }
--- /dev/null
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/request/GuardTimes.java
@@ -0,0 +1,31 @@
+package org.brasspier.daemon.internal.request;
+
+import java.util.function.Supplier;
+
+import org.brasspier.core.ServiceName;
+import org.brasspier.core.document.ServiceCatalog;
+import org.brasspier.core.document.ServicePolicy;
+
+/**
+ * How long after the end of its owner's lease an order may still take effect on a backend
+ * server that checks no fences; its range rests for as long before it moves. Thread-safe.
+ */
+final class GuardTimes {
+
+	/** See docs/DESIGN.md, rule 8. */
+	private static final int DEFAULT_MILLIS = 200;
+
+	private static final long NANOS_PER_MILLI = 1_000_000;
+
+	private final Supplier<ServiceCatalog> catalog;
+
+	GuardTimes(Supplier<ServiceCatalog> catalog) {
+		this.catalog = catalog;
+	}
+
+	long nanos(ServiceName service) {
+		int millis = this.catalog.get().find(service).map(ServicePolicy::guardMillis).orElse(DEFAULT_MILLIS);
+		return millis * NANOS_PER_MILLI;
+	}
+
+}
--- /dev/null
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/request/LoadReports.java
@@ -0,0 +1,80 @@
+package org.brasspier.daemon.internal.request;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Supplier;
+
+import org.brasspier.core.ServiceName;
+import org.brasspier.core.ownership.RangeLoad;
+import org.brasspier.core.placement.LoadMeter;
+import org.brasspier.core.request.CallerRequest;
+import org.brasspier.core.routing.OwnershipSnapshot;
+import org.brasspier.daemon.internal.measure.OutcomeMeter;
+import org.brasspier.daemon.internal.ownership.RequestsReport;
+
+/**
+ * Measures the load of the ranges held here and reports it. Belongs to the thread of
+ * requests.
+ */
+final class LoadReports {
+
+	/** Hot keys change within minutes; this follows them within tens of seconds. */
+	private static final long WINDOW_NANOS = Duration.ofSeconds(10).toNanos();
+
+	/** A refused request is taken for the mean of about so many that ran. */
+	private static final int USUAL_OVER = 32;
+
+	private final Supplier<OwnershipSnapshot> ownership;
+
+	private final OwnershipReports reports;
+
+	private final Map<ServiceName, LoadMeter> meters = new HashMap<>();
+
+	private final OutcomeMeter outcomes;
+
+	private long usualNanos;
+
+	LoadReports(Supplier<OwnershipSnapshot> ownership, OwnershipReports reports, OutcomeMeter outcomes) {
+		this.outcomes = outcomes;
+		this.ownership = ownership;
+		this.reports = reports;
+	}
+
+	// A request kept a slot busy.
+	void ran(CallerRequest request, long busyNanos) {
+		this.outcomes.ran(request.service(), busyNanos);
+		this.usualNanos += (busyNanos - this.usualNanos) / USUAL_OVER;
+		record(request, busyNanos);
+	}
+
+	// A request would have kept a slot busy: demand is what must be spread, and a full
+	// server serves no more than its slots whatever is asked of it.
+	void refused(CallerRequest request) {
+		record(request, this.usualNanos);
+	}
+
+	private void record(CallerRequest request, long busyNanos) {
+		long now = System.nanoTime();
+		this.meters.computeIfAbsent(request.service(), (service) -> new LoadMeter(WINDOW_NANOS, now))
+			.record(request.hash(), busyNanos, now);
+	}
+
+	// A report that the ring does not take is lost; the next one, a second later, says
+	// all again.
+	void report() {
+		OwnershipSnapshot snapshot = this.ownership.get();
+		long now = System.nanoTime();
+		this.meters.forEach((service, meter) -> {
+			List<RangeLoad> loads = snapshot.held()
+				.assignments(service)
+				.stream()
+				.map((held) -> new RangeLoad(held.range(), meter.busySlots(held.range(), now),
+						meter.hottest(held.range(), now)))
+				.toList();
+			this.reports.offer(new RequestsReport.RangeLoads(service, loads));
+		});
+	}
+
+}
--- a/daemon/src/main/java/org/brasspier/daemon/internal/request/Outcome.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/request/Outcome.java
@@ -1,7 +1,12 @@
 package org.brasspier.daemon.internal.request;
 
+import java.util.Optional;
+
+import org.brasspier.core.ErrorKind;
 import org.brasspier.core.Failure;
 import org.brasspier.core.Fence;
+import org.brasspier.core.InstanceId;
+import org.brasspier.core.Ran;
 import org.brasspier.core.request.Answer;
 
 /**
@@ -16,6 +21,32 @@
 	 */
 	String ticket();
 
+	/**
+	 * The same outcome with a ticket.
+	 * @param newTicket the ticket's text
+	 * @return the copy
+	 */
+	Outcome withTicket(String newTicket);
+
+	/**
+	 * A failure with nothing more to tell.
+	 * @param kind what went wrong
+	 * @param detail one sentence for a person
+	 * @return the outcome
+	 */
+	static Failed failed(ErrorKind kind, String detail) {
+		return failed(Failure.of(kind, detail));
+	}
+
+	/**
+	 * A failure with nothing more to tell.
+	 * @param failure why
+	 * @return the outcome
+	 */
+	static Failed failed(Failure failure) {
+		return new Failed(failure, "", Optional.empty(), false);
+	}
+
 	/**
 	 * The backend server answered.
 	 *
@@ -25,6 +56,11 @@
 	 */
 	record Answered(Answer answer, Fence fence, String ticket) implements Outcome {
 
+		@Override
+		public Answered withTicket(String newTicket) {
+			return new Answered(this.answer, this.fence, newTicket);
+		}
+
 	}
 
 	/**
@@ -32,8 +68,33 @@
 	 *
 	 * @param failure why
 	 * @param ticket the ticket to resend with, empty if none
+	 * @param owner who owns the request as far as the answering daemon knows
+	 * @param backendLost whether it ran when its backend server was lost
+	 */
+	record Failed(Failure failure, String ticket, Optional<Owner> owner, boolean backendLost) implements Outcome {
+
+		@Override
+		public Failed withTicket(String newTicket) {
+			return new Failed(this.failure, newTicket, this.owner, this.backendLost);
+		}
+
+		/**
+		 * Whether this send certainly did not run and will not.
+		 * @return false if it may have run
+		 */
+		public boolean certainlyNotRun() {
+			return this.failure.kind().ran() == Ran.NOT_RUN;
+		}
+
+	}
+
+	/**
+	 * Who owns a request.
+	 *
+	 * @param instance the instance
+	 * @param fence the fence of its range
 	 */
-	record Failed(Failure failure, String ticket) implements Outcome {
+	record Owner(InstanceId instance, Fence fence) {
 
 	}
 
--- /dev/null
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/request/OwnerGate.java
@@ -0,0 +1,165 @@
+package org.brasspier.daemon.internal.request;
+
+import java.time.Duration;
+import java.util.Optional;
+import java.util.function.Function;
+import java.util.function.Supplier;
+
+import io.activej.promise.Promise;
+import io.activej.promise.SettablePromise;
+import org.brasspier.core.ErrorKind;
+import org.brasspier.core.Failure;
+import org.brasspier.core.RequestClass;
+import org.brasspier.core.event.EventKind;
+import org.brasspier.core.ownership.HeldRange;
+import org.brasspier.core.request.CallerRequest;
+import org.brasspier.core.routing.Assignment;
+import org.brasspier.core.routing.OwnershipSnapshot;
+import org.brasspier.daemon.internal.event.EventLog;
+
+/**
+ * The owner's side of a request: lets it pass if this instance holds its point, at most
+ * once if it is a posting, and relays the answer only if the lease has held meanwhile.
+ * Belongs to the thread of requests.
+ */
+public final class OwnerGate {
+
+	private static final long NANOS_PER_MILLI = 1_000_000;
+
+	private static final Duration RETRY_SOON = Duration.ofMillis(100);
+
+	private final Supplier<OwnershipSnapshot> ownership;
+
+	private final PostingDesk postings;
+
+	private final Suspects suspects;
+
+	private final InFlight inFlight;
+
+	private final Function<Admitted, OrderRun> servers;
+
+	private final EventLog events;
+
+	private final LeaseContinuity continuity = new LeaseContinuity(System.nanoTime());
+
+	private Promise<Void> suspectsTurn = Promise.complete();
+
+	/**
+	 * Creates a gate.
+	 * @param ownership what this instance holds now
+	 * @param postings what was admitted before
+	 * @param suspects which requests were part of losses
+	 * @param inFlight what this instance has admitted
+	 * @param servers hands an admitted request to a backend server
+	 * @param events the time line
+	 */
+	OwnerGate(Supplier<OwnershipSnapshot> ownership, PostingDesk postings, Suspects suspects, InFlight inFlight,
+			Function<Admitted, OrderRun> servers, EventLog events) {
+		this.ownership = ownership;
+		this.postings = postings;
+		this.suspects = suspects;
+		this.inFlight = inFlight;
+		this.servers = servers;
+		this.events = events;
+	}
+
+	/**
+	 * Serves a request if this instance owns it.
+	 * @param request the request
+	 * @param cancellation tells when its caller is gone
+	 * @return how it ended; never an exception
+	 */
+	public Promise<Outcome> serve(CallerRequest request, Cancellation cancellation) {
+		long now = System.nanoTime();
+		OwnershipSnapshot snapshot = this.ownership.get();
+		long leaseRun = this.continuity.look(snapshot, now);
+		Optional<Assignment> owned = snapshot.holding(request.service(), request.hash(), now);
+		if (owned.isEmpty()) {
+			return Promise.of(notOwner(snapshot, request));
+		}
+		HeldRange held = new HeldRange(request.service(), owned.get().range(), owned.get().fence());
+		if (this.suspects.keptAway(request)) {
+			this.events.record(EventKind.REQUEST_KEPT_AWAY, request, "it was part of losses of backend servers");
+			return Promise.of(Outcome.failed(ErrorKind.CRASHED_BACKENDS,
+					"backend servers were lost each time they ran this request"));
+		}
+		Supplier<Promise<Outcome>> run = () -> turn(request, held, leaseRun, now, cancellation);
+		if (request.requestClass() == RequestClass.POSTING) {
+			return this.postings.admit(request, held, now, run);
+		}
+		return run.get().map((outcome) -> this.postings.withTicket(outcome, held));
+	}
+
+	/**
+	 * Looks at the lease, as must be done each few milliseconds.
+	 */
+	void look() {
+		this.continuity.look(this.ownership.get(), System.nanoTime());
+	}
+
+	// Suspects run one at a time, beside any others. So the innocent ones, which clear
+	// themselves by ending well, are not part of the culprit's second crash.
+	private Promise<Outcome> turn(CallerRequest request, HeldRange held, long leaseRun, long receivedNanos,
+			Cancellation cancellation) {
+		if (!this.suspects.contains(request)) {
+			return hand(request, held, leaseRun, receivedNanos, cancellation);
+		}
+		SettablePromise<Void> next = new SettablePromise<>();
+		Promise<Void> before = this.suspectsTurn;
+		this.suspectsTurn = next;
+		return before.then(() -> this.suspects.keptAway(request)
+				? Promise.of(Outcome.failed(ErrorKind.CRASHED_BACKENDS, "it was part of one more loss"))
+				: hand(request, held, leaseRun, receivedNanos, cancellation))
+			.whenComplete(() -> next.set(null));
+	}
+
+	private Promise<Outcome> hand(CallerRequest request, HeldRange held, long leaseRun, long receivedNanos,
+			Cancellation cancellation) {
+		long deadline = receivedNanos + request.remainingMillis() * NANOS_PER_MILLI;
+		Order order = new Order(request, held, deadline, () -> leaseEnd(leaseRun));
+		InFlight.Entry entry = this.inFlight.begin(request.service(), request.hash(), held.fence());
+		OrderRun run = this.servers.apply(new Admitted(order, cancellation));
+		run.over().whenComplete(() -> this.inFlight.end(entry));
+		return run.outcome().map((outcome) -> relay(order, leaseRun, outcome));
+	}
+
+	private long leaseEnd(long leaseRun) {
+		OwnershipSnapshot snapshot = this.ownership.get();
+		long now = System.nanoTime();
+		return this.continuity.unbroken(leaseRun, snapshot, now) ? snapshot.leaseEndNanos() : now - 1;
+	}
+
+	private Outcome relay(Order order, long leaseRun, Outcome outcome) {
+		if (outcome instanceof Outcome.Failed failed && failed.backendLost()) {
+			this.suspects.partOfLoss(order.request());
+		}
+		if (outcome instanceof Outcome.Answered) {
+			this.suspects.endedWell(order.request());
+			if (leaseEnd(leaseRun) - System.nanoTime() <= 0) {
+				// A pause past the lease: another owner may already have changed what
+				// this answer says, so it must not reach the caller.
+				return Outcome.failed(ErrorKind.OUTCOME_UNKNOWN, "the lease ran out while the request ran");
+			}
+		}
+		return outcome;
+	}
+
+	private static Outcome notOwner(OwnershipSnapshot snapshot, CallerRequest request) {
+		Optional<Outcome.Owner> known = snapshot.routes()
+			.find(request.service(), request.hash())
+			.map((route) -> new Outcome.Owner(route.owner(), route.fence()));
+		String detail = "this instance does not own this key of %s now".formatted(request.service());
+		return new Outcome.Failed(new Failure(ErrorKind.NOT_OWNER, detail, RETRY_SOON), "", known, false);
+	}
+
+	/**
+	 * A request that its owner lets run.
+	 *
+	 * @param order the order
+	 * @param cancellation tells when its caller is gone
+	 */
+	record Admitted(Order order, Cancellation cancellation) {
+
+	}
+
+}
--- /dev/null
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/request/PostingDesk.java
@@ -0,0 +1,118 @@
+package org.brasspier.daemon.internal.request;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Supplier;
+
+import io.activej.promise.Promise;
+import io.activej.promise.SettablePromise;
+import io.activej.reactor.nio.NioReactor;
+import io.activej.reactor.schedule.ScheduledRunnable;
+import io.vavr.control.Either;
+import org.brasspier.core.ErrorKind;
+import org.brasspier.core.event.EventKind;
+import org.brasspier.core.ownership.HeldRange;
+import org.brasspier.core.request.Admission;
+import org.brasspier.core.request.CallerRequest;
+import org.brasspier.core.request.Posting;
+import org.brasspier.core.request.RequestIdentity;
+import org.brasspier.core.request.RequestLedger;
+import org.brasspier.core.request.Ticket;
+import org.brasspier.daemon.internal.event.EventLog;
+
+/**
+ * Runs each posting at most once: asks the ledger, lets resends wait for the first send's
+ * run and gives each the whole answer. Belongs to the thread of requests.
+ */
+final class PostingDesk {
+
+	private static final long NANOS_PER_MILLI = 1_000_000;
+
+	private final NioReactor reactor;
+
+	private final RequestLedger ledger;
+
+	private final EventLog events;
+
+	private final Map<Posting, SettablePromise<Outcome>> running = new HashMap<>();
+
+	PostingDesk(NioReactor reactor, RequestLedger ledger, EventLog events) {
+		this.reactor = reactor;
+		this.ledger = ledger;
+		this.events = events;
+	}
+
+	Promise<Outcome> admit(CallerRequest request, HeldRange held, long nowNanos, Supplier<Promise<Outcome>> run) {
+		Posting posting = new Posting(request.service(), held.fence(), request.id(), request.fingerprint());
+		RequestIdentity identity = request.identity();
+		Optional<Ticket> ticket = identity.ticket().flatMap(Ticket::parse);
+		Admission admission = this.ledger.admit(posting, ticket, identity.firstSend(), nowNanos / NANOS_PER_MILLI);
+		Promise<Outcome> outcome = switch (admission) {
+			case Admission.Run ignored -> run(posting, run);
+			case Admission.Join ignored -> join(posting, request);
+			case Admission.Ended(var end) -> again(request,
+					end.<Outcome>fold(Outcome::failed, (answer) -> new Outcome.Answered(answer, held.fence(), "")));
+			case Admission.Refused(var failure) -> Promise.of(Outcome.failed(failure));
+		};
+		return outcome.map((end) -> withTicket(end, held));
+	}
+
+	// Each answer carries a ticket, so that the next posting needs no extra round trip.
+	Outcome withTicket(Outcome outcome, HeldRange held) {
+		return outcome.withTicket(issue(held).text());
+	}
+
+	private Ticket issue(HeldRange held) {
+		return this.ledger.issue(held.service(), held.fence(), System.nanoTime() / NANOS_PER_MILLI);
+	}
+
+	private Promise<Outcome> run(Posting posting, Supplier<Promise<Outcome>> run) {
+		SettablePromise<Outcome> shared = new SettablePromise<>();
+		this.running.put(posting, shared);
+		run.get().whenResult((outcome) -> {
+			this.running.remove(posting);
+			remember(posting, outcome);
+			shared.set(outcome);
+		});
+		return shared;
+	}
+
+	private void remember(Posting posting, Outcome outcome) {
+		switch (outcome) {
+			case Outcome.Answered answered -> this.ledger.ended(posting, Either.right(answered.answer()));
+			case Outcome.Failed failed -> {
+				if (failed.certainlyNotRun()) {
+					this.ledger.notRun(posting);
+				}
+				else {
+					this.ledger.ended(posting, Either.left(failed.failure()));
+				}
+			}
+		}
+	}
+
+	private Promise<Outcome> again(CallerRequest request, Outcome end) {
+		this.events.record(EventKind.REQUEST_REPEATED, request, "its first send has ended");
+		return Promise.of(end);
+	}
+
+	// Waits for the first send's end, but not beyond its own deadline.
+	private Promise<Outcome> join(Posting posting, CallerRequest request) {
+		this.events.record(EventKind.REQUEST_REPEATED, request, "its first send still runs");
+		SettablePromise<Outcome> shared = this.running.get(posting);
+		if (shared == null) {
+			return Promise.of(Outcome.failed(ErrorKind.IN_PROGRESS, "the same posting is being run now"));
+		}
+		SettablePromise<Outcome> own = new SettablePromise<>();
+		ScheduledRunnable timeout = this.reactor.delay(Duration.ofMillis(request.remainingMillis()),
+				() -> own.trySet(Outcome.failed(ErrorKind.IN_PROGRESS, "the same posting is still being run")));
+		shared.whenResult((outcome) -> {
+			timeout.cancel();
+			own.trySet(outcome);
+		});
+		return own;
+	}
+
+}
--- /dev/null
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/request/RequestPath.java
@@ -0,0 +1,196 @@
+package org.brasspier.daemon.internal.request;
+
+import java.io.IOException;
+import java.security.SecureRandom;
+import java.time.Duration;
+import java.util.SplittableRandom;
+
+import io.activej.http.HttpServer;
+import io.activej.net.SimpleServer;
+import io.activej.reactor.nio.NioReactor;
+import org.brasspier.core.ServiceName;
+import org.brasspier.core.choosing.BackendChooser;
+import org.brasspier.core.request.CrashMarks;
+import org.brasspier.core.request.LedgerLimits;
+import org.brasspier.core.request.RequestLedger;
+import org.brasspier.core.retry.RecentTimes;
+import org.brasspier.core.retry.RetryBudget;
+import org.brasspier.core.retry.RetryRules;
+import org.brasspier.daemon.internal.DaemonContext;
+import org.brasspier.daemon.internal.backend.BackendCalls;
+import org.brasspier.daemon.internal.backend.BackendClient;
+import org.brasspier.daemon.internal.backend.BackendPort;
+import org.brasspier.daemon.internal.backend.BackendWatch;
+import org.brasspier.daemon.internal.backend.GrantsKeeper;
+import org.brasspier.daemon.internal.caller.CallerPort;
+import org.brasspier.daemon.internal.measure.OutcomeMeter;
+import org.brasspier.daemon.internal.ownership.CellView;
+import org.brasspier.daemon.internal.ownership.RequestsOrder;
+import org.brasspier.daemon.internal.ownership.RequestsReport.BackendState;
+import org.brasspier.daemon.internal.settings.Settings;
+
+/**
+ * The parts of the way of a request, joined. Belongs to the thread of requests.
+ */
+final class RequestPath {
+
+	private static final long TICK_MILLIS = 20;
+
+	private static final long REPORT_EVERY_MILLIS = 1000;
+
+	private static final long NANOS_PER_MILLI = 1_000_000;
+
+	private static final Duration RETRY_WINDOW = Duration.ofSeconds(30);
+
+	/** How often the end of all that is in flight is looked for during a planned stop. */
+	private static final Duration LOOK_AGAIN = Duration.ofMillis(20);
+
+	private final NioReactor reactor;
+
+	private final RequestsDuty.Known known;
+
+	private final OwnershipReports reports;
+
+	private final BackendWatch watch;
+
+	private final GrantsKeeper grants;
+
+	private final ServerGate serverGate;
+
+	private final CrashMarks marks = new CrashMarks();
+
+	private final InFlight inFlight;
+
+	private final LoadReports loads;
+
+	private final OutcomeMeter outcomes;
+
+	private final OwnerGate ownerGate;
+
+	private final CallerPort callerPort;
+
+	private final HttpServer callers;
+
+	private final HttpServer backends;
+
+	private final SimpleServer forwards;
+
+	RequestPath(NioReactor reactor, DaemonContext context, RequestsDuty.Known known, OwnershipReports reports) {
+		this.reactor = reactor;
+		this.known = known;
+		this.reports = reports;
+		this.outcomes = context.outcomes();
+		Settings settings = context.settings();
+		GuardTimes guards = new GuardTimes(known.catalog());
+		Suspects suspects = new Suspects(this.marks, context.events());
+		BackendCalls calls = new BackendCalls(reactor);
+		this.watch = new BackendWatch(reactor, calls, context.events());
+		this.grants = new GrantsKeeper(calls, known.ownership(), known.catalog());
+		this.loads = new LoadReports(known.ownership(), reports, context.outcomes());
+		OrderRunner runner = new OrderRunner(reactor, new BackendClient(reactor, settings.limits().maxBodyBytes()),
+				calls, this.watch, this.grants, context.events(), guards, this.loads, suspects::partOfLoss);
+		this.serverGate = new ServerGate(reactor, this.watch, this.grants, runner);
+		ForwardClient client = new ForwardClient(reactor, settings, known.ownership(), context.events(), guards);
+		this.inFlight = new InFlight(this.marks, reports);
+		ServerChoice choice = new ServerChoice(settings.instance(), this.serverGate, client, known.cell(),
+				known.catalog(), new BackendChooser(1, new SplittableRandom()), retries());
+		this.ownerGate = new OwnerGate(known.ownership(), desk(reactor, context), suspects, this.inFlight, choice::run,
+				context.events());
+		RequestRouter router = new RequestRouter(known.ownership(), this.ownerGate, client,
+				new RoutesWait(reactor, known.ownership()), RetryBudget.usual(), context.events());
+		this.callerPort = new CallerPort(context, router, known.ownership(), known.catalog(), this::mayExist);
+		this.callers = this.callerPort.listenOn(reactor, context);
+		this.backends = HttpServer
+			.builder(reactor, new BackendPort(this.watch, this::drained, context.events(), context.metrics()))
+			.withListenAddress(settings.listen().backend())
+			.build();
+		this.forwards = new ForwardServer(settings, this.ownerGate, this.serverGate, known.ownership(),
+				context.events(), context.metrics())
+			.listenOn(reactor);
+	}
+
+	private static PostingDesk desk(NioReactor reactor, DaemonContext context) {
+		RequestLedger ledger = new RequestLedger(new SecureRandom().nextLong(), LedgerLimits.DEFAULT,
+				System.nanoTime() / NANOS_PER_MILLI);
+		return new PostingDesk(reactor, ledger, context.events());
+	}
+
+	private static RetryRules retries() {
+		return new RetryRules(RetryBudget.usual(), new RecentTimes(RETRY_WINDOW, System.nanoTime()));
+	}
+
+	void listen() throws IOException {
+		this.callers.listen();
+		this.backends.listen();
+		this.forwards.listen();
+		this.watch.listen((status) -> {
+			this.outcomes.slots(status.service(), status.slots());
+			report();
+		});
+		this.watch.start();
+		this.reactor.delayBackground(TICK_MILLIS, this::tick);
+		this.reactor.delayBackground(REPORT_EVERY_MILLIS, this::everySecond);
+	}
+
+	private void tick() {
+		this.reactor.delayBackground(TICK_MILLIS, this::tick);
+		this.ownerGate.look();
+		this.inFlight.reportDrained();
+		this.watch.state()
+			.filter((state) -> state != BackendState.LOST && state != BackendState.STARTING)
+			.ifPresent((state) -> this.watch.announcement()
+				.ifPresent((server) -> this.grants.renew(server, System.nanoTime())));
+	}
+
+	private void everySecond() {
+		this.reactor.delayBackground(REPORT_EVERY_MILLIS, this::everySecond);
+		report();
+		this.loads.report();
+	}
+
+	// A status that the ring does not take is told again within a second.
+	private void report() {
+		this.watch.status().ifPresent(this.reports::offer);
+	}
+
+	void order(RequestsOrder order) {
+		switch (order) {
+			case RequestsOrder.DrainRange(var held) -> this.inFlight.drain(held);
+			case RequestsOrder.MarksArrived(var ignored, var arrived) -> this.marks.merge(arrived);
+		}
+	}
+
+	private boolean mayExist(ServiceName service) {
+		CellView cell = this.known.cell().get();
+		return cell.version() == 0 || !this.known.ownership().get().routes().assignments(service).isEmpty()
+				|| cell.ranges().stream().anyMatch((range) -> range.service().equals(service))
+				|| cell.members().stream().anyMatch((member) -> member.service().filter(service::equals).isPresent());
+	}
+
+	// A backend server may stop once nothing is owned here, nothing is in flight and
+	// nothing more will come.
+	private boolean drained() {
+		boolean owns = this.watch.announcement()
+			.filter((server) -> !this.known.ownership().get().held().assignments(server.service()).isEmpty())
+			.isPresent();
+		return !owns && this.inFlight.size() == 0 && this.serverGate.running() == 0 && this.serverGate.waiting() == 0;
+	}
+
+	void leave() {
+		this.callerPort.leave();
+	}
+
+	void close(Runnable idle) {
+		this.callers.close().whenComplete(() -> whenIdle(idle));
+	}
+
+	private void whenIdle(Runnable idle) {
+		if (this.inFlight.size() == 0 && this.serverGate.running() == 0 && this.serverGate.waiting() == 0) {
+			idle.run();
+		}
+		else {
+			this.reactor.delay(LOOK_AGAIN, () -> whenIdle(idle));
+		}
+	}
+
+}
--- a/daemon/src/main/java/org/brasspier/daemon/internal/request/RequestsDuty.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/request/RequestsDuty.java
@@ -2,23 +2,21 @@
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
-import java.net.InetSocketAddress;
-import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import java.util.function.Supplier;
 
-import io.activej.dns.DnsClient;
-import io.activej.http.HttpClient;
-import io.activej.http.HttpServer;
-import io.activej.reactor.nio.NioReactor;
+import org.brasspier.core.document.ServiceCatalog;
 import org.brasspier.core.routing.OwnershipSnapshot;
 import org.brasspier.daemon.internal.DaemonContext;
-import org.brasspier.daemon.internal.backend.BackendClient;
-import org.brasspier.daemon.internal.backend.BackendPort;
-import org.brasspier.daemon.internal.caller.CallerPort;
 import org.brasspier.daemon.internal.loop.Duty;
-import org.brasspier.daemon.internal.settings.Settings;
+import org.brasspier.daemon.internal.loop.Ring;
+import org.brasspier.daemon.internal.ownership.CellView;
+import org.brasspier.daemon.internal.ownership.RequestsOrder;
+import org.brasspier.daemon.internal.ownership.RequestsReport;
+import org.jspecify.annotations.Nullable;
 
 /**
  * The duty that serves callers, other daemons' requests and the backend server. Starting
@@ -26,25 +24,48 @@
  */
 public final class RequestsDuty {
 
-	private static final Duration KEEP_ALIVE = Duration.ofSeconds(30);
-
-	/** Every address is an IP number, so no name is ever looked up. */
-	private static final InetSocketAddress NO_NAME_SERVER = new InetSocketAddress("127.0.0.1", 53);
+	/**
+	 * More than the ranges of a cell, each drained twice; the thread of ownership asks
+	 * again for what did not fit.
+	 */
+	private static final int ORDERS = 1024;
 
 	private final Duty duty = new Duty("requests");
 
+	private final Ring<RequestsOrder> orders = new Ring<>(ORDERS, this.duty, this::order);
+
 	private final DaemonContext context;
 
-	private final Supplier<OwnershipSnapshot> ownership;
+	private final Known known;
+
+	private volatile OwnershipReports reports = (report) -> true;
+
+	private @Nullable RequestPath path;
 
 	/**
 	 * Creates the duty; it does nothing until it is started.
 	 * @param context what every duty needs
-	 * @param ownership what this instance holds and knows now
+	 * @param known what the other duties know
 	 */
-	public RequestsDuty(DaemonContext context, Supplier<OwnershipSnapshot> ownership) {
+	public RequestsDuty(DaemonContext context, Known known) {
 		this.context = context;
-		this.ownership = ownership;
+		this.known = known;
+	}
+
+	/**
+	 * The ring for orders of the thread of ownership.
+	 * @return the ring
+	 */
+	public Ring<RequestsOrder> orders() {
+		return this.orders;
+	}
+
+	/**
+	 * Joins the thread of ownership; called before {@link #start()}.
+	 * @param ring the ring for reports; where it's full a report is offered again later
+	 */
+	public void joinOwnership(Ring<RequestsReport> ring) {
+		this.reports = ring::offer;
 	}
 
 	/**
@@ -56,7 +77,9 @@
 		CompletableFuture<Void> listening = new CompletableFuture<>();
 		this.duty.execute(() -> {
 			try {
-				listen(this.duty.reactor());
+				RequestPath built = new RequestPath(this.duty.reactor(), this.context, this.known, this.reports);
+				this.path = built;
+				built.listen();
 				listening.complete(null);
 			}
 			catch (IOException ex) {
@@ -75,35 +98,58 @@
 		}
 	}
 
-	private void listen(NioReactor reactor) throws IOException {
-		Settings settings = this.context.settings();
-		HttpClient http = HttpClient.builder(reactor, DnsClient.create(reactor, NO_NAME_SERVER))
-			.withKeepAliveTimeout(KEEP_ALIVE)
-			.build();
-		BackendClient backend = new BackendClient(http);
-		LocalGate gate = new LocalGate(this.ownership, backend, this.context.events());
-		ForwardClient forwards = new ForwardClient(reactor, settings.instance(), settings.secrets().sharedKeys(),
-				this.context.events());
-		RequestRouter router = new RequestRouter(this.ownership, gate, forwards, this.context.events());
-		HttpServer.builder(reactor, new CallerPort(router, settings.limits().maxBodyBytes()))
-			.withListenAddress(settings.listen().callers())
-			.build()
-			.listen();
-		HttpServer.builder(reactor, new BackendPort(backend, this.context.events()))
-			.withListenAddress(settings.listen().backend())
-			.build()
-			.listen();
-		new ForwardServer(settings.instance(), settings.secrets().sharedKeys(), gate, this.context.events())
-			.listenOn(reactor, settings.listen().forwards())
-			.listen();
+	private void order(RequestsOrder order) {
+		if (this.path != null) {
+			this.path.order(order);
+		}
+	}
+
+	/**
+	 * Sends callers elsewhere from now on; what they still ask is served.
+	 */
+	public void leave() {
+		this.duty.execute(() -> {
+			if (this.path != null) {
+				this.path.leave();
+			}
+		});
 	}
 
 	/**
-	 * Ends the duty.
+	 * Ends the duty once nothing is in flight, or when the time is over.
+	 * @param maxMillis how long that may take, in milliseconds
 	 * @throws InterruptedException if the calling thread is interrupted
 	 */
-	public void stop() throws InterruptedException {
+	public void stop(long maxMillis) throws InterruptedException {
+		CompletableFuture<Void> idle = new CompletableFuture<>();
+		this.duty.execute(() -> {
+			if (this.path != null) {
+				this.path.close(() -> idle.complete(null));
+			}
+			else {
+				idle.complete(null);
+			}
+		});
+		try {
+			idle.get(maxMillis, TimeUnit.MILLISECONDS);
+		}
+		catch (ExecutionException | TimeoutException ex) {
+			// The time is over; what is still in flight is cut off, as docs/OPERATING.md
+			// says of --max-leave-millis.
+		}
 		this.duty.stop();
 	}
 
+	/**
+	 * What the other duties know. Its parts are thread-safe.
+	 *
+	 * @param ownership what this instance holds and knows now
+	 * @param cell the members of the cell
+	 * @param catalog the services as the document in force describes them
+	 */
+	public record Known(Supplier<OwnershipSnapshot> ownership, Supplier<CellView> cell,
+			Supplier<ServiceCatalog> catalog) {
+
+	}
+
 }
--- /dev/null
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/request/RunningOrder.java
@@ -0,0 +1,213 @@
+package org.brasspier.daemon.internal.request;
+
+import java.time.Duration;
+import java.util.Optional;
+import java.util.function.Consumer;
+
+import io.activej.promise.Promise;
+import io.activej.promise.SettablePromise;
+import org.brasspier.core.ErrorKind;
+import org.brasspier.core.Failure;
+import org.brasspier.core.RequestClass;
+import org.brasspier.core.admission.RunOutcome;
+import org.brasspier.core.event.EventKind;
+import org.brasspier.daemon.internal.backend.BackendOrder;
+import org.brasspier.daemon.internal.backend.BackendReply;
+import org.brasspier.daemon.internal.backend.BackendRun;
+
+/**
+ * One order that the backend server is at, from its hand-over to its end. Belongs to the
+ * thread of requests.
+ */
+final class RunningOrder {
+
+	private static final long NANOS_PER_MILLI = 1_000_000;
+
+	/** A cancelled order that still runs after this is given up. */
+	private static final Duration CANCEL_WAIT = Duration.ofMillis(250);
+
+	/** A refused resend soon finds the next owner or the server back. */
+	private static final Duration RETRY_SOON = Duration.ofMillis(100);
+
+	/**
+	 * A third of the time goes to the first try of an idempotent request: a connection
+	 * that went silent then leaves two thirds for a new one.
+	 */
+	private static final int FIRST_TRY_ONE_IN = 3;
+
+	/** A first try is never shorter, so that slow work isn't taken for silence. */
+	private static final long SHORTEST_TRY_MILLIS = 200;
+
+	private final OrderRunner runner;
+
+	private final Order order;
+
+	private final boolean checksFences;
+
+	private final Consumer<RunOutcome> slotFree;
+
+	private final SettablePromise<Outcome> outcome = new SettablePromise<>();
+
+	private final SettablePromise<Void> over = new SettablePromise<>();
+
+	private Optional<BackendRun> run = Optional.empty();
+
+	private long handedNanos;
+
+	private long deadlineAtNanos;
+
+	private boolean serverLost;
+
+	RunningOrder(OrderRunner runner, Order order, boolean checksFences, Consumer<RunOutcome> slotFree) {
+		this.runner = runner;
+		this.order = order;
+		this.checksFences = checksFences;
+		this.slotFree = slotFree;
+	}
+
+	Promise<Outcome> outcome() {
+		return this.outcome;
+	}
+
+	Promise<Void> over() {
+		return this.over;
+	}
+
+	void begin(long nowNanos) {
+		this.handedNanos = nowNanos;
+		this.runner.record(EventKind.REQUEST_HANDED_OVER, this.order, "fence " + this.order.held().fence());
+		int remaining = this.order.remainingMillis(nowNanos);
+		long firstTry = Math.max(SHORTEST_TRY_MILLIS, remaining / FIRST_TRY_ONE_IN);
+		boolean twoTries = hurried() && firstTry < remaining;
+		hand(nowNanos, twoTries ? firstTry : remaining, twoTries);
+	}
+
+	// Audit reads are long by nature, so silence tells nothing; postings run once.
+	private boolean hurried() {
+		RequestClass requestClass = this.order.request().requestClass();
+		return requestClass == RequestClass.LOOKUP || requestClass == RequestClass.INTERNAL;
+	}
+
+	private void hand(long nowNanos, long waitMillis, boolean again) {
+		this.deadlineAtNanos = deadlineAt();
+		long deadlineAtMillis = System.currentTimeMillis() + (this.deadlineAtNanos - nowNanos) / NANOS_PER_MILLI;
+		BackendRun next = this.runner.client()
+			.run(new BackendOrder(this.order.request(), this.order.held(), deadlineAtMillis, waitMillis));
+		this.run = Optional.of(next);
+		next.reply().whenResult((reply) -> {
+			long now = System.nanoTime();
+			if (again && reply instanceof BackendReply.TimedOut && this.order.remainingMillis(now) > 0) {
+				this.runner.record(EventKind.CONNECTION_REPLACED, this.order, "no answer on the first connection");
+				hand(now, this.order.remainingMillis(now), false);
+				return;
+			}
+			end(reply);
+		});
+	}
+
+	// A server that checks no fences may freeze with the order and wake after the range
+	// has moved; it then finds this moment passed and leaves the work undone.
+	private long deadlineAt() {
+		if (this.checksFences) {
+			return this.order.deadlineNanos();
+		}
+		long authorityEnd = this.order.leaseEndNanos().getAsLong()
+				+ this.runner.guards().nanos(this.order.request().service());
+		return (authorityEnd - this.order.deadlineNanos() < 0) ? authorityEnd : this.order.deadlineNanos();
+	}
+
+	private void end(BackendReply reply) {
+		switch (reply) {
+			case BackendReply.Whole(var answer) -> {
+				this.runner.watch().heard();
+				this.runner.record(EventKind.REQUEST_ANSWERED, this.order, "status " + answer.status());
+				settle(new Outcome.Answered(answer, this.order.held().fence(), ""), RunOutcome.ANSWERED);
+			}
+			case BackendReply.Shed(Duration retryAfter) -> notRun(ErrorKind.OVERLOADED,
+					"the backend server shed the request", retryAfter.isZero() ? RETRY_SOON : retryAfter);
+			case BackendReply.FenceRefused ignored -> {
+				this.runner.grants().forget();
+				notRun(ErrorKind.NO_OWNER, "the backend server refused the fence", RETRY_SOON);
+			}
+			case BackendReply.NotSent(String reason) -> {
+				this.runner.watch().answersNow();
+				notRun(ErrorKind.NO_BACKEND, "the backend server can't be reached: " + reason, RETRY_SOON);
+			}
+			case BackendReply.Broken(String reason) ->
+				unknown(ErrorKind.OUTCOME_UNKNOWN, "the connection to the backend server broke: " + reason);
+			case BackendReply.BadAnswer(String reason) -> unknown(ErrorKind.BAD_ANSWER, reason);
+			case BackendReply.TimedOut ignored -> timedOut();
+		}
+	}
+
+	private void notRun(ErrorKind kind, String detail, Duration retryAfter) {
+		settle(Outcome.failed(new Failure(kind, detail, retryAfter)), RunOutcome.SHED);
+	}
+
+	// A broken connection is the first sign of a crash. Whether the server is still there
+	// is known within a round trip, and decides whether this request is suspect.
+	private void unknown(ErrorKind kind, String detail) {
+		this.runner.record((kind == ErrorKind.BAD_ANSWER) ? EventKind.BAD_BACKEND_INPUT : EventKind.REQUEST_UNKNOWN,
+				this.order, detail);
+		if (this.serverLost) {
+			lost(kind, detail);
+			return;
+		}
+		this.runner.watch().answersNow().whenResult((answers) -> {
+			if (answers) {
+				this.runner.broke(this.order);
+				settle(Outcome.failed(kind, detail), RunOutcome.BROKEN);
+			}
+			else {
+				lost(kind, detail);
+			}
+		});
+	}
+
+	private void lost(ErrorKind kind, String detail) {
+		settle(new Outcome.Failed(Failure.of(kind, detail), "", Optional.empty(), true), RunOutcome.BROKEN);
+	}
+
+	private void timedOut() {
+		this.runner.calls().cancel(this.order.request().id());
+		this.runner.record(EventKind.REQUEST_UNKNOWN, this.order, "the deadline passed while it ran");
+		settle(Outcome.failed(ErrorKind.TIMED_OUT, "the deadline passed while the request ran"), RunOutcome.BROKEN);
+	}
+
+	private void settle(Outcome end, RunOutcome slot) {
+		if (!this.outcome.trySet(end)) {
+			return;
+		}
+		this.runner.ended(this, this.order, System.nanoTime() - this.handedNanos);
+		this.slotFree.accept(slot);
+		long rest = (this.deadlineAtNanos - System.nanoTime()) / NANOS_PER_MILLI;
+		boolean mayTakeEffect = slot == RunOutcome.BROKEN && !this.checksFences && rest > 0
+				&& !this.runner.watch().gone();
+		if (mayTakeEffect) {
+			this.runner.reactor().delay(Duration.ofMillis(rest + 1), () -> this.over.trySet(null));
+		}
+		else {
+			this.over.trySet(null);
+		}
+	}
+
+	void abandon(String reason) {
+		this.serverLost = true;
+		this.run.ifPresent((current) -> current.abandon(reason));
+	}
+
+	// The caller is gone. Postings are left to end, since their outcome is remembered for
+	// a resend; the server may still choose not to run them.
+	void callerGone() {
+		if (this.outcome.isComplete()) {
+			return;
+		}
+		this.runner.calls().cancel(this.order.request().id());
+		this.runner.record(EventKind.REQUEST_CANCELLED, this.order, "the caller is gone");
+		if (this.order.request().requestClass().idempotent()) {
+			this.runner.reactor()
+				.delay(CANCEL_WAIT, () -> this.run.ifPresent((current) -> current.abandon("cancelled")));
+		}
+	}
+
+}
--- /dev/null
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/request/ServerChoice.java
@@ -0,0 +1,122 @@
+package org.brasspier.daemon.internal.request;
+
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Supplier;
+
+import io.activej.promise.Promise;
+import io.activej.promise.SettablePromise;
+import org.brasspier.core.InstanceId;
+import org.brasspier.core.Ran;
+import org.brasspier.core.RequestClass;
+import org.brasspier.core.ServiceName;
+import org.brasspier.core.choosing.BackendChooser;
+import org.brasspier.core.choosing.Candidate;
+import org.brasspier.core.document.ServiceCatalog;
+import org.brasspier.core.document.ServicePolicy;
+import org.brasspier.core.retry.RetryRules;
+import org.brasspier.daemon.internal.ownership.CellView;
+
+/**
+ * Hands an admitted request to a backend server: the one beside this daemon where the
+ * service is divided by key, else the one that was chosen. Belongs to the thread of
+ * requests.
+ */
+final class ServerChoice {
+
+	private static final int MAX_TRIES = 3;
+
+	private static final String MAY_OWN = "READY";
+
+	private final InstanceId self;
+
+	private final ServerGate own;
+
+	private final ForwardClient others;
+
+	private final Supplier<CellView> cell;
+
+	private final Supplier<ServiceCatalog> catalog;
+
+	private final BackendChooser chooser;
+
+	private final RetryRules retries;
+
+	ServerChoice(InstanceId self, ServerGate own, ForwardClient others, Supplier<CellView> cell,
+			Supplier<ServiceCatalog> catalog, BackendChooser chooser, RetryRules retries) {
+		this.self = self;
+		this.own = own;
+		this.others = others;
+		this.cell = cell;
+		this.catalog = catalog;
+		this.chooser = chooser;
+		this.retries = retries;
+	}
+
+	OrderRun run(OwnerGate.Admitted admitted) {
+		Order order = admitted.order();
+		boolean anyServer = this.catalog.get()
+			.find(order.request().service())
+			.filter((policy) -> policy.division() == ServicePolicy.Division.BY_REQUEST_ID)
+			.isPresent();
+		return anyServer ? choose(admitted) : this.own.run(order, admitted.cancellation());
+	}
+
+	private OrderRun choose(OwnerGate.Admitted admitted) {
+		SettablePromise<Void> over = new SettablePromise<>();
+		Promise<Outcome> outcome = attempt(admitted, new HashSet<>(), over);
+		return new OrderRun(outcome, over);
+	}
+
+	private Promise<Outcome> attempt(OwnerGate.Admitted admitted, Set<InstanceId> tried, SettablePromise<Void> over) {
+		Order order = admitted.order();
+		RequestClass requestClass = order.request().requestClass();
+		long begun = System.nanoTime();
+		Optional<InstanceId> chosen = this.chooser.choose(candidates(order.request().service(), tried), requestClass,
+				begun);
+		if (chosen.isEmpty()) {
+			over.trySet(null);
+			return Promise.of(ServerGate.noBackend("no backend server of the service can take the request"));
+		}
+		tried.add(chosen.get());
+		OrderRun run = chosen.get().equals(this.self) ? this.own.run(order, admitted.cancellation())
+				: this.others.execute(chosen.get(), order, admitted.cancellation());
+		return run.outcome().then((outcome) -> {
+			boolean failed = outcome instanceof Outcome.Failed;
+			this.chooser.ended(chosen.get(), requestClass, System.nanoTime() - begun, failed);
+			if (outcome instanceof Outcome.Failed failure && again(order, failure, tried, admitted.cancellation())) {
+				return attempt(admitted, tried, over);
+			}
+			run.over().whenComplete(() -> over.trySet(null));
+			return Promise.of(outcome);
+		});
+	}
+
+	// Another server only for what certainly did not run, or may run twice.
+	private boolean again(Order order, Outcome.Failed failed, Set<InstanceId> tried, Cancellation cancellation) {
+		Ran ran = failed.backendLost() ? Ran.RAN : failed.failure().kind().ran();
+		Duration remaining = Duration.ofMillis(order.remainingMillis(System.nanoTime()));
+		return tried.size() < MAX_TRIES && !cancellation.cancelled()
+				&& this.retries.resend(order.request().requestClass(), ran, remaining);
+	}
+
+	private List<Candidate> candidates(ServiceName service, Set<InstanceId> tried) {
+		return this.cell.get()
+			.members()
+			.stream()
+			.filter((member) -> member.service().filter(service::equals).isPresent())
+			.filter((member) -> member.phase().equalsIgnoreCase(MAY_OWN) || member.instance().equals(this.self))
+			.filter((member) -> !tried.contains(member.instance()))
+			.map((member) -> new Candidate(member.instance(), distance(member.instance()), Math.max(1, member.slots()),
+					1.0))
+			.toList();
+	}
+
+	private Duration distance(InstanceId instance) {
+		return instance.equals(this.self) ? Duration.ZERO : this.others.roundTrip(instance);
+	}
+
+}
--- /dev/null
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/request/ServerGate.java
@@ -0,0 +1,234 @@
+package org.brasspier.daemon.internal.request;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import io.activej.promise.Promise;
+import io.activej.promise.Promises;
+import io.activej.promise.SettablePromise;
+import io.activej.reactor.nio.NioReactor;
+import org.brasspier.core.ErrorKind;
+import org.brasspier.core.Failure;
+import org.brasspier.core.admission.AdmissionController;
+import org.brasspier.core.admission.AdmissionDecision;
+import org.brasspier.core.admission.AdmissionLimits;
+import org.brasspier.core.admission.AdmissionSettings;
+import org.brasspier.core.admission.NextRequests;
+import org.brasspier.core.admission.PendingRequest;
+import org.brasspier.core.admission.RefusedRequest;
+import org.brasspier.core.admission.RunOutcome;
+import org.brasspier.daemon.internal.backend.BackendAnnouncement;
+import org.brasspier.daemon.internal.backend.BackendWatch;
+import org.brasspier.daemon.internal.backend.GrantsKeeper;
+import org.brasspier.daemon.internal.ownership.RequestsReport.BackendState;
+import org.brasspier.daemon.internal.ownership.RequestsReport.BackendStatus;
+
+/**
+ * The one gate to the backend server beside this daemon: nothing else gives it orders, so
+ * its slots and connections are counted exactly. Belongs to the thread of requests.
+ */
+public final class ServerGate implements BackendWatch.Listener {
+
+	/** The daemon's own calls need a connection or two of those that are announced. */
+	private static final int OWN_CONNECTIONS = 2;
+
+	private static final Duration RETRY_SOON = Duration.ofMillis(100);
+
+	/** A grant is acknowledged within a round trip or not at all. */
+	private static final long GRANT_WAIT_NANOS = 500_000_000;
+
+	/** How often something that waits is looked at. */
+	private static final Duration LOOK_AGAIN = Duration.ofMillis(5);
+
+	private final NioReactor reactor;
+
+	private final BackendWatch watch;
+
+	private final GrantsKeeper grants;
+
+	private final OrderRunner runner;
+
+	private final AdmissionController admission = new AdmissionController(new AdmissionLimits(1, 1),
+			AdmissionSettings.DEFAULT);
+
+	private final Map<Long, Waiting> waiting = new HashMap<>();
+
+	private long nextNumber = 1;
+
+	private boolean expiring;
+
+	/**
+	 * Creates a gate.
+	 * @param reactor the reactor of the thread of requests
+	 * @param watch what is known of the backend server
+	 * @param grants its grants
+	 * @param runner hands orders over
+	 */
+	ServerGate(NioReactor reactor, BackendWatch watch, GrantsKeeper grants, OrderRunner runner) {
+		this.reactor = reactor;
+		this.watch = watch;
+		this.grants = grants;
+		this.runner = runner;
+		watch.listen(this);
+	}
+
+	/**
+	 * Runs an order on the backend server.
+	 * @param order the order
+	 * @param cancellation tells when its caller is gone
+	 * @return its run
+	 */
+	OrderRun run(Order order, Cancellation cancellation) {
+		Optional<BackendAnnouncement> server = this.watch.announcement()
+			.filter((known) -> known.service().equals(order.request().service()));
+		if (server.isEmpty() || !servable()) {
+			return OrderRun.ended(noBackend("the backend server beside the owner can't serve now"));
+		}
+		if (server.get().checksFences() && !this.grants.acknowledged(order.held(), System.nanoTime())) {
+			return afterGrant(order, cancellation);
+		}
+		return offer(order, cancellation);
+	}
+
+	private boolean servable() {
+		return this.watch.state()
+			.filter((state) -> state == BackendState.READY || state == BackendState.DRAINING)
+			.isPresent();
+	}
+
+	private OrderRun afterGrant(Order order, Cancellation cancellation) {
+		SettablePromise<Void> over = new SettablePromise<>();
+		long giveUpNanos = Math.min(order.deadlineNanos(), System.nanoTime() + GRANT_WAIT_NANOS);
+		Promise<Outcome> outcome = granted(order, giveUpNanos).then((granted) -> {
+			OrderRun run = granted ? offer(order, cancellation)
+					: OrderRun.ended(noBackend("the backend server has not acknowledged its grant"));
+			run.over().whenComplete(() -> over.set(null));
+			return run.outcome();
+		});
+		return new OrderRun(outcome, over);
+	}
+
+	private Promise<Boolean> granted(Order order, long giveUpNanos) {
+		long now = System.nanoTime();
+		if (this.grants.acknowledged(order.held(), now) || now - giveUpNanos >= 0) {
+			return Promise.of(now - giveUpNanos < 0);
+		}
+		return Promises.delay(LOOK_AGAIN).then(() -> granted(order, giveUpNanos));
+	}
+
+	private OrderRun offer(Order order, Cancellation cancellation) {
+		long number = this.nextNumber++;
+		PendingRequest pending = new PendingRequest(number, order.request().requestClass(), order.request().caller(),
+				order.deadlineNanos());
+		return switch (this.admission.offer(pending, System.nanoTime())) {
+			case AdmissionDecision.Run ignored -> start(number, order, cancellation);
+			case AdmissionDecision.Queued queued -> {
+				queued.displaced().ifPresent(this::refuse);
+				yield enqueue(number, order, cancellation);
+			}
+			case AdmissionDecision.Refuse refuse -> {
+				this.runner.refused(order);
+				yield OrderRun.ended(Outcome.failed(refuse.failure()));
+			}
+		};
+	}
+
+	private OrderRun enqueue(long number, Order order, Cancellation cancellation) {
+		Waiting queued = new Waiting(order, cancellation, new SettablePromise<>(), new SettablePromise<>());
+		this.waiting.put(number, queued);
+		cancellation.whenCancelled(() -> {
+			if (this.admission.cancelled(number)) {
+				refuse(new RefusedRequest(number, Failure.of(ErrorKind.DEADLINE_PASSED, "the caller is gone")));
+			}
+		});
+		expireSoon();
+		return new OrderRun(queued.outcome, queued.over);
+	}
+
+	private OrderRun start(long number, Order order, Cancellation cancellation) {
+		return this.runner.start(order, cancellation, (outcome) -> finished(number, outcome));
+	}
+
+	private void finished(long number, RunOutcome outcome) {
+		carryOut(this.admission.finished(number, outcome, System.nanoTime()));
+	}
+
+	private void carryOut(NextRequests next) {
+		next.refused().forEach(this::refuse);
+		next.run().forEach((number) -> {
+			Waiting queued = this.waiting.remove(number);
+			if (queued == null) {
+				finished(number, RunOutcome.SHED);
+				return;
+			}
+			OrderRun run = start(number, queued.order, queued.cancellation);
+			run.outcome().whenResult(queued.outcome::trySet);
+			run.over().whenComplete(() -> queued.over.trySet(null));
+		});
+	}
+
+	private void refuse(RefusedRequest refused) {
+		Waiting queued = this.waiting.remove(refused.id());
+		if (queued != null) {
+			queued.outcome.trySet(Outcome.failed(refused.failure()));
+			queued.over.trySet(null);
+		}
+	}
+
+	// Looks every few milliseconds for what can no longer make its deadline, as long as
+	// anything waits.
+	private void expireSoon() {
+		if (this.expiring) {
+			return;
+		}
+		this.expiring = true;
+		this.reactor.delay(LOOK_AGAIN, () -> {
+			this.expiring = false;
+			carryOut(this.admission.expired(System.nanoTime()));
+			if (this.admission.waiting() > 0) {
+				expireSoon();
+			}
+		});
+	}
+
+	@Override
+	public void changed(BackendStatus status) {
+		this.admission.limits(new AdmissionLimits(status.slots(), Math.max(1, status.connections() - OWN_CONNECTIONS)));
+		if (status.state() == BackendState.LOST) {
+			this.grants.forget();
+			List<RefusedRequest> refused = this.admission
+				.refuseWaiting(new Failure(ErrorKind.NO_BACKEND, "the backend server is lost", RETRY_SOON));
+			refused.forEach(this::refuse);
+			this.runner.serverLost();
+		}
+	}
+
+	/**
+	 * How many orders the backend server is at.
+	 * @return at least 0
+	 */
+	public int running() {
+		return this.admission.running();
+	}
+
+	/**
+	 * How many orders wait for a slot.
+	 * @return at least 0
+	 */
+	public int waiting() {
+		return this.admission.waiting();
+	}
+
+	static Outcome noBackend(String detail) {
+		return Outcome.failed(new Failure(ErrorKind.NO_BACKEND, detail, RETRY_SOON));
+	}
+
+	private record Waiting(Order order, Cancellation cancellation, SettablePromise<Outcome> outcome,
+			SettablePromise<Void> over) {
+
+	}
+
+}
--- /dev/null
+++ b/daemon/src/test/java/org/brasspier/daemon/internal/request/RequestPathTests.java
@@ -0,0 +1,223 @@
+package org.brasspier.daemon.internal.request;
+
+import java.net.http.HttpResponse;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+
+import org.brasspier.core.Fence;
+import org.brasspier.core.KeyRange;
+import org.brasspier.core.ownership.HeldRange;
+import org.brasspier.daemon.internal.ownership.RequestsOrder;
+import org.brasspier.daemon.internal.ownership.RequestsReport;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+
+class RequestPathTests {
+
+	private final PathFixture fixture = new PathFixture();
+
+	private PathFixture.Member a;
+
+	private PathFixture.Member b;
+
+	@BeforeEach
+	void startTwoDaemons() throws Exception {
+		this.a = this.fixture.add("a");
+		this.b = this.fixture.add("b");
+		this.fixture.owns(this.a, 7);
+		this.a.announce("ready", true);
+		this.b.announce("ready", true);
+	}
+
+	@AfterEach
+	void stop() throws Exception {
+		this.fixture.close();
+	}
+
+	@Test
+	void aLookupReachesItsOwnerFromAnyDaemon() throws Exception {
+		for (PathFixture.Member entry : List.of(this.a, this.b)) {
+			HttpResponse<String> answer = entry.get("/v1/hullbook/inspections/7?last=5", "Brasspier-Key", "hull-7");
+			assertThat(answer.statusCode()).isEqualTo(200);
+			assertThat(answer.body()).isEqualTo("done /inspections/7?last=5 ");
+			assertThat(answer.headers().firstValue("Brasspier-Ran")).hasValue("ran");
+			assertThat(answer.headers().firstValue("Brasspier-Fence")).hasValue("7");
+			assertThat(answer.headers().firstValue("Brasspier-Owner")).hasValue("127.0.0.1:" + this.a.callerPort);
+		}
+		assertThat(this.a.server.orders).hasSize(2);
+		assertThat(this.b.server.orders).isEmpty();
+	}
+
+	@Test
+	void aPostingIsAskedForATicketAndThenRunsOnceHoweverOftenItIsSent() throws Exception {
+		HttpResponse<String> first = this.b.post("/v1/hullbook/bookings", "slip 4", "Brasspier-Key", "hull-7",
+				"Brasspier-Request-Id", "p-1");
+		assertThat(first.statusCode()).isEqualTo(428);
+		assertThat(first.headers().firstValue("Brasspier-Ran")).hasValue("not_run");
+		String ticket = first.headers().firstValue("Brasspier-Ticket").orElseThrow();
+		for (PathFixture.Member entry : List.of(this.b, this.a, this.b)) {
+			HttpResponse<String> answer = entry.post("/v1/hullbook/bookings", "slip 4", "Brasspier-Key", "hull-7",
+					"Brasspier-Request-Id", "p-1", "Brasspier-Ticket", ticket);
+			assertThat(answer.body()).isEqualTo("done /bookings slip 4");
+		}
+		assertThat(this.a.server.orders).hasSize(1);
+	}
+
+	@Test
+	void aPostingWhoseOwnerHasChangedDoesNotRunAgain() throws Exception {
+		// A booking ran at its owner, the answer was lost, and the range moved. The
+		// resend reaches the next owner, who can't know whether it ran.
+		String ticket = this.a
+			.post("/v1/hullbook/bookings", "x", "Brasspier-Key", "hull-7", "Brasspier-Request-Id", "p-1")
+			.headers()
+			.firstValue("Brasspier-Ticket")
+			.orElseThrow();
+		String[] resend = { "Brasspier-Key", "hull-7", "Brasspier-Request-Id", "p-1", "Brasspier-Ticket", ticket };
+		this.a.post("/v1/hullbook/bookings", "x", resend);
+		this.fixture.owns(this.b, 8);
+		HttpResponse<String> answer = this.a.post("/v1/hullbook/bookings", "x", resend);
+		assertThat(answer.statusCode()).isEqualTo(409);
+		assertThat(answer.headers().firstValue("Brasspier-Error")).hasValue("POSSIBLY_RAN_BEFORE");
+		assertThat(answer.headers().firstValue("Brasspier-Ran")).hasValue("unknown");
+		assertThat(this.b.server.orders).isEmpty();
+	}
+
+	@Test
+	void aResendWhileTheFirstRunsWaitsForItsAnswer() throws Exception {
+		CountDownLatch finish = new CountDownLatch(1);
+		this.a.server.behaviour = (exchange, body) -> {
+			finish.await(20, TimeUnit.SECONDS);
+			FakeServer.answer(exchange, 201, "booked");
+		};
+		String ticket = this.a
+			.post("/v1/hullbook/bookings", "x", "Brasspier-Key", "hull-7", "Brasspier-Request-Id", "p-1")
+			.headers()
+			.firstValue("Brasspier-Ticket")
+			.orElseThrow();
+		String[] headers = { "Brasspier-Key", "hull-7", "Brasspier-Request-Id", "p-1", "Brasspier-Ticket", ticket };
+		CompletableFuture<HttpResponse<String>> first = this.a.send("POST", "/v1/hullbook/bookings", "x", headers);
+		PathFixture.await(() -> !this.a.server.orders.isEmpty());
+		CompletableFuture<HttpResponse<String>> second = this.b.send("POST", "/v1/hullbook/bookings", "x", headers);
+		PathFixture.await(() -> this.a.events.after(0).stream().anyMatch((event) -> event.kind().number() == 307));
+		finish.countDown();
+		assertThat(first.get(20, TimeUnit.SECONDS).body()).isEqualTo("booked");
+		assertThat(second.get(20, TimeUnit.SECONDS).body()).isEqualTo("booked");
+		assertThat(this.a.server.orders).hasSize(1);
+	}
+
+	@Test
+	void aStaleRouteCostsOneRedirect() throws Exception {
+		this.fixture.owns(this.b, 8);
+		this.b.announce("ready", true);
+		this.a.sees(this.b, 8);
+		// A third daemon still believes that a is the owner.
+		PathFixture.Member c = this.fixture.add("c");
+		this.fixture.owns(this.b, 8);
+		c.sees(this.a, 7);
+		assertThat(c.get("/v1/hullbook/x", "Brasspier-Key", "hull-7").statusCode()).isEqualTo(200);
+		assertThat(this.b.server.orders).hasSize(1);
+	}
+
+	@Test
+	void aHandOverLosesNoRequest() throws Exception {
+		// The owner is told to drain while it runs one request. A second one comes, is
+		// held by the entry daemon, and is sent to the next owner once there is one.
+		CountDownLatch finish = new CountDownLatch(1);
+		this.a.server.behaviour = (exchange, body) -> {
+			finish.await(20, TimeUnit.SECONDS);
+			FakeServer.answer(exchange, 200, "by a");
+		};
+		CompletableFuture<HttpResponse<String>> running = this.b.send("GET", "/v1/hullbook/x", "", "Brasspier-Key",
+				"hull-7");
+		PathFixture.await(() -> !this.a.server.orders.isEmpty());
+		HeldRange held = new HeldRange(PathFixture.HULLBOOK, KeyRange.ALL, new Fence(7));
+		this.a.sees(this.b, 7);
+		this.a.order(new RequestsOrder.DrainRange(held));
+		CompletableFuture<HttpResponse<String>> arriving = this.b.send("GET", "/v1/hullbook/y", "", "Brasspier-Key",
+				"hull-7");
+		PathFixture.await(() -> this.b.events.after(0).stream().filter((e) -> e.kind().number() == 303).count() >= 2);
+		assertThat(this.a.reports.stream().anyMatch(RequestsReport.RangeDrained.class::isInstance)).isFalse();
+		finish.countDown();
+		assertThat(running.get(20, TimeUnit.SECONDS).body()).isEqualTo("by a");
+		PathFixture.await(() -> this.a.reports.stream().anyMatch(RequestsReport.RangeDrained.class::isInstance));
+		this.fixture.owns(this.b, 8);
+		assertThat(arriving.get(20, TimeUnit.SECONDS).body()).isEqualTo("done /y ");
+	}
+
+	@Test
+	void anAnswerAfterALapseOfTheLeaseIsNotRelayed() throws Exception {
+		// The owner's process is paused while a lookup runs; its lease runs out and the
+		// range is served elsewhere. The old answer comes late and must not be shown.
+		CountDownLatch finish = new CountDownLatch(1);
+		this.a.server.behaviour = (exchange, body) -> {
+			finish.await(20, TimeUnit.SECONDS);
+			FakeServer.answer(exchange, 200, "old");
+		};
+		CompletableFuture<HttpResponse<String>> running = this.a.send("GET", "/v1/hullbook/x", "", "Brasspier-Key",
+				"hull-7", "Brasspier-Deadline-Millis", "1000");
+		PathFixture.await(() -> !this.a.server.orders.isEmpty());
+		this.a.sees(this.a, 7, System.nanoTime() - 1);
+		finish.countDown();
+		assertThat(running.get(20, TimeUnit.SECONDS).body()).doesNotContain("old");
+	}
+
+	@Test
+	void aRequestThatCrashesItsServerIsRefusedAfterTheSecondLoss() throws Exception {
+		// A lookup makes each backend server that runs it end. Its caller sends it again
+		// under the same id. The third send must not reach any server.
+		this.a.server.behaviour = (exchange, body) -> this.a.server.crash();
+		this.b.server.behaviour = (exchange, body) -> this.b.server.crash();
+		String[] headers = { "Brasspier-Key", "hull-7", "Brasspier-Request-Id", "killer", "Brasspier-Deadline-Millis",
+				"400" };
+		this.a.get("/v1/hullbook/x", headers);
+		awaitSuspect(this.a);
+		HeldRange held = new HeldRange(PathFixture.HULLBOOK, KeyRange.ALL, new Fence(7));
+		this.a.order(new RequestsOrder.DrainRange(held));
+		PathFixture.await(() -> this.a.reports.stream().anyMatch(RequestsReport.RangeDrained.class::isInstance));
+		RequestsReport.RangeDrained drained = this.a.reports.stream()
+			.filter(RequestsReport.RangeDrained.class::isInstance)
+			.map(RequestsReport.RangeDrained.class::cast)
+			.findFirst()
+			.orElseThrow();
+		assertThat(drained.marks()).hasSize(1);
+		this.b.order(new RequestsOrder.MarksArrived(new HeldRange(held.service(), held.range(), new Fence(8)),
+				drained.marks()));
+		this.fixture.owns(this.b, 8);
+		this.a.get("/v1/hullbook/x", headers);
+		awaitSuspect(this.b);
+		HttpResponse<String> third = this.a.get("/v1/hullbook/x", headers);
+		assertThat(third.headers().firstValue("Brasspier-Error")).hasValue("CRASHED_BACKENDS");
+		assertThat(this.a.server.orders).hasSize(1);
+		assertThat(this.b.server.orders).hasSize(1);
+	}
+
+	private static void awaitSuspect(PathFixture.Member member) throws InterruptedException {
+		PathFixture.await(() -> member.events.after(0).stream().anyMatch((event) -> event.kind().number() == 308));
+	}
+
+	@Test
+	void aCallerThatGoesAwayHasItsRequestCancelledAcrossTheHop() throws Exception {
+		CountDownLatch finish = new CountDownLatch(1);
+		this.a.server.behaviour = (exchange, body) -> finish.await(20, TimeUnit.SECONDS);
+		try (RawCaller caller = new RawCaller(this.b.callerPort)) {
+			caller.send(
+					"GET /v1/hullbook/x HTTP/1.1\r\nHost: x\r\nBrasspier-Key: k\r\nBrasspier-Request-Id: gone-1\r\n\r\n");
+			PathFixture.await(() -> !this.a.server.orders.isEmpty());
+		}
+		PathFixture.await(() -> this.a.server.cancelled.stream().anyMatch((body) -> body.contains("gone-1")));
+		finish.countDown();
+	}
+
+	@Test
+	void aServerThatChecksFencesGetsNoOrderBeforeItsGrant() throws Exception {
+		this.a.get("/v1/hullbook/x", "Brasspier-Key", "hull-7");
+		assertThat(this.a.server.grants.getFirst()).contains("\"fence\":7");
+		assertThat(this.a.server.grants.getFirst()).contains("\"high\":4294967296");
+	}
+
+}
--- a/wire/src/main/java/org/brasspier/wire/ForwardCodec.java
+++ b/wire/src/main/java/org/brasspier/wire/ForwardCodec.java
@@ -9,12 +9,16 @@
 import org.brasspier.core.ErrorKind;
 import org.brasspier.core.Failure;
 import org.brasspier.core.Fence;
+import org.brasspier.core.InstanceId;
+import org.brasspier.core.KeyRange;
 import org.brasspier.core.RequestClass;
 import org.brasspier.core.RequestId;
 import org.brasspier.core.ServiceName;
+import org.brasspier.core.event.HybridTime;
 import org.brasspier.core.request.Answer;
 import org.brasspier.core.request.CallerRequest;
 import org.brasspier.core.request.HeaderField;
+import org.brasspier.core.request.RequestIdentity;
 
 /**
  * Turns {@link ForwardMessage}s into frames and back. Stateless and thread-safe.
@@ -29,6 +33,12 @@
 
 	private static final int CANCEL = 4;
 
+	private static final int EXECUTE = 5;
+
+	private static final int PING = 6;
+
+	private static final int PONG = 7;
+
 	private static final int MAX_HEADERS = 128;
 
 	private ForwardCodec() {
@@ -37,10 +47,11 @@
 	/**
 	 * Encodes a message.
 	 * @param message the message
+	 * @param stamp the sender's time, so that the time line respects cause and effect
 	 * @return the frame to send
 	 */
-	public static byte[] encode(ForwardMessage message) {
-		FrameWriter out = new FrameWriter();
+	public static byte[] encode(ForwardMessage message, HybridTime stamp) {
+		FrameWriter out = new FrameWriter().number(stamp.packed());
 		switch (message) {
 			case ForwardMessage.Forward(long exchange, CallerRequest request) ->
 				writeRequest(out.number(FORWARD).number(exchange), request);
@@ -49,12 +60,17 @@
 				writeHeaders(out, answer.headers());
 				out.bytes(answer.body()).number(fence.value()).text(ticket);
 			}
-			case ForwardMessage.Failed(long exchange, Failure failure, String ticket) -> out.number(FAILED)
-				.number(exchange)
-				.text(failure.kind().name())
-				.text(failure.detail())
-				.number(failure.retryAfter().toMillis())
-				.text(ticket);
+			case ForwardMessage.Execute execute -> {
+				out.number(EXECUTE).number(execute.exchange());
+				writeRequest(out, execute.request());
+				out.number(execute.range().low())
+					.number(execute.range().high())
+					.number(execute.fence().value())
+					.number(execute.authorityMillis());
+			}
+			case ForwardMessage.Failed failed -> writeFailed(out, failed);
+			case ForwardMessage.Ping(long exchange) -> out.number(PING).number(exchange);
+			case ForwardMessage.Pong(long exchange) -> out.number(PONG).number(exchange);
 			case ForwardMessage.Cancel(long exchange) -> out.number(CANCEL).number(exchange);
 		}
 		return out.frame();
@@ -63,10 +79,14 @@
 	/**
 	 * Decodes a message.
 	 * @param frame the frame received
-	 * @return the message
+	 * @return the message with its stamp
 	 * @throws WireException if the frame is malformed
 	 */
-	public static ForwardMessage decode(FrameReader frame) throws WireException {
+	public static Stamped decode(FrameReader frame) throws WireException {
+		return new Stamped(new HybridTime(frame.number()), read(frame));
+	}
+
+	private static ForwardMessage read(FrameReader frame) throws WireException {
 		try {
 			int type = frame.small();
 			long exchange = frame.number();
@@ -75,7 +95,10 @@
 				case ANSWERED ->
 					new ForwardMessage.Answered(exchange, new Answer(frame.small(), readHeaders(frame), frame.bytes()),
 							new Fence(frame.number()), frame.text());
-				case FAILED -> new ForwardMessage.Failed(exchange, readFailure(frame), frame.text());
+				case FAILED -> readFailed(exchange, frame);
+				case EXECUTE -> readExecute(exchange, frame);
+				case PING -> new ForwardMessage.Ping(exchange);
+				case PONG -> new ForwardMessage.Pong(exchange);
 				case CANCEL -> new ForwardMessage.Cancel(exchange);
 				default -> throw new WireException("frame type %d is unknown".formatted(type));
 			};
@@ -86,13 +109,17 @@
 	}
 
 	private static void writeRequest(FrameWriter out, CallerRequest request) {
+		RequestIdentity identity = request.identity();
 		out.text(request.service().value())
-			.text(request.key().orElse(""))
+			.flag(request.byKey())
 			.flag(request.key().isPresent())
-			.text(request.id().value())
+			.text(request.key().orElse(""))
+			.text(identity.id().value())
+			.flag(identity.madeUp())
+			.flag(identity.firstSend())
+			.text(identity.ticket().orElse(""))
 			.number(request.requestClass().ordinal())
 			.text(request.caller().value())
-			.text(request.ticket().orElse(""))
 			.number(request.remainingMillis())
 			.text(request.target().method())
 			.text(request.target().path());
@@ -102,18 +129,43 @@
 
 	private static CallerRequest readRequest(FrameReader in) throws WireException {
 		ServiceName service = new ServiceName(in.text());
-		String key = in.text();
-		Optional<String> presentKey = (in.flag()) ? Optional.of(key) : Optional.empty();
-		RequestId id = new RequestId(in.text());
+		boolean byKey = in.flag();
+		boolean hasKey = in.flag();
+		Optional<String> key = Optional.of(in.text()).filter((text) -> hasKey);
+		RequestIdentity identity = new RequestIdentity(new RequestId(in.text()), in.flag(), in.flag(),
+				Optional.of(in.text()).filter((text) -> !text.isEmpty()));
 		RequestClass requestClass = requestClass(in.small());
 		CallerId caller = new CallerId(in.text());
-		Optional<String> ticket = Optional.of(in.text()).filter((text) -> !text.isEmpty());
 		int remainingMillis = in.small();
 		CallerRequest.Target target = new CallerRequest.Target(in.text(), in.text());
-		return new CallerRequest(service, presentKey, id, requestClass, caller, ticket, remainingMillis, target,
+		return new CallerRequest(service, key, byKey, identity, requestClass, caller, remainingMillis, target,
 				readHeaders(in), in.bytes());
 	}
 
+	private static ForwardMessage readExecute(long exchange, FrameReader in) throws WireException {
+		return new ForwardMessage.Execute(exchange, readRequest(in), new KeyRange(in.number(), in.number()),
+				new Fence(in.number()), in.small());
+	}
+
+	private static void writeFailed(FrameWriter out, ForwardMessage.Failed message) {
+		out.number(FAILED)
+			.number(message.exchange())
+			.text(message.failure().kind().name())
+			.text(message.failure().detail())
+			.number(message.failure().retryAfter().toMillis())
+			.text(message.ticket())
+			.text(message.owner().map(InstanceId::value).orElse(""))
+			.number(message.ownerFence().value())
+			.flag(message.backendLost());
+	}
+
+	private static ForwardMessage readFailed(long exchange, FrameReader in) throws WireException {
+		Failure failure = readFailure(in);
+		String ticket = in.text();
+		Optional<InstanceId> owner = Optional.of(in.text()).filter((text) -> !text.isEmpty()).map(InstanceId::new);
+		return new ForwardMessage.Failed(exchange, failure, ticket, owner, new Fence(in.number()), in.flag());
+	}
+
 	private static RequestClass requestClass(int ordinal) throws WireException {
 		if (ordinal < 0 || ordinal >= RequestClass.values().length) {
 			throw new WireException("request class %d is unknown".formatted(ordinal));
@@ -142,4 +194,14 @@
 		return headers;
 	}
 
+	/**
+	 * A message as it was received.
+	 *
+	 * @param stamp the sender's time when it was sent
+	 * @param message the message
+	 */
+	public record Stamped(HybridTime stamp, ForwardMessage message) {
+
+	}
+
 }
--- a/wire/src/main/java/org/brasspier/wire/ForwardMessage.java
+++ b/wire/src/main/java/org/brasspier/wire/ForwardMessage.java
@@ -1,7 +1,11 @@
 package org.brasspier.wire;
 
+import java.util.Optional;
+
 import org.brasspier.core.Failure;
 import org.brasspier.core.Fence;
+import org.brasspier.core.InstanceId;
+import org.brasspier.core.KeyRange;
 import org.brasspier.core.request.Answer;
 import org.brasspier.core.request.CallerRequest;
 
@@ -19,7 +23,7 @@
 	long exchange();
 
 	/**
-	 * A request on its way to its owner.
+	 * A request on its way to its owner. Its remaining time counts from its arrival.
 	 *
 	 * @param exchange the number of the exchange
 	 * @param request the request
@@ -28,6 +32,22 @@
 
 	}
 
+	/**
+	 * A request of a service that is not divided by key, admitted by the owner of its id
+	 * and to be run on the backend server beside the receiver.
+	 *
+	 * @param exchange the number of the exchange
+	 * @param request the request
+	 * @param range the range of ids that the owner holds
+	 * @param fence the fence it holds it under
+	 * @param authorityMillis for how long the owner's lease lets the order take effect,
+	 * in milliseconds from its arrival
+	 */
+	record Execute(long exchange, CallerRequest request, KeyRange range, Fence fence,
+			int authorityMillis) implements ForwardMessage {
+
+	}
+
 	/**
 	 * The backend server's whole answer.
 	 *
@@ -46,8 +66,12 @@
 	 * @param exchange the number of the exchange
 	 * @param failure why
 	 * @param ticket the ticket to resend with, empty if none
+	 * @param owner who owns the request as far as the answering daemon knows
+	 * @param ownerFence the fence of that owner, {@link Fence#NONE} if it knows none
+	 * @param backendLost whether the request ran when its backend server was lost
 	 */
-	record Failed(long exchange, Failure failure, String ticket) implements ForwardMessage {
+	record Failed(long exchange, Failure failure, String ticket, Optional<InstanceId> owner, Fence ownerFence,
+			boolean backendLost) implements ForwardMessage {
 
 	}
 
@@ -60,4 +84,22 @@
 
 	}
 
+	/**
+	 * Asks whether the connection still carries anything.
+	 *
+	 * @param exchange a number that the reply repeats
+	 */
+	record Ping(long exchange) implements ForwardMessage {
+
+	}
+
+	/**
+	 * The reply to a {@link Ping}.
+	 *
+	 * @param exchange the number of the ping
+	 */
+	record Pong(long exchange) implements ForwardMessage {
+
+	}
+
 }
