Requests through silent connections and lost instances, with real processes

Cause: with real processes behind the proxy, lookups ended with TIMED_OUT when connections went silent: the second try took another silent connection from the pool, health probes went over silent ones too, and a link was given up only after half of a lookup's usual second. Now a silent first try drops all resting connections, health takes a new connection each time, links are given up after 300 ms, and a posting, which can't be sent again, goes on a connection that carried an answer within 100 ms or on a new one.

Without a document in force a service that nobody is known to serve is NO_OWNER instead of UNKNOWN_SERVICE: at a start the cell is learnt later than the first caller comes, and the final error turned callers away.

The stand-in callers tell by Brasspier-Attempt whether an earlier send may have run, so that a refusal of a first send is told as not run.

Ruled out: probing each resting connection, which costs more than opening a new one.

--- a/daemon/src/main/java/org/brasspier/daemon/internal/backend/BackendCalls.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/backend/BackendCalls.java
@@ -32,8 +32,15 @@
 		.setFieldNamingPolicy(FieldNamingPolicy.LOWER_CASE_WITH_UNDERSCORES)
 		.create();
 
+	/** For what depends on no answer in particular: a pooled connection will do. */
 	private final HttpClient http;
 
+	/**
+	 * For health: a new connection each time, since a pooled one that went silent would
+	 * make a server look frozen that is well.
+	 */
+	private final HttpClient fresh;
+
 	private String address = "";
 
 	/**
@@ -41,12 +48,15 @@
 	 * @param reactor the reactor of the thread of requests
 	 */
 	public BackendCalls(NioReactor reactor) {
-		this.http = HttpClient.builder(reactor, DnsClient.create(reactor, NO_NAME_SERVER))
+		this.http = client(reactor).withKeepAliveTimeout(BackendConnection.KEEP_ALIVE).build();
+		this.fresh = client(reactor).withNoKeepAlive().build();
+	}
+
+	private static HttpClient.Builder client(NioReactor reactor) {
+		return HttpClient.builder(reactor, DnsClient.create(reactor, NO_NAME_SERVER))
 			.withConnectTimeout(TIMEOUT)
 			.withReadWriteTimeout(TIMEOUT)
-			.withKeepAliveTimeout(BackendConnection.KEEP_ALIVE)
-			.withMaxBodySize(MAX_BODY_BYTES)
-			.build();
+			.withMaxBodySize(MAX_BODY_BYTES);
 	}
 
 	/**
@@ -62,7 +72,7 @@
 	 * @return how that ended; never an exception
 	 */
 	Promise<Health> health() {
-		return this.http.request(HttpRequest.get(url("/brasspier/health")).build())
+		return this.fresh.request(HttpRequest.get(url("/brasspier/health")).build())
 			.then((response) -> response.loadBody(MAX_BODY_BYTES))
 			.map((body) -> Health.ANSWERED, (ex) -> refused(ex) ? Health.REFUSED : Health.SILENT);
 	}
--- a/daemon/src/main/java/org/brasspier/daemon/internal/backend/BackendClient.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/backend/BackendClient.java
@@ -48,6 +48,8 @@
 
 	private static final HttpHeader DEADLINE_AT = HttpHeaders.of("Brasspier-Deadline-At");
 
+	private static final long LATELY_NANOS = 100_000_000;
+
 	private static final int NO_CONTENT = 204;
 
 	private static final int NOT_MODIFIED = 304;
@@ -86,7 +88,8 @@
 	}
 
 	/**
-	 * Closes the connections that rest, as when the backend server is lost.
+	 * Closes the connections that rest, as when the backend server is lost or one of them
+	 * turned out to be silent.
 	 */
 	public void forgetConnections() {
 		this.idle.forEach(BackendConnection::close);
@@ -99,7 +102,9 @@
 	 * @return its run
 	 */
 	public BackendRun run(BackendOrder order) {
-		Run run = new Run(order.request().target().method(), connection());
+		BackendConnection connection = order.request().requestClass().idempotent() ? connection()
+				: lately();
+		Run run = new Run(order.request().target().method(), connection);
 		run.begin(message(order), order.waitMillis());
 		return run;
 	}
@@ -112,6 +117,14 @@
 		return (resting != null) ? resting : new BackendConnection(this.reactor);
 	}
 
+	// A posting can't be sent again, so it goes on a connection that carried an answer just
+	// now, or on a new one, which costs about a millisecond.
+	private BackendConnection lately() {
+		BackendConnection latest = this.idle.peekFirst();
+		return (latest != null && latest.open() && latest.restedNanos(System.nanoTime()) < LATELY_NANOS) ? connection()
+				: new BackendConnection(this.reactor);
+	}
+
 	private HttpRequest message(BackendOrder order) {
 		CallerRequest request = order.request();
 		HttpRequest.Builder builder = HttpRequest
@@ -218,6 +231,7 @@
 				return;
 			}
 			if (reusable) {
+				this.connection.rests(System.nanoTime());
 				BackendClient.this.idle.addFirst(this.connection);
 			}
 			this.reply.set(end);
--- a/daemon/src/main/java/org/brasspier/daemon/internal/backend/BackendConnection.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/backend/BackendConnection.java
@@ -45,6 +45,8 @@
 
 	private boolean wrote;
 
+	private long restsSinceNanos;
+
 	BackendConnection(NioReactor reactor) {
 		Watch watch = new Watch();
 		// ActiveJ 6.0-rc2 gives plain sockets the observer that is meant for TLS.
@@ -77,6 +79,14 @@
 		return this.socket.filter((opened) -> !opened.isClosed()).isPresent();
 	}
 
+	void rests(long nowNanos) {
+		this.restsSinceNanos = nowNanos;
+	}
+
+	long restedNanos(long nowNanos) {
+		return nowNanos - this.restsSinceNanos;
+	}
+
 	void close() {
 		this.socket.ifPresent((opened) -> opened.closeEx(new AsyncCloseException("given up")));
 		this.socket = Optional.empty();
--- a/daemon/src/main/java/org/brasspier/daemon/internal/caller/CallerPort.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/caller/CallerPort.java
@@ -21,7 +21,6 @@
 import io.vavr.control.Either;
 import org.brasspier.core.ErrorKind;
 import org.brasspier.core.Failure;
-import org.brasspier.core.ServiceName;
 import org.brasspier.core.document.ServiceCatalog;
 import org.brasspier.core.event.EventKind;
 import org.brasspier.core.request.CallerRequest;
@@ -54,8 +53,6 @@
 
 	private final Supplier<OwnershipSnapshot> ownership;
 
-	private final ServiceWatch services;
-
 	private final EventLog events;
 
 	private final OutcomeMeter outcomes;
@@ -76,14 +73,12 @@
 	 * @param router where requests go
 	 * @param ownership where owners are
 	 * @param catalog the services as the document in force describes them
-	 * @param services which services exist where no document is in force
 	 */
 	public CallerPort(DaemonContext context, RequestRouter router, Supplier<OwnershipSnapshot> ownership,
-			Supplier<ServiceCatalog> catalog, ServiceWatch services) {
+			Supplier<ServiceCatalog> catalog) {
 		this.router = router;
 		this.reader = new RequestReader(catalog);
 		this.ownership = ownership;
-		this.services = services;
 		this.events = context.events();
 		this.outcomes = context.outcomes();
 		this.connections = new CallerConnections(context.events(), context.metrics());
@@ -124,7 +119,7 @@
 	@Override
 	public Promise<HttpResponse> serve(HttpRequest request) {
 		long begun = System.nanoTime();
-		Either<Failure, RequestReader.Addressed> addressed = this.reader.address(request).flatMap(this::known);
+		Either<Failure, RequestReader.Addressed> addressed = this.reader.address(request);
 		if (addressed.isLeft()) {
 			return refuse(addressed.getLeft());
 		}
@@ -136,11 +131,6 @@
 			.then((body) -> serve(request, addressed.get(), body, begun), (ex) -> refuse(unread(ex, maxBytes)));
 	}
 
-	private Either<Failure, RequestReader.Addressed> known(RequestReader.Addressed addressed) {
-		ServiceName service = addressed.service();
-		return this.services.mayExist(service) ? Either.right(addressed) : Either.left(RequestReader.unknown(service));
-	}
-
 	private static long declaredLength(HttpRequest request) {
 		String length = request.getHeader(HttpHeaders.CONTENT_LENGTH);
 		return (length != null && length.matches("[0-9]{1,18}")) ? Long.parseLong(length) : 0;
@@ -227,18 +217,4 @@
 			.map((address) -> address.host() + ":" + address.callerPort());
 	}
 
-	/**
-	 * Which services exist.
-	 */
-	public interface ServiceWatch {
-
-		/**
-		 * Whether anything is known of a service, or too little is known to deny it.
-		 * @param service the service
-		 * @return false if it certainly does not exist
-		 */
-		boolean mayExist(ServiceName service);
-
-	}
-
 }
--- a/daemon/src/main/java/org/brasspier/daemon/internal/caller/RequestReader.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/caller/RequestReader.java
@@ -93,7 +93,7 @@
 		}
 	}
 
-	static Failure unknown(ServiceName service) {
+	private static Failure unknown(ServiceName service) {
 		return Failure.of(ErrorKind.UNKNOWN_SERVICE, "service %s is not configured".formatted(service));
 	}
 
--- a/daemon/src/main/java/org/brasspier/daemon/internal/request/ForwardLink.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/request/ForwardLink.java
@@ -31,11 +31,11 @@
  * <p>
  * It guards against a connection that goes silent for good while new ones work, because
  * something between the ends has lost track of it. It shows as an answer that never comes
- * with no error at either end. While anything waits, a ping goes out every 150 ms; if
- * nothing at all has come for 500 ms the connection is given up, and the next exchange
- * opens a new one. A daemon that is alive answers pings at once whatever its backend
- * server does, so silence is the connection's or the daemon's. Belongs to the thread of
- * requests.
+ * with no error at either end. While anything waits, a ping goes out every 100 ms; if
+ * nothing at all has come for 300 ms the connection is given up, and the next exchange
+ * opens a new one, so that a lookup with a second to go is still answered. A daemon that
+ * is alive answers pings at once whatever its backend server does, so silence is the
+ * connection's or the daemon's. Belongs to the thread of requests.
  */
 final class ForwardLink {
 
@@ -46,9 +46,9 @@
 
 	private static final Duration HANDSHAKE_TIMEOUT = Duration.ofMillis(500);
 
-	private static final Duration PING_EVERY = Duration.ofMillis(150);
+	private static final Duration PING_EVERY = Duration.ofMillis(100);
 
-	private static final long SILENCE_NANOS = 500_000_000;
+	private static final long SILENCE_NANOS = 300_000_000;
 
 	/** What may wait to be sent before new requests are refused. */
 	private static final int MAX_UNSENT_BYTES = 4 << 20;
--- a/daemon/src/main/java/org/brasspier/daemon/internal/request/RequestPath.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/request/RequestPath.java
@@ -8,7 +8,6 @@
 import io.activej.http.HttpServer;
 import io.activej.net.SimpleServer;
 import io.activej.reactor.nio.NioReactor;
-import org.brasspier.core.ServiceName;
 import org.brasspier.core.choosing.BackendChooser;
 import org.brasspier.core.request.CrashMarks;
 import org.brasspier.core.request.LedgerLimits;
@@ -24,7 +23,6 @@
 import org.brasspier.daemon.internal.backend.GrantsKeeper;
 import org.brasspier.daemon.internal.caller.CallerPort;
 import org.brasspier.daemon.internal.measure.OutcomeMeter;
-import org.brasspier.daemon.internal.ownership.CellView;
 import org.brasspier.daemon.internal.ownership.RequestsOrder;
 import org.brasspier.daemon.internal.ownership.RequestsReport.BackendState;
 import org.brasspier.daemon.internal.settings.Settings;
@@ -98,7 +96,7 @@
 				context.events());
 		RequestRouter router = new RequestRouter(known.ownership(), this.ownerGate, client,
 				new RoutesWait(reactor, known.ownership()), RetryBudget.usual(), context.events());
-		this.callerPort = new CallerPort(context, router, known.ownership(), known.catalog(), this::mayExist);
+		this.callerPort = new CallerPort(context, router, known.ownership(), known.catalog());
 		this.callers = this.callerPort.listenOn(reactor, context);
 		this.backends = HttpServer
 			.builder(reactor, new BackendPort(this.watch, this::drained, context.events(), context.metrics()))
@@ -160,13 +158,6 @@
 		}
 	}
 
-	private boolean mayExist(ServiceName service) {
-		CellView cell = this.known.cell().get();
-		return cell.version() == 0 || !this.known.ownership().get().routes().assignments(service).isEmpty()
-				|| cell.ranges().stream().anyMatch((range) -> range.service().equals(service))
-				|| cell.members().stream().anyMatch((member) -> member.service().filter(service::equals).isPresent());
-	}
-
 	// A backend server may stop once nothing is owned here, nothing is in flight and
 	// nothing more will come.
 	private boolean drained() {
--- a/daemon/src/main/java/org/brasspier/daemon/internal/request/RunningOrder.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/request/RunningOrder.java
@@ -98,6 +98,7 @@
 			long now = System.nanoTime();
 			if (again && reply instanceof BackendReply.TimedOut && this.order.remainingMillis(now) > 0) {
 				this.runner.record(EventKind.CONNECTION_REPLACED, this.order, "no answer on the first connection");
+				this.runner.client().forgetConnections();
 				hand(now, this.order.remainingMillis(now), false);
 				return;
 			}
--- /dev/null
+++ b/integration/src/test/java/org/brasspier/integration/RequestPathAtMostOnceTests.java
@@ -0,0 +1,118 @@
+package org.brasspier.integration;
+
+import java.io.IOException;
+import java.net.http.HttpResponse;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+import org.brasspier.standins.Await;
+import org.brasspier.standins.Deployment;
+import org.brasspier.standins.DeploymentShape;
+import org.brasspier.standins.ServerRecord;
+import org.brasspier.standins.ServiceShape;
+import org.brasspier.standins.StandInInstance;
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Postings that are sent again, to any daemon, before and after their owner changed.
+ */
+class RequestPathAtMostOnceTests {
+
+	private static final PathCaller KEYED = new PathCaller("hullbook");
+
+	private static final PathCaller BY_ID = new PathCaller("returns-desk");
+
+	private static Deployment deployment;
+
+	@BeforeAll
+	static void start() {
+		deployment = Deployment.start(DeploymentShape.small(new ServiceShape("hullbook", true, 3, 8, 60, true),
+				new ServiceShape("returns-desk", false, 3, 8, 60, false)));
+		deployment.awaitServed();
+	}
+
+	@AfterAll
+	static void stop() {
+		deployment.close();
+	}
+
+	@Test
+	void aPostingOfAServiceDividedByKeyRunsOnceHoweverItIsSentAgain() throws Exception {
+		runsOnce(KEYED, "hull-1", "keyed-1");
+	}
+
+	@Test
+	void aPostingOfAServiceDividedByIdsRunsOnceHoweverItIsSentAgain() throws Exception {
+		runsOnce(BY_ID, "", "by-id-1");
+	}
+
+	private static void runsOnce(PathCaller caller, String key, String id) throws Exception {
+		List<StandInInstance> daemons = deployment.instances();
+		PathCaller.Posting posting = caller.begin(daemons.getFirst(), key, id);
+		for (StandInInstance daemon : daemons) {
+			HttpResponse<String> answer = caller.post(daemon, "/book", posting);
+			assertThat(answer.statusCode()).isEqualTo(200);
+			assertThat(answer.body()).contains(id);
+		}
+		assertThat(runs(id)).isEqualTo(1);
+	}
+
+	@Test
+	void aPostingWhoseOwnerWasLostWhileItRanDoesNotRunAgain() throws Exception {
+		// A crew books; the owner's instance is lost with the booking in its hands, and
+		// the answer with it. The crew sends the booking again, until somebody owns the
+		// key. It may have run, so it must not run again, and the crew must be told so.
+		PathCaller.Posting posting = KEYED.begin(deployment.instances().getFirst(), "hull-2", "lost-owner");
+		StandInInstance owner = deployment.owner("hullbook", "hull-2").orElseThrow();
+		StandInInstance other = deployment.instances()
+			.stream()
+			.filter((instance) -> !instance.equals(owner))
+			.findFirst()
+			.orElseThrow();
+		CompletableFuture<HttpResponse<String>> first = KEYED.send(other, "/book?work=1000", posting);
+		Await.until("the booking runs", () -> began("lost-owner"));
+		owner.kill();
+		try {
+			assertThat(PathCaller.field(first.get(20, TimeUnit.SECONDS), "Brasspier-Ran")).isEqualTo("unknown");
+			Await.until("the next owner answers",
+					() -> PathCaller.field(quietly(other, posting), "Brasspier-Error").equals("POSSIBLY_RAN_BEFORE"));
+			assertThat(runs("lost-owner")).isAtMost(1);
+		}
+		finally {
+			owner.start();
+			Await.until("the instance is back", () -> answers(owner));
+		}
+	}
+
+	private static boolean answers(StandInInstance daemon) {
+		try {
+			return KEYED.get(daemon, "/x", "hull-3", "back", 1000).statusCode() == 200;
+		}
+		catch (IOException | InterruptedException ex) {
+			return false;
+		}
+	}
+
+	private static HttpResponse<String> quietly(StandInInstance daemon, PathCaller.Posting posting) {
+		return KEYED.send(daemon, "/book?work=1000", posting).join();
+	}
+
+	private static boolean began(String id) {
+		return deployment.serverRecords()
+			.stream()
+			.anyMatch((record) -> record.id().equals(id) && record.kind() == ServerRecord.Kind.BEGAN);
+	}
+
+	private static long runs(String id) {
+		return deployment.serverRecords()
+			.stream()
+			.filter((record) -> record.id().equals(id) && record.kind() == ServerRecord.Kind.TOOK_EFFECT)
+			.count();
+	}
+
+}
--- /dev/null
+++ b/integration/src/test/java/org/brasspier/integration/RequestPathFaultTests.java
@@ -0,0 +1,155 @@
+package org.brasspier.integration;
+
+import java.net.http.HttpResponse;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+
+import org.brasspier.standins.Await;
+import org.brasspier.standins.CallerFleet;
+import org.brasspier.standins.CallerRecord;
+import org.brasspier.standins.Deployment;
+import org.brasspier.standins.DeploymentShape;
+import org.brasspier.standins.FaultLink;
+import org.brasspier.standins.LinkState;
+import org.brasspier.standins.ServerRecord;
+import org.brasspier.standins.StandInInstance;
+import org.brasspier.standins.StandInRequest;
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Silent connections, late answers, a request that crashes servers, and planned stops, as
+ * callers see them.
+ */
+class RequestPathFaultTests {
+
+	private static final String SERVICE = "hullbook";
+
+	private static Deployment deployment;
+
+	@BeforeAll
+	static void start() {
+		deployment = Deployment.start(DeploymentShape.small(4));
+		deployment.awaitServed();
+	}
+
+	@AfterAll
+	static void stop() {
+		deployment.close();
+	}
+
+	@Test
+	void aLookupIsAnsweredThoughConnectionsBetweenDaemonsWentSilent() throws Exception {
+		// Something between the daemons loses track of all open connections: they stay
+		// open and carry nothing. New ones work. Each crew still gets its record within
+		// its deadline.
+		answeredThoughSilent(":forward", "f");
+	}
+
+	@Test
+	void aLookupIsAnsweredThoughConnectionsToServersWentSilent() throws Exception {
+		// The same between the daemons and their backend servers.
+		answeredThoughSilent(">server", "b");
+	}
+
+	private static void answeredThoughSilent(String links, String prefix) throws Exception {
+		PathCaller caller = new PathCaller(SERVICE);
+		for (StandInInstance entry : deployment.instances()) {
+			caller.get(entry, "/x", "warm", "warm-" + prefix + entry.name(), 1000);
+			deployment.proxy().links((name) -> name.endsWith(links)).forEach(FaultLink::silenceOpenConnections);
+			for (int i = 0; i < 8; i++) {
+				String id = prefix + entry.name() + i;
+				assertThat(caller.get(entry, "/x", "silent-" + i, id, 1000).body()).contains(id);
+			}
+		}
+	}
+
+	@Test
+	void lateAnswersReachNobodyElse() throws Exception {
+		// The links between daemons hold everything back for a while. Callers give up and
+		// ask for other things. When the links go on, the old answers come late.
+		deployment.awaitServed();
+		try (CallerFleet fleet = new CallerFleet(deployment.callerAddresses())) {
+			List<CompletableFuture<CallerRecord>> asked = new ArrayList<>(ask(fleet, "late", 100));
+			StandInInstance slow = deployment.instances().getLast();
+			deployment.isolate(slow, LinkState.HELD_BACK);
+			asked.addAll(ask(fleet, "held", 200));
+			Await.until("some gave up", () -> asked.stream().filter(CompletableFuture::isDone).count() > 100);
+			deployment.isolate(slow, LinkState.WHOLE);
+			asked.addAll(ask(fleet, "after", 200));
+			List<CallerRecord> done = asked.stream().map(CompletableFuture::join).toList();
+			assertThat(done.stream()
+				.flatMap((record) -> record.attempts().stream())
+				.filter((attempt) -> attempt.answered() && !attempt.own())
+				.toList()).isEmpty();
+		}
+		deployment.awaitServed();
+	}
+
+	private static List<CompletableFuture<CallerRecord>> ask(CallerFleet fleet, String key, int count) {
+		List<CompletableFuture<CallerRecord>> asked = new ArrayList<>();
+		for (int i = 0; i < count; i++) {
+			asked.add(fleet.ask(StandInRequest.lookup(SERVICE, key + i, fleet.newId()).waiting(1500)));
+		}
+		return asked;
+	}
+
+	@Test
+	void aRequestThatCrashesServersIsKeptAwayAfterTwo() throws Exception {
+		// One lookup ends each backend server that runs it, and its caller sends it again
+		// and again to any daemon. Two servers may fall; then it is refused by name, and
+		// the key's other requests go on.
+		PathCaller caller = new PathCaller(SERVICE);
+		List<StandInInstance> daemons = deployment.instances();
+		String last = "";
+		for (int i = 0; i < 40 && !last.equals("CRASHED_BACKENDS"); i++) {
+			HttpResponse<String> answer = caller.get(daemons.get(i % daemons.size()), "/crash", "hull-c", "killer",
+					2000);
+			last = PathCaller.field(answer, "Brasspier-Error");
+		}
+		assertThat(last).isEqualTo("CRASHED_BACKENDS");
+		long began = deployment.serverRecords()
+			.stream()
+			.filter((record) -> record.id().equals("killer") && record.kind() == ServerRecord.Kind.BEGAN)
+			.count();
+		assertThat(began).isAtMost(2);
+		deployment.instances()
+			.stream()
+			.filter((instance) -> !instance.server().alive())
+			.forEach((instance) -> instance.server().start());
+		deployment.awaitServed();
+		assertThat(caller.get(daemons.getFirst(), "/x", "hull-c", "other", 3000).statusCode()).isEqualTo(200);
+	}
+
+	@Test
+	void aPlannedStopUnderLoadFailsNoRequest() throws Exception {
+		// An instance is stopped for replacement while crews keep looking up and booking.
+		// Its server drains, its ranges go, and nobody notices.
+		deployment.awaitServed();
+		StandInInstance leaving = deployment.instances().get(1);
+		try (CallerFleet fleet = new CallerFleet(deployment.callerAddresses())) {
+			List<CompletableFuture<CallerRecord>> asked = new ArrayList<>();
+			Thread stopping = Thread.ofPlatform().daemon().start(leaving::stop);
+			while (stopping.isAlive()) {
+				asked.addAll(ask(fleet, "stop", 5));
+				Thread.sleep(10);
+			}
+			stopping.join();
+			List<CallerRecord> failed = asked.stream()
+				.map(CompletableFuture::join)
+				.filter((record) -> record.outcome() != CallerRecord.Outcome.ANSWERED)
+				.toList();
+			assertThat(asked).isNotEmpty();
+			assertThat(failed).isEmpty();
+		}
+		finally {
+			leaving.start();
+			deployment.awaitServed();
+		}
+	}
+
+}
--- a/standins/src/main/java/org/brasspier/standins/CallerClient.java
+++ b/standins/src/main/java/org/brasspier/standins/CallerClient.java
@@ -48,32 +48,32 @@
 	 * Sends a request.
 	 * @param request the request
 	 * @param daemon where to
-	 * @param ticket the ticket, empty if none
-	 * @param deadlineMillis how long the answer may take, in milliseconds
+	 * @param sending the particulars of this sending
 	 * @return what came of it, never an exception
 	 */
-	Promise<Attempt> send(StandInRequest request, InetSocketAddress daemon, String ticket, int deadlineMillis) {
+	Promise<Attempt> send(StandInRequest request, InetSocketAddress daemon, Sending sending) {
+		int deadlineMillis = sending.deadlineMillis();
 		long sent = ServerHistory.nowMicros();
-		Promise<Heard> heard = this.http.request(build(request, daemon, ticket, deadlineMillis))
+		Promise<Heard> heard = this.http.request(build(request, daemon, sending))
 			.then((response) -> response.loadBody().map((body) -> heard(request, response, body)));
 		return Promises.timeout((long) deadlineMillis + GRACE_MILLIS, heard)
 			.then((answer, ex) -> Promise.of(attempt(request, daemon, sent, (ex != null) ? silence(ex) : answer)));
 	}
 
-	private static HttpRequest build(StandInRequest request, InetSocketAddress daemon, String ticket,
-			int deadlineMillis) {
+	private static HttpRequest build(StandInRequest request, InetSocketAddress daemon, Sending sending) {
 		HttpMethod method = (request.posting()) ? HttpMethod.POST : HttpMethod.GET;
 		HttpRequest.Builder builder = HttpRequest
 			.builder(method, "http://" + Ports.text(daemon) + "/v1/" + request.service() + request.path())
 			.withHeader(HttpHeaders.of("Brasspier-Request-Id"), request.id())
 			.withHeader(HttpHeaders.of("Brasspier-Class"), request.requestClass())
 			.withHeader(HttpHeaders.of("Brasspier-Caller"), request.caller())
-			.withHeader(HttpHeaders.of("Brasspier-Deadline-Millis"), Integer.toString(deadlineMillis));
+			.withHeader(HttpHeaders.of("Brasspier-Deadline-Millis"), Integer.toString(sending.deadlineMillis()))
+			.withHeader(HttpHeaders.of("Brasspier-Attempt"), sending.mayHaveRun() ? "2" : "1");
 		if (!request.key().isEmpty()) {
 			builder.withHeader(HttpHeaders.of("Brasspier-Key"), request.key());
 		}
-		if (!ticket.isEmpty()) {
-			builder.withHeader(HttpHeaders.of("Brasspier-Ticket"), ticket);
+		if (!sending.ticket().isEmpty()) {
+			builder.withHeader(HttpHeaders.of("Brasspier-Ticket"), sending.ticket());
 		}
 		if (request.posting()) {
 			builder.withBody("{\"posting\": \"%s\"}".formatted(request.id()));
@@ -110,6 +110,17 @@
 				heard.own, heard.ticket, heard.retryAfterMillis);
 	}
 
+	/**
+	 * The particulars of one sending.
+	 *
+	 * @param ticket the ticket, empty if none
+	 * @param mayHaveRun whether an earlier sending may have run
+	 * @param deadlineMillis how long the answer may take, in milliseconds
+	 */
+	record Sending(String ticket, boolean mayHaveRun, int deadlineMillis) {
+
+	}
+
 	/**
 	 * What came back.
 	 *
--- a/standins/src/main/java/org/brasspier/standins/PersistentCaller.java
+++ b/standins/src/main/java/org/brasspier/standins/PersistentCaller.java
@@ -53,7 +53,10 @@
 			return Promise.complete();
 		}
 		StandInRequest request = conversation.request;
-		return this.client.send(request, daemon(conversation), conversation.ticket, Math.min(left, MAX_ATTEMPT_MILLIS))
+		return this.client
+			.send(request, daemon(conversation),
+					new CallerClient.Sending(conversation.ticket, conversation.mayHaveRun(),
+							Math.min(left, MAX_ATTEMPT_MILLIS)))
 			.then((attempt) -> {
 				conversation.attempts.add(attempt);
 				return next(conversation, attempt);
@@ -118,6 +121,11 @@
 			return (int) ((this.endNanos - System.nanoTime()) / 1_000_000L);
 		}
 
+		boolean mayHaveRun() {
+			return this.attempts.stream()
+				.anyMatch((attempt) -> attempt.id().equals(this.request.id()) && !attempt.notRun());
+		}
+
 		boolean neverSentBefore() {
 			return this.attempts.stream()
 				.filter((attempt) -> attempt.id().equals(this.request.id()))
