The daemon's own calls go on new connections

Cause: after connections to a server went silent, its grants were not acknowledged for half a second, since a pooled connection carried them, and orders were turned away with NO_BACKEND. Some twenty calls a second on new connections cost about 20 ms of connecting in a second, all off the way of requests. Ruled out: a shorter timeout, which a pause of the server's memory management would trip.

--- a/daemon/src/main/java/org/brasspier/daemon/internal/backend/BackendCalls.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/backend/BackendCalls.java
@@ -32,14 +32,11 @@
 		.setFieldNamingPolicy(FieldNamingPolicy.LOWER_CASE_WITH_UNDERSCORES)
 		.create();
 
-	/** For what depends on no answer in particular: a pooled connection will do. */
-	private final HttpClient http;
-
 	/**
-	 * For health: a new connection each time, since a pooled one that went silent would
-	 * make a server look frozen that is well.
+	 * A new connection for each call, some twenty a second: a pooled one that went silent
+	 * would make a server look frozen that is well, or leave it without its grants.
 	 */
-	private final HttpClient fresh;
+	private final HttpClient http;
 
 	private String address = "";
 
@@ -48,15 +45,12 @@
 	 * @param reactor the reactor of the thread of requests
 	 */
 	public BackendCalls(NioReactor reactor) {
-		this.http = client(reactor).withKeepAliveTimeout(BackendConnection.KEEP_ALIVE).build();
-		this.fresh = client(reactor).withNoKeepAlive().build();
-	}
-
-	private static HttpClient.Builder client(NioReactor reactor) {
-		return HttpClient.builder(reactor, DnsClient.create(reactor, NO_NAME_SERVER))
+		this.http = HttpClient.builder(reactor, DnsClient.create(reactor, NO_NAME_SERVER))
 			.withConnectTimeout(TIMEOUT)
 			.withReadWriteTimeout(TIMEOUT)
-			.withMaxBodySize(MAX_BODY_BYTES);
+			.withNoKeepAlive()
+			.withMaxBodySize(MAX_BODY_BYTES)
+			.build();
 	}
 
 	/**
@@ -72,7 +66,7 @@
 	 * @return how that ended; never an exception
 	 */
 	Promise<Health> health() {
-		return this.fresh.request(HttpRequest.get(url("/brasspier/health")).build())
+		return this.http.request(HttpRequest.get(url("/brasspier/health")).build())
 			.then((response) -> response.loadBody(MAX_BODY_BYTES))
 			.map((body) -> Health.ANSWERED, (ex) -> refused(ex) ? Health.REFUSED : Health.SILENT);
 	}
--- a/daemon/src/main/java/org/brasspier/daemon/internal/backend/BackendClient.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/backend/BackendClient.java
@@ -102,8 +102,7 @@
 	 * @return its run
 	 */
 	public BackendRun run(BackendOrder order) {
-		BackendConnection connection = order.request().requestClass().idempotent() ? connection()
-				: lately();
+		BackendConnection connection = order.request().requestClass().idempotent() ? connection() : lately();
 		Run run = new Run(order.request().target().method(), connection);
 		run.begin(message(order), order.waitMillis());
 		return run;
@@ -117,7 +116,8 @@
 		return (resting != null) ? resting : new BackendConnection(this.reactor);
 	}
 
-	// A posting can't be sent again, so it goes on a connection that carried an answer just
+	// A posting can't be sent again, so it goes on a connection that carried an answer
+	// just
 	// now, or on a new one, which costs about a millisecond.
 	private BackendConnection lately() {
 		BackendConnection latest = this.idle.peekFirst();
