Explore every order of up to three faults in a small cell

With one of three guards off a state with two owners is found. A first try with a lease of 300 ms could not tell RENEWALS_RUN_OUT from nothing: in steps that coarse the revocation took as long as the lease, so the lease is 500 now.

--- /dev/null
+++ b/core/src/test/java/org/brasspier/core/ownership/ExplorationTests.java
@@ -0,0 +1,132 @@
+package org.brasspier.core.ownership;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+/**
+ * Every order of up to three beginnings and ends of faults (pauses, cuts, an unreachable
+ * table, lost answers) within a span longer than any lease, breadth first over all states
+ * that differ, each followed until every time has run out.
+ */
+class ExplorationTests {
+
+	/**
+	 * Within these steps faults begin and end: longer than a lease and its revocation.
+	 */
+	private static final int FAULT_STEPS = 12;
+
+	/** Afterwards nothing more happens but what follows. */
+	private static final int FOLLOWING_STEPS = 20;
+
+	private static final int CHANGES = 3;
+
+	// A user would see two servers answer for one key at the same time. No order of
+	// faults may
+	// bring that about, however unlikely.
+	@Test
+	void noReachableStateHasTwoOwners() {
+		SmallCell start = SmallCell.settled(Guards.ALL_ON);
+		assertThat(start.allServed()).isTrue();
+		Exploration exploration = new Exploration(start);
+		assertThat(exploration.violation()).isEmpty();
+		assertThat(exploration.states()).isGreaterThan(500_000);
+	}
+
+	@ParameterizedTest
+	@EnumSource(names = { "RENEWALS_RUN_OUT", "PROMISE_OF_PEER", "OLD_AUTHORITY_ENDS" })
+	void withoutTheGuardAStateWithTwoOwnersIsReached(Guard guard) {
+		Exploration exploration = new Exploration(SmallCell.settled(new Guards(Set.of(guard))));
+		assertWithMessage("violation without %s", guard).that(exploration.violation()).isPresent();
+	}
+
+	/**
+	 * A breadth-first search that ends at the first state with two owners.
+	 */
+	private static final class Exploration {
+
+		private Optional<String> violation = Optional.empty();
+
+		private long states;
+
+		Exploration(SmallCell start) {
+			Collection<Walk> frontier = List.of(new Walk(start, 0, List.of()));
+			for (int step = 0; step < FAULT_STEPS + FOLLOWING_STEPS && this.violation.isEmpty(); step++) {
+				frontier = next(frontier, step < FAULT_STEPS);
+				this.states += frontier.size();
+			}
+		}
+
+		Optional<String> violation() {
+			return this.violation;
+		}
+
+		long states() {
+			return this.states;
+		}
+
+		private Collection<Walk> next(Collection<Walk> frontier, boolean withFaults) {
+			Map<List<Object>, Walk> reached = new LinkedHashMap<>();
+			List<Walk> walks = frontier.parallelStream()
+				.flatMap((walk) -> walk.choices(withFaults).stream())
+				.map(Walk::step)
+				.toList();
+			for (Walk walk : walks) {
+				if (!walk.cell().sound()) {
+					this.violation = Optional.of(walk.history().toString());
+				}
+				reached.merge(walk.cell().state(), walk,
+						(one, other) -> (one.changes() <= other.changes()) ? one : other);
+			}
+			return reached.values();
+		}
+
+	}
+
+	/**
+	 * One way to a state.
+	 *
+	 * @param cell the state
+	 * @param changes how many faults began or ended
+	 * @param history which
+	 */
+	private record Walk(SmallCell cell, int changes, List<String> history) {
+
+		List<Walk> choices(boolean withFaults) {
+			List<Walk> choices = new ArrayList<>();
+			choices.add(new Walk(this.cell.copy(), this.changes, this.history));
+			if (withFaults && this.changes < CHANGES) {
+				SmallCell.Fault.ALL.forEach((fault) -> choices.add(with(fault)));
+			}
+			return choices;
+		}
+
+		private Walk with(SmallCell.Fault fault) {
+			SmallCell changed = this.cell.copy();
+			changed.toggle(fault);
+			List<String> longer = new ArrayList<>(this.history);
+			longer.add(fault.toString());
+			return new Walk(changed, this.changes + 1, longer);
+		}
+
+		Walk step() {
+			this.cell.step();
+			List<String> longer = new ArrayList<>(this.history);
+			longer.add(".");
+			return new Walk(this.cell, this.changes, longer);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/core/src/test/java/org/brasspier/core/ownership/SmallCell.java
@@ -0,0 +1,211 @@
+package org.brasspier.core.ownership;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.TreeSet;
+
+import org.brasspier.core.InstanceId;
+
+/**
+ * A cell of three in coarse steps: two lease managers and a member. It can be copied and
+ * compared, so that every order of faults can be followed. What is sent in one step
+ * arrives in the next.
+ */
+final class SmallCell {
+
+	static final long STEP = 50;
+
+	/** The times in units of a few steps, so that all of them run out within a walk. */
+	static final Timing TIMING = new Timing(100, 500, 150, 50, 150, 500, 1_000_000, 100_000, 0, 0);
+
+	final List<ModelProcess> processes = new ArrayList<>();
+
+	private List<Sent> sent = new ArrayList<>();
+
+	private List<Call> calls = new ArrayList<>();
+
+	private final Set<Fault> faults = new TreeSet<>();
+
+	private VersionedRow stored = VersionedRow.NONE;
+
+	private long now;
+
+	static SmallCell settled(Guards guards) {
+		SmallCell cell = new SmallCell();
+		CellModel.Setup setup = new CellModel.Setup(TIMING, guards, 3);
+		for (String name : List.of("a", "b", "c")) {
+			cell.processes.add(new ModelProcess(name, "domain-" + name, 1, 1000, 0, setup));
+			cell.run(8);
+		}
+		cell.run(20);
+		return cell;
+	}
+
+	SmallCell copy() {
+		SmallCell copy = new SmallCell();
+		this.processes.forEach((process) -> copy.processes.add(process.copy()));
+		copy.sent = new ArrayList<>(this.sent);
+		copy.calls = new ArrayList<>(this.calls);
+		copy.faults.addAll(this.faults);
+		copy.stored = this.stored;
+		copy.now = this.now;
+		return copy;
+	}
+
+	List<Object> state() {
+		return List.of(this.processes.stream().map((process) -> process.machine.state()).toList(), this.sent,
+				this.calls, Set.copyOf(this.faults), this.stored, this.now);
+	}
+
+	void toggle(Fault fault) {
+		if (!this.faults.remove(fault)) {
+			this.faults.add(fault);
+		}
+	}
+
+	void run(int steps) {
+		for (int i = 0; i < steps; i++) {
+			step();
+		}
+	}
+
+	/**
+	 * One step: what was sent arrives, then everybody who isn't paused does what is due.
+	 */
+	void step() {
+		this.now += STEP;
+		List<Sent> arriving = this.sent;
+		List<Call> answered = this.calls;
+		this.sent = new ArrayList<>();
+		this.calls = new ArrayList<>();
+		answered.forEach(this::answer);
+		arriving.forEach(this::deliver);
+		this.processes.stream()
+			.filter((process) -> !paused(process))
+			.forEach((process) -> run(process, process.machine.tick(process.clock(this.now))));
+	}
+
+	private boolean paused(ModelProcess process) {
+		return this.faults.contains(new Fault("pause", process.instance.value()));
+	}
+
+	private boolean cut(String from, String to) {
+		return this.faults.contains(new Fault("cut", from + to)) || this.faults.contains(new Fault("cut", to + from));
+	}
+
+	private boolean storeDown(ModelProcess process) {
+		return this.faults.contains(new Fault("store", process.instance.value()));
+	}
+
+	private ModelProcess process(InstanceId instance) {
+		return this.processes.stream().filter((process) -> process.instance.equals(instance)).findFirst().orElseThrow();
+	}
+
+	private void deliver(Sent message) {
+		ModelProcess to = process(message.to());
+		if (cut(message.from().value(), message.to().value())) {
+			return;
+		}
+		if (paused(to)) {
+			this.sent.add(message);
+			return;
+		}
+		run(to, to.machine.received(message.from(), message.message(), to.clock(this.now)));
+	}
+
+	private void answer(Call call) {
+		ModelProcess process = process(call.from());
+		if (paused(process)) {
+			this.calls.add(call);
+			return;
+		}
+		long at = process.clock(this.now);
+		boolean lost = storeDown(process);
+		switch (call.action()) {
+			case OwnershipAction.ReadRow read ->
+				run(process, (lost) ? process.machine.readFailed(at) : process.machine.rowRead(call.row(), at));
+			case OwnershipAction.WriteRow write -> run(process, written(process, call, lost, at));
+			default -> throw new IllegalStateException("no call: " + call);
+		}
+	}
+
+	private static List<OwnershipAction> written(ModelProcess process, Call call, boolean lost, long at) {
+		if (lost) {
+			return process.machine.writeUnknown(at);
+		}
+		return (call.effect()) ? process.machine.written(call.row().version(), at) : process.machine.writeConflict(at);
+	}
+
+	// A call reaches the table at once and its answer comes in the next step, so a store
+	// fault that begins between them loses the answer of a write that took effect.
+	private void run(ModelProcess process, List<OwnershipAction> actions) {
+		for (OwnershipAction action : actions) {
+			switch (action) {
+				case OwnershipAction.Send(InstanceId to, ControlMessage message) -> {
+					if (this.processes.stream().anyMatch((other) -> other.instance.equals(to))) {
+						this.sent.add(new Sent(process.instance, to, message));
+					}
+				}
+				case OwnershipAction.ReadRow read ->
+					this.calls.add(new Call(process.instance, read, this.stored, false));
+				case OwnershipAction.WriteRow write -> this.calls.add(write(process, write));
+				case OwnershipAction.Drain(HeldRange held) ->
+					run(process, process.machine.drained(held, List.of(), process.clock(this.now)));
+				default -> {
+				}
+			}
+		}
+	}
+
+	private Call write(ModelProcess process, OwnershipAction.WriteRow write) {
+		boolean effect = !storeDown(process) && this.stored.version() == write.expectedVersion();
+		if (effect) {
+			this.stored = new VersionedRow(write.expectedVersion() + 1, write.row());
+		}
+		return new Call(process.instance, write, this.stored, effect);
+	}
+
+	/**
+	 * Whether at most one process serves each range now, by its own checks.
+	 * @return false if two do
+	 */
+	boolean sound() {
+		Set<Long> served = new TreeSet<>();
+		return this.processes.stream()
+			.flatMap((process) -> process.serves(this.now).stream())
+			.allMatch((held) -> served.add(held.range().low()));
+	}
+
+	boolean allServed() {
+		return this.processes.stream().mapToInt((process) -> process.serves(this.now).size()).sum() == 3;
+	}
+
+	private record Sent(InstanceId from, InstanceId to, ControlMessage message) {
+
+	}
+
+	private record Call(InstanceId from, OwnershipAction action, VersionedRow row, boolean effect) {
+
+	}
+
+	/**
+	 * A fault that lasts until it's toggled again.
+	 *
+	 * @param kind pause, cut or store
+	 * @param where the process or the two
+	 */
+	record Fault(String kind, String where) implements Comparable<Fault> {
+
+		static final List<Fault> ALL = List.of(new Fault("pause", "a"), new Fault("pause", "b"),
+				new Fault("pause", "c"), new Fault("cut", "ab"), new Fault("cut", "ac"), new Fault("cut", "bc"),
+				new Fault("store", "a"), new Fault("store", "b"), new Fault("store", "c"));
+
+		@Override
+		public int compareTo(Fault other) {
+			return (this.kind + this.where).compareTo(other.kind + other.where);
+		}
+
+	}
+
+}
