Place ranges by the balancing policy, with the weights of the document

A merge of two ranges under different fences is now taken as two grants under one new fence first; it was ignored before, and the number of ranges would only have grown.

--- a/core/src/main/java/org/brasspier/core/ownership/OwnershipMachine.java
+++ b/core/src/main/java/org/brasspier/core/ownership/OwnershipMachine.java
@@ -39,7 +39,7 @@
 
 	private final Guards guards;
 
-	private final PrimaryMemory.Placement placement;
+	private PrimaryMemory.Placement placement;
 
 	private final MemberLease lease;
 
@@ -691,6 +691,14 @@
 		this.document = version;
 	}
 
+	/**
+	 * Sets how the operators weigh the measures.
+	 * @param weights the weights of the document in force
+	 */
+	public void weights(PlacementWeights weights) {
+		this.placement = this.placement.weighing(weights);
+	}
+
 	private List<OwnershipAction> finish(long now) {
 		List<OwnershipAction> actions = new ArrayList<>();
 		for (Optional<OwnershipAction> next = this.out.next(); next.isPresent(); next = this.out.next()) {
--- a/core/src/main/java/org/brasspier/core/ownership/PrimaryMemory.java
+++ b/core/src/main/java/org/brasspier/core/ownership/PrimaryMemory.java
@@ -210,6 +210,10 @@
 	 */
 	record Placement(PlacementPolicy policy, PlacementWeights weights, int initialRanges) {
 
+		Placement weighing(PlacementWeights others) {
+			return new Placement(this.policy, others, this.initialRanges);
+		}
+
 	}
 
 }
--- a/core/src/main/java/org/brasspier/core/ownership/ServicePlan.java
+++ b/core/src/main/java/org/brasspier/core/ownership/ServicePlan.java
@@ -132,12 +132,19 @@
 	}
 
 	// Joins neighbours of one owner and one fence. Under two fences the owner keeps two
-	// memories of request ids, so such a pair stays apart until it moves together.
+	// memories of request ids, so both are first let go of and granted anew together; a
+	// later
+	// plan finds them under one fence.
 	private void merge(KeyRange first, KeyRange second) {
 		RangeState low = this.ranges.get(first);
 		RangeState high = this.ranges.get(second);
 		if (low == null || high == null || first.high() != second.low() || busy(first) || busy(second)
-				|| !low.owner().equals(high.owner()) || !low.fence().equals(high.fence())) {
+				|| !low.owner().equals(high.owner())) {
+			return;
+		}
+		if (!low.fence().equals(high.fence())) {
+			grantAnew(low);
+			grantAnew(high);
 			return;
 		}
 		this.ranges.remove(first);
@@ -146,6 +153,14 @@
 		this.ranges.put(joined, low.over(joined));
 	}
 
+	private void grantAnew(RangeState state) {
+		if (state.owner().isPresent()) {
+			PlannedMove move = new PlannedMove(state.held(), state.owner(), MoveCause.BALANCE);
+			this.newMoves.add(move);
+			this.moving.put(state.range(), move);
+		}
+	}
+
 	private void assignTheRest() {
 		List<RangeState> unowned = this.ranges.values().stream().filter((range) -> range.owner().isEmpty()).toList();
 		for (RangeState range : unowned) {
--- a/daemon/src/main/java/org/brasspier/daemon/internal/ownership/OwnershipDuty.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/ownership/OwnershipDuty.java
@@ -21,7 +21,7 @@
 import org.brasspier.core.ownership.OwnershipAction;
 import org.brasspier.core.ownership.OwnershipMachine;
 import org.brasspier.core.ownership.Timing;
-import org.brasspier.core.placement.SpreadUnowned;
+import org.brasspier.core.placement.BalancingPlacement;
 import org.brasspier.core.routing.OwnershipSnapshot;
 import org.brasspier.core.routing.PeerAddress;
 import org.brasspier.core.routing.PeerAddresses;
@@ -97,7 +97,7 @@
 	public OwnershipDuty(DaemonContext context) {
 		this.context = context;
 		Settings settings = context.settings();
-		this.machine = new OwnershipMachine(me(settings), Timing.STANDARD, new SpreadUnowned(), this.clock.now());
+		this.machine = new OwnershipMachine(me(settings), Timing.STANDARD, new BalancingPlacement(), this.clock.now());
 		Meter controlBytes = context.metrics().meter("control.bytes");
 		this.tableReads = context.metrics().meter("table.reads");
 		this.tableWrites = context.metrics().meter("table.writes");
@@ -175,6 +175,7 @@
 	private void tick() {
 		this.duty.reactor().delay(TICK_MILLIS, this::tick);
 		this.machine.document(this.documents.current());
+		this.machine.weights(this.context.documents().inForce().document().weights());
 		run(this.machine.tick(now()));
 		this.links.dropSilent();
 		if (now() - this.viewMadeAt >= VIEW_MILLIS) {
