--- a/daemon/src/main/java/org/brasspier/daemon/internal/Daemon.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/Daemon.java
@@ -1,7 +1,6 @@
 package org.brasspier.daemon.internal;
 
 import java.io.IOException;
-import java.util.Optional;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 
@@ -39,7 +38,7 @@
 				this.ownership::view, this.context.documents()::catalog));
 		this.requests.joinOwnership(this.ownership.joinRequests(this.requests.orders()));
 		this.operators = new OperatorsDuty(this.context, this.ownership::snapshot, this.ownership::view,
-				Optional::empty);
+				this.ownership.orders());
 		this.ownership.joinDocuments(this.operators);
 	}
 
