--- a/daemon/src/main/java/org/brasspier/daemon/internal/backend/BackendCalls.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/backend/BackendCalls.java
@@ -32,6 +32,10 @@
 		.setFieldNamingPolicy(FieldNamingPolicy.LOWER_CASE_WITH_UNDERSCORES)
 		.create();
 
+	/**
+	 * A new connection for each call, some twenty a second: a pooled one that went silent
+	 * would make a server look frozen that is well, or leave it without its grants.
+	 */
 	private final HttpClient http;
 
 	private String address = "";
@@ -44,7 +48,7 @@
 		this.http = HttpClient.builder(reactor, DnsClient.create(reactor, NO_NAME_SERVER))
 			.withConnectTimeout(TIMEOUT)
 			.withReadWriteTimeout(TIMEOUT)
-			.withKeepAliveTimeout(BackendConnection.KEEP_ALIVE)
+			.withNoKeepAlive()
 			.withMaxBodySize(MAX_BODY_BYTES)
 			.build();
 	}
