Give the daemon's tests ports that outgoing connections don't use

Cause: RequestPathTests took ports by binding to 0 and letting go; under load an outgoing connection of another test took one before the daemon listened ("a port can't be opened"). The stand-ins' Ports hand out ports below the ephemeral range and never the same twice, so the daemon's tests use those.

--- a/daemon/src/test/java/org/brasspier/daemon/internal/request/PathFixture.java
+++ b/daemon/src/test/java/org/brasspier/daemon/internal/request/PathFixture.java
@@ -2,7 +2,6 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -38,6 +37,7 @@
 import org.brasspier.daemon.internal.ownership.RequestsOrder;
 import org.brasspier.daemon.internal.ownership.RequestsReport;
 import org.brasspier.daemon.internal.settings.Settings;
+import org.brasspier.standins.Ports;
 import org.brasspier.wire.SharedKeys;
 
 /**
@@ -83,12 +83,6 @@
 		}
 	}
 
-	private static int freePort() throws IOException {
-		try (ServerSocket socket = new ServerSocket(0)) {
-			return socket.getLocalPort();
-		}
-	}
-
 	/**
 	 * One daemon's thread of requests with the backend server beside it.
 	 */
@@ -104,11 +98,11 @@
 
 		final BlockingQueue<RequestsReport> reports = new LinkedBlockingQueue<>();
 
-		final int callerPort = freePort();
+		final int callerPort = Ports.free().getPort();
 
-		final int forwardPort = freePort();
+		final int forwardPort = Ports.free().getPort();
 
-		final int backendPort = freePort();
+		final int backendPort = Ports.free().getPort();
 
 		final RequestsDuty requests;
 
