Stamp control messages, so that the time line orders ownership as well

Requests that are forwarded carried the sender's stamp already; grants, heartbeats and row updates did not, so a range could be shown granted before it was released where wall clocks differ. The capacity bench encodes a stamp of today's size, so its figures include it.

--- a/bench/src/main/java/org/brasspier/bench/capacity/SimulatedCell.java
+++ b/bench/src/main/java/org/brasspier/bench/capacity/SimulatedCell.java
@@ -10,6 +10,7 @@
 import org.brasspier.core.FailureDomain;
 import org.brasspier.core.InstanceId;
 import org.brasspier.core.ServiceName;
+import org.brasspier.core.event.HybridTime;
 import org.brasspier.core.ownership.CellRow;
 import org.brasspier.core.ownership.ControlMessage;
 import org.brasspier.core.ownership.MemberInfo;
@@ -24,6 +25,7 @@
 import org.brasspier.wire.CellRowCodec;
 import org.brasspier.wire.ControlCodec;
 import org.brasspier.wire.FrameDecoder;
+import org.brasspier.wire.FrameReader;
 import org.brasspier.wire.WireException;
 
 /**
@@ -33,6 +35,9 @@
  */
 final class SimulatedCell {
 
+	/** As large as the stamps of our time are. */
+	private static final HybridTime STAMP = new HybridTime(System.currentTimeMillis() << 16);
+
 	private static final int TICK_MILLIS = 25;
 
 	private static final int DOMAINS = 4;
@@ -166,7 +171,7 @@
 		Process sender = process(from);
 		Process receiver = process(send.to());
 		long begin = System.nanoTime();
-		byte[] frame = ControlCodec.encode(send.message());
+		byte[] frame = ControlCodec.encode(send.message(), STAMP);
 		sender.sent(frame.length, System.nanoTime() - begin);
 		begin = System.nanoTime();
 		ControlMessage message = decode(frame);
@@ -176,7 +181,9 @@
 
 	private static ControlMessage decode(byte[] frame) {
 		try {
-			return ControlCodec.decode(new FrameDecoder(ControlCodec.MAX_FRAME_BYTES).accept(frame).getFirst());
+			FrameReader reader = new FrameDecoder(ControlCodec.MAX_FRAME_BYTES).accept(frame).getFirst();
+			ControlCodec.stamp(reader);
+			return ControlCodec.decode(reader);
 		}
 		catch (WireException ex) {
 			throw new IllegalStateException("a frame did not survive its own codec", ex);
--- a/daemon/src/main/java/org/brasspier/daemon/internal/ownership/PeerLinks.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/ownership/PeerLinks.java
@@ -93,7 +93,7 @@
 	}
 
 	void send(InstanceId to, ControlMessage message) {
-		link(to).send(ControlCodec.encode(message), expectsAnswer(message));
+		link(to).send(ControlCodec.encode(message, this.context.events().stamp()), expectsAnswer(message));
 	}
 
 	private static boolean expectsAnswer(ControlMessage message) {
@@ -192,6 +192,7 @@
 			this.unanswered = false;
 			connection.onFrame((frame) -> {
 				this.unanswered = false;
+				PeerLinks.this.context.events().receive(ControlCodec.stamp(frame));
 				PeerLinks.this.receiver.receive(this.peer, ControlCodec.decode(frame));
 			});
 			connection.closed().whenResult(() -> closed(connection));
--- a/wire/src/main/java/org/brasspier/wire/ControlCodec.java
+++ b/wire/src/main/java/org/brasspier/wire/ControlCodec.java
@@ -7,6 +7,7 @@
 import org.brasspier.core.InstanceId;
 import org.brasspier.core.KeyRange;
 import org.brasspier.core.ServiceName;
+import org.brasspier.core.event.HybridTime;
 import org.brasspier.core.ownership.ControlMessage;
 import org.brasspier.core.ownership.CrashMark;
 import org.brasspier.core.ownership.HeldRange;
@@ -63,10 +64,11 @@
 	/**
 	 * Encodes a message.
 	 * @param message the message
+	 * @param stamp the sender's stamp, so that what the message causes is stamped later
 	 * @return the frame to send
 	 */
-	public static byte[] encode(ControlMessage message) {
-		FrameWriter out = new FrameWriter();
+	public static byte[] encode(ControlMessage message, HybridTime stamp) {
+		FrameWriter out = new FrameWriter().number(stamp.packed());
 		switch (message) {
 			case ControlMessage.Heartbeat m -> out.number(HEARTBEAT)
 				.number(m.incarnation())
@@ -123,7 +125,17 @@
 	}
 
 	/**
-	 * Decodes a message.
+	 * Decodes the stamp, which comes before the message.
+	 * @param in the frame received
+	 * @return the sender's stamp
+	 * @throws WireException if the frame is malformed
+	 */
+	public static HybridTime stamp(FrameReader in) throws WireException {
+		return new HybridTime(in.number());
+	}
+
+	/**
+	 * Decodes a message, after its stamp.
 	 * @param in the frame received
 	 * @return the message
 	 * @throws WireException if the frame is malformed
