--- a/daemon/src/main/java/org/brasspier/daemon/internal/caller/RequestReader.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/caller/RequestReader.java
@@ -83,10 +83,7 @@
 			ServiceName service = new ServiceName(path.substring(PREFIX.length(), end));
 			String target = path.substring(end);
 			String targetPath = target.startsWith("/") ? target : "/" + target;
-			return this.catalog.get()
-				.find(service)
-				.<Either<Failure, Addressed>>map((policy) -> Either.right(new Addressed(service, targetPath, policy)))
-				.orElseGet(() -> Either.left(unknown(service)));
+			return this.catalog.get().policy(service).map((policy) -> new Addressed(service, targetPath, policy));
 		}
 		catch (IllegalArgumentException ex) {
 			return bad(String.valueOf(ex.getMessage()));
--- /dev/null
+++ b/integration/src/test/java/org/brasspier/integration/document/OperatorsViewTests.java
@@ -0,0 +1,105 @@
+package org.brasspier.integration.document;
+
+import java.nio.file.Path;
+import java.util.List;
+import java.util.stream.IntStream;
+
+import org.brasspier.core.ErrorKind;
+import org.brasspier.standins.Await;
+import org.brasspier.standins.CallerFleet;
+import org.brasspier.standins.CallerRecord;
+import org.brasspier.standins.Deployment;
+import org.brasspier.standins.DeploymentShape;
+import org.brasspier.standins.Ports;
+import org.brasspier.standins.StandInInstance;
+import org.brasspier.standins.StandInRequest;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+/**
+ * What operators see and order in a deployment that serves.
+ */
+class OperatorsViewTests {
+
+	@TempDir
+	private Path folder;
+
+	private final Deployment deployment = Deployment.start(DeploymentShape.small(3));
+
+	private OperatorTool tool;
+
+	@BeforeEach
+	void awaitServed() {
+		this.tool = new OperatorTool(this.folder.resolve("draft.json"),
+				Ports.text(this.deployment.instances().getFirst().ports().operators()),
+				this.deployment.operatorSecret());
+		Await.until("each daemon knows that all three instances own ranges",
+				() -> this.deployment.instances().stream().allMatch((instance) -> spread(instance)));
+		this.deployment.awaitServed();
+	}
+
+	@AfterEach
+	void end() {
+		this.deployment.close();
+	}
+
+	// A crew asks what became of a lookup. It reached one daemon, was forwarded to the
+	// owner's, and ran there; the operator follows it by its id through both.
+	@Test
+	void aRequestIsFollowedByItsIdThroughEveryProcess() {
+		StandInInstance entry = this.deployment.instances().getFirst();
+		try (CallerFleet callers = new CallerFleet(List.of(entry.callers()))) {
+			List<CallerRecord> records = IntStream.range(0, 20)
+				.mapToObj((i) -> callers.ask(StandInRequest.lookup("hullbook", "hull-" + i, "followed-" + i)).join())
+				.toList();
+			CallerRecord forwarded = records.stream()
+				.filter((done) -> !owner(done.request().key()).equals(entry.name()))
+				.findFirst()
+				.orElseThrow();
+			String line = this.tool.run("timeline", "--request", forwarded.request().id()).out();
+			int atEntry = line.indexOf("REQUEST_FORWARDED");
+			int atOwner = line.indexOf("REQUEST_HANDED_OVER");
+			assertWithMessage(line).that(atEntry).isAtLeast(0);
+			assertWithMessage(line).that(atOwner).isGreaterThan(atEntry);
+			assertWithMessage(line).that(line.lastIndexOf("REQUEST_ANSWERED")).isGreaterThan(atOwner);
+			assertThat(line).contains(owner(forwarded.request().key()));
+		}
+	}
+
+	@Test
+	void theStatusShowsInstancesLeasesAndOwners() {
+		String status = this.tool.run("status", "--ranges").out();
+		this.deployment.instances().forEach((instance) -> assertThat(status).contains(instance.name()));
+		assertThat(status).doesNotContain("no answer");
+		assertThat(status).contains("primary hullbook-");
+		assertThat(owner("hull-4711")).startsWith("hullbook-");
+	}
+
+	@Test
+	void aDrainedInstanceOwnsNothingUntilItIsUndrained() {
+		OperatorTool.Result drained = this.tool.run("drain", "hullbook-1");
+		assertWithMessage(drained.err()).that(drained.exit()).isEqualTo(0);
+		assertThat(drained.out()).contains("owns nothing any more");
+		assertThat(this.tool.run("undrain", "hullbook-1").exit()).isEqualTo(0);
+		assertThat(this.tool.run("drain", "nobody", "--no-wait").exit()).isEqualTo(ErrorKind.ORDER_REFUSED.exitCode());
+		assertThat(this.tool.run("declare-lost", "hullbook-1").exit()).isEqualTo(ErrorKind.BAD_REQUEST.exitCode());
+	}
+
+	private boolean spread(StandInInstance instance) {
+		return this.tool.run("--daemon", Ports.text(instance.ports().operators()), "status")
+			.out()
+			.lines()
+			.anyMatch((line) -> line.matches("hullbook +[0-9]+ +0 +3"));
+	}
+
+	private String owner(String key) {
+		String[] cells = this.tool.run("owner", "hullbook", key).out().lines().toList().getLast().split(" +");
+		return cells[3];
+	}
+
+}
