Work the target size out from the slopes, and find the first break

Cause: the page must say for each mechanism its need, limit and margin at 3,500 nodes; that is arithmetic on the slopes, so the same command does it.

--- a/bench/src/main/java/org/brasspier/bench/capacity/CapacityBench.java
+++ b/bench/src/main/java/org/brasspier/bench/capacity/CapacityBench.java
@@ -32,7 +32,7 @@
 		Files.createDirectories(output);
 		Files.writeString(output.resolve("capacity.json"),
 				new GsonBuilder().setPrettyPrinting().create().toJson(slopes));
-		new CapacityPage(page).write(slopes);
+		new CapacityPage(page).write(slopes, WorkedOut.all(new Measured(slopes), TargetSize.IN_TWO_YEARS));
 	}
 
 }
--- a/bench/src/main/java/org/brasspier/bench/capacity/CapacityPage.java
+++ b/bench/src/main/java/org/brasspier/bench/capacity/CapacityPage.java
@@ -23,6 +23,11 @@
 	private static final Pattern SLOPES = Pattern.compile("(<!-- slopes begin -->\n).*?(<!-- slopes end -->)",
 			Pattern.DOTALL);
 
+	private static final Pattern WORKED_OUT = Pattern
+		.compile("(<!-- worked out begin -->\n).*?(<!-- worked out end -->)", Pattern.DOTALL);
+
+	private static final int PERCENT = 100;
+
 	private static final int WIDTH = 480;
 
 	private static final int HEIGHT = 320;
@@ -33,16 +38,34 @@
 		this.page = page;
 	}
 
-	void write(List<Slope> slopes) throws IOException {
+	void write(List<Slope> slopes, List<WorkedOut> workedOut) throws IOException {
 		Path plots = this.page.resolveSibling("plots");
 		Files.createDirectories(plots);
 		for (Slope slope : slopes) {
 			BitmapEncoder.saveBitmap(plot(slope), plots.resolve(fileName(slope)).toString(),
 					BitmapEncoder.BitmapFormat.PNG);
 		}
-		String text = Files.readString(this.page);
-		Files.writeString(this.page, SLOPES.matcher(text)
-			.replaceFirst((match) -> Matcher.quoteReplacement(match.group(1) + table(slopes) + match.group(2))));
+		String text = replaced(Files.readString(this.page), SLOPES, table(slopes));
+		Files.writeString(this.page, replaced(text, WORKED_OUT, workedOut(workedOut)));
+	}
+
+	private static String replaced(String text, Pattern part, String table) {
+		return part.matcher(text)
+			.replaceFirst((match) -> Matcher.quoteReplacement(match.group(1) + table + match.group(2)));
+	}
+
+	private static String workedOut(List<WorkedOut> lines) {
+		return lines.stream().map(CapacityPage::row).collect(Collectors.joining("\n", """
+				| at the target size | need | limit | margin | carried by |
+				| --- | --- | --- | --- | --- |
+				""", "\n"));
+	}
+
+	private static String row(WorkedOut line) {
+		boolean bounded = !Double.isNaN(line.limit());
+		return "| %s | %s %s | %s | %s | %s |".formatted(line.what(), number(line.need()), line.unit(),
+				(bounded) ? number(line.limit()) : "none",
+				(bounded) ? "%.0f %%".formatted(line.margin() * PERCENT) : "", line.mechanism());
 	}
 
 	private static String table(List<Slope> slopes) {
@@ -57,9 +80,13 @@
 			.stream()
 			.map((point) -> "%.0f: %s".formatted(point.size(), number(point.value())))
 			.collect(Collectors.joining(", "));
-		return "| [%s](plots/%s) | %s | %s %s | %s | %s | %.3f | %s |".formatted(slope.name(), fileName(slope) + ".png",
+		return "| [%s](plots/%s) | %s | %s %s | %s | %s | %s | %s |".formatted(slope.name(), fileName(slope) + ".png",
 				slope.sizeName(), number(slope.fit().perSize()), slope.unit(), number(slope.fit().error()),
-				number(slope.fit().base()), slope.fit().rSquare(), points);
+				number(slope.fit().base()), rSquare(slope), points);
+	}
+
+	private static String rSquare(Slope slope) {
+		return (slope.fit().rSquare() == 0) ? "constant" : "%.3f".formatted(slope.fit().rSquare());
 	}
 
 	private static String number(double value) {
--- a/bench/src/main/java/org/brasspier/bench/capacity/CellSlopes.java
+++ b/bench/src/main/java/org/brasspier/bench/capacity/CellSlopes.java
@@ -2,8 +2,10 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.Consumer;
 import java.util.function.ToDoubleFunction;
 
+import org.brasspier.core.InstanceId;
 import org.brasspier.core.KeyRange;
 import org.brasspier.core.ownership.CellRow;
 import org.brasspier.core.ownership.RangeState;
@@ -30,14 +32,18 @@
 	@Override
 	public List<Slope> measure() {
 		List<Slope> slopes = new ArrayList<>(List.of(
-				overCells("primary lease manager, control traffic", "bytes/s", (cell) -> wireBytes(cell.primary())),
-				overCells("member, control traffic", "bytes/s", (cell) -> wireBytes(cell.member())),
+				overCells("primary lease manager, control traffic", "bytes/s",
+						(cell) -> wireBytes(cell, cell.primaryInstance())),
+				overCells("member, control traffic", "bytes/s", (cell) -> wireBytes(cell, cell.plainMember())),
 				overCells("primary lease manager, deciding and coding", "us/s",
-						(cell) -> cell.primary().nanos() / (double) COUNTED_MILLIS),
+						(cell) -> cell.counts(cell.primaryInstance()).nanos() / (double) COUNTED_MILLIS),
 				overCells("member, deciding and coding", "us/s",
-						(cell) -> cell.member().nanos() / (double) COUNTED_MILLIS),
+						(cell) -> cell.counts(cell.plainMember()).nanos() / (double) COUNTED_MILLIS),
 				overCells("cell, calls of the table in steady state", "calls/s",
-						(cell) -> perSecond(cell.tableCalls()))));
+						(cell) -> perSecond(cell.tableCalls())),
+				changes("loss of a plain member, writes of the row", (cell) -> cell.lose(cell.plainMember())),
+				changes("loss of the primary, writes of the row", (cell) -> cell.lose(cell.primaryInstance())),
+				changes("replacement as planned, writes of the row", CellSlopes::replace)));
 		CellRow full = settled(MEMBERS[MEMBERS.length - 1]).row();
 		slopes.add(SlopeSuite.over("row of a cell of 24, size", "ranges", "bytes", RANGES,
 				(ranges) -> CellRowCodec.encode(withRanges(full, ranges)).length));
@@ -56,6 +62,21 @@
 		});
 	}
 
+	private static Slope changes(String name, Consumer<SimulatedCell> change) {
+		return SlopeSuite.over(name, "members", "writes", MEMBERS, (members) -> {
+			SimulatedCell cell = settled(members);
+			change.accept(cell);
+			cell.run(COUNTED_MILLIS);
+			return cell.tableWrites();
+		});
+	}
+
+	private static void replace(SimulatedCell cell) {
+		cell.join();
+		cell.run(SETTLING_MILLIS);
+		cell.leave(cell.plainMember());
+	}
+
 	private static SimulatedCell settled(int members) {
 		SimulatedCell cell = new SimulatedCell(members);
 		cell.run(SETTLING_MILLIS);
@@ -63,7 +84,8 @@
 		return cell;
 	}
 
-	private static double wireBytes(SimulatedCell.Counts counts) {
+	private static double wireBytes(SimulatedCell cell, InstanceId instance) {
+		SimulatedCell.Counts counts = cell.counts(instance);
 		return perSecond(counts.frameBytes() + counts.frames() * HEADER_BYTES);
 	}
 
--- a/bench/src/main/java/org/brasspier/bench/capacity/SimulatedCell.java
+++ b/bench/src/main/java/org/brasspier/bench/capacity/SimulatedCell.java
@@ -13,6 +13,7 @@
 import org.brasspier.core.event.HybridTime;
 import org.brasspier.core.ownership.CellRow;
 import org.brasspier.core.ownership.ControlMessage;
+import org.brasspier.core.ownership.ManagerPair;
 import org.brasspier.core.ownership.MemberInfo;
 import org.brasspier.core.ownership.MemberKey;
 import org.brasspier.core.ownership.MemberPhase;
@@ -56,8 +57,53 @@
 
 	private long reads;
 
+	private int started;
+
 	SimulatedCell(int members) {
-		IntStream.range(0, members).mapToObj(SimulatedCell::member).forEach(this::start);
+		IntStream.range(0, members).forEach((i) -> join());
+	}
+
+	/** Starts another member. */
+	void join() {
+		start(member(this.started++));
+	}
+
+	/**
+	 * Ends a process without warning.
+	 * @param instance which one
+	 */
+	void lose(InstanceId instance) {
+		this.processes.remove(instance);
+	}
+
+	/**
+	 * Lets a member leave as planned.
+	 * @param instance which one
+	 */
+	void leave(InstanceId instance) {
+		step(instance, (machine) -> machine.leave(this.now));
+	}
+
+	InstanceId primaryInstance() {
+		return managers().primary().instance();
+	}
+
+	/**
+	 * A member that manages nothing.
+	 * @return its identity
+	 */
+	InstanceId plainMember() {
+		return this.row.row()
+			.members()
+			.stream()
+			.filter((info) -> !managers().includes(info.key()))
+			.findFirst()
+			.orElseThrow()
+			.instance();
+	}
+
+	private ManagerPair managers() {
+		return this.row.row().managers().orElseThrow();
 	}
 
 	private static MemberInfo member(int index) {
@@ -83,6 +129,7 @@
 			this.processes.keySet()
 				.stream()
 				.sorted()
+				.toList()
 				.forEach((instance) -> step(instance, (machine) -> machine.tick(this.now)));
 		}
 	}
@@ -95,26 +142,16 @@
 	}
 
 	/**
-	 * The primary lease manager's counts.
+	 * What a process sent, received and computed since the counts were reset.
+	 * @param instance which one
 	 * @return the counts
 	 */
-	Counts primary() {
-		return process(this.row.row().managers().orElseThrow().primary().instance()).counts();
+	Counts counts(InstanceId instance) {
+		return process(instance).counts();
 	}
 
-	/**
-	 * The counts of a member that manages nothing.
-	 * @return the counts
-	 */
-	Counts member() {
-		return this.row.row()
-			.members()
-			.stream()
-			.map(MemberInfo::key)
-			.filter((key) -> !this.row.row().managers().orElseThrow().includes(key))
-			.findFirst()
-			.map((key) -> process(key.instance()).counts())
-			.orElseThrow();
+	long tableWrites() {
+		return this.writes;
 	}
 
 	long tableCalls() {
@@ -151,8 +188,7 @@
 			}
 			case OwnershipAction.OrderDone done -> {
 			}
-			case OwnershipAction.Left left -> {
-			}
+			case OwnershipAction.Left left -> lose(instance);
 		}
 	}
 
@@ -169,13 +205,15 @@
 
 	private void send(InstanceId from, OwnershipAction.Send send) {
 		Process sender = process(from);
-		Process receiver = process(send.to());
 		long begin = System.nanoTime();
 		byte[] frame = ControlCodec.encode(send.message(), STAMP);
 		sender.sent(frame.length, System.nanoTime() - begin);
+		if (!this.processes.containsKey(send.to())) {
+			return;
+		}
 		begin = System.nanoTime();
 		ControlMessage message = decode(frame);
-		receiver.received(frame.length, System.nanoTime() - begin);
+		process(send.to()).received(frame.length, System.nanoTime() - begin);
 		step(send.to(), (machine) -> machine.received(from, message, this.now));
 	}
 
