Run the policy and a naive version through the same loads in virtual time

Cause: the decisions had tests but no figures. Seventeen recorded loads for both deployments go through both versions; queues and servers only, no network. Callers of the naive version are treated kindly: each of its four tries may wait for the whole deadline.

--- /dev/null
+++ b/bench/src/main/java/org/brasspier/bench/policy/ClassMix.java
@@ -0,0 +1,54 @@
+package org.brasspier.bench.policy;
+
+import java.util.Map;
+import java.util.random.RandomGenerator;
+
+import org.brasspier.core.RequestClass;
+
+/**
+ * How many requests are of each class and how long they run. Run times are exponential,
+ * so that one in a hundred takes 4.6 times the mean.
+ *
+ * @param shares the share of requests of each class
+ * @param meanNanos the mean run time of each class
+ */
+record ClassMix(Map<RequestClass, Double> shares, Map<RequestClass, Double> meanNanos) {
+
+	private static final Map<RequestClass, Double> MEANS = Map.of(RequestClass.LOOKUP, 10e6, RequestClass.POSTING, 20e6,
+			RequestClass.INTERNAL, 5e6, RequestClass.AUDIT, 100e6);
+
+	/** A usual day. */
+	static final ClassMix USUAL = new ClassMix(Map.of(RequestClass.LOOKUP, 0.6, RequestClass.POSTING, 0.2,
+			RequestClass.INTERNAL, 0.15, RequestClass.AUDIT, 0.05), MEANS);
+
+	/** A night on which auditors pull long histories while lookups go on. */
+	static final ClassMix LONG_AND_SHORT = new ClassMix(
+			Map.of(RequestClass.LOOKUP, 0.6, RequestClass.POSTING, 0.15, RequestClass.INTERNAL, 0.15,
+					RequestClass.AUDIT, 0.1),
+			Map.of(RequestClass.LOOKUP, 10e6, RequestClass.POSTING, 20e6, RequestClass.INTERNAL, 5e6,
+					RequestClass.AUDIT, 500e6));
+
+	double meanRunNanos() {
+		return this.shares.entrySet().stream().mapToDouble((entry) -> entry.getValue() * mean(entry.getKey())).sum();
+	}
+
+	RequestClass pick(RandomGenerator random) {
+		double lot = random.nextDouble();
+		for (RequestClass requestClass : RequestClass.values()) {
+			lot -= this.shares.getOrDefault(requestClass, 0.0);
+			if (lot < 0) {
+				return requestClass;
+			}
+		}
+		return RequestClass.LOOKUP;
+	}
+
+	long run(RequestClass requestClass, RandomGenerator random) {
+		return Math.max(1000, (long) (mean(requestClass) * random.nextExponential()));
+	}
+
+	private double mean(RequestClass requestClass) {
+		return this.meanNanos.getOrDefault(requestClass, 0.0);
+	}
+
+}
--- /dev/null
+++ b/bench/src/main/java/org/brasspier/bench/policy/Ending.java
@@ -0,0 +1,28 @@
+package org.brasspier.bench.policy;
+
+import org.brasspier.core.Failure;
+
+/**
+ * How an attempt ended at a backend server.
+ */
+sealed interface Ending {
+
+	/**
+	 * It ran and was answered.
+	 *
+	 * @param ranNanos how long it held a slot
+	 */
+	record Answered(long ranNanos) implements Ending {
+
+	}
+
+	/**
+	 * It was refused or cut off.
+	 *
+	 * @param failure what the caller is told
+	 */
+	record Failed(Failure failure) implements Ending {
+
+	}
+
+}
--- a/core/src/main/java/org/brasspier/core/admission/AdmissionController.java
+++ b/core/src/main/java/org/brasspier/core/admission/AdmissionController.java
@@ -163,6 +163,16 @@
 		return all.stream().map((request) -> new RefusedRequest(request.id(), failure)).toList();
 	}
 
+	/**
+	 * How long a request of a class runs, from what was observed; what a refused request
+	 * would have added to its range's load.
+	 * @param requestClass the class
+	 * @return the mean, in nanoseconds
+	 */
+	public long usualRunNanos(RequestClass requestClass) {
+		return (long) this.times.mean(requestClass);
+	}
+
 	/**
 	 * How many requests hold a slot.
 	 * @return at least 0
