Expect waits from how fast each queue moves

Change: each class's queue measures its own pace; an overdue turn counts. What is still refused late was let in and then overtaken.

--- a/core/src/main/java/org/brasspier/core/admission/AdmissionController.java
+++ b/core/src/main/java/org/brasspier/core/admission/AdmissionController.java
@@ -40,6 +40,8 @@
 
 	private final Map<RequestClass, ClassQueue> queues = new EnumMap<>(RequestClass.class);
 
+	private final Map<RequestClass, QueuePace> paces = new EnumMap<>(RequestClass.class);
+
 	private final Map<Long, PendingRequest> waiting = new HashMap<>();
 
 	private final Map<Long, Running> running = new HashMap<>();
@@ -191,7 +193,7 @@
 
 	private AdmissionDecision enqueue(PendingRequest request, long now) {
 		RequestClass requestClass = request.requestClass();
-		double wait = expectedWait(requestClass);
+		double wait = expectedWait(requestClass, now);
 		// Saturation: a request that can't make its deadline only takes a slot from one
 		// that can, so it is told so before it waits.
 		if (now + wait + this.times.mean(requestClass) > request.deadlineNanos()) {
@@ -205,6 +207,9 @@
 			}
 		}
 		this.waiting.put(request.id(), request);
+		if (queue(requestClass).isEmpty()) {
+			pace(requestClass).begunToWait(now);
+		}
 		queue(requestClass).add(request);
 		return new Queued(displaced);
 	}
@@ -230,6 +235,7 @@
 		Optional<PendingRequest> next = turn.flatMap((requestClass) -> queue(requestClass).take());
 		next.ifPresent((request) -> {
 			this.waiting.remove(request.id());
+			pace(request.requestClass()).taken(now);
 			start(request, now);
 			this.turns.taken(request.requestClass(), (other) -> !queue(other).isEmpty());
 		});
@@ -243,17 +249,19 @@
 		this.running.put(request.id(), new Running(request, now, expected));
 	}
 
-	private double expectedWait(RequestClass requestClass) {
+	private double expectedWait(RequestClass requestClass, long now) {
 		double ahead = Arrays.stream(RequestClass.values())
 			.filter((other) -> other.compareTo(requestClass) <= 0)
 			.mapToDouble((other) -> queue(other).size() * this.times.mean(other))
 			.sum();
-		return ahead / this.slots.usable();
+		int own = queue(requestClass).size();
+		double observed = (own > 0) ? pace(requestClass).expectedNanos(own + 1, now) : 0;
+		return Math.max(ahead / this.slots.usable(), observed);
 	}
 
 	private Failure overloaded(String detail, RequestClass requestClass, long now) {
 		double turn = this.times.mean(requestClass) / this.slots.usable();
-		Duration pause = this.retryTimes.next(now, expectedWait(requestClass), turn);
+		Duration pause = this.retryTimes.next(now, expectedWait(requestClass, now), turn);
 		return new Failure(ErrorKind.OVERLOADED, detail, pause);
 	}
 
@@ -261,6 +269,10 @@
 		return this.queues.computeIfAbsent(requestClass, (key) -> new ClassQueue(this.shares));
 	}
 
+	private QueuePace pace(RequestClass requestClass) {
+		return this.paces.computeIfAbsent(requestClass, (key) -> new QueuePace());
+	}
+
 	private record Running(PendingRequest request, long sinceNanos, double chargedNanos) {
 
 	}
