Give up who has waited as long as its class may

Resends come with less time left, so they overtake, and fresh requests waited until just before their deadlines. Change: a waiting request must start by its deadline less its service time or by the longest wait of its class; it is ordered and given up by that. Ruled out: first come first served in each class, which lets a resend that could still make it wait behind fresh ones.

--- a/core/src/main/java/org/brasspier/core/admission/AdmissionController.java
+++ b/core/src/main/java/org/brasspier/core/admission/AdmissionController.java
@@ -42,7 +42,7 @@
 
 	private final Map<RequestClass, QueuePace> paces = new EnumMap<>(RequestClass.class);
 
-	private final Map<Long, PendingRequest> waiting = new HashMap<>();
+	private final Map<Long, Waiting> waiting = new HashMap<>();
 
 	private final Map<Long, Running> running = new HashMap<>();
 
@@ -134,8 +134,8 @@
 	 * @return true if it was waiting and so certainly will not run
 	 */
 	public boolean cancelled(long id) {
-		PendingRequest request = this.waiting.remove(id);
-		return request != null && queue(request.requestClass()).remove(request);
+		Waiting entry = this.waiting.remove(id);
+		return entry != null && queue(entry.request().requestClass()).remove(entry);
 	}
 
 	/**
@@ -160,9 +160,9 @@
 	 * @return the requests given up
 	 */
 	public List<RefusedRequest> refuseWaiting(Failure failure) {
-		List<PendingRequest> all = List.copyOf(this.waiting.values());
-		all.forEach((request) -> cancelled(request.id()));
-		return all.stream().map((request) -> new RefusedRequest(request.id(), failure)).toList();
+		List<Long> all = List.copyOf(this.waiting.keySet());
+		all.forEach(this::cancelled);
+		return all.stream().map((id) -> new RefusedRequest(id, failure)).toList();
 	}
 
 	/**
@@ -206,24 +206,33 @@
 				return new Refuse(overloaded("the queue is full", requestClass, now));
 			}
 		}
-		this.waiting.put(request.id(), request);
 		if (queue(requestClass).isEmpty()) {
 			pace(requestClass).begunToWait(now);
 		}
-		queue(requestClass).add(request);
+		Waiting entry = new Waiting(request, latestStart(request, now));
+		this.waiting.put(request.id(), entry);
+		queue(requestClass).add(entry);
 		return new Queued(displaced);
 	}
 
+	// Who has waited as long as its class may has been overtaken by others; its caller is
+	// told at once instead of shortly before the deadline.
+	private long latestStart(PendingRequest request, long now) {
+		RequestClass requestClass = request.requestClass();
+		long forDeadline = request.deadlineNanos() - (long) (this.times.mean(requestClass) / 2);
+		return Math.min(forDeadline, now + this.settings.of(requestClass).longestWait().toNanos());
+	}
+
 	private List<RefusedRequest> giveUpLate(long now) {
 		List<RefusedRequest> refused = new ArrayList<>();
 		for (RequestClass requestClass : RequestClass.values()) {
-			long latestStart = now + (long) (this.times.mean(requestClass) / 2);
-			queue(requestClass).removeDueBefore(latestStart).forEach((late) -> refused.add(giveUp(late, now)));
+			queue(requestClass).removeLate(now).forEach((late) -> refused.add(giveUp(late, now)));
 		}
 		return refused;
 	}
 
-	private RefusedRequest giveUp(PendingRequest request, long now) {
+	private RefusedRequest giveUp(Waiting entry, long now) {
+		PendingRequest request = entry.request();
 		this.waiting.remove(request.id());
 		return new RefusedRequest(request.id(),
 				overloaded("gave way to what can still be served in time", request.requestClass(), now));
@@ -232,7 +241,8 @@
 	private Optional<PendingRequest> take(long now) {
 		Optional<RequestClass> turn = this.turns
 			.next((requestClass) -> !queue(requestClass).isEmpty() && this.slots.free(requestClass, now));
-		Optional<PendingRequest> next = turn.flatMap((requestClass) -> queue(requestClass).take());
+		Optional<PendingRequest> next = turn.flatMap((requestClass) -> queue(requestClass).take())
+			.map(Waiting::request);
 		next.ifPresent((request) -> {
 			this.waiting.remove(request.id());
 			pace(request.requestClass()).taken(now);
--- a/core/src/main/java/org/brasspier/core/admission/ClassQueue.java
+++ b/core/src/main/java/org/brasspier/core/admission/ClassQueue.java
@@ -13,15 +13,11 @@
 
 /**
  * The waiting requests of one class: callers in turn by the slot time they had, each
- * caller's own requests by deadline. Not thread-safe.
+ * caller's own requests by the time at which they must start. Not thread-safe.
  */
 final class ClassQueue {
 
-	private static final Comparator<PendingRequest> BY_DEADLINE = Comparator
-		.comparingLong(PendingRequest::deadlineNanos)
-		.thenComparingLong(PendingRequest::id);
-
-	private final Map<CallerId, TreeSet<PendingRequest>> waiting = new TreeMap<>();
+	private final Map<CallerId, TreeSet<Waiting>> waiting = new TreeMap<>();
 
 	private final CallerShares shares;
 
@@ -40,31 +36,32 @@
 	}
 
 	int size(CallerId caller) {
-		TreeSet<PendingRequest> own = this.waiting.get(caller);
+		TreeSet<Waiting> own = this.waiting.get(caller);
 		return (own != null) ? own.size() : 0;
 	}
 
-	void add(PendingRequest request) {
-		if (this.waiting.computeIfAbsent(request.caller(), (caller) -> new TreeSet<>(BY_DEADLINE)).add(request)) {
+	void add(Waiting entry) {
+		if (this.waiting.computeIfAbsent(entry.request().caller(), (caller) -> new TreeSet<>(Waiting.BY_LATEST_START))
+			.add(entry)) {
 			this.size++;
 		}
 	}
 
-	boolean remove(PendingRequest request) {
-		TreeSet<PendingRequest> own = this.waiting.get(request.caller());
-		if (own == null || !own.remove(request)) {
+	boolean remove(Waiting entry) {
+		TreeSet<Waiting> own = this.waiting.get(entry.request().caller());
+		if (own == null || !own.remove(entry)) {
 			return false;
 		}
 		if (own.isEmpty()) {
-			this.waiting.remove(request.caller());
+			this.waiting.remove(entry.request().caller());
 		}
 		this.size--;
 		return true;
 	}
 
 	// Takes the next request: of the caller that had the least, the one due first.
-	Optional<PendingRequest> take() {
-		Optional<PendingRequest> next = this.waiting.entrySet()
+	Optional<Waiting> take() {
+		Optional<Waiting> next = this.waiting.entrySet()
 			.stream()
 			.min(Comparator.comparingDouble((entry) -> this.shares.used(entry.getKey())))
 			.map((entry) -> entry.getValue().first());
@@ -74,9 +71,9 @@
 
 	// Makes room for a caller by giving up the request due last of the caller that has
 	// most waiting, if that is at least two more than the newcomer has.
-	Optional<PendingRequest> displaceFor(CallerId newcomer) {
+	Optional<Waiting> displaceFor(CallerId newcomer) {
 		int own = size(newcomer);
-		Optional<PendingRequest> displaced = this.waiting.values()
+		Optional<Waiting> displaced = this.waiting.values()
 			.stream()
 			.max(Comparator.comparingInt(Collection::size))
 			.filter((most) -> most.size() >= own + 2)
@@ -85,17 +82,13 @@
 		return displaced;
 	}
 
-	// Takes out all requests whose deadline lies before the given time.
-	List<PendingRequest> removeDueBefore(long nanos) {
-		List<PendingRequest> due = new ArrayList<>();
-		this.waiting.values().forEach((own) -> own.headSet(dueAt(own, nanos)).forEach(due::add));
-		due.forEach(this::remove);
-		return due;
-	}
-
-	private static PendingRequest dueAt(TreeSet<PendingRequest> own, long nanos) {
-		PendingRequest any = own.first();
-		return new PendingRequest(Long.MIN_VALUE, any.requestClass(), any.caller(), nanos);
+	// Takes out all that had to start by now.
+	List<Waiting> removeLate(long now) {
+		List<Waiting> late = new ArrayList<>();
+		this.waiting.values()
+			.forEach((own) -> own.stream().takeWhile((each) -> each.latestStartNanos() <= now).forEach(late::add));
+		late.forEach(this::remove);
+		return late;
 	}
 
 }
--- /dev/null
+++ b/core/src/main/java/org/brasspier/core/admission/Waiting.java
@@ -0,0 +1,18 @@
+package org.brasspier.core.admission;
+
+import java.util.Comparator;
+
+/**
+ * A request that waits. Immutable.
+ *
+ * @param request the request
+ * @param latestStartNanos when it is given up: its deadline less the time that it needs,
+ * or the longest wait of its class, whichever is first
+ */
+record Waiting(PendingRequest request, long latestStartNanos) {
+
+	/** Who must start first is first. */
+	static final Comparator<Waiting> BY_LATEST_START = Comparator.comparingLong(Waiting::latestStartNanos)
+		.thenComparingLong((waiting) -> waiting.request().id());
+
+}
