--- a/core/src/main/java/org/brasspier/core/admission/AdmissionController.java
+++ b/core/src/main/java/org/brasspier/core/admission/AdmissionController.java
@@ -99,7 +99,7 @@
 		}
 		long took = now - ended.sinceNanos();
 		RequestClass requestClass = ended.request().requestClass();
-		this.slots.release(requestClass);
+		this.slots.release(requestClass, now);
 		this.shares.charge(ended.request().caller(), took - ended.chargedNanos());
 		switch (outcome) {
 			case ANSWERED -> this.times.observe(requestClass, took);
@@ -254,7 +254,7 @@
 
 	private void start(PendingRequest request, long now) {
 		double expected = this.times.mean(request.requestClass());
-		this.slots.take(request.requestClass());
+		this.slots.take(request.requestClass(), now);
 		this.shares.charge(request.caller(), expected);
 		this.running.put(request.id(), new Running(request, now, expected));
 	}
--- a/core/src/main/java/org/brasspier/core/admission/SlotRules.java
+++ b/core/src/main/java/org/brasspier/core/admission/SlotRules.java
@@ -19,12 +19,6 @@
 	 */
 	private static final int INTERNAL_ONE_IN = 8;
 
-	/**
-	 * Audit reads use at most a third of the slots while others come: they are long, so a
-	 * lookup that arrives must not find all slots taken by them.
-	 */
-	private static final int AUDIT_ONE_IN = 3;
-
 	/**
 	 * How long after the last request of a class its slots are kept from others. A server
 	 * that has no internal calls, or only audit reads, uses all its slots for what comes.
@@ -35,6 +29,8 @@
 
 	private final Map<RequestClass, Long> lastSeen = new EnumMap<>(RequestClass.class);
 
+	private final SlotDemand shortWork = new SlotDemand();
+
 	private AdmissionLimits limits;
 
 	SlotRules(AdmissionLimits limits) {
@@ -49,12 +45,22 @@
 		this.lastSeen.put(requestClass, now);
 	}
 
-	void take(RequestClass requestClass) {
+	void take(RequestClass requestClass, long now) {
 		this.taken.merge(requestClass, 1, Integer::sum);
+		if (isShort(requestClass)) {
+			this.shortWork.change(1, now);
+		}
 	}
 
-	void release(RequestClass requestClass) {
+	void release(RequestClass requestClass, long now) {
 		this.taken.merge(requestClass, -1, Integer::sum);
+		if (isShort(requestClass)) {
+			this.shortWork.change(-1, now);
+		}
+	}
+
+	private static boolean isShort(RequestClass requestClass) {
+		return requestClass == RequestClass.LOOKUP || requestClass == RequestClass.POSTING;
 	}
 
 	int usable() {
@@ -79,9 +85,15 @@
 		return reserve ? all - Math.max(1, all / INTERNAL_ONE_IN) : all;
 	}
 
+	// Long and short work mixed: a lookup that comes must not find all slots taken by
+	// long
+	// audit reads. Half of what the short work uses on average stays free of them: what
+	// waits goes before them, so that many slots that turn over soon are enough, and more
+	// would rest while audit readers wait. One slot is always the auditors', one the
+	// others'.
 	private boolean auditFree(int all, long now) {
-		boolean others = recent(RequestClass.LOOKUP, now) || recent(RequestClass.POSTING, now);
-		return !others || used(RequestClass.AUDIT) < Math.max(1, all / AUDIT_ONE_IN);
+		int kept = (int) Math.max(1, Math.round(this.shortWork.mean(now) / 2));
+		return used(RequestClass.AUDIT) < Math.max(1, outerSlots(all, now) - kept);
 	}
 
 	private boolean recent(RequestClass requestClass, long now) {
