Let brief audit reads use the slots kept for internal calls

Ruled out: lending them to lookups while slots turn over (a circle can still close within the few ms before its calls are made), and taking them back by cancelling (what was cancelled may have run). Change: audit reads of up to 200 ms may use them. They call nobody, so they end by themselves, and a circle waits for a brief read at most.

--- a/core/src/main/java/org/brasspier/core/admission/AdmissionController.java
+++ b/core/src/main/java/org/brasspier/core/admission/AdmissionController.java
@@ -59,7 +59,7 @@
 		this.settings = settings;
 		this.times = new ServiceTimes(settings);
 		this.turns = new ClassTurns(settings, this.times);
-		this.slots = new SlotRules(limits);
+		this.slots = new SlotRules(limits, this.times);
 		Arrays.stream(RequestClass.values())
 			.forEach((requestClass) -> this.queues.put(requestClass, new ClassQueue(this.shares)));
 	}
--- a/core/src/main/java/org/brasspier/core/admission/SlotRules.java
+++ b/core/src/main/java/org/brasspier/core/admission/SlotRules.java
@@ -25,16 +25,22 @@
 	 */
 	private static final long KEPT_NANOS = Duration.ofMinutes(10).toNanos();
 
+	/** An audit read of up to this length may use a slot kept for internal calls. */
+	private static final long BRIEF_NANOS = Duration.ofMillis(200).toNanos();
+
 	private final Map<RequestClass, Integer> taken = new EnumMap<>(RequestClass.class);
 
 	private final Map<RequestClass, Long> lastSeen = new EnumMap<>(RequestClass.class);
 
 	private final SlotDemand shortWork = new SlotDemand();
 
+	private final ServiceTimes times;
+
 	private AdmissionLimits limits;
 
-	SlotRules(AdmissionLimits limits) {
+	SlotRules(AdmissionLimits limits, ServiceTimes times) {
 		this.limits = limits;
+		this.times = times;
 	}
 
 	void limits(AdmissionLimits announced) {
@@ -68,21 +74,25 @@
 	}
 
 	boolean free(RequestClass requestClass, long now) {
-		int all = usable();
 		int total = this.taken.values().stream().mapToInt(Integer::intValue).sum();
-		if (total >= all) {
+		if (total >= usable()) {
 			return false;
 		}
-		if (requestClass == RequestClass.INTERNAL) {
-			return true;
-		}
-		int outer = total - used(RequestClass.INTERNAL);
-		return outer < outerSlots(all, now) && (requestClass != RequestClass.AUDIT || auditFree(all, now));
+		return switch (requestClass) {
+			case INTERNAL -> true;
+			case LOOKUP, POSTING -> mayWait() < usable() - kept(now);
+			case AUDIT -> auditFree(now);
+		};
+	}
+
+	// The outer calls that may be waiting for an internal call.
+	private int mayWait() {
+		return used(RequestClass.LOOKUP) + used(RequestClass.POSTING);
 	}
 
-	private int outerSlots(int all, long now) {
-		boolean reserve = all > 1 && recent(RequestClass.INTERNAL, now);
-		return reserve ? all - Math.max(1, all / INTERNAL_ONE_IN) : all;
+	private int kept(long now) {
+		boolean keep = usable() > 1 && recent(RequestClass.INTERNAL, now);
+		return keep ? Math.max(1, usable() / INTERNAL_ONE_IN) : 0;
 	}
 
 	// Long and short work mixed: a lookup that comes must not find all slots taken by
@@ -90,10 +100,13 @@
 	// audit reads. Half of what the short work uses on average stays free of them: what
 	// waits goes before them, so that many slots that turn over soon are enough, and more
 	// would rest while audit readers wait. One slot is always the auditors', one the
-	// others'.
-	private boolean auditFree(int all, long now) {
-		int kept = (int) Math.max(1, Math.round(this.shortWork.mean(now) / 2));
-		return used(RequestClass.AUDIT) < Math.max(1, outerSlots(all, now) - kept);
+	// others'. Brief audit reads may use slots kept for internal calls: they call nobody,
+	// so they end by themselves, and what a circle waits for is a brief read at most.
+	private boolean auditFree(long now) {
+		boolean brief = this.times.mean(RequestClass.AUDIT) <= BRIEF_NANOS;
+		int open = usable() - (brief ? 0 : kept(now));
+		int others = (int) Math.max(1, Math.round(this.shortWork.mean(now) / 2));
+		return mayWait() + used(RequestClass.AUDIT) < open && used(RequestClass.AUDIT) < Math.max(1, open - others);
 	}
 
 	private boolean recent(RequestClass requestClass, long now) {
