--- a/core/src/main/java/org/brasspier/core/admission/AdmissionController.java
+++ b/core/src/main/java/org/brasspier/core/admission/AdmissionController.java
@@ -200,7 +200,7 @@
 			return new Refuse(overloaded("the deadline can't be met", requestClass, now));
 		}
 		Optional<RefusedRequest> displaced = Optional.empty();
-		if (wait > this.settings.of(requestClass).longestWait().toNanos()) {
+		if (wait > this.settings.of(requestClass).letInWait().toNanos()) {
 			displaced = queue(requestClass).displaceFor(request.caller()).map((other) -> giveUp(other, now));
 			if (displaced.isEmpty()) {
 				return new Refuse(overloaded("the queue is full", requestClass, now));
--- a/core/src/main/java/org/brasspier/core/admission/AdmissionSettings.java
+++ b/core/src/main/java/org/brasspier/core/admission/AdmissionSettings.java
@@ -19,11 +19,14 @@
 	 * short burst; a posting may wait a little; an audit reader can wait. Shares: what a
 	 * class is sure of when a class before it could use everything.
 	 */
-	public static final AdmissionSettings DEFAULT = new AdmissionSettings(
-			Map.of(RequestClass.INTERNAL, new ClassRules(Duration.ofMillis(100), 1.0, Duration.ofMillis(5)),
-					RequestClass.LOOKUP, new ClassRules(Duration.ofMillis(100), 0.5, Duration.ofMillis(10)),
-					RequestClass.POSTING, new ClassRules(Duration.ofMillis(500), 0.2, Duration.ofMillis(20)),
-					RequestClass.AUDIT, new ClassRules(Duration.ofSeconds(2), 0.05, Duration.ofMillis(200))));
+	public static final AdmissionSettings DEFAULT = new AdmissionSettings(Map.of(RequestClass.INTERNAL,
+			new ClassRules(Duration.ofMillis(100), Duration.ofMillis(100), 1.0, Duration.ofMillis(5)),
+			RequestClass.LOOKUP,
+			new ClassRules(Duration.ofMillis(100), Duration.ofMillis(100), 0.5, Duration.ofMillis(10)),
+			RequestClass.POSTING,
+			new ClassRules(Duration.ofMillis(250), Duration.ofMillis(500), 0.2, Duration.ofMillis(20)),
+			RequestClass.AUDIT,
+			new ClassRules(Duration.ofSeconds(1), Duration.ofSeconds(2), 0.05, Duration.ofMillis(200))));
 
 	/**
 	 * Copies the map.
@@ -54,22 +57,25 @@
 	/**
 	 * The rules of one class.
 	 *
-	 * @param longestWait the expected wait beyond which a new request is refused at once
+	 * @param letInWait the expected wait beyond which a new request is refused at once
+	 * @param longestWait how long one that was let in may wait until it is given up;
+	 * longer than the expected wait, which errs most for classes that others go before
 	 * @param sureShare the share of slot time that the class gets even if a class before
 	 * it asks for more than there is
 	 * @param firstGuess the service time assumed before any was observed
 	 */
-	public record ClassRules(Duration longestWait, double sureShare, Duration firstGuess) {
+	public record ClassRules(Duration letInWait, Duration longestWait, double sureShare, Duration firstGuess) {
 
 		/**
 		 * Checks the rules.
 		 * @throws IllegalArgumentException if one is out of its range
 		 */
 		public ClassRules {
-			if (!longestWait.isPositive() || !firstGuess.isPositive() || sureShare < 0 || sureShare > 1) {
+			if (!letInWait.isPositive() || longestWait.compareTo(letInWait) < 0 || !firstGuess.isPositive()
+					|| sureShare < 0 || sureShare > 1) {
 				throw new IllegalArgumentException(
-						"longestWait %s and firstGuess %s must be positive, sureShare %s from 0 to 1"
-							.formatted(longestWait, firstGuess, sureShare));
+						"letInWait %s and firstGuess %s must be positive, longestWait %s no shorter, sureShare %s from 0 to 1"
+							.formatted(letInWait, firstGuess, longestWait, sureShare));
 			}
 		}
 
