Move nothing to a member that is itself full

Change: no shift to a member busier than 85% of its slots. What is left in the mixed load comes from runs of half a second on six slots; knowing their spread would need another input.

--- a/core/src/main/java/org/brasspier/core/placement/LoadShift.java
+++ b/core/src/main/java/org/brasspier/core/placement/LoadShift.java
@@ -57,6 +57,9 @@
 	private boolean shift(boolean large) {
 		Seat donor = this.board.seats().stream().max(Comparator.comparingDouble(Seat::utilization)).orElseThrow();
 		Seat receiver = this.board.seats().stream().min(this.board.emptiestWith(0)).orElseThrow();
+		if (receiver.utilization() > PlacementRules.FULL) {
+			return false;
+		}
 		double mean = this.board.meanUtilization();
 		double surplus = donor.load() - mean * donor.capacity();
 		double room = mean * receiver.capacity() - receiver.load();
--- a/core/src/main/java/org/brasspier/core/placement/PlacementRules.java
+++ b/core/src/main/java/org/brasspier/core/placement/PlacementRules.java
@@ -46,6 +46,13 @@
 	/** A piece of less than this share of the space costs next to no warm state. */
 	static final double SMALL_SHARE = 0.001;
 
+	/**
+	 * A member that is busier than this takes nothing over: when all are full, a move
+	 * only takes the queue elsewhere and costs warm state when there is least time for
+	 * it.
+	 */
+	static final double FULL = 0.85;
+
 	private static final double BASE_TRIGGER = 0.10;
 
 	private static final double LOWEST_TRIGGER = 0.06;
