Keep long runs in the comparison of throughputs

Cause: the new test of an overstated server failed: run times cut at four times the usual made a full server look quicker than it is. Change: cut at twenty.

--- a/bench/src/test/java/org/brasspier/bench/policy/PolicyLoadTests.java
+++ b/bench/src/test/java/org/brasspier/bench/policy/PolicyLoadTests.java
@@ -36,9 +36,9 @@
 	@ParameterizedTest
 	@MethodSource("deployments")
 	void answeredLookupsAtSaturationTakeThreeTimesTheUnloadedTimeAtMost(Deployment deployment) {
-		double unloaded = run(deployment, "unloaded").policy().lookupP99Millis();
-		assertThat(run(deployment, "saturation-x1.5").policy().lookupP99Millis()).isAtMost(3 * unloaded);
-		assertThat(run(deployment, "saturation-x3").policy().lookupP99Millis()).isAtMost(3 * unloaded);
+		double unloaded = policy(deployment, Load.named("unloaded")).lookupP99Millis();
+		assertThat(policy(deployment, Load.named("saturation-x1.5")).lookupP99Millis()).isAtMost(3 * unloaded);
+		assertThat(policy(deployment, Load.named("saturation-x3")).lookupP99Millis()).isAtMost(3 * unloaded);
 	}
 
 	/**
@@ -48,10 +48,10 @@
 	@ParameterizedTest
 	@MethodSource("deployments")
 	void longAuditReadsNeitherBlockLookupsNorStarve(Deployment deployment) {
-		double unloaded = run(deployment, "unloaded").policy().lookupP99Millis();
-		Comparison mixed = run(deployment, "long-and-short");
-		assertThat(mixed.policy().lookupP99Millis()).isAtMost(1.5 * unloaded);
-		assertThat(mixed.policy().goodput()).isAtLeast(0.88);
+		double unloaded = policy(deployment, Load.named("unloaded")).lookupP99Millis();
+		Figures mixed = policy(deployment, Load.named("long-and-short"));
+		assertThat(mixed.lookupP99Millis()).isAtMost(1.5 * unloaded);
+		assertThat(mixed.goodput()).isAtLeast(0.88);
 	}
 
 	/**
@@ -64,15 +64,15 @@
 		Load slow = Load.named("slow-server-x5");
 		Load well = new Load("well", true, slow.seconds(), slow.settleSeconds(), slow.level(), slow.classes(),
 				slow.keys(), Load.Trouble.NONE);
-		double usual = Comparison.run(deployment, well, SEED).policy().elsewhereP99Millis();
-		assertThat(Comparison.run(deployment, slow, SEED).policy().elsewhereP99Millis()).isAtMost(1.2 * usual);
+		double usual = policy(deployment, well).elsewhereP99Millis();
+		assertThat(policy(deployment, slow).elsewhereP99Millis()).isAtMost(1.2 * usual);
 	}
 
 	@ParameterizedTest
 	@MethodSource("deployments")
 	void loadStaysEvenUnderSkewedDemand(Deployment deployment) {
-		assertThat(run(deployment, "zipf-1.2").policy().imbalance()).isAtMost(1.15);
-		assertThat(run(deployment, "hot-keys-change").policy().imbalance()).isAtMost(1.15);
+		assertThat(policy(deployment, Load.named("zipf-1.2")).imbalance()).isAtMost(1.15);
+		assertThat(policy(deployment, Load.named("hot-keys-change")).imbalance()).isAtMost(1.15);
 	}
 
 	@ParameterizedTest
@@ -86,7 +86,7 @@
 	@ParameterizedTest
 	@MethodSource("deployments")
 	void aLostFailureDomainMovesWhatItOwnedAndLittleMore(Deployment deployment) {
-		Figures policy = run(deployment, "domain-lost").policy();
+		Figures policy = policy(deployment, Load.named("domain-lost"));
 		double moved = policy.lossChurn() + policy.balanceChurnHourly() * 180 / 3600;
 		assertThat(moved).isAtMost(1.1 / deployment.servers());
 	}
@@ -104,6 +104,10 @@
 		assertThat(stall.naive().recoveryMillis()).isEqualTo(-1);
 	}
 
+	private static Figures policy(Deployment deployment, Load load) {
+		return Run.policy(deployment, load, load.record(deployment, SEED));
+	}
+
 	private static Comparison run(Deployment deployment, String load) {
 		return Comparison.run(deployment, Load.named(load), SEED);
 	}
--- a/core/src/main/java/org/brasspier/core/admission/ConcurrencyLimit.java
+++ b/core/src/main/java/org/brasspier/core/admission/ConcurrencyLimit.java
@@ -27,8 +27,11 @@
 	/** How often the limit is worked out, in observations. */
 	private static final int EVERY = 50;
 
-	/** A run that a stall made hundreds of times longer counts as this many times. */
-	private static final double LONGEST_RELATIVE = 4;
+	/**
+	 * A run that a stall made hundreds of times longer counts as this many times; a lower
+	 * bound would cut the long runs that a full server is known by.
+	 */
+	private static final double LONGEST_RELATIVE = 20;
 
 	/**
 	 * Requests beyond the limit must have been slower by this factor; chance alone makes
