--- a/core/src/main/java/org/brasspier/core/event/EventKind.java
+++ b/core/src/main/java/org/brasspier/core/event/EventKind.java
@@ -33,6 +33,27 @@
 	/** A range was given up by this instance. */
 	RANGE_RELEASED(203),
 
+	/** The lease managers of the cell have changed. */
+	EPOCH_CHANGED(204),
+
+	/** A lease manager has heard nothing of a member for too long. */
+	MEMBER_SUSPECTED(205),
+
+	/** A member is lost: its ranges go to others. */
+	MEMBER_LOST(206),
+
+	/** A lease manager has heard nothing of the other one for too long. */
+	MANAGER_SUSPECTED(207),
+
+	/** A member that hears no lease manager tries to become one. */
+	TAKEOVER_TRIED(208),
+
+	/** A write of the row has an unknown outcome and is being settled. */
+	WRITE_UNKNOWN(209),
+
+	/** The cell's row is damaged or newer than this build; it's left alone. */
+	ROW_REFUSED(210),
+
 	/** A request was refused before it reached a backend server. */
 	REQUEST_REFUSED(300),
 
@@ -48,6 +69,24 @@
 	/** A caller sent something malformed. */
 	BAD_CALLER_INPUT(304),
 
+	/** A request may have run, but no answer of it came. */
+	REQUEST_UNKNOWN(305),
+
+	/** A caller went away before its request was answered. */
+	REQUEST_CANCELLED(306),
+
+	/** A posting was sent again and not run again. */
+	REQUEST_REPEATED(307),
+
+	/** A request was in flight when its backend server was lost. */
+	REQUEST_SUSPECT(308),
+
+	/** A request is kept away from backend servers, since it crashed some. */
+	REQUEST_KEPT_AWAY(309),
+
+	/** A connection gave no answer in time, and the request was sent on a new one. */
+	CONNECTION_REPLACED(310),
+
 	/** A document was submitted and accepted through this daemon. */
 	DOCUMENT_ACCEPTED(400),
 
@@ -90,6 +129,9 @@
 	/** A peer failed to prove the shared key or sent something malformed. */
 	PEER_REFUSED(601),
 
+	/** A connection to a peer broke or went silent. */
+	PEER_LOST(602),
+
 	/** The platform's store answers again. */
 	STORE_REACHED(700),
 
--- /dev/null
+++ b/core/src/main/java/org/brasspier/core/ownership/Timers.java
@@ -0,0 +1,134 @@
+package org.brasspier.core.ownership;
+
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+
+import io.vavr.collection.SortedMap;
+import io.vavr.collection.TreeMap;
+import org.brasspier.core.InstanceId;
+
+/**
+ * When what is done repeatedly was done last. Not thread-safe.
+ */
+final class Timers {
+
+	private static final long BALANCE_MILLIS = 1000;
+
+	private final Map<Kind, Long> last = new EnumMap<>(Kind.class);
+
+	private SortedMap<InstanceId, Long> pushedAt = TreeMap.empty();
+
+	private boolean leaseRan;
+
+	/** Whose turn the next heartbeat is; 0 for all. */
+	private int turn;
+
+	Timers copy() {
+		Timers copy = new Timers();
+		copy.last.putAll(this.last);
+		copy.pushedAt = this.pushedAt;
+		copy.leaseRan = this.leaseRan;
+		copy.turn = this.turn;
+		return copy;
+	}
+
+	List<Object> state() {
+		return List.of(Map.copyOf(this.last), this.pushedAt, this.leaseRan, this.turn);
+	}
+
+	private boolean due(Kind kind, long now, long every) {
+		Long before = this.last.get(kind);
+		if (before != null && now - before < every) {
+			return false;
+		}
+		this.last.put(kind, now);
+		return true;
+	}
+
+	boolean readDue(long now, long every) {
+		return due(Kind.READ, now, every);
+	}
+
+	boolean heartbeatDue(long now, long every) {
+		return due(Kind.HEARTBEAT, now, every);
+	}
+
+	/**
+	 * Whom the next heartbeat goes to: the lease managers in turn, since one renewal each
+	 * 150 ms is enough and a manager's traffic is what bounds the size of a cell; all of
+	 * them after a change, since they must learn soon what this member has acknowledged.
+	 * @param renewers who may renew this member
+	 * @return one of them, or all
+	 */
+	List<MemberKey> heartbeatTurn(List<MemberKey> renewers) {
+		if (this.turn == 0 || renewers.isEmpty()) {
+			this.turn = 1;
+			return renewers;
+		}
+		MemberKey next = renewers.get(this.turn % renewers.size());
+		this.turn = this.turn % 2 + 1;
+		return List.of(next);
+	}
+
+	boolean announceDue(long now, long every) {
+		return due(Kind.ANNOUNCE, now, every);
+	}
+
+	boolean releasedDue(long now, long every) {
+		return due(Kind.RELEASED, now, every);
+	}
+
+	boolean beatDue(long now, long every) {
+		return due(Kind.BEAT, now, every);
+	}
+
+	boolean releaseDue(long now, long every) {
+		return due(Kind.RELEASE, now, every);
+	}
+
+	boolean probeDue(long now, long every) {
+		return due(Kind.PROBE, now, every);
+	}
+
+	boolean epochDue(long now, long every) {
+		return due(Kind.EPOCH, now, every);
+	}
+
+	boolean takeoverDue(long now, long every) {
+		return due(Kind.TAKEOVER, now, every);
+	}
+
+	boolean balanceDue(long now) {
+		return due(Kind.BALANCE, now, BALANCE_MILLIS);
+	}
+
+	boolean pushDue(InstanceId to, long now, long every) {
+		boolean due = this.pushedAt.get(to).filter((before) -> now - before < every).isEmpty();
+		if (due) {
+			this.pushedAt = this.pushedAt.put(to, now);
+		}
+		return due;
+	}
+
+	void rowChanged() {
+		this.last.remove(Kind.BALANCE);
+		this.last.remove(Kind.HEARTBEAT);
+		this.turn = 0;
+	}
+
+	boolean leaseRan() {
+		return this.leaseRan;
+	}
+
+	void leaseRuns(boolean runs) {
+		this.leaseRan = runs;
+	}
+
+	private enum Kind {
+
+		READ, HEARTBEAT, ANNOUNCE, RELEASED, BEAT, RELEASE, PROBE, EPOCH, TAKEOVER, BALANCE
+
+	}
+
+}
--- a/daemon/src/main/java/org/brasspier/daemon/internal/Daemon.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/Daemon.java
@@ -7,6 +7,7 @@
 import com.codahale.metrics.MetricRegistry;
 import org.brasspier.core.event.EventKind;
 import org.brasspier.daemon.internal.event.EventLog;
+import org.brasspier.daemon.internal.operator.OperatorsDuty;
 import org.brasspier.daemon.internal.ownership.OwnershipDuty;
 import org.brasspier.daemon.internal.request.RequestsDuty;
 import org.brasspier.daemon.internal.settings.Settings;
@@ -24,6 +25,8 @@
 
 	private final RequestsDuty requests;
 
+	private final OperatorsDuty operators;
+
 	/**
 	 * Creates a daemon that does not listen yet.
 	 * @param settings the checked settings
@@ -31,7 +34,12 @@
 	public Daemon(Settings settings) {
 		this.context = new DaemonContext(settings, new EventLog(KEPT_EVENTS), new MetricRegistry());
 		this.ownership = new OwnershipDuty(this.context);
-		this.requests = new RequestsDuty(this.context, this.ownership::snapshot);
+		this.requests = new RequestsDuty(this.context, new RequestsDuty.Known(this.ownership::snapshot,
+				this.ownership::view, this.context.documents()::catalog));
+		this.requests.joinOwnership(this.ownership.joinRequests(this.requests.orders()));
+		this.operators = new OperatorsDuty(this.context, this.ownership::snapshot, this.ownership::view,
+				this.ownership.orders());
+		this.ownership.joinDocuments(this.operators);
 	}
 
 	/**
@@ -40,6 +48,7 @@
 	 */
 	public void start() throws IOException {
 		this.context.events().start();
+		this.operators.start();
 		this.requests.start();
 		this.ownership.start();
 		this.context.events()
@@ -54,11 +63,16 @@
 	public void leave() {
 		this.context.events().record(EventKind.DAEMON_STOPPING, this.context.settings().instance(), "");
 		CountDownLatch left = new CountDownLatch(1);
+		long maxMillis = this.context.settings().limits().maxLeaveMillis();
+		long begunNanos = System.nanoTime();
+		this.requests.leave();
 		this.ownership.leave(left::countDown);
 		try {
-			boolean clean = left.await(this.context.settings().limits().maxLeaveMillis(), TimeUnit.MILLISECONDS);
-			this.requests.stop();
+			boolean clean = left.await(maxMillis, TimeUnit.MILLISECONDS);
+			long spentMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - begunNanos);
+			this.requests.stop(Math.max(1, maxMillis - spentMillis));
 			this.ownership.stop();
+			this.operators.stop();
 			this.context.events()
 				.record(EventKind.DAEMON_STOPPED, this.context.settings().instance(),
 						(clean) ? "nothing in flight" : "the time to leave ran out");
