--- a/core/src/main/java/org/brasspier/core/admission/AdmissionController.java
+++ b/core/src/main/java/org/brasspier/core/admission/AdmissionController.java
@@ -40,7 +40,9 @@
 
 	private final Map<RequestClass, ClassQueue> queues = new EnumMap<>(RequestClass.class);
 
-	private final Map<Long, PendingRequest> waiting = new HashMap<>();
+	private final Map<RequestClass, QueuePace> paces = new EnumMap<>(RequestClass.class);
+
+	private final Map<Long, Waiting> waiting = new HashMap<>();
 
 	private final Map<Long, Running> running = new HashMap<>();
 
@@ -57,7 +59,7 @@
 		this.settings = settings;
 		this.times = new ServiceTimes(settings);
 		this.turns = new ClassTurns(settings, this.times);
-		this.slots = new SlotRules(limits);
+		this.slots = new SlotRules(limits, this.times);
 		Arrays.stream(RequestClass.values())
 			.forEach((requestClass) -> this.queues.put(requestClass, new ClassQueue(this.shares)));
 	}
@@ -97,14 +99,9 @@
 		}
 		long took = now - ended.sinceNanos();
 		RequestClass requestClass = ended.request().requestClass();
-		this.slots.release(requestClass);
+		this.slots.release(requestClass, now);
 		this.shares.charge(ended.request().caller(), took - ended.chargedNanos());
-		switch (outcome) {
-			case ANSWERED -> this.times.observe(requestClass, took);
-			case BROKEN -> this.times.observeAtLeast(requestClass, took);
-			case SHED -> {
-			}
-		}
+		learn(ended, outcome, took);
 		return expired(now);
 	}
 
@@ -132,8 +129,8 @@
 	 * @return true if it was waiting and so certainly will not run
 	 */
 	public boolean cancelled(long id) {
-		PendingRequest request = this.waiting.remove(id);
-		return request != null && queue(request.requestClass()).remove(request);
+		Waiting entry = this.waiting.remove(id);
+		return entry != null && queue(entry.request().requestClass()).remove(entry);
 	}
 
 	/**
@@ -158,9 +155,19 @@
 	 * @return the requests given up
 	 */
 	public List<RefusedRequest> refuseWaiting(Failure failure) {
-		List<PendingRequest> all = List.copyOf(this.waiting.values());
-		all.forEach((request) -> cancelled(request.id()));
-		return all.stream().map((request) -> new RefusedRequest(request.id(), failure)).toList();
+		List<Long> all = List.copyOf(this.waiting.keySet());
+		all.forEach(this::cancelled);
+		return all.stream().map((id) -> new RefusedRequest(id, failure)).toList();
+	}
+
+	/**
+	 * How long a request of a class runs, from what was observed; what a refused request
+	 * would have added to its range's load.
+	 * @param requestClass the class
+	 * @return the mean, in nanoseconds
+	 */
+	public long usualRunNanos(RequestClass requestClass) {
+		return (long) this.times.mean(requestClass);
 	}
 
 	/**
@@ -179,36 +186,60 @@
 		return this.waiting.size();
 	}
 
+	private void learn(Running ended, RunOutcome outcome, long took) {
+		RequestClass requestClass = ended.request().requestClass();
+		switch (outcome) {
+			case ANSWERED -> {
+				this.slots.observed().observe(ended.concurrency(), took / Math.max(1, this.times.mean(requestClass)));
+				this.times.observe(requestClass, took);
+			}
+			case BROKEN -> this.times.observeAtLeast(requestClass, took);
+			case SHED -> this.slots.observed().shed(ended.concurrency());
+		}
+	}
+
 	private AdmissionDecision enqueue(PendingRequest request, long now) {
 		RequestClass requestClass = request.requestClass();
-		double wait = expectedWait(requestClass);
+		double wait = expectedWait(requestClass, now);
 		// Saturation: a request that can't make its deadline only takes a slot from one
 		// that can, so it is told so before it waits.
 		if (now + wait + this.times.mean(requestClass) > request.deadlineNanos()) {
 			return new Refuse(overloaded("the deadline can't be met", requestClass, now));
 		}
 		Optional<RefusedRequest> displaced = Optional.empty();
-		if (wait > this.settings.of(requestClass).longestWait().toNanos()) {
+		if (wait > this.settings.of(requestClass).letInWait().toNanos()) {
 			displaced = queue(requestClass).displaceFor(request.caller()).map((other) -> giveUp(other, now));
 			if (displaced.isEmpty()) {
 				return new Refuse(overloaded("the queue is full", requestClass, now));
 			}
 		}
-		this.waiting.put(request.id(), request);
-		queue(requestClass).add(request);
+		if (queue(requestClass).isEmpty()) {
+			pace(requestClass).begunToWait(now);
+		}
+		Waiting entry = new Waiting(request, latestStart(request, now));
+		this.waiting.put(request.id(), entry);
+		queue(requestClass).add(entry);
 		return new Queued(displaced);
 	}
 
+	// Who has waited as long as its class may has been overtaken by others; its caller is
+	// told at once instead of shortly before the deadline.
+	private long latestStart(PendingRequest request, long now) {
+		RequestClass requestClass = request.requestClass();
+		long forDeadline = request.deadlineNanos() - (long) (this.times.mean(requestClass) / 2);
+		return Math.min(forDeadline, now + this.settings.of(requestClass).longestWait().toNanos());
+	}
+
 	private List<RefusedRequest> giveUpLate(long now) {
 		List<RefusedRequest> refused = new ArrayList<>();
 		for (RequestClass requestClass : RequestClass.values()) {
-			long latestStart = now + (long) (this.times.mean(requestClass) / 2);
-			queue(requestClass).removeDueBefore(latestStart).forEach((late) -> refused.add(giveUp(late, now)));
+			queue(requestClass).removeLate(now).forEach((late) -> refused.add(giveUp(late, now)));
 		}
 		return refused;
 	}
 
-	private RefusedRequest giveUp(PendingRequest request, long now) {
+	private RefusedRequest giveUp(Waiting entry, long now) {
+		PendingRequest request = entry.request();
 		this.waiting.remove(request.id());
 		return new RefusedRequest(request.id(),
 				overloaded("gave way to what can still be served in time", request.requestClass(), now));
@@ -217,9 +248,11 @@
 	private Optional<PendingRequest> take(long now) {
 		Optional<RequestClass> turn = this.turns
 			.next((requestClass) -> !queue(requestClass).isEmpty() && this.slots.free(requestClass, now));
-		Optional<PendingRequest> next = turn.flatMap((requestClass) -> queue(requestClass).take());
+		Optional<PendingRequest> next = turn.flatMap((requestClass) -> queue(requestClass).take())
+			.map(Waiting::request);
 		next.ifPresent((request) -> {
 			this.waiting.remove(request.id());
+			pace(request.requestClass()).taken(now);
 			start(request, now);
 			this.turns.taken(request.requestClass(), (other) -> !queue(other).isEmpty());
 		});
@@ -228,22 +261,24 @@
 
 	private void start(PendingRequest request, long now) {
 		double expected = this.times.mean(request.requestClass());
-		this.slots.take(request.requestClass());
+		this.slots.take(request.requestClass(), now);
 		this.shares.charge(request.caller(), expected);
-		this.running.put(request.id(), new Running(request, now, expected));
+		this.running.put(request.id(), new Running(request, now, expected, this.running.size() + 1));
 	}
 
-	private double expectedWait(RequestClass requestClass) {
+	private double expectedWait(RequestClass requestClass, long now) {
 		double ahead = Arrays.stream(RequestClass.values())
 			.filter((other) -> other.compareTo(requestClass) <= 0)
 			.mapToDouble((other) -> queue(other).size() * this.times.mean(other))
 			.sum();
-		return ahead / this.slots.usable();
+		int own = queue(requestClass).size();
+		double observed = (own > 0) ? pace(requestClass).expectedNanos(own + 1, now) : 0;
+		return Math.max(ahead / this.slots.usable(), observed);
 	}
 
 	private Failure overloaded(String detail, RequestClass requestClass, long now) {
 		double turn = this.times.mean(requestClass) / this.slots.usable();
-		Duration pause = this.retryTimes.next(now, expectedWait(requestClass), turn);
+		Duration pause = this.retryTimes.next(now, expectedWait(requestClass, now), turn);
 		return new Failure(ErrorKind.OVERLOADED, detail, pause);
 	}
 
@@ -251,7 +286,11 @@
 		return this.queues.computeIfAbsent(requestClass, (key) -> new ClassQueue(this.shares));
 	}
 
-	private record Running(PendingRequest request, long sinceNanos, double chargedNanos) {
+	private QueuePace pace(RequestClass requestClass) {
+		return this.paces.computeIfAbsent(requestClass, (key) -> new QueuePace());
+	}
+
+	private record Running(PendingRequest request, long sinceNanos, double chargedNanos, int concurrency) {
 
 	}
 
