Wait for the guard that the document sets, and split the state machine

Cause: requests bound an order's deadline by the lease's end plus the service's guard from the configuration document, while ranges moved after a fixed 200 ms: with a guard of a second a frozen server that checks no fences could have run an order after its range had moved. The guard now goes with the member's announcement into the row. The owner of a request id may pass its order to any server of the service, so the longest guard of the service's servers counts, not only the owner's own.

--- a/bench/src/main/java/org/brasspier/bench/capacity/SimulatedCell.java
+++ b/bench/src/main/java/org/brasspier/bench/capacity/SimulatedCell.java
@@ -59,7 +59,7 @@
 		return new MemberInfo(new MemberKey(new InstanceId("hullbook-%03d".formatted(index)), 1),
 				new FailureDomain("domain-" + index % DOMAINS),
 				new PeerAddress("10.0.0." + index, 7002, 7001, 7000, 7004), MemberPhase.ACTIVE,
-				Optional.of(new MemberInfo.Backend(SERVICE, SLOTS, true, 0)));
+				Optional.of(new MemberInfo.Backend(SERVICE, SLOTS, true, 0, 0)));
 	}
 
 	private void start(MemberInfo member) {
--- a/core/src/main/java/org/brasspier/core/ownership/CellRow.java
+++ b/core/src/main/java/org/brasspier/core/ownership/CellRow.java
@@ -69,6 +69,21 @@
 		return this.ranges.stream().filter((range) -> range.owner().filter(instance::equals).isPresent()).toList();
 	}
 
+	/**
+	 * How long orders that a member gave may take effect after its lease. The owner of a
+	 * request id may pass its order to any server of the service, so the longest of them
+	 * all counts.
+	 * @param member the member
+	 * @return the time in milliseconds
+	 */
+	public long guardMillis(MemberInfo member) {
+		return this.members.stream()
+			.filter((other) -> other.service().equals(member.service()))
+			.mapToLong(MemberInfo::guardMillis)
+			.max()
+			.orElse(0);
+	}
+
 	/**
 	 * The ranges of a service.
 	 * @param service the service
--- a/core/src/main/java/org/brasspier/core/ownership/LeaseManager.java
+++ b/core/src/main/java/org/brasspier/core/ownership/LeaseManager.java
@@ -1,6 +1,5 @@
 package org.brasspier.core.ownership;
 
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -22,11 +21,6 @@
  */
 final class LeaseManager {
 
-	/** How much longer a manager waits that hears less than half of the members. */
-	static final long LONELY_PERMILLE = 1500;
-
-	private static final long WHOLE = 1000;
-
 	/** Longer ago than any span that counts, with room to subtract from. */
 	private static final long NEVER = Long.MIN_VALUE / 4;
 
@@ -62,12 +56,13 @@
 
 	private SortedSet<MemberKey> promised = TreeSet.empty();
 
-	private SortedMap<Long, Long> closedAt = TreeMap.empty();
+	private final OldPairs oldPairs;
 
 	LeaseManager(MemberKey self, Timing timing, Guards guards) {
 		this.self = self;
 		this.timing = timing;
 		this.guards = guards;
+		this.oldPairs = new OldPairs(self, timing);
 	}
 
 	LeaseManager copy() {
@@ -85,14 +80,14 @@
 		copy.watches = this.watches;
 		copy.revoking = this.revoking;
 		copy.promised = this.promised;
-		copy.closedAt = this.closedAt;
+		copy.oldPairs.take(this.oldPairs);
 		return copy;
 	}
 
 	List<Object> state() {
 		return List.of(this.pair, this.since, this.authorityUntil, this.confirming, this.stopped, this.tableSeenAt,
 				this.peerHeardAt, this.peerBeatSentAt, this.minVersion, this.replaced, this.watches, this.revoking,
-				this.promised, this.closedAt);
+				this.promised, this.oldPairs.state());
 	}
 
 	/**
@@ -118,7 +113,7 @@
 		this.peerBeatSentAt = Long.MIN_VALUE;
 		this.revoking = TreeMap.empty();
 		this.promised = TreeSet.empty();
-		this.closedAt = TreeMap.empty();
+		this.oldPairs.begin();
 		// The peer that this process replaced was renewed, as a member, by nobody else.
 		this.replaced = before.flatMap((old) -> old.peerOf(this.self))
 			.filter((peer) -> next
@@ -157,8 +152,8 @@
 		return this.pair.flatMap((managers) -> managers.peerOf(this.self));
 	}
 
-	long authorityUntil() {
-		return this.authorityUntil;
+	long peerHeardAt() {
+		return this.peerHeardAt;
 	}
 
 	boolean stopped() {
@@ -218,25 +213,7 @@
 		if (!writing) {
 			this.revoking = this.revoking.remove(key);
 		}
-		// Whoever has acknowledged a later epoch, or is another process by now, confirms
-		// nobody of an old pair any more.
-		row.unclosed()
-			.stream()
-			.filter((old) -> old.find(key.instance())
-				.filter((member) -> !member.equals(key) || heartbeat.epoch() > old.epoch())
-				.isPresent())
-			.forEach((old) -> closes(old, now));
-	}
-
-	/**
-	 * Notes that one of an old pair has stopped confirming the other.
-	 * @param old the pair
-	 * @param now the time
-	 */
-	void closes(ManagerPair old, long now) {
-		if (!this.closedAt.containsKey(old.epoch())) {
-			this.closedAt = this.closedAt.put(old.epoch(), now);
-		}
+		this.oldPairs.heard(key, heartbeat.epoch(), row, now);
 	}
 
 	private long drift(long span) {
@@ -357,7 +334,7 @@
 	}
 
 	private boolean runOut(MemberInfo member, CellRow row, long now) {
-		long guard = (member.needsGuard()) ? this.timing.withDrift(this.timing.guard()) : 0;
+		long guard = this.timing.withDrift(row.guardMillis(member));
 		Revocation revocation = this.revoking.get(member.key()).get();
 		boolean promiseKept = lone() || !this.guards.on(Guard.PROMISE_OF_PEER)
 				|| revocation.promiseUntil().filter((until) -> until + guard <= now).isPresent();
@@ -379,6 +356,10 @@
 		return pairsClosed && now >= this.since + drift(this.timing.authority());
 	}
 
+	OldPairs oldPairs() {
+		return this.oldPairs;
+	}
+
 	/**
 	 * The pairs of the row that are known to have ended.
 	 * @param row the newest known row
@@ -386,41 +367,7 @@
 	 * @return the pairs
 	 */
 	List<ManagerPair> closed(CellRow row, long now) {
-		long lastResort = this.since + drift(this.timing.withoutTable() + this.timing.authority());
-		row.unclosed()
-			.stream()
-			.filter((old) -> old.find(this.self.instance()).isPresent())
-			.forEach((old) -> closes(old, this.since));
-		return row.unclosed()
-			.stream()
-			.filter((old) -> now >= lastResort || this.closedAt.get(old.epoch())
-				.filter((at) -> now >= at + drift(this.timing.authority()))
-				.isDefined())
-			.toList();
-	}
-
-	/**
-	 * Whether the other manager has been silent for so long that it must be replaced. Who
-	 * hears less than half of the members waits longer: it's likely the one cut off.
-	 * @param row the newest known row
-	 * @param now the time
-	 * @return true if it must
-	 */
-	boolean peerSilent(CellRow row, long now) {
-		long others = row.members().size() - 2L;
-		long heard = heardMembers(row, now).size();
-		long patience = (heard * 2 >= others) ? this.timing.peerSilence()
-				: this.timing.peerSilence() * LONELY_PERMILLE / WHOLE;
-		return peer().isPresent() && now - this.peerHeardAt > patience;
-	}
-
-	private List<MemberInfo> heardMembers(CellRow row, long now) {
-		return row.members()
-			.stream()
-			.filter((member) -> !member.key().equals(this.self) && !peer().filter(member.key()::equals).isPresent())
-			.filter((member) -> !silent(member.key(), now)
-					&& watch(member.key()).filter((watch) -> watch.ackedEpoch() > 0).isPresent())
-			.toList();
+		return this.oldPairs.closed(row, this.since, now);
 	}
 
 	/**
@@ -432,32 +379,6 @@
 		this.confirming = !this.guards.on(Guard.STOP_CONFIRMING_FIRST);
 	}
 
-	/**
-	 * Chooses another manager: one that is heard and stays, in another failure domain if
-	 * there is one, so that one fault doesn't take both.
-	 * @param row the newest known row
-	 * @param now the time
-	 * @return the member, empty if there is none
-	 */
-	Optional<MemberInfo> candidate(CellRow row, long now) {
-		Optional<MemberInfo> me = row.member(this.self.instance());
-		List<MemberInfo> heard = new ArrayList<>(heardMembers(row, now));
-		heard.removeIf((member) -> member.phase() == MemberPhase.LEAVING || this.revoking.containsKey(member.key()));
-		return heard.stream()
-			.filter((member) -> me.filter((own) -> own.domain().equals(member.domain())).isEmpty())
-			.findFirst()
-			.or(() -> heard.stream().findFirst());
-	}
-
-	// The other manager in the next epoch: the present one if it's heard again, or
-	// another.
-	Optional<MemberInfo> successor(CellRow row, long now) {
-		return peer().filter((key) -> now - this.peerHeardAt <= this.timing.peerSilence())
-			.flatMap((key) -> row.member(key.instance()).filter((member) -> member.key().equals(key)))
-			.filter((member) -> member.phase() != MemberPhase.LEAVING)
-			.or(() -> candidate(row, now));
-	}
-
 	Map<InstanceId, Long> heardAt() {
 		return (active()) ? this.watches.mapValues(MemberWatch::heardAt).toJavaMap() : Map.of();
 	}
@@ -474,19 +395,4 @@
 		return this.minVersion;
 	}
 
-	/**
-	 * A member's revocation as the primary sees it.
-	 *
-	 * @param since when the primary stopped renewing it
-	 * @param promiseUntil until when the secondary's last renewal may run, once it has
-	 * promised
-	 */
-	record Revocation(long since, Optional<Long> promiseUntil) {
-
-		Revocation promised(long until) {
-			return new Revocation(this.since, Optional.of(Math.max(until, this.promiseUntil.orElse(Long.MIN_VALUE))));
-		}
-
-	}
-
 }
--- /dev/null
+++ b/core/src/main/java/org/brasspier/core/ownership/ManagerChoice.java
@@ -0,0 +1,74 @@
+package org.brasspier.core.ownership;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * When a lease manager replaces the other one, and by whom.
+ *
+ * @param self this process
+ * @param timing the times
+ * @param manager what this process knows as a lease manager
+ */
+record ManagerChoice(MemberKey self, Timing timing, LeaseManager manager) {
+
+	/** How much longer a manager waits that hears less than half of the members. */
+	static final long LONELY_PERMILLE = 1500;
+
+	private static final long WHOLE = 1000;
+
+	/**
+	 * Whether the other manager has been silent for so long that it must be replaced. Who
+	 * hears less than half of the members waits longer: it's likely the one cut off.
+	 * @param row the newest known row
+	 * @param now the time
+	 * @return true if it must
+	 */
+	boolean peerSilent(CellRow row, long now) {
+		long others = row.members().size() - 2L;
+		long heard = heardMembers(row, now).size();
+		long patience = (heard * 2 >= others) ? this.timing.peerSilence()
+				: this.timing.peerSilence() * LONELY_PERMILLE / WHOLE;
+		return this.manager.peer().isPresent() && now - this.manager.peerHeardAt() > patience;
+	}
+
+	private List<MemberInfo> heardMembers(CellRow row, long now) {
+		return row.members()
+			.stream()
+			.filter((member) -> !member.key().equals(this.self)
+					&& !this.manager.peer().filter(member.key()::equals).isPresent())
+			.filter((member) -> !this.manager.silent(member.key(), now)
+					&& this.manager.watch(member.key()).filter((watch) -> watch.ackedEpoch() > 0).isPresent())
+			.toList();
+	}
+
+	/**
+	 * Chooses another manager: one that is heard and stays, in another failure domain if
+	 * there is one, so that one fault doesn't take both.
+	 * @param row the newest known row
+	 * @param now the time
+	 * @return the member, empty if there is none
+	 */
+	Optional<MemberInfo> candidate(CellRow row, long now) {
+		Optional<MemberInfo> me = row.member(this.self.instance());
+		List<MemberInfo> heard = new ArrayList<>(heardMembers(row, now));
+		heard.removeIf(
+				(member) -> member.phase() == MemberPhase.LEAVING || this.manager.revoking().containsKey(member.key()));
+		return heard.stream()
+			.filter((member) -> me.filter((own) -> own.domain().equals(member.domain())).isEmpty())
+			.findFirst()
+			.or(() -> heard.stream().findFirst());
+	}
+
+	// The other manager in the next epoch: the present one if it's heard again, or
+	// another.
+	Optional<MemberInfo> successor(CellRow row, long now) {
+		return this.manager.peer()
+			.filter((key) -> now - this.manager.peerHeardAt() <= this.timing.peerSilence())
+			.flatMap((key) -> row.member(key.instance()).filter((member) -> member.key().equals(key)))
+			.filter((member) -> member.phase() != MemberPhase.LEAVING)
+			.or(() -> candidate(row, now));
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/brasspier/core/ownership/ManagerSide.java
@@ -0,0 +1,203 @@
+package org.brasspier.core.ownership;
+
+import java.util.List;
+import java.util.Optional;
+
+import org.brasspier.core.InstanceId;
+import org.brasspier.core.event.EventKind;
+
+/**
+ * What a process does as a lease manager: renews, watches the other manager, and as the
+ * primary writes the row. Not thread-safe.
+ */
+final class ManagerSide {
+
+	private static final long EPOCH_TRY_MILLIS = 500;
+
+	private static final long PUSH_MILLIS = 100;
+
+	private final ProcessParts parts;
+
+	private final RowSide rows;
+
+	ManagerSide(ProcessParts parts, RowSide rows) {
+		this.parts = parts;
+		this.rows = rows;
+	}
+
+	private ManagerChoice choice() {
+		return new ManagerChoice(this.parts.me.key(), this.parts.timing, this.parts.manager);
+	}
+
+	void managerWork(long now) {
+		CellRow row = this.parts.lease.known().row();
+		if (this.parts.manager.peer().isPresent() && this.parts.timers.beatDue(now, this.parts.timing.beat())) {
+			this.parts.beat(now);
+		}
+		// Two managers that suspected each other while the table was down confirm nobody
+		// any
+		// more in this epoch, even once they hear each other: only another epoch helps.
+		boolean stopped = this.parts.manager.peer().isPresent() && this.parts.manager.stopped();
+		if (stopped || choice().peerSilent(row, now)) {
+			replacePeer(row, now);
+		}
+		else if (this.parts.manager.primary()) {
+			primaryWork(row, now);
+		}
+		else if (row.challenger().isPresent() && this.parts.access.idle(now)) {
+			this.rows.propose(row.challengedBy(Optional.empty()), now);
+		}
+	}
+
+	void replacePeer(CellRow row, long now) {
+		if (!this.parts.manager.stopped()) {
+			this.parts.out.tell(EventKind.MANAGER_SUSPECTED, this.parts.manager.peer().orElseThrow().instance(),
+					"epoch " + this.parts.manager.epoch());
+		}
+		this.parts.manager.stopConfirming();
+		if (this.parts.access.idle(now)) {
+			this.rows.propose(row.nextEpoch(this.parts.me.key(), choice().candidate(row, now).map(MemberInfo::key),
+					row.unclosed()), now);
+		}
+	}
+
+	void primaryWork(CellRow row, long now) {
+		List<MemberKey> silent = this.parts.manager.revokeSilent(row, now);
+		if (!silent.isEmpty()) {
+			silent.forEach((key) -> this.parts.out.tell(EventKind.MEMBER_SUSPECTED, key.instance(), "silent"));
+			this.parts.manager.peer().ifPresent((peer) -> this.parts.beat(now));
+		}
+		if (!this.parts.access.idle(now)) {
+			return;
+		}
+		Optional<CellRow> epoch = epochChange(row, now);
+		if (epoch.isPresent()) {
+			this.parts.manager.stopConfirming();
+			this.rows.propose(epoch.get(), now);
+			return;
+		}
+		plan(now);
+		askToRelease(now);
+	}
+
+	// A planned change of managers: this one leaves, the other one leaves, or there is
+	// none yet.
+	Optional<CellRow> epochChange(CellRow row, long now) {
+		Optional<MemberInfo> peer = this.parts.manager.peer().flatMap((key) -> row.member(key.instance()));
+		if (!this.parts.access.quick()) {
+			// A planned change costs both managers their confirmation while it's written,
+			// so
+			// it waits while the table is slow.
+			return Optional.empty();
+		}
+		boolean peerStays = peer.filter((member) -> member.phase() != MemberPhase.LEAVING).isPresent();
+		Optional<MemberInfo> candidate = choice().candidate(row, now);
+		if (this.parts.leaving) {
+			Optional<MemberInfo> successor = (peerStays) ? peer : candidate;
+			return successor
+				.map((next) -> row.nextEpoch(next.key(),
+						candidate.map(MemberInfo::key).filter((key) -> !key.equals(next.key())), row.unclosed()))
+				.or(() -> lastOneLeaves(row));
+		}
+		boolean wanted = (this.parts.manager.lone()) ? candidate.isPresent() : peer.isPresent() && !peerStays;
+		return (wanted && this.parts.timers.epochDue(now, EPOCH_TRY_MILLIS))
+				? Optional.of(row.nextEpoch(this.parts.me.key(), candidate.map(MemberInfo::key), row.unclosed()))
+				: Optional.empty();
+	}
+
+	Optional<CellRow> lastOneLeaves(CellRow row) {
+		boolean alone = row.members().stream().allMatch((member) -> member.key().equals(this.parts.me.key()));
+		return (alone && row.ownedBy(this.parts.me.instance()).isEmpty())
+				? Optional.of(row.withoutMember(this.parts.me.instance()).abandoned()) : Optional.empty();
+	}
+
+	void plan(long now) {
+		this.parts.memory.announced(this.parts.me, now);
+		boolean balance = this.parts.timers.balanceDue(now);
+		VersionedRow known = this.parts.lease.known();
+		PlanFacts facts = this.parts.memory.facts(known, this.parts.manager, this.parts.placement, balance, now);
+		RowPlanner.Plan plan = new RowPlanner(facts).plan();
+		this.parts.memory.moves(plan.moves());
+		if (!plan.row().equals(known.row())) {
+			facts.lost()
+				.forEach((key) -> this.parts.out.tell(EventKind.MEMBER_LOST, key.instance(),
+						"%d ranges".formatted(known.row().ownedBy(key.instance()).size())));
+			this.parts.memory.forget(facts.lost());
+			this.rows.propose(plan.row(), now);
+		}
+	}
+
+	void askToRelease(long now) {
+		// While the table is down a range that was let go of would be served by nobody.
+		if (this.parts.memory.moves().isEmpty() || !this.parts.access.reachable()
+				|| !this.parts.timers.releaseDue(now, PUSH_MILLIS)) {
+			return;
+		}
+		for (MemberInfo member : this.parts.lease.known().row().members()) {
+			List<HeldRange> wanted = this.parts.lease.known()
+				.row()
+				.ownedBy(member.instance())
+				.stream()
+				.map(RangeState::held)
+				.filter((held) -> this.parts.memory.moves().stream().anyMatch((move) -> move.held().equals(held)))
+				.filter((held) -> !this.parts.memory.isReleased(held))
+				.toList();
+			if (!wanted.isEmpty()) {
+				this.parts.out.send(member.instance(), new ControlMessage.Release(wanted));
+			}
+		}
+	}
+
+	void heartbeat(InstanceId from, ControlMessage.Heartbeat heartbeat, long now) {
+		MemberKey key = new MemberKey(from, heartbeat.incarnation());
+		VersionedRow known = this.parts.lease.known();
+		if (this.parts.manager.active()) {
+			long span = this.parts.manager.renew(key, heartbeat, known.row(), this.parts.access.unsettled(), now);
+			this.parts.out.send(from, new ControlMessage.Renewal(heartbeat.incarnation(), heartbeat.sentAt(),
+					this.parts.manager.epoch(), this.parts.manager.minVersion(), span, this.parts.document));
+		}
+		if (heartbeat.version() > known.version()) {
+			this.parts.access.read(now).ifPresent(this.parts.out::add);
+		}
+		this.rows.pushIfBehind(from, heartbeat.version(), now);
+	}
+
+	void beat(InstanceId from, ControlMessage.Beat beat, long now) {
+		this.parts.manager.answer(new MemberKey(from, beat.incarnation()), beat, now)
+			.ifPresent((answer) -> this.parts.out.send(from, answer));
+		if (beat.version() > this.parts.lease.known().version()) {
+			this.parts.access.read(now).ifPresent(this.parts.out::add);
+		}
+		this.rows.pushIfBehind(from, beat.version(), now);
+	}
+
+	void beatAnswer(InstanceId from, ControlMessage.BeatAnswer answer, long now) {
+		boolean mine = answer.incarnation() == this.parts.me.key().incarnation();
+		this.parts.manager.peer()
+			.filter((peer) -> mine && peer.instance().equals(from))
+			.ifPresent((peer) -> this.parts.manager.confirmed(peer, answer, now));
+	}
+
+	void announce(InstanceId from, ControlMessage.Announce announce, long now) {
+		if (!this.parts.manager.active() || !announce.member().instance().equals(from)) {
+			return;
+		}
+		this.parts.memory.announced(announce.member(), now);
+		CellRow row = this.parts.lease.known().row();
+		row.unclosed()
+			.stream()
+			.filter((old) -> old.find(from).filter((key) -> !key.equals(announce.member().key())).isPresent())
+			.forEach((old) -> this.parts.manager.oldPairs().stopped(old, now));
+		if (row.member(from).filter(announce.member()::equals).isPresent()) {
+			this.rows.pushIfBehind(from, 0, now);
+		}
+	}
+
+	void order(InstanceId from, ControlMessage.OrderSent sent, long now) {
+		OrderDesk desk = new OrderDesk(this.parts.lease.known(), this.parts.manager, this.parts.memory,
+				this.parts.access);
+		OrderDesk.Answer answer = desk.take(sent.order(), now);
+		this.parts.out.send(from, new ControlMessage.OrderAnswer(sent.number(), answer.accepted(), answer.detail()));
+	}
+
+}
--- a/core/src/main/java/org/brasspier/core/ownership/MemberInfo.java
+++ b/core/src/main/java/org/brasspier/core/ownership/MemberInfo.java
@@ -28,11 +28,19 @@
 	}
 
 	/**
-	 * Whether orders of this member's backend server may take effect after its lease.
-	 * @return true if the server does not check fences
+	 * The service of its backend server.
+	 * @return empty if it has none
 	 */
-	public boolean needsGuard() {
-		return this.backend.filter((server) -> !server.checksFences()).isPresent();
+	public Optional<ServiceName> service() {
+		return this.backend.map(Backend::service);
+	}
+
+	/**
+	 * How long orders of this member's backend server may take effect after a lease.
+	 * @return the time in milliseconds, 0 if the server checks fences or there is none
+	 */
+	public long guardMillis() {
+		return this.backend.filter((server) -> !server.checksFences()).map(Backend::guardMillis).orElse(0);
 	}
 
 	/**
@@ -51,8 +59,21 @@
 	 * @param slots how many requests it runs at once
 	 * @param checksFences whether it refuses orders under an old fence
 	 * @param coldStartMillis how long it takes to be warm, in milliseconds
+	 * @param guardMillis how long after a lease's end an order may still take effect on
+	 * it, in milliseconds; of no account if it checks fences
 	 */
-	public record Backend(ServiceName service, int slots, boolean checksFences, int coldStartMillis) {
+	public record Backend(ServiceName service, int slots, boolean checksFences, int coldStartMillis, int guardMillis) {
+
+		/**
+		 * Checks the numbers.
+		 * @throws IllegalArgumentException if a time is negative
+		 */
+		public Backend {
+			if (coldStartMillis < 0 || guardMillis < 0) {
+				throw new IllegalArgumentException("coldStartMillis %d and guardMillis %d must not be negative"
+					.formatted(coldStartMillis, guardMillis));
+			}
+		}
 
 	}
 
--- /dev/null
+++ b/core/src/main/java/org/brasspier/core/ownership/MemberSide.java
@@ -0,0 +1,134 @@
+package org.brasspier.core.ownership;
+
+import java.util.List;
+import java.util.Optional;
+
+import org.brasspier.core.InstanceId;
+import org.brasspier.core.event.EventKind;
+
+/**
+ * What a process does as a member: keeps its lease, lets go of ranges, and looks for
+ * lease managers where it hears none. Not thread-safe.
+ */
+final class MemberSide {
+
+	private static final long REPEAT_MILLIS = 200;
+
+	private static final long TAKEOVER_TRY_MILLIS = 300;
+
+	private final ProcessParts parts;
+
+	private final RowSide rows;
+
+	MemberSide(ProcessParts parts, RowSide rows) {
+		this.parts = parts;
+		this.rows = rows;
+	}
+
+	void noteLapse(long now) {
+		if (this.parts.timers.leaseRan() && !this.parts.lease.valid(now)) {
+			this.parts.out.tell(EventKind.LEASE_LAPSED, this.parts.me.instance(), "epoch " + this.parts.lease.epoch());
+		}
+		this.parts.timers.leaseRuns(this.parts.lease.valid(now));
+	}
+
+	void memberWork(long now) {
+		CellRow row = this.parts.lease.known().row();
+		boolean shown = row.member(this.parts.me.instance()).filter(this.parts.me::equals).isPresent();
+		if (!shown && row.managers().isPresent() && this.parts.timers.announceDue(now, REPEAT_MILLIS)) {
+			toManagers(row, new ControlMessage.Announce(this.parts.me));
+		}
+		if (row.has(this.parts.me.key()) && this.parts.timers.heartbeatDue(now, this.parts.timing.heartbeat())) {
+			heartbeat(row, now);
+		}
+		List<ControlMessage.ReleasedRange> released = this.parts.lease.released();
+		if (!released.isEmpty() && this.parts.timers.releasedDue(now, REPEAT_MILLIS)) {
+			sendReleased(released);
+		}
+	}
+
+	void heartbeat(CellRow row, long now) {
+		ControlMessage heartbeat = new ControlMessage.Heartbeat(this.parts.me.key().incarnation(), now, row.epoch(),
+				this.parts.lease.known().version(), this.parts.lease.leaseLeft(now), this.parts.document);
+		List<MemberKey> renewers = row.managers()
+			.stream()
+			.flatMap(ManagerPair::managers)
+			.filter((key) -> !key.equals(this.parts.me.key()) || !this.parts.guards.on(Guard.MANAGER_RENEWED_BY_PEER))
+			.toList();
+		this.parts.timers.heartbeatTurn(renewers).forEach((key) -> this.parts.out.send(key.instance(), heartbeat));
+	}
+
+	void toManagers(CellRow row, ControlMessage message) {
+		row.managers()
+			.stream()
+			.flatMap(ManagerPair::managers)
+			.forEach((key) -> this.parts.out.send(key.instance(), message));
+	}
+
+	void sendReleased(List<ControlMessage.ReleasedRange> released) {
+		ControlMessage message = new ControlMessage.Released(this.parts.me.key().incarnation(), released);
+		this.parts.lease.known()
+			.row()
+			.managers()
+			.ifPresent((pair) -> this.parts.out.send(pair.primary().instance(), message));
+	}
+
+	void renewal(InstanceId from, ControlMessage.Renewal renewal, long now) {
+		boolean before = this.parts.lease.valid(now);
+		if (renewal.epoch() >= this.parts.lease.epoch()) {
+			this.parts.managerHeardAt = now;
+		}
+		if (this.parts.lease.renew(renewal, now)) {
+			this.parts.timers.leaseRuns(true);
+			this.parts.out.publish();
+			if (!before) {
+				this.parts.out.tell(EventKind.LEASE_GRANTED, this.parts.me.instance(),
+						"epoch %d by %s".formatted(renewal.epoch(), from));
+			}
+		}
+	}
+
+	void release(List<HeldRange> ranges) {
+		List<HeldRange> begun = this.parts.lease.drain(ranges);
+		if (!begun.isEmpty()) {
+			this.parts.out.publish();
+			begun.forEach((held) -> this.parts.out.add(new OwnershipAction.Drain(held)));
+		}
+		List<ControlMessage.ReleasedRange> again = this.parts.lease.released()
+			.stream()
+			.filter((range) -> ranges.contains(range.held()))
+			.toList();
+		if (!again.isEmpty()) {
+			sendReleased(again);
+		}
+	}
+
+	void lookForManagers(long now) {
+		CellRow row = this.parts.lease.known().row();
+		long silentFor = now - this.parts.managerHeardAt;
+		if (this.parts.lease.known().version() == 0 || this.parts.leaving) {
+			return;
+		}
+		if (silentFor > this.parts.takeover.patience() && this.parts.timers.probeDue(now, Takeover.PROBE_MILLIS)) {
+			row.members()
+				.stream()
+				.map(MemberInfo::instance)
+				.filter((instance) -> !instance.equals(this.parts.me.instance()))
+				.forEach((instance) -> this.parts.out.send(instance, new ControlMessage.Probe()));
+		}
+		Optional<CellRow> attempt = this.parts.takeover.attempt(row, silentFor, now);
+		if (attempt.isPresent() && this.parts.access.idle(now)
+				&& this.parts.timers.takeoverDue(now, TAKEOVER_TRY_MILLIS)) {
+			this.parts.out.tell(EventKind.TAKEOVER_TRIED, this.parts.me.instance(),
+					"silent for %d ms".formatted(silentFor));
+			this.rows.propose(attempt.get(), now);
+		}
+	}
+
+	void answerProbe(InstanceId from, long now) {
+		long heardAgo = (this.parts.manager.active()) ? 0 : now - this.parts.managerHeardAt;
+		this.parts.out.send(from,
+				new ControlMessage.ProbeAnswer(this.parts.me.key().incarnation(), this.parts.lease.epoch(), heardAgo));
+	}
+
+}
--- a/core/src/main/java/org/brasspier/core/ownership/OrderDesk.java
+++ b/core/src/main/java/org/brasspier/core/ownership/OrderDesk.java
@@ -82,7 +82,7 @@
 			.stream()
 			.filter((pair) -> pair.find(instance).isPresent())
 			.toList();
-		pairs.forEach((pair) -> this.manager.closes(pair, now));
+		pairs.forEach((pair) -> this.manager.oldPairs().stopped(pair, now));
 		return accepted((pairs.isEmpty()) ? "nothing waits for %s".formatted(instance)
 				: "%d ended pairs of managers no longer wait for %s".formatted(pairs.size(), instance));
 	}
--- /dev/null
+++ b/core/src/main/java/org/brasspier/core/ownership/ProcessParts.java
@@ -0,0 +1,99 @@
+package org.brasspier.core.ownership;
+
+import java.util.List;
+
+/**
+ * The parts of one process's state, shared by the steps that work on it. Not thread-safe;
+ * copied cheaply.
+ */
+final class ProcessParts {
+
+	final Timing timing;
+
+	final Guards guards;
+
+	final MemberLease lease;
+
+	final LeaseManager manager;
+
+	final RowAccess access;
+
+	final PrimaryMemory memory;
+
+	final Takeover takeover;
+
+	final Timers timers;
+
+	final Outbox out = new Outbox();
+
+	PrimaryMemory.Placement placement;
+
+	MemberInfo me;
+
+	long managerHeardAt;
+
+	long document;
+
+	boolean leaving;
+
+	boolean left;
+
+	ProcessParts(MemberInfo me, Timing timing, PrimaryMemory.Placement placement, Guards guards, long now) {
+		this.me = me;
+		this.timing = timing;
+		this.guards = guards;
+		this.placement = placement;
+		this.lease = new MemberLease(me.key(), guards);
+		this.manager = new LeaseManager(me.key(), timing, guards);
+		this.access = new RowAccess();
+		this.memory = new PrimaryMemory();
+		this.takeover = new Takeover(me.key(), timing);
+		this.timers = new Timers();
+		this.managerHeardAt = now;
+	}
+
+	private ProcessParts(ProcessParts other) {
+		this.me = other.me;
+		this.timing = other.timing;
+		this.guards = other.guards;
+		this.placement = other.placement;
+		this.lease = other.lease.copy();
+		this.manager = other.manager.copy();
+		this.access = other.access.copy();
+		this.memory = other.memory.copy();
+		this.takeover = other.takeover.copy();
+		this.timers = other.timers.copy();
+		this.managerHeardAt = other.managerHeardAt;
+		this.document = other.document;
+		this.leaving = other.leaving;
+		this.left = other.left;
+	}
+
+	ProcessParts copy() {
+		return new ProcessParts(this);
+	}
+
+	List<Object> state() {
+		return List.of(this.lease.state(), this.manager.state(), this.access.state(), this.memory.state(),
+				this.takeover.state(), this.timers.state(), this.me, this.managerHeardAt, this.leaving, this.left);
+	}
+
+	OwnershipState view() {
+		return new OwnershipState(this.me, this.lease.known(), this.lease.held(), this.lease.draining(),
+				this.lease.leaseEnd(), this.memory.moves(), this.manager.heardAt(), this.access.reachable());
+	}
+
+	VersionedRow known() {
+		return this.lease.known();
+	}
+
+	CellRow row() {
+		return this.lease.known().row();
+	}
+
+	void beat(long now) {
+		this.out.send(this.manager.peer().orElseThrow().instance(),
+				this.manager.beat(this.lease.known().version(), now));
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/brasspier/core/ownership/RowSide.java
@@ -0,0 +1,131 @@
+package org.brasspier.core.ownership;
+
+import java.util.List;
+import java.util.Optional;
+
+import org.brasspier.core.InstanceId;
+import org.brasspier.core.event.EventKind;
+
+/**
+ * What a process does with the row: reads and writes it, takes a newer one and tells
+ * others. Not thread-safe.
+ */
+final class RowSide {
+
+	private static final long READ_MANAGER_MILLIS = 1000;
+
+	private static final long READ_MEMBER_MILLIS = 500;
+
+	private static final long PUSH_MILLIS = 100;
+
+	private final ProcessParts parts;
+
+	RowSide(ProcessParts parts) {
+		this.parts = parts;
+	}
+
+	void propose(CellRow row, long now) {
+		long version = this.parts.lease.known().version();
+		this.parts.out.add(this.parts.access.propose(version, row, now));
+		if (!this.parts.guards.on(Guard.TOLD_AFTER_WRITTEN)) {
+			adopt(new VersionedRow(version + 1, row), now);
+		}
+	}
+
+	void readIfDue(long now) {
+		boolean silent = now - this.parts.managerHeardAt > this.parts.takeover.patience();
+		long every = (this.parts.manager.lone()) ? this.parts.timing.authority() / 3
+				: (this.parts.manager.active()) ? READ_MANAGER_MILLIS : READ_MEMBER_MILLIS;
+		boolean wanted = this.parts.manager.active() || silent || this.parts.lease.known().version() == 0
+				|| !this.parts.lease.known().row().has(this.parts.me.key());
+		if (wanted && this.parts.timers.readDue(now, every)) {
+			this.parts.access.read(now).ifPresent(this.parts.out::add);
+		}
+	}
+
+	void confirmedByTable(CellRow row, long sentAt, long now) {
+		if (!this.parts.manager.active() || row.epoch() != this.parts.manager.epoch()) {
+			return;
+		}
+		this.parts.manager.tableShows(sentAt);
+		boolean alone = this.parts.manager.lone() && row.has(this.parts.me.key());
+		if (alone && this.parts.lease.extend(sentAt, Math.min(this.parts.timing.lease(), this.parts.timing.authority()),
+				now)) {
+			this.parts.managerHeardAt = now;
+			this.parts.timers.leaseRuns(true);
+			this.parts.out.publish();
+		}
+	}
+
+	void adopt(VersionedRow row, long now) {
+		RowChange change = new RowChange(this.parts.me.key(), this.parts.lease.known(), row);
+		if (!this.parts.lease.adopt(row)) {
+			return;
+		}
+		change.marks().forEach(this.parts.out::add);
+		this.parts.out.publish();
+		change.events().forEach(this.parts.out::add);
+		this.parts.takeover.adopt(row.row(), now);
+		if (change.newEpoch()) {
+			this.parts.managerHeardAt = now;
+		}
+		boolean newPair = this.parts.manager.adopt(row, now);
+		if (newPair) {
+			this.parts.memory.begin(row.row(), now);
+		}
+		this.parts.memory.adopt(row, now);
+		this.parts.timers.rowChanged();
+		if (this.parts.manager.primary()) {
+			pushToAll(row);
+		}
+		if (newPair && this.parts.manager.peer().isPresent()) {
+			this.parts.beat(now);
+		}
+		this.parts.left = this.parts.leaving && !row.row().has(this.parts.me.key()) && !this.parts.manager.active();
+		if (this.parts.left) {
+			this.parts.out.add(new OwnershipAction.Left());
+		}
+	}
+
+	void pushToAll(VersionedRow row) {
+		row.row()
+			.members()
+			.stream()
+			.map(MemberInfo::instance)
+			.filter((instance) -> !instance.equals(this.parts.me.instance()))
+			.forEach((instance) -> this.parts.out.send(instance, new ControlMessage.RowUpdate(row)));
+	}
+
+	void pushIfBehind(InstanceId to, long version, long now) {
+		if (version < this.parts.lease.known().version() && this.parts.timers.pushDue(to, now, PUSH_MILLIS)) {
+			this.parts.out.send(to, new ControlMessage.RowUpdate(this.parts.lease.known()));
+		}
+	}
+
+	void rowRead(VersionedRow row, long now) {
+		Optional<OwnershipAction> again = this.parts.access.readDone(row.version(), now);
+		again.ifPresent(this.parts.out::add);
+		adopt(row, now);
+		confirmedByTable(row.row(), this.parts.access.readSentAt(), now);
+		if (row.version() == 0 && again.isEmpty() && this.parts.access.idle(now) && !this.parts.leaving) {
+			propose(CellRow.EMPTY.nextEpoch(this.parts.me.key(), Optional.empty(), List.of()), now);
+		}
+	}
+
+	void written(long version, long now) {
+		CellRow row = this.parts.access.written();
+		adopt(new VersionedRow(version, row), now);
+		confirmedByTable(row, this.parts.access.writeSentAt(), now);
+	}
+
+	void writeConflict(long now) {
+		this.parts.access.conflict();
+		this.parts.access.settle(now).ifPresent(this.parts.out::add);
+	}
+
+	void writeUnknown(long now) {
+		this.parts.access.writeUnknown(now);
+		this.parts.out.tell(EventKind.WRITE_UNKNOWN, this.parts.me.instance(), "reading the row back");
+	}
+
+}
--- a/core/src/main/java/org/brasspier/core/ownership/Timing.java
+++ b/core/src/main/java/org/brasspier/core/ownership/Timing.java
@@ -19,19 +19,17 @@
  * their epoch in the table
  * @param challenge how long a challenge must stand in the row before a member that hears
  * no lease manager takes over without the others' agreement
- * @param guard how long after a lease's end an order of a server that checks no fences
- * may still take effect
  * @param driftPermille the allowance for clocks that run differently, in thousandths
  */
 public record Timing(long heartbeat, long lease, long memberSilence, long beat, long peerSilence, long authority,
-		long withoutTable, long challenge, long guard, long driftPermille) {
+		long withoutTable, long challenge, long driftPermille) {
 
 	/**
 	 * The times for production: a lost member's ranges move about 0.65 s after its last
 	 * heartbeat, which leaves a third of a second of the promised one for the write, the
 	 * grant and a scheduler's delay.
 	 */
-	public static final Timing STANDARD = new Timing(150, 600, 450, 100, 300, 600, 900_000, 10_000, 200, 10);
+	public static final Timing STANDARD = new Timing(150, 600, 450, 100, 300, 600, 900_000, 10_000, 10);
 
 	private static final long WHOLE = 1000;
 
--- a/core/src/test/java/org/brasspier/core/ownership/GuardTests.java
+++ b/core/src/test/java/org/brasspier/core/ownership/GuardTests.java
@@ -56,7 +56,7 @@
 	private static List<String> randomFaults(Guards guards) {
 		Timing t = Timing.STANDARD;
 		Timing timing = new Timing(t.heartbeat(), t.lease(), t.memberSilence(), t.beat(), t.peerSilence(),
-				t.authority(), t.withoutTable(), t.challenge(), t.guard(), 100);
+				t.authority(), t.withoutTable(), t.challenge(), 100);
 		List<String> violations = new ArrayList<>();
 		for (long seed = 1; seed <= 25 && violations.isEmpty(); seed++) {
 			CellModel cell = new CellModel(new CellModel.Setup(timing, guards, 4), seed);
--- a/core/src/test/java/org/brasspier/core/ownership/ModelProcess.java
+++ b/core/src/test/java/org/brasspier/core/ownership/ModelProcess.java
@@ -40,7 +40,7 @@
 		this.startedAt = startedAt;
 		MemberInfo me = new MemberInfo(new MemberKey(this.instance, incarnation), new FailureDomain(domain),
 				new PeerAddress("127.0.0.1", 1, 2, 3, 4), MemberPhase.ACTIVE,
-				Optional.of(new MemberInfo.Backend(SERVICE, 1, true, 0)));
+				Optional.of(new MemberInfo.Backend(SERVICE, 1, true, 0, 0)));
 		this.machine = new OwnershipMachine(me, setup.timing(),
 				new PrimaryMemory.Placement(new SpreadUnowned(), PlacementWeights.EQUAL, setup.ranges()),
 				setup.guards(), 0);
--- a/core/src/test/java/org/brasspier/core/ownership/SmallCell.java
+++ b/core/src/test/java/org/brasspier/core/ownership/SmallCell.java
@@ -17,7 +17,7 @@
 	static final long STEP = 50;
 
 	/** The times in units of a few steps, so that all of them run out within a walk. */
-	static final Timing TIMING = new Timing(100, 500, 150, 50, 150, 500, 1_000_000, 100_000, 0, 0);
+	static final Timing TIMING = new Timing(100, 500, 150, 50, 150, 500, 1_000_000, 100_000, 0);
 
 	final List<ModelProcess> processes = new ArrayList<>();
 
--- a/daemon/src/main/java/org/brasspier/daemon/internal/ownership/OwnershipDuty.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/ownership/OwnershipDuty.java
@@ -14,6 +14,8 @@
 import io.activej.dns.DnsClient;
 import io.activej.http.HttpClient;
 import org.brasspier.core.InstanceId;
+import org.brasspier.core.ServiceName;
+import org.brasspier.core.document.ServicePolicy;
 import org.brasspier.core.ownership.ControlMessage;
 import org.brasspier.core.ownership.MemberInfo;
 import org.brasspier.core.ownership.MemberKey;
@@ -46,6 +48,9 @@
 	/** How often operators' view is made anew; the snapshot is published at once. */
 	private static final long VIEW_MILLIS = 200;
 
+	/** See docs/DESIGN.md, rule 8. */
+	private static final int DEFAULT_GUARD_MILLIS = 200;
+
 	private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
 
 	/** Twice the time that a slow table takes. */
@@ -231,13 +236,23 @@
 			case READY -> MemberPhase.ACTIVE;
 			case DRAINING, LOST -> MemberPhase.DRAINING;
 		};
-		run(this.machine.backend(phase, Optional.of(new MemberInfo.Backend(status.service(), status.slots(),
-				status.checksFences(), status.coldStartMillis())), now()));
+		MemberInfo.Backend backend = new MemberInfo.Backend(status.service(), status.slots(), status.checksFences(),
+				status.coldStartMillis(), guardMillis(status.service()));
+		run(this.machine.backend(phase, Optional.of(backend), now()));
 		if (status.state() == RequestsReport.BackendState.LOST) {
 			run(this.machine.backendLost(now()));
 		}
 	}
 
+	// The same number that the thread of requests bounds its orders with.
+	private int guardMillis(ServiceName service) {
+		return this.context.documents()
+			.catalog()
+			.find(service)
+			.map(ServicePolicy::guardMillis)
+			.orElse(DEFAULT_GUARD_MILLIS);
+	}
+
 	private void run(List<OwnershipAction> actions) {
 		actions.forEach(this::run);
 	}
--- a/wire/src/main/java/org/brasspier/wire/CellRowCodec.java
+++ b/wire/src/main/java/org/brasspier/wire/CellRowCodec.java
@@ -146,16 +146,17 @@
 
 	}
 
-	private record StoredBackend(String service, int slots, boolean checksFences, int coldStartMillis) {
+	private record StoredBackend(String service, int slots, boolean checksFences, int coldStartMillis,
+			int guardMillis) {
 
 		static StoredBackend of(MemberInfo.Backend backend) {
 			return new StoredBackend(backend.service().value(), backend.slots(), backend.checksFences(),
-					backend.coldStartMillis());
+					backend.coldStartMillis(), backend.guardMillis());
 		}
 
 		MemberInfo.Backend backend() {
 			return new MemberInfo.Backend(new ServiceName(this.service), this.slots, this.checksFences,
-					this.coldStartMillis);
+					this.coldStartMillis, this.guardMillis);
 		}
 
 	}
--- a/wire/src/main/java/org/brasspier/wire/RowFrames.java
+++ b/wire/src/main/java/org/brasspier/wire/RowFrames.java
@@ -145,7 +145,8 @@
 			.ifPresent((backend) -> out.text(backend.service().value())
 				.number(backend.slots())
 				.flag(backend.checksFences())
-				.number(backend.coldStartMillis()));
+				.number(backend.coldStartMillis())
+				.number(backend.guardMillis()));
 	}
 
 	static MemberInfo readMember(FrameReader in) throws WireException {
@@ -165,7 +166,7 @@
 	}
 
 	private static MemberInfo.Backend readBackend(FrameReader in) throws WireException {
-		return new MemberInfo.Backend(new ServiceName(in.text()), in.small(), in.flag(), in.small());
+		return new MemberInfo.Backend(new ServiceName(in.text()), in.small(), in.flag(), in.small(), in.small());
 	}
 
 }
