--- /dev/null
+++ b/bench/src/main/java/org/brasspier/bench/ownership/OwnershipBench.java
@@ -0,0 +1,187 @@
+package org.brasspier.bench.ownership;
+
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.locks.LockSupport;
+import java.util.function.ToDoubleFunction;
+
+import io.vavr.control.Either;
+import org.brasspier.cli.internal.OperatorClient;
+import org.brasspier.standins.Await;
+import org.brasspier.standins.Deployment;
+import org.brasspier.standins.DeploymentShape;
+import org.brasspier.standins.Ports;
+import org.brasspier.standins.StandInInstance;
+import org.brasspier.wire.operator.CellAnswer;
+import org.brasspier.wire.operator.ErrorAnswer;
+import org.brasspier.wire.operator.OrderAnswer;
+import org.brasspier.wire.operator.OrderRequest;
+
+/**
+ * What ownership costs in Lakeshore's deployment without load: control bytes, processor
+ * time and calls of the table for each role, and what one move adds to them.
+ */
+public final class OwnershipBench {
+
+	private static final Duration SETTLE = Duration.ofSeconds(15);
+
+	private static final Duration WINDOW = Duration.ofSeconds(30);
+
+	private static final int MOVES = 20;
+
+	/** The unit in which Linux counts processor time. */
+	private static final double TICKS_A_SECOND = 100;
+
+	private final HttpClient http = HttpClient.newHttpClient();
+
+	private final Deployment deployment;
+
+	private final OperatorClient operators;
+
+	private OwnershipBench(Deployment deployment) {
+		this.deployment = deployment;
+		List<String> daemons = deployment.instances()
+			.stream()
+			.map((instance) -> Ports.text(instance.ports().operators()))
+			.toList();
+		this.operators = new OperatorClient(daemons, deployment.operatorSecret(), Duration.ofSeconds(10));
+	}
+
+	/**
+	 * Runs the measurement and prints a table.
+	 * @param arguments none
+	 * @throws Exception if the deployment does not come up or a call fails
+	 */
+	public static void main(String[] arguments) throws Exception {
+		try (Deployment deployment = Deployment.start(DeploymentShape.lakeshore())) {
+			deployment.awaitServed();
+			new OwnershipBench(deployment).run();
+		}
+	}
+
+	private void run() throws IOException, InterruptedException {
+		pause(SETTLE);
+		Map<StandInInstance, Reading> before = readings();
+		pause(WINDOW);
+		report("idle, a second", before, readings(), WINDOW.toMillis() / 1000.0);
+		Map<StandInInstance, Reading> still = readings();
+		long begun = System.nanoTime();
+		for (int i = 0; i < MOVES; i++) {
+			move(i);
+		}
+		double seconds = (System.nanoTime() - begun) / 1e9;
+		report("%d moves one by one in %.1f s, in all".formatted(MOVES, seconds), still, readings(), 1);
+	}
+
+	private static void pause(Duration time) {
+		LockSupport.parkNanos(time.toNanos());
+	}
+
+	private CellAnswer cell() {
+		return this.operators.get("/v1/cell", CellAnswer.class)
+			.getOrElseThrow((error) -> new IllegalStateException(error.toString()));
+	}
+
+	private void move(int number) {
+		CellAnswer cell = cell();
+		CellAnswer.Range range = cell.ranges().get(number);
+		String to = cell.members()
+			.stream()
+			.filter((member) -> member.service().equals(range.service()) && !member.instance().equals(range.owner()))
+			.map(CellAnswer.Member::instance)
+			.findFirst()
+			.orElseThrow();
+		Either<ErrorAnswer, OrderAnswer> answer = this.operators.post("/v1/move",
+				new OrderRequest(to, range.service(), range.range(), true), OrderAnswer.class, true);
+		if (answer.isLeft()) {
+			throw new IllegalStateException(answer.getLeft().toString());
+		}
+		Await.until("range " + range.range() + " is with " + to,
+				() -> cell().ranges()
+					.stream()
+					.anyMatch((now) -> now.range().equals(range.range()) && now.service().equals(range.service())
+							&& now.owner().equals(to)));
+	}
+
+	private Map<StandInInstance, Reading> readings() throws IOException, InterruptedException {
+		Map<StandInInstance, Reading> readings = new LinkedHashMap<>();
+		for (StandInInstance instance : this.deployment.instances()) {
+			readings.put(instance, reading(instance));
+		}
+		return readings;
+	}
+
+	private Reading reading(StandInInstance instance) throws IOException, InterruptedException {
+		URI uri = URI.create("http://" + Ports.text(instance.ports().operators()) + "/metrics");
+		HttpRequest request = HttpRequest.newBuilder(uri)
+			.header("Authorization", "Bearer " + this.deployment.operatorSecret())
+			.build();
+		String metrics = this.http.send(request, HttpResponse.BodyHandlers.ofString()).body();
+		String[] stat = Files.readString(Path.of("/proc/" + instance.daemon().pid() + "/stat")).split("\\) ", 2)[1]
+			.split(" ");
+		double cpuSeconds = (Long.parseLong(stat[11]) + Long.parseLong(stat[12])) / TICKS_A_SECOND;
+		return new Reading(total(metrics, "control_bytes"), total(metrics, "table_reads"),
+				total(metrics, "table_writes"), cpuSeconds);
+	}
+
+	private static double total(String metrics, String name) {
+		return metrics.lines()
+			.filter((line) -> line.contains(name + "_total "))
+			.mapToDouble((line) -> Double.parseDouble(line.substring(line.lastIndexOf(' ') + 1)))
+			.findFirst()
+			.orElseThrow(() -> new IllegalStateException("no " + name + " in " + metrics));
+	}
+
+	private void report(String what, Map<StandInInstance, Reading> before, Map<StandInInstance, Reading> after,
+			double per) {
+		CellAnswer cell = cell();
+		Map<String, List<Reading>> roles = new LinkedHashMap<>();
+		after.forEach((instance, reading) -> roles.computeIfAbsent(role(cell, instance), (role) -> new ArrayList<>())
+			.add(reading.since(before.getOrDefault(instance, reading), per)));
+		System.out.println("| " + what + " | control bytes sent | table reads | table writes | processor seconds |");
+		System.out.println("| --- | --- | --- | --- | --- |");
+		roles.forEach((role,
+				each) -> System.out.println("| %s (mean of %d) | %.0f | %.2f | %.2f | %.4f |".formatted(role,
+						each.size(), mean(each, Reading::controlBytes), mean(each, Reading::reads),
+						mean(each, Reading::writes), mean(each, Reading::cpuSeconds))));
+	}
+
+	private static double mean(List<Reading> readings, ToDoubleFunction<Reading> value) {
+		return readings.stream().mapToDouble(value).average().orElse(0);
+	}
+
+	private static String role(CellAnswer cell, StandInInstance instance) {
+		if (instance.name().equals(cell.primary())) {
+			return "primary";
+		}
+		return (instance.name().equals(cell.secondary())) ? "secondary" : "member";
+	}
+
+	/**
+	 * What one daemon has used so far.
+	 *
+	 * @param controlBytes bytes of control frames sent
+	 * @param reads reads of the cell's row
+	 * @param writes writes of the cell's row
+	 * @param cpuSeconds processor time of the whole process
+	 */
+	private record Reading(double controlBytes, double reads, double writes, double cpuSeconds) {
+
+		Reading since(Reading before, double per) {
+			return new Reading((this.controlBytes - before.controlBytes) / per, (this.reads - before.reads) / per,
+					(this.writes - before.writes) / per, (this.cpuSeconds - before.cpuSeconds) / per);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/bench/src/main/java/org/brasspier/bench/ownership/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Measurements of ownership with real processes.
+ */
+@NullMarked
+package org.brasspier.bench.ownership;
+
+import org.jspecify.annotations.NullMarked;
--- a/daemon/src/main/java/org/brasspier/daemon/internal/ownership/PeerLinks.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/ownership/PeerLinks.java
@@ -62,7 +62,7 @@
 	 * @param context what every duty needs
 	 * @param addresses where an instance's control port is
 	 * @param receiver takes messages
-	 * @param sentBytes told the size of each frame sent or received
+	 * @param sentBytes told the size of each frame sent
 	 */
 	PeerLinks(NioReactor reactor, DaemonContext context, Function<InstanceId, Optional<InetSocketAddress>> addresses,
 			Receiver receiver, LongConsumer sentBytes) {
