--- a/core/src/main/java/org/brasspier/core/admission/SlotRules.java
+++ b/core/src/main/java/org/brasspier/core/admission/SlotRules.java
@@ -19,29 +19,37 @@
 	 */
 	private static final int INTERNAL_ONE_IN = 8;
 
-	/**
-	 * Audit reads use at most a third of the slots while others come: they are long, so a
-	 * lookup that arrives must not find all slots taken by them.
-	 */
-	private static final int AUDIT_ONE_IN = 3;
-
 	/**
 	 * How long after the last request of a class its slots are kept from others. A server
 	 * that has no internal calls, or only audit reads, uses all its slots for what comes.
 	 */
 	private static final long KEPT_NANOS = Duration.ofMinutes(10).toNanos();
 
+	/** An audit read of up to this length may use a slot kept for internal calls. */
+	private static final long BRIEF_NANOS = Duration.ofMillis(200).toNanos();
+
 	private final Map<RequestClass, Integer> taken = new EnumMap<>(RequestClass.class);
 
 	private final Map<RequestClass, Long> lastSeen = new EnumMap<>(RequestClass.class);
 
+	private final SlotDemand shortWork = new SlotDemand();
+
+	private final ServiceTimes times;
+
 	private AdmissionLimits limits;
 
-	SlotRules(AdmissionLimits limits) {
+	private ConcurrencyLimit observed;
+
+	SlotRules(AdmissionLimits limits, ServiceTimes times) {
 		this.limits = limits;
+		this.times = times;
+		this.observed = new ConcurrencyLimit(limits.concurrency());
 	}
 
 	void limits(AdmissionLimits announced) {
+		if (announced.concurrency() != this.limits.concurrency()) {
+			this.observed = new ConcurrencyLimit(announced.concurrency());
+		}
 		this.limits = announced;
 	}
 
@@ -49,39 +57,66 @@
 		this.lastSeen.put(requestClass, now);
 	}
 
-	void take(RequestClass requestClass) {
+	void take(RequestClass requestClass, long now) {
 		this.taken.merge(requestClass, 1, Integer::sum);
+		if (isShort(requestClass)) {
+			this.shortWork.change(1, now);
+		}
 	}
 
-	void release(RequestClass requestClass) {
+	void release(RequestClass requestClass, long now) {
 		this.taken.merge(requestClass, -1, Integer::sum);
+		if (isShort(requestClass)) {
+			this.shortWork.change(-1, now);
+		}
+	}
+
+	private static boolean isShort(RequestClass requestClass) {
+		return requestClass == RequestClass.LOOKUP || requestClass == RequestClass.POSTING;
 	}
 
 	int usable() {
-		return this.limits.concurrency();
+		return this.observed.limit();
+	}
+
+	ConcurrencyLimit observed() {
+		return this.observed;
 	}
 
 	boolean free(RequestClass requestClass, long now) {
-		int all = usable();
 		int total = this.taken.values().stream().mapToInt(Integer::intValue).sum();
-		if (total >= all) {
+		if (total >= usable()) {
 			return false;
 		}
-		if (requestClass == RequestClass.INTERNAL) {
-			return true;
-		}
-		int outer = total - used(RequestClass.INTERNAL);
-		return outer < outerSlots(all, now) && (requestClass != RequestClass.AUDIT || auditFree(all, now));
+		return switch (requestClass) {
+			case INTERNAL -> true;
+			case LOOKUP, POSTING -> mayWait() < usable() - kept(now);
+			case AUDIT -> auditFree(now);
+		};
+	}
+
+	// The outer calls that may be waiting for an internal call.
+	private int mayWait() {
+		return used(RequestClass.LOOKUP) + used(RequestClass.POSTING);
 	}
 
-	private int outerSlots(int all, long now) {
-		boolean reserve = all > 1 && recent(RequestClass.INTERNAL, now);
-		return reserve ? all - Math.max(1, all / INTERNAL_ONE_IN) : all;
+	private int kept(long now) {
+		boolean keep = usable() > 1 && recent(RequestClass.INTERNAL, now);
+		return keep ? Math.max(1, usable() / INTERNAL_ONE_IN) : 0;
 	}
 
-	private boolean auditFree(int all, long now) {
-		boolean others = recent(RequestClass.LOOKUP, now) || recent(RequestClass.POSTING, now);
-		return !others || used(RequestClass.AUDIT) < Math.max(1, all / AUDIT_ONE_IN);
+	// Long and short work mixed: a lookup that comes must not find all slots taken by
+	// long
+	// audit reads. Half of what the short work uses on average stays free of them: what
+	// waits goes before them, so that many slots that turn over soon are enough, and more
+	// would rest while audit readers wait. One slot is always the auditors', one the
+	// others'. Brief audit reads may use slots kept for internal calls: they call nobody,
+	// so they end by themselves, and what a circle waits for is a brief read at most.
+	private boolean auditFree(long now) {
+		boolean brief = this.times.mean(RequestClass.AUDIT) <= BRIEF_NANOS;
+		int open = usable() - (brief ? 0 : kept(now));
+		int others = (int) Math.max(1, Math.round(this.shortWork.mean(now) / 2));
+		return mayWait() + used(RequestClass.AUDIT) < open && used(RequestClass.AUDIT) < Math.max(1, open - others);
 	}
 
 	private boolean recent(RequestClass requestClass, long now) {
