Leave reading the row to those who are not told

Its own beat tells the primary what it knows, which then pushes; each manager still reads the row once a second.

--- a/bench/src/main/java/org/brasspier/bench/ownership/OwnershipBench.java
+++ b/bench/src/main/java/org/brasspier/bench/ownership/OwnershipBench.java
@@ -64,12 +64,12 @@
 	 */
 	public static void main(String[] arguments) throws Exception {
 		try (Deployment deployment = Deployment.start(DeploymentShape.lakeshore())) {
-			deployment.awaitServed();
 			new OwnershipBench(deployment).run();
 		}
 	}
 
 	private void run() throws IOException, InterruptedException {
+		Await.until("each service has owners", this::owned);
 		pause(SETTLE);
 		Map<StandInInstance, Reading> before = readings();
 		pause(WINDOW);
@@ -83,6 +83,13 @@
 		report("%d moves one by one in %.1f s, in all".formatted(MOVES, seconds), still, readings(), 1);
 	}
 
+	private boolean owned() {
+		return this.operators.get("/v1/cell", CellAnswer.class)
+			.map((cell) -> cell.members().size() == this.deployment.instances().size()
+					&& cell.ranges().stream().noneMatch((range) -> range.owner().isEmpty()))
+			.getOrElse(false);
+	}
+
 	private static void pause(Duration time) {
 		LockSupport.parkNanos(time.toNanos());
 	}
--- a/core/src/main/java/org/brasspier/core/ownership/ManagerSide.java
+++ b/core/src/main/java/org/brasspier/core/ownership/ManagerSide.java
@@ -156,18 +156,12 @@
 			this.parts.out.send(from, new ControlMessage.Renewal(heartbeat.incarnation(), heartbeat.sentAt(),
 					this.parts.manager.epoch(), this.parts.manager.minVersion(), span, this.parts.document));
 		}
-		if (heartbeat.version() > known.version()) {
-			this.parts.access.read(now).ifPresent(this.parts.out::add);
-		}
 		this.rows.pushIfBehind(from, heartbeat.version(), now);
 	}
 
 	void beat(InstanceId from, ControlMessage.Beat beat, long now) {
 		this.parts.manager.answer(new MemberKey(from, beat.incarnation()), beat, now)
 			.ifPresent((answer) -> this.parts.out.send(from, answer));
-		if (beat.version() > this.parts.lease.known().version()) {
-			this.parts.access.read(now).ifPresent(this.parts.out::add);
-		}
 		this.rows.pushIfBehind(from, beat.version(), now);
 	}
 
