Let lease managers read their row every 4 s, and just before ranges are let go of

It writes the row or is told of it; it reads to show that it reaches the table (which counts for 15 minutes) and to see a challenge (which stands for 10 s). What did depend on a recent read is asking members to let go of ranges, since with the table down nobody would serve them: that now asks for an answered read within the last second, and reads twice a second while moves wait.

--- a/core/src/main/java/org/brasspier/core/ownership/ManagerSide.java
+++ b/core/src/main/java/org/brasspier/core/ownership/ManagerSide.java
@@ -16,6 +16,8 @@
 
 	private static final long PUSH_MILLIS = 100;
 
+	private static final long TABLE_SEEN_MILLIS = 1000;
+
 	private final ProcessParts parts;
 
 	private final RowSide rows;
@@ -128,8 +130,10 @@
 	}
 
 	void askToRelease(long now) {
-		// While the table is down a range that was let go of would be served by nobody.
-		if (this.parts.memory.moves().isEmpty() || !this.parts.access.reachable()
+		// While the table is down a range that was let go of would be served by nobody,
+		// so
+		// the table must have answered just now.
+		if (this.parts.memory.moves().isEmpty() || !this.parts.access.readWithin(TABLE_SEEN_MILLIS, now)
 				|| !this.parts.timers.releaseDue(now, PUSH_MILLIS)) {
 			return;
 		}
--- a/core/src/main/java/org/brasspier/core/ownership/RowAccess.java
+++ b/core/src/main/java/org/brasspier/core/ownership/RowAccess.java
@@ -36,6 +36,8 @@
 
 	private long lastTook;
 
+	private long lastReadAt = Long.MIN_VALUE / 4;
+
 	RowAccess copy() {
 		RowAccess copy = new RowAccess();
 		copy.pending = this.pending;
@@ -47,12 +49,13 @@
 		copy.reachable = this.reachable;
 		copy.stale = this.stale;
 		copy.lastTook = this.lastTook;
+		copy.lastReadAt = this.lastReadAt;
 		return copy;
 	}
 
 	List<Object> state() {
 		return List.of(this.pending, this.writing, this.reading, this.readSentAt, this.writeSentAt, this.notBefore,
-				this.reachable, this.stale, quick());
+				this.reachable, this.stale, quick(), this.lastReadAt);
 	}
 
 	/**
@@ -72,6 +75,16 @@
 		return this.reachable;
 	}
 
+	/**
+	 * Whether the table answered a read within a span.
+	 * @param span how long ago that may be
+	 * @param now the time
+	 * @return true if it did, and nothing has failed since
+	 */
+	boolean readWithin(long span, long now) {
+		return this.reachable && now - this.lastReadAt <= span;
+	}
+
 	boolean quick() {
 		return this.reachable && this.lastTook <= QUICK_MILLIS;
 	}
@@ -128,6 +141,7 @@
 		this.reading = false;
 		this.stale = false;
 		this.lastTook = now - this.readSentAt;
+		this.lastReadAt = now;
 		answered();
 		if (this.pending.isEmpty() || this.writing) {
 			return Optional.empty();
--- a/core/src/main/java/org/brasspier/core/ownership/RowSide.java
+++ b/core/src/main/java/org/brasspier/core/ownership/RowSide.java
@@ -12,7 +12,16 @@
  */
 final class RowSide {
 
-	private static final long READ_MANAGER_MILLIS = 1000;
+	/**
+	 * A manager need not read the row to know it, since it writes it or is told. It reads
+	 * to show that it reaches the table, which counts for minutes, and to see a
+	 * challenge, which stands for 10 s. More often would cost: a row of 8 KB a second is
+	 * most of the 10 KB a second that a node may spend on control.
+	 */
+	private static final long READ_MANAGER_MILLIS = 4000;
+
+	/** While ranges are to be let go of, see {@link ManagerSide#askToRelease}. */
+	private static final long READ_MOVING_MILLIS = 500;
 
 	private static final long READ_MEMBER_MILLIS = 500;
 
@@ -35,7 +44,7 @@
 	void readIfDue(long now) {
 		boolean silent = now - this.parts.managerHeardAt > this.parts.takeover.patience();
 		long every = (this.parts.manager.lone()) ? this.parts.timing.authority() / 3
-				: (this.parts.manager.active()) ? READ_MANAGER_MILLIS : READ_MEMBER_MILLIS;
+				: (this.parts.manager.active()) ? managerPeriod() : READ_MEMBER_MILLIS;
 		boolean wanted = this.parts.manager.active() || silent || this.parts.lease.known().version() == 0
 				|| !this.parts.lease.known().row().has(this.parts.me.key());
 		if (wanted && this.parts.timers.readDue(now, every)) {
@@ -43,6 +52,10 @@
 		}
 	}
 
+	private long managerPeriod() {
+		return (this.parts.memory.moves().isEmpty()) ? READ_MANAGER_MILLIS : READ_MOVING_MILLIS;
+	}
+
 	void confirmedByTable(CellRow row, long sentAt, long now) {
 		if (!this.parts.manager.active() || row.epoch() != this.parts.manager.epoch()) {
 			return;
--- a/core/src/test/java/org/brasspier/core/ownership/ExplorationTests.java
+++ b/core/src/test/java/org/brasspier/core/ownership/ExplorationTests.java
@@ -25,7 +25,7 @@
 	/**
 	 * Within these steps faults begin and end: longer than a lease and its revocation.
 	 */
-	private static final int FAULT_STEPS = 12;
+	private static final int FAULT_STEPS = 13;
 
 	/** Afterwards nothing more happens but what follows. */
 	private static final int FOLLOWING_STEPS = 20;
