Orders for any server of a service divided by ids; what the path costs

Cause: the chooser looked for members in the phase READY, which no member says, so only the owner's own server was ever chosen; a member that takes work is ACTIVE. A draining server was given work for as long as its ranges could not be handed over; it now gets none after 3 seconds. Reads of services divided by ids on servers that check no fences were bound to the lease's end though a late read there changes nothing; they have their caller's deadline.

bench.path measures latency, requests a second, processor time and memory beside asking the server directly, all ways alternating in one run.

--- /dev/null
+++ b/bench/src/main/java/org/brasspier/bench/path/PathBench.java
@@ -0,0 +1,130 @@
+package org.brasspier.bench.path;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+import com.google.gson.GsonBuilder;
+import org.HdrHistogram.Histogram;
+
+/**
+ * What the way of a request costs: the latency that a daemon adds over asking the backend
+ * server directly, requests a second, processor time and memory of one daemon. All rounds
+ * of all ways alternate in one run on one machine, so that they meet the same conditions.
+ * Takes about a minute; writes JSON.
+ */
+public final class PathBench {
+
+	private static final int ROUNDS = 8;
+
+	private static final Duration ROUND = Duration.ofSeconds(1);
+
+	private static final Duration IDLE = Duration.ofSeconds(3);
+
+	private static final Duration WARM_UP = Duration.ofSeconds(3);
+
+	private static final Duration SATURATION = Duration.ofSeconds(8);
+
+	private static final int SATURATING_CALLERS = 32;
+
+	private static final double MICROS_PER_SECOND = 1e6;
+
+	private PathBench() {
+	}
+
+	/**
+	 * Measures and prints one JSON object.
+	 * @param arguments the file to write as well; none by default
+	 * @throws IOException if a result can't be written
+	 * @throws InterruptedException if interrupted
+	 */
+	public static void main(String[] arguments) throws IOException, InterruptedException {
+		Result result = measure();
+		String json = new GsonBuilder().setPrettyPrinting().create().toJson(result);
+		System.out.println(json);
+		if (arguments.length > 0) {
+			Files.writeString(Path.of(arguments[0]), json + "\n");
+		}
+	}
+
+	private static Result measure() throws IOException, InterruptedException {
+		try (PathStage stage = PathStage.start(); PathLoad load = new PathLoad()) {
+			List<PathLoad.Way> ways = List.of(stage.direct(), stage.local(load), stage.hop(load));
+			Thread.sleep(IDLE);
+			long idleKilobytes = stage.residentKilobytes();
+			List<Histogram> latencies = ways.stream().map((way) -> PathLoad.histogram()).toList();
+			ways.forEach((way) -> load.run(way, 1, WARM_UP, PathLoad.histogram()));
+			ways.forEach((way) -> load.run(way, SATURATING_CALLERS, WARM_UP, PathLoad.histogram()));
+			for (int round = 0; round < ROUNDS; round++) {
+				for (int way = 0; way < ways.size(); way++) {
+					load.run(ways.get(way), 1, ROUND, latencies.get(way));
+				}
+			}
+			List<Throughput> throughputs = new ArrayList<>();
+			for (PathLoad.Way way : ways) {
+				throughputs.add(saturate(stage, load, way));
+			}
+			return new Result(latency(latencies.get(0)), latency(latencies.get(1)), latency(latencies.get(2)),
+					throughputs.get(0), throughputs.get(1), throughputs.get(2), idleKilobytes,
+					stage.residentKilobytes());
+		}
+	}
+
+	private static Throughput saturate(PathStage stage, PathLoad load, PathLoad.Way way) {
+		Histogram histogram = PathLoad.histogram();
+		Duration cpuBefore = stage.daemonCpu();
+		Duration ownersBefore = stage.ownerCpu();
+		long begun = System.nanoTime();
+		load.run(way, SATURATING_CALLERS, SATURATION, histogram);
+		double seconds = (System.nanoTime() - begun) / (double) TimeUnit.SECONDS.toNanos(1);
+		long count = histogram.getTotalCount();
+		return new Throughput(Math.round(count / seconds), micros(stage.daemonCpu().minus(cpuBefore), count),
+				micros(stage.ownerCpu().minus(ownersBefore), count), histogram.getValueAtPercentile(50),
+				histogram.getValueAtPercentile(99), load.failures());
+	}
+
+	private static double micros(Duration cpu, long count) {
+		return Math.round(cpu.toNanos() / 1e9 * MICROS_PER_SECOND / Math.max(1, count) * 10) / 10.0;
+	}
+
+	private static Latency latency(Histogram histogram) {
+		return new Latency(histogram.getTotalCount(), histogram.getValueAtPercentile(50),
+				histogram.getValueAtPercentile(99));
+	}
+
+	/**
+	 * Latencies of one caller that asks again and again, in microseconds.
+	 *
+	 * @param requests how many were measured
+	 * @param p50 the median
+	 * @param p99 the 99th percentile
+	 */
+	private record Latency(long requests, long p50, long p99) {
+
+	}
+
+	/**
+	 * What 32 callers that ask again and again get.
+	 *
+	 * @param perSecond requests a second
+	 * @param entryCpuMicros processor time of the entry daemon for each request
+	 * @param ownerCpuMicros processor time of the other daemon for each request
+	 * @param p50 the median latency in microseconds
+	 * @param p99 the 99th percentile in microseconds
+	 * @param failures answers that were not 200
+	 */
+	private record Throughput(long perSecond, double entryCpuMicros, double ownerCpuMicros, long p50, long p99,
+			long failures) {
+
+	}
+
+	private record Result(Latency direct, Latency local, Latency hop, Throughput directLoad, Throughput localLoad,
+			Throughput hopLoad, long idleResidentKilobytes, long loadedResidentKilobytes) {
+
+	}
+
+}
--- /dev/null
+++ b/bench/src/main/java/org/brasspier/bench/path/PathLoad.java
@@ -0,0 +1,116 @@
+package org.brasspier.bench.path;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+import io.activej.dns.DnsClient;
+import io.activej.eventloop.Eventloop;
+import io.activej.http.HttpClient;
+import io.activej.http.HttpHeaders;
+import io.activej.http.HttpRequest;
+import io.activej.http.HttpResponse;
+import io.activej.promise.Promise;
+import org.HdrHistogram.Histogram;
+
+/**
+ * Callers that each ask again as soon as they are answered. Thread-safe, one run at a
+ * time.
+ */
+final class PathLoad implements AutoCloseable {
+
+	private static final long LONGEST_MICROS = TimeUnit.SECONDS.toMicros(30);
+
+	private static final int OK = 200;
+
+	private final Eventloop loop = Eventloop.builder().withThreadName("load").build();
+
+	private final Thread thread = new Thread(this.loop, "load");
+
+	private final HttpClient http = HttpClient
+		.builder(this.loop, DnsClient.create(this.loop, new InetSocketAddress("127.0.0.1", 53)))
+		.withKeepAliveTimeout(Duration.ofSeconds(20))
+		.build();
+
+	private volatile long failures;
+
+	PathLoad() {
+		this.loop.keepAlive(true);
+		this.thread.setDaemon(true);
+		this.thread.start();
+	}
+
+	static Histogram histogram() {
+		return new Histogram(LONGEST_MICROS, 3);
+	}
+
+	long failures() {
+		return this.failures;
+	}
+
+	void run(Way way, int callers, Duration time, Histogram into) {
+		long endNanos = System.nanoTime() + time.toNanos();
+		CompletableFuture<?>[] done = new CompletableFuture<?>[callers];
+		for (int i = 0; i < callers; i++) {
+			CompletableFuture<Void> caller = new CompletableFuture<>();
+			done[i] = caller;
+			this.loop.execute(() -> ask(way, endNanos, into, caller));
+		}
+		CompletableFuture.allOf(done).join();
+	}
+
+	// The fields of one answer to one request.
+	CompletableFuture<String> field(Way way, String name) {
+		CompletableFuture<String> value = new CompletableFuture<>();
+		this.loop.execute(() -> send(way).whenComplete((response, ex) -> {
+			String text = (ex != null) ? null : response.getHeader(HttpHeaders.of(name));
+			value.complete((text != null) ? text : "");
+		}));
+		return value;
+	}
+
+	private void ask(Way way, long endNanos, Histogram into, CompletableFuture<Void> done) {
+		long begun = System.nanoTime();
+		if (begun - endNanos >= 0) {
+			done.complete(null);
+			return;
+		}
+		send(way).whenComplete((response, ex) -> {
+			if (ex != null || response.getCode() != OK) {
+				this.failures++;
+			}
+			else {
+				into.recordValue(Math.min(LONGEST_MICROS, TimeUnit.NANOSECONDS.toMicros(System.nanoTime() - begun)));
+			}
+			ask(way, endNanos, into, done);
+		});
+	}
+
+	private Promise<HttpResponse> send(Way way) {
+		return this.http
+			.request(HttpRequest.get(way.url)
+				.withHeader(HttpHeaders.of("Brasspier-Key"), way.key)
+				.withHeader(HttpHeaders.of("Brasspier-Request-Id"), "bench-" + System.nanoTime())
+				.withHeader(HttpHeaders.of("Brasspier-Class"), "lookup")
+				.withHeader(HttpHeaders.of("Brasspier-Deadline-At"), Long.toString(System.currentTimeMillis() + 10_000))
+				.build())
+			.then((response) -> response.loadBody().map((body) -> response));
+	}
+
+	@Override
+	public void close() {
+		this.loop.execute(this.loop::breakEventloop);
+	}
+
+	/**
+	 * One way to the backend server.
+	 *
+	 * @param url where to ask
+	 * @param key the key
+	 */
+	record Way(String url, String key) {
+
+	}
+
+}
--- a/daemon/src/main/java/org/brasspier/daemon/internal/request/RunningOrder.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/request/RunningOrder.java
@@ -106,10 +106,16 @@
 		});
 	}
 
+	// Whether a late run would do harm after the range has moved: not where the server
+	// refuses old fences by itself, nor for a read where no key is owned.
+	private boolean harmlessWhenLate() {
+		return this.checksFences || (!this.order.request().byKey() && this.order.request().requestClass().idempotent());
+	}
+
 	// A server that checks no fences may freeze with the order and wake after the range
 	// has moved; it then finds this moment passed and leaves the work undone.
 	private long deadlineAt() {
-		if (this.checksFences) {
+		if (harmlessWhenLate()) {
 			return this.order.deadlineNanos();
 		}
 		long authorityEnd = this.order.leaseEndNanos().getAsLong()
@@ -182,7 +188,7 @@
 		this.runner.ended(this, this.order, System.nanoTime() - this.handedNanos);
 		this.slotFree.accept(slot);
 		long rest = (this.deadlineAtNanos - System.nanoTime()) / NANOS_PER_MILLI;
-		boolean mayTakeEffect = slot == RunOutcome.BROKEN && !this.checksFences && rest > 0
+		boolean mayTakeEffect = slot == RunOutcome.BROKEN && !harmlessWhenLate() && rest > 0
 				&& !this.runner.watch().gone();
 		if (mayTakeEffect) {
 			this.runner.reactor().delay(Duration.ofMillis(rest + 1), () -> this.over.trySet(null));
--- a/daemon/src/main/java/org/brasspier/daemon/internal/request/ServerChoice.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/request/ServerChoice.java
@@ -17,6 +17,7 @@
 import org.brasspier.core.choosing.Candidate;
 import org.brasspier.core.document.ServiceCatalog;
 import org.brasspier.core.document.ServicePolicy;
+import org.brasspier.core.ownership.MemberPhase;
 import org.brasspier.core.retry.RetryRules;
 import org.brasspier.daemon.internal.ownership.CellView;
 
@@ -29,7 +30,7 @@
 
 	private static final int MAX_TRIES = 3;
 
-	private static final String MAY_OWN = "READY";
+	private static final String MAY_OWN = MemberPhase.ACTIVE.name();
 
 	private final InstanceId self;
 
@@ -104,12 +105,15 @@
 	}
 
 	private List<Candidate> candidates(ServiceName service, Set<InstanceId> tried) {
-		return this.cell.get()
+		List<CellView.Member> untried = this.cell.get()
 			.members()
 			.stream()
 			.filter((member) -> member.service().filter(service::equals).isPresent())
-			.filter((member) -> member.phase().equalsIgnoreCase(MAY_OWN) || member.instance().equals(this.self))
 			.filter((member) -> !tried.contains(member.instance()))
+			.toList();
+		boolean anyActive = untried.stream().anyMatch((member) -> member.phase().equals(MAY_OWN));
+		return untried.stream()
+			.filter((member) -> anyActive ? member.phase().equals(MAY_OWN) : member.instance().equals(this.self))
 			.map((member) -> new Candidate(member.instance(), distance(member.instance()), Math.max(1, member.slots()),
 					1.0))
 			.toList();
--- a/daemon/src/main/java/org/brasspier/daemon/internal/request/ServerGate.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/request/ServerGate.java
@@ -43,6 +43,9 @@
 	/** How often something that waits is looked at. */
 	private static final Duration LOOK_AGAIN = Duration.ofMillis(5);
 
+	/** A server that is leaving receives no new work after a few seconds. */
+	private static final long LAST_WORK_NANOS = 3_000_000_000L;
+
 	private final NioReactor reactor;
 
 	private final BackendWatch watch;
@@ -58,6 +61,10 @@
 
 	private long nextNumber = 1;
 
+	private BackendState state = BackendState.STARTING;
+
+	private long drainingSinceNanos;
+
 	private boolean expiring;
 
 	/**
@@ -93,10 +100,15 @@
 		return offer(order, cancellation);
 	}
 
+	// A draining server still serves what it owns while that is handed over, so that no
+	// request is turned away; but not for long, also where nothing can be handed over
+	// because the platform's store is down.
 	private boolean servable() {
-		return this.watch.state()
-			.filter((state) -> state == BackendState.READY || state == BackendState.DRAINING)
-			.isPresent();
+		return this.watch.state().filter((state) -> switch (state) {
+			case READY -> true;
+			case DRAINING -> System.nanoTime() - this.drainingSinceNanos < LAST_WORK_NANOS;
+			case STARTING, LOST -> false;
+		}).isPresent();
 	}
 
 	private OrderRun afterGrant(Order order, Cancellation cancellation) {
@@ -196,6 +208,10 @@
 
 	@Override
 	public void changed(BackendStatus status) {
+		if (status.state() == BackendState.DRAINING && this.state != BackendState.DRAINING) {
+			this.drainingSinceNanos = System.nanoTime();
+		}
+		this.state = status.state();
 		this.admission.limits(new AdmissionLimits(status.slots(), Math.max(1, status.connections() - OWN_CONNECTIONS)));
 		if (status.state() == BackendState.LOST) {
 			this.grants.forget();
--- a/daemon/src/test/java/org/brasspier/daemon/internal/request/PathFixture.java
+++ b/daemon/src/test/java/org/brasspier/daemon/internal/request/PathFixture.java
@@ -1,6 +1,7 @@
 package org.brasspier.daemon.internal.request;
 
 import java.io.IOException;
+import java.net.BindException;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.URI;
@@ -12,9 +13,11 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 
@@ -50,10 +53,19 @@
 
 	private static final long WAIT_SECONDS = 20;
 
+	private static final int LOWEST_PORT = 12_000;
+
+	private static final int HIGHEST_PORT = 32_000;
+
+	private static final int TRIES = 100;
+
 	private static final HttpClient HTTP = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
 
 	private final Map<InstanceId, Member> members = new LinkedHashMap<>();
 
+	/** The services as the document in force describes them. */
+	volatile ServiceCatalog catalog = ServiceCatalog.OPEN;
+
 	Member add(String name) throws IOException {
 		Member member = new Member(new InstanceId(name));
 		this.members.put(member.instance, member);
@@ -65,6 +77,15 @@
 		this.members.values().forEach((member) -> member.sees(owner, fence));
 	}
 
+	private CellView cell() {
+		List<CellView.Member> all = this.members.keySet()
+			.stream()
+			.map((id) -> new CellView.Member(id, new FailureDomain("duluth"), Optional.of(HULLBOOK), "ACTIVE", 4, true,
+					new PeerAddress("127.0.0.1", 1, 1, 1, 1), Optional.empty()))
+			.toList();
+		return new CellView(1, 1, Optional.empty(), Optional.empty(), all, List.of(), List.of());
+	}
+
 	static void await(BooleanSupplier condition) throws InterruptedException {
 		long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(WAIT_SECONDS);
 		while (!condition.getAsBoolean()) {
@@ -83,10 +104,19 @@
 		}
 	}
 
+	// Below the range that the system hands out by itself, so that no other process's
+	// connection takes it before the daemon does.
 	private static int freePort() throws IOException {
-		try (ServerSocket socket = new ServerSocket(0)) {
-			return socket.getLocalPort();
+		for (int i = 0; i < TRIES; i++) {
+			int port = ThreadLocalRandom.current().nextInt(LOWEST_PORT, HIGHEST_PORT);
+			try (ServerSocket socket = new ServerSocket(port)) {
+				return socket.getLocalPort();
+			}
+			catch (BindException ex) {
+				// Taken; the next one may be free.
+			}
 		}
+		throw new IOException("no free port was found");
 	}
 
 	/**
@@ -119,8 +149,8 @@
 			this.snapshot = new OwnershipSnapshot(instance, RouteTable.EMPTY, RouteTable.EMPTY, System.nanoTime(),
 					new PeerAddresses(Map.of()));
 			DaemonContext context = new DaemonContext(settings(), this.events, this.metrics);
-			this.requests = new RequestsDuty(context,
-					new RequestsDuty.Known(() -> this.snapshot, () -> CellView.UNKNOWN, () -> ServiceCatalog.OPEN));
+			this.requests = new RequestsDuty(context, new RequestsDuty.Known(() -> this.snapshot,
+					PathFixture.this::cell, () -> PathFixture.this.catalog));
 			Duty sink = new Duty("reports");
 			sink.start();
 			this.requests.joinOwnership(new Ring<>(1024, sink, this.reports::add));
