--- a/bench/src/main/java/org/brasspier/bench/path/PathBench.java
+++ b/bench/src/main/java/org/brasspier/bench/path/PathBench.java
@@ -37,18 +37,16 @@
 	}
 
 	/**
-	 * Measures and prints one JSON object.
-	 * @param arguments the file to write as well; none by default
+	 * Measures, prints one JSON object and writes it to {@code path.json}.
+	 * @param output the folder for results
 	 * @throws IOException if a result can't be written
 	 * @throws InterruptedException if interrupted
 	 */
-	public static void main(String[] arguments) throws IOException, InterruptedException {
-		Result result = measure();
-		String json = new GsonBuilder().setPrettyPrinting().create().toJson(result);
+	public static void run(Path output) throws IOException, InterruptedException {
+		String json = new GsonBuilder().setPrettyPrinting().create().toJson(measure());
 		System.out.println(json);
-		if (arguments.length > 0) {
-			Files.writeString(Path.of(arguments[0]), json + "\n");
-		}
+		Files.createDirectories(output);
+		Files.writeString(output.resolve("path.json"), json + "\n");
 	}
 
 	private static Result measure() throws IOException, InterruptedException {
--- a/daemon/src/test/java/org/brasspier/daemon/internal/request/PathFixture.java
+++ b/daemon/src/test/java/org/brasspier/daemon/internal/request/PathFixture.java
@@ -1,9 +1,7 @@
 package org.brasspier.daemon.internal.request;
 
 import java.io.IOException;
-import java.net.BindException;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -17,7 +15,6 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.LinkedBlockingQueue;
-import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 
@@ -41,6 +38,7 @@
 import org.brasspier.daemon.internal.ownership.RequestsOrder;
 import org.brasspier.daemon.internal.ownership.RequestsReport;
 import org.brasspier.daemon.internal.settings.Settings;
+import org.brasspier.standins.Ports;
 import org.brasspier.wire.SharedKeys;
 
 /**
@@ -53,12 +51,6 @@
 
 	private static final long WAIT_SECONDS = 20;
 
-	private static final int LOWEST_PORT = 12_000;
-
-	private static final int HIGHEST_PORT = 32_000;
-
-	private static final int TRIES = 100;
-
 	private static final HttpClient HTTP = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
 
 	private final Map<InstanceId, Member> members = new LinkedHashMap<>();
@@ -104,21 +96,6 @@
 		}
 	}
 
-	// Below the range that the system hands out by itself, so that no other process's
-	// connection takes it before the daemon does.
-	private static int freePort() throws IOException {
-		for (int i = 0; i < TRIES; i++) {
-			int port = ThreadLocalRandom.current().nextInt(LOWEST_PORT, HIGHEST_PORT);
-			try (ServerSocket socket = new ServerSocket(port)) {
-				return socket.getLocalPort();
-			}
-			catch (BindException ex) {
-				// Taken; the next one may be free.
-			}
-		}
-		throw new IOException("no free port was found");
-	}
-
 	/**
 	 * One daemon's thread of requests with the backend server beside it.
 	 */
@@ -134,11 +111,11 @@
 
 		final BlockingQueue<RequestsReport> reports = new LinkedBlockingQueue<>();
 
-		final int callerPort = freePort();
+		final int callerPort = Ports.free().getPort();
 
-		final int forwardPort = freePort();
+		final int forwardPort = Ports.free().getPort();
 
-		final int backendPort = freePort();
+		final int backendPort = Ports.free().getPort();
 
 		final RequestsDuty requests;
 
