An order that can't be written gives its slot back

Cause: found by reading: a path that ActiveJ's client refuses threw out of the gate after a slot was taken, so the slot and the range's count of what is in flight were lost for good, and a range could never be drained again. It now ends as not sent. Ruled out: checking paths at the entry by a rule of our own, which would have to be the client's rule. The functional test sends nine odd paths to a server of four slots.

--- a/daemon/src/main/java/org/brasspier/daemon/internal/backend/BackendClient.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/backend/BackendClient.java
@@ -104,7 +104,15 @@
 	public BackendRun run(BackendOrder order) {
 		BackendConnection connection = order.request().requestClass().idempotent() ? connection() : lately();
 		Run run = new Run(order.request().target().method(), connection);
-		run.begin(message(order), order.waitMillis());
+		try {
+			run.begin(message(order), order.waitMillis());
+		}
+		catch (IllegalArgumentException ex) {
+			// A path or field that can't be written: without this the order would keep
+			// its
+			// slot for good.
+			run.end(new BackendReply.NotSent(String.valueOf(ex.getMessage())), false);
+		}
 		return run;
 	}
 
--- a/daemon/src/test/java/org/brasspier/daemon/internal/request/BadInputTests.java
+++ b/daemon/src/test/java/org/brasspier/daemon/internal/request/BadInputTests.java
@@ -60,6 +60,19 @@
 		assertStillServes(3);
 	}
 
+	@Test
+	void oddPathsKeepNoSlotAndDisturbNobody() throws Exception {
+		// The server has four slots; more odd requests than that must not use them up.
+		for (String path : List.of("/v1/hullbook/%zz", "/v1/hullbook/x?%", "/v1/hullbook/\u00e4", "/v1/hullbook//",
+				"/v1/hullbook?x=1", "/v1/hullbook/#f", "/v1/hullbook/[", "/v1/hullbook/x?a=b&&=c", "//v1/hullbook/x")) {
+			try (RawCaller caller = new RawCaller(this.a.callerPort)) {
+				caller.send("GET " + path + " HTTP/1.1\r\nHost: x\r\nBrasspier-Key: k\r\nConnection: close\r\n\r\n");
+				assertThat(caller.readAll()).startsWith("HTTP/1.1 ");
+			}
+		}
+		assertStillServes(0);
+	}
+
 	@Test
 	void aBodyBeyondTheLimitIsRefusedWithoutReadingIt() throws Exception {
 		try (RawCaller caller = new RawCaller(this.a.callerPort)) {
