Say "not run" only if no try of the request may have run

Cause: in a trial with silent connections between processes a lookup was answered "not run" though it had run: its first try's link broke, the daemon sent it again, and the second try was turned away. The same could happen at the second try on a new connection to the server and at the next server of a service divided by ids. What the last try says is now told as OUTCOME_UNKNOWN wherever an earlier try may have run.

A connection that the server closes before any byte of an answer is a broken one and no bad answer: ActiveJ reports both as malformed, so lookups were not sent again after it. Ruled out: keeping both tries apart for the caller; it can't act on that.

--- a/daemon/src/main/java/org/brasspier/daemon/internal/backend/BackendClient.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/backend/BackendClient.java
@@ -185,7 +185,8 @@
 			if (this.connection.notSent(ex)) {
 				return new BackendReply.NotSent(String.valueOf(ex.getMessage()));
 			}
-			return (ex instanceof MalformedHttpException) ? new BackendReply.BadAnswer(String.valueOf(ex.getMessage()))
+			return (ex instanceof MalformedHttpException && this.connection.heard())
+					? new BackendReply.BadAnswer(String.valueOf(ex.getMessage()))
 					: new BackendReply.Broken(String.valueOf(ex.getMessage()));
 		}
 
--- a/daemon/src/main/java/org/brasspier/daemon/internal/backend/BackendConnection.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/backend/BackendConnection.java
@@ -45,6 +45,8 @@
 
 	private boolean wrote;
 
+	private boolean heard;
+
 	private long restsSinceNanos;
 
 	BackendConnection(NioReactor reactor) {
@@ -61,6 +63,7 @@
 
 	Promise<HttpResponse> request(HttpRequest request) {
 		this.wrote = false;
+		this.heard = false;
 		return this.http.request(request);
 	}
 
@@ -70,6 +73,11 @@
 		return !this.wrote && (failedToConnect(ex) || (ex.getCause() != null && failedToConnect(ex.getCause())));
 	}
 
+	// Whether any byte of an answer to the latest request came.
+	boolean heard() {
+		return this.heard;
+	}
+
 	private static boolean failedToConnect(Throwable ex) {
 		return ex instanceof ConnectException || ex instanceof AsyncTimeoutException;
 	}
@@ -99,6 +107,11 @@
 			BackendConnection.this.socket = Optional.of(opened);
 		}
 
+		@Override
+		public void onRead(TcpSocket opened, ByteBuf buf) {
+			BackendConnection.this.heard = true;
+		}
+
 		@Override
 		public void onWrite(TcpSocket opened, ByteBuf buf, int bytes) {
 			BackendConnection.this.wrote = true;
--- a/daemon/src/main/java/org/brasspier/daemon/internal/request/Outcome.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/request/Outcome.java
@@ -47,6 +47,21 @@
 		return new Failed(failure, "", Optional.empty(), false);
 	}
 
+	/**
+	 * What is to be said of a request of which an earlier try may have run: a later try
+	 * that certainly did not run says nothing of the earlier one.
+	 * @param last how the last try ended
+	 * @return the last end, or that the outcome is unknown
+	 */
+	static Outcome afterUnknown(Outcome last) {
+		if (!(last instanceof Failed failed) || !failed.certainlyNotRun()) {
+			return last;
+		}
+		return new Failed(new Failure(ErrorKind.OUTCOME_UNKNOWN,
+				"an earlier try may have run, the last one did not: " + failed.failure().detail(),
+				failed.failure().retryAfter()), failed.ticket(), failed.owner(), failed.backendLost());
+	}
+
 	/**
 	 * The backend server answered.
 	 *
--- a/daemon/src/main/java/org/brasspier/daemon/internal/request/RequestRouter.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/request/RequestRouter.java
@@ -72,7 +72,8 @@
 	 */
 	public Promise<Outcome> route(CallerRequest request, Cancellation cancellation) {
 		this.budget.fresh();
-		return new Route(request, cancellation, System.nanoTime()).attempt();
+		Route route = new Route(request, cancellation, System.nanoTime());
+		return route.attempt().map((outcome) -> route.resent ? Outcome.afterUnknown(outcome) : outcome);
 	}
 
 	/**
--- a/daemon/src/main/java/org/brasspier/daemon/internal/request/RunningOrder.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/request/RunningOrder.java
@@ -56,6 +56,8 @@
 
 	private long deadlineAtNanos;
 
+	private boolean secondTry;
+
 	private boolean serverLost;
 
 	RunningOrder(OrderRunner runner, Order order, boolean checksFences, Consumer<RunOutcome> slotFree) {
@@ -98,6 +100,7 @@
 			long now = System.nanoTime();
 			if (again && reply instanceof BackendReply.TimedOut && this.order.remainingMillis(now) > 0) {
 				this.runner.record(EventKind.CONNECTION_REPLACED, this.order, "no answer on the first connection");
+				this.secondTry = true;
 				this.runner.client().forgetConnections();
 				hand(now, this.order.remainingMillis(now), false);
 				return;
@@ -148,7 +151,8 @@
 	}
 
 	private void notRun(ErrorKind kind, String detail, Duration retryAfter) {
-		settle(Outcome.failed(new Failure(kind, detail, retryAfter)), RunOutcome.SHED);
+		Outcome end = Outcome.failed(new Failure(kind, detail, retryAfter));
+		settle(this.secondTry ? Outcome.afterUnknown(end) : end, RunOutcome.SHED);
 	}
 
 	// A broken connection is the first sign of a crash. Whether the server is still there
--- a/daemon/src/main/java/org/brasspier/daemon/internal/request/ServerChoice.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/request/ServerChoice.java
@@ -89,7 +89,8 @@
 			boolean failed = outcome instanceof Outcome.Failed;
 			this.chooser.ended(chosen.get(), requestClass, System.nanoTime() - begun, failed);
 			if (outcome instanceof Outcome.Failed failure && again(order, failure, tried, admitted.cancellation())) {
-				return attempt(admitted, tried, over);
+				Promise<Outcome> next = attempt(admitted, tried, over);
+				return failure.certainlyNotRun() ? next : next.map(Outcome::afterUnknown);
 			}
 			run.over().whenComplete(() -> over.trySet(null));
 			return Promise.of(outcome);
--- a/daemon/src/test/java/org/brasspier/daemon/internal/request/RequestPathTests.java
+++ b/daemon/src/test/java/org/brasspier/daemon/internal/request/RequestPathTests.java
@@ -196,6 +196,23 @@
 		assertThat(this.b.server.orders).hasSize(1);
 	}
 
+	@Test
+	void aLookupThatMayHaveRunIsNotCalledNotRunThoughItsSecondTryWasShed() throws Exception {
+		// The first try runs and its connection breaks; the daemon sends the lookup again
+		// and the server sheds it. "Not run" would be true of the second try only.
+		this.a.server.behaviour = (exchange, body) -> {
+			if (this.a.server.orders.size() == 1) {
+				exchange.close();
+				return;
+			}
+			exchange.getResponseHeaders().add("Brasspier-Ran", "not_run");
+			FakeServer.answer(exchange, 503, "shed");
+		};
+		HttpResponse<String> answer = this.a.get("/v1/hullbook/x", "Brasspier-Key", "hull-7");
+		assertThat(this.a.server.orders.size()).isAtLeast(2);
+		assertThat(answer.headers().firstValue("Brasspier-Ran")).hasValue("unknown");
+	}
+
 	private static void awaitSuspect(PathFixture.Member member) throws InterruptedException {
 		PathFixture.await(() -> member.events.after(0).stream().anyMatch((event) -> event.kind().number() == 308));
 	}
