--- a/daemon/src/main/java/org/brasspier/daemon/internal/request/RunningOrder.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/request/RunningOrder.java
@@ -56,6 +56,8 @@
 
 	private long deadlineAtNanos;
 
+	private boolean secondTry;
+
 	private boolean serverLost;
 
 	RunningOrder(OrderRunner runner, Order order, boolean checksFences, Consumer<RunOutcome> slotFree) {
@@ -98,6 +100,7 @@
 			long now = System.nanoTime();
 			if (again && reply instanceof BackendReply.TimedOut && this.order.remainingMillis(now) > 0) {
 				this.runner.record(EventKind.CONNECTION_REPLACED, this.order, "no answer on the first connection");
+				this.secondTry = true;
 				this.runner.client().forgetConnections();
 				hand(now, this.order.remainingMillis(now), false);
 				return;
@@ -106,10 +109,16 @@
 		});
 	}
 
+	// Whether a late run would do harm after the range has moved: not where the server
+	// refuses old fences by itself, nor for a read where no key is owned.
+	private boolean harmlessWhenLate() {
+		return this.checksFences || (!this.order.request().byKey() && this.order.request().requestClass().idempotent());
+	}
+
 	// A server that checks no fences may freeze with the order and wake after the range
 	// has moved; it then finds this moment passed and leaves the work undone.
 	private long deadlineAt() {
-		if (this.checksFences) {
+		if (harmlessWhenLate()) {
 			return this.order.deadlineNanos();
 		}
 		long authorityEnd = this.order.leaseEndNanos().getAsLong()
@@ -142,7 +151,8 @@
 	}
 
 	private void notRun(ErrorKind kind, String detail, Duration retryAfter) {
-		settle(Outcome.failed(new Failure(kind, detail, retryAfter)), RunOutcome.SHED);
+		Outcome end = Outcome.failed(new Failure(kind, detail, retryAfter));
+		settle(this.secondTry ? Outcome.afterUnknown(end) : end, RunOutcome.SHED);
 	}
 
 	// A broken connection is the first sign of a crash. Whether the server is still there
@@ -182,7 +192,7 @@
 		this.runner.ended(this, this.order, System.nanoTime() - this.handedNanos);
 		this.slotFree.accept(slot);
 		long rest = (this.deadlineAtNanos - System.nanoTime()) / NANOS_PER_MILLI;
-		boolean mayTakeEffect = slot == RunOutcome.BROKEN && !this.checksFences && rest > 0
+		boolean mayTakeEffect = slot == RunOutcome.BROKEN && !harmlessWhenLate() && rest > 0
 				&& !this.runner.watch().gone();
 		if (mayTakeEffect) {
 			this.runner.reactor().delay(Duration.ofMillis(rest + 1), () -> this.over.trySet(null));
--- a/daemon/src/test/java/org/brasspier/daemon/internal/request/PathFixture.java
+++ b/daemon/src/test/java/org/brasspier/daemon/internal/request/PathFixture.java
@@ -11,6 +11,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -54,6 +55,9 @@
 
 	private final Map<InstanceId, Member> members = new LinkedHashMap<>();
 
+	/** The services as the document in force describes them. */
+	volatile ServiceCatalog catalog = ServiceCatalog.OPEN;
+
 	Member add(String name) throws IOException {
 		Member member = new Member(new InstanceId(name));
 		this.members.put(member.instance, member);
@@ -65,6 +69,15 @@
 		this.members.values().forEach((member) -> member.sees(owner, fence));
 	}
 
+	private CellView cell() {
+		List<CellView.Member> all = this.members.keySet()
+			.stream()
+			.map((id) -> new CellView.Member(id, new FailureDomain("duluth"), Optional.of(HULLBOOK), "ACTIVE", 4, true,
+					new PeerAddress("127.0.0.1", 1, 1, 1, 1), Optional.empty()))
+			.toList();
+		return new CellView(1, 1, Optional.empty(), Optional.empty(), all, List.of(), List.of());
+	}
+
 	static void await(BooleanSupplier condition) throws InterruptedException {
 		long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(WAIT_SECONDS);
 		while (!condition.getAsBoolean()) {
@@ -113,8 +126,8 @@
 			this.snapshot = new OwnershipSnapshot(instance, RouteTable.EMPTY, RouteTable.EMPTY, System.nanoTime(),
 					new PeerAddresses(Map.of()));
 			DaemonContext context = new DaemonContext(settings(), this.events, this.metrics);
-			this.requests = new RequestsDuty(context,
-					new RequestsDuty.Known(() -> this.snapshot, () -> CellView.UNKNOWN, () -> ServiceCatalog.OPEN));
+			this.requests = new RequestsDuty(context, new RequestsDuty.Known(() -> this.snapshot,
+					PathFixture.this::cell, () -> PathFixture.this.catalog));
 			Duty sink = new Duty("reports");
 			sink.start();
 			this.requests.joinOwnership(new Ring<>(1024, sink, this.reports::add));
