Give a member that joins ranges of usual load

Ruled out: three hundredths of the slots for resting ranges, with which cold neighbours were moved away instead of isolating a hot point.

--- a/core/src/main/java/org/brasspier/core/placement/BalancingPlacement.java
+++ b/core/src/main/java/org/brasspier/core/placement/BalancingPlacement.java
@@ -75,7 +75,9 @@
 	}
 
 	// A member has come, or its warm share has grown. One batch fills it: many small
-	// steps would move some ranges twice. It gets no more than its cold server can take.
+	// steps would move some ranges twice. It gets no more than its cold server can take,
+	// and ranges of usual load: the hottest ones alone would fill its share of the load
+	// and leave it a sliver of the space, which shows when other keys get hot.
 	private static void fillNewcomers(Board board, PlacementInput input) {
 		board.seats()
 			.stream()
@@ -97,7 +99,7 @@
 				.max(Comparator.comparingDouble(Seat::utilization));
 			Optional<Piece> piece = donor.flatMap((seat) -> board.piecesOf(seat)
 				.filter((each) -> !each.touched() && board.weight(each) <= missing)
-				.max(Comparator.comparingDouble(board::weight)));
+				.min(Comparator.comparingDouble(board::oddity)));
 			if (piece.isPresent()) {
 				board.move(piece.get(), newcomer, MoveCause.JOIN);
 			}
--- a/core/src/main/java/org/brasspier/core/placement/Board.java
+++ b/core/src/main/java/org/brasspier/core/placement/Board.java
@@ -34,7 +34,7 @@
 	 * The least load to reckon with, as a share of all slots. Made for a service that has
 	 * just started: a handful of requests must not decide who owns how much of the space.
 	 */
-	private static final double LEAST_LOAD = 0.03;
+	private static final double LEAST_LOAD = 0.01;
 
 	private final PlacementInput input;
 
@@ -112,6 +112,13 @@
 		return this.pieces.values().stream().mapToDouble(this::weight).sum() / capacity();
 	}
 
+	// How far a piece is from carrying the usual load for its size, on a scale on which
+	// twice and half are equally far.
+	double oddity(Piece piece) {
+		double all = this.pieces.values().stream().mapToDouble(this::weight).sum();
+		return Math.abs(Math.log(weight(piece) / all / piece.spaceShare()));
+	}
+
 	double meanSeatLoad() {
 		return this.pieces.values().stream().mapToDouble(this::weight).sum() / Math.max(1, this.seats.size());
 	}
--- a/core/src/main/java/org/brasspier/core/placement/LoadMeter.java
+++ b/core/src/main/java/org/brasspier/core/placement/LoadMeter.java
@@ -32,6 +32,12 @@
 	 */
 	private static final int HOT_POINTS = 64;
 
+	/**
+	 * The least part of its window that a meter is taken to have seen. Without it, the
+	 * first request of a service would look like thousands of busy slots.
+	 */
+	private static final double LEAST_SEEN = 0.2;
+
 	/** Beyond this exponent the fading weights are brought back to one. */
 	private static final double LARGEST_EXPONENT = 50;
 
@@ -115,7 +121,7 @@
 
 	private double slots(double mass, long now) {
 		// A young meter has seen only part of its window.
-		double seen = 1 - Math.exp(-Math.max(1, now - this.startNanos) / this.windowNanos);
+		double seen = Math.max(LEAST_SEEN, 1 - Math.exp(-(now - this.startNanos) / this.windowNanos));
 		return mass / weight(now) / (this.windowNanos * seen);
 	}
 
--- a/core/src/test/java/org/brasspier/core/placement/LoadMeterTests.java
+++ b/core/src/test/java/org/brasspier/core/placement/LoadMeterTests.java
@@ -36,6 +36,16 @@
 		assertThat(this.meter.busySlots(KeyRange.ALL, 300 * SECOND)).isLessThan(0.01);
 	}
 
+	/**
+	 * One server keeps nearly all keys after a start: the first request that a daemon
+	 * measured looked like thousands of busy slots and decided who got what.
+	 */
+	@Test
+	void theFirstRequestOfAServiceIsNoGreatLoad() {
+		this.meter.record(new KeyHash(1), SECOND / 50, 0);
+		assertThat(this.meter.busySlots(KeyRange.ALL, 1)).isLessThan(0.01);
+	}
+
 	private void run(int seconds, double hotShare) {
 		for (int i = 0; i < seconds * 400; i++) {
 			long point = (this.random.nextDouble() < hotShare) ? 4711 : this.random.nextLong(KeyHash.SPACE);
