--- /dev/null
+++ b/bench/src/main/java/org/brasspier/bench/demo/RecoveryBench.java
@@ -0,0 +1,167 @@
+package org.brasspier.bench.demo;
+
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
+import java.util.stream.LongStream;
+import java.util.stream.Stream;
+
+import com.beust.jcommander.JCommander;
+import com.beust.jcommander.Parameter;
+import com.google.gson.Gson;
+import org.brasspier.standins.Await;
+import org.brasspier.standins.CallerFleet;
+import org.brasspier.standins.Deployment;
+import org.brasspier.standins.DeploymentShape;
+import org.brasspier.standins.HistoryChecker;
+import org.brasspier.standins.Loss;
+import org.brasspier.standins.Measures;
+import org.brasspier.standins.OwnedRange;
+import org.brasspier.standins.RecoveryProbe;
+import org.brasspier.standins.StandInInstance;
+import org.brasspier.standins.Violation;
+
+/**
+ * Measures, from callers' view, how long the ranges of a lost instance go without answer:
+ * {@code bin/run org.brasspier.bench.demo.RecoveryBench [--losses N] [--deployment NAME]}.
+ * Instances are lost in turn as a plain member, as primary and as secondary lease
+ * manager. Closes with one line of JSON.
+ */
+public final class RecoveryBench {
+
+	@Parameter(names = "--losses", description = "how many instances are lost")
+	private int losses = 30;
+
+	@Parameter(names = "--deployment", description = "lakeshore or kliring")
+	private String deployment = "lakeshore";
+
+	private final Map<Role, List<Long>> millis = new EnumMap<>(Role.class);
+
+	private final Map<Role, Integer> count = new EnumMap<>(Role.class);
+
+	private RecoveryBench() {
+	}
+
+	/**
+	 * Runs the bench.
+	 * @param arguments the flags
+	 */
+	public static void main(String[] arguments) {
+		RecoveryBench bench = new RecoveryBench();
+		JCommander.newBuilder().addObject(bench).programName("recovery-bench").build().parse(arguments);
+		System.exit((bench.run()) ? 0 : 1);
+	}
+
+	private boolean run() {
+		DeploymentShape shape = (this.deployment.equals("kliring")) ? DeploymentShape.kliring()
+				: DeploymentShape.lakeshore();
+		try (Deployment running = Deployment.start(shape);
+				CallerFleet callers = new CallerFleet(running.callerAddresses())) {
+			running.awaitServed();
+			callers.send(Traffic.of(shape));
+			for (int i = 0; i < this.losses; i++) {
+				lose(running, callers, Role.values()[i % Role.values().length]);
+			}
+			callers.finish();
+			List<Violation> violations = HistoryChecker.check(running.serverRecords(), callers.records(),
+					running.keyedServices());
+			violations.forEach((violation) -> System.out.println("BROKEN " + violation));
+			System.out.println(new Gson().toJson(new Result(shape.name(), figures(), violations.size())));
+			return violations.isEmpty();
+		}
+	}
+
+	private void lose(Deployment running, CallerFleet callers, Role role) {
+		StandInInstance lost = choose(running, role);
+		List<OwnedRange> ranges = running.ownedBy(lost);
+		Loss loss = Loss.now(lost.name());
+		lost.kill();
+		try (RecoveryProbe probe = new RecoveryProbe(callers, ranges, running.keyedServices())) {
+			probe.await();
+		}
+		List<Long> times = Measures.recovery(running.serverRecords(), callers.records(), loss)
+			.values()
+			.stream()
+			.flatMapToLong(OptionalLong::stream)
+			.boxed()
+			.toList();
+		System.out.printf("%s %s: %d ranges, ms %s%n", role, lost.name(), ranges.size(), times);
+		this.millis.computeIfAbsent(role, (unused) -> new ArrayList<>()).addAll(times);
+		this.count.merge(role, 1, Integer::sum);
+		lost.start();
+		running.awaitServed();
+		Await.until(lost.name() + " owns something again", () -> !running.ownedBy(lost).isEmpty());
+	}
+
+	private static StandInInstance choose(Deployment running, Role role) {
+		Managers managers = Managers.await(running);
+		return switch (role) {
+			case PRIMARY -> managers.primary();
+			case SECONDARY -> managers.secondary();
+			case MEMBER -> running.instances()
+				.stream()
+				.filter((instance) -> !managers.include(instance))
+				.filter((instance) -> !running.ownedBy(instance).isEmpty())
+				.findFirst()
+				.orElseThrow(() -> new IllegalStateException("no plain member owns anything"));
+		};
+	}
+
+	private List<Figures> figures() {
+		Stream<Figures> roles = this.millis.entrySet()
+			.stream()
+			.map((entry) -> Figures.of(entry.getKey().name(), this.count.getOrDefault(entry.getKey(), 0),
+					entry.getValue()));
+		List<Long> all = this.millis.values().stream().flatMap(List::stream).toList();
+		return Stream.concat(roles, Stream.of(Figures.of("ALL", this.losses, all))).toList();
+	}
+
+	/**
+	 * The part that the lost instance played.
+	 */
+	private enum Role {
+
+		/** No special one. */
+		MEMBER,
+
+		/** The primary lease manager. */
+		PRIMARY,
+
+		/** The secondary lease manager. */
+		SECONDARY
+
+	}
+
+	/**
+	 * The figures of one role.
+	 *
+	 * @param role the role, or ALL
+	 * @param losses how many instances were lost
+	 * @param ranges how many ranges they owned
+	 * @param medianMs the median over the ranges, in milliseconds
+	 * @param maxMs the longest, in milliseconds
+	 */
+	private record Figures(String role, int losses, int ranges, long medianMs, long maxMs) {
+
+		static Figures of(String role, int losses, List<Long> times) {
+			long[] sorted = times.stream().mapToLong(Long::longValue).sorted().toArray();
+			return new Figures(role, losses, sorted.length, (sorted.length > 0) ? Measures.median(sorted) : -1,
+					LongStream.of(sorted).max().orElse(-1));
+		}
+
+	}
+
+	/**
+	 * The closing line.
+	 *
+	 * @param deployment the deployment's name
+	 * @param recovery the figures by role
+	 * @param broken how many promises were broken
+	 */
+	private record Result(String deployment, List<Figures> recovery, int broken) {
+
+	}
+
+}
--- /dev/null
+++ b/integration/src/test/java/org/brasspier/integration/AtMostOnceTests.java
@@ -0,0 +1,107 @@
+package org.brasspier.integration;
+
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.stream.IntStream;
+
+import org.brasspier.standins.Await;
+import org.brasspier.standins.CallerFleet;
+import org.brasspier.standins.CallerRecord;
+import org.brasspier.standins.LinkState;
+import org.brasspier.standins.OwnedRange;
+import org.brasspier.standins.ServerRecord;
+import org.brasspier.standins.ServiceShape;
+import org.brasspier.standins.StandInInstance;
+import org.brasspier.standins.StandInRequest;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import static com.google.common.truth.Truth.assertThat;
+
+class AtMostOnceTests {
+
+	private Scene scene;
+
+	@BeforeEach
+	void start() {
+		this.scene = Scene.start(new ServiceShape(Scene.KEYED, true, 3, 8, 60, true),
+				new ServiceShape(Scene.UNKEYED, false, 2, 8, 60, false));
+	}
+
+	@AfterEach
+	void judge() {
+		this.scene.assertPromisesKept();
+		this.scene.close();
+	}
+
+	// A clerk posts a return, the line drops, and the clerk's program sends it again to
+	// another daemon while the first may still run. It runs once; the second sending gets
+	// the same answer.
+	@ParameterizedTest
+	@ValueSource(strings = { Scene.KEYED, Scene.UNKEYED })
+	void aPostingSentToAllDaemonsAtOnceRunsOnce(String service) {
+		String key = (service.equals(Scene.KEYED)) ? "a" : "";
+		List<CompletableFuture<CallerRecord>> sent = IntStream.range(0, 6)
+			.mapToObj((i) -> this.scene.begin(StandInRequest.posting(service, key, "once-" + service).waiting(8000)))
+			.toList();
+		sent.forEach(CompletableFuture::join);
+		assertThat(sent.stream().map((done) -> done.join().outcome()).toList()).contains(CallerRecord.Outcome.ANSWERED);
+		assertThat(effects("once-" + service)).isEqualTo(1);
+	}
+
+	// A crew books a cleaning, and the answer is lost on its way. By the time that the
+	// program sends the booking again its owner's machine has died and another owns the
+	// key. The new owner can't know, and must not book a second time.
+	@ParameterizedTest
+	@ValueSource(strings = { Scene.KEYED, Scene.UNKEYED })
+	void aPostingWhoseAnswerWasLostIsNotRunByTheNextOwner(String service) {
+		String key = (service.equals(Scene.KEYED)) ? "a" : "";
+		StandInInstance owner = ownerOf(service, key);
+		List<OwnedRange> ranges = this.scene.deployment().ownedBy(owner);
+		try (CallerFleet cutOff = new CallerFleet(this.scene.deployment().callerAddresses())) {
+			CompletableFuture<CallerRecord> booking = cutOff
+				.ask(StandInRequest.posting(service, key, "lost-" + service).at("/post?work=300").waiting(15_000));
+			Await.until("the booking runs", () -> begun("lost-" + service));
+			this.scene.deployment().links((name) -> name.startsWith("callers>"), LinkState.HELD_BACK);
+			Await.until("the booking has taken effect", () -> effects("lost-" + service) == 1);
+			owner.kill();
+			this.scene.deployment().links((name) -> name.startsWith("callers>"), LinkState.WHOLE);
+			this.scene.awaitRecovered(ranges);
+			booking.join();
+		}
+		assertThat(effects("lost-" + service)).isEqualTo(1);
+	}
+
+	// A server sheds a posting, says that it did not run it, and is right: the next
+	// sending runs it.
+	@Test
+	void aPostingThatWasShedRunsOnALaterSending() {
+		List<CompletableFuture<CallerRecord>> flood = IntStream.range(0, 80)
+			.mapToObj((i) -> this.scene
+				.begin(StandInRequest.posting(Scene.KEYED, "a", "flood-" + i).at("/post?work=60").waiting(20_000)))
+			.toList();
+		assertThat(flood.stream().map((done) -> done.join().outcome()).distinct().toList())
+			.containsExactly(CallerRecord.Outcome.ANSWERED);
+	}
+
+	private StandInInstance ownerOf(String service, String key) {
+		return (service.equals(Scene.KEYED)) ? this.scene.owner(key)
+				: this.scene.deployment().owner(service, "lost-" + service).orElseThrow();
+	}
+
+	private boolean begun(String id) {
+		return this.scene.deployment().serverRecords().stream().anyMatch((line) -> line.id().equals(id));
+	}
+
+	private long effects(String id) {
+		return this.scene.deployment()
+			.serverRecords()
+			.stream()
+			.filter((line) -> line.kind() == ServerRecord.Kind.TOOK_EFFECT && line.id().equals(id))
+			.count();
+	}
+
+}
--- /dev/null
+++ b/integration/src/test/java/org/brasspier/integration/InstanceLossTests.java
@@ -0,0 +1,85 @@
+package org.brasspier.integration;
+
+import java.util.List;
+
+import org.brasspier.standins.OwnedRange;
+import org.brasspier.standins.StandInInstance;
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+class InstanceLossTests {
+
+	private static Scene scene;
+
+	@BeforeAll
+	static void start() {
+		scene = Scene.keyed(4);
+	}
+
+	@AfterAll
+	static void stop() {
+		scene.close();
+	}
+
+	@BeforeEach
+	void send() {
+		scene.traffic();
+		scene.awaitAnswers();
+	}
+
+	@AfterEach
+	void judge() {
+		scene.assertPromisesKept();
+	}
+
+	// A crew asks for a record and its owner's machine dies. The managers hear no more
+	// heartbeats, let the lease run out and move the ranges. The crew's next tries are
+	// turned away for a moment, then another server answers.
+	@Test
+	void theRangesOfALostInstanceAreServedByOthers() {
+		StandInInstance lost = scene.owner("a");
+		List<OwnedRange> ranges = scene.deployment().ownedBy(lost);
+		lost.kill();
+		scene.awaitRecovered(ranges);
+	}
+
+	// The backend server's process dies, its daemon is well and knows of it at once: the
+	// server's port refuses. The daemon gives the ranges up.
+	@Test
+	void theRangesOfALostBackendServerAreServedByOthers() {
+		StandInInstance lost = scene.owner("a");
+		List<OwnedRange> ranges = scene.deployment().ownedBy(lost);
+		lost.server().kill();
+		scene.awaitRecovered(ranges);
+	}
+
+	// The daemon's process dies and its server lives on, with orders still running. The
+	// grants that the server holds run out with the lease, so what it finishes later has
+	// no effect, and others serve the ranges.
+	@Test
+	void theRangesOfALostDaemonAreServedByOthersThoughItsServerLives() {
+		StandInInstance lost = scene.owner("a");
+		List<OwnedRange> ranges = scene.deployment().ownedBy(lost);
+		lost.daemon().kill();
+		scene.awaitRecovered(ranges);
+	}
+
+	// While the ranges of a lost instance are on their way to others, a second one is
+	// lost. The first recovery must not be undone nor the second forgotten.
+	@Test
+	void aSecondLossDuringARecoveryLosesNothing() {
+		StandInInstance first = scene.owner("a");
+		StandInInstance second = scene.otherThan(first);
+		List<OwnedRange> ranges = scene.deployment().ownedBy(first);
+		first.kill();
+		scene.awaitRecovered(ranges.subList(0, 1));
+		List<OwnedRange> more = scene.deployment().ownedBy(second);
+		second.kill();
+		first.start();
+		scene.awaitRecovered(more);
+	}
+
+}
--- /dev/null
+++ b/integration/src/test/java/org/brasspier/integration/SilentConnectionTests.java
@@ -0,0 +1,102 @@
+package org.brasspier.integration;
+
+import java.util.List;
+
+import org.brasspier.standins.CallerRecord;
+import org.brasspier.standins.FaultLink;
+import org.brasspier.standins.LinkState;
+import org.brasspier.standins.StandInRequest;
+import org.brasspier.standins.TrafficMix;
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+class SilentConnectionTests {
+
+	private static final int PADDING = 60_000;
+
+	private static Scene scene;
+
+	@BeforeAll
+	static void start() {
+		scene = Scene.keyed(3);
+	}
+
+	@AfterAll
+	static void stop() {
+		scene.close();
+	}
+
+	@BeforeEach
+	void send() {
+		scene.traffic();
+		scene.awaitAnswers();
+	}
+
+	@AfterEach
+	void judge() {
+		scene.assertPromisesKept();
+	}
+
+	// Something between two daemons forgets their connections: what is sent over them is
+	// lost and neither end is told, while new ones work. Callers whose requests are
+	// forwarded get their answers as soon as the daemons have replaced them.
+	@Test
+	void silentConnectionsBetweenDaemonsAreNoticedAndReplaced() {
+		silence(":forward");
+		scene.awaitAnswers();
+		assertEachKeyIsAnsweredThroughEachDaemon();
+	}
+
+	// The same between the daemons' control ports: leases are renewed over new ones.
+	@Test
+	void silentControlConnectionsAreNoticedAndReplaced() {
+		silence(":control");
+		scene.awaitAnswers();
+		assertEachKeyIsAnsweredThroughEachDaemon();
+	}
+
+	// The same between a daemon and the server beside it.
+	@Test
+	void silentConnectionsToTheBackendServerAreNoticedAndReplaced() {
+		silence(">server");
+		scene.awaitAnswers();
+		assertEachKeyIsAnsweredThroughEachDaemon();
+	}
+
+	// Answers between daemons are held for a while and then all arrive at once, late and
+	// after others of the same callers. Each caller gets its own, whole, or an error.
+	@Test
+	void lateAnswersReachNobodyElse() {
+		scene.callers()
+			.send(List.of(new TrafficMix(Scene.KEYED, true, "lookup", 150, 50, 0, "/look", PADDING),
+					TrafficMix.steady(Scene.KEYED, true, "posting", 50)));
+		for (int i = 0; i < 3; i++) {
+			scene.deployment().links((name) -> name.endsWith(":forward"), LinkState.HELD_BACK);
+			scene.awaitAnswers();
+			scene.deployment().links((name) -> name.endsWith(":forward"), LinkState.WHOLE);
+			scene.awaitAnswers();
+		}
+	}
+
+	private static void silence(String suffix) {
+		List<FaultLink> links = scene.deployment().proxy().links((name) -> name.endsWith(suffix));
+		int open = links.stream().mapToInt(FaultLink::openConnections).sum();
+		assertWithMessage("open connections of %s", suffix).that(open).isGreaterThan(0);
+		links.forEach(FaultLink::silenceOpenConnections);
+	}
+
+	private static void assertEachKeyIsAnsweredThroughEachDaemon() {
+		for (int i = 0; i < 30; i++) {
+			CallerRecord done = scene
+				.ask(StandInRequest.lookup(Scene.KEYED, "key-" + i, scene.callers().newId()).waiting(10_000));
+			assertThat(done.outcome()).isEqualTo(CallerRecord.Outcome.ANSWERED);
+		}
+	}
+
+}
