--- a/bench/src/main/java/org/brasspier/bench/demo/RecoveryBench.java
+++ b/bench/src/main/java/org/brasspier/bench/demo/RecoveryBench.java
@@ -57,8 +57,7 @@
 	private boolean run() {
 		DeploymentShape shape = (this.deployment.equals("kliring")) ? DeploymentShape.kliring()
 				: DeploymentShape.lakeshore();
-		try (Deployment running = Deployment.start(shape);
-				CallerFleet callers = new CallerFleet(running.callerAddresses())) {
+		try (Deployment running = Deployment.start(shape); CallerFleet callers = running.callers()) {
 			running.awaitServed();
 			callers.send(Traffic.of(shape));
 			for (int i = 0; i < this.losses; i++) {
--- a/core/src/main/java/org/brasspier/core/ownership/OwnershipMachine.java
+++ b/core/src/main/java/org/brasspier/core/ownership/OwnershipMachine.java
@@ -39,7 +39,7 @@
 
 	private final Guards guards;
 
-	private final PrimaryMemory.Placement placement;
+	private PrimaryMemory.Placement placement;
 
 	private final MemberLease lease;
 
@@ -186,11 +186,12 @@
 	private void heartbeat(CellRow row, long now) {
 		ControlMessage heartbeat = new ControlMessage.Heartbeat(this.me.key().incarnation(), now, row.epoch(),
 				this.lease.known().version(), this.lease.leaseLeft(now), this.document);
-		row.managers()
+		List<MemberKey> renewers = row.managers()
 			.stream()
 			.flatMap(ManagerPair::managers)
 			.filter((key) -> !key.equals(this.me.key()) || !this.guards.on(Guard.MANAGER_RENEWED_BY_PEER))
-			.forEach((key) -> this.out.send(key.instance(), heartbeat));
+			.toList();
+		this.timers.heartbeatTurn(renewers).forEach((key) -> this.out.send(key.instance(), heartbeat));
 	}
 
 	private void toManagers(CellRow row, ControlMessage message) {
@@ -691,6 +692,14 @@
 		this.document = version;
 	}
 
+	/**
+	 * Sets how the operators weigh the measures.
+	 * @param weights the weights of the document in force
+	 */
+	public void weights(PlacementWeights weights) {
+		this.placement = this.placement.weighing(weights);
+	}
+
 	private List<OwnershipAction> finish(long now) {
 		List<OwnershipAction> actions = new ArrayList<>();
 		for (Optional<OwnershipAction> next = this.out.next(); next.isPresent(); next = this.out.next()) {
--- a/daemon/src/main/java/org/brasspier/daemon/internal/caller/RequestReader.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/caller/RequestReader.java
@@ -83,17 +83,14 @@
 			ServiceName service = new ServiceName(path.substring(PREFIX.length(), end));
 			String target = path.substring(end);
 			String targetPath = target.startsWith("/") ? target : "/" + target;
-			return this.catalog.get()
-				.find(service)
-				.<Either<Failure, Addressed>>map((policy) -> Either.right(new Addressed(service, targetPath, policy)))
-				.orElseGet(() -> Either.left(unknown(service)));
+			return this.catalog.get().policy(service).map((policy) -> new Addressed(service, targetPath, policy));
 		}
 		catch (IllegalArgumentException ex) {
 			return bad(String.valueOf(ex.getMessage()));
 		}
 	}
 
-	static Failure unknown(ServiceName service) {
+	private static Failure unknown(ServiceName service) {
 		return Failure.of(ErrorKind.UNKNOWN_SERVICE, "service %s is not configured".formatted(service));
 	}
 
--- a/integration/src/test/java/org/brasspier/integration/Scene.java
+++ b/integration/src/test/java/org/brasspier/integration/Scene.java
@@ -35,7 +35,7 @@
 
 	private Scene(Deployment deployment) {
 		this.deployment = deployment;
-		this.callers = new CallerFleet(deployment.callerAddresses());
+		this.callers = deployment.callers();
 	}
 
 	static Scene start(ServiceShape... services) {
--- a/standins/src/main/java/org/brasspier/standins/CallerFleet.java
+++ b/standins/src/main/java/org/brasspier/standins/CallerFleet.java
@@ -37,7 +37,17 @@
 	 * @param daemons the addresses of the daemons' caller ports
 	 */
 	public CallerFleet(List<InetSocketAddress> daemons) {
-		this.caller = this.loop.call(() -> new PersistentCaller(new CallerClient(this.loop.reactor()), daemons));
+		this(daemons, 0);
+	}
+
+	/**
+	 * Creates callers at a distance that send nothing yet.
+	 * @param daemons the addresses of the daemons' caller ports
+	 * @param delayMillis one way between callers and daemons, in milliseconds
+	 */
+	public CallerFleet(List<InetSocketAddress> daemons, double delayMillis) {
+		this.caller = this.loop
+			.call(() -> new PersistentCaller(new CallerClient(this.loop.reactor(), Math.round(delayMillis)), daemons));
 	}
 
 	/**
--- a/standins/src/main/java/org/brasspier/standins/Deployment.java
+++ b/standins/src/main/java/org/brasspier/standins/Deployment.java
@@ -85,6 +85,14 @@
 		return this.folder;
 	}
 
+	/**
+	 * The secret that its operator ports accept.
+	 * @return the secret
+	 */
+	public String operatorSecret() {
+		return InstanceBuilder.OPERATOR_SECRET;
+	}
+
 	/**
 	 * All instances, also those that are not running.
 	 * @return the instances, service by service
@@ -122,7 +130,16 @@
 	}
 
 	/**
-	 * Where callers reach the daemons.
+	 * Callers of all daemons, at the deployment's distance and past the proxy.
+	 * @return callers that send nothing yet, to be closed
+	 */
+	public CallerFleet callers() {
+		return new CallerFleet(this.instances.stream().map((instance) -> instance.ports().callers()).toList(),
+				this.shape.callerDelayMillis());
+	}
+
+	/**
+	 * Where callers reach the daemons through the links {@code callers>NAME}.
 	 * @return the proxied addresses, in the order of the instances
 	 */
 	public List<InetSocketAddress> callerAddresses() {
@@ -179,7 +196,7 @@
 	public void awaitServed() {
 		try (CallerFleet probe = new CallerFleet(this.instances.stream()
 			.filter((instance) -> instance.daemon().alive())
-			.map(StandInInstance::callers)
+			.map((instance) -> instance.ports().callers())
 			.toList())) {
 			this.shape.services().forEach((service) -> Probe.served(probe, service));
 		}
--- a/standins/src/main/java/org/brasspier/standins/FaultLink.java
+++ b/standins/src/main/java/org/brasspier/standins/FaultLink.java
@@ -76,6 +76,7 @@
 			if (next == LinkState.RESET) {
 				Set.copyOf(this.pairs).forEach(Pair::end);
 			}
+			// What was held may end a pair as it's passed on.
 			Set.copyOf(this.pairs).forEach((pair) -> pair.obey(next));
 			return true;
 		});
