--- a/core/src/main/java/org/brasspier/core/ownership/ControlMessage.java
+++ b/core/src/main/java/org/brasspier/core/ownership/ControlMessage.java
@@ -79,7 +79,8 @@
 	 * A promise not to renew a member.
 	 *
 	 * @param member the member
-	 * @param leaseLeft how long its lease may run as far as the sender knows
+	 * @param leaseLeft how long its lease may run as far as the sender knows; if
+	 * negative, how long ago it ran out
 	 */
 	record Promised(MemberKey member, long leaseLeft) {
 
--- a/core/src/main/java/org/brasspier/core/ownership/LeaseManager.java
+++ b/core/src/main/java/org/brasspier/core/ownership/LeaseManager.java
@@ -270,8 +270,10 @@
 				now - this.tableSeenAt, promises));
 	}
 
+	// Negative once it has run out: a guard counts from then, and if each answer said
+	// "just now", it would never be over.
 	private long leaseLeft(MemberKey member, long now) {
-		return watch(member).map((watch) -> Math.max(watch.leaseBound(), now) - now).orElse(0L);
+		return Math.max(watch(member).map(MemberWatch::leaseBound).orElse(this.since), this.since) - now;
 	}
 
 	private boolean neverHeard(MemberKey member) {
@@ -304,13 +306,20 @@
 			this.authorityUntil = Math.max(this.authorityUntil, answer.sentAt() + this.timing.authority());
 		}
 		for (ControlMessage.Promised promise : answer.promises()) {
-			this.revoking = this.revoking.computeIfPresent(promise.member(), (key,
-					revocation) -> (answer.sentAt() >= revocation.since() || !this.guards.on(Guard.PROMISE_IS_FRESH))
-							? revocation.promised(now + drift(promise.leaseLeft())) : revocation)
+			this.revoking = this.revoking
+				.computeIfPresent(promise.member(),
+						(key, revocation) -> (answer.sentAt() >= revocation.since()
+								|| !this.guards.on(Guard.PROMISE_IS_FRESH))
+										? revocation.promised(now + promisedSpan(promise.leaseLeft())) : revocation)
 				._2();
 		}
 	}
 
+	// What ran out a while ago by the peer's clock did so a little later by this one.
+	private long promisedSpan(long leaseLeft) {
+		return (leaseLeft < 0) ? 2 * leaseLeft + drift(-leaseLeft) : drift(leaseLeft);
+	}
+
 	/**
 	 * The beat that is due to the peer.
 	 * @param version the version of the row this process knows
--- a/core/src/main/java/org/brasspier/core/request/CallerRequest.java
+++ b/core/src/main/java/org/brasspier/core/request/CallerRequest.java
@@ -96,6 +96,17 @@
 				millis, this.target, this.headers, this.body);
 	}
 
+	/**
+	 * The same request after a send that may have run.
+	 * @return the copy, which is no first send
+	 */
+	public CallerRequest resent() {
+		RequestIdentity again = new RequestIdentity(this.identity.id(), this.identity.madeUp(), false,
+				this.identity.ticket());
+		return new CallerRequest(this.service, this.key, this.byKey, again, this.requestClass, this.caller,
+				this.remainingMillis, this.target, this.headers, this.body);
+	}
+
 	/**
 	 * The HTTP method and path for the backend server.
 	 *
--- a/daemon/src/main/java/org/brasspier/daemon/internal/request/RequestRouter.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/request/RequestRouter.java
@@ -80,7 +80,7 @@
 	 */
 	private final class Route {
 
-		private final CallerRequest request;
+		private CallerRequest request;
 
 		private final Cancellation cancellation;
 
@@ -142,7 +142,9 @@
 			}
 			if (mayBeSentAgain(failed) && RequestRouter.this.budget.spend()) {
 				this.resent = true;
-				return failed.backendLost() ? later(route, failed) : attempt();
+				this.request = this.request.resent();
+				Promise<Outcome> again = failed.backendLost() ? later(route, failed) : attempt();
+				return again.map((end) -> afterDoubt(failed, end));
 			}
 			return Promise.of(outcome);
 		}
@@ -169,6 +171,13 @@
 			return lost && harmless && !this.resent;
 		}
 
+		// The first send may have run, so that the second one certainly did not is no
+		// answer: "not run" would let the caller send a posting anew that has run.
+		private static Outcome afterDoubt(Outcome.Failed first, Outcome end) {
+			boolean notRun = end instanceof Outcome.Failed failed && failed.certainlyNotRun();
+			return notRun ? first : end;
+		}
+
 		private Promise<Outcome> later(Optional<Assignment> seen, Outcome.Failed refusal) {
 			long now = System.nanoTime();
 			if (now - this.waitUntilNanos >= 0) {
--- a/daemon/src/main/java/org/brasspier/daemon/internal/request/RunningOrder.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/request/RunningOrder.java
@@ -112,8 +112,13 @@
 		if (this.checksFences) {
 			return this.order.deadlineNanos();
 		}
-		long authorityEnd = this.order.leaseEndNanos().getAsLong()
-				+ this.runner.guards().nanos(this.order.request().service());
+		long leaseEnd = this.order.leaseEndNanos().getAsLong();
+		if (leaseEnd - System.nanoTime() <= 0) {
+			// A lapsed lease tells no more when it ended, and the guard counted from
+			// then.
+			return leaseEnd;
+		}
+		long authorityEnd = leaseEnd + this.runner.guards().nanos(this.order.request().service());
 		return (authorityEnd - this.order.deadlineNanos() < 0) ? authorityEnd : this.order.deadlineNanos();
 	}
 
