--- a/bench/src/main/java/org/brasspier/bench/demo/Demo.java
+++ b/bench/src/main/java/org/brasspier/bench/demo/Demo.java
@@ -64,8 +64,7 @@
 	private boolean run() {
 		say("starting %s: %d instances in %s", this.shape.name(),
 				this.shape.services().stream().mapToInt((service) -> service.servers()).sum(), this.shape.domains());
-		try (Deployment deployment = Deployment.start(this.shape);
-				CallerFleet callers = new CallerFleet(deployment.callerAddresses())) {
+		try (Deployment deployment = Deployment.start(this.shape); CallerFleet callers = deployment.callers()) {
 			deployment.awaitServed();
 			say("each service answers");
 			DocumentSubmission.submit(deployment).forEach((line) -> say("%s", line));
--- a/standins/src/main/java/org/brasspier/standins/CallerClient.java
+++ b/standins/src/main/java/org/brasspier/standins/CallerClient.java
@@ -30,13 +30,23 @@
 
 	private static final Duration KEEP_ALIVE = Duration.ofSeconds(20);
 
-	private static final Duration IDLE = Duration.ofSeconds(30);
+	/** A connection that is silent for longer than any attempt lasts is given up. */
+	private static final Duration IDLE = Duration.ofMillis(1500);
 
 	private static final Duration CONNECT = Duration.ofSeconds(1);
 
 	private final HttpClient http;
 
-	CallerClient(NioReactor reactor) {
+	private final long delayMillis;
+
+	/**
+	 * Creates a client.
+	 * @param reactor the thread's reactor
+	 * @param delayMillis one way to the daemons, in milliseconds; it passes here and not
+	 * in the proxy, so that a refused connection is seen as what it is
+	 */
+	CallerClient(NioReactor reactor, long delayMillis) {
+		this.delayMillis = delayMillis;
 		this.http = HttpClient.builder(reactor, DnsClient.create(reactor, new InetSocketAddress("127.0.0.1", 53)))
 			.withKeepAliveTimeout(KEEP_ALIVE)
 			.withConnectTimeout(CONNECT)
@@ -54,8 +64,10 @@
 	Promise<Attempt> send(StandInRequest request, InetSocketAddress daemon, Sending sending) {
 		int deadlineMillis = sending.deadlineMillis();
 		long sent = ServerHistory.nowMicros();
-		Promise<Heard> heard = this.http.request(build(request, daemon, sending))
-			.then((response) -> response.loadBody().map((body) -> heard(request, response, body)));
+		Promise<Heard> heard = Promises.delay(this.delayMillis)
+			.then(() -> this.http.request(build(request, daemon, sending)))
+			.then((response) -> response.loadBody().map((body) -> heard(request, response, body)))
+			.then((answer) -> Promises.delay(this.delayMillis, answer));
 		return Promises.timeout((long) deadlineMillis + GRACE_MILLIS, heard)
 			.then((answer, ex) -> Promise.of(attempt(request, daemon, sent, (ex != null) ? silence(ex) : answer)));
 	}
--- a/standins/src/main/java/org/brasspier/standins/FaultProxy.java
+++ b/standins/src/main/java/org/brasspier/standins/FaultProxy.java
@@ -26,7 +26,17 @@
 	 * @return the link
 	 */
 	public FaultLink link(String name, InetSocketAddress target, double delayMillis) {
-		return this.links.computeIfAbsent(name, (unused) -> new FaultLink(this.loop, name, target, delayMillis));
+		return this.links.computeIfAbsent(name, (unused) -> new FaultLink(this.loop, name, target, delayMillis, false));
+	}
+
+	/**
+	 * Opens a TCP link that refuses connections while its target does not listen.
+	 * @param name who it leads from and to
+	 * @param target where it leads
+	 * @return the link, without delay
+	 */
+	FaultLink followingLink(String name, InetSocketAddress target) {
+		return this.links.computeIfAbsent(name, (unused) -> new FaultLink(this.loop, name, target, 0, true));
 	}
 
 	/**
--- a/standins/src/main/java/org/brasspier/standins/InstanceBuilder.java
+++ b/standins/src/main/java/org/brasspier/standins/InstanceBuilder.java
@@ -85,15 +85,18 @@
 	}
 
 	private ProgramProcess server(Plan plan) {
-		String advertised = Ports.text(this.proxy.link(plan.name + ">server", plan.server, 0).address());
+		FaultLink link = this.proxy.followingLink(plan.name + ">server", plan.server);
+		String advertised = Ports.text(link.address());
 		ServiceShape service = plan.service;
 		List<String> arguments = List.of("--name", plan.name, "--service", service.name(), "--listen",
 				Ports.text(plan.server), "--advertise", advertised, "--daemon", Ports.text(plan.ports.backend()),
 				"--callers", Ports.text(plan.ports.callers()), "--slots", Integer.toString(service.slots()),
 				"--waiting", Integer.toString(service.slots()), "--connections",
 				Integer.toString(service.connections()), "--checks-fences", Boolean.toString(service.checksFences()));
-		return new ProgramProcess(plan.name + ".server", BackendStandIn.class.getName(), arguments, Map.of(),
-				this.folder);
+		ProgramProcess process = new ProgramProcess(plan.name + ".server", BackendStandIn.class.getName(), arguments,
+				Map.of(), this.folder);
+		process.afterEnd(link::targetEnded);
+		return process;
 	}
 
 	/**
