Let the document's shares of classes and callers reach admission

Cause: operators could set class shares and caller shares, and nothing read them. A class is now sure of the larger of what is built in and what the document asks for; a named caller that holds its most share comes after all others that wait, and still uses slots that nobody else wants. The gate follows the document's changes without touching what waits or runs. Ruled out: a hard limit on a caller, which would leave slots idle.

Seen: two tests, failing before (no such rule), passing now; admission's and the path's tests pass.

--- a/core/src/main/java/org/brasspier/core/admission/AdmissionController.java
+++ b/core/src/main/java/org/brasspier/core/admission/AdmissionController.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Optional;
 
+import org.brasspier.core.CallerId;
 import org.brasspier.core.ErrorKind;
 import org.brasspier.core.Failure;
 import org.brasspier.core.RequestClass;
@@ -28,11 +29,11 @@
  */
 public final class AdmissionController {
 
-	private final AdmissionSettings settings;
+	private AdmissionSettings settings;
 
 	private final ServiceTimes times;
 
-	private final ClassTurns turns;
+	private ClassTurns turns;
 
 	private final CallerShares shares = new CallerShares();
 
@@ -101,6 +102,7 @@
 		RequestClass requestClass = ended.request().requestClass();
 		this.slots.release(requestClass, now);
 		this.shares.charge(ended.request().caller(), took - ended.chargedNanos());
+		this.shares.ended(ended.request().caller());
 		learn(ended, outcome, took);
 		return expired(now);
 	}
@@ -141,6 +143,19 @@
 		this.slots.limits(limits);
 	}
 
+	/**
+	 * Takes over what operators' document says of the service. What waits or runs goes
+	 * on.
+	 * @param changed the rules of each class
+	 * @param callerPercent the most of the slots that a named caller may hold while
+	 * others wait, in percent
+	 */
+	public void rules(AdmissionSettings changed, Map<CallerId, Integer> callerPercent) {
+		this.settings = changed;
+		this.turns = new ClassTurns(changed, this.times);
+		this.shares.mostPercent(callerPercent);
+	}
+
 	/**
 	 * Refuses new requests from now on, or takes them again. What waits or runs goes on.
 	 * @param leaving whether the backend server is leaving
@@ -248,7 +263,7 @@
 	private Optional<PendingRequest> take(long now) {
 		Optional<RequestClass> turn = this.turns
 			.next((requestClass) -> !queue(requestClass).isEmpty() && this.slots.free(requestClass, now));
-		Optional<PendingRequest> next = turn.flatMap((requestClass) -> queue(requestClass).take())
+		Optional<PendingRequest> next = turn.flatMap((requestClass) -> queue(requestClass).take(this.slots.usable()))
 			.map(Waiting::request);
 		next.ifPresent((request) -> {
 			this.waiting.remove(request.id());
@@ -263,6 +278,7 @@
 		double expected = this.times.mean(request.requestClass());
 		this.slots.take(request.requestClass(), now);
 		this.shares.charge(request.caller(), expected);
+		this.shares.begun(request.caller());
 		this.running.put(request.id(), new Running(request, now, expected, this.running.size() + 1));
 	}
 
--- a/core/src/main/java/org/brasspier/core/admission/AdmissionSettings.java
+++ b/core/src/main/java/org/brasspier/core/admission/AdmissionSettings.java
@@ -13,6 +13,8 @@
  */
 public record AdmissionSettings(Map<RequestClass, ClassRules> classes) {
 
+	private static final double WHOLE_PERCENT = 100;
+
 	/**
 	 * Rules that fit services whose lookups take some tens of milliseconds. Waits: a
 	 * lookup is worth nothing to a crew after a second, so its queue holds no more than a
@@ -54,6 +56,19 @@
 		return rules;
 	}
 
+	/**
+	 * These rules with larger sure shares where operators ask for them.
+	 * @param percent the share that each class is to be sure of at least, in percent;
+	 * classes that are left out keep theirs
+	 * @return the rules
+	 */
+	public AdmissionSettings sureOf(Map<RequestClass, Integer> percent) {
+		Map<RequestClass, ClassRules> raised = new EnumMap<>(this.classes);
+		percent.forEach((requestClass, share) -> raised.computeIfPresent(requestClass,
+				(key, rules) -> rules.sureOf(Math.max(rules.sureShare(), share / WHOLE_PERCENT))));
+		return new AdmissionSettings(raised);
+	}
+
 	/**
 	 * The rules of one class.
 	 *
@@ -79,6 +94,10 @@
 			}
 		}
 
+		ClassRules sureOf(double share) {
+			return new ClassRules(this.letInWait, this.longestWait, share, this.firstGuess);
+		}
+
 	}
 
 }
--- a/core/src/main/java/org/brasspier/core/admission/CallerShares.java
+++ b/core/src/main/java/org/brasspier/core/admission/CallerShares.java
@@ -1,5 +1,6 @@
 package org.brasspier.core.admission;
 
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.Map;
 
@@ -17,6 +18,8 @@
 	 */
 	private static final int MOST_CALLERS = 256;
 
+	private static final int WHOLE_PERCENT = 100;
+
 	private final Map<CallerId, Double> usedNanos = new LinkedHashMap<>(16, 0.75f, true) {
 
 		@Override
@@ -26,8 +29,34 @@
 
 	};
 
+	private final Map<CallerId, Integer> holding = new HashMap<>();
+
+	private Map<CallerId, Integer> mostPercent = Map.of();
+
 	private double level;
 
+	// The most of the slots that a named caller may hold while others wait, in percent.
+	void mostPercent(Map<CallerId, Integer> percent) {
+		this.mostPercent = Map.copyOf(percent);
+	}
+
+	void begun(CallerId caller) {
+		this.holding.merge(caller, 1, Integer::sum);
+	}
+
+	void ended(CallerId caller) {
+		this.holding.computeIfPresent(caller, (key, count) -> (count > 1) ? count - 1 : null);
+	}
+
+	// Made for an office that operators know to flood: turns alone would leave it an
+	// equal
+	// share of every burst. It always gets one slot, or it could never be served.
+	boolean atMost(CallerId caller, int slots) {
+		Integer percent = this.mostPercent.get(caller);
+		int held = this.holding.getOrDefault(caller, 0);
+		return percent != null && held >= Math.max(1, slots * percent / WHOLE_PERCENT);
+	}
+
 	// The slot time a caller has had, level with the present turn if it had less: who was
 	// away can't save up turns and then take all slots at once.
 	double used(CallerId caller) {
--- a/core/src/main/java/org/brasspier/core/admission/ClassQueue.java
+++ b/core/src/main/java/org/brasspier/core/admission/ClassQueue.java
@@ -59,11 +59,14 @@
 		return true;
 	}
 
-	// Takes the next request: of the caller that had the least, the one due first.
-	Optional<Waiting> take() {
+	// Takes the next request: of the caller that had the least, the one due first. Who
+	// holds all that it may hold comes after everybody else.
+	Optional<Waiting> take(int slots) {
 		Optional<Waiting> next = this.waiting.entrySet()
 			.stream()
-			.min(Comparator.comparingDouble((entry) -> this.shares.used(entry.getKey())))
+			.min(Comparator
+				.comparing((Map.Entry<CallerId, TreeSet<Waiting>> entry) -> this.shares.atMost(entry.getKey(), slots))
+				.thenComparingDouble((entry) -> this.shares.used(entry.getKey())))
 			.map((entry) -> entry.getValue().first());
 		next.ifPresent(this::remove);
 		return next;
--- a/core/src/main/java/org/brasspier/core/document/Form.java
+++ b/core/src/main/java/org/brasspier/core/document/Form.java
@@ -76,7 +76,7 @@
 					new Field(name + "-deadline-millis", "ms", new ValueRule.Whole(1, 600_000), deadline(requestClass),
 							"deadline of " + name + " requests that name none, and the longest they may name"),
 					new Field(name + "-share-percent", "%", new ValueRule.Whole(0, 100), share(requestClass),
-							"slots reserved for " + name + " requests"));
+							"slot time that " + name + " requests are sure of, if more than what is built in"));
 		});
 		Stream<Field> rest = Stream.of(
 				new Field("caller-shares", "%", new ValueRule.Shares(new ValueRule.Whole(1, 100)), "",
--- a/core/src/main/java/org/brasspier/core/document/ServicePolicy.java
+++ b/core/src/main/java/org/brasspier/core/document/ServicePolicy.java
@@ -1,6 +1,7 @@
 package org.brasspier.core.document;
 
 import java.util.Map;
+import java.util.stream.Collectors;
 
 import org.brasspier.core.CallerId;
 import org.brasspier.core.RequestClass;
@@ -42,6 +43,16 @@
 		return limit;
 	}
 
+	/**
+	 * The share of slot time that each class is to be sure of.
+	 * @return the shares, in percent
+	 */
+	public Map<RequestClass, Integer> sharePercents() {
+		return this.limits.entrySet()
+			.stream()
+			.collect(Collectors.toUnmodifiableMap(Map.Entry::getKey, (entry) -> entry.getValue().sharePercent()));
+	}
+
 	/**
 	 * What is divided among owners.
 	 */
@@ -65,7 +76,8 @@
 	 *
 	 * @param deadlineMillis the deadline of requests that name none, and the longest that
 	 * they may name, in milliseconds
-	 * @param sharePercent the slots reserved for the class, in percent
+	 * @param sharePercent the share of slot time that the class is sure of while others
+	 * want more, in percent; below what is built in it has no effect
 	 */
 	public record ClassLimit(int deadlineMillis, int sharePercent) {
 
--- a/core/src/test/java/org/brasspier/core/admission/AdmissionControllerTests.java
+++ b/core/src/test/java/org/brasspier/core/admission/AdmissionControllerTests.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.stream.IntStream;
 
 import org.brasspier.core.CallerId;
@@ -152,6 +153,31 @@
 		assertThat(this.admission.finished(1, RunOutcome.ANSWERED, 5 * MILLI).run()).containsExactly(3L);
 	}
 
+	// An office that operators limited to a third floods a server of three slots. While
+	// the
+	// crew has requests waiting it holds one slot; once nobody else waits it may use the
+	// rest, since an idle slot helps nobody.
+	@Test
+	void aCallerWithAMostShareHoldsNoMoreWhileOthersWait() {
+		AdmissionController shared = controller(3, 100);
+		shared.rules(AdmissionSettings.DEFAULT, Map.of(CROWD, 34));
+		IntStream.range(0, 6).forEach((i) -> shared.offer(request(RequestClass.LOOKUP, CROWD, 1000), 0));
+		IntStream.range(0, 3).forEach((i) -> shared.offer(request(RequestClass.LOOKUP, CREW, 1000), 0));
+		assertThat(shared.finished(1, RunOutcome.ANSWERED, MILLI).run()).containsExactly(7L);
+		assertThat(shared.finished(2, RunOutcome.ANSWERED, MILLI).run()).containsExactly(8L);
+		assertThat(shared.finished(7, RunOutcome.ANSWERED, 2 * MILLI).run()).containsExactly(9L);
+		assertThat(shared.finished(8, RunOutcome.ANSWERED, 2 * MILLI).run()).containsExactly(4L);
+	}
+
+	@Test
+	void aClassIsSureOfNoLessThanOperatorsAskFor() {
+		AdmissionSettings raised = AdmissionSettings.DEFAULT
+			.sureOf(Map.of(RequestClass.POSTING, 40, RequestClass.LOOKUP, 10));
+		assertThat(raised.of(RequestClass.POSTING).sureShare()).isEqualTo(0.4);
+		assertThat(raised.of(RequestClass.LOOKUP).sureShare())
+			.isEqualTo(AdmissionSettings.DEFAULT.of(RequestClass.LOOKUP).sureShare());
+	}
+
 	private void fill() {
 		offer(RequestClass.LOOKUP, CROWD, 1000);
 		offer(RequestClass.LOOKUP, CROWD, 1000);
--- a/daemon/src/main/java/org/brasspier/daemon/internal/request/RequestPath.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/request/RequestPath.java
@@ -87,7 +87,7 @@
 		this.loads = new LoadReports(known.ownership(), reports, context.outcomes());
 		OrderRunner runner = new OrderRunner(reactor, new BackendClient(reactor, settings.limits().maxBodyBytes()),
 				calls, this.watch, this.grants, context.events(), guards, this.loads, suspects::partOfLoss);
-		this.serverGate = new ServerGate(reactor, this.watch, this.grants, runner);
+		this.serverGate = new ServerGate(reactor, this.watch, this.grants, runner, known.catalog());
 		ForwardClient client = new ForwardClient(reactor, settings, known.ownership(), context.events(), guards);
 		this.inFlight = new InFlight(this.marks, reports);
 		ServerChoice choice = new ServerChoice(settings.instance(), this.serverGate, client, known.cell(),
--- a/daemon/src/main/java/org/brasspier/daemon/internal/request/ServerGate.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/request/ServerGate.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Supplier;
 
 import io.activej.promise.Promise;
 import io.activej.promise.Promises;
@@ -12,6 +13,7 @@
 import io.activej.reactor.nio.NioReactor;
 import org.brasspier.core.ErrorKind;
 import org.brasspier.core.Failure;
+import org.brasspier.core.ServiceName;
 import org.brasspier.core.admission.AdmissionController;
 import org.brasspier.core.admission.AdmissionDecision;
 import org.brasspier.core.admission.AdmissionLimits;
@@ -20,6 +22,8 @@
 import org.brasspier.core.admission.PendingRequest;
 import org.brasspier.core.admission.RefusedRequest;
 import org.brasspier.core.admission.RunOutcome;
+import org.brasspier.core.document.ServiceCatalog;
+import org.brasspier.core.document.ServicePolicy;
 import org.brasspier.daemon.internal.backend.BackendAnnouncement;
 import org.brasspier.daemon.internal.backend.BackendWatch;
 import org.brasspier.daemon.internal.backend.GrantsKeeper;
@@ -57,6 +61,10 @@
 	private final AdmissionController admission = new AdmissionController(new AdmissionLimits(1, 1),
 			AdmissionSettings.DEFAULT);
 
+	private final Supplier<ServiceCatalog> catalog;
+
+	private Optional<ServicePolicy> inForce = Optional.empty();
+
 	private final Map<Long, Waiting> waiting = new HashMap<>();
 
 	private long nextNumber = 1;
@@ -73,12 +81,15 @@
 	 * @param watch what is known of the backend server
 	 * @param grants its grants
 	 * @param runner hands orders over
+	 * @param catalog what the document in force says of services
 	 */
-	ServerGate(NioReactor reactor, BackendWatch watch, GrantsKeeper grants, OrderRunner runner) {
+	ServerGate(NioReactor reactor, BackendWatch watch, GrantsKeeper grants, OrderRunner runner,
+			Supplier<ServiceCatalog> catalog) {
 		this.reactor = reactor;
 		this.watch = watch;
 		this.grants = grants;
 		this.runner = runner;
+		this.catalog = catalog;
 		watch.listen(this);
 	}
 
@@ -131,7 +142,18 @@
 		return Promises.delay(LOOK_AGAIN).then(() -> granted(order, giveUpNanos));
 	}
 
+	private void followDocument(ServiceName service) {
+		Optional<ServicePolicy> policy = this.catalog.get().find(service);
+		if (policy.equals(this.inForce)) {
+			return;
+		}
+		this.inForce = policy;
+		policy.ifPresent((present) -> this.admission.rules(AdmissionSettings.DEFAULT.sureOf(present.sharePercents()),
+				present.callerShares()));
+	}
+
 	private OrderRun offer(Order order, Cancellation cancellation) {
+		followDocument(order.request().service());
 		long number = this.nextNumber++;
 		PendingRequest pending = new PendingRequest(number, order.request().requestClass(), order.request().caller(),
 				order.deadlineNanos());
