--- a/bench/src/main/java/org/brasspier/bench/Bench.java
+++ b/bench/src/main/java/org/brasspier/bench/Bench.java
@@ -1,10 +1,13 @@
 package org.brasspier.bench;
 
-import java.io.IOException;
 import java.nio.file.Path;
 
 import org.brasspier.bench.capacity.CapacityBench;
+import org.brasspier.bench.demo.RecoveryBench;
+import org.brasspier.bench.document.DocumentBench;
+import org.brasspier.bench.ownership.OwnershipBench;
 import org.brasspier.bench.path.PathBench;
+import org.brasspier.bench.policy.PolicyBench;
 
 /**
  * The program behind {@code bin/bench}: one measurement by its name, or all of them one
@@ -22,23 +25,33 @@
 	/**
 	 * Runs measurements.
 	 * @param arguments the name of one, or nothing for all
-	 * @throws IOException if a result can't be written
-	 * @throws InterruptedException if interrupted
+	 * @throws Exception if a measurement can't be made
 	 */
-	public static void main(String[] arguments) throws IOException, InterruptedException {
-		String name = (arguments.length > 0) ? arguments[0] : "all";
-		switch (name) {
+	public static void main(String[] arguments) throws Exception {
+		switch ((arguments.length > 0) ? arguments[0] : "all") {
 			case "capacity" -> CapacityBench.run(OUTPUT, CAPACITY_PAGE);
 			case "path" -> PathBench.run(OUTPUT);
-			case "all" -> {
-				CapacityBench.run(OUTPUT, CAPACITY_PAGE);
-				PathBench.run(OUTPUT);
-			}
+			case "policy" -> PolicyBench.main(new String[] { OUTPUT.toString() });
+			case "document" -> DocumentBench.main(new String[] { OUTPUT.toString() });
+			case "ownership" -> OwnershipBench.main(new String[0]);
+			case "recovery" -> RecoveryBench.main(new String[0]);
+			case "all" -> all();
 			default -> {
-				System.err.println("unknown measurement \"" + name + "\": capacity, path or all");
+				System.err.println("unknown measurement \"%s\": %s or all".formatted(arguments[0],
+						"capacity, path, policy, document, ownership, recovery"));
 				System.exit(2);
 			}
 		}
 	}
 
+	/** Recovery comes last, since it ends the process with its own verdict. */
+	private static void all() throws Exception {
+		CapacityBench.run(OUTPUT, CAPACITY_PAGE);
+		PathBench.run(OUTPUT);
+		PolicyBench.main(new String[] { OUTPUT.toString() });
+		DocumentBench.main(new String[] { OUTPUT.toString() });
+		OwnershipBench.main(new String[0]);
+		RecoveryBench.main(new String[0]);
+	}
+
 }
