--- a/bench/src/main/java/org/brasspier/bench/demo/FaultTrial.java
+++ b/bench/src/main/java/org/brasspier/bench/demo/FaultTrial.java
@@ -24,7 +24,7 @@
 
 	private FaultTrial(Deployment deployment) {
 		this.deployment = deployment;
-		this.callers = new CallerFleet(deployment.callerAddresses());
+		this.callers = deployment.callers();
 		this.injector = new FaultInjector(deployment);
 	}
 
--- a/standins/src/main/java/org/brasspier/standins/ProgramProcess.java
+++ b/standins/src/main/java/org/brasspier/standins/ProgramProcess.java
@@ -38,6 +38,9 @@
 
 	private final File log;
 
+	private volatile Runnable afterEnd = () -> {
+	};
+
 	private @Nullable Process process;
 
 	/**
@@ -82,7 +85,10 @@
 		try {
 			Process fresh = builder.start();
 			started.add(fresh);
-			fresh.onExit().thenAccept(started::remove);
+			fresh.onExit().thenAccept((ended) -> {
+				started.remove(ended);
+				this.afterEnd.run();
+			});
 			this.process = fresh;
 		}
 		catch (IOException ex) {
@@ -91,6 +97,14 @@
 		return this;
 	}
 
+	/**
+	 * Sets what is done each time the process has ended.
+	 * @param action what
+	 */
+	void afterEnd(Runnable action) {
+		this.afterEnd = action;
+	}
+
 	/**
 	 * Whether the process runs, paused or not.
 	 * @return true if it does
