Open a duty's ports in one place

Cause: three duties each had the same twenty lines to open their ports in their own thread and wait for it. Duty.start(Opening) does it once, and an interrupt while it waits is now an InterruptedIOException instead of an unchecked one.

Seen: the path's and bad input's tests pass.

--- a/daemon/src/main/java/org/brasspier/daemon/internal/loop/Duty.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/loop/Duty.java
@@ -1,5 +1,9 @@
 package org.brasspier.daemon.internal.loop;
 
+import java.io.IOException;
+import java.io.InterruptedIOException;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 
 import io.activej.eventloop.Eventloop;
@@ -52,6 +56,35 @@
 		this.thread.start();
 	}
 
+	/**
+	 * Starts the thread and opens what it listens on, in the thread itself.
+	 * @param opening opens the ports
+	 * @throws IOException if a port can't be opened
+	 */
+	public void start(Opening opening) throws IOException {
+		start();
+		CompletableFuture<Void> opened = new CompletableFuture<>();
+		execute(() -> {
+			try {
+				opening.open();
+				opened.complete(null);
+			}
+			catch (IOException ex) {
+				opened.completeExceptionally(ex);
+			}
+		});
+		try {
+			opened.get();
+		}
+		catch (ExecutionException ex) {
+			throw new IOException("a port of %s can't be opened".formatted(this.thread.getName()), ex.getCause());
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+			throw new InterruptedIOException("interrupted while opening the ports of " + this.thread.getName());
+		}
+	}
+
 	/**
 	 * Runs a task in the thread. For starting and stopping only: what flows during normal
 	 * work goes through a {@link Ring}, which is bounded.
@@ -71,4 +104,17 @@
 		this.thread.join(STOP_WAIT_MILLIS);
 	}
 
+	/**
+	 * Opens ports.
+	 */
+	public interface Opening {
+
+		/**
+		 * Opens them; called once, in the duty's thread.
+		 * @throws IOException if one can't be opened
+		 */
+		void open() throws IOException;
+
+	}
+
 }
--- a/daemon/src/main/java/org/brasspier/daemon/internal/operator/OperatorsDuty.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/operator/OperatorsDuty.java
@@ -1,13 +1,10 @@
 package org.brasspier.daemon.internal.operator;
 
 import java.io.IOException;
-import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.Optional;
-import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.ExecutionException;
 import java.util.function.Supplier;
 
 import io.activej.dns.DnsClient;
@@ -82,27 +79,7 @@
 	 * @throws IOException if the port can't be opened
 	 */
 	public void start() throws IOException {
-		this.duty.start();
-		CompletableFuture<Void> listening = new CompletableFuture<>();
-		this.duty.execute(() -> {
-			try {
-				listen(this.duty.reactor());
-				listening.complete(null);
-			}
-			catch (IOException ex) {
-				listening.completeExceptionally(ex);
-			}
-		});
-		try {
-			listening.get();
-		}
-		catch (ExecutionException ex) {
-			throw new IOException("the operator port can't be opened", ex.getCause());
-		}
-		catch (InterruptedException ex) {
-			Thread.currentThread().interrupt();
-			throw new UncheckedIOException(new IOException("interrupted while opening the operator port", ex));
-		}
+		this.duty.start(() -> listen(this.duty.reactor()));
 	}
 
 	private void listen(NioReactor reactor) throws IOException {
--- a/daemon/src/main/java/org/brasspier/daemon/internal/ownership/OwnershipDuty.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/ownership/OwnershipDuty.java
@@ -1,13 +1,10 @@
 package org.brasspier.daemon.internal.ownership;
 
 import java.io.IOException;
-import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
-import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ThreadLocalRandom;
 
 import com.codahale.metrics.Meter;
@@ -153,28 +150,10 @@
 	 * @throws IOException if the port can't be opened
 	 */
 	public void start() throws IOException {
-		this.duty.start();
-		CompletableFuture<Void> listening = new CompletableFuture<>();
-		this.duty.execute(() -> {
-			try {
-				this.links.listenOn(this.context.settings().listen().control()).listen();
-				tick();
-				listening.complete(null);
-			}
-			catch (IOException ex) {
-				listening.completeExceptionally(ex);
-			}
+		this.duty.start(() -> {
+			this.links.listenOn(this.context.settings().listen().control()).listen();
+			tick();
 		});
-		try {
-			listening.get();
-		}
-		catch (ExecutionException ex) {
-			throw new IOException("the control port can't be opened", ex.getCause());
-		}
-		catch (InterruptedException ex) {
-			Thread.currentThread().interrupt();
-			throw new UncheckedIOException(new IOException("interrupted while opening the control port", ex));
-		}
 	}
 
 	private void tick() {
--- a/daemon/src/main/java/org/brasspier/daemon/internal/request/RequestsDuty.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/request/RequestsDuty.java
@@ -1,7 +1,6 @@
 package org.brasspier.daemon.internal.request;
 
 import java.io.IOException;
-import java.io.UncheckedIOException;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
@@ -73,29 +72,13 @@
 	 * @throws IOException if a port can't be opened
 	 */
 	public void start() throws IOException {
-		this.duty.start();
-		CompletableFuture<Void> listening = new CompletableFuture<>();
-		this.duty.execute(() -> {
-			try {
-				RequestPath built = new RequestPath(this.duty.reactor(), this.context, this.known, this.reports);
-				this.path = built;
-				built.listen();
-				listening.complete(null);
-			}
-			catch (IOException ex) {
-				listening.completeExceptionally(ex);
-			}
-		});
-		try {
-			listening.get();
-		}
-		catch (ExecutionException ex) {
-			throw new IOException("a port can't be opened", ex.getCause());
-		}
-		catch (InterruptedException ex) {
-			Thread.currentThread().interrupt();
-			throw new UncheckedIOException(new IOException("interrupted while opening ports", ex));
-		}
+		this.duty.start(this::listen);
+	}
+
+	private void listen() throws IOException {
+		RequestPath built = new RequestPath(this.duty.reactor(), this.context, this.known, this.reports);
+		this.path = built;
+		built.listen();
 	}
 
 	private void order(RequestsOrder order) {
