--- /dev/null
+++ b/integration/src/test/java/org/brasspier/integration/PartitionTests.java
@@ -0,0 +1,116 @@
+package org.brasspier.integration;
+
+import java.util.List;
+
+import org.brasspier.bench.demo.Managers;
+import org.brasspier.standins.LinkState;
+import org.brasspier.standins.OwnedRange;
+import org.brasspier.standins.StandInInstance;
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+import static com.google.common.truth.Truth.assertThat;
+
+class PartitionTests {
+
+	private static Scene scene;
+
+	private Managers managers;
+
+	@BeforeAll
+	static void start() {
+		scene = Scene.keyed(4);
+	}
+
+	@AfterAll
+	static void stop() {
+		scene.close();
+	}
+
+	@BeforeEach
+	void send() {
+		scene.traffic();
+		scene.awaitAnswers();
+		this.managers = Managers.await(scene.deployment());
+	}
+
+	@AfterEach
+	void judge() {
+		scene.assertPromisesKept();
+	}
+
+	// A member does not reach one of the two lease managers. The other one goes on
+	// renewing its lease, so nothing moves and callers notice nothing.
+	@ParameterizedTest
+	@EnumSource(names = { "RESET", "HELD", "HELD_FORTH", "HELD_BACK" })
+	void aMemberCutOffFromOneManagerKeepsItsRanges(LinkState state) {
+		StandInInstance member = scene.otherThan(this.managers.primary(), this.managers.secondary());
+		List<OwnedRange> ranges = scene.deployment().ownedBy(member);
+		scene.deployment().between(member, this.managers.primary(), state);
+		scene.awaitAnswers();
+		scene.awaitAnswers();
+		assertThat(scene.deployment().ownedBy(member)).containsAtLeastElementsIn(ranges);
+	}
+
+	// A member reaches neither manager, but its callers and the store. Its lease runs
+	// out,
+	// it stops by its own clock, and others serve its ranges.
+	@ParameterizedTest
+	@EnumSource(names = { "RESET", "HELD", "HELD_FORTH", "HELD_BACK" })
+	void aMemberCutOffFromBothManagersStopsBeforeOthersBegin(LinkState state) {
+		StandInInstance member = scene.otherThan(this.managers.primary(), this.managers.secondary());
+		List<OwnedRange> ranges = scene.deployment().ownedBy(member);
+		scene.deployment().between(member, this.managers.primary(), state);
+		scene.deployment().between(member, this.managers.secondary(), state);
+		scene.awaitRecovered(ranges);
+	}
+
+	// A manager is cut off from everybody but its callers. It knows that its authority
+	// ends, renews nobody, and the other one replaces it.
+	@ParameterizedTest
+	@EnumSource(names = { "RESET", "HELD" })
+	void aPrimaryCutOffFromAllIsReplaced(LinkState state) {
+		List<OwnedRange> ranges = scene.deployment().ownedBy(this.managers.primary());
+		scene.deployment().isolate(this.managers.primary(), state);
+		scene.deployment().toStore(this.managers.primary(), state);
+		scene.awaitRecovered(ranges);
+	}
+
+	// The two managers don't reach each other, but everybody else. One of them replaces
+	// the other by a write; until then neither may move anything on its own word.
+	@Test
+	void managersCutOffFromEachOtherDoNotBothGoOn() {
+		scene.deployment().between(this.managers.primary(), this.managers.secondary(), LinkState.HELD);
+		scene.awaitAnswers();
+		scene.awaitAnswers();
+	}
+
+	// One failure domain is cut off from the rest and from the store. What it owns is
+	// served by the rest.
+	@Test
+	void aFailureDomainCutOffFromTheRestIsServedByTheRest() {
+		StandInInstance alone = scene.owner("a");
+		List<OwnedRange> ranges = scene.deployment().ownedBy(alone);
+		scene.deployment().isolate(alone, LinkState.HELD);
+		scene.deployment().toStore(alone, LinkState.HELD);
+		scene.awaitRecovered(ranges);
+	}
+
+	// A member does not reach the store, but its managers: its lease does not hang on the
+	// store.
+	@Test
+	void aMemberCutOffFromTheStoreKeepsItsRanges() {
+		StandInInstance member = scene.otherThan(this.managers.primary(), this.managers.secondary());
+		List<OwnedRange> ranges = scene.deployment().ownedBy(member);
+		scene.deployment().toStore(member, LinkState.HELD);
+		scene.awaitAnswers();
+		scene.awaitAnswers();
+		assertThat(scene.deployment().ownedBy(member)).containsAtLeastElementsIn(ranges);
+	}
+
+}
--- a/integration/src/test/java/org/brasspier/integration/PlannedStopTests.java
+++ b/integration/src/test/java/org/brasspier/integration/PlannedStopTests.java
@@ -57,6 +57,19 @@
 		assertWithMessage("orders that the server began and did not end").that(unfinished).isEmpty();
 	}
 
+	// All instances are replaced, one after another, as on a day of upgrades. Not one
+	// caller's request fails.
+	@Test
+	void aRollingReplacementOfAllInstancesFailsNoRequest() {
+		this.scene.deployment().instances().forEach((instance) -> {
+			instance.stop();
+			instance.start();
+			this.scene.deployment().awaitServed();
+		});
+		this.scene.awaitAnswers();
+		assertNobodyFailed();
+	}
+
 	private void assertNobodyFailed() {
 		this.scene.callers().finish();
 		List<CallerRecord> failed = this.scene.callers()
