--- a/integration/src/test/java/org/brasspier/integration/StoredStateTests.java
+++ b/integration/src/test/java/org/brasspier/integration/StoredStateTests.java
@@ -36,7 +36,8 @@
 	// Somebody damages the cell's row, or a newer version of the daemon has written it.
 	// Who owns what is not to be guessed from it: owners serve on, nothing moves even
 	// when an instance is lost, and the row stays as it is until somebody has mended it.
-	// The one lost is a plain member: with a manager lost the cell stops, as in an outage.
+	// The one lost is a plain member: with a manager lost the cell stops, as in an
+	// outage.
 	@ParameterizedTest
 	@ValueSource(booleans = { true, false })
 	void aRowThatCannotBeReadIsNeverOverwritten(boolean newer) {
