--- a/integration/src/test/java/org/brasspier/integration/StoredStateTests.java
+++ b/integration/src/test/java/org/brasspier/integration/StoredStateTests.java
@@ -41,10 +41,10 @@
 	@ParameterizedTest
 	@ValueSource(booleans = { true, false })
 	void aRowThatCannotBeReadIsNeverOverwritten(boolean newer) {
+		Managers managers = Managers.await(this.scene.deployment());
 		byte[] good = this.scene.deployment().platform().row(ROW).orElseThrow();
 		byte[] bad = (newer) ? newer(good) : damaged(good);
 		this.scene.deployment().platform().damage(ROW, bad);
-		Managers managers = Managers.await(this.scene.deployment());
 		StandInInstance lost = this.scene.otherThan(managers.primary(), managers.secondary());
 		List<OwnedRange> ranges = this.scene.deployment().ownedBy(lost);
 		this.scene.awaitAnswers();
