Let a shed second order not hide the first one's effect in the checker

Two orders of one id were at that server; the second was shed before it began, and the checker took its end for the first one's, then dropped the effect as one that never began.

--- a/standins/src/test/java/org/brasspier/standins/HistoryCheckerTests.java
+++ b/standins/src/test/java/org/brasspier/standins/HistoryCheckerTests.java
@@ -53,6 +53,19 @@
 			.containsExactly(Violation.Promise.RUNS_ONCE);
 	}
 
+	// A request is sent again while its first order still runs on a server whose queue is
+	// full: the second order is shed, the first takes effect and is answered.
+	@Test
+	void aShedSecondOrderDoesNotHideTheEffectOfTheFirst() {
+		List<ServerRecord> servers = List.of(order(Kind.BEGAN, 1, "a", "id-1", 5),
+				order(Kind.NOT_RUN, 2, "a", "id-1", 5), order(Kind.TOOK_EFFECT, 3, "a", "id-1", 5));
+		assertThat(check(servers, List.of(caller(answered("id-1", 1, 4))))).isEmpty();
+		List<ServerRecord> twice = List.of(order(Kind.BEGAN, 1, "a", "id-1", 5), order(Kind.NOT_RUN, 2, "a", "id-1", 5),
+				order(Kind.TOOK_EFFECT, 3, "a", "id-1", 5), order(Kind.BEGAN, 5, "b", "id-1", 8),
+				order(Kind.TOOK_EFFECT, 6, "b", "id-1", 8));
+		assertThat(check(twice, List.of())).containsExactly(Violation.Promise.RUNS_ONCE);
+	}
+
 	@Test
 	void aPostingThatMayHaveRunOnALostServerAndRunsAgainIsFound() {
 		assertThat(check(List.of(order(Kind.BEGAN, 1, "a", "id-1", 5), order(Kind.BEGAN, 3, "b", "id-1", 8),
