Look the services up once when a document is checked

Cause: the capacity bench's slope of "reading and checking" bent upwards: for each limit all services were collected anew, by splitting every path.

--- a/core/src/main/java/org/brasspier/core/document/DocumentCheck.java
+++ b/core/src/main/java/org/brasspier/core/document/DocumentCheck.java
@@ -5,6 +5,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.stream.Stream;
 
 import org.brasspier.core.RequestClass;
@@ -71,11 +72,12 @@
 	}
 
 	private static Stream<Fault> limitsOfNoService(Document document) {
+		Set<ServiceName> services = Set.copyOf(document.services());
 		return document.values()
 			.entrySet()
 			.stream()
 			.filter((entry) -> entry.getKey().parts().getFirst().equals(Form.LIMITS.key()))
-			.filter((entry) -> !document.services().contains(new ServiceName(entry.getKey().parts().get(1))))
+			.filter((entry) -> !services.contains(new ServiceName(entry.getKey().parts().get(1))))
 			.map((entry) -> new Fault(entry.getKey().text(), entry.getValue(),
 					"no form describes this service: fill in its service form or take the limit out"));
 	}
