Learn nothing of a server's slots from orders that never began

Cause: an order that met a refused fence, could not be sent, or whose caller, deadline or lease was gone before it left was taken back as "shed", which lowers the limit of concurrency to one less than was running. At the first order after a start that is one slot of six, and each 50 answers give one back: callers were refused after waiting 100 ms while nine tenths of the slots were free. Only in the daemon, since nothing sheds in virtual time. A server's "not run" to what was cancelled or came too late no longer counts as shedding either. Ruled out: the queue's rules (the same load in virtual time refuses nobody), the server's own shedding (it sheds beyond six waiting orders, and two ran at most).

--- a/core/src/main/java/org/brasspier/core/admission/AdmissionController.java
+++ b/core/src/main/java/org/brasspier/core/admission/AdmissionController.java
@@ -210,6 +210,10 @@
 			}
 			case BROKEN -> this.times.observeAtLeast(requestClass, took);
 			case SHED -> this.slots.observed().shed(ended.concurrency());
+			case NOT_BEGUN -> {
+				// A refused fence at the first order taught a limit of one slot, which
+				// turned callers away for a minute.
+			}
 		}
 	}
 
--- a/core/src/main/java/org/brasspier/core/admission/RunOutcome.java
+++ b/core/src/main/java/org/brasspier/core/admission/RunOutcome.java
@@ -11,6 +11,12 @@
 	/** The backend server said that it shed the request; its time tells nothing. */
 	SHED,
 
+	/**
+	 * It never began, for a reason that tells nothing of the backend server's load: the
+	 * caller is gone, the deadline or the lease ran out, or the fence was refused.
+	 */
+	NOT_BEGUN,
+
 	/**
 	 * It was cancelled, timed out or its connection broke; its time tells a lower bound.
 	 */
--- a/core/src/test/java/org/brasspier/core/admission/AdmissionControllerTests.java
+++ b/core/src/test/java/org/brasspier/core/admission/AdmissionControllerTests.java
@@ -84,6 +84,19 @@
 		assertThat(failure.retryAfter().toMillis()).isAtLeast(50);
 	}
 
+	/**
+	 * Tellers are turned away though nine tenths of the slots are free: the first order
+	 * after a move met a refused fence, or its caller was gone, and that was taken for a
+	 * server that sheds, so only one slot was used until 50 answers later.
+	 */
+	@Test
+	void whatNeverBeganTeachesNothingOfTheServersSlots() {
+		offer(RequestClass.LOOKUP, CREW, 1000);
+		this.admission.finished(1, RunOutcome.NOT_BEGUN, MILLI);
+		offer(RequestClass.LOOKUP, CREW, 1000);
+		assertThat(offer(RequestClass.LOOKUP, CREW, 1000)).isInstanceOf(Run.class);
+	}
+
 	@Test
 	void aWaitingRequestWhoseDeadlineComesIsGivenUpWithoutRunning() {
 		fill();
--- a/daemon/src/main/java/org/brasspier/daemon/internal/request/RunningOrder.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/request/RunningOrder.java
@@ -60,6 +60,8 @@
 
 	private boolean serverLost;
 
+	private boolean cancelled;
+
 	RunningOrder(OrderRunner runner, Order order, boolean checksFences, Consumer<RunOutcome> slotFree) {
 		this.runner = runner;
 		this.order = order;
@@ -139,14 +141,15 @@
 				settle(new Outcome.Answered(answer, this.order.held().fence(), ""), RunOutcome.ANSWERED);
 			}
 			case BackendReply.Shed(Duration retryAfter) -> notRun(ErrorKind.OVERLOADED,
-					"the backend server shed the request", retryAfter.isZero() ? RETRY_SOON : retryAfter);
+					"the backend server shed the request", retryAfter.isZero() ? RETRY_SOON : retryAfter, shed());
 			case BackendReply.FenceRefused ignored -> {
 				this.runner.grants().forget();
-				notRun(ErrorKind.NO_OWNER, "the backend server refused the fence", RETRY_SOON);
+				notRun(ErrorKind.NO_OWNER, "the backend server refused the fence", RETRY_SOON, RunOutcome.NOT_BEGUN);
 			}
 			case BackendReply.NotSent(String reason) -> {
 				this.runner.watch().answersNow();
-				notRun(ErrorKind.NO_BACKEND, "the backend server can't be reached: " + reason, RETRY_SOON);
+				notRun(ErrorKind.NO_BACKEND, "the backend server can't be reached: " + reason, RETRY_SOON,
+						RunOutcome.NOT_BEGUN);
 			}
 			case BackendReply.Broken(String reason) ->
 				unknown(ErrorKind.OUTCOME_UNKNOWN, "the connection to the backend server broke: " + reason);
@@ -155,9 +158,16 @@
 		}
 	}
 
-	private void notRun(ErrorKind kind, String detail, Duration retryAfter) {
+	// A server also leaves work undone that was cancelled or came too late; that says
+	// nothing of how much it can take.
+	private RunOutcome shed() {
+		boolean tooLate = this.deadlineAtNanos - System.nanoTime() <= 0;
+		return (this.cancelled || tooLate) ? RunOutcome.NOT_BEGUN : RunOutcome.SHED;
+	}
+
+	private void notRun(ErrorKind kind, String detail, Duration retryAfter, RunOutcome slot) {
 		Outcome end = Outcome.failed(new Failure(kind, detail, retryAfter));
-		settle(this.secondTry ? Outcome.afterUnknown(end) : end, RunOutcome.SHED);
+		settle(this.secondTry ? Outcome.afterUnknown(end) : end, slot);
 	}
 
 	// A broken connection is the first sign of a crash. Whether the server is still there
@@ -218,6 +228,7 @@
 		if (this.outcome.isComplete()) {
 			return;
 		}
+		this.cancelled = true;
 		this.runner.calls().cancel(this.order.request().id());
 		this.runner.record(EventKind.REQUEST_CANCELLED, this.order, "the caller is gone");
 		if (this.order.request().requestClass().idempotent()) {
--- a/daemon/src/main/java/org/brasspier/daemon/internal/request/ServerGate.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/request/ServerGate.java
@@ -195,7 +195,7 @@
 		next.run().forEach((number) -> {
 			Waiting queued = this.waiting.remove(number);
 			if (queued == null) {
-				finished(number, RunOutcome.SHED);
+				finished(number, RunOutcome.NOT_BEGUN);
 				return;
 			}
 			OrderRun run = start(number, queued.order, queued.cancellation);
