Refuse at once what has less time left than its work takes

Cause: a request that found a free slot was run whatever time it had left, and a waiting one started until half of its usual run was left. A caller's last resend so ran in vain and ended TIMED_OUT, "unknown", instead of "not run". Only an idle server takes such a request still, or an estimate that a stall has raised would refuse everything for good.

--- a/core/src/main/java/org/brasspier/core/admission/AdmissionController.java
+++ b/core/src/main/java/org/brasspier/core/admission/AdmissionController.java
@@ -79,6 +79,9 @@
 		if (request.deadlineNanos() - now <= 0) {
 			return new Refuse(Failure.of(ErrorKind.DEADLINE_PASSED, "the deadline passed on the way"));
 		}
+		if (hopeless(request, now)) {
+			return new Refuse(overloaded("the deadline can't be met", request.requestClass(), now));
+		}
 		if (queue(request.requestClass()).isEmpty() && this.slots.free(request.requestClass(), now)) {
 			start(request, now);
 			return new Run();
@@ -86,6 +89,18 @@
 		return enqueue(request, now);
 	}
 
+	// A caller's last resend, with less time left than its work takes. Even with a
+	// free slot it would mostly run in vain, end as "unknown" and be paid for by others.
+	// An idle server takes it all the same, or an estimate that a stall has raised would
+	// refuse everything for good.
+	private boolean hopeless(PendingRequest request, long now) {
+		return !this.running.isEmpty() && now > latestUsefulStart(request);
+	}
+
+	private long latestUsefulStart(PendingRequest request) {
+		return request.deadlineNanos() - (long) this.times.mean(request.requestClass());
+	}
+
 	/**
 	 * Takes back the slot of a request.
 	 * @param id the number of a request that was to run; unknown ones are ignored
@@ -245,8 +260,7 @@
 	// told at once instead of shortly before the deadline.
 	private long latestStart(PendingRequest request, long now) {
 		RequestClass requestClass = request.requestClass();
-		long forDeadline = request.deadlineNanos() - (long) (this.times.mean(requestClass) / 2);
-		return Math.min(forDeadline, now + this.settings.of(requestClass).longestWait().toNanos());
+		return Math.min(latestUsefulStart(request), now + this.settings.of(requestClass).longestWait().toNanos());
 	}
 
 	private List<RefusedRequest> giveUpLate(long now) {
--- a/core/src/test/java/org/brasspier/core/admission/AdmissionControllerTests.java
+++ b/core/src/test/java/org/brasspier/core/admission/AdmissionControllerTests.java
@@ -84,6 +84,21 @@
 		assertThat(failure.retryAfter().toMillis()).isAtLeast(50);
 	}
 
+	/**
+	 * A teller's lookup ends as "unknown" though a free slot took it: it was its last
+	 * resend, with less time left than the work takes, so it ran in vain. An idle server
+	 * must take even that, or a wrong estimate would never be put right.
+	 */
+	@Test
+	void aRequestWithTooLittleTimeLeftTakesAFreeSlotOnlyOfAnIdleServer() {
+		offer(RequestClass.LOOKUP, CREW, 1000);
+		this.admission.finished(1, RunOutcome.ANSWERED, 100 * MILLI);
+		assertThat(this.admission.offer(request(RequestClass.LOOKUP, CREW, 120), 100 * MILLI)).isInstanceOf(Run.class);
+		assertThat(this.admission.offer(request(RequestClass.LOOKUP, CREW, 120), 100 * MILLI))
+			.isInstanceOf(Refuse.class);
+		assertThat(this.admission.offer(request(RequestClass.LOOKUP, CREW, 300), 100 * MILLI)).isInstanceOf(Run.class);
+	}
+
 	/**
 	 * Tellers are turned away though nine tenths of the slots are free: the first order
 	 * after a move met a refused fence, or its caller was gone, and that was taken for a
