Measure what one office that sends ten times its share costs the others

The bench had no load for fairness between callers. 19 offices ask for 0.76 of capacity, the twentieth for ten times as much as each of them, 1.16 in all. Recorded requests of the other loads are the same.

--- a/bench/src/main/java/org/brasspier/bench/policy/Figures.java
+++ b/bench/src/main/java/org/brasspier/bench/policy/Figures.java
@@ -21,10 +21,14 @@
  * @param ranTwice postings that ran twice
  * @param recoveryMillis from the end of a stall until all that is asked for is answered;
  * -1 if that did not come
+ * @param othersGoodput the slot time that callers other than the first got answered, over
+ * what they asked for
+ * @param othersLookupP99Millis the 99th percentile of their answered lookups
  */
 record Figures(double goodput, double refusedShare, double timedOutShare, double refusalP99Millis,
 		double lookupP50Millis, double lookupP99Millis, double lookupP999Millis, double lookupAllP99Millis,
 		double elsewhereP99Millis, double imbalance, double imbalanceBound, double balanceChurnHourly, double lossChurn,
-		int moves, double unavailableSeconds, long ranTwice, double recoveryMillis) {
+		int moves, double unavailableSeconds, long ranTwice, double recoveryMillis, double othersGoodput,
+		double othersLookupP99Millis) {
 
 }
--- a/bench/src/main/java/org/brasspier/bench/policy/Load.java
+++ b/bench/src/main/java/org/brasspier/bench/policy/Load.java
@@ -26,6 +26,9 @@
 
 	private static final int CALLERS = 20;
 
+	/** The caller that crowds the others out, where one does. */
+	static final CallerId FIRST_CALLER = new CallerId("caller-0");
+
 	static List<Load> all() {
 		return List.of(usual("unloaded", 60, 0.05, KeyMix.EVEN), usual("steady", 1800, 0.5, KeyMix.EVEN),
 				troubled("burst-x10", 40, 0.5, Trouble.burst(10)), usual("zipf-1.2", 600, 0.6, KeyMix.SKEWED),
@@ -39,7 +42,8 @@
 				usual("saturation-x3", 60, 3, KeyMix.EVEN), usual("hot-keys-change", 600, 0.6, KeyMix.CHANGING),
 				troubled("domain-lost", 180, 0.7, Trouble.domainLost(60)),
 				troubled("full-stall", 60, 0.7, Trouble.allStalled(25)),
-				troubled("false-slots", 60, 0.75, Trouble.overstatedSlots(2)));
+				troubled("false-slots", 60, 0.75, Trouble.overstatedSlots(2)),
+				troubled("one-office-x10", 60, 0.8, Trouble.crowdingOffice(10)));
 	}
 
 	static Load named(String name) {
@@ -67,7 +71,8 @@
 	List<CallerCall> record(Deployment deployment, long seed) {
 		SplittableRandom random = new SplittableRandom(seed);
 		KeyMix.Source keys = this.keys.source();
-		double usualGap = this.classes.meanRunNanos() / (deployment.allSlots() * this.level);
+		double usualGap = this.classes.meanRunNanos()
+				/ (deployment.allSlots() * this.level * (CALLERS - 1 + this.trouble.crowding()) / CALLERS);
 		List<CallerId> callers = IntStream.range(0, CALLERS).mapToObj((i) -> new CallerId("caller-" + i)).toList();
 		List<CallerCall> calls = new ArrayList<>();
 		double now = 0;
@@ -75,13 +80,21 @@
 			now += usualGap / this.trouble.factor((long) now, this.seconds) * random.nextExponential();
 			RequestClass requestClass = this.classes.pick(random);
 			String key = this.byKey ? keys.next(random, (long) now) : "id-" + calls.size();
-			calls.add(new CallerCall(calls.size(), (long) now, KeyHash.of(key), requestClass,
-					callers.get(random.nextInt(CALLERS)), this.classes.run(requestClass, random),
-					random.nextInt(deployment.servers())));
+			calls.add(
+					new CallerCall(calls.size(), (long) now, KeyHash.of(key), requestClass, callers.get(caller(random)),
+							this.classes.run(requestClass, random), random.nextInt(deployment.servers())));
 		}
 		return calls;
 	}
 
+	private int caller(SplittableRandom random) {
+		if (this.trouble.crowding() == 1) {
+			return random.nextInt(CALLERS);
+		}
+		double lot = random.nextDouble() * (CALLERS - 1 + this.trouble.crowding());
+		return (int) Math.max(0, lot - this.trouble.crowding() + 1);
+	}
+
 	/**
 	 * What happens to callers and servers. A burst begins at half time and lasts 2
 	 * seconds.
@@ -91,33 +104,39 @@
 	 * @param lostAtSecond when the last failure domain is lost, 0 for never
 	 * @param stalledAtSecond when all servers stop for 5 seconds, 0 for never
 	 * @param overstated how many times the true slots the servers announce
+	 * @param crowding how many times as much as each other caller the first one sends
 	 */
-	record Trouble(double burst, double slowness, int lostAtSecond, int stalledAtSecond, int overstated) {
+	record Trouble(double burst, double slowness, int lostAtSecond, int stalledAtSecond, int overstated,
+			double crowding) {
 
 		private static final long STALL_NANOS = 5 * VirtualTime.SECOND;
 
 		private static final long BURST_NANOS = 2 * VirtualTime.SECOND;
 
-		static final Trouble NONE = new Trouble(1, 1, 0, 0, 1);
+		static final Trouble NONE = new Trouble(1, 1, 0, 0, 1, 1);
 
 		static Trouble burst(double times) {
-			return new Trouble(times, 1, 0, 0, 1);
+			return new Trouble(times, 1, 0, 0, 1, 1);
 		}
 
 		static Trouble slowServer(double times) {
-			return new Trouble(1, times, 0, 0, 1);
+			return new Trouble(1, times, 0, 0, 1, 1);
 		}
 
 		static Trouble domainLost(int second) {
-			return new Trouble(1, 1, second, 0, 1);
+			return new Trouble(1, 1, second, 0, 1, 1);
 		}
 
 		static Trouble allStalled(int second) {
-			return new Trouble(1, 1, 0, second, 1);
+			return new Trouble(1, 1, 0, second, 1, 1);
 		}
 
 		static Trouble overstatedSlots(int times) {
-			return new Trouble(1, 1, 0, 0, times);
+			return new Trouble(1, 1, 0, 0, times, 1);
+		}
+
+		static Trouble crowdingOffice(double times) {
+			return new Trouble(1, 1, 0, 0, 1, times);
 		}
 
 		double factor(long now, int seconds) {
--- a/bench/src/main/java/org/brasspier/bench/policy/Outcomes.java
+++ b/bench/src/main/java/org/brasspier/bench/policy/Outcomes.java
@@ -30,6 +30,8 @@
 
 	private final Histogram refusals = new Histogram(1, LONGEST_MICROS, 3);
 
+	private final Histogram smallCallersLookups = new Histogram(1, LONGEST_MICROS, 3);
+
 	private final Map<Long, Double> answeredByBin = new TreeMap<>();
 
 	private final BitSet ranOnce = new BitSet();
@@ -46,6 +48,10 @@
 
 	private long withoutOwner;
 
+	private double smallCallersAsked;
+
+	private double smallCallersAnswered;
+
 	Outcomes(long fromNanos, long untilNanos) {
 		this.fromNanos = fromNanos;
 		this.untilNanos = untilNanos;
@@ -53,6 +59,11 @@
 
 	void offered(CallerCall call) {
 		this.offered += measured(call) ? 1 : 0;
+		this.smallCallersAsked += ofSmallCaller(call) ? call.runNanos() : 0;
+	}
+
+	private boolean ofSmallCaller(CallerCall call) {
+		return measured(call) && !call.caller().equals(Load.FIRST_CALLER);
 	}
 
 	void ran(CallerCall call) {
@@ -70,9 +81,13 @@
 			return;
 		}
 		this.answered++;
+		this.smallCallersAnswered += ofSmallCaller(call) ? call.runNanos() : 0;
 		if (call.requestClass() == RequestClass.LOOKUP) {
 			this.lookups.recordValue(micros(now - attempt.sentNanos()));
 			this.lookupsWithResends.recordValue(micros(now - call.atNanos()));
+			if (ofSmallCaller(call)) {
+				this.smallCallersLookups.recordValue(micros(now - attempt.sentNanos()));
+			}
 		}
 	}
 
@@ -127,6 +142,15 @@
 		return this.lookupsWithResends;
 	}
 
+	Histogram smallCallersLookups() {
+		return this.smallCallersLookups;
+	}
+
+	// The share of the work that callers other than the first asked for and got.
+	double smallCallersGoodput() {
+		return this.smallCallersAnswered / Math.max(1, this.smallCallersAsked);
+	}
+
 	Histogram refusals() {
 		return this.refusals;
 	}
--- a/bench/src/main/java/org/brasspier/bench/policy/PolicyTable.java
+++ b/bench/src/main/java/org/brasspier/bench/policy/PolicyTable.java
@@ -11,8 +11,8 @@
 final class PolicyTable {
 
 	private static final String HEAD = """
-			| load | version | goodput | refused | timed out | refusal p99 ms | lookup p50 / p99 / p99.9 ms | with resends p99 ms | elsewhere p99 ms | imbalance (bound) | churn, balance /h | churn, loss | moves | unavailable s | ran twice | back after stall ms |
-			| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |
+			| load | version | goodput | refused | timed out | refusal p99 ms | lookup p50 / p99 / p99.9 ms | with resends p99 ms | elsewhere p99 ms | imbalance (bound) | churn, balance /h | churn, loss | moves | unavailable s | ran twice | back after stall ms | others: goodput, lookup p99 ms |
+			| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |
 			""";
 
 	private PolicyTable() {
@@ -36,11 +36,12 @@
 
 	private static String row(String load, String version, Figures f) {
 		return String.format(Locale.ROOT,
-				"| %s | %s | %.3f | %.4f | %.4f | %.1f | %.1f / %.1f / %.1f | %.1f | %.1f | %.3f (%.2f) | %.4f | %.3f | %d | %.3f | %d | %.0f |",
+				"| %s | %s | %.3f | %.4f | %.4f | %.1f | %.1f / %.1f / %.1f | %.1f | %.1f | %.3f (%.2f) | %.4f | %.3f | %d | %.3f | %d | %.0f | %.3f, %.1f |",
 				load, version, f.goodput(), f.refusedShare(), f.timedOutShare(), f.refusalP99Millis(),
 				f.lookupP50Millis(), f.lookupP99Millis(), f.lookupP999Millis(), f.lookupAllP99Millis(),
 				f.elsewhereP99Millis(), f.imbalance(), f.imbalanceBound(), f.balanceChurnHourly(), f.lossChurn(),
-				f.moves(), f.unavailableSeconds(), f.ranTwice(), f.recoveryMillis());
+				f.moves(), f.unavailableSeconds(), f.ranTwice(), f.recoveryMillis(), f.othersGoodput(),
+				f.othersLookupP99Millis());
 	}
 
 }
--- a/bench/src/main/java/org/brasspier/bench/policy/Run.java
+++ b/bench/src/main/java/org/brasspier/bench/policy/Run.java
@@ -71,7 +71,8 @@
 				Math.max(1, this.load.keys().hottest() * this.deployment.servers()),
 				hourly(version.churn(), MoveCause.BALANCE), version.churn().share(MoveCause.LOSS),
 				version.churn().moves(), this.outcomes.unavailableSeconds(), this.outcomes.ranTwice(),
-				recoveryMillis(calls));
+				recoveryMillis(calls), this.outcomes.smallCallersGoodput(),
+				millis(this.outcomes.smallCallersLookups(), 99));
 	}
 
 	private double imbalance(double[] busy) {
--- a/bench/src/test/java/org/brasspier/bench/policy/PolicyLoadTests.java
+++ b/bench/src/test/java/org/brasspier/bench/policy/PolicyLoadTests.java
@@ -68,6 +68,20 @@
 		assertThat(policy(deployment, slow).elsewhereP99Millis()).isAtMost(1.2 * usual);
 	}
 
+	/**
+	 * One office's script sends ten times what each other office does, more than can be
+	 * served: the others' crews wait behind it. Its own requests must pay for that.
+	 */
+	@ParameterizedTest
+	@MethodSource("deployments")
+	void oneOfficeThatSendsTenTimesItsShareCrowdsNobodyOut(Deployment deployment) {
+		double unloaded = policy(deployment, Load.named("unloaded")).lookupP99Millis();
+		Comparison crowded = run(deployment, "one-office-x10");
+		assertThat(crowded.policy().othersGoodput()).isAtLeast(0.9);
+		assertThat(crowded.policy().othersLookupP99Millis()).isAtMost(3 * unloaded);
+		assertThat(crowded.naive().othersGoodput()).isLessThan(0.5);
+	}
+
 	@ParameterizedTest
 	@MethodSource("deployments")
 	void loadStaysEvenUnderSkewedDemand(Deployment deployment) {
