Tell refused callers to come back as fast as their own class's queue moves

Cause: all refused callers stood in one line that moved as fast as the whole server. A lookup was told to wait for audit readers that it goes before, and an audit reader came back long before its queue had moved, so that its three resends were refused as well.

--- a/core/src/main/java/org/brasspier/core/admission/AdmissionController.java
+++ b/core/src/main/java/org/brasspier/core/admission/AdmissionController.java
@@ -37,7 +37,7 @@
 
 	private final CallerShares shares = new CallerShares();
 
-	private final RetryTimes retryTimes = new RetryTimes();
+	private final Map<RequestClass, RetryTimes> retryTimes = new EnumMap<>(RequestClass.class);
 
 	private final Map<RequestClass, ClassQueue> queues = new EnumMap<>(RequestClass.class);
 
@@ -311,11 +311,17 @@
 	}
 
 	private Failure overloaded(String detail, RequestClass requestClass, long now) {
-		double turn = this.times.mean(requestClass) / this.slots.usable();
-		Duration pause = this.retryTimes.next(now, expectedWait(requestClass, now), turn);
+		double turn = Math.max(this.times.mean(requestClass) / this.slots.usable(), queueTurn(requestClass, now));
+		Duration pause = this.retryTimes.computeIfAbsent(requestClass, (key) -> new RetryTimes())
+			.next(now, expectedWait(requestClass, now), turn);
 		return new Failure(ErrorKind.OVERLOADED, detail, pause);
 	}
 
+	// Where other classes go first, the queue moves slower than the server does.
+	private double queueTurn(RequestClass requestClass, long now) {
+		return queue(requestClass).isEmpty() ? 0 : pace(requestClass).expectedNanos(1, now);
+	}
+
 	private ClassQueue queue(RequestClass requestClass) {
 		return this.queues.computeIfAbsent(requestClass, (key) -> new ClassQueue(this.shares));
 	}
--- a/core/src/main/java/org/brasspier/core/admission/RetryTimes.java
+++ b/core/src/main/java/org/brasspier/core/admission/RetryTimes.java
@@ -3,9 +3,10 @@
 import java.time.Duration;
 
 /**
- * When refused callers should come back: one after the other, as fast as the backend
- * server can take them. Made for bursts: if all were told the same moment, the burst
- * would only be put off. Not thread-safe.
+ * When refused callers of one class should come back: one after the other, as fast as
+ * their queue moves. Made for bursts: if all were told the same moment, the burst would
+ * only be put off; if all classes were told one after the other, a lookup would be told
+ * to wait for audit readers that it goes before. Not thread-safe.
  */
 final class RetryTimes {
 
@@ -24,7 +25,7 @@
 	 * The pause for one more refused request.
 	 * @param now the time
 	 * @param waitNanos how long a request of its class would wait now
-	 * @param turnNanos how often the backend server takes a request
+	 * @param turnNanos how often the backend server takes a request of the class
 	 * @return from 50 ms to 10 s
 	 */
 	Duration next(long now, double waitNanos, double turnNanos) {
--- a/core/src/test/java/org/brasspier/core/admission/AdmissionControllerTests.java
+++ b/core/src/test/java/org/brasspier/core/admission/AdmissionControllerTests.java
@@ -134,6 +134,23 @@
 		assertThat(distinct).isAtLeast(70);
 	}
 
+	/**
+	 * A teller who could be served in a tenth of a second is told to come back in ten:
+	 * auditors were refused before, and all who were refused stood in one line.
+	 */
+	@Test
+	void refusedLookupsAreNotToldToComeBackAfterRefusedAuditReaders() {
+		fill();
+		IntStream.range(0, 200).forEach((i) -> offer(RequestClass.AUDIT, CREW, 60_000));
+		Failure failure = IntStream.range(0, 100)
+			.mapToObj((i) -> offer(RequestClass.LOOKUP, CREW, 1000))
+			.filter(Refuse.class::isInstance)
+			.map((refuse) -> ((Refuse) refuse).failure())
+			.findFirst()
+			.orElseThrow();
+		assertThat(failure.retryAfter().toMillis()).isLessThan(1000);
+	}
+
 	/**
 	 * A crew's lookup at a marina is turned away although the crew asks for little: one
 	 * office's script fills the queue first. The office's last request must make room.
