Reckon with chance and with what has just come in measuring a range's load

Two causes of load that looks uneven and is not. A daemon took the seconds that it had seen of a range that has just come for its whole window, so the range looked nearly empty and still more was moved there. A range's load now counts from when the range came. The window grows from 10 s to a minute at most, until chance leaves an error of 0.04 of the sum (the sum of squares over the square of the sum), and shrinks again when requests are many.

--- a/core/src/main/java/org/brasspier/core/placement/LoadMeter.java
+++ b/core/src/main/java/org/brasspier/core/placement/LoadMeter.java
@@ -14,6 +14,11 @@
  * sums over cells of the space, and single hot points counted apart. Takes what was
  * refused as well, since demand is what must be spread, and a full server serves no more
  * than its slots whatever is asked of it. Some 35 kB a service. Not thread-safe.
+ * <p>
+ * Looks back as far as chance demands: a few long reads over ten seconds look like uneven
+ * load, and moving ranges for them costs warm state and evens out nothing. So the window
+ * grows until what was seen is certain to within {@link #NOISE}, and shrinks again when
+ * requests are many, so that hot keys are followed as fast as they can be told.
  */
 public final class LoadMeter {
 
@@ -33,15 +38,38 @@
 	private static final int HOT_POINTS = 64;
 
 	/**
-	 * The least part of its window that a meter is taken to have seen. Without it, the
-	 * first request of a service would look like thousands of busy slots.
+	 * The least part of its window that a meter is taken to have seen of a range. Without
+	 * it, the first request of a service would look like thousands of busy slots.
 	 */
 	private static final double LEAST_SEEN = 0.2;
 
+	/**
+	 * The error that chance may leave in the sum, as a share of it. A third of the least
+	 * excess that placement moves anything for.
+	 */
+	private static final double NOISE = 0.04;
+
+	/**
+	 * The longest window, in least ones: a minute for today's ten seconds. Hot keys
+	 * change within minutes, and a longer one would pin what was true of others.
+	 */
+	private static final double LONGEST_WINDOW = 6;
+
+	/** The window follows changes of the load's make-up, not each request. */
+	private static final long ADAPT_NANOS = 1_000_000_000;
+
 	/** Beyond this exponent the fading weights are brought back to one. */
 	private static final double LARGEST_EXPONENT = 50;
 
-	private final double windowNanos;
+	private final double leastWindowNanos;
+
+	private double windowNanos;
+
+	private double seenNanos;
+
+	private double sum;
+
+	private double sumOfSquares;
 
 	private final double[] cells = new double[CELLS];
 
@@ -53,12 +81,13 @@
 
 	/**
 	 * Creates a meter that has seen nothing.
-	 * @param windowNanos the time after which an observation counts for a third, in
-	 * nanoseconds
+	 * @param leastWindowNanos the least time after which an observation counts for a
+	 * third, in nanoseconds
 	 * @param now the time, in nanoseconds
 	 */
-	public LoadMeter(long windowNanos, long now) {
-		this.windowNanos = windowNanos;
+	public LoadMeter(long leastWindowNanos, long now) {
+		this.leastWindowNanos = leastWindowNanos;
+		this.windowNanos = leastWindowNanos;
 		this.originNanos = now;
 		this.startNanos = now;
 	}
@@ -70,8 +99,10 @@
 	 * @param now the time, in nanoseconds
 	 */
 	public void record(KeyHash hash, long busyNanos, long now) {
-		rebase(now);
+		adapt(now);
 		double mass = busyNanos * weight(now);
+		this.sum += mass;
+		this.sumOfSquares += mass * mass;
 		Counter counter = this.hot.get(hash.point());
 		if (counter != null) {
 			counter.own += mass;
@@ -85,12 +116,15 @@
 	}
 
 	/**
-	 * The slots that the requests of a range kept busy.
+	 * The slots that the requests of a range kept busy. Made for ranges that have just
+	 * moved: their new owner has seen only part of its window of them, and taken for the
+	 * whole one they look nearly empty, so that still more is moved there.
 	 * @param range the range
+	 * @param sinceNanos since when its requests come here, in nanoseconds
 	 * @param now the time, in nanoseconds
 	 * @return the fading average, at least 0
 	 */
-	public double busySlots(KeyRange range, long now) {
+	public double busySlots(KeyRange range, long sinceNanos, long now) {
 		double mass = 0;
 		for (long cell = range.low() / CELL_POINTS; cell * CELL_POINTS < range.high(); cell++) {
 			long low = Math.max(range.low(), cell * CELL_POINTS);
@@ -102,42 +136,74 @@
 			.filter((entry) -> range.contains(new KeyHash(entry.getKey())))
 			.mapToDouble((entry) -> entry.getValue().own)
 			.sum();
-		return slots(mass, now);
+		return slots(mass, sinceNanos, now);
 	}
 
 	/**
 	 * The hottest single point of a range.
 	 * @param range the range
+	 * @param sinceNanos since when its requests come here, in nanoseconds
 	 * @param now the time, in nanoseconds
 	 * @return empty if no point was counted apart; what it kept busy is a lower bound
 	 */
-	public Optional<HotPoint> hottest(KeyRange range, long now) {
+	public Optional<HotPoint> hottest(KeyRange range, long sinceNanos, long now) {
 		return this.hot.entrySet()
 			.stream()
 			.filter((entry) -> range.contains(new KeyHash(entry.getKey())))
 			.max(Comparator.comparingDouble((entry) -> entry.getValue().own))
-			.map((entry) -> new HotPoint(entry.getKey(), slots(entry.getValue().own, now)));
+			.map((entry) -> new HotPoint(entry.getKey(), slots(entry.getValue().own, sinceNanos, now)));
 	}
 
-	private double slots(double mass, long now) {
-		// A young meter has seen only part of its window.
-		double seen = Math.max(LEAST_SEEN, 1 - Math.exp(-(now - this.startNanos) / this.windowNanos));
-		return mass / weight(now) / (this.windowNanos * seen);
+	private double slots(double mass, long sinceNanos, long now) {
+		double ofAll = faded(Math.max(sinceNanos, this.startNanos), now)
+				/ Math.max(Double.MIN_NORMAL, faded(this.startNanos, now));
+		double seen = seen(now) * ofAll;
+		return mass / weight(now) / Math.max(LEAST_SEEN * this.leastWindowNanos, seen);
+	}
+
+	// The share of an endless window that lies after a time.
+	private double faded(long since, long now) {
+		return 1 - Math.exp(-Math.max(0, now - since) / this.windowNanos);
+	}
+
+	// The part of the window that this meter was there for, faded as what it recorded.
+	private double seen(long now) {
+		double kept = 1 / weight(now);
+		return this.seenNanos * kept + this.windowNanos * (1 - kept);
 	}
 
 	private double weight(long now) {
 		return Math.exp((now - this.originNanos) / this.windowNanos);
 	}
 
-	private void rebase(long now) {
-		if ((now - this.originNanos) / this.windowNanos < LARGEST_EXPONENT) {
-			return;
+	private void adapt(long now) {
+		boolean due = now - this.originNanos >= ADAPT_NANOS && this.sum > 0;
+		if (due || (now - this.originNanos) / this.windowNanos >= LARGEST_EXPONENT) {
+			rebase(now);
+			this.windowNanos = wantedWindow();
 		}
+	}
+
+	// The variance of a sum of requests that come by chance is the sum of their squares,
+	// and its share of the sum's square falls as the window grows.
+	private double wantedWindow() {
+		if (this.sum <= 0) {
+			return this.leastWindowNanos;
+		}
+		double variance = this.sumOfSquares / (this.sum * this.sum);
+		double wanted = this.seenNanos * variance / (NOISE * NOISE);
+		return Math.clamp(wanted, this.leastWindowNanos, LONGEST_WINDOW * this.leastWindowNanos);
+	}
+
+	private void rebase(long now) {
 		double factor = 1 / weight(now);
+		this.seenNanos = seen(now);
 		for (int i = 0; i < CELLS; i++) {
 			this.cells[i] *= factor;
 		}
 		this.hot.values().forEach((counter) -> counter.scale(factor));
+		this.sum *= factor;
+		this.sumOfSquares *= factor * factor;
 		this.originNanos = now;
 	}
 
--- a/daemon/src/main/java/org/brasspier/daemon/internal/request/LoadReports.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/request/LoadReports.java
@@ -4,12 +4,17 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Supplier;
+import java.util.stream.Collectors;
 
+import org.brasspier.core.Fence;
+import org.brasspier.core.KeyRange;
 import org.brasspier.core.ServiceName;
 import org.brasspier.core.ownership.RangeLoad;
 import org.brasspier.core.placement.LoadMeter;
 import org.brasspier.core.request.CallerRequest;
+import org.brasspier.core.routing.Assignment;
 import org.brasspier.core.routing.OwnershipSnapshot;
 import org.brasspier.daemon.internal.measure.OutcomeMeter;
 import org.brasspier.daemon.internal.ownership.RequestsReport;
@@ -34,6 +39,8 @@
 
 	private final OutcomeMeter outcomes;
 
+	private final Map<ServiceName, Map<Fence, Long>> heldSince = new HashMap<>();
+
 	private long usualNanos;
 
 	LoadReports(Supplier<OwnershipSnapshot> ownership, OwnershipReports reports, OutcomeMeter outcomes) {
@@ -61,17 +68,29 @@
 			.record(request.hash(), busyNanos, now);
 	}
 
+	private static RangeLoad load(LoadMeter meter, KeyRange range, long since, long now) {
+		return new RangeLoad(range, meter.busySlots(range, since, now), meter.hottest(range, since, now));
+	}
+
+	// By fence: a range that is cut keeps its fence, and its load was seen all along.
+	private Map<Fence, Long> since(ServiceName service, List<Assignment> held, long now) {
+		Map<Fence, Long> since = this.heldSince.computeIfAbsent(service, (key) -> new HashMap<>());
+		Set<Fence> present = held.stream().map(Assignment::fence).collect(Collectors.toSet());
+		since.keySet().retainAll(present);
+		present.forEach((fence) -> since.putIfAbsent(fence, now));
+		return since;
+	}
+
 	// A report that the ring does not take is lost; the next one, a second later, says
 	// all again.
 	void report() {
 		OwnershipSnapshot snapshot = this.ownership.get();
 		long now = System.nanoTime();
 		this.meters.forEach((service, meter) -> {
-			List<RangeLoad> loads = snapshot.held()
-				.assignments(service)
-				.stream()
-				.map((held) -> new RangeLoad(held.range(), meter.busySlots(held.range(), now),
-						meter.hottest(held.range(), now)))
+			List<Assignment> held = snapshot.held().assignments(service);
+			Map<Fence, Long> since = since(service, held, now);
+			List<RangeLoad> loads = held.stream()
+				.map((each) -> load(meter, each.range(), since.getOrDefault(each.fence(), now), now))
 				.toList();
 			this.reports.offer(new RequestsReport.RangeLoads(service, loads));
 		});
