--- a/core/src/main/java/org/brasspier/core/ownership/LeaseManager.java
+++ b/core/src/main/java/org/brasspier/core/ownership/LeaseManager.java
@@ -21,9 +21,6 @@
  */
 final class LeaseManager {
 
-	/** Longer ago than any span that counts, with room to subtract from. */
-	private static final long NEVER = Long.MIN_VALUE / 4;
-
 	private final MemberKey self;
 
 	private final Timing timing;
@@ -34,16 +31,6 @@
 
 	private long since;
 
-	private long authorityUntil = Long.MIN_VALUE;
-
-	private boolean confirming;
-
-	private boolean stopped;
-
-	private long tableSeenAt = NEVER;
-
-	private long peerHeardAt;
-
 	private long peerBeatSentAt = Long.MIN_VALUE;
 
 	private long minVersion;
@@ -56,12 +43,15 @@
 
 	private SortedSet<MemberKey> promised = TreeSet.empty();
 
+	private final ManagerAuthority authority;
+
 	private final OldPairs oldPairs;
 
 	LeaseManager(MemberKey self, Timing timing, Guards guards) {
 		this.self = self;
 		this.timing = timing;
 		this.guards = guards;
+		this.authority = new ManagerAuthority(timing, guards);
 		this.oldPairs = new OldPairs(self, timing);
 	}
 
@@ -69,11 +59,7 @@
 		LeaseManager copy = new LeaseManager(this.self, this.timing, this.guards);
 		copy.pair = this.pair;
 		copy.since = this.since;
-		copy.authorityUntil = this.authorityUntil;
-		copy.confirming = this.confirming;
-		copy.stopped = this.stopped;
-		copy.tableSeenAt = this.tableSeenAt;
-		copy.peerHeardAt = this.peerHeardAt;
+		copy.authority.take(this.authority);
 		copy.peerBeatSentAt = this.peerBeatSentAt;
 		copy.minVersion = this.minVersion;
 		copy.replaced = this.replaced;
@@ -85,9 +71,8 @@
 	}
 
 	List<Object> state() {
-		return List.of(this.pair, this.since, this.authorityUntil, this.confirming, this.stopped, this.tableSeenAt,
-				this.peerHeardAt, this.peerBeatSentAt, this.minVersion, this.replaced, this.watches, this.revoking,
-				this.promised, this.oldPairs.state());
+		return List.of(this.pair, this.since, this.authority.state(), this.peerBeatSentAt, this.minVersion,
+				this.replaced, this.watches, this.revoking, this.promised, this.oldPairs.state());
 	}
 
 	/**
@@ -106,10 +91,7 @@
 		Optional<ManagerPair> before = this.pair;
 		this.pair = next;
 		this.since = now;
-		this.confirming = next.isPresent();
-		this.stopped = false;
-		this.tableSeenAt = NEVER;
-		this.peerHeardAt = now;
+		this.authority.begin(next.isPresent(), now);
 		this.peerBeatSentAt = Long.MIN_VALUE;
 		this.revoking = TreeMap.empty();
 		this.promised = TreeSet.empty();
@@ -152,12 +134,8 @@
 		return this.pair.flatMap((managers) -> managers.peerOf(this.self));
 	}
 
-	long peerHeardAt() {
-		return this.peerHeardAt;
-	}
-
-	boolean stopped() {
-		return this.stopped;
+	ManagerAuthority authority() {
+		return this.authority;
 	}
 
 	Optional<MemberWatch> watch(MemberKey key) {
@@ -171,10 +149,7 @@
 	 * @param sentAt when the call left that showed it
 	 */
 	void tableShows(long sentAt) {
-		this.tableSeenAt = Math.max(this.tableSeenAt, sentAt);
-		if (lone()) {
-			this.authorityUntil = Math.max(this.authorityUntil, sentAt + this.timing.authority());
-		}
+		this.authority.tableShows(sentAt, lone());
 	}
 
 	/**
@@ -192,9 +167,7 @@
 		boolean refused = this.revoking.containsKey(key) || this.promised.contains(key)
 				|| (key.equals(this.self) && this.guards.on(Guard.MANAGER_RENEWED_BY_PEER)) || !row.has(key)
 				|| heartbeat.epoch() > epoch() || !active();
-		long authority = (this.guards.on(Guard.RENEWAL_WITHIN_AUTHORITY)) ? this.authorityUntil - now
-				: this.timing.lease();
-		long span = Math.min(this.timing.lease(), authority);
+		long span = this.authority.span(now);
 		if (refused || span <= 0) {
 			return 0;
 		}
@@ -232,19 +205,18 @@
 		if (!peer().filter(from::equals).isPresent() || beat.epoch() != epoch()) {
 			return Optional.empty();
 		}
-		this.peerHeardAt = now;
+		this.authority.peerHeard(now);
 		if (beat.sentAt() > this.peerBeatSentAt) {
 			this.peerBeatSentAt = beat.sentAt();
 			this.minVersion = Math.max(this.minVersion, beat.version());
 			this.promised = TreeSet.ofAll(beat.revoking())
 				.filter((member) -> this.promised.contains(member) || silent(member, now) || neverHeard(member));
 		}
-		boolean confirmed = this.confirming && now < this.tableSeenAt + this.timing.withoutTable();
 		List<ControlMessage.Promised> promises = this.promised.toStream()
 			.map((member) -> new ControlMessage.Promised(member, leaseLeft(member, now)))
 			.toJavaList();
-		return Optional.of(new ControlMessage.BeatAnswer(from.incarnation(), beat.sentAt(), epoch(), confirmed,
-				now - this.tableSeenAt, promises));
+		return Optional.of(new ControlMessage.BeatAnswer(from.incarnation(), beat.sentAt(), epoch(),
+				this.authority.confirms(now), this.authority.tableAge(now), promises));
 	}
 
 	// Negative once it has run out: a guard counts from then, and if each answer said
@@ -271,17 +243,8 @@
 		if (!peer().filter(from::equals).isPresent() || answer.epoch() != epoch()) {
 			return;
 		}
-		this.peerHeardAt = now;
-		// The answer was given after the beat left, so this errs to the early side.
-		this.tableSeenAt = Math.max(this.tableSeenAt, answer.sentAt() - this.timing.withDrift(answer.tableAge()));
-		// While a write that replaces the peer is under way, or its outcome unknown,
-		// members of
-		// the next epoch may already be counting the time until both authorities have
-		// ended.
-		boolean replacing = this.stopped && this.guards.on(Guard.UNCONFIRMED_AFTER_REPLACING);
-		if (answer.confirmed() && !replacing) {
-			this.authorityUntil = Math.max(this.authorityUntil, answer.sentAt() + this.timing.authority());
-		}
+		this.authority.peerHeard(now);
+		this.authority.answered(answer);
 		for (ControlMessage.Promised promise : answer.promises()) {
 			this.revoking = this.revoking
 				.computeIfPresent(promise.member(),
@@ -379,15 +342,6 @@
 		return this.oldPairs.closed(row, this.since, now);
 	}
 
-	/**
-	 * Stops confirming the peer, for good in this epoch: its authority ends soon, and
-	 * with it all that it renewed, before anything it renewed is given away.
-	 */
-	void stopConfirming() {
-		this.stopped = true;
-		this.confirming = !this.guards.on(Guard.STOP_CONFIRMING_FIRST);
-	}
-
 	Map<InstanceId, Long> heardAt() {
 		return (active()) ? this.watches.mapValues(MemberWatch::heardAt).toJavaMap() : Map.of();
 	}
--- a/core/src/main/java/org/brasspier/core/ownership/ManagerChoice.java
+++ b/core/src/main/java/org/brasspier/core/ownership/ManagerChoice.java
@@ -30,7 +30,7 @@
 		long heard = heardMembers(row, now).size();
 		long patience = (heard * 2 >= others) ? this.timing.peerSilence()
 				: this.timing.peerSilence() * LONELY_PERMILLE / WHOLE;
-		return this.manager.peer().isPresent() && now - this.manager.peerHeardAt() > patience;
+		return this.manager.peer().isPresent() && now - this.manager.authority().peerHeardAt() > patience;
 	}
 
 	private List<MemberInfo> heardMembers(CellRow row, long now) {
@@ -65,7 +65,7 @@
 	// another.
 	Optional<MemberInfo> successor(CellRow row, long now) {
 		return this.manager.peer()
-			.filter((key) -> now - this.manager.peerHeardAt() <= this.timing.peerSilence())
+			.filter((key) -> now - this.manager.authority().peerHeardAt() <= this.timing.peerSilence())
 			.flatMap((key) -> row.member(key.instance()).filter((member) -> member.key().equals(key)))
 			.filter((member) -> member.phase() != MemberPhase.LEAVING)
 			.or(() -> candidate(row, now));
--- a/core/src/main/java/org/brasspier/core/ownership/ManagerSide.java
+++ b/core/src/main/java/org/brasspier/core/ownership/ManagerSide.java
@@ -39,7 +39,7 @@
 		// Two managers that suspected each other while the table was down confirm nobody
 		// any
 		// more in this epoch, even once they hear each other: only another epoch helps.
-		boolean stopped = this.parts.manager.peer().isPresent() && this.parts.manager.stopped();
+		boolean stopped = this.parts.manager.peer().isPresent() && this.parts.manager.authority().stopped();
 		if (stopped || choice().peerSilent(row, now)) {
 			replacePeer(row, now);
 		}
@@ -52,11 +52,11 @@
 	}
 
 	void replacePeer(CellRow row, long now) {
-		if (!this.parts.manager.stopped()) {
+		if (!this.parts.manager.authority().stopped()) {
 			this.parts.out.tell(EventKind.MANAGER_SUSPECTED, this.parts.manager.peer().orElseThrow().instance(),
 					"epoch " + this.parts.manager.epoch());
 		}
-		this.parts.manager.stopConfirming();
+		this.parts.manager.authority().stopConfirming();
 		if (this.parts.access.idle(now)) {
 			this.rows.propose(row.nextEpoch(this.parts.me.key(), choice().candidate(row, now).map(MemberInfo::key),
 					row.unclosed()), now);
@@ -74,7 +74,7 @@
 		}
 		Optional<CellRow> epoch = epochChange(row, now);
 		if (epoch.isPresent()) {
-			this.parts.manager.stopConfirming();
+			this.parts.manager.authority().stopConfirming();
 			this.rows.propose(epoch.get(), now);
 			return;
 		}
--- a/core/src/main/java/org/brasspier/core/ownership/RowSide.java
+++ b/core/src/main/java/org/brasspier/core/ownership/RowSide.java
@@ -79,8 +79,8 @@
 		this.parts.out.publish();
 		change.events().forEach(this.parts.out::add);
 		this.parts.takeover.adopt(row.row(), now);
-		// Whoever waited to be let in, as after a restart until its former life was out of
-		// the row, was renewed by nobody: that is no sign that the managers are lost.
+		// Who waited to be let in, as after a restart until its former life was out of
+		// the row, was renewed by nobody: no sign that the managers are lost.
 		if (change.newEpoch() || change.joined()) {
 			this.parts.managerHeardAt = now;
 		}
