--- a/core/src/test/java/org/brasspier/core/ownership/ExplorationTests.java
+++ b/core/src/test/java/org/brasspier/core/ownership/ExplorationTests.java
@@ -37,7 +37,7 @@
 	// bring that about, however unlikely.
 	@Test
 	void noReachableStateHasTwoOwners() {
-		SmallCell start = SmallCell.settled(Guards.ALL_ON);
+		SmallCell start = SmallCell.settled(TestGuards.without());
 		assertThat(start.allServed()).isTrue();
 		Exploration exploration = new Exploration(start);
 		assertThat(exploration.violation()).isEmpty();
--- a/core/src/test/java/org/brasspier/core/ownership/GuardTests.java
+++ b/core/src/test/java/org/brasspier/core/ownership/GuardTests.java
@@ -41,7 +41,7 @@
 	@ParameterizedTest
 	@MethodSource("guards")
 	void withAllGuardsOnThereIsOneOwner(Guard guard) {
-		assertThat(STORIES.get(guard).violations(Guards.ALL_ON)).isEmpty();
+		assertThat(STORIES.get(guard).violations(TestGuards.without())).isEmpty();
 	}
 
 	@ParameterizedTest
--- a/core/src/test/java/org/brasspier/core/ownership/LeaseManagerTests.java
+++ b/core/src/test/java/org/brasspier/core/ownership/LeaseManagerTests.java
@@ -29,7 +29,7 @@
 					Set.of(), List.of(), Optional.empty()));
 
 	private static LeaseManager primary(Guard... off) {
-		LeaseManager manager = new LeaseManager(PRIMARY, Timing.STANDARD, new Guards(Set.of(off)));
+		LeaseManager manager = new LeaseManager(PRIMARY, Timing.STANDARD, TestGuards.without(off));
 		manager.adopt(ROW, 1000);
 		manager.tableShows(1000);
 		manager.confirmed(SECONDARY, answer(1000, List.of()), 1002);
@@ -79,7 +79,7 @@
 
 	@Test
 	void aSecondaryPromisesOnlyWhatItToFindsSilent() {
-		LeaseManager secondary = new LeaseManager(SECONDARY, Timing.STANDARD, Guards.ALL_ON);
+		LeaseManager secondary = new LeaseManager(SECONDARY, Timing.STANDARD, TestGuards.without());
 		secondary.adopt(ROW, 1000);
 		secondary.renew(MEMBER, heartbeat(), ROW.row(), false, 1010);
 		ControlMessage.Beat beat = new ControlMessage.Beat(1, 700, 4, 9, List.of(MEMBER));
@@ -93,7 +93,7 @@
 	// over then, so the pair must have ended by itself.
 	@Test
 	void aPairConfirmsNobodyOnceItHasNotSeenTheTableForTooLong() {
-		LeaseManager secondary = new LeaseManager(SECONDARY, Timing.STANDARD, Guards.ALL_ON);
+		LeaseManager secondary = new LeaseManager(SECONDARY, Timing.STANDARD, TestGuards.without());
 		secondary.adopt(ROW, 1000);
 		secondary.tableShows(1000);
 		ControlMessage.Beat beat = new ControlMessage.Beat(1, 700, 4, 9, List.of());
--- a/core/src/test/java/org/brasspier/core/ownership/MemberLeaseTests.java
+++ b/core/src/test/java/org/brasspier/core/ownership/MemberLeaseTests.java
@@ -29,7 +29,7 @@
 	}
 
 	private static MemberLease lease(Guard... off) {
-		MemberLease lease = new MemberLease(SELF, new Guards(Set.of(off)));
+		MemberLease lease = new MemberLease(SELF, TestGuards.without(off));
 		lease.adopt(row(5, 2, 1));
 		lease.renew(renewal(100, 2, 5, 600), 110);
 		return lease;
