Measure an outage of the store, and where a recovery's time goes

bin/bench outage: the store down for five minutes and slow for one, requests answered, longest gap, broken promises. bin/bench recovery gives the median time of each stage by the time line, and counts the ranges that no answer came for.

--- a/bench/src/main/java/org/brasspier/bench/Bench.java
+++ b/bench/src/main/java/org/brasspier/bench/Bench.java
@@ -3,6 +3,7 @@
 import java.nio.file.Path;
 
 import org.brasspier.bench.capacity.CapacityBench;
+import org.brasspier.bench.demo.OutageBench;
 import org.brasspier.bench.demo.RecoveryBench;
 import org.brasspier.bench.document.DocumentBench;
 import org.brasspier.bench.ownership.OwnershipBench;
@@ -35,16 +36,20 @@
 			case "document" -> DocumentBench.main(new String[] { OUTPUT.toString() });
 			case "ownership" -> OwnershipBench.main(new String[0]);
 			case "recovery" -> RecoveryBench.main(new String[0]);
+			case "outage" -> OutageBench.main(new String[0]);
 			case "all" -> all();
 			default -> {
 				System.err.println("unknown measurement \"%s\": %s or all".formatted(arguments[0],
-						"capacity, path, policy, document, ownership, recovery"));
+						"capacity, path, policy, document, ownership, recovery, outage"));
 				System.exit(2);
 			}
 		}
 	}
 
-	/** Recovery comes last, since it ends the process with its own verdict. */
+	/**
+	 * Recovery comes last, since it ends the process with its own verdict. The outage is
+	 * left out: it takes seven minutes by itself.
+	 */
 	private static void all() throws Exception {
 		CapacityBench.run(OUTPUT, CAPACITY_PAGE);
 		PathBench.run(OUTPUT);
--- a/bench/src/main/java/org/brasspier/bench/demo/RecoveryBench.java
+++ b/bench/src/main/java/org/brasspier/bench/demo/RecoveryBench.java
@@ -1,6 +1,8 @@
 package org.brasspier.bench.demo;
 
+import java.time.Instant;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.EnumMap;
 import java.util.List;
 import java.util.Map;
@@ -39,7 +41,10 @@
 
 	private final Map<Role, List<Long>> millis = new EnumMap<>(Role.class);
 
-	private final Map<Role, Integer> count = new EnumMap<>(Role.class);
+	private final Map<Role, List<RecoveryStages>> stages = new EnumMap<>(Role.class);
+
+	/** Ranges that no caller asked for again before the next loss. */
+	private int unanswered;
 
 	private RecoveryBench() {
 	}
@@ -67,7 +72,8 @@
 			List<Violation> violations = HistoryChecker.check(running.serverRecords(), callers.records(),
 					running.keyedServices());
 			violations.forEach((violation) -> System.out.println("BROKEN " + violation));
-			System.out.println(new Gson().toJson(new Result(shape.name(), figures(), violations.size())));
+			System.out
+				.println(new Gson().toJson(new Result(shape.name(), figures(), this.unanswered, violations.size())));
 			return violations.isEmpty();
 		}
 	}
@@ -75,20 +81,20 @@
 	private void lose(Deployment running, CallerFleet callers, Role role) {
 		StandInInstance lost = choose(running, role);
 		List<OwnedRange> ranges = running.ownedBy(lost);
+		Instant at = Instant.now();
 		Loss loss = Loss.now(lost.name());
 		lost.kill();
 		try (RecoveryProbe probe = new RecoveryProbe(callers, ranges, running.keyedServices())) {
 			probe.await();
 		}
-		List<Long> times = Measures.recovery(running.serverRecords(), callers.records(), loss)
-			.values()
-			.stream()
-			.flatMapToLong(OptionalLong::stream)
-			.boxed()
-			.toList();
-		System.out.printf("%s %s: %d ranges, ms %s%n", role, lost.name(), ranges.size(), times);
+		Collection<OptionalLong> measured = Measures.recovery(running.serverRecords(), callers.records(), loss)
+			.values();
+		List<Long> times = measured.stream().flatMapToLong(OptionalLong::stream).boxed().toList();
+		RecoveryStages stage = RecoveryStages.of(TimeLine.read(running, at.toString()), lost.name(), at);
+		System.out.printf("%s %s: %d ranges, %s, ms %s%n", role, lost.name(), ranges.size(), stage, times);
 		this.millis.computeIfAbsent(role, (unused) -> new ArrayList<>()).addAll(times);
-		this.count.merge(role, 1, Integer::sum);
+		this.stages.computeIfAbsent(role, (unused) -> new ArrayList<>()).add(stage);
+		this.unanswered += measured.size() - times.size();
 		lost.start();
 		running.awaitServed();
 		Await.until(lost.name() + " owns something again", () -> !running.ownedBy(lost).isEmpty());
@@ -111,10 +117,11 @@
 	private List<Figures> figures() {
 		Stream<Figures> roles = this.millis.entrySet()
 			.stream()
-			.map((entry) -> Figures.of(entry.getKey().name(), this.count.getOrDefault(entry.getKey(), 0),
+			.map((entry) -> Figures.of(entry.getKey().name(), this.stages.getOrDefault(entry.getKey(), List.of()),
 					entry.getValue()));
 		List<Long> all = this.millis.values().stream().flatMap(List::stream).toList();
-		return Stream.concat(roles, Stream.of(Figures.of("ALL", this.losses, all))).toList();
+		List<RecoveryStages> stagesOfAll = this.stages.values().stream().flatMap(List::stream).toList();
+		return Stream.concat(roles, Stream.of(Figures.of("ALL", stagesOfAll, all))).toList();
 	}
 
 	/**
@@ -141,13 +148,14 @@
 	 * @param ranges how many ranges they owned
 	 * @param medianMs the median over the ranges, in milliseconds
 	 * @param maxMs the longest, in milliseconds
+	 * @param stages the median time of each stage
 	 */
-	private record Figures(String role, int losses, int ranges, long medianMs, long maxMs) {
+	private record Figures(String role, int losses, int ranges, long medianMs, long maxMs, RecoveryStages stages) {
 
-		static Figures of(String role, int losses, List<Long> times) {
+		static Figures of(String role, List<RecoveryStages> stages, List<Long> times) {
 			long[] sorted = times.stream().mapToLong(Long::longValue).sorted().toArray();
-			return new Figures(role, losses, sorted.length, (sorted.length > 0) ? Measures.median(sorted) : -1,
-					LongStream.of(sorted).max().orElse(-1));
+			return new Figures(role, stages.size(), sorted.length, (sorted.length > 0) ? Measures.median(sorted) : -1,
+					LongStream.of(sorted).max().orElse(-1), RecoveryStages.medians(stages));
 		}
 
 	}
@@ -157,9 +165,11 @@
 	 *
 	 * @param deployment the deployment's name
 	 * @param recovery the figures by role
+	 * @param unanswered how many ranges got no answer before the next loss, and are in no
+	 * figure: those of a few points, which only a hot key asks for
 	 * @param broken how many promises were broken
 	 */
-	private record Result(String deployment, List<Figures> recovery, int broken) {
+	private record Result(String deployment, List<Figures> recovery, int unanswered, int broken) {
 
 	}
 
--- /dev/null
+++ b/bench/src/main/java/org/brasspier/bench/demo/RecoveryStages.java
@@ -0,0 +1,72 @@
+package org.brasspier.bench.demo;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.function.Predicate;
+import java.util.function.ToLongFunction;
+import java.util.stream.LongStream;
+
+import org.brasspier.core.event.EventKind;
+import org.brasspier.standins.Measures;
+
+/**
+ * Where the time of a recovery goes, by the daemons' time lines: milliseconds from the
+ * loss, -1 for what didn't happen. Immutable and thread-safe.
+ *
+ * @param suspected a lease manager found the lost one silent
+ * @param epoch other managers are in the row, where the lost one was a manager
+ * @param lost its ranges are about to be given away: promised, and its lease run out
+ * @param granted the last of its ranges was granted
+ */
+record RecoveryStages(long suspected, long epoch, long lost, long granted) {
+
+	private static final int STAMP_LENGTH = 24;
+
+	/**
+	 * Reads the stages.
+	 * @param events the time line
+	 * @param instance the lost instance
+	 * @param at when it was lost
+	 * @return the stages
+	 */
+	static RecoveryStages of(List<String> events, String instance, Instant at) {
+		long suspected = first(events, at,
+				(line) -> (is(line, EventKind.MEMBER_SUSPECTED) || is(line, EventKind.MANAGER_SUSPECTED))
+						&& line.contains(" " + instance + " "));
+		long epoch = first(events, at, (line) -> is(line, EventKind.EPOCH_CHANGED));
+		long lost = first(events, at, (line) -> is(line, EventKind.MEMBER_LOST) && line.contains(" " + instance + " "));
+		long granted = times(events, at, (line) -> is(line, EventKind.RANGE_GRANTED)).max().orElse(-1);
+		return new RecoveryStages(suspected, epoch, lost, granted);
+	}
+
+	private static boolean is(String line, EventKind kind) {
+		return line.contains(" " + kind.name() + " ");
+	}
+
+	private static long first(List<String> events, Instant at, Predicate<String> wanted) {
+		return times(events, at, wanted).min().orElse(-1);
+	}
+
+	private static LongStream times(List<String> events, Instant at, Predicate<String> wanted) {
+		return events.stream()
+			.filter(wanted)
+			.mapToLong((line) -> Duration.between(at, Instant.parse(line.substring(0, STAMP_LENGTH))).toMillis());
+	}
+
+	/**
+	 * The median of each stage over several losses.
+	 * @param all the stages of the losses
+	 * @return the medians, of a stage that some losses didn't have over the others
+	 */
+	static RecoveryStages medians(List<RecoveryStages> all) {
+		return new RecoveryStages(median(all, RecoveryStages::suspected), median(all, RecoveryStages::epoch),
+				median(all, RecoveryStages::lost), median(all, RecoveryStages::granted));
+	}
+
+	private static long median(List<RecoveryStages> all, ToLongFunction<RecoveryStages> stage) {
+		long[] times = all.stream().mapToLong(stage).filter((time) -> time >= 0).toArray();
+		return (times.length > 0) ? Measures.median(times) : -1;
+	}
+
+}
