--- a/core/src/main/java/org/brasspier/core/ownership/RowChange.java
+++ b/core/src/main/java/org/brasspier/core/ownership/RowChange.java
@@ -20,10 +20,8 @@
 		return this.after.row().epoch() > this.before.row().epoch();
 	}
 
-	List<OwnershipAction> marks() {
-		return gained().filter((range) -> !range.marks().isEmpty())
-			.<OwnershipAction>map((range) -> new OwnershipAction.HandMarks(range.held(), range.marks()))
-			.toList();
+	boolean joined() {
+		return this.after.row().has(this.self) && !this.before.row().has(this.self);
 	}
 
 	List<OwnershipAction> events() {
