Count what was seen of a range exactly enough while the window changes

The share of the window since a range came was taken of the present window, which may be six times the one before: the unit test of a range that has just come showed 1.42 slots of 1 after a quiet minute.

--- a/core/src/main/java/org/brasspier/core/placement/LoadMeter.java
+++ b/core/src/main/java/org/brasspier/core/placement/LoadMeter.java
@@ -77,8 +77,6 @@
 
 	private long originNanos;
 
-	private final long startNanos;
-
 	/**
 	 * Creates a meter that has seen nothing.
 	 * @param leastWindowNanos the least time after which an observation counts for a
@@ -89,7 +87,6 @@
 		this.leastWindowNanos = leastWindowNanos;
 		this.windowNanos = leastWindowNanos;
 		this.originNanos = now;
-		this.startNanos = now;
 	}
 
 	/**
@@ -155,17 +152,13 @@
 	}
 
 	private double slots(double mass, long sinceNanos, long now) {
-		double ofAll = faded(Math.max(sinceNanos, this.startNanos), now)
-				/ Math.max(Double.MIN_NORMAL, faded(this.startNanos, now));
-		double seen = seen(now) * ofAll;
+		double all = seen(now);
+		// After the window has shrunk, more than it was seen.
+		double window = Math.max(this.windowNanos, all);
+		double seen = Math.min(all, window * (1 - Math.exp(-(now - sinceNanos) / window)));
 		return mass / weight(now) / Math.max(LEAST_SEEN * this.leastWindowNanos, seen);
 	}
 
-	// The share of an endless window that lies after a time.
-	private double faded(long since, long now) {
-		return 1 - Math.exp(-Math.max(0, now - since) / this.windowNanos);
-	}
-
 	// The part of the window that this meter was there for, faded as what it recorded.
 	private double seen(long now) {
 		double kept = 1 / weight(now);
--- a/standins/src/test/java/org/brasspier/standins/MeasuresTests.java
+++ b/standins/src/test/java/org/brasspier/standins/MeasuresTests.java
@@ -50,9 +50,9 @@
 		List<ServerRecord> servers = List.of(line(Kind.STARTED, 0, "a", "", ""), line(Kind.STARTED, 0, "b", "", ""),
 				line(Kind.BEGAN, 10, "a", "id-1", ALL), line(Kind.BEGAN, 100, "b", "id-2", ALL),
 				line(Kind.TOOK_EFFECT, 200, "a", "id-1", ALL), line(Kind.TOOK_EFFECT, 900, "b", "id-2", ALL));
-		assertThat(Measures.imbalance(servers, 100_000, 200_000)).isEqualTo(1.0);
-		assertThat(Measures.imbalance(servers, 0, 10_000)).isEqualTo(1.0);
-		assertThat(Measures.imbalance(servers, 200_000, 900_000)).isEqualTo(2.0);
+		assertThat(Measures.imbalance(servers, 100, 200)).isEqualTo(1.0);
+		assertThat(Measures.imbalance(servers, 0, 10)).isEqualTo(1.0);
+		assertThat(Measures.imbalance(servers, 200, 900)).isEqualTo(2.0);
 	}
 
 	@Test
