Rotate all three kinds of secrets without a stop

Cause: only the operators' secrets were read anew. The key that daemons share and the platform's token changed by a rolling replacement, and the shared key needed three steps in a fixed order, since a process proved itself by its first key alone.

Ruled out: a signal (the platform may not pass one on); key ids in the challenge (tells a stranger when keys change; trying each key costs an acceptor at most 64 HMACs on a frame of 1 KB).

Now the files of all three are read anew each second. A connector sends a proof by each of its keys (8 at most), so one key in common is enough, whatever its place; an acceptor of an older build reads the first proof only. Where the platform refuses a token the next line of the file is tried. A file that is unfit is told of by event 413 and changes nothing.

Checked with real processes: the peers' key under traffic (no lookup failed, no handshake refused, a daemon that starts afterwards joins), the platform's token, the operators' secret, and that no secret shows in any output.

--- a/core/src/main/java/org/brasspier/core/event/EventKind.java
+++ b/core/src/main/java/org/brasspier/core/event/EventKind.java
@@ -108,9 +108,12 @@
 	/** Somebody came to the operator port without a valid secret. */
 	OPERATOR_REFUSED(411),
 
-	/** The operators' secrets were read anew. */
+	/** Secrets of operators, of peers or for the platform were read anew. */
 	SECRETS_READ(412),
 
+	/** A file of secrets is not fit for use; what was read before stays in use. */
+	SECRETS_REFUSED(413),
+
 	/** The measures of a while were kept in the platform's store. */
 	MEASURES_KEPT(420),
 
--- a/daemon/src/main/java/org/brasspier/daemon/internal/operator/OperatorSecrets.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/operator/OperatorSecrets.java
@@ -5,6 +5,8 @@
 import java.util.List;
 import java.util.function.Supplier;
 
+import org.brasspier.daemon.internal.settings.SecretLines;
+
 /**
  * The operators' secrets, each of them accepted, so that they're rotated without a stop:
  * add the new one everywhere, let each operator change, take the old one out. A secret
@@ -31,9 +33,10 @@
 	 * Replaces the secrets.
 	 * @param lines the secrets as read anew
 	 * @return whether anything changed
+	 * @throws IllegalArgumentException if one is too short; the present ones stay
 	 */
 	public boolean replace(List<String> lines) {
-		List<Secret> fresh = parse(lines);
+		List<Secret> fresh = parse(SecretLines.checkedOperatorSecrets(lines));
 		boolean changed = !fresh.equals(this.secrets);
 		this.secrets = fresh;
 		return changed;
--- a/daemon/src/main/java/org/brasspier/daemon/internal/operator/OperatorsDuty.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/operator/OperatorsDuty.java
@@ -4,7 +4,9 @@
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
 
 import io.activej.dns.DnsClient;
@@ -90,7 +92,7 @@
 			.withReadWriteTimeout(CALL_TIMEOUT)
 			.build();
 		HttpPlatform platform = new HttpPlatform(http, settings.platform().table(), settings.platform().objectStore(),
-				settings.secrets().platformToken());
+				this.context.secrets());
 		PeerClient peers = new PeerClient(http, this.context, this.cell);
 		DocumentService service = new DocumentService(platform, platform, this.context.documents(), peers,
 				this.context.events(), this::managing);
@@ -112,10 +114,15 @@
 		this.context.metrics().registerAll(new DaemonGauges(this.context, this.ownership, this.cell));
 		repeat(reactor, TICK, service::tick);
 		repeat(reactor, SLOW_TICK, () -> keeper.tick(this.cell.get(), primary()));
-		settings.secrets()
-			.operatorSecretsFile()
-			.map((file) -> new SecretsFile(Path.of(file), secrets, this.context.events()))
-			.ifPresent((file) -> repeat(reactor, SLOW_TICK, file::readAnew));
+		Settings.SecretFiles files = settings.secrets().files();
+		follow(files.operatorSecrets(), "operators", secrets::replace);
+		follow(files.sharedKeys(), "peers", this.context.secrets()::replaceSharedKeys);
+		follow(files.platformTokens(), "platform", this.context.secrets()::replacePlatformTokens);
+	}
+
+	private void follow(Optional<Path> file, String whose, Predicate<List<String>> replace) {
+		file.map((path) -> new SecretsFile(path, whose, replace, this.context.events()))
+			.ifPresent((reader) -> repeat(this.duty.reactor(), SLOW_TICK, reader::readAnew));
 	}
 
 	private static void repeat(NioReactor reactor, Duration period, Runnable task) {
--- a/daemon/src/main/java/org/brasspier/daemon/internal/operator/PeerCalls.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/operator/PeerCalls.java
@@ -53,7 +53,7 @@
 	}
 
 	private Promise<HttpResponse> proved(HttpRequest request, java.util.function.Supplier<byte[]> answer) {
-		SharedKeys keys = this.context.settings().secrets().sharedKeys();
+		SharedKeys keys = this.context.secrets().sharedKeys();
 		String nonce = request.getHeader(NONCE);
 		String proof = request.getHeader(PROOF);
 		if (nonce == null || proof == null || !PeerProof.asked(keys, request.getPathAndQuery(), nonce, proof)) {
--- a/daemon/src/main/java/org/brasspier/daemon/internal/operator/PeerClient.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/operator/PeerClient.java
@@ -80,7 +80,7 @@
 	}
 
 	private Promise<byte[]> ask(PeerAddress address, String path) {
-		SharedKeys keys = this.context.settings().secrets().sharedKeys();
+		SharedKeys keys = this.context.secrets().sharedKeys();
 		String nonce = PeerProof.nonce();
 		HttpRequest request = HttpRequest.get("http://%s:%d%s".formatted(address.host(), address.operatorPort(), path))
 			.withHeader(PeerCalls.NONCE, nonce)
--- a/daemon/src/main/java/org/brasspier/daemon/internal/operator/SecretsFile.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/operator/SecretsFile.java
@@ -1,47 +1,66 @@
 package org.brasspier.daemon.internal.operator;
 
 import java.io.IOException;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.function.Predicate;
 
 import org.brasspier.core.event.EventKind;
 import org.brasspier.daemon.internal.event.EventLog;
+import org.brasspier.daemon.internal.settings.SecretLines;
 
 /**
- * Reads the file of the operators' secrets anew when it has changed. A file that can't be
- * read or holds none leaves the secrets as they are: a slip while it's replaced must not
- * lock operators out. Belongs to the thread of operators.
+ * Reads a file of secrets anew when it has changed. A file that can't be read, holds none
+ * or holds one that's unfit leaves the secrets as they are: a slip while it's replaced
+ * must lock out neither operators nor daemons. Belongs to the thread of operators.
  */
 final class SecretsFile {
 
-	private static final int MIN_CHARACTERS = 8;
-
 	private final Path file;
 
-	private final OperatorSecrets secrets;
+	private final String whose;
+
+	private final Predicate<List<String>> replace;
 
 	private final EventLog events;
 
-	SecretsFile(Path file, OperatorSecrets secrets, EventLog events) {
+	private List<String> latest = List.of();
+
+	/**
+	 * Creates a reader that has read nothing yet.
+	 * @param file the file
+	 * @param whose whose secrets they are, for the time line
+	 * @param replace takes over the secrets read, and tells whether anything changed
+	 * @param events the time line
+	 */
+	SecretsFile(Path file, String whose, Predicate<List<String>> replace, EventLog events) {
 		this.file = file;
-		this.secrets = secrets;
+		this.whose = whose;
+		this.replace = replace;
 		this.events = events;
 	}
 
 	void readAnew() {
 		try {
-			List<String> lines = Files.readAllLines(this.file)
-				.stream()
-				.map(String::strip)
-				.filter((line) -> line.length() >= MIN_CHARACTERS)
-				.toList();
-			if (!lines.isEmpty() && this.secrets.replace(lines)) {
-				this.events.record(EventKind.SECRETS_READ, "operators", lines.size() + " accepted");
+			List<String> lines = SecretLines.read(this.file);
+			if (!lines.equals(this.latest)) {
+				this.latest = lines;
+				takeOver(lines);
+			}
+		}
+		catch (IOException | IllegalArgumentException ex) {
+			// The file is being replaced; the next reading comes in a second.
+		}
+	}
+
+	private void takeOver(List<String> lines) {
+		try {
+			if (this.replace.test(lines)) {
+				this.events.record(EventKind.SECRETS_READ, this.whose, lines.size() + " accepted");
 			}
 		}
-		catch (IOException ex) {
-			// The next reading comes in a second.
+		catch (IllegalArgumentException ex) {
+			this.events.record(EventKind.SECRETS_REFUSED, this.whose, String.valueOf(ex.getMessage()));
 		}
 	}
 
--- a/daemon/src/main/java/org/brasspier/daemon/internal/ownership/OwnershipDuty.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/ownership/OwnershipDuty.java
@@ -112,7 +112,7 @@
 			.withKeepAliveTimeout(Duration.ofSeconds(10))
 			.build();
 		HttpPlatform platform = new HttpPlatform(http, settings.platform().table(), settings.platform().objectStore(),
-				settings.secrets().platformToken());
+				context.secrets());
 		this.store = new RowStore(platform, "cell/" + settings.cell(), context.events());
 		this.snapshot = new OwnershipSnapshot(settings.instance(), RouteTable.EMPTY, RouteTable.EMPTY,
 				System.nanoTime(), new PeerAddresses(java.util.Map.of()));
--- a/daemon/src/main/java/org/brasspier/daemon/internal/ownership/PeerLinks.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/ownership/PeerLinks.java
@@ -85,7 +85,7 @@
 	}
 
 	private Handshake handshake() {
-		return new Handshake(this.context.settings().instance(), this.context.settings().secrets().sharedKeys());
+		return new Handshake(this.context.settings().instance(), this.context.secrets().sharedKeys());
 	}
 
 	private Link link(InstanceId peer) {
--- a/daemon/src/main/java/org/brasspier/daemon/internal/platform/HttpPlatform.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/platform/HttpPlatform.java
@@ -12,6 +12,7 @@
 import io.activej.promise.Promise;
 import org.brasspier.core.ErrorKind;
 import org.brasspier.core.Failure;
+import org.brasspier.daemon.internal.settings.CurrentSecrets;
 
 /**
  * The platform over HTTP, as docs/API.md describes it. Belongs to the thread of its HTTP
@@ -23,6 +24,8 @@
 
 	private static final HttpHeader IF_VERSION = HttpHeaders.of("If-Version");
 
+	private static final int UNAUTHORIZED = 401;
+
 	private static final int MAX_VALUE_BYTES = 4 << 20;
 
 	private final HttpClient http;
@@ -31,20 +34,20 @@
 
 	private final String objectUrl;
 
-	private final String token;
+	private final CurrentSecrets secrets;
 
 	/**
 	 * Creates a client.
 	 * @param http the HTTP client, whose timeouts bound each call
 	 * @param tableAddress where the table service is, as IP:PORT
 	 * @param storeAddress where the object store is, as IP:PORT
-	 * @param token the platform's bearer token
+	 * @param secrets the platform's bearer token as it is now
 	 */
-	public HttpPlatform(HttpClient http, String tableAddress, String storeAddress, String token) {
+	public HttpPlatform(HttpClient http, String tableAddress, String storeAddress, CurrentSecrets secrets) {
 		this.http = http;
 		this.tableUrl = "http://" + tableAddress + "/table/";
 		this.objectUrl = "http://" + storeAddress + "/objects/";
-		this.token = token;
+		this.secrets = secrets;
 	}
 
 	@Override
@@ -55,13 +58,10 @@
 
 	@Override
 	public Promise<WriteResult> write(String key, long expectedVersion, byte[] value) {
-		HttpRequest request = request(HttpMethod.PUT, this.tableUrl + key)
+		HttpRequest.Builder request = request(HttpMethod.PUT, this.tableUrl + key)
 			.withHeader(IF_VERSION, Long.toString(expectedVersion))
-			.withBody(value)
-			.build();
-		return this.http.request(request)
-			.then((response) -> whole(response))
-			.then((answer, ex) -> (ex != null) ? lost(ex) : written(answer));
+			.withBody(value);
+		return send(request).then((answer, ex) -> (ex != null) ? lost(ex) : written(answer));
 	}
 
 	private static Promise<WriteResult> lost(Exception ex) {
@@ -75,7 +75,7 @@
 			case 200 -> Promise.of(new WriteResult.Written(answer.version()));
 			case 412 -> Promise.of(new WriteResult.Conflict(answer.version()));
 			// Throttled or down: the service answers so only before it begins a write.
-			case 429, 503 -> Promise.ofException(unavailable("status " + answer.code()));
+			case 429, 503 -> Promise.ofException(refused(answer));
 			default -> Promise.of(new WriteResult.Unknown("status " + answer.code()));
 		};
 	}
@@ -83,8 +83,7 @@
 	@Override
 	public Promise<Void> put(String name, byte[] body) {
 		return call(request(HttpMethod.PUT, this.objectUrl + name).withBody(body))
-			.then((answer) -> (answer.code() == 200) ? Promise.complete()
-					: Promise.ofException(unavailable("status " + answer.code())));
+			.then((answer) -> (answer.code() == 200) ? Promise.complete() : Promise.ofException(refused(answer)));
 	}
 
 	@Override
@@ -94,18 +93,26 @@
 	}
 
 	private static <T> Promise<Optional<T>> absent(Reply answer) {
-		return (answer.code() == 404) ? Promise.of(Optional.empty())
-				: Promise.ofException(unavailable("status " + answer.code()));
+		return (answer.code() == 404) ? Promise.of(Optional.empty()) : Promise.ofException(refused(answer));
 	}
 
 	private HttpRequest.Builder request(HttpMethod method, String url) {
-		return HttpRequest.builder(method, url).withHeader(HttpHeaders.AUTHORIZATION, "Bearer " + this.token);
+		return HttpRequest.builder(method, url);
 	}
 
-	private Promise<Reply> call(HttpRequest.Builder request) {
-		return this.http.request(request.build())
+	private Promise<Reply> send(HttpRequest.Builder request) {
+		String token = this.secrets.platformToken();
+		return this.http.request(request.withHeader(HttpHeaders.AUTHORIZATION, "Bearer " + token).build())
 			.then((response) -> whole(response))
-			.mapException((ex) -> (ex instanceof StoreException) ? ex : unavailable(ex.toString()));
+			.whenResult((answer) -> {
+				if (answer.code() == UNAUTHORIZED) {
+					this.secrets.platformRefused(token);
+				}
+			});
+	}
+
+	private Promise<Reply> call(HttpRequest.Builder request) {
+		return send(request).mapException((ex) -> (ex instanceof StoreException) ? ex : unavailable(ex.toString()));
 	}
 
 	private static Promise<Reply> whole(HttpResponse response) {
@@ -115,6 +122,11 @@
 					body.getArray()));
 	}
 
+	private static StoreException refused(Reply answer) {
+		return unavailable((answer.code() == UNAUTHORIZED)
+				? "it refuses the token (see TROUBLESHOOTING.md#platform-token)" : "status " + answer.code());
+	}
+
 	private static StoreException unavailable(String detail) {
 		return new StoreException(Failure.of(ErrorKind.STORE_UNAVAILABLE, "the platform's store failed: " + detail));
 	}
--- a/daemon/src/main/java/org/brasspier/daemon/internal/request/ForwardClient.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/request/ForwardClient.java
@@ -15,7 +15,9 @@
 import org.brasspier.core.request.CallerRequest;
 import org.brasspier.core.routing.OwnershipSnapshot;
 import org.brasspier.core.routing.PeerAddress;
+import org.brasspier.daemon.internal.DaemonContext;
 import org.brasspier.daemon.internal.event.EventLog;
+import org.brasspier.daemon.internal.settings.CurrentSecrets;
 import org.brasspier.daemon.internal.settings.Settings;
 import org.brasspier.wire.ForwardMessage;
 
@@ -32,6 +34,8 @@
 
 	private final Settings settings;
 
+	private final CurrentSecrets secrets;
+
 	private final Supplier<OwnershipSnapshot> ownership;
 
 	private final EventLog events;
@@ -45,17 +49,16 @@
 	/**
 	 * Creates a client with no connections.
 	 * @param reactor the reactor of the thread of requests
-	 * @param settings this instance and the shared keys
+	 * @param context this instance, the shared keys and the time line
 	 * @param ownership where instances are
-	 * @param events the time line
 	 * @param guards how long orders may outlast the lease they were given under
 	 */
-	ForwardClient(NioReactor reactor, Settings settings, Supplier<OwnershipSnapshot> ownership, EventLog events,
-			GuardTimes guards) {
+	ForwardClient(NioReactor reactor, DaemonContext context, Supplier<OwnershipSnapshot> ownership, GuardTimes guards) {
 		this.reactor = reactor;
-		this.settings = settings;
+		this.settings = context.settings();
+		this.secrets = context.secrets();
 		this.ownership = ownership;
-		this.events = events;
+		this.events = context.events();
 		this.guards = guards;
 	}
 
@@ -151,6 +154,10 @@
 		return this.settings;
 	}
 
+	CurrentSecrets secrets() {
+		return this.secrets;
+	}
+
 	EventLog events() {
 		return this.events;
 	}
--- a/daemon/src/main/java/org/brasspier/daemon/internal/request/ForwardLink.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/request/ForwardLink.java
@@ -18,6 +18,7 @@
 import org.brasspier.core.event.EventKind;
 import org.brasspier.core.routing.PeerAddress;
 import org.brasspier.daemon.internal.peer.PeerConnection;
+import org.brasspier.daemon.internal.settings.CurrentSecrets;
 import org.brasspier.daemon.internal.settings.Settings;
 import org.brasspier.wire.ForwardCodec;
 import org.brasspier.wire.ForwardMessage;
@@ -85,15 +86,14 @@
 			.connect(client.reactor(), new InetSocketAddress(address.host(), address.forwardPort()), CONNECT_TIMEOUT,
 					null)
 			.then((socket) -> Promises
-				.timeout(HANDSHAKE_TIMEOUT,
-						PeerConnection.connector(socket, handshake(client.settings()),
-								maxFrameBytes(client.settings())))
+				.timeout(HANDSHAKE_TIMEOUT, PeerConnection.connector(socket,
+						handshake(client.settings(), client.secrets()), maxFrameBytes(client.settings())))
 				.whenException(socket::closeEx));
 		this.connection = opening.map(this::ready).whenException((ex) -> gone());
 	}
 
-	static Handshake handshake(Settings settings) {
-		return new Handshake(settings.instance(), settings.secrets().sharedKeys());
+	static Handshake handshake(Settings settings, CurrentSecrets secrets) {
+		return new Handshake(settings.instance(), secrets.sharedKeys());
 	}
 
 	// The largest frame between daemons.
--- a/daemon/src/main/java/org/brasspier/daemon/internal/request/ForwardServer.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/request/ForwardServer.java
@@ -7,7 +7,6 @@
 import java.util.function.Supplier;
 
 import com.codahale.metrics.Counter;
-import com.codahale.metrics.MetricRegistry;
 import io.activej.net.SimpleServer;
 import io.activej.net.socket.tcp.ITcpSocket;
 import io.activej.promise.Promise;
@@ -20,8 +19,10 @@
 import org.brasspier.core.ownership.HeldRange;
 import org.brasspier.core.request.CallerRequest;
 import org.brasspier.core.routing.OwnershipSnapshot;
+import org.brasspier.daemon.internal.DaemonContext;
 import org.brasspier.daemon.internal.event.EventLog;
 import org.brasspier.daemon.internal.peer.PeerConnection;
+import org.brasspier.daemon.internal.settings.CurrentSecrets;
 import org.brasspier.daemon.internal.settings.Settings;
 import org.brasspier.wire.ForwardCodec;
 import org.brasspier.wire.ForwardMessage;
@@ -41,6 +42,8 @@
 
 	private final Settings settings;
 
+	private final CurrentSecrets secrets;
+
 	private final OwnerGate owner;
 
 	private final ServerGate servers;
@@ -53,21 +56,20 @@
 
 	/**
 	 * Creates a server that does not listen yet.
-	 * @param settings this instance, the shared keys and where to listen
+	 * @param context this instance, the shared keys, where to listen, the time line and
+	 * the metrics
 	 * @param owner the way for requests that this instance owns
 	 * @param servers the way for orders that other owners give
 	 * @param ownership what is known of other owners
-	 * @param events the time line
-	 * @param metrics counts connections that were refused
 	 */
-	ForwardServer(Settings settings, OwnerGate owner, ServerGate servers, Supplier<OwnershipSnapshot> ownership,
-			EventLog events, MetricRegistry metrics) {
-		this.settings = settings;
+	ForwardServer(DaemonContext context, OwnerGate owner, ServerGate servers, Supplier<OwnershipSnapshot> ownership) {
+		this.settings = context.settings();
+		this.secrets = context.secrets();
 		this.owner = owner;
 		this.servers = servers;
 		this.ownership = ownership;
-		this.events = events;
-		this.refused = metrics.counter("peers.refused");
+		this.events = context.events();
+		this.refused = context.metrics().counter("peers.refused");
 	}
 
 	/**
@@ -82,7 +84,7 @@
 	private void accept(ITcpSocket socket) {
 		Promises
 			.timeout(HANDSHAKE_TIMEOUT,
-					PeerConnection.acceptor(socket, ForwardLink.handshake(this.settings),
+					PeerConnection.acceptor(socket, ForwardLink.handshake(this.settings, this.secrets),
 							ForwardLink.maxFrameBytes(this.settings)))
 			.whenResult((opened) -> new Exchanges(opened.connection()).begin())
 			.whenException((ex) -> {
--- a/daemon/src/main/java/org/brasspier/daemon/internal/request/RequestPath.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/request/RequestPath.java
@@ -88,7 +88,7 @@
 		OrderRunner runner = new OrderRunner(reactor, new BackendClient(reactor, settings.limits().maxBodyBytes()),
 				calls, this.watch, this.grants, context.events(), guards, this.loads, suspects::partOfLoss);
 		this.serverGate = new ServerGate(reactor, this.watch, this.grants, runner, known.catalog());
-		ForwardClient client = new ForwardClient(reactor, settings, known.ownership(), context.events(), guards);
+		ForwardClient client = new ForwardClient(reactor, context, known.ownership(), guards);
 		this.inFlight = new InFlight(this.marks, reports);
 		ServerChoice choice = new ServerChoice(settings.instance(), this.serverGate, client, known.cell(),
 				known.catalog(), new BackendChooser(1, new SplittableRandom()), retries());
@@ -102,8 +102,7 @@
 			.builder(reactor, new BackendPort(this.watch, this::drained, context.events(), context.metrics()))
 			.withListenAddress(settings.listen().backend())
 			.build();
-		this.forwards = new ForwardServer(settings, this.ownerGate, this.serverGate, known.ownership(),
-				context.events(), context.metrics())
+		this.forwards = new ForwardServer(context, this.ownerGate, this.serverGate, known.ownership())
 			.listenOn(reactor);
 	}
 
--- a/daemon/src/main/java/org/brasspier/daemon/internal/settings/Flags.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/settings/Flags.java
@@ -50,7 +50,8 @@
 	@Parameter(names = "--object-store", description = "IP:PORT of the platform's object store")
 	String objectStore = "";
 
-	@Parameter(names = "--platform-token-file", description = "file with the platform's bearer token")
+	@Parameter(names = "--platform-token-file",
+			description = "file with the platform's bearer tokens, one a line; the next is tried where one is refused")
 	String platformTokenFile = "";
 
 	@Parameter(names = "--shared-keys-file", description = "file with the keys that daemons share, one a line")
--- a/daemon/src/main/java/org/brasspier/daemon/internal/settings/Settings.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/settings/Settings.java
@@ -1,6 +1,7 @@
 package org.brasspier.daemon.internal.settings;
 
 import java.net.InetSocketAddress;
+import java.nio.file.Path;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -74,18 +75,18 @@
 	 *
 	 * @param sharedKeys the keys that daemons share
 	 * @param operatorSecrets the operators' secrets, each of them accepted
-	 * @param platformToken the platform's bearer token
-	 * @param operatorSecretsFile the file that the operators' secrets came from, which is
-	 * read anew when it changes; empty if they came from the environment
+	 * @param platformTokens the platform's bearer tokens, the one to begin with first
+	 * @param files the files they came from
 	 */
-	public record Secrets(SharedKeys sharedKeys, List<String> operatorSecrets, String platformToken,
-			Optional<String> operatorSecretsFile) {
+	public record Secrets(SharedKeys sharedKeys, List<String> operatorSecrets, List<String> platformTokens,
+			SecretFiles files) {
 
 		/**
-		 * Copies the list.
+		 * Copies the lists.
 		 */
 		public Secrets {
 			operatorSecrets = List.copyOf(operatorSecrets);
+			platformTokens = List.copyOf(platformTokens);
 		}
 
 		/**
@@ -95,7 +96,7 @@
 		 * @param platformToken the platform's bearer token
 		 */
 		public Secrets(SharedKeys sharedKeys, List<String> operatorSecrets, String platformToken) {
-			this(sharedKeys, operatorSecrets, platformToken, Optional.empty());
+			this(sharedKeys, operatorSecrets, List.of(platformToken), SecretFiles.NONE);
 		}
 
 		@Override
@@ -105,6 +106,22 @@
 
 	}
 
+	/**
+	 * The files that secrets came from, which are read anew while the daemon runs; empty
+	 * where they came from the environment.
+	 *
+	 * @param sharedKeys the file of the keys that daemons share
+	 * @param operatorSecrets the file of the operators' secrets
+	 * @param platformTokens the file of the platform's bearer tokens
+	 */
+	public record SecretFiles(Optional<Path> sharedKeys, Optional<Path> operatorSecrets,
+			Optional<Path> platformTokens) {
+
+		/** All secrets came from the environment. */
+		public static final SecretFiles NONE = new SecretFiles(Optional.empty(), Optional.empty(), Optional.empty());
+
+	}
+
 	/**
 	 * Bounds on sizes and times.
 	 *
--- a/daemon/src/main/java/org/brasspier/daemon/internal/settings/SettingsReader.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/settings/SettingsReader.java
@@ -2,7 +2,6 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -30,8 +29,6 @@
  */
 public final class SettingsReader {
 
-	private static final int MIN_SECRET_CHARACTERS = 8;
-
 	private static final int MAX_PORT = 65535;
 
 	private final Map<String, String> environment;
@@ -90,7 +87,8 @@
 		commander().getUsageFormatter().usage(text);
 		return text.append("Each flag may be set in the environment: --max-body-bytes is BRASSPIER_MAX_BODY_BYTES.\n")
 			.append("Secrets come from BRASSPIER_SHARED_KEYS, BRASSPIER_OPERATOR_SECRETS (by comma) and\n")
-			.append("BRASSPIER_PLATFORM_TOKEN, or from the files named above.\n")
+			.append("BRASSPIER_PLATFORM_TOKEN, or from the files named above, one a line. The files are\n")
+			.append("read anew each second, so secrets are rotated without a stop.\n")
 			.toString();
 	}
 
@@ -147,35 +145,31 @@
 				() -> new SharedKeys(secretList("BRASSPIER_SHARED_KEYS", this.flags.sharedKeysFile)));
 		Optional<List<String>> operators = valid("BRASSPIER_OPERATOR_SECRETS or --operator-secrets-file",
 				this::operatorSecrets);
-		Optional<String> token = valid("BRASSPIER_PLATFORM_TOKEN or --platform-token-file",
-				() -> secretList("BRASSPIER_PLATFORM_TOKEN", this.flags.platformTokenFile).getFirst());
-		return (keys.isPresent() && operators.isPresent() && token.isPresent())
-				? Optional.of(new Settings.Secrets(keys.get(), operators.get(), token.get(),
-						Optional.of(this.flags.operatorSecretsFile).filter((file) -> !file.isEmpty())))
+		Optional<List<String>> tokens = valid("BRASSPIER_PLATFORM_TOKEN or --platform-token-file",
+				() -> secretList("BRASSPIER_PLATFORM_TOKEN", this.flags.platformTokenFile));
+		return (keys.isPresent() && operators.isPresent() && tokens.isPresent())
+				? Optional.of(new Settings.Secrets(keys.get(), operators.get(), tokens.get(), secretFiles()))
 				: Optional.empty();
 	}
 
-	private List<String> operatorSecrets() {
-		List<String> secrets = secretList("BRASSPIER_OPERATOR_SECRETS", this.flags.operatorSecretsFile);
-		if (secrets.stream().anyMatch((secret) -> secret.length() < MIN_SECRET_CHARACTERS)) {
-			throw new IllegalArgumentException("each must have %d characters or more".formatted(MIN_SECRET_CHARACTERS));
-		}
-		return secrets;
+	private Settings.SecretFiles secretFiles() {
+		return new Settings.SecretFiles(path(this.flags.sharedKeysFile), path(this.flags.operatorSecretsFile),
+				path(this.flags.platformTokenFile));
 	}
 
-	private List<String> secretList(String variable, String file) {
-		List<String> secrets = (file.isEmpty()) ? Arrays.asList(this.environment.getOrDefault(variable, "").split(","))
-				: lines(file);
-		List<String> present = secrets.stream().map(String::strip).filter((secret) -> !secret.isEmpty()).toList();
-		if (present.isEmpty()) {
-			throw new IllegalArgumentException("none is given");
-		}
-		return present;
+	private static Optional<Path> path(String file) {
+		return Optional.of(file).filter((name) -> !name.isEmpty()).map(Path::of);
 	}
 
-	private static List<String> lines(String file) {
+	private List<String> operatorSecrets() {
+		return SecretLines
+			.checkedOperatorSecrets(secretList("BRASSPIER_OPERATOR_SECRETS", this.flags.operatorSecretsFile));
+	}
+
+	private List<String> secretList(String variable, String file) {
 		try {
-			return Files.readAllLines(Path.of(file));
+			return (file.isEmpty()) ? SecretLines.of(this.environment.getOrDefault(variable, "").split(","))
+					: SecretLines.read(Path.of(file));
 		}
 		catch (IOException ex) {
 			throw new IllegalArgumentException("the file %s can't be read".formatted(file), ex);
--- a/daemon/src/test/java/org/brasspier/daemon/internal/operator/OperatorSecretsTests.java
+++ b/daemon/src/test/java/org/brasspier/daemon/internal/operator/OperatorSecretsTests.java
@@ -53,7 +53,7 @@
 	@Test
 	void aChangedFileIsTakenOverAndAnEmptyOneIsNot(@TempDir Path folder) throws IOException {
 		Path file = folder.resolve("secrets");
-		SecretsFile reader = new SecretsFile(file, this.secrets, new EventLog(10));
+		SecretsFile reader = new SecretsFile(file, "operators", this.secrets::replace, new EventLog(10));
 		reader.readAnew();
 		assertThat(this.secrets.accepts("spring-secret")).isTrue();
 		Files.writeString(file, "autumn autumn-secret\n");
--- /dev/null
+++ b/integration/src/test/java/org/brasspier/integration/document/SecretsRotationTests.java
@@ -0,0 +1,180 @@
+package org.brasspier.integration.document;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.function.BiConsumer;
+import java.util.stream.Stream;
+
+import org.brasspier.core.ErrorKind;
+import org.brasspier.standins.Await;
+import org.brasspier.standins.CallerFleet;
+import org.brasspier.standins.CallerRecord;
+import org.brasspier.standins.Deployment;
+import org.brasspier.standins.DeploymentShape;
+import org.brasspier.standins.InstanceSecrets;
+import org.brasspier.standins.Ports;
+import org.brasspier.standins.StandInInstance;
+import org.brasspier.standins.TrafficMix;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+/**
+ * All three kinds of secrets are replaced while everything runs, and none of them shows
+ * anywhere.
+ */
+class SecretsRotationTests {
+
+	private static final String NEW_KEY = "the-next-shared-key-of-stand-ins";
+
+	private static final String NEW_TOKEN = "the-next-platform-token";
+
+	private static final String NEW_SECRET = "the-next-operator-secret";
+
+	@TempDir
+	private Path folder;
+
+	private final Deployment deployment = Deployment.start(DeploymentShape.small(3));
+
+	private final String oldKey = this.deployment.secrets().get(0);
+
+	private final String oldToken = this.deployment.secrets().get(2);
+
+	@BeforeEach
+	void awaitServed() {
+		this.deployment.awaitServed();
+	}
+
+	@AfterEach
+	void end() {
+		this.deployment.close();
+	}
+
+	// An operator replaces the key that daemons share, one daemon after another, while
+	// callers ask. In between some daemons know one key and others two; where those could
+	// not prove themselves to each other, requests would be turned away for the whole
+	// time. A daemon that starts afterwards knows the new key only, and joins. Lookups,
+	// since a posting also ends unknown where a starved machine breaks its connection.
+	@Test
+	void thePeersKeyIsReplacedUnderTrafficAndNoRequestFails() {
+		try (CallerFleet callers = this.deployment.callers()) {
+			callers.send(List.of(TrafficMix.steady("hullbook", true, "lookup", 100)));
+			rotate("peers", (secrets, lines) -> secrets.sharedKeys(lines), this.oldKey, NEW_KEY);
+			long answered = answered(callers);
+			Await.until("callers are answered after the rotation", () -> answered(callers) > answered + 300);
+			callers.finish();
+			assertWithMessage("requests that failed")
+				.that(callers.records()
+					.stream()
+					.filter((done) -> done.outcome() != CallerRecord.Outcome.ANSWERED)
+					.toList())
+				.isEmpty();
+		}
+		assertThat(events("PEER_REFUSED")).isEmpty();
+		StandInInstance replaced = this.deployment.instances().get(2);
+		replaced.stop();
+		replaced.start();
+		Await.until("the replaced daemon owns ranges",
+				() -> tool().run("status").out().lines().anyMatch((line) -> line.matches("hullbook +[0-9]+ +0 +3")));
+	}
+
+	// The platform's operators replace its token: both are accepted for a while, then
+	// only the new one. Daemons that went on with the old one could neither move a range
+	// nor bring a document into force.
+	@Test
+	void thePlatformsTokenIsReplacedWithoutAStop() {
+		rotate("platform", (secrets, lines) -> secrets.platform(lines), this.oldToken, NEW_TOKEN);
+		this.deployment.platform().accept(NEW_TOKEN);
+		OperatorTool tool = tool();
+		tool.run("form", "service", "hullbook", "--divided-by-key", "yes");
+		tool.run("form", "domains", "--regions", "domain-0=lakes,domain-1=lakes,domain-2=lakes");
+		OperatorTool.Result submitted = tool.run("draft", "submit");
+		assertWithMessage(submitted.err()).that(submitted.exit()).isEqualTo(0);
+		assertThat(tool.run("drain", "hullbook-1").exit()).isEqualTo(0);
+	}
+
+	// An operator's secret was seen by somebody: a new one is added to every daemon, then
+	// the old one is taken out. From then on the old one opens nothing.
+	@Test
+	void theOperatorsSecretIsReplacedAndTheOldOneOpensNothing() {
+		this.deployment.instances().forEach((instance) -> instance.secrets().operators(NEW_SECRET));
+		OperatorTool tool = new OperatorTool(this.folder.resolve("draft"), operators(), NEW_SECRET);
+		Await.until("the new secret is accepted", () -> tool.run("status").exit() == 0);
+		assertThat(tool().run("status").exit()).isEqualTo(ErrorKind.UNAUTHORIZED.exitCode());
+	}
+
+	// Somebody reads logs, listings and errors of a deployment on which everything was
+	// tried, with right secrets, with wrong ones and with a file of unfit ones.
+	@Test
+	void noSecretShowsInAnyOutput() throws IOException {
+		StringBuilder shown = new StringBuilder();
+		OperatorTool stranger = new OperatorTool(this.folder.resolve("other"), operators(), "a-stranger-s-secret");
+		for (OperatorTool tool : List.of(tool(), stranger)) {
+			for (List<String> command : List.of(List.of("status", "--ranges"), List.of("config", "show"),
+					List.of("timeline", "--count", "5000"), List.of("measures"), List.of("form", "secrets"),
+					List.of("move", "hullbook", "nonsense", "nobody"), List.of("--output", "json", "status"))) {
+				OperatorTool.Result result = tool.run(command.toArray(String[]::new));
+				shown.append(result.out()).append(result.err());
+			}
+		}
+		InstanceSecrets unfit = this.deployment.instances().getFirst().secrets();
+		unfit.sharedKeys(this.oldKey, "tooshort");
+		Await.until("the unfit file is told of",
+				() -> !events("SECRETS_REFUSED").isEmpty());
+		this.deployment.instances().getFirst().stop();
+		try (Stream<Path> files = Files.list(this.deployment.folder())) {
+			for (Path file : files.filter((path) -> path.toString().matches(".*\\.(log|out)")).toList()) {
+				shown.append(Files.readString(file));
+			}
+		}
+		assertThat(shown.toString()).contains("SECRETS_REFUSED");
+		Stream.concat(this.deployment.secrets().stream(), Stream.of("tooshort", "a-stranger-s-secret"))
+			.forEach((secret) -> assertThat(shown.toString().contains(secret)).isFalse());
+	}
+
+	/** Adds the new one everywhere, then takes the old one out, daemon by daemon. */
+	private void rotate(String whose, BiConsumer<InstanceSecrets, String[]> write, String old, String fresh) {
+		if (whose.equals("platform")) {
+			this.deployment.platform().accept(old, fresh);
+		}
+		for (String[] lines : List.of(new String[] { old, fresh }, new String[] { fresh })) {
+			for (StandInInstance instance : this.deployment.instances()) {
+				long before = taken(instance, whose);
+				write.accept(instance.secrets(), lines);
+				Await.until(instance.name() + " has read its file anew", () -> taken(instance, whose) > before);
+			}
+		}
+	}
+
+	private List<String> events(String kind) {
+		return tool().run("timeline", "--kind", kind).out().lines().filter((line) -> !line.startsWith("#")).toList();
+	}
+
+	private long taken(StandInInstance instance, String whose) {
+		String daemon = Ports.text(instance.ports().operators());
+		return tool().run("--daemon", daemon, "timeline", "--kind", "SECRETS_READ")
+			.out()
+			.lines()
+			.filter((line) -> line.contains(instance.name() + " ") && line.contains(whose))
+			.count();
+	}
+
+	private static long answered(CallerFleet callers) {
+		return callers.records().stream().filter((done) -> done.outcome() == CallerRecord.Outcome.ANSWERED).count();
+	}
+
+	private OperatorTool tool() {
+		return new OperatorTool(this.folder.resolve("draft"), operators(), this.deployment.operatorSecret());
+	}
+
+	private String operators() {
+		return Ports.text(this.deployment.instances().getFirst().ports().operators());
+	}
+
+}
--- a/standins/src/main/java/org/brasspier/standins/Deployment.java
+++ b/standins/src/main/java/org/brasspier/standins/Deployment.java
@@ -93,6 +93,14 @@
 		return InstanceBuilder.OPERATOR_SECRET;
 	}
 
+	/**
+	 * Every secret that its processes begin with, for tests that look for them.
+	 * @return the shared key, the operators' secret and the platform's token
+	 */
+	public List<String> secrets() {
+		return List.of(InstanceBuilder.SHARED_KEY, InstanceBuilder.OPERATOR_SECRET, InstanceBuilder.PLATFORM_TOKEN);
+	}
+
 	/**
 	 * All instances, also those that are not running.
 	 * @return the instances, service by service
--- a/standins/src/main/java/org/brasspier/standins/InstanceBuilder.java
+++ b/standins/src/main/java/org/brasspier/standins/InstanceBuilder.java
@@ -15,7 +15,7 @@
 
 	static final String PLATFORM_TOKEN = "platform-token-of-stand-ins";
 
-	/** Used for no deployment but those on 127.0.0.1. */
+	/** Used for no deployment but those on 127.0.0.1, like the other two. */
 	static final String SHARED_KEY = "a-shared-key-for-stand-ins-only";
 
 	static final String OPERATOR_SECRET = "operator-secret-of-stand-ins";
@@ -52,22 +52,21 @@
 		InetSocketAddress callers = this.proxy
 			.link("callers>" + plan.name, plan.ports.callers(), this.shape.callerDelayMillis())
 			.address();
-		return new StandInInstance(plan.name, plan.domain, plan.service, plan.ports, callers, daemon(plan),
-				server(plan));
+		InstanceSecrets secrets = InstanceSecrets.write(this.folder, plan.name);
+		return new StandInInstance(plan.name, plan.domain, plan.service, plan.ports, callers, daemon(plan, secrets),
+				server(plan), secrets);
 	}
 
-	private ProgramProcess daemon(Plan plan) {
+	private ProgramProcess daemon(Plan plan, InstanceSecrets secrets) {
 		String store = Ports.text(this.proxy.link(plan.name + ">store", this.platform, 1).address());
 		List<String> arguments = List.of("--instance", plan.name, "--failure-domain", plan.domain, "--cell",
 				this.shape.name(), "--caller-listen", Ports.text(plan.ports.callers()), "--forward-listen",
 				Ports.text(plan.ports.forwards()), "--control-listen", Ports.text(plan.ports.control()),
 				"--backend-listen", Ports.text(plan.ports.backend()), "--operator-listen",
 				Ports.text(plan.ports.operators()), "--table", store, "--object-store", store, "--peer-ports",
-				peerPorts(plan));
-		return new ProgramProcess(
-				plan.name + ".daemon", DAEMON, arguments, Map.of("BRASSPIER_SHARED_KEYS", SHARED_KEY,
-						"BRASSPIER_OPERATOR_SECRETS", OPERATOR_SECRET, "BRASSPIER_PLATFORM_TOKEN", PLATFORM_TOKEN),
-				this.folder);
+				peerPorts(plan), "--shared-keys-file", secrets.sharedKeys().toString(), "--operator-secrets-file",
+				secrets.operators().toString(), "--platform-token-file", secrets.platform().toString());
+		return new ProgramProcess(plan.name + ".daemon", DAEMON, arguments, Map.of(), this.folder);
 	}
 
 	private String peerPorts(Plan plan) {
--- a/standins/src/main/java/org/brasspier/standins/PlatformStandIn.java
+++ b/standins/src/main/java/org/brasspier/standins/PlatformStandIn.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.regex.Pattern;
 
@@ -21,6 +22,7 @@
 import io.activej.promise.Promise;
 import io.activej.promise.Promises;
 import io.activej.promise.SettablePromise;
+import org.jspecify.annotations.Nullable;
 
 /**
  * The platform's table service and object store of docs/API.md, both on one port, kept in
@@ -67,7 +69,7 @@
 
 	private final InetSocketAddress address;
 
-	private final String token;
+	private volatile Set<String> tokens;
 
 	private volatile PlatformFaults faults = PlatformFaults.NONE;
 
@@ -78,7 +80,7 @@
 	 */
 	public PlatformStandIn(InetSocketAddress address, String token) {
 		this.address = address;
-		this.token = token;
+		this.tokens = Set.of(token);
 		this.server = this.loop.call(() -> {
 			HttpServer listening = HttpServer.builder(this.loop.reactor(), this::serve)
 				.withListenAddress(address)
@@ -146,12 +148,24 @@
 				(old, given) -> new Row(old.version() + 1, given.value())));
 	}
 
+	/**
+	 * Changes the bearer tokens that calls must carry.
+	 * @param accepted the tokens, each of them accepted
+	 */
+	public void accept(String... accepted) {
+		this.tokens = Set.of(accepted);
+	}
+
+	private boolean authorized(@Nullable String offered) {
+		return offered != null && this.tokens.stream().anyMatch((token) -> offered.equals("Bearer " + token));
+	}
+
 	private Promise<HttpResponse> serve(HttpRequest request) {
 		String path = request.getPath();
 		if (path.equals("/control")) {
 			return control(request);
 		}
-		if (!("Bearer " + this.token).equals(request.getHeader(HttpHeaders.AUTHORIZATION))) {
+		if (!authorized(request.getHeader(HttpHeaders.AUTHORIZATION))) {
 			return status(401);
 		}
 		boolean write = request.getMethod() == HttpMethod.PUT;
--- a/standins/src/main/java/org/brasspier/standins/StandInInstance.java
+++ b/standins/src/main/java/org/brasspier/standins/StandInInstance.java
@@ -14,9 +14,10 @@
  * @param callers where callers reach it, through the proxy
  * @param daemon the daemon's process
  * @param server the backend server's process
+ * @param secrets the files of its daemon's secrets
  */
 public record StandInInstance(String name, String domain, ServiceShape service, DaemonPorts ports,
-		InetSocketAddress callers, ProgramProcess daemon, ProgramProcess server) {
+		InetSocketAddress callers, ProgramProcess daemon, ProgramProcess server, InstanceSecrets secrets) {
 
 	/** A planned stop takes a few seconds; its limit in the daemon is a minute. */
 	private static final Duration MAX_LEAVE = Duration.ofSeconds(60);
--- a/wire/src/main/java/org/brasspier/wire/FrameReader.java
+++ b/wire/src/main/java/org/brasspier/wire/FrameReader.java
@@ -56,6 +56,15 @@
 		return read(MessageUnpacker::unpackBoolean);
 	}
 
+	/**
+	 * Whether another field follows.
+	 * @return false at the end of the frame
+	 * @throws WireException if the frame is damaged
+	 */
+	public boolean more() throws WireException {
+		return read(MessageUnpacker::hasNext);
+	}
+
 	/**
 	 * Reads bytes.
 	 * @return the bytes
--- a/wire/src/main/java/org/brasspier/wire/Handshake.java
+++ b/wire/src/main/java/org/brasspier/wire/Handshake.java
@@ -1,15 +1,17 @@
 package org.brasspier.wire;
 
 import java.security.SecureRandom;
+import java.util.ArrayList;
+import java.util.List;
 
 import org.brasspier.core.InstanceId;
 
 /**
  * The opening of a connection between two daemons. The acceptor sends a challenge, the
- * connector answers with a proof over both sides' random numbers, the acceptor proves
- * itself in turn. No key travels, and a recorded proof is worthless, since the other
- * side's random number is new each time. The highest version that both know is used. One
- * object serves one connection; not thread-safe.
+ * connector answers with a proof by each of its keys over both sides' random numbers, the
+ * acceptor proves itself in turn by the key it knows. No key travels, and a recorded
+ * proof is worthless, since the other side's random number is new each time. The highest
+ * version that both know is used. One object serves one connection; not thread-safe.
  */
 public final class Handshake {
 
@@ -68,11 +70,10 @@
 					MIN_VERSION, MAX_VERSION));
 		}
 		this.transcript = transcript(this.version, this.self, theirs, this.nonce);
-		return new FrameWriter().number(this.version)
-			.text(this.self.value())
-			.bytes(this.nonce)
-			.bytes(this.keys.prove(this.transcript))
-			.frame();
+		FrameWriter answer = new FrameWriter().number(this.version).text(this.self.value()).bytes(this.nonce);
+		// An acceptor that reads one proof only passes over the others.
+		this.keys.prove(this.transcript).forEach(answer::bytes);
+		return answer.frame();
 	}
 
 	/**
@@ -85,12 +86,14 @@
 		int version = answer.small();
 		InstanceId peer = instance(answer);
 		byte[] theirs = answer.bytes();
-		byte[] proof = answer.bytes();
+		List<byte[]> proofs = proofs(answer);
 		if (version < MIN_VERSION || version > MAX_VERSION) {
 			throw new WireException("peer chose version %d, which was not offered".formatted(version));
 		}
 		byte[] message = transcript(version, peer, this.nonce, theirs);
-		String key = this.keys.matching(message, proof)
+		String key = proofs.stream()
+			.flatMap((proof) -> this.keys.matching(message, proof).stream())
+			.findFirst()
 			.orElseThrow(() -> new WireException("peer %s does not know the shared key".formatted(peer)));
 		byte[] reply = new FrameWriter().text(this.self.value())
 			.bytes(this.keys.proveWith(key, reply(message, this.self)))
@@ -113,6 +116,17 @@
 		return new Peer(peer, this.version);
 	}
 
+	private static List<byte[]> proofs(FrameReader answer) throws WireException {
+		List<byte[]> proofs = new ArrayList<>(List.of(answer.bytes()));
+		while (answer.more()) {
+			if (proofs.size() == SharedKeys.MAX_KEYS) {
+				throw new WireException("a peer sent more than %d proofs".formatted(SharedKeys.MAX_KEYS));
+			}
+			proofs.add(answer.bytes());
+		}
+		return proofs;
+	}
+
 	private static InstanceId instance(FrameReader frame) throws WireException {
 		try {
 			return new InstanceId(frame.text());
--- a/wire/src/main/java/org/brasspier/wire/PeerProof.java
+++ b/wire/src/main/java/org/brasspier/wire/PeerProof.java
@@ -2,7 +2,9 @@
 
 import java.nio.charset.StandardCharsets;
 import java.security.SecureRandom;
+import java.util.Arrays;
 import java.util.HexFormat;
+import java.util.stream.Collectors;
 
 /**
  * Proofs by the shared key for the few calls that daemons make to each other over HTTP.
@@ -35,10 +37,10 @@
 	 * @param keys the shared keys
 	 * @param path what is asked
 	 * @param nonce the question's random number
-	 * @return the proof, in hexadecimal
+	 * @return a proof by each key, in hexadecimal, by comma
 	 */
 	public static String ask(SharedKeys keys, String path, String nonce) {
-		return HexFormat.of().formatHex(keys.prove(question(path, nonce)));
+		return proofs(keys, question(path, nonce));
 	}
 
 	/**
@@ -58,10 +60,10 @@
 	 * @param keys the shared keys
 	 * @param nonce the question's random number
 	 * @param body the answer
-	 * @return the proof, in hexadecimal
+	 * @return a proof by each key, in hexadecimal, by comma
 	 */
 	public static String answer(SharedKeys keys, String nonce, byte[] body) {
-		return HexFormat.of().formatHex(keys.prove(reply(nonce, body)));
+		return proofs(keys, reply(nonce, body));
 	}
 
 	/**
@@ -76,9 +78,14 @@
 		return holds(keys, reply(nonce, body), proof);
 	}
 
-	private static boolean holds(SharedKeys keys, byte[] message, String proof) {
+	private static String proofs(SharedKeys keys, byte[] message) {
+		return keys.prove(message).stream().map(HexFormat.of()::formatHex).collect(Collectors.joining(","));
+	}
+
+	private static boolean holds(SharedKeys keys, byte[] message, String proofs) {
 		try {
-			return keys.matching(message, HexFormat.of().parseHex(proof)).isPresent();
+			return Arrays.stream(proofs.split(",", SharedKeys.MAX_KEYS))
+				.anyMatch((proof) -> keys.matching(message, HexFormat.of().parseHex(proof)).isPresent());
 		}
 		catch (IllegalArgumentException ex) {
 			return false;
--- a/wire/src/main/java/org/brasspier/wire/SharedKeys.java
+++ b/wire/src/main/java/org/brasspier/wire/SharedKeys.java
@@ -9,11 +9,13 @@
 import javax.crypto.Mac;
 import javax.crypto.spec.SecretKeySpec;
 
+import org.jspecify.annotations.Nullable;
+
 /**
- * The keys that peers share. The first one proves this process to others, each one is
- * accepted from others, so that keys are rotated without a stop: add the new one
- * everywhere as second, make it first everywhere, drop the old one. Immutable and
- * thread-safe; never prints a key.
+ * The keys that peers share. A process proves itself by each of its keys and accepts each
+ * of them from others, so two processes understand each other as long as they have one
+ * key in common, and keys are rotated without a stop: add the new one everywhere, then
+ * drop the old one everywhere. Immutable and thread-safe; never prints a key.
  */
 public final class SharedKeys {
 
@@ -21,14 +23,25 @@
 
 	private static final int MIN_KEY_CHARACTERS = 16;
 
+	/**
+	 * A rotation needs two at a time. More would make a handshake too large for its
+	 * limit, and let a stranger cost an acceptor more work.
+	 */
+	static final int MAX_KEYS = 8;
+
 	private final List<String> keys;
 
 	/**
 	 * Creates the set of keys.
-	 * @param keys the keys, the one to prove with first
-	 * @throws IllegalArgumentException if there is none or one is too short
+	 * @param keys the keys, in any order
+	 * @throws IllegalArgumentException if there is none, one is too short, or there are
+	 * more than {@value #MAX_KEYS}
 	 */
 	public SharedKeys(List<String> keys) {
+		if (keys.size() > MAX_KEYS) {
+			throw new IllegalArgumentException(
+					"there must be %d shared keys or fewer (see TROUBLESHOOTING.md#shared-key)".formatted(MAX_KEYS));
+		}
 		if (keys.isEmpty() || keys.stream().anyMatch((key) -> key.length() < MIN_KEY_CHARACTERS)) {
 			throw new IllegalArgumentException(
 					"shared keys must be at least one, each of %d characters or more (see TROUBLESHOOTING.md#shared-key)"
@@ -37,8 +50,8 @@
 		this.keys = List.copyOf(keys);
 	}
 
-	byte[] prove(byte[] message) {
-		return mac(this.keys.getFirst(), message);
+	List<byte[]> prove(byte[] message) {
+		return this.keys.stream().map((key) -> mac(key, message)).toList();
 	}
 
 	byte[] proveWith(String key, byte[] message) {
@@ -60,6 +73,16 @@
 		}
 	}
 
+	@Override
+	public boolean equals(@Nullable Object other) {
+		return other instanceof SharedKeys that && this.keys.equals(that.keys);
+	}
+
+	@Override
+	public int hashCode() {
+		return this.keys.hashCode();
+	}
+
 	@Override
 	public String toString() {
 		return "SharedKeys[%d]".formatted(this.keys.size());
--- a/wire/src/test/java/org/brasspier/wire/HandshakeTests.java
+++ b/wire/src/test/java/org/brasspier/wire/HandshakeTests.java
@@ -1,5 +1,6 @@
 package org.brasspier.wire;
 
+import java.nio.charset.StandardCharsets;
 import java.util.List;
 
 import org.brasspier.core.InstanceId;
@@ -52,6 +53,27 @@
 		assertThat(connector.confirm(frame(accepted.reply())).instance()).isEqualTo(B);
 	}
 
+	// An operator adds the new key to one daemon's file, and drops the old one from
+	// another's before the first was reached. As long as they share one key, in whatever
+	// place, neither is cut off from the other, and neither sends a key.
+	@Test
+	void oneKeyInCommonIsEnoughWhateverItsPlace() throws WireException {
+		SharedKeys both = new SharedKeys(List.of(OLD, NEW));
+		for (SharedKeys one : List.of(new SharedKeys(List.of(OLD)), new SharedKeys(List.of(NEW)))) {
+			Handshake.Accepted accepted = open(new Handshake(A, both), new Handshake(B, one));
+			assertThat(accepted.peer().instance()).isEqualTo(A);
+			assertThat(open(new Handshake(A, one), new Handshake(B, both)).peer().instance()).isEqualTo(A);
+		}
+	}
+
+	private static Handshake.Accepted open(Handshake connector, Handshake acceptor) throws WireException {
+		byte[] answer = connector.answer(frame(acceptor.challenge()));
+		assertThat(new String(answer, StandardCharsets.ISO_8859_1)).doesNotContain("shared-key");
+		Handshake.Accepted accepted = acceptor.accept(frame(answer));
+		assertThat(connector.confirm(frame(accepted.reply())).instance()).isEqualTo(B);
+		return accepted;
+	}
+
 	@Test
 	void aPeerWithNoCommonVersionIsRefused() {
 		byte[] challenge = new FrameWriter().number(7).number(9).bytes(new byte[16]).frame();
