Show queues, and what runs by class, in the status

Cause: `brasspier status` showed services, instances, leases and owners, but no queues, so an operator could not see where callers wait.

The thread of requests publishes what runs and waits at its gate five times a second as one immutable value; a call into that thread for each look was ruled out, since an operator's look must not cost a request. Two gauges tell the sums. A daemon of an older build, which does not tell, shows as "?".

The time line's filters by key, range, kind and instance have a test with real processes now, beside that by request.

--- a/bench/src/main/java/org/brasspier/bench/document/DocumentBench.java
+++ b/bench/src/main/java/org/brasspier/bench/document/DocumentBench.java
@@ -162,7 +162,7 @@
 
 	private StatusAnswer status(StandInInstance instance) {
 		return this.client.get(operators(instance), "/v1/status", StatusAnswer.class)
-			.getOrElse(new StatusAnswer(instance.name(), "", "", -1, false, 0, 0, 0));
+			.getOrElse(new StatusAnswer(instance.name(), "", "", -1, false, 0, 0, 0, List.of()));
 	}
 
 	private static String operators(StandInInstance instance) {
--- a/cli/src/main/java/org/brasspier/cli/internal/StatusCommand.java
+++ b/cli/src/main/java/org/brasspier/cli/internal/StatusCommand.java
@@ -3,7 +3,9 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.TreeMap;
+import java.util.function.ToIntFunction;
 import java.util.stream.Collectors;
 
 import com.beust.jcommander.Parameter;
@@ -14,9 +16,9 @@
 import org.brasspier.wire.operator.StatusAnswer;
 
 /**
- * Shows the cell: services, failure domains, instances, leases and owners.
+ * Shows the cell: services, failure domains, instances, leases, owners and queues.
  */
-@Parameters(commandDescription = "services, failure domains, instances, leases and owners")
+@Parameters(commandDescription = "services, failure domains, instances, leases, owners and queues")
 final class StatusCommand implements Command {
 
 	@Parameter(names = "--ranges", description = "list each range with its owner")
@@ -24,9 +26,10 @@
 
 	@Override
 	public Either<ErrorAnswer, Report> run(Session session) {
-		return session.client()
-			.get("/v1/cell", CellAnswer.class)
-			.map((cell) -> new Report(new StatusMessage(cell, statuses(session, cell)), lines(session, cell)));
+		return session.client().get("/v1/cell", CellAnswer.class).map((cell) -> {
+			Map<String, StatusAnswer> statuses = statuses(session, cell);
+			return new Report(new StatusMessage(cell, statuses), lines(cell, statuses));
+		});
 	}
 
 	private static Map<String, StatusAnswer> statuses(Session session, CellAnswer cell) {
@@ -38,14 +41,15 @@
 		return statuses;
 	}
 
-	private List<String> lines(Session session, CellAnswer cell) {
-		Map<String, StatusAnswer> statuses = statuses(session, cell);
+	private List<String> lines(CellAnswer cell, Map<String, StatusAnswer> statuses) {
 		List<String> lines = new ArrayList<>();
 		lines.add("cell %s, row version %d, epoch %d, primary %s, secondary %s".formatted(cell.cell(), cell.version(),
 				cell.epoch(), orNone(cell.primary()), orNone(cell.secondary())));
 		lines.add("");
 		lines.addAll(members(cell, statuses));
 		lines.add("");
+		lines.addAll(queues(cell, statuses));
+		lines.add("");
 		lines.addAll(services(cell));
 		cell.moves()
 			.forEach((move) -> lines.add("moving %s %s to %s%s".formatted(move.service(), move.range(), move.to(),
@@ -73,6 +77,25 @@
 		return table.lines();
 	}
 
+	private static List<String> queues(CellAnswer cell, Map<String, StatusAnswer> statuses) {
+		Table table = new Table("INSTANCE", "SLOTS", "RUNNING", "WAITING", "BY CLASS (RUNNING+WAITING)");
+		for (CellAnswer.Member member : cell.members()) {
+			List<StatusAnswer.ClassLoad> loads = Optional.ofNullable(statuses.get(member.instance()))
+				.map(StatusAnswer::classes)
+				.orElse(List.of());
+			table.row(member.instance(), member.slots(), sum(loads, StatusAnswer.ClassLoad::running),
+					sum(loads, StatusAnswer.ClassLoad::waiting),
+					loads.stream()
+						.map((load) -> "%s %d+%d".formatted(load.requestClass(), load.running(), load.waiting()))
+						.collect(Collectors.joining(", ")));
+		}
+		return table.lines();
+	}
+
+	private static String sum(List<StatusAnswer.ClassLoad> loads, ToIntFunction<StatusAnswer.ClassLoad> count) {
+		return (loads.isEmpty()) ? "?" : Integer.toString(loads.stream().mapToInt(count).sum());
+	}
+
 	private static List<String> services(CellAnswer cell) {
 		Table table = new Table("SERVICE", "RANGES", "WITHOUT OWNER", "OWNERS");
 		cell.ranges()
--- a/core/src/main/java/org/brasspier/core/admission/AdmissionController.java
+++ b/core/src/main/java/org/brasspier/core/admission/AdmissionController.java
@@ -201,6 +201,27 @@
 		return this.waiting.size();
 	}
 
+	/**
+	 * How many requests of a class hold a slot.
+	 * @param requestClass the class
+	 * @return at least 0
+	 */
+	public int running(RequestClass requestClass) {
+		return (int) this.running.values()
+			.stream()
+			.filter((entry) -> entry.request().requestClass() == requestClass)
+			.count();
+	}
+
+	/**
+	 * How many requests of a class wait.
+	 * @param requestClass the class
+	 * @return at least 0
+	 */
+	public int waiting(RequestClass requestClass) {
+		return queue(requestClass).size();
+	}
+
 	private void learn(Running ended, RunOutcome outcome, long took) {
 		RequestClass requestClass = ended.request().requestClass();
 		switch (outcome) {
--- a/daemon/src/main/java/org/brasspier/daemon/internal/Daemon.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/Daemon.java
@@ -38,7 +38,7 @@
 				this.ownership::view, this.context.documents()::catalog));
 		this.requests.joinOwnership(this.ownership.joinRequests(this.requests.orders()));
 		this.operators = new OperatorsDuty(this.context, this.ownership::snapshot, this.ownership::view,
-				this.ownership.orders());
+				this.requests::gate, this.ownership.orders());
 		this.ownership.joinDocuments(this.operators);
 	}
 
--- a/daemon/src/main/java/org/brasspier/daemon/internal/operator/CellCalls.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/operator/CellCalls.java
@@ -1,5 +1,6 @@
 package org.brasspier.daemon.internal.operator;
 
+import java.util.Locale;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
@@ -15,6 +16,7 @@
 import org.brasspier.core.routing.PeerAddress;
 import org.brasspier.daemon.internal.DaemonContext;
 import org.brasspier.daemon.internal.ownership.CellView;
+import org.brasspier.daemon.internal.request.GateView;
 import org.brasspier.wire.operator.CellAnswer;
 import org.brasspier.wire.operator.OwnerAnswer;
 import org.brasspier.wire.operator.StatusAnswer;
@@ -32,7 +34,11 @@
 
 	private final Supplier<CellView> cell;
 
-	CellCalls(DaemonContext context, Supplier<OwnershipSnapshot> ownership, Supplier<CellView> cell) {
+	private final Supplier<GateView> gate;
+
+	CellCalls(DaemonContext context, Supplier<OwnershipSnapshot> ownership, Supplier<CellView> cell,
+			Supplier<GateView> gate) {
+		this.gate = gate;
 		this.context = context;
 		this.ownership = ownership;
 		this.cell = cell;
@@ -53,7 +59,13 @@
 				this.context.settings().failureDomain().value(), this.context.settings().cell(),
 				this.context.documents().inForce().version(), this.context.documents().inForce().read(),
 				(valid) ? TimeUnit.NANOSECONDS.toMillis(snapshot.leaseEndNanos() - now) : 0, (int) ((valid) ? held : 0),
-				this.context.events().lostInAll())));
+				this.context.events().lostInAll(),
+				this.gate.get().classes().stream().map(CellCalls::render).toList())));
+	}
+
+	private static StatusAnswer.ClassLoad render(GateView.Load load) {
+		return new StatusAnswer.ClassLoad(load.requestClass().name().toLowerCase(Locale.ROOT), load.running(),
+				load.waiting());
 	}
 
 	Promise<HttpResponse> cell(HttpRequest request) {
--- a/daemon/src/main/java/org/brasspier/daemon/internal/operator/DaemonGauges.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/operator/DaemonGauges.java
@@ -2,8 +2,10 @@
 
 import java.time.Duration;
 import java.util.Map;
+import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
+import java.util.function.ToIntFunction;
 
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.Metric;
@@ -11,6 +13,7 @@
 import org.brasspier.core.routing.OwnershipSnapshot;
 import org.brasspier.daemon.internal.DaemonContext;
 import org.brasspier.daemon.internal.ownership.CellView;
+import org.brasspier.daemon.internal.request.GateView;
 
 /**
  * What monitoring systems watch a daemon by, read at the time of the scrape. Thread-safe.
@@ -23,7 +26,11 @@
 
 	private final Supplier<CellView> cell;
 
-	DaemonGauges(DaemonContext context, Supplier<OwnershipSnapshot> ownership, Supplier<CellView> cell) {
+	private final Supplier<GateView> gate;
+
+	DaemonGauges(DaemonContext context, Supplier<OwnershipSnapshot> ownership, Supplier<CellView> cell,
+			Supplier<GateView> gate) {
+		this.gate = gate;
 		this.context = context;
 		this.ownership = ownership;
 		this.cell = cell;
@@ -31,16 +38,38 @@
 
 	@Override
 	public Map<String, Metric> getMetrics() {
-		Runtime runtime = Runtime.getRuntime();
-		return Map.of("document_version", gauge(() -> this.context.documents().inForce().version()), "document_read",
-				gauge(() -> (this.context.documents().inForce().read()) ? 1 : 0), "events_lost",
-				gauge(() -> this.context.events().lostInAll()), "lease_millis_left",
-				gauge(() -> Math.max(0,
-						TimeUnit.NANOSECONDS.toMillis(this.ownership.get().leaseEndNanos() - System.nanoTime()))),
-				"cell_members", gauge(() -> this.cell.get().members().size()), "cell_ranges_without_owner",
-				gauge(() -> this.cell.get().ranges().stream().filter((range) -> range.owner().isEmpty()).count()),
-				"heap_used_bytes", gauge(() -> runtime.totalMemory() - runtime.freeMemory()), "process_cpu_millis",
-				gauge(() -> ProcessHandle.current().info().totalCpuDuration().map(Duration::toMillis).orElse(0L)));
+		Map<String, Metric> gauges = new TreeMap<>();
+		gauges.put("document_version", gauge(() -> this.context.documents().inForce().version()));
+		gauges.put("document_read", gauge(() -> (this.context.documents().inForce().read()) ? 1 : 0));
+		gauges.put("events_lost", gauge(() -> this.context.events().lostInAll()));
+		gauges.put("lease_millis_left", gauge(this::leaseMillisLeft));
+		gauges.put("cell_members", gauge(() -> this.cell.get().members().size()));
+		gauges.put("cell_ranges_without_owner", gauge(this::rangesWithoutOwner));
+		gauges.put("requests_running", gauge(() -> sum(GateView.Load::running)));
+		gauges.put("requests_waiting", gauge(() -> sum(GateView.Load::waiting)));
+		gauges.put("heap_used_bytes", gauge(DaemonGauges::heapUsedBytes));
+		gauges.put("process_cpu_millis", gauge(DaemonGauges::cpuMillis));
+		return gauges;
+	}
+
+	private long leaseMillisLeft() {
+		return Math.max(0, TimeUnit.NANOSECONDS.toMillis(this.ownership.get().leaseEndNanos() - System.nanoTime()));
+	}
+
+	private long rangesWithoutOwner() {
+		return this.cell.get().ranges().stream().filter((range) -> range.owner().isEmpty()).count();
+	}
+
+	private int sum(ToIntFunction<GateView.Load> count) {
+		return this.gate.get().classes().stream().mapToInt(count).sum();
+	}
+
+	private static long heapUsedBytes() {
+		return Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory();
+	}
+
+	private static long cpuMillis() {
+		return ProcessHandle.current().info().totalCpuDuration().map(Duration::toMillis).orElse(0L);
 	}
 
 	private static Gauge<Number> gauge(Supplier<Number> value) {
--- a/daemon/src/main/java/org/brasspier/daemon/internal/operator/OperatorsDuty.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/operator/OperatorsDuty.java
@@ -24,6 +24,7 @@
 import org.brasspier.daemon.internal.ownership.DocumentVersions;
 import org.brasspier.daemon.internal.ownership.OwnershipOrders;
 import org.brasspier.daemon.internal.platform.HttpPlatform;
+import org.brasspier.daemon.internal.request.GateView;
 import org.brasspier.daemon.internal.settings.Settings;
 
 /**
@@ -57,6 +58,8 @@
 
 	private final Supplier<CellView> cell;
 
+	private final Supplier<GateView> gate;
+
 	private final OwnershipOrders orders;
 
 	private Optional<DocumentService> documents = Optional.empty();
@@ -66,13 +69,15 @@
 	 * @param context what every duty needs
 	 * @param ownership what this instance holds and knows now
 	 * @param cell what this daemon knows of its cell now
+	 * @param gate what runs and waits at the gate to the backend server now
 	 * @param orders who carries out orders about ownership
 	 */
 	public OperatorsDuty(DaemonContext context, Supplier<OwnershipSnapshot> ownership, Supplier<CellView> cell,
-			OwnershipOrders orders) {
+			Supplier<GateView> gate, OwnershipOrders orders) {
 		this.context = context;
 		this.ownership = ownership;
 		this.cell = cell;
+		this.gate = gate;
 		this.orders = orders;
 	}
 
@@ -102,7 +107,7 @@
 				() -> this.context.documents().inForce().document().acceptedSecrets());
 		OperatorPort.Calls calls = new OperatorPort.Calls(
 				new DocumentCalls(this.context.documents(), service, this.context.events()),
-				new CellCalls(this.context, this.ownership, this.cell),
+				new CellCalls(this.context, this.ownership, this.cell, this.gate),
 				new OrderCalls(this.orders, this.context.events()),
 				new EventCalls(settings.instance(), this.context.events()), new MeasureCalls(this.context, keeper),
 				new MetricsText(this.context.metrics()), new PeerCalls(this.context));
@@ -111,7 +116,7 @@
 			.build()
 			.listen();
 		this.documents = Optional.of(service);
-		this.context.metrics().registerAll(new DaemonGauges(this.context, this.ownership, this.cell));
+		this.context.metrics().registerAll(new DaemonGauges(this.context, this.ownership, this.cell, this.gate));
 		repeat(reactor, TICK, service::tick);
 		repeat(reactor, SLOW_TICK, () -> keeper.tick(this.cell.get(), primary()));
 		Settings.SecretFiles files = settings.secrets().files();
--- a/daemon/src/main/java/org/brasspier/daemon/internal/request/RequestPath.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/request/RequestPath.java
@@ -166,6 +166,10 @@
 		return !owns && this.inFlight.size() == 0 && this.serverGate.running() == 0 && this.serverGate.waiting() == 0;
 	}
 
+	GateView gate() {
+		return this.serverGate.view();
+	}
+
 	void leave() {
 		this.callerPort.leave();
 	}
--- a/daemon/src/main/java/org/brasspier/daemon/internal/request/RequestsDuty.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/request/RequestsDuty.java
@@ -1,6 +1,7 @@
 package org.brasspier.daemon.internal.request;
 
 import java.io.IOException;
+import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
@@ -29,6 +30,9 @@
 	 */
 	private static final int ORDERS = 1024;
 
+	/** An operator looks at most once a second; more often would cost the requests. */
+	private static final Duration VIEW_EVERY = Duration.ofMillis(200);
+
 	private final Duty duty = new Duty("requests");
 
 	private final Ring<RequestsOrder> orders = new Ring<>(ORDERS, this.duty, this::order);
@@ -41,6 +45,8 @@
 
 	private @Nullable RequestPath path;
 
+	private volatile GateView gate = GateView.IDLE;
+
 	/**
 	 * Creates the duty; it does nothing until it is started.
 	 * @param context what every duty needs
@@ -79,6 +85,20 @@
 		RequestPath built = new RequestPath(this.duty.reactor(), this.context, this.known, this.reports);
 		this.path = built;
 		built.listen();
+		publish(built);
+	}
+
+	private void publish(RequestPath built) {
+		this.gate = built.gate();
+		this.duty.reactor().delayBackground(VIEW_EVERY, () -> publish(built));
+	}
+
+	/**
+	 * What runs and waits at the gate to the backend server, at most 200 ms ago.
+	 * @return the running and waiting requests of each class
+	 */
+	public GateView gate() {
+		return this.gate;
 	}
 
 	private void order(RequestsOrder order) {
--- a/daemon/src/main/java/org/brasspier/daemon/internal/request/ServerGate.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/request/ServerGate.java
@@ -260,6 +260,10 @@
 		return this.admission.waiting();
 	}
 
+	GateView view() {
+		return GateView.of(this.admission::running, this.admission::waiting);
+	}
+
 	static Outcome noBackend(String detail) {
 		return Outcome.failed(new Failure(ErrorKind.NO_BACKEND, detail, RETRY_SOON));
 	}
--- a/integration/src/test/java/org/brasspier/integration/document/OperatorsViewTests.java
+++ b/integration/src/test/java/org/brasspier/integration/document/OperatorsViewTests.java
@@ -3,6 +3,7 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.stream.IntStream;
+import java.util.stream.Stream;
 
 import org.brasspier.core.ErrorKind;
 import org.brasspier.standins.Await;
@@ -13,6 +14,7 @@
 import org.brasspier.standins.Ports;
 import org.brasspier.standins.StandInInstance;
 import org.brasspier.standins.StandInRequest;
+import org.brasspier.standins.TrafficMix;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -71,6 +73,27 @@
 		}
 	}
 
+	// An operator looks for what became of one key, one range, one kind of event, one
+	// instance. Each filter shows what is about it and nothing else.
+	@Test
+	void theTimeLineIsFilteredByKeyRangeKindAndInstance() {
+		try (CallerFleet callers = this.deployment.callers()) {
+			callers.ask(StandInRequest.lookup("hullbook", "hull-1", "asked-1")).join();
+			callers.ask(StandInRequest.lookup("hullbook", "hull-2", "asked-2")).join();
+		}
+		String byKey = timeline("--key", "hull-1", "--kind", "REQUEST_ANSWERED");
+		assertThat(byKey).contains("asked-1");
+		assertThat(byKey).doesNotContain("asked-2");
+		assertThat(timeline("--range", "00000000-ffffffff", "--kind", "REQUEST_ANSWERED")).contains("asked-2");
+		String started = timeline("--instance", "hullbook-1", "--kind", "DAEMON_STARTED");
+		assertThat(started.lines().filter((line) -> !line.startsWith("#"))).hasSize(1);
+		assertThat(timeline("--kind", "DAEMON_STARTED").lines().filter((line) -> !line.startsWith("#"))).hasSize(3);
+	}
+
+	private String timeline(String... filters) {
+		return this.tool.run(Stream.concat(Stream.of("timeline"), Stream.of(filters)).toArray(String[]::new)).out();
+	}
+
 	@Test
 	void theStatusShowsInstancesLeasesAndOwners() {
 		String status = this.tool.run("status", "--ranges").out();
@@ -80,6 +103,25 @@
 		assertThat(owner("hull-4711")).startsWith("hullbook-");
 	}
 
+	// Crews complain that lookups take long. The operator sees at which instance they
+	// wait, how many of which class, and that its slots are taken.
+	@Test
+	void theStatusShowsWhatRunsAndWaitsAtEachInstance() {
+		try (CallerFleet callers = this.deployment.callers()) {
+			callers.send(List.of(new TrafficMix("hullbook", true, "lookup", 60, 1, 0, "/slow?work=400", 0)));
+			Await.until("a lookup runs and another waits",
+					() -> this.tool.run("status").out().lines().anyMatch((line) -> line.matches(
+							"hullbook-[0-9] +8 +[1-9][0-9]* +[1-9][0-9]* +internal 0\\+0, lookup [1-9][0-9]*\\+[1-9].*")));
+			callers.finish();
+		}
+		Await.until("nothing waits any more",
+				() -> this.tool.run("status")
+					.out()
+					.lines()
+					.filter((line) -> line.matches("hullbook-[0-9] +8 +0 +0 +internal 0\\+0.*"))
+					.count() == 3);
+	}
+
 	@Test
 	void aDrainedInstanceOwnsNothingUntilItIsUndrained() {
 		OperatorTool.Result drained = this.tool.run("drain", "hullbook-1");
