Write metrics in the exposition format, with meaning and type

Cause: series came without HELP and TYPE lines, in the registry's hash order, so monitoring systems took counters for untyped values, and which series the bound left out could differ from scrape to scrape. A sampled metric's count was called _total, which the format keeps for counters.

Now each metric has its meaning and type, sorted by name.

--- a/bench/src/main/java/org/brasspier/bench/ownership/OwnershipBench.java
+++ b/bench/src/main/java/org/brasspier/bench/ownership/OwnershipBench.java
@@ -143,7 +143,7 @@
 
 	private static double total(String metrics, String name) {
 		return metrics.lines()
-			.filter((line) -> line.contains(name + "_total "))
+			.filter((line) -> !line.startsWith("#") && line.contains(name + "_total "))
 			.mapToDouble((line) -> Double.parseDouble(line.substring(line.lastIndexOf(' ') + 1)))
 			.findFirst()
 			.orElseThrow(() -> new IllegalStateException("no " + name + " in " + metrics));
--- a/daemon/src/main/java/org/brasspier/daemon/internal/operator/MetricsText.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/operator/MetricsText.java
@@ -2,7 +2,7 @@
 
 import java.util.List;
 import java.util.Map;
-import java.util.stream.Collectors;
+import java.util.TreeMap;
 import java.util.stream.Stream;
 
 import com.codahale.metrics.Counting;
@@ -13,7 +13,8 @@
 import com.codahale.metrics.Snapshot;
 
 /**
- * Writes the metrics as text that common monitoring systems scrape, one series a line.
+ * Writes the metrics in the text exposition format that common monitoring systems scrape,
+ * version 0.0.4: for each metric its meaning, its type, and one series a line.
  * Thread-safe.
  */
 final class MetricsText {
@@ -30,27 +31,63 @@
 	}
 
 	String text() {
-		List<String> series = this.metrics.getMetrics().entrySet().stream().flatMap(MetricsText::series).toList();
-		String kept = series.stream().limit(MAX_SERIES).collect(Collectors.joining("\n"));
+		StringBuilder text = new StringBuilder();
+		int kept = 0;
+		int dropped = 0;
+		// Sorted, so that each scrape keeps the same series.
+		for (Map.Entry<String, Metric> entry : new TreeMap<>(this.metrics.getMetrics()).entrySet()) {
+			Family family = family(entry.getKey(), entry.getValue());
+			boolean room = kept + family.series().size() <= MAX_SERIES;
+			kept += (room) ? family.series().size() : 0;
+			dropped += (room) ? 0 : family.series().size();
+			text.append((room) ? family.text() : "");
+		}
 		// What the bound leaves out is said rather than missed.
-		int dropped = Math.max(0, series.size() - MAX_SERIES);
-		return kept + "\n" + PREFIX + "series_dropped " + dropped + "\n";
+		return text
+			.append(new Family(PREFIX + "series_dropped", "gauge", "series that the bound on their number left out",
+					List.of(PREFIX + "series_dropped " + dropped))
+				.text())
+			.toString();
 	}
 
-	private static Stream<String> series(Map.Entry<String, Metric> entry) {
-		String name = PREFIX + entry.getKey().replaceAll("[^a-zA-Z0-9_]", "_");
-		Stream<String> quantiles = (entry.getValue() instanceof Sampling sampling)
-				? quantiles(name, sampling.getSnapshot()) : Stream.empty();
-		Stream<String> count = (entry.getValue() instanceof Counting counting)
-				? Stream.of(name + "_total " + counting.getCount()) : Stream.empty();
-		Stream<String> value = (entry.getValue() instanceof Gauge<?> gauge && gauge.getValue() instanceof Number number)
-				? Stream.of(name + " " + number) : Stream.empty();
-		return Stream.of(value, count, quantiles).flatMap((lines) -> lines);
+	private static Family family(String metric, Metric value) {
+		String name = PREFIX + metric.replaceAll("[^a-zA-Z0-9_]", "_");
+		String help = MetricHelp.of(metric).orElse(metric);
+		return switch (value) {
+			case Sampling sampling -> new Family(name, "summary", help, summary(name, sampling));
+			case Counting counting ->
+				new Family(name + "_total", "counter", help, List.of(name + "_total " + counting.getCount()));
+			case Gauge<?> gauge when gauge.getValue() instanceof Number number ->
+				new Family(name, "gauge", help, List.of(name + " " + number));
+			default -> new Family(name, "untyped", help, List.of());
+		};
 	}
 
-	private static Stream<String> quantiles(String name, Snapshot snapshot) {
-		return Stream.of(0.5, 0.99)
-			.map((quantile) -> "%s{quantile=\"%s\"} %s".formatted(name, quantile, snapshot.getValue(quantile)));
+	private static List<String> summary(String name, Sampling sampling) {
+		Snapshot snapshot = sampling.getSnapshot();
+		long count = (sampling instanceof Counting counting) ? counting.getCount() : snapshot.size();
+		return Stream
+			.concat(Stream.of(0.5, 0.99)
+				.map((quantile) -> "%s{quantile=\"%s\"} %s".formatted(name, quantile, snapshot.getValue(quantile))),
+					Stream.of(name + "_count " + count))
+			.toList();
+	}
+
+	/**
+	 * One metric with its series.
+	 *
+	 * @param name its name
+	 * @param type its type, as the exposition format knows them
+	 * @param help what it means
+	 * @param series a line for each series
+	 */
+	private record Family(String name, String type, String help, List<String> series) {
+
+		String text() {
+			return (this.series.isEmpty()) ? "" : "# HELP %s %s\n# TYPE %s %s\n%s\n".formatted(this.name, this.help,
+					this.name, this.type, String.join("\n", this.series));
+		}
+
 	}
 
 }
