Close every path of the operator port but the peers' two calls

Cause: any path below /peer/ passed without the operators' secret and got 400 rather than 401 (seen: POST /peer/document), which tells a stranger what is there. Only the two calls that check the shared key's proof themselves pass now.

--- a/daemon/src/main/java/org/brasspier/daemon/internal/operator/OperatorPort.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/operator/OperatorPort.java
@@ -23,8 +23,6 @@
 
 	private static final String BEARER = "Bearer ";
 
-	private static final String PEER = "/peer/";
-
 	private final AsyncServlet calls;
 
 	private final OperatorSecrets secrets;
@@ -66,7 +64,7 @@
 
 	@Override
 	public Promise<HttpResponse> serve(HttpRequest request) {
-		if (!request.getPath().startsWith(PEER) && !authorized(request)) {
+		if (!provedByPeer(request) && !authorized(request)) {
 			this.events.record(EventKind.OPERATOR_REFUSED, request.getPath(),
 					"from " + request.getRemoteAddress().getHostAddress());
 			return Promise.of(Answers.failed(Failure.of(ErrorKind.UNAUTHORIZED,
@@ -80,6 +78,12 @@
 		}
 	}
 
+	// These two calls check the shared key's proof themselves.
+	private static boolean provedByPeer(HttpRequest request) {
+		return request.getMethod() == HttpMethod.GET
+				&& (request.getPath().equals(PeerCalls.DOCUMENT) || request.getPath().equals(PeerCalls.MEASURES));
+	}
+
 	private boolean authorized(HttpRequest request) {
 		String offered = request.getHeader(HttpHeaders.AUTHORIZATION);
 		return offered != null && offered.startsWith(BEARER)
