Test the demonstration's verdict with promises broken on purpose

Cause: nothing showed that bin/demo ends non-zero where a promise is broken, or that its closing line has the fields that readers expect. The summary is made from recorded histories alone now, so a test gives it some in which a second owner works, a posting runs twice, a range is never served again.

--- a/bench/src/main/java/org/brasspier/bench/demo/Summary.java
+++ b/bench/src/main/java/org/brasspier/bench/demo/Summary.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.stream.LongStream;
 
 import com.google.gson.FieldNamingPolicy;
@@ -44,9 +45,15 @@
 		.create();
 
 	static Summary of(Deployment deployment, List<CallerRecord> callers, Loss loss, long sinceMicros) {
-		List<ServerRecord> servers = deployment.serverRecords();
+		return of(new Histories(deployment.serverRecords(), callers), deployment.keyedServices(),
+				deployment.shape().services().size(), loss, sinceMicros);
+	}
+
+	static Summary of(Histories histories, Set<String> keyedServices, int services, Loss loss, long sinceMicros) {
+		List<ServerRecord> servers = histories.servers();
+		List<CallerRecord> callers = histories.callers();
 		Map<Outcome, Long> outcomes = Measures.outcomes(callers);
-		List<Violation> violations = HistoryChecker.check(servers, callers, deployment.keyedServices());
+		List<Violation> violations = HistoryChecker.check(servers, callers, keyedServices);
 		violations.forEach((violation) -> System.out.println("BROKEN " + violation));
 		long wrongOwner = count(violations, Promise.ONE_OWNER) + count(violations, Promise.NO_DEAD_FENCE);
 		long twice = count(violations, Promise.RUNS_ONCE);
@@ -56,7 +63,7 @@
 				twice, foreign, violations.size() - wrongOwner - twice - foreign,
 				Recovery.of(Measures.recovery(servers, callers, loss)),
 				rounded(Measures.imbalance(servers, List.of(loss), sinceMicros)),
-				rounded(Measures.churnPercent(servers, deployment.shape().services().size(), sinceMicros)),
+				rounded(Measures.churnPercent(servers, services, sinceMicros)),
 				rounded(Measures.unavailableMillis(callers)));
 	}
 
@@ -77,6 +84,16 @@
 		return GSON.toJson(this);
 	}
 
+	/**
+	 * What the observers recorded.
+	 *
+	 * @param servers the backend servers' records in the order of time
+	 * @param callers the callers' records
+	 */
+	record Histories(List<ServerRecord> servers, List<CallerRecord> callers) {
+
+	}
+
 	/**
 	 * How long the ranges of a lost owner went without answer, in milliseconds.
 	 *
--- /dev/null
+++ b/bench/src/test/java/org/brasspier/bench/demo/SummaryTests.java
@@ -0,0 +1,88 @@
+package org.brasspier.bench.demo;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+
+import com.google.gson.JsonObject;
+import com.google.gson.JsonParser;
+import org.brasspier.standins.Attempt;
+import org.brasspier.standins.CallerRecord;
+import org.brasspier.standins.Loss;
+import org.brasspier.standins.ServerRecord;
+import org.brasspier.standins.ServerRecord.Kind;
+import org.brasspier.standins.StandInRequest;
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * The demonstration's verdict, from histories in which a promise was broken on purpose.
+ */
+class SummaryTests {
+
+	private static final Loss LOSS = new Loss("a", 100);
+
+	private final List<ServerRecord> servers = new ArrayList<>(List.of(record(Kind.GRANTED, 1, "a", "", 5),
+			record(Kind.BEGAN, 2, "a", "id-1", 5), record(Kind.TOOK_EFFECT, 3, "a", "id-1", 5),
+			record(Kind.GRANTED, 110, "b", "", 8), record(Kind.BEGAN, 111, "b", "id-2", 8),
+			record(Kind.TOOK_EFFECT, 112, "b", "id-2", 8)));
+
+	private final List<CallerRecord> callers = List.of(answered("id-1", 1, 4), answered("id-2", 109, 113));
+
+	@Test
+	void aRunInWhichEveryPromiseWasKeptSaysSo() {
+		assertThat(summary().promisesKept()).isTrue();
+	}
+
+	@Test
+	void theClosingLineHasTheFieldsThatReadersExpect() {
+		JsonObject line = JsonParser.parseString(summary().line()).getAsJsonObject();
+		assertThat(line.keySet()).containsAtLeast("requests", "answered", "refused", "failed", "wrong_owner",
+				"ran_twice", "answered_to_wrong_caller", "recovery_ms", "imbalance", "churn", "unavailable");
+		assertThat(line.getAsJsonObject("recovery_ms").keySet()).containsAtLeast("median", "max");
+		assertThat(line.get("answered").getAsLong()).isEqualTo(2);
+	}
+
+	// The lost owner comes back as if nothing had happened, and its order takes effect
+	// after its successor's.
+	@Test
+	void aSecondOwnerBreaksTheRun() {
+		this.servers.add(record(Kind.BEGAN, 120, "a", "id-3", 5));
+		this.servers.add(record(Kind.TOOK_EFFECT, 121, "a", "id-3", 5));
+		assertThat(summary().promisesKept()).isFalse();
+		assertThat(summary().wrongOwner()).isAtLeast(1);
+	}
+
+	@Test
+	void aPostingThatRanTwiceBreaksTheRun() {
+		this.servers.add(record(Kind.BEGAN, 120, "b", "id-2", 8));
+		this.servers.add(record(Kind.TOOK_EFFECT, 121, "b", "id-2", 8));
+		assertThat(summary().promisesKept()).isFalse();
+		assertThat(summary().ranTwice()).isEqualTo(1);
+	}
+
+	@Test
+	void aRangeThatNobodyServesAgainBreaksTheRun() {
+		Summary unanswered = Summary.of(new Summary.Histories(this.servers, this.callers.subList(0, 1)),
+				Set.of("hullbook"), 1, LOSS, 0);
+		assertThat(unanswered.promisesKept()).isFalse();
+	}
+
+	private Summary summary() {
+		return Summary.of(new Summary.Histories(this.servers, this.callers), Set.of("hullbook"), 1, LOSS, 0);
+	}
+
+	private static ServerRecord record(Kind kind, long at, String server, String id, long fence) {
+		return new ServerRecord(kind, at, server, server, "hullbook", id, (id.isEmpty()) ? "" : "key-1", "posting",
+				fence, "00000000-ffffffff", "");
+	}
+
+	private static CallerRecord answered(String id, long sent, long end) {
+		return new CallerRecord(StandInRequest.posting("hullbook", "key-1", id),
+				List.of(new Attempt(id, InetSocketAddress.createUnresolved("127.0.0.1", 7000), sent, end, 200,
+						Attempt.RAN, "", true, "", 0)));
+	}
+
+}
