--- a/cli/src/main/java/org/brasspier/cli/internal/CommandLine.java
+++ b/cli/src/main/java/org/brasspier/cli/internal/CommandLine.java
@@ -1,10 +1,6 @@
 package org.brasspier.cli.internal;
 
-import java.io.BufferedReader;
 import java.io.IOException;
-import java.io.OutputStream;
-import java.io.PrintStream;
-import java.io.Reader;
 import java.io.UncheckedIOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -22,7 +18,6 @@
 import io.vavr.control.Either;
 import org.brasspier.core.ErrorKind;
 import org.brasspier.core.Failure;
-import org.brasspier.core.document.Form;
 import org.brasspier.wire.operator.ErrorAnswer;
 import org.brasspier.wire.operator.OperatorJson;
 
@@ -112,25 +107,6 @@
 			});
 	}
 
-	/**
-	 * Whether a command line makes sense, without running it.
-	 * @param arguments the command line
-	 * @return true if its command and flags are known
-	 */
-	public static boolean understands(String... arguments) {
-		Terminal nobody = new Terminal(new BufferedReader(Reader.nullReader()),
-				new PrintStream(OutputStream.nullOutputStream()), new PrintStream(OutputStream.nullOutputStream()),
-				false);
-		JCommander commander = new CommandLine(nobody, Map.of()).commander();
-		try {
-			parse(commander, arguments);
-			return commander.getParsedCommand() != null;
-		}
-		catch (ParameterException ex) {
-			return false;
-		}
-	}
-
 	private Command command(String name) {
 		Command command = this.commands.get(name);
 		if (command == null) {
@@ -194,34 +170,13 @@
 	}
 
 	private void help(JCommander commander, String[] arguments) {
-		StringBuilder text = new StringBuilder();
-		String asked = Arrays.stream(arguments).filter(this.commands::containsKey).findFirst().orElse("");
-		if (asked.isEmpty()) {
-			commander.getUsageFormatter().usage(text);
-			text.append("\nA first session:\n")
-				.append("  export BRASSPIER_DAEMON=127.0.0.1:7004 BRASSPIER_OPERATOR_SECRET=...\n")
-				.append("  brasspier form service hullbook --divided-by-key yes\n")
-				.append("  brasspier form domains --regions duluth=great-lakes,milwaukee=great-lakes\n")
-				.append("  brasspier draft check && brasspier draft submit\n")
-				.append("  brasspier status\n");
-		}
-		else {
-			commander.getUsageFormatter().usage(asked, text);
-		}
-		if (asked.equals("form")) {
-			fields(text);
-		}
-		this.terminal.out().print(text);
+		this.terminal.out()
+			.print(Arrays.stream(arguments)
+				.filter(this.commands::containsKey)
+				.findFirst()
+				.map((command) -> HelpText.command(commander, command))
+				.orElseGet(() -> HelpText.overview(commander)));
 		this.terminal.out().flush();
 	}
 
-	private static void fields(StringBuilder text) {
-		for (Form form : Form.values()) {
-			text.append("\n  form %s%s\n".formatted(form.key(), (form.hasSubject()) ? " SERVICE" : ""));
-			form.fields()
-				.forEach((field) -> text.append("    --%s  %s%s%n".formatted(field.name(), field.rule().allowed(),
-						(field.unit().isEmpty()) ? "" : " in " + field.unit())));
-		}
-	}
-
 }
--- a/cli/src/main/java/org/brasspier/cli/internal/ConfigCommand.java
+++ b/cli/src/main/java/org/brasspier/cli/internal/ConfigCommand.java
@@ -17,11 +17,16 @@
 /**
  * Shows the versions of the document.
  */
-@Parameters(
-		commandDescription = "the document in force and before: show [VERSION] | history | diff [OLD [NEW]] | status")
+@Parameters(commandDescription = "the document in force and the versions before it")
 final class ConfigCommand implements Command {
 
-	@Parameter(description = "show [VERSION] | history | diff [OLD [NEW]] | status")
+	@Parameter(description = """
+			show [VERSION] | history | diff [OLD [NEW]] | status
+
+			  show     each field of a version, else of the one in force
+			  history  the latest versions, newest first
+			  diff     what changed from one version to another, else by the latest one
+			  status   the version in force on each daemon""")
 	private List<String> words = new ArrayList<>();
 
 	@Parameter(names = "--count", description = "how many versions to look back, up to 100")
--- a/cli/src/main/java/org/brasspier/cli/internal/DeclareLostCommand.java
+++ b/cli/src/main/java/org/brasspier/cli/internal/DeclareLostCommand.java
@@ -13,7 +13,7 @@
 /**
  * States that an instance is gone for good.
  */
-@Parameters(commandDescription = "state that an instance is gone for good: declare-lost INSTANCE")
+@Parameters(commandDescription = "state that an instance is gone for good (dangerous: asks first)")
 final class DeclareLostCommand implements Command {
 
 	@Parameter(description = "INSTANCE")
--- a/cli/src/main/java/org/brasspier/cli/internal/DraftCommand.java
+++ b/cli/src/main/java/org/brasspier/cli/internal/DraftCommand.java
@@ -22,10 +22,17 @@
 /**
  * Shows, checks, submits, moves or discards the draft.
  */
-@Parameters(commandDescription = "the draft: show|check|submit|rebase|discard")
+@Parameters(commandDescription = "show, check, submit, rebase or discard the draft that forms fill in")
 final class DraftCommand implements Command {
 
-	@Parameter(description = "show|check|submit|rebase|discard")
+	@Parameter(description = """
+			show|check|submit|rebase|discard
+
+			  show     what the draft changes, and the version it began from
+			  check    all faults of the whole document, each with its remedy
+			  submit   bring it into force, if the version it began from still is
+			  rebase   move its changes onto the version in force, after a conflict
+			  discard  throw it away""")
 	private List<String> words = new ArrayList<>();
 
 	@Parameter(names = "--no-wait", description = "don't wait until the version is in force on every daemon")
@@ -94,6 +101,7 @@
 			.forEach((difference) -> terminal.progress("  " + difference));
 		if (terminal.confirm("Move the draft's changes onto version %d?".formatted(present.version()))) {
 			rebase(session, draft, present).lines().forEach(terminal::progress);
+			terminal.progress("Look at it with `brasspier draft show`, then submit it again.");
 		}
 		else {
 			terminal.progress("`brasspier draft rebase` moves the draft's changes onto it.");
--- a/cli/src/main/java/org/brasspier/cli/internal/DrainCommand.java
+++ b/cli/src/main/java/org/brasspier/cli/internal/DrainCommand.java
@@ -18,7 +18,7 @@
 /**
  * Takes all ranges from an instance, and shows how many are left.
  */
-@Parameters(commandDescription = "take all ranges from an instance, gracefully: drain INSTANCE")
+@Parameters(commandDescription = "take all ranges from an instance, cutting off nothing")
 final class DrainCommand implements Command {
 
 	/** As long as a planned stop of a daemon may take. */
--- a/cli/src/main/java/org/brasspier/cli/internal/FormCommand.java
+++ b/cli/src/main/java/org/brasspier/cli/internal/FormCommand.java
@@ -25,7 +25,7 @@
  * Shows a form, and fills it in by flags or by questions. What is filled in goes into the
  * draft; nothing takes effect before {@code draft submit}.
  */
-@Parameters(commandDescription = "show or fill in a form: FORM [SERVICE] [--FIELD VALUE ...] [--ask]")
+@Parameters(commandDescription = "show a form, or fill it in for the draft")
 final class FormCommand implements Command {
 
 	@Parameter(description = "service|limits SERVICE, or domains|targets|weights|secrets")
--- /dev/null
+++ b/cli/src/main/java/org/brasspier/cli/internal/HelpText.java
@@ -0,0 +1,95 @@
+package org.brasspier.cli.internal;
+
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+
+import com.beust.jcommander.JCommander;
+import com.beust.jcommander.ParameterDescription;
+import org.brasspier.core.ErrorKind;
+import org.brasspier.core.document.Field;
+import org.brasspier.core.document.Form;
+
+/**
+ * The help of the tool: an overview of one screen, and a page for each command. Stateless
+ * and thread-safe.
+ */
+final class HelpText {
+
+	/** The kinds that an operator may meet; the others are for callers. */
+	private static final List<ErrorKind> KINDS = List.of(ErrorKind.INTERNAL_ERROR, ErrorKind.BAD_REQUEST,
+			ErrorKind.UNAUTHORIZED, ErrorKind.DOCUMENT_INVALID, ErrorKind.DOCUMENT_CONFLICT,
+			ErrorKind.STORE_OUTCOME_UNKNOWN, ErrorKind.STORE_UNAVAILABLE, ErrorKind.STATE_UNREADABLE,
+			ErrorKind.ORDER_REFUSED, ErrorKind.DAEMON_UNREACHABLE);
+
+	private HelpText() {
+	}
+
+	static String overview(JCommander commander) {
+		StringBuilder text = new StringBuilder("Usage: brasspier [FLAGS] COMMAND [WORDS AND FLAGS]\n\nCommands:\n");
+		commander.getCommands()
+			.forEach((name, command) -> text
+				.append("  %-14s%s%n".formatted(name, commander.getUsageFormatter().getCommandDescription(name))));
+		text.append("\n`brasspier COMMAND --help` explains a command.\n\nFlags, before the command:\n");
+		flags(text, commander);
+		text.append("\nA first session:\n")
+			.append("  export BRASSPIER_DAEMON=127.0.0.1:7004 BRASSPIER_OPERATOR_SECRET=...\n")
+			.append("  brasspier status\n")
+			.append("  brasspier form service hullbook --divided-by-key yes\n")
+			.append("  brasspier form domains --regions duluth=great-lakes,milwaukee=great-lakes\n")
+			.append("  brasspier draft check && brasspier draft submit\n")
+			.append("\nExit codes: 0 if it worked, else that of the error:\n");
+		exitCodes().forEach((code, kinds) -> text.append("  %2d  %s%n".formatted(code, String.join(", ", kinds))));
+		return text.toString();
+	}
+
+	private static Map<Integer, List<String>> exitCodes() {
+		return KINDS.stream()
+			.collect(Collectors.groupingBy(ErrorKind::exitCode, TreeMap::new,
+					Collectors.mapping(ErrorKind::name, Collectors.toList())));
+	}
+
+	static String command(JCommander commander, String name) {
+		JCommander command = Optional.ofNullable(commander.getCommands().get(name)).orElseThrow();
+		String words = (command.getMainParameter() != null) ? " " + command.getMainParameter().getDescription() : "";
+		StringBuilder text = new StringBuilder("%s%n%nUsage: brasspier %s%s%n"
+			.formatted(commander.getUsageFormatter().getCommandDescription(name), name, words));
+		if (!command.getParameters().isEmpty()) {
+			text.append("\nFlags:\n");
+			flags(text, command);
+		}
+		if (name.equals("form")) {
+			Arrays.stream(Form.values()).forEach((form) -> fields(text, form));
+		}
+		return text.toString();
+	}
+
+	private static void flags(StringBuilder text, JCommander command) {
+		command.getParameters()
+			.stream()
+			.sorted((one, other) -> one.getNames().compareTo(other.getNames()))
+			.forEach((flag) -> text
+				.append("  %s%n      %s%s%n".formatted(flag.getNames(), flag.getDescription(), usual(flag))));
+	}
+
+	private static String usual(ParameterDescription flag) {
+		String text = String.valueOf(flag.getDefault());
+		boolean telling = !Stream.of("", "false", "null", "[]", "{}", "0").anyMatch(text::equals);
+		return (telling) ? " (usually %s)".formatted(text) : "";
+	}
+
+	private static void fields(StringBuilder text, Form form) {
+		text.append("%nbrasspier form %s%s%n".formatted(form.key(), (form.hasSubject()) ? " SERVICE" : ""));
+		form.fields().forEach((field) -> field(text, field));
+	}
+
+	private static void field(StringBuilder text, Field field) {
+		text.append("  --%s%n      %s%n      %s%s, usually %s%n".formatted(field.name(), field.meaning(),
+				field.rule().allowed(), (field.unit().isEmpty()) ? "" : " in " + field.unit(), field.usual()));
+	}
+
+}
--- a/cli/src/main/java/org/brasspier/cli/internal/MeasuresCommand.java
+++ b/cli/src/main/java/org/brasspier/cli/internal/MeasuresCommand.java
@@ -17,8 +17,7 @@
 /**
  * Shows imbalance, churn and unavailable time against the targets.
  */
-@Parameters(
-		commandDescription = "imbalance, churn and unavailable time against the targets: measures [--from T] [--to T]")
+@Parameters(commandDescription = "imbalance, churn and unavailable time against the targets")
 final class MeasuresCommand implements Command {
 
 	@Parameter(names = "--from",
--- a/cli/src/main/java/org/brasspier/cli/internal/MoveCommand.java
+++ b/cli/src/main/java/org/brasspier/cli/internal/MoveCommand.java
@@ -13,12 +13,12 @@
 /**
  * Moves one range to another instance.
  */
-@Parameters(commandDescription = "move a range to an instance: move SERVICE RANGE INSTANCE")
+@Parameters(commandDescription = "move a range to an instance")
 final class MoveCommand implements Command {
 
 	private static final int WORDS = 3;
 
-	@Parameter(description = "SERVICE RANGE INSTANCE, the range as `status --ranges` shows it")
+	@Parameter(description = "SERVICE RANGE INSTANCE\n\nThe RANGE as `status --ranges` shows it.")
 	private List<String> words = new ArrayList<>();
 
 	@Override
--- a/cli/src/main/java/org/brasspier/cli/internal/OwnerCommand.java
+++ b/cli/src/main/java/org/brasspier/cli/internal/OwnerCommand.java
@@ -14,7 +14,7 @@
 /**
  * Says who owns a key.
  */
-@Parameters(commandDescription = "who owns a key: owner SERVICE KEY")
+@Parameters(commandDescription = "who owns a key")
 final class OwnerCommand implements Command {
 
 	@Parameter(description = "SERVICE KEY")
--- a/cli/src/main/java/org/brasspier/cli/internal/TimelineCommand.java
+++ b/cli/src/main/java/org/brasspier/cli/internal/TimelineCommand.java
@@ -20,7 +20,7 @@
 /**
  * Shows the events of all daemons in one order that respects cause and effect.
  */
-@Parameters(commandDescription = "the events of all daemons in one order: timeline [--follow] [filters]")
+@Parameters(commandDescription = "the events of all daemons in one order")
 final class TimelineCommand implements Command {
 
 	private static final Duration PAUSE = Duration.ofMillis(500);
@@ -44,13 +44,13 @@
 	@Parameter(names = "--kind", description = "only events of this kind, by name or number")
 	private String kind = "";
 
-	@Parameter(names = "--count", description = "how many of the latest events to show")
+	@Parameter(names = "--count", description = "how many of the latest events to show first")
 	private int count = 200;
 
-	@Parameter(names = "--follow", description = "go on showing events as they happen; end with Ctrl-C")
+	@Parameter(names = "--follow", description = "go on showing events as they happen")
 	private boolean follow;
 
-	@Parameter(names = "--for-seconds", description = "with --follow, end after this time")
+	@Parameter(names = "--for-seconds", description = "with --follow, end after this time; until Ctrl-C if not given")
 	private int forSeconds;
 
 	private final Map<String, Long> lastNumbers = new HashMap<>();
--- a/cli/src/main/java/org/brasspier/cli/internal/UndrainCommand.java
+++ b/cli/src/main/java/org/brasspier/cli/internal/UndrainCommand.java
@@ -13,7 +13,7 @@
 /**
  * Lets a drained instance own ranges again.
  */
-@Parameters(commandDescription = "let a drained instance own ranges again: undrain INSTANCE")
+@Parameters(commandDescription = "let a drained instance own ranges again")
 final class UndrainCommand implements Command {
 
 	@Parameter(description = "INSTANCE")
--- a/cli/src/test/java/org/brasspier/cli/internal/FormCommandTests.java
+++ b/cli/src/test/java/org/brasspier/cli/internal/FormCommandTests.java
@@ -92,6 +92,21 @@
 		assertThat(shown()).contains("--guard-millis");
 	}
 
+	// A stranger asks for help. All of it fits a terminal of a hundred columns, says what
+	// a field means and what holds without it, and shows no empty defaults.
+	@Test
+	void helpIsReadable() {
+		for (String command : List.of("", "form", "draft", "config", "status", "owner", "measures", "timeline", "drain",
+				"undrain", "move", "declare-lost")) {
+			assertThat(run("", (command + " --help").strip().split(" "))).isEqualTo(0);
+		}
+		assertThat(shown().lines().filter((line) -> line.length() > 120).toList()).isEmpty();
+		assertThat(shown()).doesNotContain("<empty string>");
+		assertThat(shown()).contains("11  DOCUMENT_CONFLICT");
+		assertThat(shown()).contains("a whole number from 10 to 5000 in ms, usually 200");
+		assertThat(shown()).contains("rebase   move its changes onto the version in force");
+	}
+
 	@Test
 	void aCommandLineThatMakesNoSenseIsRefused() {
 		assertThat(run("")).isEqualTo(ErrorKind.BAD_REQUEST.exitCode());
--- a/integration/src/test/java/org/brasspier/integration/document/DocumentDistributionTests.java
+++ b/integration/src/test/java/org/brasspier/integration/document/DocumentDistributionTests.java
@@ -95,6 +95,54 @@
 		assertThat(loser.run("config", "show").out()).contains("weights/imbalance");
 	}
 
+	// Both operators change the same field from version 1, Lena first. Budi, at a
+	// terminal, is shown what she changed, lets his draft be moved onto it, is told that
+	// the field was changed twice, and submits again; her other change stays.
+	@Test
+	void atATerminalAConflictIsShownAndTheDraftMovedOnRequest() {
+		fillIn(this.lena);
+		this.lena.run("draft", "submit");
+		this.lena.run("form", "weights", "--churn", "2", "--imbalance", "3");
+		this.budi.run("form", "weights", "--churn", "4");
+		assertThat(this.lena.run("draft", "submit").exit()).isEqualTo(0);
+		OperatorTool.Result conflict = this.budi.typing("yes\n", "draft", "submit");
+		assertThat(conflict.exit()).isEqualTo(ErrorKind.DOCUMENT_CONFLICT.exitCode());
+		assertThat(conflict.err()).contains("weights/imbalance: (none) -> 3");
+		assertThat(conflict.err()).contains("the draft is on version 2 now, with 1 changes");
+		assertThat(conflict.err()).contains("both changed weights/churn");
+		assertThat(this.budi.run("draft", "submit").exit()).isEqualTo(0);
+		String inForce = this.lena.run("config", "show").out();
+		assertThat(inForce).containsMatch("weights/churn +4\n");
+		assertThat(inForce).containsMatch("weights/imbalance +3\n");
+	}
+
+	// Somebody asks whether the change is everywhere. While one daemon is down, the
+	// status must say so rather than leave it out.
+	@Test
+	void theStatusShowsTheVersionOnEachDaemonAndWhichOneIsSilent() {
+		fillIn(this.lena);
+		this.lena.run("draft", "submit");
+		Await.until("the status lists all three", () -> statusLines("hullbook-[0-2] +1") == 3);
+		this.deployment.instances().get(2).daemon().kill();
+		Await.until("two have the version, one is silent",
+				() -> statusLines("hullbook-[0-2] +1") == 2 && statusLines("\\(no answer\\) +\\?") == 1);
+	}
+
+	private long statusLines(String pattern) {
+		return this.lena.run("config", "status").out().lines().filter((line) -> line.matches(".* " + pattern)).count();
+	}
+
+	// An operator watches the time line while another one submits.
+	@Test
+	void theTimeLineIsFollowedLive() {
+		fillIn(this.lena);
+		CompletableFuture<OperatorTool.Result> watching = CompletableFuture
+			.supplyAsync(() -> this.budi.run("timeline", "--follow", "--for-seconds", "8", "--kind", "402"));
+		assertThat(this.lena.run("draft", "submit").exit()).isEqualTo(0);
+		String seen = watching.join().out();
+		assertThat(seen.lines().filter((line) -> line.contains("DOCUMENT_IN_FORCE"))).hasSize(3);
+	}
+
 	// The table takes the write of the pointer, and its answer is lost. The operator must
 	// be told that the submission was accepted, and it must be in force once.
 	@Test
--- a/integration/src/test/java/org/brasspier/integration/document/OperatorTool.java
+++ b/integration/src/test/java/org/brasspier/integration/document/OperatorTool.java
@@ -31,11 +31,20 @@
 	}
 
 	Result run(String... arguments) {
+		return run("", false, arguments);
+	}
+
+	/** Runs a command in a terminal, where the operator types the lines. */
+	Result typing(String lines, String... arguments) {
+		return run(lines, true, arguments);
+	}
+
+	private Result run(String typed, boolean interactive, String... arguments) {
 		ByteArrayOutputStream out = new ByteArrayOutputStream();
 		ByteArrayOutputStream err = new ByteArrayOutputStream();
-		Terminal terminal = new Terminal(new BufferedReader(new StringReader("")),
+		Terminal terminal = new Terminal(new BufferedReader(new StringReader(typed)),
 				new PrintStream(out, true, StandardCharsets.UTF_8), new PrintStream(err, true, StandardCharsets.UTF_8),
-				false);
+				interactive);
 		List<String> all = new ArrayList<>(List.of("--draft", this.draft.toString()));
 		all.addAll(List.of(arguments));
 		int exit = new CommandLine(terminal,
