--- a/cli/src/main/java/org/brasspier/cli/internal/HelpText.java
+++ b/cli/src/main/java/org/brasspier/cli/internal/HelpText.java
@@ -35,6 +35,8 @@
 			.forEach((name, command) -> text
 				.append("  %-14s%s%n".formatted(name, commander.getUsageFormatter().getCommandDescription(name))));
 		text.append("\n`brasspier COMMAND --help` explains a command.\n\nFlags, before the command:\n");
+		// JCommander reads the flags' descriptions only when its own usage is made.
+		commander.getUsageFormatter().usage(new StringBuilder());
 		flags(text, commander);
 		text.append("\nA first session:\n")
 			.append("  export BRASSPIER_DAEMON=127.0.0.1:7004 BRASSPIER_OPERATOR_SECRET=...\n")
@@ -55,7 +57,7 @@
 
 	static String command(JCommander commander, String name) {
 		JCommander command = Optional.ofNullable(commander.getCommands().get(name)).orElseThrow();
-		String words = (command.getMainParameter() != null) ? " " + command.getMainParameter().getDescription() : "";
+		String words = (command.getMainParameter() != null) ? " " + command.getMainParameterDescription() : "";
 		StringBuilder text = new StringBuilder("%s%n%nUsage: brasspier %s%s%n"
 			.formatted(commander.getUsageFormatter().getCommandDescription(name), name, words));
 		if (!command.getParameters().isEmpty()) {
@@ -88,8 +90,10 @@
 	}
 
 	private static void field(StringBuilder text, Field field) {
-		text.append("  --%s%n      %s%n      %s%s, usually %s%n".formatted(field.name(), field.meaning(),
-				field.rule().allowed(), (field.unit().isEmpty()) ? "" : " in " + field.unit(), field.usual()));
+		String unit = (field.unit().isEmpty()) ? "" : " in " + field.unit();
+		String usual = (field.usual().isEmpty()) ? "" : ", usually " + field.usual();
+		text.append("  --%s%n      %s%n      %s%s%s%n".formatted(field.name(), field.meaning(), field.rule().allowed(),
+				unit, usual));
 	}
 
 }
--- a/cli/src/test/java/org/brasspier/cli/internal/FormCommandTests.java
+++ b/cli/src/test/java/org/brasspier/cli/internal/FormCommandTests.java
@@ -8,6 +8,7 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.List;
 import java.util.Map;
 
 import org.brasspier.core.ErrorKind;
@@ -102,6 +103,7 @@
 		}
 		assertThat(shown().lines().filter((line) -> line.length() > 120).toList()).isEmpty();
 		assertThat(shown()).doesNotContain("<empty string>");
+		assertThat(shown()).contains("--secret-file");
 		assertThat(shown()).contains("11  DOCUMENT_CONFLICT");
 		assertThat(shown()).contains("a whole number from 10 to 5000 in ms, usually 200");
 		assertThat(shown()).contains("rebase   move its changes onto the version in force");
