--- a/bench/src/test/java/org/brasspier/bench/demo/SummaryTests.java
+++ b/bench/src/test/java/org/brasspier/bench/demo/SummaryTests.java
@@ -24,10 +24,10 @@
 
 	private static final Loss LOSS = new Loss("a", 100);
 
-	private final List<ServerRecord> servers = new ArrayList<>(List.of(record(Kind.GRANTED, 1, "a", "", 5),
-			record(Kind.BEGAN, 2, "a", "id-1", 5), record(Kind.TOOK_EFFECT, 3, "a", "id-1", 5),
-			record(Kind.GRANTED, 110, "b", "", 8), record(Kind.BEGAN, 111, "b", "id-2", 8),
-			record(Kind.TOOK_EFFECT, 112, "b", "id-2", 8)));
+	private final List<ServerRecord> servers = new ArrayList<>(
+			List.of(record(Kind.GRANTED, 1, "a", "", 5), record(Kind.BEGAN, 2, "a", "id-1", 5),
+					record(Kind.TOOK_EFFECT, 3, "a", "id-1", 5), record(Kind.GRANTED, 110, "b", "", 8),
+					record(Kind.BEGAN, 111, "b", "id-2", 8), record(Kind.TOOK_EFFECT, 112, "b", "id-2", 8)));
 
 	private final List<CallerRecord> callers = List.of(answered("id-1", 1, 4), answered("id-2", 109, 113));
 
@@ -80,9 +80,8 @@
 	}
 
 	private static CallerRecord answered(String id, long sent, long end) {
-		return new CallerRecord(StandInRequest.posting("hullbook", "key-1", id),
-				List.of(new Attempt(id, InetSocketAddress.createUnresolved("127.0.0.1", 7000), sent, end, 200,
-						Attempt.RAN, "", true, "", 0)));
+		return new CallerRecord(StandInRequest.posting("hullbook", "key-1", id), List.of(new Attempt(id,
+				InetSocketAddress.createUnresolved("127.0.0.1", 7000), sent, end, 200, Attempt.RAN, "", true, "", 0)));
 	}
 
 }
