--- a/cli/src/main/java/org/brasspier/cli/internal/CommandLine.java
+++ b/cli/src/main/java/org/brasspier/cli/internal/CommandLine.java
@@ -122,7 +122,7 @@
 		Path draft = (this.flags.draft.isEmpty()) ? DraftFile.usual(this.environment) : Path.of(this.flags.draft);
 		return new Session(
 				new OperatorClient(daemons(), secret(), Duration.ofSeconds(Math.max(1, this.flags.timeoutSeconds))),
-				this.terminal, new DraftFile(draft));
+				this.terminal, new DraftFile(draft), json());
 	}
 
 	private List<String> daemons() {
@@ -144,8 +144,12 @@
 		}
 	}
 
+	private boolean json() {
+		return this.flags.output.equals("json");
+	}
+
 	private int finish(Either<ErrorAnswer, Report> result) {
-		boolean json = this.flags.output.equals("json");
+		boolean json = json();
 		if (result.isRight()) {
 			Report report = result.get();
 			if (json) {
--- a/cli/src/main/java/org/brasspier/cli/internal/Session.java
+++ b/cli/src/main/java/org/brasspier/cli/internal/Session.java
@@ -19,8 +19,9 @@
  * @param client the way to the daemons
  * @param terminal where the operator sits
  * @param drafts keeps the draft
+ * @param json whether results are for programs
  */
-record Session(OperatorClient client, Terminal terminal, DraftFile drafts) {
+record Session(OperatorClient client, Terminal terminal, DraftFile drafts, boolean json) {
 
 	static <T> Either<ErrorAnswer, T> refuse(String detail) {
 		return Either.left(ErrorAnswer.of(Failure.of(ErrorKind.BAD_REQUEST, detail)));
--- a/cli/src/main/java/org/brasspier/cli/internal/TimelineCommand.java
+++ b/cli/src/main/java/org/brasspier/cli/internal/TimelineCommand.java
@@ -16,6 +16,7 @@
 import io.vavr.control.Either;
 import org.brasspier.wire.operator.ErrorAnswer;
 import org.brasspier.wire.operator.EventsAnswer;
+import org.brasspier.wire.operator.OperatorJson;
 
 /**
  * Shows the events of all daemons in one order that respects cause and effect.
@@ -62,11 +63,14 @@
 		List<EventsAnswer> answers = read(session);
 		List<EventsAnswer.Entry> entries = merge(answers);
 		List<EventsAnswer.Entry> latest = entries.subList(Math.max(0, entries.size() - this.count), entries.size());
-		List<String> lines = Stream
-			.concat(answers.stream().flatMap((answer) -> losses(answer)), latest.stream().map(TimelineCommand::line))
+		List<Loss> losses = answers.stream().flatMap((answer) -> losses(answer)).toList();
+		if (this.follow) {
+			print(session, losses, latest);
+			return follow(session);
+		}
+		List<String> lines = Stream.concat(losses.stream().map(Loss::line), latest.stream().map(TimelineCommand::line))
 			.toList();
-		Report report = new Report(latest, lines);
-		return (this.follow) ? follow(session, report) : Either.right(report);
+		return Either.right(new Report(new Events(losses, latest), lines));
 	}
 
 	private List<EventsAnswer> read(Session session) {
@@ -95,18 +99,13 @@
 		return answers.stream().flatMap((answer) -> answer.events().stream()).sorted(ORDER).toList();
 	}
 
-	private Stream<String> losses(EventsAnswer answer) {
+	Stream<Loss> losses(EventsAnswer answer) {
 		long before = this.lostSaid.getOrDefault(answer.instance(), 0L);
 		this.lostSaid.put(answer.instance(), answer.lost());
-		Stream<String> lost = (answer.lost() > before)
-				? Stream
-					.of("# %s lost %d events: its ring was full".formatted(answer.instance(), answer.lost() - before))
-				: Stream.empty();
-		Stream<String> pushedOut = (answer.pushedOutUntil() > 0 && before == 0 && !this.follow)
-				? Stream.of("# %s keeps only its latest events; some up to number %d are gone"
-					.formatted(answer.instance(), answer.pushedOutUntil()))
-				: Stream.empty();
-		return Stream.concat(lost, pushedOut);
+		boolean first = before == 0 && !this.follow;
+		Loss loss = new Loss(answer.instance(), Math.max(0, answer.lost() - before),
+				(first) ? answer.pushedOutUntil() : 0);
+		return (loss.nothing()) ? Stream.empty() : Stream.of(loss);
 	}
 
 	private static String line(EventsAnswer.Entry entry) {
@@ -116,32 +115,68 @@
 			.stripTrailing();
 	}
 
-	private Either<ErrorAnswer, Report> follow(Session session, Report first) {
-		first.lines().forEach(session.terminal().out()::println);
+	private Either<ErrorAnswer, Report> follow(Session session) {
 		long end = System.nanoTime() + Duration.ofSeconds(this.forSeconds).toNanos();
 		List<EventsAnswer.Entry> held = new ArrayList<>();
 		while (this.forSeconds == 0 || System.nanoTime() - end < 0) {
 			LockSupport.parkNanos(PAUSE.toNanos());
 			List<EventsAnswer> answers = read(session);
-			answers.stream().flatMap((answer) -> losses(answer)).forEach(session.terminal().out()::println);
+			List<Loss> losses = answers.stream().flatMap((answer) -> losses(answer)).toList();
 			// What a round brought waits for the next one, since another daemon may still
 			// tell of something earlier.
 			long roundBegan = System.currentTimeMillis() - PAUSE.toMillis();
 			held.addAll(merge(answers));
 			held.sort(ORDER);
 			List<EventsAnswer.Entry> due = held.stream().filter((entry) -> entry.millis() < roundBegan).toList();
-			print(session, due);
+			print(session, losses, due);
 			held.removeAll(due);
 		}
-		print(session, held);
+		print(session, List.of(), held);
 		return Either.right(Report.of(new Followed(true)));
 	}
 
-	private static void print(Session session, List<EventsAnswer.Entry> entries) {
-		entries.forEach((entry) -> session.terminal().out().println(line(entry)));
+	// One line for each, also for programs, which read them as they come.
+	private static void print(Session session, List<Loss> losses, List<EventsAnswer.Entry> entries) {
+		losses.forEach(
+				(loss) -> session.terminal().out().println((session.json()) ? OperatorJson.write(loss) : loss.line()));
+		entries.forEach((
+				entry) -> session.terminal().out().println((session.json()) ? OperatorJson.write(entry) : line(entry)));
 		session.terminal().out().flush();
 	}
 
+	/**
+	 * The time line for programs.
+	 *
+	 * @param losses what is missing in it
+	 * @param events the events
+	 */
+	private record Events(List<Loss> losses, List<EventsAnswer.Entry> events) {
+
+	}
+
+	/**
+	 * What the time line of one daemon lacks.
+	 *
+	 * @param instance the daemon's instance
+	 * @param lost how many events a full ring could not take
+	 * @param pushedOutUntil the number up to which older events gave way, 0 if none did
+	 */
+	record Loss(String instance, long lost, long pushedOutUntil) {
+
+		boolean nothing() {
+			return this.lost == 0 && this.pushedOutUntil == 0;
+		}
+
+		String line() {
+			String full = (this.lost > 0) ? " lost %d events: its ring was full".formatted(this.lost) : "";
+			String gone = (this.pushedOutUntil > 0)
+					? " keeps only its latest events; some up to number %d are gone".formatted(this.pushedOutUntil)
+					: "";
+			return "# " + this.instance + full + ((full.isEmpty() || gone.isEmpty()) ? "" : ";") + gone;
+		}
+
+	}
+
 	/**
 	 * The end of following, for programs.
 	 *
--- a/cli/src/test/java/org/brasspier/cli/internal/TimelineCommandTests.java
+++ b/cli/src/test/java/org/brasspier/cli/internal/TimelineCommandTests.java
@@ -21,6 +21,20 @@
 			.map((entry) -> entry.instance() + entry.number())).containsExactly("a1", "b8", "a2", "b9").inOrder();
 	}
 
+	// A burst filled a daemon's ring. The operator must see that there is a hole, once
+	// for each new one, rather than take the rest for all that happened.
+	@Test
+	void whatAFullRingLostIsSaidOnce() {
+		TimelineCommand command = new TimelineCommand();
+		EventsAnswer hole = new EventsAnswer("a", 9, 3, 0, List.of());
+		assertThat(command.losses(hole).map(TimelineCommand.Loss::line))
+			.containsExactly("# a lost 3 events: its ring was full");
+		assertThat(command.losses(hole)).isEmpty();
+		EventsAnswer older = new EventsAnswer("b", 9, 5, 7, List.of());
+		assertThat(command.losses(older).map(TimelineCommand.Loss::line)).containsExactly(
+				"# b lost 5 events: its ring was full; keeps only its latest events; some up to number 7 are gone");
+	}
+
 	private static EventsAnswer.Entry entry(long number, long stamp, String instance) {
 		return new EventsAnswer.Entry(number, stamp, stamp, 301, "REQUEST_HANDED_OVER", instance, "r-1", "");
 	}
--- a/integration/src/test/java/org/brasspier/integration/document/OperatorsViewTests.java
+++ b/integration/src/test/java/org/brasspier/integration/document/OperatorsViewTests.java
@@ -5,6 +5,8 @@
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
 
+import com.google.gson.JsonObject;
+import com.google.gson.JsonParser;
 import org.brasspier.core.ErrorKind;
 import org.brasspier.standins.Await;
 import org.brasspier.standins.CallerFleet;
@@ -88,6 +90,11 @@
 		String started = timeline("--instance", "hullbook-1", "--kind", "DAEMON_STARTED");
 		assertThat(started.lines().filter((line) -> !line.startsWith("#"))).hasSize(1);
 		assertThat(timeline("--kind", "DAEMON_STARTED").lines().filter((line) -> !line.startsWith("#"))).hasSize(3);
+		JsonObject forPrograms = JsonParser
+			.parseString(this.tool.run("--output", "json", "timeline", "--kind", "DAEMON_STARTED").out())
+			.getAsJsonObject();
+		assertThat(forPrograms.getAsJsonArray("events")).hasSize(3);
+		assertThat(forPrograms.has("losses")).isTrue();
 	}
 
 	private String timeline(String... filters) {
