Give up a lost server's ranges only once the table answers

A server that is silent for two probes counts as lost, its daemon let go of its ranges at once, nobody could be given them while the store was down, and what was let go of is not taken back. So a pause of a second cost its callers the rest of the outage.

Now the member reads the table, at once and each 50 ms, and gives up when a read sent after the loss was answered; when the server is back first, it keeps its ranges. To let go later is always safe. Cost: one read on the way of a lost backend server. Ruled out: taking released ranges back (RELEASED_FOR_GOOD: two owners).

--- a/core/src/main/java/org/brasspier/core/ownership/MemberSide.java
+++ b/core/src/main/java/org/brasspier/core/ownership/MemberSide.java
@@ -103,6 +103,17 @@
 		}
 	}
 
+	// What was let go of this member may not take back, and while the table is down
+	// nobody else can be given it. A server that is silent for a moment during an outage
+	// would cost its callers all of the outage. So a read that was answered after the
+	// loss must show that the table is there; it costs some milliseconds.
+	void giveUpIfTableAnswers() {
+		if (this.parts.givingUpSince.filter((since) -> this.parts.access.readSentAt() >= since).isPresent()) {
+			this.parts.givingUpSince = Optional.empty();
+			release(this.parts.lease.held().stream().map(RangeState::held).toList());
+		}
+	}
+
 	void lookForManagers(long now) {
 		CellRow row = this.parts.lease.known().row();
 		long silentFor = now - this.parts.managerHeardAt;
--- a/core/src/main/java/org/brasspier/core/ownership/OwnershipMachine.java
+++ b/core/src/main/java/org/brasspier/core/ownership/OwnershipMachine.java
@@ -151,6 +151,7 @@
 	 */
 	public List<OwnershipAction> rowRead(VersionedRow row, long now) {
 		this.rows.rowRead(row, now);
+		this.member.giveUpIfTableAnswers();
 		return finish(now);
 	}
 
@@ -215,17 +216,23 @@
 	public List<OwnershipAction> backend(MemberPhase phase, Optional<MemberInfo.Backend> backend, long now) {
 		this.parts.me = new MemberInfo(this.parts.me.key(), this.parts.me.domain(), this.parts.me.address(),
 				(this.parts.leaving) ? MemberPhase.LEAVING : phase, backend.or(this.parts.me::backend));
+		if (phase == MemberPhase.ACTIVE) {
+			this.parts.givingUpSince = Optional.empty();
+		}
 		return finish(now);
 	}
 
 	/**
-	 * The backend server is gone for certain: its ranges are let go of at once instead of
-	 * when the primary asks for them.
+	 * The backend server is gone: its ranges are let go of as soon as the table answers,
+	 * instead of when the primary asks for them.
 	 * @param now the time
 	 * @return what is to be done
 	 */
 	public List<OwnershipAction> backendLost(long now) {
-		this.member.release(this.parts.lease.held().stream().map(RangeState::held).toList());
+		if (this.parts.givingUpSince.isEmpty()) {
+			this.parts.givingUpSince = Optional.of(now);
+			this.rows.readIfDue(now);
+		}
 		return finish(now);
 	}
 
--- a/core/src/main/java/org/brasspier/core/ownership/ProcessParts.java
+++ b/core/src/main/java/org/brasspier/core/ownership/ProcessParts.java
@@ -1,6 +1,7 @@
 package org.brasspier.core.ownership;
 
 import java.util.List;
+import java.util.Optional;
 
 /**
  * The parts of one process's state, shared by the steps that work on it. Not thread-safe;
@@ -34,6 +35,9 @@
 
 	long document;
 
+	/** Since when the backend server is lost and the ranges still to be given up. */
+	Optional<Long> givingUpSince = Optional.empty();
+
 	boolean leaving;
 
 	boolean left;
@@ -65,6 +69,7 @@
 		this.timers = other.timers.copy();
 		this.managerHeardAt = other.managerHeardAt;
 		this.document = other.document;
+		this.givingUpSince = other.givingUpSince;
 		this.leaving = other.leaving;
 		this.left = other.left;
 	}
@@ -75,7 +80,8 @@
 
 	List<Object> state() {
 		return List.of(this.lease.state(), this.manager.state(), this.access.state(), this.memory.state(),
-				this.takeover.state(), this.timers.state(), this.me, this.managerHeardAt, this.leaving, this.left);
+				this.takeover.state(), this.timers.state(), this.me, this.managerHeardAt, this.givingUpSince,
+				this.leaving, this.left);
 	}
 
 	OwnershipState view() {
--- a/core/src/main/java/org/brasspier/core/ownership/RowSide.java
+++ b/core/src/main/java/org/brasspier/core/ownership/RowSide.java
@@ -25,6 +25,9 @@
 
 	private static final long READ_MEMBER_MILLIS = 500;
 
+	/** While ranges of a lost backend server wait to be given up: each time counts. */
+	private static final long READ_GIVING_UP_MILLIS = 50;
+
 	private static final long PUSH_MILLIS = 100;
 
 	private final ProcessParts parts;
@@ -42,10 +45,12 @@
 	}
 
 	void readIfDue(long now) {
+		boolean givingUp = this.parts.givingUpSince.isPresent();
 		boolean silent = now - this.parts.managerHeardAt > this.parts.takeover.patience();
-		long every = (this.parts.manager.lone()) ? this.parts.timing.authority() / 3
-				: (this.parts.manager.active()) ? managerPeriod() : READ_MEMBER_MILLIS;
-		boolean wanted = this.parts.manager.active() || silent || this.parts.lease.known().version() == 0
+		long every = (givingUp) ? READ_GIVING_UP_MILLIS
+				: (this.parts.manager.lone()) ? this.parts.timing.authority() / 3
+						: (this.parts.manager.active()) ? managerPeriod() : READ_MEMBER_MILLIS;
+		boolean wanted = givingUp || this.parts.manager.active() || silent || this.parts.lease.known().version() == 0
 				|| !this.parts.lease.known().row().has(this.parts.me.key());
 		if (wanted && this.parts.timers.readDue(now, every)) {
 			this.parts.access.read(now).ifPresent(this.parts.out::add);
--- a/core/src/test/java/org/brasspier/core/ownership/OwnershipMachineTests.java
+++ b/core/src/test/java/org/brasspier/core/ownership/OwnershipMachineTests.java
@@ -1,6 +1,7 @@
 package org.brasspier.core.ownership;
 
 import java.util.List;
+import java.util.Optional;
 
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -118,6 +119,23 @@
 		assertSound();
 	}
 
+	// A server is silent for a moment while the table is down. Its ranges were given up
+	// at
+	// once, to nobody, and for the whole outage. They wait for the table now.
+	@Test
+	void theRangesOfALostServerAreGivenUpOnlyOnceTheTableAnswers() {
+		ModelProcess plain = this.cell.plain();
+		this.cell.storeDown = true;
+		this.cell.run(plain, plain.machine.backend(MemberPhase.DRAINING, Optional.empty(), plain.clock(this.cell.now)));
+		this.cell.run(plain, plain.machine.backendLost(plain.clock(this.cell.now)));
+		this.cell.run(5 * ONE_SECOND);
+		assertSound();
+		this.cell.storeDown = false;
+		this.cell.run(2 * ONE_SECOND);
+		assertThat(plain.serves(this.cell.now)).isEmpty();
+		assertSound();
+	}
+
 	// Both managers vanish. The members that are left take over; what the two owned waits
 	// until one of them is back, since the two might only be cut off together.
 	@Test
--- a/integration/src/test/java/org/brasspier/integration/StoreFaultTests.java
+++ b/integration/src/test/java/org/brasspier/integration/StoreFaultTests.java
@@ -122,6 +122,23 @@
 		scene.awaitRecovered(more);
 	}
 
+	// While the store is down a server stands still for a moment, as in a long garbage
+	// collection. Its daemon gave the ranges up at once, nobody could be given them, and
+	// it might not take them back: callers of a server that was well again were turned
+	// away for as long as the store was down.
+	@Test
+	void aServerThatStoodStillDuringAnOutageServesOnBeforeTheStoreAnswers() {
+		StandInInstance still = plainMember();
+		List<OwnedRange> ranges = scene.deployment().ownedBy(still);
+		scene.deployment().platform().faults(PlatformFaults.OUTAGE);
+		scene.awaitAnswers();
+		int before = scene.callers().records().size();
+		still.server().pause();
+		Await.until("callers are turned away", () -> !unanswered(before).isEmpty());
+		still.server().resume();
+		scene.awaitRecovered(ranges);
+	}
+
 	// Not a lease manager: with the store down, the other one's authority would end, and
 	// the cell would stop until the store answers, as docs/DESIGN.md says.
 	private static StandInInstance plainMember() {
