Keep a message's header fields until they are read, and check the echo

Cause: ActiveJ keeps header fields as places in the buffer read from the socket. A body that ends that buffer is that buffer, and taking the body gave it back to the pool that all threads share, before the fields were read. Under load another thread's read overwrote them: a posting was refused with 400 for an id that its caller had sent, and an answer lost its fields, "not run" among them. The body's buffers are now left to the collector.

Also seen on the way: an order that followed another at once opened a second connection beside the one that the library had not taken back yet, unseen by the count of connections; it now waits for that turn. Connections that rested a second were still used for up to another, since the library looks once a second.

An answer that repeats another request's id or another fence is now refused as BAD_ANSWER; the stand-in repeats both.

Ruled out: the library's pool itself (three to 24 threads, 39 to 118 million operations, no buffer given twice), heads split over reads, the fault proxy's pipes (by reading). Tried and dropped: taking the pool out of use by its minimal size; buffers that are referred to twice are then given back too early (an assertion of the library, found by BadInputTests).

It explains orders and answers with bodies; the lookup that once reached the stand-in without its fields (no body) is not explained by it.

--- a/daemon/src/main/java/org/brasspier/daemon/internal/backend/BackendClient.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/backend/BackendClient.java
@@ -103,7 +103,7 @@
 	 */
 	public BackendRun run(BackendOrder order) {
 		BackendConnection connection = order.request().requestClass().idempotent() ? connection() : lately();
-		Run run = new Run(order.request().target().method(), connection);
+		Run run = new Run(order, connection);
 		try {
 			run.begin(message(order), order.waitMillis());
 		}
@@ -117,8 +117,10 @@
 	}
 
 	private BackendConnection connection() {
+		long now = System.nanoTime();
 		BackendConnection resting = this.idle.pollFirst();
-		while (resting != null && !resting.open()) {
+		while (resting != null && !resting.usable(now)) {
+			resting.close();
 			resting = this.idle.pollFirst();
 		}
 		return (resting != null) ? resting : new BackendConnection(this.reactor);
@@ -133,6 +135,13 @@
 				: new BackendConnection(this.reactor);
 	}
 
+	private void rest(BackendConnection connection) {
+		if (connection.open()) {
+			connection.rests(System.nanoTime());
+			this.idle.addFirst(connection);
+		}
+	}
+
 	private HttpRequest message(BackendOrder order) {
 		CallerRequest request = order.request();
 		HttpRequest.Builder builder = HttpRequest
@@ -156,14 +165,16 @@
 	 */
 	private final class Run implements BackendRun {
 
-		private final String method;
+		private final BackendOrder order;
 
 		private final BackendConnection connection;
 
 		private final SettablePromise<BackendReply> reply = new SettablePromise<>();
 
-		Run(String method, BackendConnection connection) {
-			this.method = method;
+		private boolean ended;
+
+		Run(BackendOrder order, BackendConnection connection) {
+			this.order = order;
 			this.connection = connection;
 		}
 
@@ -201,16 +212,29 @@
 				if (ex != null) {
 					end(new BackendReply.BadAnswer("the answer was cut short or too large: " + ex.getMessage()), false);
 				}
+				else if (!answers(response)) {
+					end(new BackendReply.BadAnswer("the answer names another request id or fence"), false);
+				}
 				else {
 					end(reply(response, body), true);
 				}
 			});
 		}
 
+		// A server may repeat the order's id and fence. An answer that names others
+		// belongs
+		// to another order: relayed, a crew would get another crew's record.
+		private boolean answers(HttpResponse response) {
+			String id = response.getHeader(ID);
+			String fence = response.getHeader(FENCE);
+			return (id == null || id.equals(this.order.request().id().value()))
+					&& (fence == null || fence.equals(this.order.held().fence().toString()));
+		}
+
 		private boolean lengthStated(HttpResponse response) {
 			return response.hasHeader(HttpHeaders.CONTENT_LENGTH) || response.hasHeader(HttpHeaders.TRANSFER_ENCODING)
 					|| response.getCode() == NO_CONTENT || response.getCode() == NOT_MODIFIED
-					|| this.method.equals(HttpMethod.HEAD.name());
+					|| this.order.request().target().method().equals(HttpMethod.HEAD.name());
 		}
 
 		private BackendReply reply(HttpResponse response, byte[] body) {
@@ -236,19 +260,28 @@
 		}
 
 		private void end(BackendReply end, boolean reusable) {
-			if (this.reply.isComplete()) {
+			if (this.ended) {
 				return;
 			}
+			this.ended = true;
 			if (reusable) {
-				this.connection.rests(System.nanoTime());
-				BackendClient.this.idle.addFirst(this.connection);
+				whenFree(() -> {
+					rest(this.connection);
+					this.reply.set(end);
+				});
 			}
-			this.reply.set(end);
-			if (!reusable) {
+			else {
+				this.reply.set(end);
 				this.connection.close();
 			}
 		}
 
+		// The library has the connection back two turns of the loop after the body's end.
+		// An order that came sooner would open a second one beside it.
+		private void whenFree(Runnable task) {
+			BackendClient.this.reactor.post(() -> BackendClient.this.reactor.post(task));
+		}
+
 		@Override
 		public Promise<BackendReply> reply() {
 			return this.reply;
--- a/daemon/src/main/java/org/brasspier/daemon/internal/backend/BackendConnection.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/backend/BackendConnection.java
@@ -82,7 +82,12 @@
 		return ex instanceof ConnectException || ex instanceof AsyncTimeoutException;
 	}
 
-	// Whether the connection is open, so that it can be used again.
+	// Whether it can be used again. The library looks for connections that rested too
+	// long once a second only; a server may have closed one by then.
+	boolean usable(long nowNanos) {
+		return open() && restedNanos(nowNanos) < KEEP_ALIVE.toNanos();
+	}
+
 	boolean open() {
 		return this.socket.filter((opened) -> !opened.isClosed()).isPresent();
 	}
--- a/daemon/src/main/java/org/brasspier/daemon/internal/loop/WholeBody.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/loop/WholeBody.java
@@ -10,8 +10,15 @@
 
 /**
  * Reads the body of an HTTP message up to a limit. ActiveJ's own loading does not end
- * when a chunked body passes its limit, so a caller would hang until a timeout. Belongs
- * to the thread of its message.
+ * when a chunked body passes its limit, so a caller would hang until a timeout.
+ *
+ * <p>
+ * It gives no buffer back to the library's pool. A message's header fields are places in
+ * the buffer that was read from the socket, and a body that ends that buffer is the same
+ * buffer: once given back, another thread's next read would overwrite fields that this
+ * one has yet to look at. That shows under load as a request without its key, an answer
+ * with another message's fields, or a "not run" that is not seen. The collector takes the
+ * buffers. Belongs to the thread of its message.
  */
 public final class WholeBody {
 
@@ -49,7 +56,7 @@
 				this.whole.trySet(this.body.toByteArray());
 			}
 			else {
-				take(buf.asArray());
+				take(buf.getArray());
 			}
 		});
 	}
--- a/standins/src/main/java/org/brasspier/standins/OrderRunner.java
+++ b/standins/src/main/java/org/brasspier/standins/OrderRunner.java
@@ -23,6 +23,10 @@
 
 	private static final HttpHeader RAN = HttpHeaders.of("Brasspier-Ran");
 
+	private static final HttpHeader ID = HttpHeaders.of("Brasspier-Request-Id");
+
+	private static final HttpHeader FENCE = HttpHeaders.of("Brasspier-Fence");
+
 	private static final int COLD_FACTOR = 3;
 
 	private static final int CRASH_STATUS = 86;
@@ -122,7 +126,7 @@
 			return refused(order, atMicros);
 		}
 		this.history.order(ServerRecord.Kind.TOOK_EFFECT, atMicros, order, "");
-		return HttpResponse.ok200()
+		return answer(order, 200)
 			.withJson(GSON.toJson(new EchoedAnswer(order.id(), order.key(), this.flags.service, this.flags.name,
 					order.fence(), "x".repeat(plan.padding()), EchoedAnswer.END)))
 			.toPromise();
@@ -143,7 +147,11 @@
 
 	private Promise<HttpResponse> notRun(Order order, int status, String why) {
 		this.history.order(ServerRecord.Kind.NOT_RUN, ServerHistory.nowMicros(), order, why);
-		return HttpResponse.ofCode(status).withHeader(RAN, "not_run").withPlainText(why).toPromise();
+		return answer(order, status).withHeader(RAN, "not_run").withPlainText(why).toPromise();
+	}
+
+	private static HttpResponse.Builder answer(Order order, int status) {
+		return HttpResponse.ofCode(status).withHeader(ID, order.id()).withHeader(FENCE, Long.toString(order.fence()));
 	}
 
 	private long workMillis(Order order, WorkPlan plan) {
