Cut no request off when a daemon stops as planned

Cause: ActiveJ's server closes resting connections the moment it is closed, so a posting on its way over one was reset and ended as POSSIBLY_RAN_BEFORE. Answers now promise two seconds of reuse (Keep-Alive: timeout=2); a leaving daemon refuses new connections first, goes on answering on open ones until the promise is over, and ends once other daemons have sent nothing for 400 ms. The stand-in caller keeps to the promise; its connections rested up to 21 s before. The time to leave is 5 s, since the platform kills after 6.

--- a/daemon/src/main/java/org/brasspier/daemon/internal/caller/CallerPort.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/caller/CallerPort.java
@@ -10,6 +10,7 @@
 import com.codahale.metrics.MetricRegistry;
 import io.activej.async.exception.AsyncTimeoutException;
 import io.activej.http.AsyncServlet;
+import io.activej.http.HttpHeader;
 import io.activej.http.HttpHeaderValue;
 import io.activej.http.HttpHeaders;
 import io.activej.http.HttpRequest;
@@ -43,8 +44,13 @@
 	/** A caller that stops halfway through its head or body is cut off after this. */
 	private static final Duration HALF_REQUEST_TIMEOUT = Duration.ofSeconds(10);
 
+	/** Longer than any caller may use a connection again, see {@link CallerListener}. */
 	private static final Duration KEEP_ALIVE = Duration.ofSeconds(60);
 
+	private static final HttpHeaderValue REUSE = HttpHeaderValue.of("timeout=" + CallerListener.REUSE.toSeconds());
+
+	private static final HttpHeader KEEP_ALIVE_FIELD = HttpHeaders.of("Keep-Alive");
+
 	private static final long NANOS_PER_MILLI = 1_000_000;
 
 	private final RequestRouter router;
@@ -94,11 +100,10 @@
 	 * Builds the listening server.
 	 * @param reactor the reactor of the thread of requests
 	 * @param context where to listen, and for how long a planned stop may last
-	 * @return a server to be told to listen
+	 * @return the port, to be told to listen
 	 */
-	public HttpServer listenOn(NioReactor reactor, DaemonContext context) {
-		return HttpServer.builder(reactor, this)
-			.withListenAddress(context.settings().listen().callers())
+	public CallerListener listenOn(NioReactor reactor, DaemonContext context) {
+		HttpServer server = HttpServer.builder(reactor, this)
 			.withReadWriteTimeout(HALF_REQUEST_TIMEOUT)
 			.withKeepAliveTimeout(KEEP_ALIVE)
 			.withServeTimeoutShutdown(Duration.ofMillis(context.settings().limits().maxLeaveMillis()))
@@ -106,11 +111,12 @@
 			.withInspector(this.connections)
 			.withHttpErrorFormatter((ex) -> Promise.of(internalError(ex)))
 			.build();
+		return new CallerListener(reactor, server, context.settings().listen().callers());
 	}
 
 	/**
-	 * Closes each connection after its next answer from now on, so that callers go
-	 * elsewhere.
+	 * Tells callers with each answer from now on to use its connection no more, so that
+	 * they go elsewhere.
 	 */
 	public void leave() {
 		this.leaving = true;
@@ -186,8 +192,8 @@
 		}
 	}
 
-	// What can't be read is refused; its connection is closed, since the rest of the body
-	// may still be on its way.
+	// What can't be read is refused; its connection is not to be used again, since the
+	// rest of the body may still be on its way.
 	private Promise<HttpResponse> refuse(Failure failure) {
 		count(failure.kind());
 		this.events.record(EventKind.BAD_CALLER_INPUT, "caller port", failure.kind() + ": " + failure.detail());
@@ -202,10 +208,8 @@
 	}
 
 	private static HttpResponse finish(HttpResponse.Builder builder, boolean close) {
-		if (close) {
-			builder.withHeader(HttpHeaders.CONNECTION, HttpHeaderValue.of("close"));
-		}
-		return builder.build();
+		return (close) ? builder.withHeader(HttpHeaders.CONNECTION, HttpHeaderValue.of("close")).build()
+				: builder.withHeader(KEEP_ALIVE_FIELD, REUSE).build();
 	}
 
 	private Optional<String> owner(CallerRequest request) {
--- a/daemon/src/main/java/org/brasspier/daemon/internal/request/ForwardServer.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/request/ForwardServer.java
@@ -51,6 +51,8 @@
 
 	private final Counter refused;
 
+	private long latestRequestNanos = System.nanoTime();
+
 	/**
 	 * Creates a server that does not listen yet.
 	 * @param settings this instance, the shared keys and where to listen
@@ -79,6 +81,11 @@
 		return SimpleServer.builder(reactor, this::accept).withListenAddress(this.settings.listen().forwards()).build();
 	}
 
+	// When another daemon last sent a request or an order.
+	long latestRequestNanos() {
+		return this.latestRequestNanos;
+	}
+
 	private void accept(ITcpSocket socket) {
 		Promises
 			.timeout(HANDSHAKE_TIMEOUT,
@@ -156,6 +163,7 @@
 		}
 
 		private Cancellation begin(long exchange) throws WireException {
+			ForwardServer.this.latestRequestNanos = System.nanoTime();
 			Cancellation cancellation = new Cancellation();
 			if (this.running.put(exchange, cancellation) != null) {
 				throw new WireException("exchange %d was opened twice".formatted(exchange));
--- a/daemon/src/main/java/org/brasspier/daemon/internal/request/RequestPath.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/request/RequestPath.java
@@ -21,6 +21,7 @@
 import org.brasspier.daemon.internal.backend.BackendPort;
 import org.brasspier.daemon.internal.backend.BackendWatch;
 import org.brasspier.daemon.internal.backend.GrantsKeeper;
+import org.brasspier.daemon.internal.caller.CallerListener;
 import org.brasspier.daemon.internal.caller.CallerPort;
 import org.brasspier.daemon.internal.measure.OutcomeMeter;
 import org.brasspier.daemon.internal.ownership.RequestsOrder;
@@ -38,6 +39,9 @@
 
 	private static final long NANOS_PER_MILLI = 1_000_000;
 
+	/** Two heartbeats and the way of the messages. */
+	private static final long ROUTES_KNOWN_NANOS = 400_000_000;
+
 	private static final Duration RETRY_WINDOW = Duration.ofSeconds(30);
 
 	/** How often the end of all that is in flight is looked for during a planned stop. */
@@ -67,10 +71,12 @@
 
 	private final CallerPort callerPort;
 
-	private final HttpServer callers;
+	private final CallerListener callers;
 
 	private final HttpServer backends;
 
+	private final ForwardServer forwardServer;
+
 	private final SimpleServer forwards;
 
 	RequestPath(NioReactor reactor, DaemonContext context, RequestsDuty.Known known, OwnershipReports reports) {
@@ -102,9 +108,9 @@
 			.builder(reactor, new BackendPort(this.watch, this::drained, context.events(), context.metrics()))
 			.withListenAddress(settings.listen().backend())
 			.build();
-		this.forwards = new ForwardServer(settings, this.ownerGate, this.serverGate, known.ownership(),
-				context.events(), context.metrics())
-			.listenOn(reactor);
+		this.forwardServer = new ForwardServer(settings, this.ownerGate, this.serverGate, known.ownership(),
+				context.events(), context.metrics());
+		this.forwards = this.forwardServer.listenOn(reactor);
 	}
 
 	private static PostingDesk desk(NioReactor reactor, DaemonContext context) {
@@ -169,19 +175,33 @@
 
 	void leave() {
 		this.callerPort.leave();
+		this.callers.refuseNew();
 	}
 
+	// Called once all ranges are handed over.
 	void close(Runnable idle) {
-		this.callers.close().whenComplete(() -> whenIdle(idle));
+		long begunNanos = System.nanoTime();
+		this.callers.close(() -> whenIdle(begunNanos, idle));
 	}
 
-	private void whenIdle(Runnable idle) {
-		if (this.inFlight.size() == 0 && this.serverGate.running() == 0 && this.serverGate.waiting() == 0) {
+	private void whenIdle(long begunNanos, Runnable idle) {
+		boolean nothingInFlight = this.inFlight.size() == 0 && this.serverGate.running() == 0
+				&& this.serverGate.waiting() == 0;
+		if (nothingInFlight && forwardsQuiet(begunNanos)) {
 			idle.run();
 		}
 		else {
-			this.reactor.delay(LOOK_AGAIN, () -> whenIdle(idle));
+			this.reactor.delay(LOOK_AGAIN, () -> whenIdle(begunNanos, idle));
 		}
 	}
 
+	// A frame that is on its way when the link is closed leaves the daemon that sent it
+	// with an unknown outcome. Other daemons know of the next owner a heartbeat and a
+	// renewal after the ranges have gone, and send nothing here any more.
+	private boolean forwardsQuiet(long begunNanos) {
+		long now = System.nanoTime();
+		return now - begunNanos >= ROUTES_KNOWN_NANOS
+				&& now - this.forwardServer.latestRequestNanos() >= ROUTES_KNOWN_NANOS;
+	}
+
 }
--- a/daemon/src/main/java/org/brasspier/daemon/internal/settings/Flags.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/settings/Flags.java
@@ -66,6 +66,6 @@
 	String logFormat = "text";
 
 	@Parameter(names = "--max-leave-millis", description = "how long a planned stop may take, in milliseconds")
-	int maxLeaveMillis = 60_000;
+	int maxLeaveMillis = 5_000;
 
 }
--- a/standins/src/main/java/org/brasspier/standins/CallerClient.java
+++ b/standins/src/main/java/org/brasspier/standins/CallerClient.java
@@ -28,7 +28,11 @@
 	/** Callers wait this much longer than the deadline that they tell. */
 	private static final int GRACE_MILLIS = 300;
 
-	private static final Duration KEEP_ALIVE = Duration.ofSeconds(20);
+	/**
+	 * The daemons' answers allow two seconds ({@code Keep-Alive}); the library looks for
+	 * connections that rested too long once a second.
+	 */
+	private static final Duration KEEP_ALIVE = Duration.ofMillis(500);
 
 	/** A connection that is silent for longer than any attempt lasts is given up. */
 	private static final Duration IDLE = Duration.ofMillis(1500);
