--- a/core/src/main/java/org/brasspier/core/ownership/RowSide.java
+++ b/core/src/main/java/org/brasspier/core/ownership/RowSide.java
@@ -75,11 +75,12 @@
 		if (!this.parts.lease.adopt(row)) {
 			return;
 		}
-		change.marks().forEach(this.parts.out::add);
 		this.parts.out.publish();
 		change.events().forEach(this.parts.out::add);
 		this.parts.takeover.adopt(row.row(), now);
-		if (change.newEpoch()) {
+		// Who waited to be let in, as after a restart until its former life was out of
+		// the row, was renewed by nobody: no sign that the managers are lost.
+		if (change.newEpoch() || change.joined()) {
 			this.parts.managerHeardAt = now;
 		}
 		boolean newPair = this.parts.manager.adopt(row, now);
