--- a/daemon/src/main/java/org/brasspier/daemon/internal/operator/OperatorsDuty.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/operator/OperatorsDuty.java
@@ -4,7 +4,9 @@
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
 
 import io.activej.dns.DnsClient;
@@ -22,6 +24,7 @@
 import org.brasspier.daemon.internal.ownership.DocumentVersions;
 import org.brasspier.daemon.internal.ownership.OwnershipOrders;
 import org.brasspier.daemon.internal.platform.HttpPlatform;
+import org.brasspier.daemon.internal.request.GateView;
 import org.brasspier.daemon.internal.settings.Settings;
 
 /**
@@ -55,6 +58,8 @@
 
 	private final Supplier<CellView> cell;
 
+	private final Supplier<GateView> gate;
+
 	private final OwnershipOrders orders;
 
 	private Optional<DocumentService> documents = Optional.empty();
@@ -64,13 +69,15 @@
 	 * @param context what every duty needs
 	 * @param ownership what this instance holds and knows now
 	 * @param cell what this daemon knows of its cell now
+	 * @param gate what runs and waits at the gate to the backend server now
 	 * @param orders who carries out orders about ownership
 	 */
 	public OperatorsDuty(DaemonContext context, Supplier<OwnershipSnapshot> ownership, Supplier<CellView> cell,
-			OwnershipOrders orders) {
+			Supplier<GateView> gate, OwnershipOrders orders) {
 		this.context = context;
 		this.ownership = ownership;
 		this.cell = cell;
+		this.gate = gate;
 		this.orders = orders;
 	}
 
@@ -90,7 +97,7 @@
 			.withReadWriteTimeout(CALL_TIMEOUT)
 			.build();
 		HttpPlatform platform = new HttpPlatform(http, settings.platform().table(), settings.platform().objectStore(),
-				settings.secrets().platformToken());
+				this.context.secrets());
 		PeerClient peers = new PeerClient(http, this.context, this.cell);
 		DocumentService service = new DocumentService(platform, platform, this.context.documents(), peers,
 				this.context.events(), this::managing);
@@ -100,7 +107,7 @@
 				() -> this.context.documents().inForce().document().acceptedSecrets());
 		OperatorPort.Calls calls = new OperatorPort.Calls(
 				new DocumentCalls(this.context.documents(), service, this.context.events()),
-				new CellCalls(this.context, this.ownership, this.cell),
+				new CellCalls(this.context, this.ownership, this.cell, this.gate),
 				new OrderCalls(this.orders, this.context.events()),
 				new EventCalls(settings.instance(), this.context.events()), new MeasureCalls(this.context, keeper),
 				new MetricsText(this.context.metrics()), new PeerCalls(this.context));
@@ -109,13 +116,18 @@
 			.build()
 			.listen();
 		this.documents = Optional.of(service);
-		this.context.metrics().registerAll(new DaemonGauges(this.context, this.ownership, this.cell));
+		this.context.metrics().registerAll(new DaemonGauges(this.context, this.ownership, this.cell, this.gate));
 		repeat(reactor, TICK, service::tick);
 		repeat(reactor, SLOW_TICK, () -> keeper.tick(this.cell.get(), primary()));
-		settings.secrets()
-			.operatorSecretsFile()
-			.map((file) -> new SecretsFile(Path.of(file), secrets, this.context.events()))
-			.ifPresent((file) -> repeat(reactor, SLOW_TICK, file::readAnew));
+		Settings.SecretFiles files = settings.secrets().files();
+		follow(files.operatorSecrets(), "operators", secrets::replace);
+		follow(files.sharedKeys(), "peers", this.context.secrets()::replaceSharedKeys);
+		follow(files.platformTokens(), "platform", this.context.secrets()::replacePlatformTokens);
+	}
+
+	private void follow(Optional<Path> file, String whose, Predicate<List<String>> replace) {
+		file.map((path) -> new SecretsFile(path, whose, replace, this.context.events()))
+			.ifPresent((reader) -> repeat(this.duty.reactor(), SLOW_TICK, reader::readAnew));
 	}
 
 	private static void repeat(NioReactor reactor, Duration period, Runnable task) {
