--- a/integration/src/test/java/org/brasspier/integration/FaultMixTests.java
+++ b/integration/src/test/java/org/brasspier/integration/FaultMixTests.java
@@ -3,7 +3,6 @@
 import java.util.stream.LongStream;
 
 import org.brasspier.bench.demo.FaultTrial;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -20,7 +19,6 @@
 	// Faults of the brief come together or twice, at any moment: losses, pauses, planned
 	// stops, partitions, a store that is down, slow or loses answers. Whatever the mix,
 	// once it is over each service is served, and no promise was broken meanwhile.
-	@Tag("known-red")
 	@ParameterizedTest
 	@ValueSource(longs = { 1, 6, 11, 16 })
 	void aMixOfFaultsBreaksNoPromise(long first) {
