--- a/core/src/main/java/org/brasspier/core/admission/AdmissionController.java
+++ b/core/src/main/java/org/brasspier/core/admission/AdmissionController.java
@@ -37,7 +37,7 @@
 
 	private final CallerShares shares = new CallerShares();
 
-	private final RetryTimes retryTimes = new RetryTimes();
+	private final Map<RequestClass, RetryTimes> retryTimes = new EnumMap<>(RequestClass.class);
 
 	private final Map<RequestClass, ClassQueue> queues = new EnumMap<>(RequestClass.class);
 
@@ -79,6 +79,9 @@
 		if (request.deadlineNanos() - now <= 0) {
 			return new Refuse(Failure.of(ErrorKind.DEADLINE_PASSED, "the deadline passed on the way"));
 		}
+		if (hopeless(request, now)) {
+			return new Refuse(overloaded("the deadline can't be met", request.requestClass(), now));
+		}
 		if (queue(request.requestClass()).isEmpty() && this.slots.free(request.requestClass(), now)) {
 			start(request, now);
 			return new Run();
@@ -86,6 +89,18 @@
 		return enqueue(request, now);
 	}
 
+	// A caller's last resend, with less time left than its work takes. Even with a
+	// free slot it would mostly run in vain, end as "unknown" and be paid for by others.
+	// An idle server takes it all the same, or an estimate that a stall has raised would
+	// refuse everything for good.
+	private boolean hopeless(PendingRequest request, long now) {
+		return !this.running.isEmpty() && now > latestUsefulStart(request);
+	}
+
+	private long latestUsefulStart(PendingRequest request) {
+		return request.deadlineNanos() - (long) this.times.mean(request.requestClass());
+	}
+
 	/**
 	 * Takes back the slot of a request.
 	 * @param id the number of a request that was to run; unknown ones are ignored
@@ -231,6 +246,10 @@
 			}
 			case BROKEN -> this.times.observeAtLeast(requestClass, took);
 			case SHED -> this.slots.observed().shed(ended.concurrency());
+			case NOT_BEGUN -> {
+				// A refused fence at the first order taught a limit of one slot, which
+				// turned callers away for a minute.
+			}
 		}
 	}
 
@@ -262,8 +281,7 @@
 	// told at once instead of shortly before the deadline.
 	private long latestStart(PendingRequest request, long now) {
 		RequestClass requestClass = request.requestClass();
-		long forDeadline = request.deadlineNanos() - (long) (this.times.mean(requestClass) / 2);
-		return Math.min(forDeadline, now + this.settings.of(requestClass).longestWait().toNanos());
+		return Math.min(latestUsefulStart(request), now + this.settings.of(requestClass).longestWait().toNanos());
 	}
 
 	private List<RefusedRequest> giveUpLate(long now) {
@@ -314,11 +332,17 @@
 	}
 
 	private Failure overloaded(String detail, RequestClass requestClass, long now) {
-		double turn = this.times.mean(requestClass) / this.slots.usable();
-		Duration pause = this.retryTimes.next(now, expectedWait(requestClass, now), turn);
+		double turn = Math.max(this.times.mean(requestClass) / this.slots.usable(), queueTurn(requestClass, now));
+		Duration pause = this.retryTimes.computeIfAbsent(requestClass, (key) -> new RetryTimes())
+			.next(now, expectedWait(requestClass, now), turn);
 		return new Failure(ErrorKind.OVERLOADED, detail, pause);
 	}
 
+	// Where other classes go first, the queue moves slower than the server does.
+	private double queueTurn(RequestClass requestClass, long now) {
+		return queue(requestClass).isEmpty() ? 0 : pace(requestClass).expectedNanos(1, now);
+	}
+
 	private ClassQueue queue(RequestClass requestClass) {
 		return this.queues.computeIfAbsent(requestClass, (key) -> new ClassQueue(this.shares));
 	}
--- a/core/src/test/java/org/brasspier/core/admission/AdmissionControllerTests.java
+++ b/core/src/test/java/org/brasspier/core/admission/AdmissionControllerTests.java
@@ -84,6 +84,34 @@
 		assertThat(failure.retryAfter().toMillis()).isAtLeast(50);
 	}
 
+	/**
+	 * A teller's lookup ends as "unknown" though a free slot took it: it was its last
+	 * resend, with less time left than the work takes, so it ran in vain. An idle server
+	 * must take even that, or a wrong estimate would never be put right.
+	 */
+	@Test
+	void aRequestWithTooLittleTimeLeftTakesAFreeSlotOnlyOfAnIdleServer() {
+		offer(RequestClass.LOOKUP, CREW, 1000);
+		this.admission.finished(1, RunOutcome.ANSWERED, 100 * MILLI);
+		assertThat(this.admission.offer(request(RequestClass.LOOKUP, CREW, 120), 100 * MILLI)).isInstanceOf(Run.class);
+		assertThat(this.admission.offer(request(RequestClass.LOOKUP, CREW, 120), 100 * MILLI))
+			.isInstanceOf(Refuse.class);
+		assertThat(this.admission.offer(request(RequestClass.LOOKUP, CREW, 300), 100 * MILLI)).isInstanceOf(Run.class);
+	}
+
+	/**
+	 * Tellers are turned away though nine tenths of the slots are free: the first order
+	 * after a move met a refused fence, or its caller was gone, and that was taken for a
+	 * server that sheds, so only one slot was used until 50 answers later.
+	 */
+	@Test
+	void whatNeverBeganTeachesNothingOfTheServersSlots() {
+		offer(RequestClass.LOOKUP, CREW, 1000);
+		this.admission.finished(1, RunOutcome.NOT_BEGUN, MILLI);
+		offer(RequestClass.LOOKUP, CREW, 1000);
+		assertThat(offer(RequestClass.LOOKUP, CREW, 1000)).isInstanceOf(Run.class);
+	}
+
 	@Test
 	void aWaitingRequestWhoseDeadlineComesIsGivenUpWithoutRunning() {
 		fill();
@@ -106,6 +134,23 @@
 		assertThat(distinct).isAtLeast(70);
 	}
 
+	/**
+	 * A teller who could be served in a tenth of a second is told to come back in ten:
+	 * auditors were refused before, and all who were refused stood in one line.
+	 */
+	@Test
+	void refusedLookupsAreNotToldToComeBackAfterRefusedAuditReaders() {
+		fill();
+		IntStream.range(0, 200).forEach((i) -> offer(RequestClass.AUDIT, CREW, 60_000));
+		Failure failure = IntStream.range(0, 100)
+			.mapToObj((i) -> offer(RequestClass.LOOKUP, CREW, 1000))
+			.filter(Refuse.class::isInstance)
+			.map((refuse) -> ((Refuse) refuse).failure())
+			.findFirst()
+			.orElseThrow();
+		assertThat(failure.retryAfter().toMillis()).isLessThan(1000);
+	}
+
 	/**
 	 * A crew's lookup at a marina is turned away although the crew asks for little: one
 	 * office's script fills the queue first. The office's last request must make room.
