Tell members what changed in the row instead of the whole row

Now a primary tells the difference from the row before, with a digest of the outcome. A receiver whose row is another version, or comes out otherwise, asks for the whole row; newcomers get it anyway, and heartbeats go on fetching it for who is behind. A heartbeat that left before the difference came no longer fetches the whole row a second time.

Ruled out: a history of rows at the managers, so that who missed one difference gets several. It saves one row after a broken connection and costs state that each search for two owners must follow.

--- a/core/src/main/java/org/brasspier/core/ownership/ControlMessage.java
+++ b/core/src/main/java/org/brasspier/core/ownership/ControlMessage.java
@@ -95,6 +95,24 @@
 
 	}
 
+	/**
+	 * What changed in the row, after the new one was certainly written.
+	 *
+	 * @param delta the difference
+	 */
+	record RowDifference(RowDelta delta) implements ControlMessage {
+
+	}
+
+	/**
+	 * Asks for the whole row: a difference came that doesn't apply to the sender's.
+	 *
+	 * @param version the version of the row the sender knows
+	 */
+	record RowRequest(long version) implements ControlMessage {
+
+	}
+
 	/**
 	 * A process asks to be a member, or says that it has changed.
 	 *
--- a/core/src/main/java/org/brasspier/core/ownership/OwnershipMachine.java
+++ b/core/src/main/java/org/brasspier/core/ownership/OwnershipMachine.java
@@ -112,6 +112,8 @@
 			case ControlMessage.Beat beat -> this.managing.beat(from, beat, now);
 			case ControlMessage.BeatAnswer answer -> this.managing.beatAnswer(from, answer, now);
 			case ControlMessage.RowUpdate update -> this.rows.adopt(update.row(), now);
+			case ControlMessage.RowDifference difference -> this.rows.change(from, difference.delta(), now);
+			case ControlMessage.RowRequest request -> this.rows.whole(from, request.version());
 			case ControlMessage.Announce announce -> this.managing.announce(from, announce, now);
 			case ControlMessage.Release release -> this.member.release(release.ranges());
 			case ControlMessage.Released released ->
--- /dev/null
+++ b/core/src/main/java/org/brasspier/core/ownership/RowDelta.java
@@ -0,0 +1,123 @@
+package org.brasspier.core.ownership;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+
+import org.brasspier.core.InstanceId;
+import org.brasspier.core.KeyRange;
+import org.brasspier.core.ServiceName;
+
+/**
+ * What differs between two versions of the row. A move changes one range of hundreds, so
+ * the whole row for each member would be most of what a primary sends. Who has another
+ * base, or whose row doesn't come out as the sender's, gets the whole row. Immutable and
+ * thread-safe.
+ *
+ * @param base the version that it applies to
+ * @param version the version that it leads to
+ * @param digest the {@link RowDigest} of the row that it leads to
+ * @param changed the new row with only those members and ranges that are new or different
+ * @param goneMembers members of the base that are none any more
+ * @param goneRanges ranges of the base that are none any more, as after a split
+ */
+public record RowDelta(long base, long version, long digest, CellRow changed, List<InstanceId> goneMembers,
+		List<Place> goneRanges) {
+
+	/**
+	 * Copies the lists.
+	 */
+	public RowDelta {
+		goneMembers = List.copyOf(goneMembers);
+		goneRanges = List.copyOf(goneRanges);
+	}
+
+	/**
+	 * Finds what differs.
+	 * @param from the base
+	 * @param to the row to lead to
+	 * @return the difference
+	 */
+	public static RowDelta between(VersionedRow from, VersionedRow to) {
+		CellRow before = from.row();
+		CellRow after = to.row();
+		Set<InstanceId> staying = instances(after).collect(Collectors.toSet());
+		Set<Place> kept = places(after).collect(Collectors.toSet());
+		CellRow changed = after.withMembers(without(after.members(), before.members()))
+			.withRanges(without(after.ranges(), before.ranges()));
+		return new RowDelta(from.version(), to.version(), RowDigest.of(after), changed,
+				instances(before).filter((instance) -> !staying.contains(instance)).toList(),
+				places(before).filter((place) -> !kept.contains(place)).toList());
+	}
+
+	private static <T> List<T> without(List<T> all, List<T> known) {
+		Set<T> unchanged = new HashSet<>(known);
+		return all.stream().filter((one) -> !unchanged.contains(one)).toList();
+	}
+
+	private static Stream<InstanceId> instances(CellRow row) {
+		return row.members().stream().map(MemberInfo::instance);
+	}
+
+	private static Stream<Place> places(CellRow row) {
+		return row.ranges().stream().map(Place::of);
+	}
+
+	/**
+	 * Whether telling the difference costs less than the whole row.
+	 * @return false if most of the row is new
+	 */
+	boolean worthwhile(CellRow whole) {
+		int told = this.changed.ranges().size() + this.goneRanges.size();
+		return told < whole.ranges().size();
+	}
+
+	/**
+	 * Makes the row out of its base.
+	 * @param known the row that the receiver knows
+	 * @return the row, empty if that is another base or the outcome is not what the
+	 * sender has
+	 */
+	public Optional<VersionedRow> applyTo(VersionedRow known) {
+		if (known.version() != this.base) {
+			return Optional.empty();
+		}
+		CellRow row = this.changed.withMembers(members(known.row())).withRanges(ranges(known.row()));
+		return (RowDigest.of(row) == this.digest) ? Optional.of(new VersionedRow(this.version, row)) : Optional.empty();
+	}
+
+	private List<MemberInfo> members(CellRow before) {
+		Set<InstanceId> replaced = new HashSet<>(this.goneMembers);
+		instances(this.changed).forEach(replaced::add);
+		List<MemberInfo> members = new ArrayList<>(this.changed.members());
+		before.members().stream().filter((member) -> !replaced.contains(member.instance())).forEach(members::add);
+		return members;
+	}
+
+	private List<RangeState> ranges(CellRow before) {
+		Set<Place> replaced = new HashSet<>(this.goneRanges);
+		places(this.changed).forEach(replaced::add);
+		List<RangeState> ranges = new ArrayList<>(this.changed.ranges());
+		before.ranges().stream().filter((range) -> !replaced.contains(Place.of(range))).forEach(ranges::add);
+		return ranges;
+	}
+
+	/**
+	 * Where a range lies, whoever owns it.
+	 *
+	 * @param service the service
+	 * @param range the points
+	 */
+	public record Place(ServiceName service, KeyRange range) {
+
+		static Place of(RangeState state) {
+			return new Place(state.service(), state.range());
+		}
+
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/brasspier/core/ownership/RowDigest.java
@@ -0,0 +1,88 @@
+package org.brasspier.core.ownership;
+
+import java.util.Collection;
+import java.util.Optional;
+import java.util.function.Consumer;
+
+import com.dynatrace.hash4j.hashing.HashStream64;
+import com.dynatrace.hash4j.hashing.Hashing;
+import org.brasspier.core.InstanceId;
+
+/**
+ * A number that tells whether two processes have the same row. It guards against a base
+ * that carries the same version but other contents, as after the platform restored its
+ * table: a difference applied to it would make two members read different owners out of
+ * one version. Every version of the program must compute the same number, or it falls
+ * back to whole rows. Stateless and thread-safe.
+ */
+final class RowDigest {
+
+	private RowDigest() {
+	}
+
+	static long of(CellRow row) {
+		HashStream64 hash = Hashing.komihash5_0().hashStream();
+		hash.putLong(row.epoch());
+		optional(hash, row.managers(), (pair) -> put(hash, pair));
+		all(hash, row.unclosed(), (pair) -> put(hash, pair));
+		all(hash, row.members(), (member) -> put(hash, member));
+		all(hash, row.drained().stream().map(InstanceId::value).sorted().toList(), hash::putString);
+		all(hash, row.ranges(), (range) -> put(hash, range));
+		optional(hash, row.challenger(), (key) -> put(hash, key));
+		return hash.getAsLong();
+	}
+
+	private static <T> void all(HashStream64 hash, Collection<T> entries, Consumer<T> each) {
+		hash.putInt(entries.size());
+		entries.forEach(each);
+	}
+
+	private static <T> void optional(HashStream64 hash, Optional<T> entry, Consumer<T> each) {
+		hash.putBoolean(entry.isPresent());
+		entry.ifPresent(each);
+	}
+
+	private static void put(HashStream64 hash, MemberKey key) {
+		hash.putString(key.instance().value());
+		hash.putInt(key.incarnation());
+	}
+
+	private static void put(HashStream64 hash, ManagerPair pair) {
+		hash.putLong(pair.epoch());
+		put(hash, pair.primary());
+		optional(hash, pair.secondary(), (key) -> put(hash, key));
+	}
+
+	private static void put(HashStream64 hash, MemberInfo member) {
+		put(hash, member.key());
+		hash.putString(member.domain().value());
+		hash.putString(member.address().host());
+		hash.putInt(member.address().controlPort());
+		hash.putInt(member.address().forwardPort());
+		hash.putInt(member.address().callerPort());
+		hash.putInt(member.address().operatorPort());
+		hash.putInt(member.phase().ordinal());
+		optional(hash, member.backend(), (backend) -> put(hash, backend));
+	}
+
+	private static void put(HashStream64 hash, MemberInfo.Backend backend) {
+		hash.putString(backend.service().value());
+		hash.putInt(backend.slots());
+		hash.putBoolean(backend.checksFences());
+		hash.putInt(backend.coldStartMillis());
+		hash.putInt(backend.guardMillis());
+	}
+
+	private static void put(HashStream64 hash, RangeState range) {
+		hash.putString(range.service().value());
+		hash.putLong(range.range().low());
+		hash.putLong(range.range().high());
+		optional(hash, range.owner(), (owner) -> hash.putString(owner.value()));
+		hash.putLong(range.fence().value());
+		all(hash, range.marks(), (mark) -> {
+			hash.putLong(mark.requestHash());
+			hash.putInt(mark.crashes());
+		});
+	}
+
+}
--- a/core/src/main/java/org/brasspier/core/ownership/RowSide.java
+++ b/core/src/main/java/org/brasspier/core/ownership/RowSide.java
@@ -71,7 +71,8 @@
 	}
 
 	void adopt(VersionedRow row, long now) {
-		RowChange change = new RowChange(this.parts.me.key(), this.parts.lease.known(), row);
+		VersionedRow before = this.parts.lease.known();
+		RowChange change = new RowChange(this.parts.me.key(), before, row);
 		if (!this.parts.lease.adopt(row)) {
 			return;
 		}
@@ -89,7 +90,10 @@
 		this.parts.memory.adopt(row, now);
 		this.parts.timers.rowChanged();
 		if (this.parts.manager.primary()) {
-			pushToAll(row);
+			pushToAll(before, row);
+		}
+		if (this.parts.manager.active()) {
+			notePushed(row.row(), now);
 		}
 		if (newPair && this.parts.manager.peer().isPresent()) {
 			this.parts.beat(now);
@@ -100,13 +104,45 @@
 		}
 	}
 
-	void pushToAll(VersionedRow row) {
+	// Made for moves one after another in a full cell: the whole row to each member was
+	// 39 KB for a move among 12. Most members have the row before, so they are told what
+	// changed; a newcomer has none, and who lost one asks.
+	private void pushToAll(VersionedRow before, VersionedRow row) {
+		RowDelta delta = RowDelta.between(before, row);
+		boolean worthwhile = before.version() > 0 && delta.worthwhile(row.row());
+		ControlMessage whole = new ControlMessage.RowUpdate(row);
+		ControlMessage difference = (worthwhile) ? new ControlMessage.RowDifference(delta) : whole;
 		row.row()
 			.members()
 			.stream()
-			.map(MemberInfo::instance)
-			.filter((instance) -> !instance.equals(this.parts.me.instance()))
-			.forEach((instance) -> this.parts.out.send(instance, new ControlMessage.RowUpdate(row)));
+			.filter((member) -> !member.instance().equals(this.parts.me.instance()))
+			.forEach((member) -> this.parts.out.send(member.instance(),
+					before.row().has(member.key()) ? difference : whole));
+	}
+
+	// A heartbeat that left before the member learnt of the new row would else fetch the
+	// whole one although the difference is on its way.
+	private void notePushed(CellRow row, long now) {
+		row.members().forEach((member) -> this.parts.timers.pushDue(member.instance(), now, 0));
+	}
+
+	void change(InstanceId from, RowDelta delta, long now) {
+		if (delta.version() <= this.parts.lease.known().version()) {
+			return;
+		}
+		Optional<VersionedRow> next = delta.applyTo(this.parts.lease.known());
+		if (next.isPresent()) {
+			adopt(next.get(), now);
+		}
+		else if (this.parts.timers.rowRequestDue(now, PUSH_MILLIS)) {
+			this.parts.out.send(from, new ControlMessage.RowRequest(this.parts.lease.known().version()));
+		}
+	}
+
+	void whole(InstanceId to, long version) {
+		if (version < this.parts.lease.known().version()) {
+			this.parts.out.send(to, new ControlMessage.RowUpdate(this.parts.lease.known()));
+		}
 	}
 
 	void pushIfBehind(InstanceId to, long version, long now) {
--- a/core/src/main/java/org/brasspier/core/ownership/Timers.java
+++ b/core/src/main/java/org/brasspier/core/ownership/Timers.java
@@ -95,6 +95,10 @@
 		return due(Kind.EPOCH, now, every);
 	}
 
+	boolean rowRequestDue(long now, long every) {
+		return due(Kind.ROW_REQUEST, now, every);
+	}
+
 	boolean takeoverDue(long now, long every) {
 		return due(Kind.TAKEOVER, now, every);
 	}
@@ -127,7 +131,7 @@
 
 	private enum Kind {
 
-		READ, HEARTBEAT, ANNOUNCE, RELEASED, BEAT, RELEASE, PROBE, EPOCH, TAKEOVER, BALANCE
+		READ, HEARTBEAT, ANNOUNCE, RELEASED, BEAT, RELEASE, PROBE, EPOCH, TAKEOVER, BALANCE, ROW_REQUEST
 
 	}
 
--- a/core/src/test/java/org/brasspier/core/ownership/OwnershipMachineTests.java
+++ b/core/src/test/java/org/brasspier/core/ownership/OwnershipMachineTests.java
@@ -1,7 +1,9 @@
 package org.brasspier.core.ownership;
 
 import java.util.List;
+import java.util.Set;
 
+import org.brasspier.core.InstanceId;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
@@ -84,6 +86,25 @@
 		assertSound();
 	}
 
+	// A member's connection breaks just as a range moves, so it misses one difference.
+	// The
+	// next one doesn't apply to its row: it must ask for the whole row, or it would go on
+	// routing callers to the former owner.
+	@Test
+	void aMemberThatMissedADifferenceAsksForTheWholeRow() {
+		ModelProcess member = this.cell.plain();
+		VersionedRow known = member.machine.view().known();
+		VersionedRow missed = new VersionedRow(known.version() + 1, known.row());
+		VersionedRow next = new VersionedRow(known.version() + 2, known.row().withDrained(Set.of(member.instance)));
+		InstanceId primary = this.cell.primary().instance;
+		long now = member.clock(this.cell.now);
+		assertThat(
+				member.machine.received(primary, new ControlMessage.RowDifference(RowDelta.between(missed, next)), now))
+			.contains(new OwnershipAction.Send(primary, new ControlMessage.RowRequest(known.version())));
+		member.machine.received(primary, new ControlMessage.RowUpdate(next), now);
+		assertThat(member.machine.view().known()).isEqualTo(next);
+	}
+
 	// The table goes away for five minutes. Owners are renewed by the managers and serve
 	// on.
 	@Test
--- a/wire/src/main/java/org/brasspier/wire/ControlCodec.java
+++ b/wire/src/main/java/org/brasspier/wire/ControlCodec.java
@@ -14,6 +14,7 @@
 import org.brasspier.core.ownership.MemberInfo;
 import org.brasspier.core.ownership.MemberKey;
 import org.brasspier.core.ownership.RangeLoad;
+import org.brasspier.core.ownership.RowDelta;
 import org.brasspier.core.ownership.VersionedRow;
 import org.brasspier.core.placement.PlacementInput.HotPoint;
 
@@ -52,6 +53,10 @@
 
 	private static final int ORDER_ANSWER = 13;
 
+	private static final int ROW_DIFFERENCE = 14;
+
+	private static final int ROW_REQUEST = 15;
+
 	private static final int ORDER_DRAIN = 1;
 
 	private static final int ORDER_MOVE = 2;
@@ -101,6 +106,9 @@
 			}
 			case ControlMessage.RowUpdate(VersionedRow row) ->
 				RowFrames.write(out.number(ROW_UPDATE).number(row.version()), row.row());
+			case ControlMessage.RowDifference(RowDelta delta) ->
+				RowFrames.writeDelta(out.number(ROW_DIFFERENCE), delta);
+			case ControlMessage.RowRequest(long version) -> out.number(ROW_REQUEST).number(version);
 			case ControlMessage.Announce(MemberInfo member) -> RowFrames.writeMember(out.number(ANNOUNCE), member);
 			case ControlMessage.Release(List<HeldRange> ranges) -> {
 				out.number(RELEASE).count(ranges.size());
@@ -153,6 +161,8 @@
 				case BEAT_ANSWER -> new ControlMessage.BeatAnswer(in.small(), in.number(), in.number(), in.flag(),
 						in.number(), in.list((frame) -> new ControlMessage.Promised(readKey(frame), frame.number())));
 				case ROW_UPDATE -> new ControlMessage.RowUpdate(new VersionedRow(in.number(), RowFrames.read(in)));
+				case ROW_DIFFERENCE -> new ControlMessage.RowDifference(RowFrames.readDelta(in));
+				case ROW_REQUEST -> new ControlMessage.RowRequest(in.number());
 				case ANNOUNCE -> new ControlMessage.Announce(RowFrames.readMember(in));
 				case RELEASE -> new ControlMessage.Release(in.list(ControlCodec::readHeld));
 				case RELEASED -> new ControlMessage.Released(in.small(), in.list(ControlCodec::readReleased));
--- a/wire/src/main/java/org/brasspier/wire/RowFrames.java
+++ b/wire/src/main/java/org/brasspier/wire/RowFrames.java
@@ -21,6 +21,7 @@
 import org.brasspier.core.ownership.MemberKey;
 import org.brasspier.core.ownership.MemberPhase;
 import org.brasspier.core.ownership.RangeState;
+import org.brasspier.core.ownership.RowDelta;
 import org.brasspier.core.routing.PeerAddress;
 
 /**
@@ -55,6 +56,27 @@
 		return new CellRow(epoch, managers, unclosed, members, drained, readRanges(in), challenger);
 	}
 
+	static void writeDelta(FrameWriter out, RowDelta delta) {
+		out.number(delta.base()).number(delta.version()).number(delta.digest());
+		write(out, delta.changed());
+		out.count(delta.goneMembers().size());
+		delta.goneMembers().forEach((instance) -> out.text(instance.value()));
+		out.count(delta.goneRanges().size());
+		delta.goneRanges()
+			.forEach((place) -> out.text(place.service().value())
+				.number(place.range().low())
+				.number(place.range().high()));
+	}
+
+	static RowDelta readDelta(FrameReader in) throws WireException {
+		return new RowDelta(in.number(), in.number(), in.number(), read(in),
+				in.list((frame) -> new InstanceId(frame.text())), in.list(RowFrames::readPlace));
+	}
+
+	private static RowDelta.Place readPlace(FrameReader in) throws WireException {
+		return new RowDelta.Place(new ServiceName(in.text()), new KeyRange(in.number(), in.number()));
+	}
+
 	private static void writeRanges(FrameWriter out, CellRow row) {
 		List<InstanceId> owners = row.ranges().stream().flatMap((range) -> range.owner().stream()).distinct().toList();
 		Map<InstanceId, Integer> numbers = new LinkedHashMap<>();
