Read the cell's row only if it has changed

Cause: each manager reads the row every 4 s to show that it reaches the table, and the answer carried the whole row: 10.4 KB with 64 ranges in a cell of 24, so 2.6 KB/s of the 10 KB/s that a node may spend on control.

A read now names the version that is known, and the table answers 304 without a value. A table that ignores the header answers 200 as before. What a read shows is unchanged: the same version is the same row.

--- a/core/src/main/java/org/brasspier/core/ownership/OwnershipMachine.java
+++ b/core/src/main/java/org/brasspier/core/ownership/OwnershipMachine.java
@@ -69,6 +69,14 @@
 		return this.parts.view();
 	}
 
+	/**
+	 * The newest row that this process knows.
+	 * @return the row, {@link VersionedRow#NONE} before it knows any
+	 */
+	public VersionedRow known() {
+		return this.parts.known();
+	}
+
 	/**
 	 * Does what is due. Called some ten times in each heartbeat's span.
 	 * @param now the time
--- a/daemon/src/main/java/org/brasspier/daemon/internal/ownership/OwnershipDuty.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/ownership/OwnershipDuty.java
@@ -181,8 +181,7 @@
 		if (other != null) {
 			return Optional.of(new InetSocketAddress(other.host(), other.control()));
 		}
-		return this.machine.view()
-			.known()
+		return this.machine.known()
 			.row()
 			.member(instance)
 			.map(MemberInfo::address)
@@ -253,7 +252,7 @@
 
 	private void read() {
 		this.tableReads.mark();
-		this.store.read((row) -> run(row.map((known) -> this.machine.rowRead(known, now()))
+		this.store.read(this.machine.known(), (row) -> run(row.map((known) -> this.machine.rowRead(known, now()))
 			.orElseGet(() -> this.machine.readFailed(now()))));
 	}
 
--- a/daemon/src/main/java/org/brasspier/daemon/internal/ownership/RowStore.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/ownership/RowStore.java
@@ -3,6 +3,7 @@
 import java.util.Optional;
 import java.util.function.Consumer;
 
+import io.activej.promise.Promise;
 import io.vavr.control.Either;
 import org.brasspier.core.Failure;
 import org.brasspier.core.event.EventKind;
@@ -39,14 +40,26 @@
 		this.events = events;
 	}
 
-	void read(Consumer<Optional<VersionedRow>> done) {
-		this.table.read(this.key)
-			.whenResult((row) -> done.accept(row.map(this::decode).orElse(Optional.of(VersionedRow.NONE))))
-			.whenResult(() -> reached(true, ""))
-			.whenException((ex) -> {
-				reached(false, String.valueOf(ex.getMessage()));
-				done.accept(Optional.empty());
-			});
+	/**
+	 * Reads the row. Most reads only show that the table is reached and has the row that
+	 * is known: some 10 KB of a full cell, which then stay where they are.
+	 * @param known the row that is known
+	 * @param done told the row, or empty if it can't be read or trusted
+	 */
+	void read(VersionedRow known, Consumer<Optional<VersionedRow>> done) {
+		Promise<Optional<VersionedRow>> row = (known.version() == 0) ? this.table.read(this.key).map(this::found)
+				: this.table.readUnless(this.key, known.version()).map((result) -> switch (result) {
+					case TableService.ReadResult.Unchanged unchanged -> Optional.of(known);
+					case TableService.ReadResult.Found(Optional<TableService.Row> now) -> found(now);
+				});
+		row.whenResult(done::accept).whenResult(() -> reached(true, "")).whenException((ex) -> {
+			reached(false, String.valueOf(ex.getMessage()));
+			done.accept(Optional.empty());
+		});
+	}
+
+	private Optional<VersionedRow> found(Optional<TableService.Row> row) {
+		return row.map(this::decode).orElse(Optional.of(VersionedRow.NONE));
 	}
 
 	private Optional<VersionedRow> decode(TableService.Row row) {
--- a/daemon/src/main/java/org/brasspier/daemon/internal/platform/HttpPlatform.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/platform/HttpPlatform.java
@@ -23,6 +23,10 @@
 
 	private static final HttpHeader IF_VERSION = HttpHeaders.of("If-Version");
 
+	private static final HttpHeader UNLESS_VERSION = HttpHeaders.of("Unless-Version");
+
+	private static final int NOT_MODIFIED = 304;
+
 	private static final int MAX_VALUE_BYTES = 4 << 20;
 
 	private final HttpClient http;
@@ -49,8 +53,19 @@
 
 	@Override
 	public Promise<Optional<Row>> read(String key) {
-		return call(request(HttpMethod.GET, this.tableUrl + key)).then((answer) -> (answer.code() == 200)
-				? Promise.of(Optional.of(new Row(answer.version(), answer.body()))) : absent(answer));
+		return call(request(HttpMethod.GET, this.tableUrl + key)).then(HttpPlatform::row);
+	}
+
+	@Override
+	public Promise<ReadResult> readUnless(String key, long known) {
+		return call(request(HttpMethod.GET, this.tableUrl + key).withHeader(UNLESS_VERSION, Long.toString(known)))
+			.then((answer) -> (answer.code() == NOT_MODIFIED) ? Promise.of(new ReadResult.Unchanged())
+					: row(answer).map(ReadResult.Found::new));
+	}
+
+	private static Promise<Optional<Row>> row(Reply answer) {
+		return (answer.code() == 200) ? Promise.of(Optional.of(new Row(answer.version(), answer.body())))
+				: absent(answer);
 	}
 
 	@Override
--- a/daemon/src/main/java/org/brasspier/daemon/internal/platform/TableService.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/platform/TableService.java
@@ -16,6 +16,17 @@
 	 */
 	Promise<Optional<Row>> read(String key);
 
+	/**
+	 * Reads a row if it has another version than the one that is known, which spares the
+	 * bytes of one that rarely changes.
+	 * @param key the row's key
+	 * @param known the version that is known, at least 1
+	 * @return the row as it is now, which may have the known version all the same; a
+	 * {@link ReadResult.Unchanged} if it still has the known version; or a
+	 * {@link StoreException}
+	 */
+	Promise<ReadResult> readUnless(String key, long known);
+
 	/**
 	 * Writes a row if it still has the expected version.
 	 * @param key the row's key
@@ -36,6 +47,27 @@
 
 	}
 
+	/**
+	 * What a conditional read found.
+	 */
+	sealed interface ReadResult {
+
+		/** The row still has the known version. */
+		record Unchanged() implements ReadResult {
+
+		}
+
+		/**
+		 * The row as it is now.
+		 *
+		 * @param row empty if there is none
+		 */
+		record Found(Optional<Row> row) implements ReadResult {
+
+		}
+
+	}
+
 	/**
 	 * What became of a conditional write.
 	 */
--- a/daemon/src/test/java/org/brasspier/daemon/internal/document/FakePlatform.java
+++ b/daemon/src/test/java/org/brasspier/daemon/internal/document/FakePlatform.java
@@ -46,6 +46,12 @@
 		return (this.down) ? unavailable() : Promise.of(Optional.ofNullable(this.rows.get(key)));
 	}
 
+	@Override
+	public Promise<ReadResult> readUnless(String key, long known) {
+		return read(key).map((row) -> (row.filter((now) -> now.version() == known).isPresent())
+				? new ReadResult.Unchanged() : new ReadResult.Found(row));
+	}
+
 	@Override
 	public Promise<WriteResult> write(String key, long expectedVersion, byte[] value) {
 		run(this.beforeWrite, () -> this.beforeWrite = NOTHING);
--- a/standins/src/main/java/org/brasspier/standins/PlatformStandIn.java
+++ b/standins/src/main/java/org/brasspier/standins/PlatformStandIn.java
@@ -45,6 +45,8 @@
 
 	private static final HttpHeader IF_VERSION = HttpHeaders.of("If-Version");
 
+	private static final HttpHeader UNLESS_VERSION = HttpHeaders.of("Unless-Version");
+
 	private static final Pattern VALID_NAME = Pattern.compile("[a-zA-Z0-9._/-]{1,512}");
 
 	private static final Gson GSON = new Gson();
@@ -165,7 +167,7 @@
 		int half = this.faults.slowMillis() / 2;
 		return request.loadBody(MAX_BODY_BYTES)
 			.then((body) -> pause(half, body.getArray()))
-			.then((body) -> (write) ? write(request, path, body) : read(path))
+			.then((body) -> (write) ? write(request, path, body) : read(request, path))
 			.then((response) -> pause(half, response));
 	}
 
@@ -183,13 +185,9 @@
 		});
 	}
 
-	private Promise<HttpResponse> read(String path) {
+	private Promise<HttpResponse> read(HttpRequest request, String path) {
 		if (path.startsWith("/table/")) {
-			Row row = this.table.get(path.substring("/table/".length()));
-			return (row != null) ? HttpResponse.ok200()
-				.withHeader(VERSION, Long.toString(row.version()))
-				.withBody(row.value().clone())
-				.toPromise() : status(404);
+			return readRow(request, path.substring("/table/".length()));
 		}
 		if (path.startsWith("/objects/")) {
 			byte[] body = this.objects.get(path.substring("/objects/".length()));
@@ -198,6 +196,18 @@
 		return status(404);
 	}
 
+	private Promise<HttpResponse> readRow(HttpRequest request, String key) {
+		Row row = this.table.get(key);
+		if (row == null) {
+			return status(404);
+		}
+		String version = Long.toString(row.version());
+		boolean known = version.equals(request.getHeader(UNLESS_VERSION));
+		HttpResponse.Builder answer = (known) ? HttpResponse.ofCode(304)
+				: HttpResponse.ok200().withBody(row.value().clone());
+		return answer.withHeader(VERSION, version).toPromise();
+	}
+
 	private Promise<HttpResponse> write(HttpRequest request, String path, byte[] body) {
 		if (path.startsWith("/table/")) {
 			return writeRow(request, path.substring("/table/".length()), body);
