Send what managers tell each other in one segment

What one turn of the loop sends to one peer leaves in one segment. A secondary beats along with its answer to the primary's beat, and by itself only if none came for half as long again; managers' heartbeats go with a beat that is due about then. Answers are not held back: a confirmation that waited for the next beat would take 100 ms from the time for which a survivor may go on.

--- a/bench/src/main/java/org/brasspier/bench/capacity/CellSlopes.java
+++ b/bench/src/main/java/org/brasspier/bench/capacity/CellSlopes.java
@@ -86,7 +86,7 @@
 
 	private static double wireBytes(SimulatedCell cell, InstanceId instance) {
 		SimulatedCell.Counts counts = cell.counts(instance);
-		return perSecond(counts.frameBytes() + counts.frames() * HEADER_BYTES);
+		return perSecond(counts.frameBytes() + counts.segments() * HEADER_BYTES);
 	}
 
 	private static double perSecond(long count) {
--- a/bench/src/main/java/org/brasspier/bench/capacity/SimulatedCell.java
+++ b/bench/src/main/java/org/brasspier/bench/capacity/SimulatedCell.java
@@ -1,11 +1,14 @@
 package org.brasspier.bench.capacity;
 
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.TreeMap;
 import java.util.stream.IntStream;
+import java.util.stream.Stream;
 
 import org.brasspier.core.FailureDomain;
 import org.brasspier.core.InstanceId;
@@ -47,8 +50,14 @@
 
 	private static final ServiceName SERVICE = new ServiceName("hullbook");
 
+	/** As long as Linux waits for something to send an acknowledgement with. */
+	private static final int ACK_MILLIS = 40;
+
 	private final Map<InstanceId, Process> processes = new HashMap<>();
 
+	/** When a process received what it has sent nothing back for. */
+	private final Map<Way, Long> unacknowledged = new HashMap<>();
+
 	private VersionedRow row = VersionedRow.NONE;
 
 	private long now;
@@ -126,11 +135,11 @@
 		long end = this.now + millis;
 		while (this.now < end) {
 			this.now += TICK_MILLIS;
-			this.processes.keySet()
-				.stream()
-				.sorted()
-				.toList()
-				.forEach((instance) -> step(instance, (machine) -> machine.tick(this.now)));
+			this.processes.keySet().stream().sorted().toList().forEach((instance) -> {
+				step(instance, (machine) -> machine.tick(this.now));
+				flush(instance);
+			});
+			acknowledge();
 		}
 	}
 
@@ -207,14 +216,57 @@
 		Process sender = process(from);
 		long begin = System.nanoTime();
 		byte[] frame = ControlCodec.encode(send.message(), STAMP);
-		sender.sent(frame.length, System.nanoTime() - begin);
-		if (!this.processes.containsKey(send.to())) {
+		sender.nanos += System.nanoTime() - begin;
+		sender.outgoing.computeIfAbsent(send.to(), (to) -> new ArrayList<>()).add(frame);
+	}
+
+	// As a daemon does at the end of each turn of its loop: all for one peer in a
+	// segment.
+	private void flush(InstanceId from) {
+		if (!this.processes.containsKey(from)) {
 			return;
 		}
-		begin = System.nanoTime();
-		ControlMessage message = decode(frame);
-		process(send.to()).received(frame.length, System.nanoTime() - begin);
-		step(send.to(), (machine) -> machine.received(from, message, this.now));
+		Map<InstanceId, List<byte[]>> segments = Map.copyOf(process(from).outgoing);
+		process(from).outgoing.clear();
+		segments.forEach((to, frames) -> deliver(new Way(from, to), frames));
+	}
+
+	private void deliver(Way way, List<byte[]> frames) {
+		if (!this.processes.containsKey(way.to())) {
+			return;
+		}
+		count(way, frames.stream().mapToInt((frame) -> frame.length).sum());
+		frames.forEach((frame) -> {
+			Process receiver = process(way.to());
+			long begin = System.nanoTime();
+			ControlMessage message = decode(frame);
+			receiver.nanos += System.nanoTime() - begin;
+			receiver.kind(message, frame.length);
+			process(way.from()).kind(message, frame.length);
+			step(way.to(), (machine) -> machine.received(way.from(), message, this.now));
+		});
+		this.unacknowledged.putIfAbsent(way.back(), this.now);
+		this.unacknowledged.remove(way);
+		flush(way.to());
+	}
+
+	private void acknowledge() {
+		this.unacknowledged.entrySet()
+			.stream()
+			.filter((entry) -> this.now - entry.getValue() >= ACK_MILLIS)
+			.map(Map.Entry::getKey)
+			.toList()
+			.forEach((way) -> {
+				this.unacknowledged.remove(way);
+				count(way, 0);
+			});
+	}
+
+	private void count(Way way, int bytes) {
+		Stream.of(way.from(), way.to()).map(this.processes::get).filter(Objects::nonNull).forEach((process) -> {
+			process.segments++;
+			process.frameBytes += bytes;
+		});
 	}
 
 	private static ControlMessage decode(byte[] frame) {
@@ -238,14 +290,29 @@
 
 	}
 
+	/**
+	 * One direction between two processes.
+	 *
+	 * @param from the sender
+	 * @param to the receiver
+	 */
+	private record Way(InstanceId from, InstanceId to) {
+
+		Way back() {
+			return new Way(this.to, this.from);
+		}
+
+	}
+
 	/**
 	 * What a process sent, received and computed.
 	 *
-	 * @param frames frames sent and received
-	 * @param frameBytes the bytes of those frames
+	 * @param segments segments sent and received, acknowledgements included
+	 * @param frameBytes the bytes of the frames in them
 	 * @param nanos the time its decisions and codecs took, in nanoseconds
+	 * @param kinds the bytes of the frames by kind of message
 	 */
-	record Counts(long frames, long frameBytes, long nanos) {
+	record Counts(long segments, long frameBytes, long nanos, Map<String, Long> kinds) {
 
 	}
 
@@ -253,7 +320,11 @@
 
 		private final OwnershipMachine machine;
 
-		private long frames;
+		private final Map<InstanceId, List<byte[]>> outgoing = new HashMap<>();
+
+		private final Map<String, Long> kinds = new TreeMap<>();
+
+		private long segments;
 
 		private long frameBytes;
 
@@ -263,24 +334,19 @@
 			this.machine = machine;
 		}
 
-		void sent(int bytes, long encodingNanos) {
-			this.frames++;
-			this.frameBytes += bytes;
-			this.nanos += encodingNanos;
-		}
-
-		void received(int bytes, long decodingNanos) {
-			sent(bytes, decodingNanos);
+		void kind(ControlMessage message, int bytes) {
+			this.kinds.merge(message.getClass().getSimpleName(), (long) bytes, Long::sum);
 		}
 
 		Counts counts() {
-			return new Counts(this.frames, this.frameBytes, this.nanos);
+			return new Counts(this.segments, this.frameBytes, this.nanos, Map.copyOf(this.kinds));
 		}
 
 		void reset() {
-			this.frames = 0;
+			this.segments = 0;
 			this.frameBytes = 0;
 			this.nanos = 0;
+			this.kinds.clear();
 		}
 
 	}
--- a/core/src/main/java/org/brasspier/core/ownership/ManagerSide.java
+++ b/core/src/main/java/org/brasspier/core/ownership/ManagerSide.java
@@ -22,9 +22,12 @@
 
 	private final RowSide rows;
 
-	ManagerSide(ProcessParts parts, RowSide rows) {
+	private final MemberSide member;
+
+	ManagerSide(ProcessParts parts, RowSide rows, MemberSide member) {
 		this.parts = parts;
 		this.rows = rows;
+		this.member = member;
 	}
 
 	private ManagerChoice choice() {
@@ -33,8 +36,8 @@
 
 	void managerWork(long now) {
 		CellRow row = this.parts.lease.known().row();
-		if (this.parts.manager.peer().isPresent() && this.parts.timers.beatDue(now, this.parts.timing.beat())) {
-			this.parts.beat(now);
+		if (this.parts.manager.peer().isPresent() && this.parts.timers.beatDue(now, beatEvery())) {
+			beatWithHeartbeat(now);
 		}
 		// Two managers that suspected each other while the table was down confirm nobody
 		// any
@@ -51,6 +54,22 @@
 		}
 	}
 
+	// The secondary's beat goes with its answer to the primary's. Only if none comes does
+	// it
+	// beat by itself, half as often again, so that the two don't beat at the same moment
+	// and each answer in a segment of its own.
+	private long beatEvery() {
+		long beat = this.parts.timing.beat();
+		return (this.parts.manager.primary()) ? beat : beat + beat / 2;
+	}
+
+	// Managers are members of each other: what they'd say soon goes in the same segment,
+	// whose headers are more than a heartbeat.
+	private void beatWithHeartbeat(long now) {
+		this.parts.beat(now);
+		this.member.heartbeatIfDue(this.parts.lease.known().row(), this.parts.timing.beat() / 2, now);
+	}
+
 	void replacePeer(CellRow row, long now) {
 		if (!this.parts.manager.stopped()) {
 			this.parts.out.tell(EventKind.MANAGER_SUSPECTED, this.parts.manager.peer().orElseThrow().instance(),
@@ -167,6 +186,10 @@
 		this.parts.manager.answer(new MemberKey(from, beat.incarnation()), beat, now)
 			.ifPresent((answer) -> this.parts.out.send(from, answer));
 		this.rows.pushIfBehind(from, beat.version(), now);
+		boolean answers = this.parts.manager.active() && !this.parts.manager.primary();
+		if (answers && this.parts.timers.beatDue(now, this.parts.timing.beat() / 2)) {
+			beatWithHeartbeat(now);
+		}
 	}
 
 	void beatAnswer(InstanceId from, ControlMessage.BeatAnswer answer, long now) {
--- a/core/src/main/java/org/brasspier/core/ownership/MemberSide.java
+++ b/core/src/main/java/org/brasspier/core/ownership/MemberSide.java
@@ -38,16 +38,21 @@
 		if (!shown && row.managers().isPresent() && this.parts.timers.announceDue(now, REPEAT_MILLIS)) {
 			toManagers(row, new ControlMessage.Announce(this.parts.me));
 		}
-		if (row.has(this.parts.me.key()) && this.parts.timers.heartbeatDue(now, this.parts.timing.heartbeat())) {
-			heartbeat(row, now);
-		}
+		heartbeatIfDue(row, 0, now);
 		List<ControlMessage.ReleasedRange> released = this.parts.lease.released();
 		if (!released.isEmpty() && this.parts.timers.releasedDue(now, REPEAT_MILLIS)) {
 			sendReleased(released);
 		}
 	}
 
-	void heartbeat(CellRow row, long now) {
+	void heartbeatIfDue(CellRow row, long early, long now) {
+		if (row.has(this.parts.me.key())
+				&& this.parts.timers.heartbeatDue(now, this.parts.timing.heartbeat() - early)) {
+			heartbeat(row, now);
+		}
+	}
+
+	private void heartbeat(CellRow row, long now) {
 		ControlMessage heartbeat = new ControlMessage.Heartbeat(this.parts.me.key().incarnation(), now, row.epoch(),
 				this.parts.lease.known().version(), this.parts.lease.leaseLeft(now), this.parts.document);
 		List<MemberKey> renewers = row.managers()
--- a/core/src/main/java/org/brasspier/core/ownership/OwnershipMachine.java
+++ b/core/src/main/java/org/brasspier/core/ownership/OwnershipMachine.java
@@ -50,7 +50,7 @@
 		this.parts = parts;
 		this.rows = new RowSide(parts);
 		this.member = new MemberSide(parts, this.rows);
-		this.managing = new ManagerSide(parts, this.rows);
+		this.managing = new ManagerSide(parts, this.rows, this.member);
 	}
 
 	OwnershipMachine copy() {
--- a/daemon/src/main/java/org/brasspier/daemon/internal/ownership/PeerLinks.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/ownership/PeerLinks.java
@@ -1,5 +1,6 @@
 package org.brasspier.daemon.internal.ownership;
 
+import java.io.ByteArrayOutputStream;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.ArrayDeque;
@@ -129,6 +130,10 @@
 
 		private final Deque<byte[]> waiting = new ArrayDeque<>();
 
+		private final ByteArrayOutputStream unsent = new ByteArrayOutputStream();
+
+		private boolean flushing;
+
 		private Optional<PeerConnection> current = Optional.empty();
 
 		private boolean dialing;
@@ -145,7 +150,7 @@
 
 		void send(byte[] frame, boolean expectsAnswer) {
 			if (this.current.isPresent()) {
-				write(this.current.get(), frame);
+				write(frame);
 				if (expectsAnswer && !this.unanswered) {
 					this.unanswered = true;
 					this.unansweredSince = System.nanoTime();
@@ -159,9 +164,23 @@
 			dial();
 		}
 
-		private void write(PeerConnection connection, byte[] frame) {
+		// What one step of the state machine sends to one peer, a manager's beat with its
+		// answer and its heartbeat, leaves in one segment: the headers of each are more
+		// than a frame.
+		private void write(byte[] frame) {
 			PeerLinks.this.sentBytes.accept(frame.length);
-			connection.send(frame);
+			this.unsent.write(frame, 0, frame.length);
+			if (!this.flushing) {
+				this.flushing = true;
+				PeerLinks.this.reactor.post(this::flush);
+			}
+		}
+
+		private void flush() {
+			this.flushing = false;
+			byte[] frames = this.unsent.toByteArray();
+			this.unsent.reset();
+			this.current.ifPresent((open) -> open.send(frames));
 		}
 
 		private void dial() {
@@ -197,7 +216,7 @@
 			});
 			connection.closed().whenResult(() -> closed(connection));
 			while (!this.waiting.isEmpty()) {
-				write(connection, this.waiting.removeFirst());
+				write(this.waiting.removeFirst());
 			}
 		}
 
