--- a/daemon/src/main/java/org/brasspier/daemon/internal/document/DocumentStore.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/document/DocumentStore.java
@@ -27,6 +27,9 @@
 
 	private final ObjectStore objects;
 
+	/** Managers read the row each second, and it changes some times an hour. */
+	private Optional<PointerRow> latest = Optional.empty();
+
 	DocumentStore(TableService table, ObjectStore objects) {
 		this.table = table;
 		this.objects = objects;
@@ -37,10 +40,22 @@
 	 * @return the row, empty if there is none, or a {@link StoreException}
 	 */
 	Promise<Optional<PointerRow>> pointer() {
-		return this.table.read(POINTER)
-			.then((row) -> (row.isEmpty()) ? Promise.of(Optional.empty())
-					: checked(DocumentCodec.decodePointer(row.get().value()))
-						.map((pointer) -> Optional.of(new PointerRow(row.get().version(), pointer))));
+		if (this.latest.isEmpty()) {
+			return this.table.read(POINTER).then((row) -> found(row));
+		}
+		return this.table.readUnless(POINTER, this.latest.get().rowVersion()).then((result) -> switch (result) {
+			case TableService.ReadResult.Unchanged unchanged -> Promise.of(this.latest);
+			case TableService.ReadResult.Found(Optional<TableService.Row> row) -> found(row);
+		});
+	}
+
+	private Promise<Optional<PointerRow>> found(Optional<TableService.Row> row) {
+		this.latest = Optional.empty();
+		return (row.isEmpty()) ? Promise.of(Optional.empty())
+				: checked(DocumentCodec.decodePointer(row.get().value())).map((pointer) -> {
+					this.latest = Optional.of(new PointerRow(row.get().version(), pointer));
+					return this.latest;
+				});
 	}
 
 	/**
