Take an instance that owns something where a test loses one

StoreFaultTests failed once at load average 43: the plain member that it picked was the one lost by the test before, back but without ranges yet, so there was nothing to lose. It waits now until the instance owns ranges.

--- a/integration/src/test/java/org/brasspier/integration/StoreFaultTests.java
+++ b/integration/src/test/java/org/brasspier/integration/StoreFaultTests.java
@@ -110,7 +110,10 @@
 	// the cell would stop until the store answers, as docs/DESIGN.md says.
 	private static StandInInstance plainMember() {
 		Managers managers = Managers.await(scene.deployment());
-		return scene.otherThan(managers.primary(), managers.secondary());
+		StandInInstance plain = scene.otherThan(managers.primary(), managers.secondary());
+		// It may be the one that the test before has lost, and just be coming back.
+		Await.until(plain.name() + " owns ranges", () -> !scene.deployment().ownedBy(plain).isEmpty());
+		return plain;
 	}
 
 	private static List<CallerRecord> unanswered(int from) {
