--- a/core/src/main/java/org/brasspier/core/ownership/RowChange.java
+++ b/core/src/main/java/org/brasspier/core/ownership/RowChange.java
@@ -20,6 +20,10 @@
 		return this.after.row().epoch() > this.before.row().epoch();
 	}
 
+	boolean joined() {
+		return this.after.row().has(this.self) && !this.before.row().has(this.self);
+	}
+
 	List<OwnershipAction> events() {
 		Stream<OwnershipAction> epoch = (newEpoch()) ? Stream.of(tell(EventKind.EPOCH_CHANGED, this.self.instance(),
 				"epoch %d under %s".formatted(this.after.row().epoch(), managers()))) : Stream.empty();
