Measure a manager's bytes by kind, duties' processor time, and a lost domain's writes

The model counts segments as a daemon sends them, acknowledgements, and the reads of the pointer; processor time is this thread's own, since on a busy machine the wall clock gave eight times as much. OwnershipBench measures from 75 s on, by duty.

--- a/bench/src/main/java/org/brasspier/bench/capacity/CapacityBench.java
+++ b/bench/src/main/java/org/brasspier/bench/capacity/CapacityBench.java
@@ -29,6 +29,7 @@
 				new EventSlopes())) {
 			slopes.addAll(suite.measure());
 		}
+		System.out.print(CellSlopes.primaryByKind());
 		Files.createDirectories(output);
 		Files.writeString(output.resolve("capacity.json"),
 				new GsonBuilder().setPrettyPrinting().create().toJson(slopes));
--- a/bench/src/main/java/org/brasspier/bench/capacity/CellSlopes.java
+++ b/bench/src/main/java/org/brasspier/bench/capacity/CellSlopes.java
@@ -1,9 +1,13 @@
 package org.brasspier.bench.capacity;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
 import java.util.function.Consumer;
 import java.util.function.ToDoubleFunction;
+import java.util.stream.Collectors;
 
 import org.brasspier.core.InstanceId;
 import org.brasspier.core.KeyRange;
@@ -43,6 +47,7 @@
 						(cell) -> perSecond(cell.tableCalls())),
 				changes("loss of a plain member, writes of the row", (cell) -> cell.lose(cell.plainMember())),
 				changes("loss of the primary, writes of the row", (cell) -> cell.lose(cell.primaryInstance())),
+				changes("loss of the primary's failure domain, writes of the row", SimulatedCell::loseDomainOfPrimary),
 				changes("replacement as planned, writes of the row", CellSlopes::replace)));
 		CellRow full = settled(MEMBERS[MEMBERS.length - 1]).row();
 		slopes.add(SlopeSuite.over("row of a cell of 24, size", "ranges", "bytes", RANGES,
@@ -54,6 +59,25 @@
 		return slopes;
 	}
 
+	/**
+	 * What a primary's bytes go to, for whoever looks for what to cut.
+	 * @return lines of a table
+	 */
+	static String primaryByKind() {
+		return Arrays.stream(MEMBERS).mapToObj((members) -> {
+			SimulatedCell cell = settled(members);
+			cell.run(COUNTED_MILLIS);
+			SimulatedCell.Counts counts = cell.counts(cell.primaryInstance());
+			Map<String, Long> kinds = new TreeMap<>();
+			counts.kinds().forEach((kind, bytes) -> kinds.put(kind, Math.round(perSecond(bytes))));
+			return "| %d | %.0f | %.0f | %s |".formatted(members, perSecond(counts.segments()),
+					perSecond(counts.segments() * HEADER_BYTES), kinds);
+		})
+			.collect(Collectors.joining("\n",
+					"| members | segments/s | headers, bytes/s | frames, bytes/s |\n| --- | --- | --- | --- |\n",
+					"\n"));
+	}
+
 	private static Slope overCells(String name, String unit, ToDoubleFunction<SimulatedCell> measurement) {
 		return SlopeSuite.over(name, "members", unit, MEMBERS, (members) -> {
 			SimulatedCell cell = settled(members);
--- a/bench/src/main/java/org/brasspier/bench/capacity/Probe.java
+++ b/bench/src/main/java/org/brasspier/bench/capacity/Probe.java
@@ -46,6 +46,15 @@
 		return median(samples);
 	}
 
+	/**
+	 * The processor time of this thread so far, which leaves out what other processes on
+	 * the machine take.
+	 * @return nanoseconds
+	 */
+	static long cpuNanos() {
+		return THREADS.getCurrentThreadCpuTime();
+	}
+
 	private static int runsWithin(Supplier<?> work, int millis) {
 		long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(millis);
 		int runs = 0;
--- a/bench/src/main/java/org/brasspier/bench/capacity/SimulatedCell.java
+++ b/bench/src/main/java/org/brasspier/bench/capacity/SimulatedCell.java
@@ -85,6 +85,18 @@
 		this.processes.remove(instance);
 	}
 
+	/**
+	 * Ends all processes of the failure domain that the primary is in.
+	 */
+	void loseDomainOfPrimary() {
+		FailureDomain domain = this.row.row().member(primaryInstance()).orElseThrow().domain();
+		this.row.row()
+			.members()
+			.stream()
+			.filter((member) -> member.domain().equals(domain))
+			.forEach((member) -> lose(member.instance()));
+	}
+
 	/**
 	 * Lets a member leave as planned.
 	 * @param instance which one
@@ -173,9 +185,9 @@
 
 	private void step(InstanceId instance, Step step) {
 		Process process = process(instance);
-		long begin = System.nanoTime();
+		long begin = Probe.cpuNanos();
 		List<OwnershipAction> actions = step.take(process.machine);
-		process.nanos += System.nanoTime() - begin;
+		process.nanos += Probe.cpuNanos() - begin;
 		actions.forEach((action) -> carryOut(instance, action));
 	}
 
@@ -212,9 +224,9 @@
 
 	private void send(InstanceId from, OwnershipAction.Send send) {
 		Process sender = process(from);
-		long begin = System.nanoTime();
+		long begin = Probe.cpuNanos();
 		byte[] frame = ControlCodec.encode(send.message(), STAMP);
-		sender.nanos += System.nanoTime() - begin;
+		sender.nanos += Probe.cpuNanos() - begin;
 		sender.outgoing.computeIfAbsent(send.to(), (to) -> new ArrayList<>()).add(frame);
 	}
 
@@ -236,9 +248,9 @@
 		count(way, frames.stream().mapToInt((frame) -> frame.length).sum());
 		frames.forEach((frame) -> {
 			Process receiver = process(way.to());
-			long begin = System.nanoTime();
+			long begin = Probe.cpuNanos();
 			ControlMessage message = decode(frame);
-			receiver.nanos += System.nanoTime() - begin;
+			receiver.nanos += Probe.cpuNanos() - begin;
 			receiver.kind(message, frame.length);
 			process(way.from()).kind(message, frame.length);
 			step(way.to(), (machine) -> machine.received(way.from(), message, this.now));
--- a/bench/src/main/java/org/brasspier/bench/capacity/WorkedOut.java
+++ b/bench/src/main/java/org/brasspier/bench/capacity/WorkedOut.java
@@ -31,6 +31,12 @@
 	/** The pointer to the document is read by both managers once a second. */
 	private static final double POINTER_READS = 2;
 
+	/**
+	 * A read that finds nothing new: some 130 bytes of request and 60 of answer, as the
+	 * HTTP client and the stand-in write them, in two segments and two acknowledgements.
+	 */
+	private static final double UNCHANGED_READ_BYTES = 190 + 4 * CellSlopes.HEADER_BYTES;
+
 	/**
 	 * Works the target size out.
 	 * @param slopes what was measured
@@ -39,14 +45,13 @@
 	 */
 	static List<WorkedOut> all(Measured slopes, TargetSize target) {
 		Slope traffic = slopes.named("primary lease manager, control traffic");
-		Slope rowSize = slopes.named("row of a cell of 24, size");
 		double rowReads = slopes.named("cell, calls of the table in steady state").at(0);
-		double readBytes = rowSize.at(RANGES) * rowReads / 2;
+		double readBytes = UNCHANGED_READ_BYTES * (rowReads + POINTER_READS) / 2;
 		int members = membersWithin(traffic, target.controlBytes() - readBytes);
 		double cells = Math.ceil((double) target.nodes() / members);
 		double cellsOfRegion = cells / target.regions();
 		double plainLoss = slopes.named("loss of a plain member, writes of the row").at(members);
-		double managerLoss = slopes.named("loss of the primary, writes of the row").at(members);
+		double domainLoss = slopes.named("loss of the primary's failure domain, writes of the row").at(members);
 		double replacement = slopes.named("replacement as planned, writes of the row").at(members);
 		return List.of(
 				new WorkedOut("members of a cell, so that its primary stays within its bytes", members, members,
@@ -72,7 +77,7 @@
 				new WorkedOut(
 						"a failure domain of %.0f lost at once: writes within a second"
 							.formatted(target.nodesInDomain()),
-						cellsOfRegion * managerLoss / RECOVERY_SECONDS, target.tableWrites(), "writes/s",
+						cellsOfRegion * domainLoss / RECOVERY_SECONDS, target.tableWrites(), "writes/s",
 						"each cell of the region: one epoch, one batch of moves"),
 				new WorkedOut("route table of a whole service of 3,500 owners, memory",
 						slopes.named("route table, memory").at(cells * RANGES) / (1 << 20), 32, "MB",
--- a/bench/src/main/java/org/brasspier/bench/ownership/OwnershipBench.java
+++ b/bench/src/main/java/org/brasspier/bench/ownership/OwnershipBench.java
@@ -33,7 +33,8 @@
  */
 public final class OwnershipBench {
 
-	private static final Duration SETTLE = Duration.ofSeconds(15);
+	/** The compiler and first connections are most of a process's first minute. */
+	private static final Duration SETTLE = Duration.ofSeconds(75);
 
 	private static final Duration WINDOW = Duration.ofSeconds(30);
 
@@ -42,6 +43,8 @@
 	/** The unit in which Linux counts processor time. */
 	private static final double TICKS_A_SECOND = 100;
 
+	private static final double MILLIS_A_SECOND = 1000;
+
 	private final HttpClient http = HttpClient.newHttpClient();
 
 	private final Deployment deployment;
@@ -138,12 +141,21 @@
 			.split(" ");
 		double cpuSeconds = (Long.parseLong(stat[11]) + Long.parseLong(stat[12])) / TICKS_A_SECOND;
 		return new Reading(total(metrics, "control_bytes"), total(metrics, "table_reads"),
-				total(metrics, "table_writes"), cpuSeconds);
+				total(metrics, "table_writes"), cpuSeconds, duty(metrics, "ownership"), duty(metrics, "requests"),
+				duty(metrics, "operators") + duty(metrics, "events"));
+	}
+
+	private static double duty(String metrics, String name) {
+		return number(metrics, "duty_cpu_millis_" + name + " ") / MILLIS_A_SECOND;
 	}
 
 	private static double total(String metrics, String name) {
+		return number(metrics, name + "_total ");
+	}
+
+	private static double number(String metrics, String name) {
 		return metrics.lines()
-			.filter((line) -> line.contains(name + "_total "))
+			.filter((line) -> line.contains(name))
 			.mapToDouble((line) -> Double.parseDouble(line.substring(line.lastIndexOf(' ') + 1)))
 			.findFirst()
 			.orElseThrow(() -> new IllegalStateException("no " + name + " in " + metrics));
@@ -155,12 +167,15 @@
 		Map<String, List<Reading>> roles = new LinkedHashMap<>();
 		after.forEach((instance, reading) -> roles.computeIfAbsent(role(cell, instance), (role) -> new ArrayList<>())
 			.add(reading.since(before.getOrDefault(instance, reading), per)));
-		System.out.println("| " + what + " | control bytes sent | table reads | table writes | processor seconds |");
-		System.out.println("| --- | --- | --- | --- | --- |");
-		roles.forEach((role,
-				each) -> System.out.println("| %s (mean of %d) | %.0f | %.2f | %.2f | %.4f |".formatted(role,
-						each.size(), mean(each, Reading::controlBytes), mean(each, Reading::reads),
-						mean(each, Reading::writes), mean(each, Reading::cpuSeconds))));
+		System.out
+			.println("| " + what + " | control bytes sent | table reads | table writes | processor seconds | ownership"
+					+ " | requests | operators, events |");
+		System.out.println("| --- | --- | --- | --- | --- | --- | --- | --- |");
+		roles.forEach((role, each) -> System.out
+			.println("| %s (mean of %d) | %.0f | %.2f | %.2f | %.4f | %.4f | %.4f | %.4f |".formatted(role, each.size(),
+					mean(each, Reading::controlBytes), mean(each, Reading::reads), mean(each, Reading::writes),
+					mean(each, Reading::cpuSeconds), mean(each, Reading::ownership), mean(each, Reading::requests),
+					mean(each, Reading::operators))));
 	}
 
 	private static double mean(List<Reading> readings, ToDoubleFunction<Reading> value) {
@@ -181,12 +196,18 @@
 	 * @param reads reads of the cell's row
 	 * @param writes writes of the cell's row
 	 * @param cpuSeconds processor time of the whole process
+	 * @param ownership processor time of the duty of ownership, in seconds
+	 * @param requests processor time of the duty of requests, in seconds
+	 * @param operators processor time of the duties of operators and events, in seconds
 	 */
-	private record Reading(double controlBytes, double reads, double writes, double cpuSeconds) {
+	private record Reading(double controlBytes, double reads, double writes, double cpuSeconds, double ownership,
+			double requests, double operators) {
 
 		Reading since(Reading before, double per) {
 			return new Reading((this.controlBytes - before.controlBytes) / per, (this.reads - before.reads) / per,
-					(this.writes - before.writes) / per, (this.cpuSeconds - before.cpuSeconds) / per);
+					(this.writes - before.writes) / per, (this.cpuSeconds - before.cpuSeconds) / per,
+					(this.ownership - before.ownership) / per, (this.requests - before.requests) / per,
+					(this.operators - before.operators) / per);
 		}
 
 	}
