--- a/bench/src/main/java/org/brasspier/bench/ownership/OwnershipBench.java
+++ b/bench/src/main/java/org/brasspier/bench/ownership/OwnershipBench.java
@@ -155,7 +155,7 @@
 
 	private static double number(String metrics, String name) {
 		return metrics.lines()
-			.filter((line) -> line.contains(name))
+			.filter((line) -> !line.startsWith("#") && line.contains(name))
 			.mapToDouble((line) -> Double.parseDouble(line.substring(line.lastIndexOf(' ') + 1)))
 			.findFirst()
 			.orElseThrow(() -> new IllegalStateException("no " + name + " in " + metrics));
