--- a/core/src/main/java/org/brasspier/core/ownership/OwnershipMachine.java
+++ b/core/src/main/java/org/brasspier/core/ownership/OwnershipMachine.java
@@ -50,7 +50,7 @@
 		this.parts = parts;
 		this.rows = new RowSide(parts);
 		this.member = new MemberSide(parts, this.rows);
-		this.managing = new ManagerSide(parts, this.rows);
+		this.managing = new ManagerSide(parts, this.rows, this.member);
 	}
 
 	OwnershipMachine copy() {
@@ -69,6 +69,14 @@
 		return this.parts.view();
 	}
 
+	/**
+	 * The newest row that this process knows.
+	 * @return the row, {@link VersionedRow#NONE} before it knows any
+	 */
+	public VersionedRow known() {
+		return this.parts.known();
+	}
+
 	/**
 	 * Does what is due. Called some ten times in each heartbeat's span.
 	 * @param now the time
@@ -112,6 +120,8 @@
 			case ControlMessage.Beat beat -> this.managing.beat(from, beat, now);
 			case ControlMessage.BeatAnswer answer -> this.managing.beatAnswer(from, answer, now);
 			case ControlMessage.RowUpdate update -> this.rows.adopt(update.row(), now);
+			case ControlMessage.RowDifference difference -> this.rows.change(from, difference.delta(), now);
+			case ControlMessage.RowRequest request -> this.rows.whole(from, request.version());
 			case ControlMessage.Announce announce -> this.managing.announce(from, announce, now);
 			case ControlMessage.Release release -> this.member.release(release.ranges());
 			case ControlMessage.Released released ->
--- a/daemon/src/main/java/org/brasspier/daemon/internal/operator/DaemonGauges.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/operator/DaemonGauges.java
@@ -38,7 +38,7 @@
 
 	@Override
 	public Map<String, Metric> getMetrics() {
-		Map<String, Metric> gauges = new TreeMap<>();
+		Map<String, Metric> gauges = new TreeMap<>(DutyTimes.gauges());
 		gauges.put("document_version", gauge(() -> this.context.documents().inForce().version()));
 		gauges.put("document_read", gauge(() -> (this.context.documents().inForce().read()) ? 1 : 0));
 		gauges.put("events_lost", gauge(() -> this.context.events().lostInAll()));
