--- a/integration/src/test/java/org/brasspier/integration/document/OperatorsViewTests.java
+++ b/integration/src/test/java/org/brasspier/integration/document/OperatorsViewTests.java
@@ -109,9 +109,11 @@
 	void theStatusShowsWhatRunsAndWaitsAtEachInstance() {
 		try (CallerFleet callers = this.deployment.callers()) {
 			callers.send(List.of(new TrafficMix("hullbook", true, "lookup", 60, 1, 0, "/slow?work=400", 0)));
-			Await.until("a lookup runs and another waits",
-					() -> this.tool.run("status").out().lines().anyMatch((line) -> line.matches(
-							"hullbook-[0-9] +8 +[1-9][0-9]* +[1-9][0-9]* +internal 0\\+0, lookup [1-9][0-9]*\\+[1-9].*")));
+			Await.until("a lookup runs and another waits", () -> this.tool.run("status")
+				.out()
+				.lines()
+				.anyMatch((line) -> line.matches(
+						"hullbook-[0-9] +8 +[1-9][0-9]* +[1-9][0-9]* +internal 0\\+0, lookup [1-9][0-9]*\\+[1-9].*")));
 			callers.finish();
 		}
 		Await.until("nothing waits any more",
--- a/integration/src/test/java/org/brasspier/integration/document/SecretsRotationTests.java
+++ b/integration/src/test/java/org/brasspier/integration/document/SecretsRotationTests.java
@@ -125,8 +125,7 @@
 		}
 		InstanceSecrets unfit = this.deployment.instances().getFirst().secrets();
 		unfit.sharedKeys(this.oldKey, "tooshort");
-		Await.until("the unfit file is told of",
-				() -> !events("SECRETS_REFUSED").isEmpty());
+		Await.until("the unfit file is told of", () -> !events("SECRETS_REFUSED").isEmpty());
 		this.deployment.instances().getFirst().stop();
 		try (Stream<Path> files = Files.list(this.deployment.folder())) {
 			for (Path file : files.filter((path) -> path.toString().matches(".*\\.(log|out)")).toList()) {
