Speak an earlier version with daemons that know no row differences

Cause: the row now travels between daemons as differences, and a daemon of the version before closes the connection at a message that it doesn't know, heartbeats and all. The handshake negotiated a version, but there was only one, so nothing showed that two run side by side.

Rows as differences are version 2 of the peer protocol.

--- a/daemon/src/main/java/org/brasspier/daemon/internal/ownership/OwnershipDuty.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/ownership/OwnershipDuty.java
@@ -108,7 +108,7 @@
 		this.tableReads = context.metrics().meter("table.reads");
 		this.tableWrites = context.metrics().meter("table.writes");
 		this.links = new PeerLinks(this.duty.reactor(), context, this::controlAddress, this::receive,
-				controlBytes::mark);
+				() -> machine().view().known(), controlBytes::mark);
 		this.publisher = new Publisher(settings.peerPorts(), this.clock);
 		HttpClient http = HttpClient.builder(this.duty.reactor(), DnsClient.create(this.duty.reactor(), NO_NAME_SERVER))
 			.withConnectTimeout(CONNECT_TIMEOUT)
--- a/daemon/src/main/java/org/brasspier/daemon/internal/ownership/PeerLinks.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/ownership/PeerLinks.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.function.Function;
 import java.util.function.LongConsumer;
+import java.util.function.Supplier;
 
 import io.activej.net.SimpleServer;
 import io.activej.net.socket.tcp.ITcpSocket;
@@ -18,9 +19,11 @@
 import org.brasspier.core.InstanceId;
 import org.brasspier.core.event.EventKind;
 import org.brasspier.core.ownership.ControlMessage;
+import org.brasspier.core.ownership.VersionedRow;
 import org.brasspier.daemon.internal.DaemonContext;
 import org.brasspier.daemon.internal.peer.PeerConnection;
 import org.brasspier.wire.ControlCodec;
+import org.brasspier.wire.EarlierVersion;
 import org.brasspier.wire.Handshake;
 import org.brasspier.wire.WireException;
 
@@ -53,6 +56,8 @@
 
 	private final Receiver receiver;
 
+	private final Supplier<VersionedRow> known;
+
 	private final LongConsumer sentBytes;
 
 	private final Map<InstanceId, Link> links = new HashMap<>();
@@ -63,14 +68,16 @@
 	 * @param context what every duty needs
 	 * @param addresses where an instance's control port is
 	 * @param receiver takes messages
+	 * @param known the newest row that is known, for peers that take whole rows only
 	 * @param sentBytes told the size of each frame sent
 	 */
 	PeerLinks(NioReactor reactor, DaemonContext context, Function<InstanceId, Optional<InetSocketAddress>> addresses,
-			Receiver receiver, LongConsumer sentBytes) {
+			Receiver receiver, Supplier<VersionedRow> known, LongConsumer sentBytes) {
 		this.reactor = reactor;
 		this.context = context;
 		this.addresses = addresses;
 		this.receiver = receiver;
+		this.known = known;
 		this.sentBytes = sentBytes;
 	}
 
@@ -80,13 +87,14 @@
 
 	private void accept(ITcpSocket socket) {
 		PeerConnection.acceptor(socket, handshake(), ControlCodec.MAX_FRAME_BYTES)
-			.whenResult((opened) -> link(opened.peer().instance()).opened(opened.connection()))
+			.whenResult((opened) -> link(opened.peer().instance()).opened(opened))
 			.whenException((ex) -> this.context.events()
 				.record(EventKind.PEER_REFUSED, "control port", String.valueOf(ex.getMessage())));
 	}
 
 	private Handshake handshake() {
-		return new Handshake(this.context.settings().instance(), this.context.secrets().sharedKeys());
+		return new Handshake(this.context.settings().instance(), this.context.secrets().sharedKeys(),
+				this.context.settings().limits().maxPeerVersion());
 	}
 
 	private Link link(InstanceId peer) {
@@ -94,7 +102,7 @@
 	}
 
 	void send(InstanceId to, ControlMessage message) {
-		link(to).send(ControlCodec.encode(message, this.context.events().stamp()), expectsAnswer(message));
+		link(to).send(message);
 	}
 
 	private static boolean expectsAnswer(ControlMessage message) {
@@ -128,13 +136,13 @@
 
 		private final InstanceId peer;
 
-		private final Deque<byte[]> waiting = new ArrayDeque<>();
+		private final Deque<ControlMessage> waiting = new ArrayDeque<>();
 
 		private final ByteArrayOutputStream unsent = new ByteArrayOutputStream();
 
 		private boolean flushing;
 
-		private Optional<PeerConnection> current = Optional.empty();
+		private Optional<PeerConnection.Opened> current = Optional.empty();
 
 		private boolean dialing;
 
@@ -148,10 +156,10 @@
 			this.peer = peer;
 		}
 
-		void send(byte[] frame, boolean expectsAnswer) {
+		void send(ControlMessage message) {
 			if (this.current.isPresent()) {
-				write(frame);
-				if (expectsAnswer && !this.unanswered) {
+				write(message, this.current.get().peer().version());
+				if (expectsAnswer(message) && !this.unanswered) {
 					this.unanswered = true;
 					this.unansweredSince = System.nanoTime();
 				}
@@ -160,13 +168,19 @@
 			if (this.waiting.size() == MAX_WAITING) {
 				this.waiting.removeFirst();
 			}
-			this.waiting.addLast(frame);
+			this.waiting.addLast(message);
 			dial();
 		}
 
 		// What one step of the state machine sends to one peer, a manager's beat with its
 		// answer and its heartbeat, leaves in one segment: the headers of each are more
 		// than a frame.
+		private void write(ControlMessage message, int version) {
+			EarlierVersion.of(message, version, PeerLinks.this.known.get())
+				.map((known) -> ControlCodec.encode(known, PeerLinks.this.context.events().stamp()))
+				.ifPresent(this::write);
+		}
+
 		private void write(byte[] frame) {
 			PeerLinks.this.sentBytes.accept(frame.length);
 			this.unsent.write(frame, 0, frame.length);
@@ -180,7 +194,7 @@
 			this.flushing = false;
 			byte[] frames = this.unsent.toByteArray();
 			this.unsent.reset();
-			this.current.ifPresent((open) -> open.send(frames));
+			this.current.ifPresent((open) -> open.connection().send(frames));
 		}
 
 		private void dial() {
@@ -198,16 +212,18 @@
 
 		private void dialled(PeerConnection.Opened opened) {
 			if (opened.peer().instance().equals(this.peer)) {
-				opened(opened.connection());
+				opened(opened);
 			}
 			else {
 				opened.connection().close(new WireException("%s answers for %s".formatted(opened.peer(), this.peer)));
 			}
 		}
 
-		void opened(PeerConnection connection) {
-			PeerLinks.this.context.events().record(EventKind.PEER_CONNECTED, this.peer, "control");
-			this.current = Optional.of(connection);
+		void opened(PeerConnection.Opened opened) {
+			PeerConnection connection = opened.connection();
+			PeerLinks.this.context.events()
+				.record(EventKind.PEER_CONNECTED, this.peer, "control, version " + opened.peer().version());
+			this.current = Optional.of(opened);
 			this.unanswered = false;
 			connection.onFrame((frame) -> {
 				this.unanswered = false;
@@ -216,12 +232,12 @@
 			});
 			connection.closed().whenResult(() -> closed(connection));
 			while (!this.waiting.isEmpty()) {
-				write(this.waiting.removeFirst());
+				write(this.waiting.removeFirst(), opened.peer().version());
 			}
 		}
 
 		private void closed(PeerConnection connection) {
-			if (this.current.filter((open) -> open == connection).isPresent()) {
+			if (this.current.filter((open) -> open.connection() == connection).isPresent()) {
 				this.current = Optional.empty();
 				this.unanswered = false;
 			}
@@ -229,7 +245,8 @@
 
 		private void dropIfSilent() {
 			if (this.unanswered && System.nanoTime() - this.unansweredSince > SILENT_NANOS) {
-				this.current.ifPresent((open) -> open.close(new WireException("%s is silent".formatted(this.peer))));
+				this.current.ifPresent(
+						(open) -> open.connection().close(new WireException("%s is silent".formatted(this.peer))));
 			}
 		}
 
--- a/daemon/src/main/java/org/brasspier/daemon/internal/request/ForwardLink.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/request/ForwardLink.java
@@ -93,7 +93,7 @@
 	}
 
 	static Handshake handshake(Settings settings, CurrentSecrets secrets) {
-		return new Handshake(settings.instance(), secrets.sharedKeys());
+		return new Handshake(settings.instance(), secrets.sharedKeys(), settings.limits().maxPeerVersion());
 	}
 
 	// The largest frame between daemons.
--- a/daemon/src/main/java/org/brasspier/daemon/internal/settings/Flags.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/settings/Flags.java
@@ -1,6 +1,7 @@
 package org.brasspier.daemon.internal.settings;
 
 import com.beust.jcommander.Parameter;
+import org.brasspier.wire.Handshake;
 
 /**
  * The daemon's flags as JCommander fills them in. Each flag may come from the environment
@@ -69,4 +70,8 @@
 	@Parameter(names = "--max-leave-millis", description = "how long a planned stop may take, in milliseconds")
 	int maxLeaveMillis = 60_000;
 
+	@Parameter(names = "--max-peer-version",
+			description = "highest version of the protocol between daemons to speak, to hold back what is new in it")
+	int maxPeerVersion = Handshake.MAX_VERSION;
+
 }
--- a/daemon/src/main/java/org/brasspier/daemon/internal/settings/Settings.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/settings/Settings.java
@@ -127,8 +127,9 @@
 	 *
 	 * @param maxBodyBytes the largest body of a request or answer, in bytes
 	 * @param maxLeaveMillis how long a planned stop may take, in milliseconds
+	 * @param maxPeerVersion the highest version of the peer protocol to speak
 	 */
-	public record Limits(int maxBodyBytes, int maxLeaveMillis) {
+	public record Limits(int maxBodyBytes, int maxLeaveMillis, int maxPeerVersion) {
 
 	}
 
--- a/daemon/src/main/java/org/brasspier/daemon/internal/settings/SettingsReader.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/settings/SettingsReader.java
@@ -20,6 +20,7 @@
 import org.brasspier.core.FailureDomain;
 import org.brasspier.core.InstanceId;
 import org.brasspier.daemon.internal.settings.Settings.PeerPorts;
+import org.brasspier.wire.Handshake;
 import org.brasspier.wire.SharedKeys;
 
 /**
@@ -114,7 +115,8 @@
 		valid("--table", () -> address(this.flags.table));
 		valid("--object-store", () -> address(this.flags.objectStore));
 		Optional<Settings.Secrets> secrets = secrets();
-		Optional<Settings.Limits> limits = valid("--max-body-bytes, --max-leave-millis", this::limits);
+		Optional<Settings.Limits> limits = valid("--max-body-bytes, --max-leave-millis, --max-peer-version",
+				this::limits);
 		valid("--log-format", this::checkedLogFormat);
 		if (!this.faults.isEmpty()) {
 			return Optional.empty();
@@ -181,7 +183,11 @@
 			throw new IllegalArgumentException(
 					"%d and %d must be at least 1".formatted(this.flags.maxBodyBytes, this.flags.maxLeaveMillis));
 		}
-		return new Settings.Limits(this.flags.maxBodyBytes, this.flags.maxLeaveMillis);
+		if (this.flags.maxPeerVersion < Handshake.MIN_VERSION || this.flags.maxPeerVersion > Handshake.MAX_VERSION) {
+			throw new IllegalArgumentException("peer version %d must be %d to %d".formatted(this.flags.maxPeerVersion,
+					Handshake.MIN_VERSION, Handshake.MAX_VERSION));
+		}
+		return new Settings.Limits(this.flags.maxBodyBytes, this.flags.maxLeaveMillis, this.flags.maxPeerVersion);
 	}
 
 	private String checkedLogFormat() {
--- a/daemon/src/test/java/org/brasspier/daemon/internal/request/PathFixture.java
+++ b/daemon/src/test/java/org/brasspier/daemon/internal/request/PathFixture.java
@@ -40,6 +40,7 @@
 import org.brasspier.daemon.internal.ownership.RequestsReport;
 import org.brasspier.daemon.internal.settings.Settings;
 import org.brasspier.standins.Ports;
+import org.brasspier.wire.Handshake;
 import org.brasspier.wire.SharedKeys;
 
 /**
@@ -145,7 +146,7 @@
 							new InetSocketAddress("127.0.0.1", this.backendPort), unused),
 					"127.0.0.1", Map.of(), new Settings.Platform("127.0.0.1:1", "127.0.0.1:1"),
 					new Settings.Secrets(new SharedKeys(List.of("a-shared-key-for-tests")), List.of("secret"), "token"),
-					new Settings.Limits(1 << 20, 5000));
+					new Settings.Limits(1 << 20, 5000, Handshake.MAX_VERSION));
 		}
 
 		void sees(Member owner, long fence) {
--- a/integration/src/test/java/org/brasspier/integration/BadInputTests.java
+++ b/integration/src/test/java/org/brasspier/integration/BadInputTests.java
@@ -121,7 +121,8 @@
 				.bytes(new byte[16])
 				.bytes(new byte[32])
 				.frame();
-			assertThat(new Handshake(new InstanceId("hullbook-1"), wrong).challenge()).isNotEmpty();
+			assertThat(new Handshake(new InstanceId("hullbook-1"), wrong, Handshake.MAX_VERSION).challenge())
+				.isNotEmpty();
 			assertThat(closes(port, forged)).isTrue();
 		}
 		awaitEvent("601 PEER_REFUSED");
--- a/integration/src/test/java/org/brasspier/integration/Scene.java
+++ b/integration/src/test/java/org/brasspier/integration/Scene.java
@@ -39,7 +39,11 @@
 	}
 
 	static Scene start(ServiceShape... services) {
-		Scene scene = new Scene(Deployment.start(DeploymentShape.small(services)));
+		return of(DeploymentShape.small(services));
+	}
+
+	static Scene of(DeploymentShape shape) {
+		Scene scene = new Scene(Deployment.start(shape));
 		scene.deployment.awaitServed();
 		return scene;
 	}
--- a/standins/src/main/java/org/brasspier/standins/DeploymentShape.java
+++ b/standins/src/main/java/org/brasspier/standins/DeploymentShape.java
@@ -12,9 +12,10 @@
  * @param services its services
  * @param peerDelayMillis one way between failure domains, in milliseconds
  * @param callerDelayMillis one way between callers and daemons, in milliseconds
+ * @param twoVersions whether every second daemon speaks the earliest peer protocol only
  */
 public record DeploymentShape(String name, List<String> domains, List<ServiceShape> services, double peerDelayMillis,
-		double callerDelayMillis) {
+		double callerDelayMillis, boolean twoVersions) {
 
 	/**
 	 * Copies the lists.
@@ -24,6 +25,19 @@
 		services = List.copyOf(services);
 	}
 
+	/**
+	 * A deployment whose daemons are all of this version.
+	 * @param name its name
+	 * @param domains its failure domains
+	 * @param services its services
+	 * @param peerDelayMillis one way between failure domains, in milliseconds
+	 * @param callerDelayMillis one way between callers and daemons, in milliseconds
+	 */
+	public DeploymentShape(String name, List<String> domains, List<ServiceShape> services, double peerDelayMillis,
+			double callerDelayMillis) {
+		this(name, domains, services, peerDelayMillis, callerDelayMillis, false);
+	}
+
 	/**
 	 * Lakeshore Hullwright Divers at today's size.
 	 * @return the shape
@@ -69,4 +83,13 @@
 		return new DeploymentShape("small", domains, List.of(services), 1, 1);
 	}
 
+	/**
+	 * The same, as in the midst of a rolling replacement.
+	 * @return the shape with daemons of two versions side by side
+	 */
+	public DeploymentShape inTwoVersions() {
+		return new DeploymentShape(this.name, this.domains, this.services, this.peerDelayMillis, this.callerDelayMillis,
+				true);
+	}
+
 }
--- a/standins/src/main/java/org/brasspier/standins/InstanceBuilder.java
+++ b/standins/src/main/java/org/brasspier/standins/InstanceBuilder.java
@@ -41,7 +41,8 @@
 
 	void add(ServiceShape service, int index) {
 		String domain = this.shape.domains().get(index % this.shape.domains().size());
-		this.plans.add(new Plan(service.name() + "-" + index, domain, service, DaemonPorts.free(), Ports.free()));
+		this.plans.add(new Plan(service.name() + "-" + index, domain, service, DaemonPorts.free(), Ports.free(),
+				this.shape.twoVersions() && index % 2 == 0));
 	}
 
 	List<StandInInstance> build() {
@@ -66,7 +67,8 @@
 				Ports.text(plan.ports.operators()), "--table", store, "--object-store", store, "--peer-ports",
 				peerPorts(plan), "--shared-keys-file", secrets.sharedKeys().toString(), "--operator-secrets-file",
 				secrets.operators().toString(), "--platform-token-file", secrets.platform().toString());
-		return new ProgramProcess(plan.name + ".daemon", DAEMON, arguments, Map.of(), this.folder);
+		Map<String, String> environment = (plan.earlierVersion) ? Map.of("BRASSPIER_MAX_PEER_VERSION", "1") : Map.of();
+		return new ProgramProcess(plan.name + ".daemon", DAEMON, arguments, environment, this.folder);
 	}
 
 	private String peerPorts(Plan plan) {
@@ -106,8 +108,10 @@
 	 * @param service its service
 	 * @param ports where its daemon listens
 	 * @param server where its backend server listens
+	 * @param earlierVersion whether its daemon speaks the earliest peer protocol only
 	 */
-	private record Plan(String name, String domain, ServiceShape service, DaemonPorts ports, InetSocketAddress server) {
+	private record Plan(String name, String domain, ServiceShape service, DaemonPorts ports, InetSocketAddress server,
+			boolean earlierVersion) {
 
 	}
 
--- a/wire/src/main/java/org/brasspier/wire/Handshake.java
+++ b/wire/src/main/java/org/brasspier/wire/Handshake.java
@@ -19,7 +19,7 @@
 	public static final int MIN_VERSION = 1;
 
 	/** The highest version of the peer protocol that this build speaks. */
-	public static final int MAX_VERSION = 1;
+	public static final int MAX_VERSION = 2;
 
 	private static final int NONCE_BYTES = 16;
 
@@ -29,6 +29,8 @@
 
 	private final SharedKeys keys;
 
+	private final int maxVersion;
+
 	private final byte[] nonce = new byte[NONCE_BYTES];
 
 	private byte[] transcript = new byte[0];
@@ -39,10 +41,17 @@
 	 * Begins a handshake.
 	 * @param self this instance
 	 * @param keys the shared keys
+	 * @param maxVersion the highest version to speak, {@link #MIN_VERSION} to
+	 * {@link #MAX_VERSION}
 	 */
-	public Handshake(InstanceId self, SharedKeys keys) {
+	public Handshake(InstanceId self, SharedKeys keys, int maxVersion) {
+		if (maxVersion < MIN_VERSION || maxVersion > MAX_VERSION) {
+			throw new IllegalArgumentException("peer version %d must be %d to %d (see TROUBLESHOOTING.md#settings)"
+				.formatted(maxVersion, MIN_VERSION, MAX_VERSION));
+		}
 		this.self = self;
 		this.keys = keys;
+		this.maxVersion = maxVersion;
 		RANDOM.nextBytes(this.nonce);
 	}
 
@@ -51,7 +60,7 @@
 	 * @return the frame to send
 	 */
 	public byte[] challenge() {
-		return new FrameWriter().number(MIN_VERSION).number(MAX_VERSION).bytes(this.nonce).frame();
+		return new FrameWriter().number(MIN_VERSION).number(this.maxVersion).bytes(this.nonce).frame();
 	}
 
 	/**
@@ -64,10 +73,10 @@
 		int lowest = challenge.small();
 		int highest = challenge.small();
 		byte[] theirs = challenge.bytes();
-		this.version = Math.min(highest, MAX_VERSION);
+		this.version = Math.min(highest, this.maxVersion);
 		if (this.version < Math.max(lowest, MIN_VERSION)) {
-			throw new WireException("peer speaks versions %d to %d, this build %d to %d".formatted(lowest, highest,
-					MIN_VERSION, MAX_VERSION));
+			throw new WireException("peer speaks versions %d to %d, this daemon %d to %d".formatted(lowest, highest,
+					MIN_VERSION, this.maxVersion));
 		}
 		this.transcript = transcript(this.version, this.self, theirs, this.nonce);
 		FrameWriter answer = new FrameWriter().number(this.version).text(this.self.value()).bytes(this.nonce);
@@ -87,7 +96,7 @@
 		InstanceId peer = instance(answer);
 		byte[] theirs = answer.bytes();
 		List<byte[]> proofs = proofs(answer);
-		if (version < MIN_VERSION || version > MAX_VERSION) {
+		if (version < MIN_VERSION || version > this.maxVersion) {
 			throw new WireException("peer chose version %d, which was not offered".formatted(version));
 		}
 		byte[] message = transcript(version, peer, this.nonce, theirs);
--- a/wire/src/test/java/org/brasspier/wire/HandshakeTests.java
+++ b/wire/src/test/java/org/brasspier/wire/HandshakeTests.java
@@ -21,8 +21,8 @@
 
 	@Test
 	void bothSidesLearnWhoIsAtTheOtherEnd() throws WireException {
-		Handshake connector = new Handshake(A, new SharedKeys(List.of(OLD)));
-		Handshake acceptor = new Handshake(B, new SharedKeys(List.of(OLD)));
+		Handshake connector = new Handshake(A, new SharedKeys(List.of(OLD)), Handshake.MAX_VERSION);
+		Handshake acceptor = new Handshake(B, new SharedKeys(List.of(OLD)), Handshake.MAX_VERSION);
 		Handshake.Accepted accepted = acceptor.accept(frame(connector.answer(frame(acceptor.challenge()))));
 		assertThat(accepted.peer().instance()).isEqualTo(A);
 		assertThat(connector.confirm(frame(accepted.reply())).instance()).isEqualTo(B);
@@ -30,8 +30,8 @@
 
 	@Test
 	void aConnectorWithAnotherKeyIsRefused() throws WireException {
-		Handshake connector = new Handshake(A, new SharedKeys(List.of(NEW)));
-		Handshake acceptor = new Handshake(B, new SharedKeys(List.of(OLD)));
+		Handshake connector = new Handshake(A, new SharedKeys(List.of(NEW)), Handshake.MAX_VERSION);
+		Handshake acceptor = new Handshake(B, new SharedKeys(List.of(OLD)), Handshake.MAX_VERSION);
 		byte[] answer = connector.answer(frame(acceptor.challenge()));
 		assertThrows(WireException.class, () -> acceptor.accept(frame(answer)));
 	}
@@ -39,16 +39,17 @@
 	@Test
 	void aRecordedProofIsWorthlessOnAnotherConnection() throws WireException {
 		SharedKeys keys = new SharedKeys(List.of(OLD));
-		byte[] recorded = new Handshake(A, keys).answer(frame(new Handshake(B, keys).challenge()));
-		Handshake second = new Handshake(B, keys);
+		byte[] recorded = new Handshake(A, keys, Handshake.MAX_VERSION)
+			.answer(frame(new Handshake(B, keys, Handshake.MAX_VERSION).challenge()));
+		Handshake second = new Handshake(B, keys, Handshake.MAX_VERSION);
 		second.challenge();
 		assertThrows(WireException.class, () -> second.accept(frame(recorded)));
 	}
 
 	@Test
 	void duringARotationTheOldAndTheNewKeyAreBothAccepted() throws WireException {
-		Handshake connector = new Handshake(A, new SharedKeys(List.of(OLD, NEW)));
-		Handshake acceptor = new Handshake(B, new SharedKeys(List.of(NEW, OLD)));
+		Handshake connector = new Handshake(A, new SharedKeys(List.of(OLD, NEW)), Handshake.MAX_VERSION);
+		Handshake acceptor = new Handshake(B, new SharedKeys(List.of(NEW, OLD)), Handshake.MAX_VERSION);
 		Handshake.Accepted accepted = acceptor.accept(frame(connector.answer(frame(acceptor.challenge()))));
 		assertThat(connector.confirm(frame(accepted.reply())).instance()).isEqualTo(B);
 	}
@@ -60,9 +61,12 @@
 	void oneKeyInCommonIsEnoughWhateverItsPlace() throws WireException {
 		SharedKeys both = new SharedKeys(List.of(OLD, NEW));
 		for (SharedKeys one : List.of(new SharedKeys(List.of(OLD)), new SharedKeys(List.of(NEW)))) {
-			Handshake.Accepted accepted = open(new Handshake(A, both), new Handshake(B, one));
+			Handshake.Accepted accepted = open(new Handshake(A, both, Handshake.MAX_VERSION),
+					new Handshake(B, one, Handshake.MAX_VERSION));
 			assertThat(accepted.peer().instance()).isEqualTo(A);
-			assertThat(open(new Handshake(A, one), new Handshake(B, both)).peer().instance()).isEqualTo(A);
+			assertThat(open(new Handshake(A, one, Handshake.MAX_VERSION), new Handshake(B, both, Handshake.MAX_VERSION))
+				.peer()
+				.instance()).isEqualTo(A);
 		}
 	}
 
@@ -74,10 +78,21 @@
 		return accepted;
 	}
 
+	@Test
+	void peersOfTwoVersionsSpeakTheEarlierOne() throws WireException {
+		SharedKeys keys = new SharedKeys(List.of(OLD));
+		Handshake earlier = new Handshake(A, keys, Handshake.MIN_VERSION);
+		Handshake later = new Handshake(B, keys, Handshake.MAX_VERSION);
+		assertThat(open(earlier, later).peer().version()).isEqualTo(Handshake.MIN_VERSION);
+		assertThat(open(new Handshake(A, keys, Handshake.MAX_VERSION), new Handshake(B, keys, Handshake.MIN_VERSION))
+			.peer()
+			.version()).isEqualTo(Handshake.MIN_VERSION);
+	}
+
 	@Test
 	void aPeerWithNoCommonVersionIsRefused() {
 		byte[] challenge = new FrameWriter().number(7).number(9).bytes(new byte[16]).frame();
-		Handshake connector = new Handshake(A, new SharedKeys(List.of(OLD)));
+		Handshake connector = new Handshake(A, new SharedKeys(List.of(OLD)), Handshake.MAX_VERSION);
 		assertThrows(WireException.class, () -> connector.answer(frame(challenge)));
 	}
 
