--- a/daemon/src/main/java/org/brasspier/daemon/internal/settings/Flags.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/settings/Flags.java
@@ -68,7 +68,7 @@
 	String logFormat = "text";
 
 	@Parameter(names = "--max-leave-millis", description = "how long a planned stop may take, in milliseconds")
-	int maxLeaveMillis = 60_000;
+	int maxLeaveMillis = 5_000;
 
 	@Parameter(names = "--max-peer-version",
 			description = "highest version of the protocol between daemons to speak, to hold back what is new in it")
