--- a/daemon/src/main/java/org/brasspier/daemon/internal/operator/MetricHelp.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/operator/MetricHelp.java
@@ -11,6 +11,8 @@
 
 	private static final String FAILED = "requests.failed.";
 
+	private static final String DUTY = "duty_cpu_millis_";
+
 	private static final Map<String, String> TEXTS = Map.ofEntries(
 			Map.entry("document_version", "version of the configuration document in force in this daemon"),
 			Map.entry("document_read", "1 once this daemon knows which document is in force, else 0"),
@@ -35,6 +37,10 @@
 	}
 
 	static Optional<String> of(String metric) {
+		if (metric.startsWith(DUTY)) {
+			return Optional.of("processor time of the thread of %s since the start, in milliseconds"
+				.formatted(metric.substring(DUTY.length())));
+		}
 		return (metric.startsWith(FAILED))
 				? Optional.of("requests of callers that ended with the error " + metric.substring(FAILED.length()))
 				: Optional.ofNullable(TEXTS.get(metric));
