Forget what a range did in an earlier stay when it comes back

Cause: a range that had come back to a daemon, or was held again after a lapse, counted what it did there before over the two seconds since, up to thirty times its load.

--- a/core/src/main/java/org/brasspier/core/placement/LoadMeter.java
+++ b/core/src/main/java/org/brasspier/core/placement/LoadMeter.java
@@ -112,6 +112,24 @@
 		replaceSmallest(hash.point(), mass);
 	}
 
+	/**
+	 * Forgets what was recorded of a range, as when it has come, or come back: counted
+	 * over the little time since then, what it did before would look like many times its
+	 * load, and half the service would be moved away from here.
+	 * @param range the range
+	 */
+	public void forget(KeyRange range) {
+		for (long cell = range.low() / CELL_POINTS; cell * CELL_POINTS < range.high(); cell++) {
+			long low = Math.max(range.low(), cell * CELL_POINTS);
+			long high = Math.min(range.high(), (cell + 1) * CELL_POINTS);
+			this.cells[(int) cell] *= 1 - (high - low) / (double) CELL_POINTS;
+		}
+		this.hot.entrySet()
+			.stream()
+			.filter((entry) -> range.contains(new KeyHash(entry.getKey())))
+			.forEach((entry) -> entry.getValue().scale(0));
+	}
+
 	/**
 	 * The slots that the requests of a range kept busy. Made for ranges that have just
 	 * moved: their new owner has seen only part of its window of them, and taken for the
--- a/core/src/test/java/org/brasspier/core/placement/LoadMeterTests.java
+++ b/core/src/test/java/org/brasspier/core/placement/LoadMeterTests.java
@@ -60,6 +60,17 @@
 		assertThat(this.meter.busySlots(come, 60 * SECOND, 65 * SECOND)).isWithin(0.1).of(1);
 	}
 
+	/**
+	 * Most of a service moved at once, on steady load: a range had come back to a server,
+	 * and what it did there before was counted over the two seconds since.
+	 */
+	@Test
+	void aRangeThatHasComeBackShowsNothingOfItsEarlierStay() {
+		run(60, 0.3);
+		this.meter.forget(KeyRange.ALL);
+		assertThat(this.meter.busySlots(KeyRange.ALL, 60 * SECOND, 61 * SECOND)).isLessThan(0.01);
+	}
+
 	/**
 	 * Ranges move back and forth while auditors pull long histories at a steady rate: a
 	 * few reads of a second more or less in the last ten seconds looked like load that
--- a/daemon/src/main/java/org/brasspier/daemon/internal/request/LoadReports.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/request/LoadReports.java
@@ -73,10 +73,11 @@
 	}
 
 	// By fence: a range that is cut keeps its fence, and its load was seen all along.
-	private Map<Fence, Long> since(ServiceName service, List<Assignment> held, long now) {
+	private Map<Fence, Long> since(ServiceName service, LoadMeter meter, List<Assignment> held, long now) {
 		Map<Fence, Long> since = this.heldSince.computeIfAbsent(service, (key) -> new HashMap<>());
 		Set<Fence> present = held.stream().map(Assignment::fence).collect(Collectors.toSet());
 		since.keySet().retainAll(present);
+		held.stream().filter((each) -> !since.containsKey(each.fence())).forEach((each) -> meter.forget(each.range()));
 		present.forEach((fence) -> since.putIfAbsent(fence, now));
 		return since;
 	}
@@ -88,7 +89,7 @@
 		long now = System.nanoTime();
 		this.meters.forEach((service, meter) -> {
 			List<Assignment> held = snapshot.held().assignments(service);
-			Map<Fence, Long> since = since(service, held, now);
+			Map<Fence, Long> since = since(service, meter, held, now);
 			List<RangeLoad> loads = held.stream()
 				.map((each) -> load(meter, each.range(), since.getOrDefault(each.fence(), now), now))
 				.toList();
