Stop confirming the other manager only once the table answers

A manager that missed the other one for 300 ms, as on a busy machine, stopped confirming it, for good in that epoch. With the table down there is no other epoch, so both authorities ended and the cell stood still until the table was back. The model showed it at once: table down, the two managers cut from each other for 400 ms, nobody served after.

Now a manager that misses the other one first reads the row, and stops confirming only when a read sent since has been answered and the other one is still silent. A peer that is heard again is confirmed as ever. What stopping must come before, the write, is unchanged. A lost manager is replaced one round trip to the table later.

Ruled out: confirming again after a failed write, since an uncertain one may take effect later, and members of the next epoch count from then.

Test: managersThatMissEachOther... in OwnershipMachineTests, red before.

--- a/core/src/main/java/org/brasspier/core/ownership/ManagerSide.java
+++ b/core/src/main/java/org/brasspier/core/ownership/ManagerSide.java
@@ -39,14 +39,15 @@
 		if (this.parts.manager.peer().isPresent() && this.parts.timers.beatDue(now, beatEvery())) {
 			beatWithHeartbeat(now);
 		}
-		// Two managers that suspected each other while the table was down confirm nobody
-		// any
-		// more in this epoch, even once they hear each other: only another epoch helps.
+		// Who has stopped confirming and whose write then failed confirms nobody any more
+		// in this epoch, even if the peer is heard again: only another epoch helps.
 		boolean stopped = this.parts.manager.peer().isPresent() && this.parts.manager.authority().stopped();
 		if (stopped || choice().peerSilent(row, now)) {
 			replacePeer(row, now);
+			return;
 		}
-		else if (this.parts.manager.primary()) {
+		this.parts.peerMissedSince = Optional.empty();
+		if (this.parts.manager.primary()) {
 			primaryWork(row, now);
 		}
 		else if (row.challenger().isPresent() && this.parts.access.idle(now)) {
@@ -70,12 +71,24 @@
 		this.member.heartbeatIfDue(this.parts.lease.known().row(), this.parts.timing.beat() / 2, now);
 	}
 
+	// Guards against a cell that stops for the rest of an outage because its managers
+	// missed each other for a moment, as on a busy machine: to stop confirming holds for
+	// the whole epoch, and without the table there is no other epoch. So the table must
+	// have answered a read sent since the peer was missed. A peer that is heard again
+	// before then is confirmed as ever; a lost one is replaced a round trip later.
 	void replacePeer(CellRow row, long now) {
 		if (!this.parts.manager.authority().stopped()) {
-			this.parts.out.tell(EventKind.MANAGER_SUSPECTED, this.parts.manager.peer().orElseThrow().instance(),
-					"epoch " + this.parts.manager.epoch());
+			if (this.parts.peerMissedSince.isEmpty()) {
+				this.parts.peerMissedSince = Optional.of(now);
+				this.parts.out.tell(EventKind.MANAGER_SUSPECTED, this.parts.manager.peer().orElseThrow().instance(),
+						"epoch " + this.parts.manager.epoch());
+			}
+			if (!this.parts.access.answeredReadOf(this.parts.peerMissedSince.get())) {
+				this.parts.access.read(now).ifPresent(this.parts.out::add);
+				return;
+			}
+			this.parts.manager.authority().stopConfirming();
 		}
-		this.parts.manager.authority().stopConfirming();
 		if (this.parts.access.idle(now)) {
 			this.rows.propose(row.nextEpoch(this.parts.me.key(), choice().candidate(row, now).map(MemberInfo::key),
 					row.unclosed()), now);
--- a/core/src/main/java/org/brasspier/core/ownership/ProcessParts.java
+++ b/core/src/main/java/org/brasspier/core/ownership/ProcessParts.java
@@ -38,6 +38,9 @@
 	/** Since when the backend server is lost and the ranges still to be given up. */
 	Optional<Long> givingUpSince = Optional.empty();
 
+	/** Since when this manager misses the other one and means to replace it. */
+	Optional<Long> peerMissedSince = Optional.empty();
+
 	boolean leaving;
 
 	boolean left;
@@ -70,6 +73,7 @@
 		this.managerHeardAt = other.managerHeardAt;
 		this.document = other.document;
 		this.givingUpSince = other.givingUpSince;
+		this.peerMissedSince = other.peerMissedSince;
 		this.leaving = other.leaving;
 		this.left = other.left;
 	}
@@ -81,7 +85,7 @@
 	List<Object> state() {
 		return List.of(this.lease.state(), this.manager.state(), this.access.state(), this.memory.state(),
 				this.takeover.state(), this.timers.state(), this.me, this.managerHeardAt, this.givingUpSince,
-				this.leaving, this.left);
+				this.peerMissedSince, this.leaving, this.left);
 	}
 
 	OwnershipState view() {
--- a/core/src/main/java/org/brasspier/core/ownership/RowAccess.java
+++ b/core/src/main/java/org/brasspier/core/ownership/RowAccess.java
@@ -26,6 +26,8 @@
 
 	private long readSentAt;
 
+	private long answeredSentAt = Long.MIN_VALUE / 4;
+
 	private long writeSentAt;
 
 	private long notBefore = Long.MIN_VALUE;
@@ -44,6 +46,7 @@
 		copy.writing = this.writing;
 		copy.reading = this.reading;
 		copy.readSentAt = this.readSentAt;
+		copy.answeredSentAt = this.answeredSentAt;
 		copy.writeSentAt = this.writeSentAt;
 		copy.notBefore = this.notBefore;
 		copy.reachable = this.reachable;
@@ -55,7 +58,7 @@
 
 	List<Object> state() {
 		return List.of(this.pending, this.writing, this.reading, this.readSentAt, this.writeSentAt, this.notBefore,
-				this.reachable, this.stale, quick(), this.lastReadAt);
+				this.reachable, this.stale, quick(), this.lastReadAt, this.answeredSentAt);
 	}
 
 	/**
@@ -85,6 +88,15 @@
 		return this.reachable && now - this.lastReadAt <= span;
 	}
 
+	/**
+	 * Whether the table answered a read that was sent at some time or later.
+	 * @param time the time
+	 * @return true if it did
+	 */
+	boolean answeredReadOf(long time) {
+		return this.answeredSentAt >= time;
+	}
+
 	boolean quick() {
 		return this.reachable && this.lastTook <= QUICK_MILLIS;
 	}
@@ -142,6 +154,7 @@
 		this.stale = false;
 		this.lastTook = now - this.readSentAt;
 		this.lastReadAt = now;
+		this.answeredSentAt = this.readSentAt;
 		answered();
 		if (this.pending.isEmpty() || this.writing) {
 			return Optional.empty();
--- a/core/src/test/java/org/brasspier/core/ownership/OwnershipMachineTests.java
+++ b/core/src/test/java/org/brasspier/core/ownership/OwnershipMachineTests.java
@@ -20,6 +20,9 @@
 
 	private static final int RANGES = 8;
 
+	/** Longer than a silence that makes a manager suspect the other one. */
+	private static final long MISSED_MILLIS = 400;
+
 	private static final long ONE_SECOND = 1000;
 
 	private final CellModel cell = new CellModel(CellModel.Setup.standard(RANGES), 7);
@@ -164,6 +167,31 @@
 		assertSound();
 	}
 
+	// The table is down, and the two managers miss each other for less than half a
+	// second,
+	// as on a busy machine. They stopped confirming each other, for good in their epoch,
+	// and without the table there was no other: all callers were turned away for the rest
+	// of the outage, though nothing but the table was lost.
+	@Test
+	void managersThatMissEachOtherForAMomentGoOnThroughAnOutageOfTheTable() {
+		ModelProcess primary = this.cell.primary();
+		ModelProcess secondary = this.cell.secondary();
+		this.cell.storeDown = true;
+		this.cell.run(ONE_SECOND);
+		this.cell.cuts.add(primary.instance + ">" + secondary.instance);
+		this.cell.cuts.add(secondary.instance + ">" + primary.instance);
+		this.cell.run(MISSED_MILLIS);
+		this.cell.cuts.clear();
+		this.cell.run(ONE_SECOND);
+		for (int i = 0; i < 60; i++) {
+			this.cell.run(ONE_SECOND);
+			assertThat(this.cell.allServed()).isTrue();
+		}
+		this.cell.storeDown = false;
+		this.cell.run(5 * ONE_SECOND);
+		assertSound();
+	}
+
 	// A server is silent for a moment while the table is down. Its ranges were given up
 	// at
 	// once, to nobody, and for the whole outage. They wait for the table now.
