--- a/core/src/test/java/org/brasspier/core/ownership/OwnershipMachineTests.java
+++ b/core/src/test/java/org/brasspier/core/ownership/OwnershipMachineTests.java
@@ -2,7 +2,12 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
+import java.util.stream.IntStream;
+import java.util.stream.LongStream;
+import java.util.stream.Stream;
 
+import org.brasspier.core.InstanceId;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
@@ -105,6 +110,46 @@
 		assertSound();
 	}
 
+	// A member reaches only one of the managers, as half a partition does. If it waited
+	// for
+	// that one's turn, it'd be renewed once in two heartbeats, and a short pause would
+	// cost
+	// it its ranges. A heartbeat that isn't answered is followed by one to the other.
+	@Test
+	void aHeartbeatThatIsNotAnsweredIsFollowedByOneToTheOtherManager() {
+		ModelProcess member = this.cell.plain();
+		long begin = member.clock(this.cell.now);
+		Timing timing = Timing.STANDARD;
+		List<InstanceId> asked = LongStream.iterate(begin, (now) -> now < begin + timing.lease(), (now) -> now + 25)
+			.boxed()
+			.flatMap((now) -> member.machine.tick(now).stream())
+			.flatMap((action) -> (action instanceof OwnershipAction.Send send
+					&& send.message() instanceof ControlMessage.Heartbeat) ? Stream.of(send.to()) : Stream.empty())
+			.toList();
+		assertThat(asked.size()).isAtLeast((int) (2 * timing.lease() / timing.heartbeat()) - 1);
+		assertThat(asked).containsAtLeast(this.cell.primary().instance, this.cell.secondary().instance);
+		assertThat(IntStream.range(1, asked.size()).noneMatch((i) -> asked.get(i).equals(asked.get(i - 1)))).isTrue();
+	}
+
+	// A member's connection breaks just as a range moves, so it misses one difference.
+	// The
+	// next one doesn't apply to its row: it must ask for the whole row, or it would go on
+	// routing callers to the former owner.
+	@Test
+	void aMemberThatMissedADifferenceAsksForTheWholeRow() {
+		ModelProcess member = this.cell.plain();
+		VersionedRow known = member.machine.view().known();
+		VersionedRow missed = new VersionedRow(known.version() + 1, known.row());
+		VersionedRow next = new VersionedRow(known.version() + 2, known.row().withDrained(Set.of(member.instance)));
+		InstanceId primary = this.cell.primary().instance;
+		long now = member.clock(this.cell.now);
+		assertThat(
+				member.machine.received(primary, new ControlMessage.RowDifference(RowDelta.between(missed, next)), now))
+			.contains(new OwnershipAction.Send(primary, new ControlMessage.RowRequest(known.version())));
+		member.machine.received(primary, new ControlMessage.RowUpdate(next), now);
+		assertThat(member.machine.view().known()).isEqualTo(next);
+	}
+
 	// The table goes away for five minutes. Owners are renewed by the managers and serve
 	// on.
 	@Test
