Look back far enough that steady load moves nothing

Cause: since the part of the window that a range was seen for is counted exactly, chance alone passed the least trigger at Kliring's size (0.129 over the mean) three times in half an hour of virtual time: 6 moves on steady load, at 15, 915 and 1285 s, with excesses of 0.14 to 0.15.

The window now grows until chance leaves 0.025 instead of 0.04 of the sum: some 17 s instead of 10 at Kliring's size; Lakeshore's stays at its least. The tables of MEASUREMENTS were not run again with it.

--- a/core/src/main/java/org/brasspier/core/placement/LoadMeter.java
+++ b/core/src/main/java/org/brasspier/core/placement/LoadMeter.java
@@ -44,10 +44,11 @@
 	private static final double LEAST_SEEN = 0.2;
 
 	/**
-	 * The error that chance may leave in the sum, as a share of it. A third of the least
-	 * excess that placement moves anything for.
+	 * The error that chance may leave in the sum, as a share of it. A fifth of the least
+	 * excess that placement moves anything for: within an hour of steady load a third is
+	 * passed now and then, and moves back and forth begin.
 	 */
-	private static final double NOISE = 0.04;
+	private static final double NOISE = 0.025;
 
 	/**
 	 * The longest window, in least ones: a minute for today's ten seconds. Hot keys
