--- a/core/src/main/java/org/brasspier/core/ErrorKind.java
+++ b/core/src/main/java/org/brasspier/core/ErrorKind.java
@@ -18,6 +18,18 @@
 	/** The body is larger than the limit. */
 	BODY_TOO_LARGE(413, Ran.NOT_RUN, 2),
 
+	/** The head of the request is larger than the limit. */
+	HEAD_TOO_LARGE(431, Ran.NOT_RUN, 2),
+
+	/** The request did not come whole in time. */
+	REQUEST_TIMEOUT(408, Ran.NOT_RUN, 7),
+
+	/** No route of the configuration takes the request. */
+	NO_ROUTE(404, Ran.NOT_RUN, 4),
+
+	/** No configuration is known yet. */
+	NO_CONFIGURATION(503, Ran.NOT_RUN, 6),
+
 	/** A posting came without a ticket; the answer carries one. */
 	TICKET_REQUIRED(428, Ran.NOT_RUN, 2),
 
--- /dev/null
+++ b/core/src/main/java/org/brasspier/core/keys/BackendLife.java
@@ -0,0 +1,29 @@
+package org.brasspier.core.keys;
+
+/**
+ * One life of a backend server, from a start to its end. A server may start again under
+ * the id it had and then knows nothing of before, so the id alone doesn't tell two lives
+ * apart. Immutable and thread-safe.
+ *
+ * @param id the backend server's id
+ * @param bornMillis when it started, in milliseconds of its own time of day; 0 if it
+ * doesn't say
+ */
+public record BackendLife(String id, long bornMillis) {
+
+	/**
+	 * Checks the id.
+	 * @throws IllegalArgumentException if it is empty
+	 */
+	public BackendLife {
+		if (id.isEmpty()) {
+			throw new IllegalArgumentException("the id of a backend server must not be empty");
+		}
+	}
+
+	@Override
+	public String toString() {
+		return this.id + "@" + this.bornMillis;
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/brasspier/core/keys/GrantBook.java
@@ -0,0 +1,156 @@
+package org.brasspier.core.keys;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import org.brasspier.core.InstanceId;
+
+/**
+ * What this instance has granted to the backend server beside it, and what that has let
+ * go of. A key may go to another holder only if the server said that it let go, if
+ * another life of the server has begun, or if the latest grant has run out by any clock.
+ * All times are nanoseconds of a clock that also runs while the machine is suspended. Not
+ * thread-safe.
+ */
+public final class GrantBook {
+
+	/**
+	 * A shorter hold would run out before the next heartbeat and is not worth giving.
+	 */
+	private static final long SHORTEST_HOLD_NANOS = Duration.ofMillis(300).toNanos();
+
+	/**
+	 * The way of the answer and its taking by the server; before this a request would
+	 * overtake the grant and be rejected.
+	 */
+	private static final long SETTLE_NANOS = Duration.ofMillis(4).toNanos();
+
+	private final InstanceId self;
+
+	private final LeaseTiming timing;
+
+	private final long startedNanos;
+
+	private final Map<KeySpan, Granted> granted = new HashMap<>();
+
+	private final Map<KeySpan, String> letGo = new HashMap<>();
+
+	/**
+	 * Creates a book with nothing in it. A process before this one may have granted
+	 * anything until now.
+	 * @param self this instance
+	 * @param timing the times
+	 * @param now the time
+	 */
+	public GrantBook(InstanceId self, LeaseTiming timing, long now) {
+		this.self = self;
+		this.timing = timing;
+		this.startedNanos = now;
+	}
+
+	/**
+	 * Answers a heartbeat.
+	 * @param map who holds what
+	 * @param report what the server says
+	 * @param leaseNanos how long this instance's lease goes on
+	 * @param now when the heartbeat came
+	 * @return what it is to hold; empty if nothing may be said, so that nothing is
+	 * renewed and nothing is taken away
+	 */
+	public Optional<GrantAnswer> answer(KeyMap map, HoldReport report, long leaseNanos, long now) {
+		List<KeyHolding> own = map.of(this.self).stream().filter((held) -> held.life().equals(report.life())).toList();
+		noteReleases(own, report);
+		forgetOthers(own);
+		long hold = Math.min(this.timing.hold().toNanos(), this.timing.within(leaseNanos));
+		if (hold < SHORTEST_HOLD_NANOS) {
+			return Optional.empty();
+		}
+		List<KeyGrant> grants = new ArrayList<>();
+		for (KeyHolding held : own) {
+			if (held.next().isEmpty()) {
+				// It may have let go of keys that are to stay after all.
+				this.letGo.remove(held.span());
+				grants.add(new KeyGrant(held.span(), held.fence(), held.handover()));
+				grant(held, report, now, hold);
+			}
+		}
+		return Optional.of(new GrantAnswer(grants, Duration.ofNanos(hold)));
+	}
+
+	private void grant(KeyHolding held, HoldReport report, long now, long hold) {
+		Granted before = this.granted.get(held.span());
+		boolean known = report.holds(held.span(), held.fence())
+				|| before != null && before.fence == held.fence().value() && before.live(now);
+		long usable = (known && before != null) ? Math.min(before.usableNanos, now) : now + (known ? 0 : SETTLE_NANOS);
+		this.granted.put(held.span(),
+				new Granted(held.fence().value(), usable, now + hold, now + this.timing.atMost(hold)));
+	}
+
+	private void noteReleases(List<KeyHolding> own, HoldReport report) {
+		for (KeyHolding held : own) {
+			boolean leaving = held.next().isPresent();
+			if (leaving && !report.holdsAny(held.span())) {
+				report.released(held.span()).ifPresent((handover) -> this.letGo.put(held.span(), handover));
+			}
+		}
+	}
+
+	private void forgetOthers(List<KeyHolding> own) {
+		List<KeySpan> spans = own.stream().map(KeyHolding::span).toList();
+		this.granted.keySet().retainAll(spans);
+		this.letGo.keySet().retainAll(spans);
+	}
+
+	/**
+	 * Whether a request for a key may be handed to the server now.
+	 * @param holding who holds the key
+	 * @param life the server's life
+	 * @param now the time
+	 * @return true if the server holds it under that fence
+	 */
+	public boolean usable(KeyHolding holding, BackendLife life, long now) {
+		Granted grant = this.granted.get(holding.span());
+		return holding.owner().equals(this.self) && holding.life().equals(life) && holding.next().isEmpty()
+				&& grant != null && grant.fence == holding.fence().value() && now >= grant.usableNanos
+				&& now < grant.endNanos;
+	}
+
+	/**
+	 * Whether the server has certainly let go of a holding, so that it may go to another
+	 * holder.
+	 * @param holding a holding of this instance
+	 * @param now the time
+	 * @return what it handed over, empty text if nothing; empty if it may still hold it
+	 */
+	public Optional<String> released(KeyHolding holding, long now) {
+		String handover = this.letGo.get(holding.span());
+		if (handover != null) {
+			return Optional.of(handover);
+		}
+		Granted grant = this.granted.get(holding.span());
+		long until = (grant != null) ? grant.certainEndNanos
+				: this.startedNanos + this.timing.atMost(this.timing.hold().toNanos());
+		return (now >= until) ? Optional.of("") : Optional.empty();
+	}
+
+	/**
+	 * A grant.
+	 *
+	 * @param fence its fence
+	 * @param usableNanos from when the server has it
+	 * @param endNanos when it ends by this clock
+	 * @param certainEndNanos when it has ended by any clock
+	 */
+	private record Granted(long fence, long usableNanos, long endNanos, long certainEndNanos) {
+
+		boolean live(long now) {
+			return now < this.endNanos;
+		}
+
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/brasspier/core/keys/KeyMap.java
@@ -0,0 +1,152 @@
+package org.brasspier.core.keys;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.function.Function;
+import java.util.function.Predicate;
+import java.util.stream.IntStream;
+
+import org.brasspier.core.Fence;
+import org.brasspier.core.InstanceId;
+
+/**
+ * Who holds each key of one service, as the platform's store has it. It covers all keys,
+ * each once. Every change of holder takes the next fence, so a fence that was given out
+ * is never given again. Immutable and thread-safe.
+ */
+public final class KeyMap {
+
+	/**
+	 * Spans a backend server begins with. Busy keys lie close together, so many narrow
+	 * spans spread them better than few wide ones; sixteen rows are a tenth of what an
+	 * answer to a heartbeat may carry.
+	 */
+	static final int SPANS_EACH = 16;
+
+	private final List<KeyHolding> holdings;
+
+	private final long nextFence;
+
+	private final TreeMap<Integer, KeyHolding> byFirstKey = new TreeMap<>();
+
+	/**
+	 * Creates a map.
+	 * @param holdings who holds what, covering all keys once
+	 * @param nextFence a fence above all that were ever given out
+	 * @throws IllegalArgumentException if a key is missing or there twice, or a fence is
+	 * too high
+	 */
+	public KeyMap(List<KeyHolding> holdings, long nextFence) {
+		this.holdings = holdings.stream().sorted(Comparator.comparingInt((held) -> held.span().from())).toList();
+		this.nextFence = nextFence;
+		int expected = 0;
+		for (KeyHolding held : this.holdings) {
+			if (held.span().from() != expected || held.fence().value() >= nextFence) {
+				throw new IllegalArgumentException("keys %s under fence %s: key %d is due and fences lie below %d"
+					.formatted(held.span(), held.fence(), expected, nextFence));
+			}
+			expected = held.span().to() + 1;
+			this.byFirstKey.put(held.span().from(), held);
+		}
+		if (expected != KeySpan.LAST_KEY + 1) {
+			throw new IllegalArgumentException("keys from %d on have no holder".formatted(expected));
+		}
+	}
+
+	/**
+	 * The first map of a service: all keys in equal spans, dealt to the holders in turn.
+	 * @param holders who can hold keys; at least one
+	 * @return the map
+	 */
+	public static KeyMap first(List<KeyHolder> holders) {
+		int count = holders.size() * SPANS_EACH;
+		long keys = KeySpan.LAST_KEY + 1L;
+		List<KeyHolding> dealt = IntStream.range(0, count).mapToObj((i) -> {
+			KeySpan span = new KeySpan((int) (keys * i / count), (int) (keys * (i + 1) / count - 1));
+			KeyHolder holder = holders.get(i % holders.size());
+			return new KeyHolding(span, holder.instance(), holder.life(), new Fence(i + 1L), "", Optional.empty());
+		}).toList();
+		return new KeyMap(dealt, count + 1L);
+	}
+
+	/**
+	 * All holdings, by key.
+	 * @return an unmodifiable list
+	 */
+	public List<KeyHolding> holdings() {
+		return this.holdings;
+	}
+
+	/**
+	 * The fence that the next change of holder takes.
+	 * @return above all fences in the map
+	 */
+	public long nextFence() {
+		return this.nextFence;
+	}
+
+	/**
+	 * Who holds a key.
+	 * @param key the key, 0 to 65535
+	 * @return its holding
+	 */
+	public KeyHolding holding(int key) {
+		Map.Entry<Integer, KeyHolding> entry = this.byFirstKey.floorEntry(key);
+		if (entry == null) {
+			throw new IllegalArgumentException("key %d must be from 0 to %d".formatted(key, KeySpan.LAST_KEY));
+		}
+		return entry.getValue();
+	}
+
+	/**
+	 * What an instance holds.
+	 * @param owner the instance
+	 * @return its holdings, by key
+	 */
+	public List<KeyHolding> of(InstanceId owner) {
+		return this.holdings.stream().filter((held) -> held.owner().equals(owner)).toList();
+	}
+
+	/**
+	 * Gives holdings to new holders, each under the next fence.
+	 * @param moved which ones
+	 * @param holder who gets one
+	 * @param handover what its previous holder handed over; empty if nothing
+	 * @return the new map
+	 */
+	public KeyMap moved(Predicate<KeyHolding> moved, Function<KeyHolding, KeyHolder> holder,
+			Function<KeyHolding, String> handover) {
+		List<KeyHolding> changed = new ArrayList<>();
+		long fence = this.nextFence;
+		for (KeyHolding held : this.holdings) {
+			if (moved.test(held)) {
+				KeyHolder to = holder.apply(held);
+				changed.add(new KeyHolding(held.span(), to.instance(), to.life(), new Fence(fence),
+						handover.apply(held), Optional.empty()));
+				fence++;
+			}
+			else {
+				changed.add(held);
+			}
+		}
+		return new KeyMap(changed, fence);
+	}
+
+	/**
+	 * Says who is to have some holdings next. Their holders go on until they have let go.
+	 * @param wanted the next owner of a holding; empty if it is to stay as it is
+	 * @return the new map
+	 */
+	public KeyMap wanted(Function<KeyHolding, Optional<InstanceId>> wanted) {
+		return new KeyMap(this.holdings.stream()
+			.map((held) -> wanted.apply(held)
+				.map((next) -> next.equals(held.owner()) ? held.staying() : held.wanted(next))
+				.orElse(held))
+			.toList(), this.nextFence);
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/brasspier/core/keys/KeyPlanner.java
@@ -0,0 +1,166 @@
+package org.brasspier.core.keys;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+import org.brasspier.core.InstanceId;
+
+/**
+ * Decides who is to have which keys. It moves as little as it can, since every move costs
+ * the keys some hundred milliseconds and, without a handover, their warm state. Stateless
+ * and thread-safe.
+ */
+public final class KeyPlanner {
+
+	/**
+	 * A holder with less than this share of an even part is filled up. Above it, what a
+	 * move costs isn't worth the evenness.
+	 */
+	private static final double TOO_FEW = 0.5;
+
+	private KeyPlanner() {
+	}
+
+	/**
+	 * Takes the keys of lost owners and deals them to the others.
+	 * @param map who holds what
+	 * @param lost owners whose leases have certainly ended
+	 * @param holders who can hold keys now
+	 * @return the new map; empty if nothing changes
+	 */
+	public static Optional<KeyMap> withoutLost(KeyMap map, Set<InstanceId> lost, List<KeyHolder> holders) {
+		boolean none = map.holdings().stream().noneMatch((held) -> lost.contains(held.owner()));
+		if (none || holders.isEmpty()) {
+			return Optional.empty();
+		}
+		Dealer dealer = new Dealer(map, holders);
+		return Optional
+			.of(map.moved((held) -> lost.contains(held.owner()), (held) -> dealer.least(held.span()), (held) -> ""));
+	}
+
+	/**
+	 * Gives this instance's keys to the new life of its backend server.
+	 * @param map who holds what
+	 * @param holder the instance and the life of its backend server
+	 * @return the new map; empty if nothing changes
+	 */
+	public static Optional<KeyMap> withLife(KeyMap map, KeyHolder holder) {
+		boolean none = map.of(holder.instance()).stream().allMatch((held) -> held.life().equals(holder.life()));
+		if (none) {
+			return Optional.empty();
+		}
+		return Optional
+			.of(map.moved((held) -> held.owner().equals(holder.instance()) && !held.life().equals(holder.life()),
+					(held) -> holder, (held) -> ""));
+	}
+
+	/**
+	 * Finds new owners for all keys of an instance that leaves, and for those that were
+	 * to go to somebody who can't have them.
+	 * @param map who holds what
+	 * @param leaving the instances that leave
+	 * @param holders who can hold keys now, without those that leave
+	 * @return the new map; empty if nothing changes
+	 */
+	public static Optional<KeyMap> withoutLeaving(KeyMap map, Set<InstanceId> leaving, List<KeyHolder> holders) {
+		Set<InstanceId> able = new HashSet<>(holders.stream().map(KeyHolder::instance).toList());
+		if (holders.isEmpty()) {
+			return Optional.empty();
+		}
+		Dealer dealer = new Dealer(map, holders);
+		KeyMap planned = map.wanted((held) -> {
+			boolean fine = held.next().map(able::contains).orElse(!leaving.contains(held.owner()));
+			return fine ? Optional.empty()
+					: Optional.of(able.contains(held.owner()) ? held.owner() : dealer.least(held.span()).instance());
+		});
+		return changed(map, planned);
+	}
+
+	/**
+	 * Fills up holders that have far less than an even part, from those with most.
+	 * @param map who holds what
+	 * @param holders who can hold keys now
+	 * @return the new map; empty if nothing changes
+	 */
+	public static Optional<KeyMap> evened(KeyMap map, List<KeyHolder> holders) {
+		if (holders.isEmpty()) {
+			return Optional.empty();
+		}
+		Dealer dealer = new Dealer(map, holders);
+		double even = (KeySpan.LAST_KEY + 1.0) / holders.size();
+		Map<KeySpan, InstanceId> moves = new HashMap<>();
+		for (KeyHolder poor : dealer.below(even * TOO_FEW)) {
+			fillUp(map, dealer, poor.instance(), even, moves);
+		}
+		return changed(map, map.wanted((held) -> Optional.ofNullable(moves.get(held.span()))));
+	}
+
+	private static void fillUp(KeyMap map, Dealer dealer, InstanceId poor, double even,
+			Map<KeySpan, InstanceId> moves) {
+		List<KeyHolding> movable = new ArrayList<>(map.holdings());
+		movable.removeIf((held) -> held.next().isPresent() || held.owner().equals(poor));
+		while (dealer.keys(poor) < even) {
+			Optional<KeyHolding> next = movable.stream()
+				.filter((held) -> dealer.keys(held.owner()) - held.span().size() >= dealer.keys(poor))
+				.max(Comparator.comparingInt((held) -> dealer.keys(held.owner())));
+			if (next.isEmpty()) {
+				return;
+			}
+			movable.remove(next.get());
+			dealer.move(next.get(), poor);
+			moves.put(next.get().span(), poor);
+		}
+	}
+
+	private static Optional<KeyMap> changed(KeyMap before, KeyMap after) {
+		return before.holdings().equals(after.holdings()) ? Optional.empty() : Optional.of(after);
+	}
+
+	/**
+	 * How many keys each holder has or is to have.
+	 */
+	private static final class Dealer {
+
+		private final List<KeyHolder> holders;
+
+		private final Map<InstanceId, Integer> keys = new HashMap<>();
+
+		Dealer(KeyMap map, List<KeyHolder> holders) {
+			this.holders = holders;
+			holders.forEach((holder) -> this.keys.put(holder.instance(), 0));
+			map.holdings()
+				.forEach((held) -> this.keys.computeIfPresent(held.next().orElse(held.owner()),
+						(key, had) -> had + held.span().size()));
+		}
+
+		KeyHolder least(KeySpan span) {
+			KeyHolder least = this.holders.stream()
+				.min(Comparator.comparingInt((KeyHolder holder) -> keys(holder.instance()))
+					.thenComparing(KeyHolder::instance))
+				.orElseThrow();
+			this.keys.merge(least.instance(), span.size(), Integer::sum);
+			return least;
+		}
+
+		List<KeyHolder> below(double count) {
+			return this.holders.stream().filter((holder) -> keys(holder.instance()) < count).toList();
+		}
+
+		int keys(InstanceId instance) {
+			return this.keys.getOrDefault(instance, 0);
+		}
+
+		void move(KeyHolding held, InstanceId to) {
+			this.keys.computeIfPresent(held.owner(), (key, had) -> had - held.span().size());
+			this.keys.merge(to, held.span().size(), Integer::sum);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/brasspier/core/keys/KeySpan.java
@@ -0,0 +1,65 @@
+package org.brasspier.core.keys;
+
+/**
+ * An inclusive range of keys. Immutable and thread-safe.
+ *
+ * @param from the first key, 0 to 65535
+ * @param to the last key, not before the first
+ */
+public record KeySpan(int from, int to) {
+
+	/** The highest key. */
+	public static final int LAST_KEY = 65_535;
+
+	/**
+	 * Checks the bounds.
+	 * @throws IllegalArgumentException if they are out of order or out of range
+	 */
+	public KeySpan {
+		if (from < 0 || to < from || to > LAST_KEY) {
+			throw new IllegalArgumentException(
+					"keys %d to %d must be in order and from 0 to %d".formatted(from, to, LAST_KEY));
+		}
+	}
+
+	/**
+	 * Whether a key lies in it.
+	 * @param key the key
+	 * @return true if it does
+	 */
+	public boolean contains(int key) {
+		return this.from <= key && key <= this.to;
+	}
+
+	/**
+	 * Whether another span lies in it whole.
+	 * @param other the other span
+	 * @return true if it does
+	 */
+	public boolean covers(KeySpan other) {
+		return this.from <= other.from && other.to <= this.to;
+	}
+
+	/**
+	 * Whether the two have a key in common.
+	 * @param other the other span
+	 * @return true if they do
+	 */
+	public boolean overlaps(KeySpan other) {
+		return this.from <= other.to && other.from <= this.to;
+	}
+
+	/**
+	 * How many keys it has.
+	 * @return at least 1
+	 */
+	public int size() {
+		return this.to - this.from + 1;
+	}
+
+	@Override
+	public String toString() {
+		return this.from + "-" + this.to;
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/brasspier/core/mesh/ResendRules.java
@@ -0,0 +1,87 @@
+package org.brasspier.core.mesh;
+
+import org.brasspier.core.retry.RetryBudget;
+
+/**
+ * Whether one request is sent once more, and what its caller is told in the end. The load
+ * is that of a failing or overloaded backend server: each repeat takes a slot from a
+ * request that comes for the first time, so repeats that reach a backend server are paid
+ * from a budget. A daemon that turns a request away before it reaches its backend server
+ * costs no slot, so that is free but bounded. Not thread-safe; one for each request.
+ */
+public final class ResendRules {
+
+	/**
+	 * Daemons that may turn one request away before it is given up. With three backend
+	 * servers in most deployments this asks each once; a fourth would be as full.
+	 */
+	private static final int MOST_TURNS = 3;
+
+	/** Statuses from here on say that the backend server failed. */
+	private static final int SERVER_ERROR = 500;
+
+	private final RouteRule route;
+
+	private final RetryBudget budget;
+
+	private int reached;
+
+	private int turnedAway;
+
+	private boolean mayHaveRun;
+
+	/**
+	 * Creates the rules of a request that was not sent yet.
+	 * @param route its route
+	 * @param budget what repeats are paid from
+	 */
+	public ResendRules(RouteRule route, RetryBudget budget) {
+		this.route = route;
+		this.budget = budget;
+	}
+
+	/**
+	 * Takes what came of a send.
+	 * @param outcome the outcome
+	 * @param enoughTime whether another send could still be answered in time
+	 * @return true if the request is to be sent once more
+	 */
+	public boolean again(SendOutcome outcome, boolean enoughTime) {
+		return switch (outcome) {
+			case SendOutcome.Answered answered -> {
+				this.reached++;
+				this.mayHaveRun = true;
+				yield answered.answer().status() >= SERVER_ERROR && repeat(enoughTime);
+			}
+			case SendOutcome.Unknown ignored -> {
+				this.reached++;
+				this.mayHaveRun = true;
+				yield repeat(enoughTime);
+			}
+			case SendOutcome.NotRun notRun -> notRun.reached() ? declined(enoughTime) : turned(enoughTime);
+		};
+	}
+
+	private boolean repeat(boolean enoughTime) {
+		return this.route.idempotent() && enoughTime && this.reached < this.route.maxAttempts() && this.budget.spend();
+	}
+
+	private boolean declined(boolean enoughTime) {
+		this.reached++;
+		return enoughTime && this.reached < this.route.maxAttempts() && this.budget.spend();
+	}
+
+	private boolean turned(boolean enoughTime) {
+		this.turnedAway++;
+		return enoughTime && this.turnedAway < MOST_TURNS;
+	}
+
+	/**
+	 * Whether any send may have run, so that "not run" would be untrue.
+	 * @return true if so
+	 */
+	public boolean mayHaveRun() {
+		return this.mayHaveRun;
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/brasspier/core/mesh/ServiceRule.java
@@ -0,0 +1,25 @@
+package org.brasspier.core.mesh;
+
+import org.brasspier.core.ServiceName;
+
+/**
+ * One service of the configuration. Immutable and thread-safe.
+ *
+ * @param name the service's name
+ * @param maxConnections how many connections one backend server accepts, at least 1
+ * @param byKey whether its backend servers run a request only while they hold its key
+ */
+public record ServiceRule(ServiceName name, int maxConnections, boolean byKey) {
+
+	/**
+	 * Checks the rule.
+	 * @throws IllegalArgumentException if a value is out of its range
+	 */
+	public ServiceRule {
+		if (maxConnections < 1) {
+			throw new IllegalArgumentException(
+					"service %s: %d connections must be at least 1".formatted(name, maxConnections));
+		}
+	}
+
+}
--- /dev/null
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/http/MessageCollector.java
@@ -0,0 +1,121 @@
+package org.brasspier.daemon.internal.http;
+
+import java.io.ByteArrayOutputStream;
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+import org.brasspier.core.request.HeaderField;
+import org.eclipse.jetty.http.HttpException;
+import org.eclipse.jetty.http.HttpField;
+import org.eclipse.jetty.http.HttpParser;
+
+/**
+ * Collects one message after the other from a parser's events. Belongs to the thread of
+ * its connection.
+ */
+abstract class MessageCollector implements HttpParser.HttpHandler {
+
+	private final int maxBodyBytes;
+
+	private final List<HeaderField> headers = new ArrayList<>();
+
+	private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+
+	private boolean whole;
+
+	private boolean headComplete;
+
+	private boolean tooLarge;
+
+	private Optional<HttpException> fault = Optional.empty();
+
+	MessageCollector(int maxBodyBytes) {
+		this.maxBodyBytes = maxBodyBytes;
+	}
+
+	void startOver() {
+		this.headers.clear();
+		this.body.reset();
+		this.whole = false;
+		this.headComplete = false;
+	}
+
+	boolean whole() {
+		return this.whole;
+	}
+
+	boolean headComplete() {
+		return this.headComplete;
+	}
+
+	boolean tooLarge() {
+		return this.tooLarge;
+	}
+
+	Optional<HttpException> fault() {
+		return this.fault;
+	}
+
+	List<HeaderField> headers() {
+		return List.copyOf(this.headers);
+	}
+
+	byte[] bodyBytes() {
+		return this.body.toByteArray();
+	}
+
+	boolean saysClose() {
+		return this.headers.stream()
+			.anyMatch((field) -> field.name().equalsIgnoreCase("Connection")
+					&& field.value().toLowerCase(java.util.Locale.ROOT).contains("close"));
+	}
+
+	@Override
+	public void parsedHeader(HttpField field) {
+		this.headers.add(new HeaderField(field.getName(), Optional.ofNullable(field.getValue()).orElse("")));
+	}
+
+	@Override
+	public boolean headerComplete() {
+		this.headComplete = true;
+		return false;
+	}
+
+	@Override
+	public boolean content(ByteBuffer item) {
+		byte[] bytes = new byte[item.remaining()];
+		item.get(bytes);
+		if (this.body.size() + bytes.length > this.maxBodyBytes) {
+			this.tooLarge = true;
+			return true;
+		}
+		this.body.writeBytes(bytes);
+		return false;
+	}
+
+	@Override
+	public boolean contentComplete() {
+		return false;
+	}
+
+	// True stops the parser, so that what follows on the connection is looked at as a
+	// message of its own.
+	@Override
+	public boolean messageComplete() {
+		this.whole = true;
+		return true;
+	}
+
+	@Override
+	public void earlyEOF() {
+		// The connection's owner sees that the message isn't whole.
+	}
+
+	@Override
+	public void badMessage(HttpException failure) {
+		this.fault = Optional.of(failure);
+	}
+
+}
--- a/daemon/src/main/java/org/brasspier/daemon/internal/loop/Duty.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/loop/Duty.java
@@ -31,11 +31,21 @@
 	 * @param name the name of its thread
 	 */
 	public Duty(String name) {
-		this.loop = Eventloop.builder().withThreadName(name).withFatalErrorHandler(Duty::report).build();
+		this.loop = Eventloop.builder()
+			.withThreadName(name)
+			.withTimeProvider(Duty::steadyMillis)
+			.withFatalErrorHandler(Duty::report)
+			.build();
 		this.thread = new Thread(this.loop, name);
 		this.thread.setDaemon(true);
 	}
 
+	// The library's own clock is the time of day. Where that jumps by seconds, timeouts
+	// would fire at once or seconds late; the steady clock doesn't jump.
+	private static long steadyMillis() {
+		return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+	}
+
 	private static void report(Throwable error, @org.jspecify.annotations.Nullable Object context) {
 		logger.error("a task of the event loop failed", error);
 	}
--- /dev/null
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/Ask.java
@@ -0,0 +1,25 @@
+package org.brasspier.daemon.internal.mesh;
+
+import org.brasspier.core.RequestClass;
+import org.brasspier.core.ServiceName;
+import org.brasspier.daemon.mesh.MeshRequest;
+
+/**
+ * A request for a backend server of a service. Immutable and thread-safe.
+ *
+ * @param service the service
+ * @param caller the service of the instance where the request began
+ * @param requestClass how it is queued
+ * @param idempotent whether it may run more than once
+ * @param request the request, with the time that is left
+ */
+record Ask(ServiceName service, ServiceName caller, RequestClass requestClass, boolean idempotent,
+		MeshRequest request) {
+
+	Ask within(int millis) {
+		MeshRequest timed = new MeshRequest(this.request.id(), this.request.host(), this.request.method(),
+				this.request.target(), this.request.headers(), this.request.body(), millis, this.request.key());
+		return new Ask(this.service, this.caller, this.requestClass, this.idempotent, timed);
+	}
+
+}
--- /dev/null
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/BackendDesk.java
@@ -0,0 +1,153 @@
+package org.brasspier.daemon.internal.mesh;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+import io.vavr.control.Either;
+import org.brasspier.core.ErrorKind;
+import org.brasspier.core.Failure;
+import org.brasspier.core.keys.BackendLife;
+import org.brasspier.core.keys.GrantAnswer;
+import org.brasspier.core.mesh.BackendTrack;
+import org.brasspier.core.mesh.BackendTrack.BackendPhase;
+import org.brasspier.daemon.mesh.BackendMessage;
+import org.brasspier.daemon.mesh.Heartbeat;
+import org.brasspier.daemon.mesh.MeshSettings;
+
+/**
+ * What is known of the backend server beside this daemon, from its heartbeats. An
+ * acknowledged leaving binds from that moment on. Belongs to the thread of requests.
+ */
+final class BackendDesk {
+
+	private final MeshSettings.Backend backend;
+
+	private final MeshLog log;
+
+	private final BackendTrack track = new BackendTrack();
+
+	private final List<Runnable> listeners = new ArrayList<>();
+
+	private Grants grants = (beat, now) -> Optional.empty();
+
+	private int slots = 1;
+
+	private long leavingSinceNanos;
+
+	private long coldUntilNanos;
+
+	BackendDesk(MeshSettings.Backend backend, MeshLog log) {
+		this.backend = backend;
+		this.log = log;
+	}
+
+	void grantsFrom(Grants source) {
+		this.grants = source;
+	}
+
+	// Called after each change of life, phase or slots.
+	void listen(Runnable listener) {
+		this.listeners.add(listener);
+	}
+
+	Either<Failure, Optional<GrantAnswer>> take(BackendMessage message) {
+		long now = System.nanoTime();
+		return switch (message) {
+			case BackendMessage.Beat(Heartbeat beat) -> beat(beat, now);
+			case BackendMessage.Departure(String id) -> departed(id, now);
+		};
+	}
+
+	private Either<Failure, Optional<GrantAnswer>> beat(Heartbeat beat, long now) {
+		if (!beat.service().equals(this.backend.service()) || !beat.address().equals(this.backend.address())) {
+			String why = "it names service %s at %s, beside this daemon is %s at %s".formatted(beat.service(),
+					beat.address(), this.backend.service(), this.backend.address());
+			this.log.record(MeshEvent.BACKEND_MESSAGE_IGNORED, "life", beat.holds().life(), "reason", why);
+			return Either.left(Failure.of(ErrorKind.BAD_REQUEST, why));
+		}
+		State before = state();
+		if (!this.track.beat(beat.holds().life(), beat.sequence(), beat.draining(), now)) {
+			this.log.record(MeshEvent.BACKEND_MESSAGE_IGNORED, "life", beat.holds().life(), "sequence", beat.sequence(),
+					"reason", "it is late");
+			return Either.right(Optional.empty());
+		}
+		this.slots = beat.slots();
+		this.coldUntilNanos = now + beat.coldFor().toNanos();
+		changed(before, now);
+		return Either.right(this.grants.answer(beat, now));
+	}
+
+	private Either<Failure, Optional<GrantAnswer>> departed(String id, long now) {
+		State before = state();
+		if (!this.track.departed(id)) {
+			this.log.record(MeshEvent.BACKEND_MESSAGE_IGNORED, "life", id, "reason", "another life goes on");
+		}
+		changed(before, now);
+		return Either.right(Optional.empty());
+	}
+
+	private void changed(State before, long now) {
+		State after = state();
+		if (before.equals(after)) {
+			return;
+		}
+		if (!ready() && !before.phase.equals(after.phase)) {
+			this.leavingSinceNanos = now;
+		}
+		this.log.record(MeshEvent.BACKEND_CHANGED, "life", after.life.map(String::valueOf).orElse(""), "phase",
+				after.phase, "slots", after.slots);
+		this.listeners.forEach(Runnable::run);
+	}
+
+	private State state() {
+		return new State(this.track.life(), this.track.phase(), this.slots);
+	}
+
+	Optional<BackendLife> life() {
+		return this.track.life();
+	}
+
+	BackendPhase phase() {
+		return this.track.phase();
+	}
+
+	boolean ready() {
+		return this.track.phase() == BackendPhase.READY;
+	}
+
+	int slots() {
+		return this.slots;
+	}
+
+	boolean cold(long now) {
+		return now < this.coldUntilNanos;
+	}
+
+	long leavingForNanos(long now) {
+		return now - this.leavingSinceNanos;
+	}
+
+	long silentNanos(long now) {
+		return this.track.silentNanos(now);
+	}
+
+	/**
+	 * Says what a backend server is to hold.
+	 */
+	interface Grants {
+
+		/**
+		 * Answers a heartbeat.
+		 * @param beat the heartbeat
+		 * @param now when it came, by the steady clock
+		 * @return the grants; empty if nothing is to be said of them
+		 */
+		Optional<GrantAnswer> answer(Heartbeat beat, long now);
+
+	}
+
+	private record State(Optional<BackendLife> life, BackendPhase phase, int slots) {
+	}
+
+}
--- /dev/null
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/BackendGate.java
@@ -0,0 +1,314 @@
+package org.brasspier.daemon.internal.mesh;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Supplier;
+
+import io.activej.promise.Promise;
+import io.activej.promise.SettablePromise;
+import io.activej.reactor.nio.NioReactor;
+import io.activej.reactor.schedule.ScheduledRunnable;
+import org.brasspier.core.CallerId;
+import org.brasspier.core.ErrorKind;
+import org.brasspier.core.Failure;
+import org.brasspier.core.admission.AdmissionController;
+import org.brasspier.core.admission.AdmissionDecision;
+import org.brasspier.core.admission.AdmissionLimits;
+import org.brasspier.core.admission.AdmissionSettings;
+import org.brasspier.core.admission.NextRequests;
+import org.brasspier.core.admission.PendingRequest;
+import org.brasspier.core.admission.RefusedRequest;
+import org.brasspier.core.admission.RunOutcome;
+import org.brasspier.core.keys.BackendLife;
+import org.brasspier.core.mesh.BackendTrack.BackendPhase;
+import org.brasspier.core.mesh.RoutingConfig;
+import org.brasspier.core.mesh.SendOutcome;
+import org.brasspier.core.request.Answer;
+import org.brasspier.daemon.internal.http.BackendPool;
+import org.brasspier.daemon.internal.http.BackendReply;
+import org.brasspier.daemon.internal.request.Cancellation;
+import org.brasspier.daemon.mesh.BackendOrder;
+import org.brasspier.daemon.mesh.BackendProtocol;
+import org.brasspier.daemon.mesh.MeshSettings;
+
+/**
+ * The one gate to the backend server beside this daemon. Nothing else can reach that
+ * server, so its slots are counted exactly, what is turned away here certainly did not
+ * run, and its leaving takes effect here at once. Belongs to the thread of requests.
+ */
+final class BackendGate {
+
+	private static final long NANOS_PER_MILLI = 1_000_000;
+
+	private static final Duration RETRY_SOON = Duration.ofMillis(100);
+
+	/** How often something that waits is looked at. */
+	private static final Duration LOOK_AGAIN = Duration.ofMillis(5);
+
+	/**
+	 * Taken off the time for which a leaving server may be given work, for the way of the
+	 * last order.
+	 */
+	private static final Duration DRAIN_MARGIN = Duration.ofMillis(500);
+
+	private final NioReactor reactor;
+
+	private final MeshSettings settings;
+
+	private final BackendDesk desk;
+
+	private final BackendPool pool;
+
+	private final BackendProtocol protocol;
+
+	private final Supplier<RoutingConfig> config;
+
+	private final KeyKeeper keys;
+
+	private final MeshLog log;
+
+	private final AdmissionController admission = new AdmissionController(new AdmissionLimits(1, 1),
+			AdmissionSettings.DEFAULT);
+
+	private final Map<Long, Waiting> waiting = new HashMap<>();
+
+	private long nextNumber = 1;
+
+	private long rulesOfVersion = -1;
+
+	private Optional<BackendLife> life = Optional.empty();
+
+	private boolean expiring;
+
+	BackendGate(NioReactor reactor, MeshSettings settings, BackendDesk desk, BackendPool pool, BackendProtocol protocol,
+			Supplier<RoutingConfig> config, KeyKeeper keys, MeshLog log) {
+		this.reactor = reactor;
+		this.settings = settings;
+		this.desk = desk;
+		this.pool = pool;
+		this.protocol = protocol;
+		this.config = config;
+		this.keys = keys;
+		this.log = log;
+		desk.listen(this::backendChanged);
+	}
+
+	private void backendChanged() {
+		if (!this.desk.life().equals(this.life)) {
+			this.life = this.desk.life();
+			this.pool.forget();
+		}
+		this.rulesOfVersion = -1;
+	}
+
+	private void followConfig() {
+		RoutingConfig inForce = this.config.get();
+		if (inForce.version() == this.rulesOfVersion) {
+			return;
+		}
+		this.rulesOfVersion = inForce.version();
+		int connections = inForce.service(this.settings.backend().service())
+			.map((rule) -> rule.maxConnections())
+			.orElse(this.desk.slots());
+		this.admission.limits(new AdmissionLimits(this.desk.slots(), connections));
+		this.admission.rules(inForce.admission(this.settings.backend().service()), Map.of());
+	}
+
+	/**
+	 * Runs a request on the backend server.
+	 * @param ask the request
+	 * @param cancellation tells when nobody waits for it any more
+	 * @return what came of it; never an exception
+	 */
+	Promise<SendOutcome> run(Ask ask, Cancellation cancellation) {
+		long now = System.nanoTime();
+		Optional<Failure> closed = closed(ask, now);
+		if (closed.isPresent()) {
+			return Promise.of(turnedAway(ask, closed.get()));
+		}
+		followConfig();
+		Order order = new Order(ask, cancellation, now + ask.request().remainingMillis() * NANOS_PER_MILLI);
+		long number = this.nextNumber++;
+		PendingRequest pending = new PendingRequest(number, ask.requestClass(), new CallerId(ask.caller().value()),
+				order.deadlineNanos);
+		return switch (this.admission.offer(pending, now)) {
+			case AdmissionDecision.Run ignored -> start(number, order);
+			case AdmissionDecision.Queued queued -> {
+				queued.displaced().ifPresent(this::refuse);
+				yield enqueue(number, order);
+			}
+			case AdmissionDecision.Refuse refuse -> Promise.of(turnedAway(ask, refuse.failure()));
+		};
+	}
+
+	// Why nothing may be handed over now.
+	private Optional<Failure> closed(Ask ask, long now) {
+		if (!ask.service().equals(this.settings.backend().service())) {
+			return noBackend("this instance's backend server is of service " + this.settings.backend().service());
+		}
+		boolean byKey = ask.request().key().isPresent()
+				&& this.config.get().service(ask.service()).filter((rule) -> rule.byKey()).isPresent();
+		if (!this.desk.ready() && !(byKey && mayFinish(now))) {
+			return noBackend("the backend server is " + this.desk.phase());
+		}
+		if (byKey && !this.keys.usable(ask.request().key().getAsInt())) {
+			return Optional
+				.of(new Failure(ErrorKind.NOT_OWNER, "the backend server doesn't hold this key now", RETRY_SOON));
+		}
+		return Optional.empty();
+	}
+
+	// Keys are served on until another server has them, but no longer than a leaving
+	// server may be given work.
+	private boolean mayFinish(long now) {
+		boolean leaving = this.desk.phase() == BackendPhase.DRAINING || this.desk.phase() == BackendPhase.DEPARTED;
+		return leaving && this.desk.leavingForNanos(now) < this.settings.bounds().drain().minus(DRAIN_MARGIN).toNanos();
+	}
+
+	private static Optional<Failure> noBackend(String detail) {
+		return Optional.of(new Failure(ErrorKind.NO_BACKEND, detail, RETRY_SOON));
+	}
+
+	private SendOutcome turnedAway(Ask ask, Failure failure) {
+		this.log.record(MeshEvent.GATE_TURNED_AWAY, "request", ask.request().id(), "class", ask.requestClass(),
+				"reason", failure.kind(), "detail", failure.detail(), "running", this.admission.running(), "waiting",
+				this.admission.waiting(), "left_ms", ask.request().remainingMillis());
+		return new SendOutcome.NotRun(failure, false);
+	}
+
+	private Promise<SendOutcome> enqueue(long number, Order order) {
+		Waiting queued = new Waiting(order, new SettablePromise<>());
+		this.waiting.put(number, queued);
+		order.cancellation.whenCancelled(() -> {
+			if (this.admission.cancelled(number)) {
+				refuse(new RefusedRequest(number, Failure.of(ErrorKind.DEADLINE_PASSED, "the caller is gone")));
+			}
+		});
+		expireSoon();
+		return queued.outcome;
+	}
+
+	private Promise<SendOutcome> start(long number, Order order) {
+		long now = System.nanoTime();
+		Optional<Failure> closed = closed(order.ask, now);
+		if (closed.isPresent() || this.desk.life().isEmpty() || order.cancellation.cancelled()) {
+			finished(number, RunOutcome.NOT_BEGUN);
+			Failure why = closed.orElseGet(() -> Failure.of(ErrorKind.DEADLINE_PASSED, "nobody waits for it"));
+			return Promise.of(turnedAway(order.ask, why));
+		}
+		return send(number, order, this.desk.life().get(), now);
+	}
+
+	private Promise<SendOutcome> send(long number, Order order, BackendLife to, long now) {
+		int remaining = (int) Math.max(1, (order.deadlineNanos - now) / NANOS_PER_MILLI);
+		BackendOrder written = new BackendOrder(order.ask.request(), order.ask.caller(), to, remaining);
+		BackendPool.BackendRun run = this.pool.run(this.protocol.order(written), order.ask.idempotent(),
+				(answer) -> this.protocol.verdict(written, answer) != BackendProtocol.Verdict.OTHER_ORDER);
+		ScheduledRunnable timeout = this.reactor.delay(remaining + 1L, run::giveUp);
+		// A posting that runs is left to end: its caller's leaving doesn't undo it, and
+		// what is broken off halfway nobody can tell the outcome of.
+		if (order.ask.idempotent()) {
+			order.cancellation.whenCancelled(run::giveUp);
+		}
+		return run.reply().map((reply) -> {
+			timeout.cancel();
+			return ended(number, written, order, reply);
+		});
+	}
+
+	private SendOutcome ended(long number, BackendOrder written, Order order, BackendReply reply) {
+		SendOutcome outcome = outcome(written, order, reply);
+		finished(number, runOutcome(outcome, reply));
+		if (!(outcome instanceof SendOutcome.Answered)) {
+			this.log.record(MeshEvent.ORDER_FAILED, "request", order.ask.request().id(), "life", written.life(),
+					"reply", reply, "outcome", outcome.getClass().getSimpleName());
+		}
+		return outcome;
+	}
+
+	private SendOutcome outcome(BackendOrder written, Order order, BackendReply reply) {
+		return switch (reply) {
+			case BackendReply.Whole(Answer answer) ->
+				(this.protocol.verdict(written, answer) == BackendProtocol.Verdict.NOT_RUN)
+						? new SendOutcome.NotRun(
+								new Failure(ErrorKind.OVERLOADED, "the backend server declined it", RETRY_SOON), true)
+						: new SendOutcome.Answered(answer);
+			case BackendReply.NotSent(String reason) ->
+				new SendOutcome.NotRun(new Failure(ErrorKind.NO_BACKEND, reason, RETRY_SOON), false);
+			case BackendReply.Broken(String reason) -> unknown(ErrorKind.OUTCOME_UNKNOWN, reason);
+			case BackendReply.Garbled(String reason) -> unknown(ErrorKind.BAD_ANSWER, reason);
+			case BackendReply.GivenUp ignored -> unknown(ErrorKind.TIMED_OUT, order.cancellation.cancelled()
+					? "nobody waits for it any more" : "the deadline passed while the backend server had it");
+		};
+	}
+
+	private static SendOutcome unknown(ErrorKind kind, String detail) {
+		return new SendOutcome.Unknown(Failure.of(kind, detail));
+	}
+
+	private static RunOutcome runOutcome(SendOutcome outcome, BackendReply reply) {
+		return switch (outcome) {
+			case SendOutcome.Answered ignored -> RunOutcome.ANSWERED;
+			case SendOutcome.NotRun notRun -> notRun.reached() ? RunOutcome.SHED : RunOutcome.NOT_BEGUN;
+			case SendOutcome.Unknown ignored ->
+				(reply instanceof BackendReply.GivenUp) ? RunOutcome.BROKEN : RunOutcome.NOT_BEGUN;
+		};
+	}
+
+	private void finished(long number, RunOutcome outcome) {
+		carryOut(this.admission.finished(number, outcome, System.nanoTime()));
+	}
+
+	private void carryOut(NextRequests next) {
+		next.refused().forEach(this::refuse);
+		for (long number : next.run()) {
+			Waiting queued = this.waiting.remove(number);
+			if (queued == null) {
+				finished(number, RunOutcome.NOT_BEGUN);
+			}
+			else {
+				start(number, queued.order).whenResult(queued.outcome::trySet);
+			}
+		}
+	}
+
+	private void refuse(RefusedRequest refused) {
+		Waiting queued = this.waiting.remove(refused.id());
+		if (queued != null) {
+			queued.outcome.trySet(turnedAway(queued.order.ask, refused.failure()));
+		}
+	}
+
+	// Looks for what can no longer make its deadline, as long as anything waits.
+	private void expireSoon() {
+		if (this.expiring) {
+			return;
+		}
+		this.expiring = true;
+		this.reactor.delay(LOOK_AGAIN, () -> {
+			this.expiring = false;
+			carryOut(this.admission.expired(System.nanoTime()));
+			if (this.admission.waiting() > 0) {
+				expireSoon();
+			}
+		});
+	}
+
+	boolean idle() {
+		return this.admission.running() == 0 && this.admission.waiting() == 0;
+	}
+
+	List<Integer> load() {
+		return List.of(this.admission.running(), this.admission.waiting());
+	}
+
+	private record Order(Ask ask, Cancellation cancellation, long deadlineNanos) {
+	}
+
+	private record Waiting(Order order, SettablePromise<SendOutcome> outcome) {
+	}
+
+}
--- /dev/null
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/ConfigHolder.java
@@ -0,0 +1,58 @@
+package org.brasspier.daemon.internal.mesh;
+
+import java.util.Optional;
+import java.util.function.Supplier;
+
+import io.vavr.control.Either;
+import org.brasspier.core.Failure;
+import org.brasspier.core.mesh.RoutingConfig;
+import org.brasspier.daemon.mesh.ConfigSource;
+import org.brasspier.daemon.mesh.MetadataStore;
+
+/**
+ * The configuration in force. It only ever goes to a higher version: a stale read or a
+ * late answer must not bring back what operators have replaced. Belongs to the thread of
+ * requests.
+ */
+final class ConfigHolder implements Supplier<RoutingConfig> {
+
+	private final ConfigSource source;
+
+	private final MeshLog log;
+
+	private RoutingConfig inForce = RoutingConfig.NONE;
+
+	ConfigHolder(ConfigSource source, MeshLog log) {
+		this.source = source;
+		this.log = log;
+	}
+
+	@Override
+	public RoutingConfig get() {
+		return this.inForce;
+	}
+
+	void take(MetadataStore.Rows rows) {
+		rows.rows()
+			.stream()
+			.filter((row) -> row.key().equals(this.source.key()))
+			.map(MetadataStore.Row::value)
+			.flatMap(Optional::stream)
+			.forEach(this::take);
+	}
+
+	private void take(byte[] value) {
+		Either<Failure, RoutingConfig> read = this.source.read(value);
+		if (read.isLeft()) {
+			this.log.record(MeshEvent.CONFIG_UNREADABLE, "in_force", this.inForce.version(), "reason",
+					read.getLeft().detail());
+			return;
+		}
+		if (read.get().version() > this.inForce.version()) {
+			this.log.record(MeshEvent.CONFIG_IN_FORCE, "version", read.get().version(), "before",
+					this.inForce.version(), "bytes", value.length);
+			this.inForce = read.get();
+		}
+	}
+
+}
--- /dev/null
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/Directory.java
@@ -0,0 +1,134 @@
+package org.brasspier.daemon.internal.mesh;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import io.vavr.control.Either;
+import org.brasspier.core.Failure;
+import org.brasspier.core.InstanceId;
+import org.brasspier.core.ServiceName;
+import org.brasspier.core.keys.KeyMap;
+import org.brasspier.core.mesh.Member;
+import org.brasspier.daemon.mesh.MetadataStore;
+
+/**
+ * What this daemon knows of the others and of who holds which keys, from their rows in
+ * the platform's store. Goes on with what it knows while the store is away. Belongs to
+ * the thread of requests.
+ */
+final class Directory {
+
+	private final MeshLog log;
+
+	private final Map<InstanceId, Entry<Member>> members = new HashMap<>();
+
+	private final Map<ServiceName, Entry<KeyMap>> keys = new HashMap<>();
+
+	private boolean known;
+
+	Directory(MeshLog log) {
+		this.log = log;
+	}
+
+	void take(MetadataStore.Rows rows, boolean whole) {
+		if (whole) {
+			List<String> there = rows.rows().stream().map(MetadataStore.Row::key).toList();
+			this.members.keySet().removeIf((member) -> !there.contains(StoredRows.MEMBER_PREFIX + member.value()));
+		}
+		rows.rows().forEach(this::take);
+		this.known = true;
+	}
+
+	private void take(MetadataStore.Row row) {
+		if (row.key().startsWith(StoredRows.MEMBER_PREFIX)) {
+			takeMember(row, row.key().substring(StoredRows.MEMBER_PREFIX.length()));
+		}
+		else if (row.key().startsWith(StoredRows.KEYS_PREFIX) && row.value().isPresent()) {
+			takeKeys(row, row.key().substring(StoredRows.KEYS_PREFIX.length()), row.value().get());
+		}
+	}
+
+	private void takeMember(MetadataStore.Row row, String instance) {
+		if (row.value().isEmpty()) {
+			this.members.remove(new InstanceId(instance));
+			return;
+		}
+		Either<Failure, Member> read = StoredRows.member(instance, row.value().get());
+		if (read.isLeft()) {
+			this.log.record(MeshEvent.MEMBER_CHANGED, "member", instance, "unreadable", read.getLeft().detail());
+			return;
+		}
+		Member member = read.get();
+		Entry<Member> before = this.members.get(member.instance());
+		if (before != null && before.version >= row.version()) {
+			return;
+		}
+		this.members.put(member.instance(), new Entry<>(member, row.version()));
+		this.log.record(MeshEvent.MEMBER_CHANGED, "member", instance, "service", member.service(), "ready",
+				member.ready(), "life", member.life().map(String::valueOf).orElse(""), "version", row.version());
+	}
+
+	private void takeKeys(MetadataStore.Row row, String service, byte[] value) {
+		Either<Failure, KeyMap> read = StoredRows.keys(value);
+		if (read.isLeft()) {
+			this.log.record(MeshEvent.KEYS_MOVED, "service", service, "unreadable", read.getLeft().detail());
+			return;
+		}
+		learnt(new ServiceName(service), read.get(), row.version());
+	}
+
+	/**
+	 * Takes a map over that this daemon read or wrote itself, unless a newer one is
+	 * known.
+	 * @param service the service
+	 * @param map who holds what
+	 * @param version the row's version
+	 */
+	void learnt(ServiceName service, KeyMap map, long version) {
+		Entry<KeyMap> before = this.keys.get(service);
+		if (before == null || before.version < version) {
+			this.keys.put(service, new Entry<>(map, version));
+		}
+	}
+
+	// Whether the store was read at all since this process began.
+	boolean known() {
+		return this.known;
+	}
+
+	int size() {
+		return this.members.size();
+	}
+
+	List<Member> serving(ServiceName service) {
+		return this.members.values()
+			.stream()
+			.map(Entry::value)
+			.filter((member) -> member.service().equals(service) && member.ready())
+			.toList();
+	}
+
+	Optional<Member> member(InstanceId instance) {
+		return Optional.ofNullable(this.members.get(instance)).map(Entry::value);
+	}
+
+	long memberVersion(InstanceId instance) {
+		Entry<Member> entry = this.members.get(instance);
+		return (entry != null) ? entry.version : 0;
+	}
+
+	Optional<KeyMap> keys(ServiceName service) {
+		return Optional.ofNullable(this.keys.get(service)).map(Entry::value);
+	}
+
+	long keysVersion(ServiceName service) {
+		Entry<KeyMap> entry = this.keys.get(service);
+		return (entry != null) ? entry.version : 0;
+	}
+
+	private record Entry<T>(T value, long version) {
+	}
+
+}
--- /dev/null
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/Dispatcher.java
@@ -0,0 +1,268 @@
+package org.brasspier.daemon.internal.mesh;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.function.Supplier;
+
+import io.activej.promise.Promise;
+import org.brasspier.core.ErrorKind;
+import org.brasspier.core.Failure;
+import org.brasspier.core.InstanceId;
+import org.brasspier.core.ServiceName;
+import org.brasspier.core.choosing.BackendChooser;
+import org.brasspier.core.choosing.Candidate;
+import org.brasspier.core.keys.KeyMap;
+import org.brasspier.core.mesh.Member;
+import org.brasspier.core.mesh.ResendRules;
+import org.brasspier.core.mesh.RetryPause;
+import org.brasspier.core.mesh.RouteRule;
+import org.brasspier.core.mesh.RoutingConfig;
+import org.brasspier.core.mesh.SendOutcome;
+import org.brasspier.core.retry.RetryBudget;
+import org.brasspier.daemon.internal.request.Cancellation;
+import org.brasspier.daemon.mesh.MeshRequest;
+import org.brasspier.daemon.mesh.MeshSettings;
+
+/**
+ * Brings a request of a caller on this instance to a backend server: the holder of its
+ * key, or the one whose answer can be expected first. Belongs to the thread of requests.
+ */
+final class Dispatcher {
+
+	private static final long NANOS_PER_MILLI = 1_000_000;
+
+	/**
+	 * What another failure domain counts for, as a share of the target latency: bytes
+	 * between failure domains are paid for, so the own one is taken as long as the answer
+	 * still comes well in time there.
+	 */
+	private static final double FAR_SHARE = 0.35;
+
+	/** A send isn't worth while with less than this share of the target latency left. */
+	private static final int LEAST_TIME_DIVISOR = 3;
+
+	/** A part of the operators' bound is kept back, since daemons don't count in step. */
+	private static final double BUDGET_SHARE = 0.6;
+
+	private final MeshSettings settings;
+
+	private final Directory directory;
+
+	private final Supplier<RoutingConfig> config;
+
+	private final BackendGate gate;
+
+	private final HopClient hops;
+
+	private final MeshLog log;
+
+	private final Map<ServiceName, BackendChooser> choosers = new HashMap<>();
+
+	private final Map<ServiceName, RetryBudget> budgets = new HashMap<>();
+
+	private final SplittableRandom random = new SplittableRandom();
+
+	Dispatcher(MeshSettings settings, Directory directory, Supplier<RoutingConfig> config, BackendGate gate,
+			HopClient hops, MeshLog log) {
+		this.settings = settings;
+		this.directory = directory;
+		this.config = config;
+		this.gate = gate;
+		this.hops = hops;
+		this.log = log;
+	}
+
+	/**
+	 * Brings a request on its way.
+	 * @param request the request
+	 * @param route its route
+	 * @param cancellation tells when its caller is gone
+	 * @return what came of it; never an exception
+	 */
+	Promise<SendOutcome> dispatch(MeshRequest request, RouteRule route, Cancellation cancellation) {
+		ServiceName service = service(route);
+		RetryBudget budget = this.budgets.computeIfAbsent(service, (key) -> budget());
+		budget.fresh();
+		return new Course(request, route, service, budget, cancellation).attempt();
+	}
+
+	private ServiceName service(RouteRule route) {
+		int total = route.services().stream().mapToInt((part) -> part.weight()).sum();
+		if (route.services().size() == 1 || total == 0) {
+			return route.services().get(0).service();
+		}
+		int lot = this.random.nextInt(total);
+		for (var part : route.services()) {
+			lot -= part.weight();
+			if (lot < 0) {
+				return part.service();
+			}
+		}
+		return route.services().get(0).service();
+	}
+
+	// The slack is shared by all daemons, whose number is taken from the store's rows.
+	private RetryBudget budget() {
+		MeshSettings.Retries bound = this.settings.bounds().retries();
+		int daemons = Math.max(1, this.directory.size());
+		int saved = Math.max(1, (int) (bound.slack() * BUDGET_SHARE / daemons));
+		return new RetryBudget(bound.ratio() * BUDGET_SHARE, saved);
+	}
+
+	private BackendChooser chooser(ServiceName service) {
+		return this.choosers.computeIfAbsent(service,
+				(key) -> new BackendChooser(Math.max(1, this.directory.size()), this.random.split()));
+	}
+
+	/**
+	 * One request on its way.
+	 */
+	private final class Course {
+
+		private final MeshRequest request;
+
+		private final RouteRule route;
+
+		private final ServiceName service;
+
+		private final ResendRules rules;
+
+		private final Cancellation cancellation;
+
+		private final long deadlineNanos;
+
+		private final Set<InstanceId> tried = new HashSet<>();
+
+		Course(MeshRequest request, RouteRule route, ServiceName service, RetryBudget budget,
+				Cancellation cancellation) {
+			this.request = request;
+			this.route = route;
+			this.service = service;
+			this.rules = new ResendRules(route, budget);
+			this.cancellation = cancellation;
+			long millis = Math.min(request.remainingMillis(), route.timeout().toMillis());
+			this.deadlineNanos = System.nanoTime() + millis * NANOS_PER_MILLI;
+		}
+
+		Promise<SendOutcome> attempt() {
+			long now = System.nanoTime();
+			int remaining = (int) ((this.deadlineNanos - now) / NANOS_PER_MILLI);
+			if (remaining <= 0 || this.cancellation.cancelled()) {
+				return Promise.of(new SendOutcome.NotRun(
+						Failure.of(ErrorKind.DEADLINE_PASSED, "the deadline passed before it was sent"), false));
+			}
+			Optional<Member> target = byKey() ? holder(now) : chosen(now);
+			if (target.isEmpty()) {
+				return Promise.of(nobody(remaining));
+			}
+			return send(target.get(), remaining, now);
+		}
+
+		private boolean byKey() {
+			return this.request.key().isPresent()
+					&& Dispatcher.this.config.get().service(this.service).filter((rule) -> rule.byKey()).isPresent();
+		}
+
+		private Optional<Member> holder(long now) {
+			Optional<KeyMap> map = Dispatcher.this.directory.keys(this.service);
+			return map.map((known) -> known.holding(this.request.key().getAsInt()).owner())
+				.flatMap(Dispatcher.this.directory::member)
+				.filter((member) -> !Dispatcher.this.hops.avoided(member.instance(), now));
+		}
+
+		private Optional<Member> chosen(long now) {
+			List<Member> serving = Dispatcher.this.directory.serving(this.service)
+				.stream()
+				.filter((member) -> !this.tried.contains(member.instance()))
+				.toList();
+			List<Member> reachable = serving.stream()
+				.filter((member) -> !Dispatcher.this.hops.avoided(member.instance(), now))
+				.toList();
+			List<Candidate> candidates = (reachable.isEmpty() ? serving : reachable).stream()
+				.map(this::candidate)
+				.toList();
+			return chooser(this.service).choose(candidates, this.route.requestClass(), now)
+				.flatMap(Dispatcher.this.directory::member);
+		}
+
+		private Candidate candidate(Member member) {
+			boolean near = member.failureDomain().equals(Dispatcher.this.settings.failureDomain());
+			Duration distance = near ? Duration.ZERO
+					: Duration.ofNanos((long) (this.route.targetLatency().toNanos() * FAR_SHARE));
+			return new Candidate(member.instance(), distance, member.slots(), 1);
+		}
+
+		private SendOutcome nobody(int remaining) {
+			Duration pause = RetryPause.of(Duration.ZERO, Duration.ofMillis(remaining));
+			return new SendOutcome.NotRun(new Failure(byKey() ? ErrorKind.NO_OWNER : ErrorKind.NO_BACKEND,
+					"no backend server of %s can take it now".formatted(this.service), pause), false);
+		}
+
+		private Promise<SendOutcome> send(Member target, int remaining, long now) {
+			this.tried.add(target.instance());
+			Ask ask = new Ask(this.service, Dispatcher.this.settings.backend().service(), this.route.requestClass(),
+					this.route.idempotent(), this.request)
+				.within(remaining);
+			boolean here = target.instance().equals(Dispatcher.this.settings.instance());
+			Promise<SendOutcome> outcome = here ? Dispatcher.this.gate.run(ask, this.cancellation)
+					: Dispatcher.this.hops.send(target, ask, this.cancellation);
+			return outcome.then((end) -> next(target, now, end));
+		}
+
+		private Promise<SendOutcome> next(Member target, long sentNanos, SendOutcome end) {
+			learn(target, sentNanos, end);
+			long left = this.deadlineNanos - System.nanoTime();
+			boolean enoughTime = left > this.route.targetLatency().toNanos() / LEAST_TIME_DIVISOR
+					&& !this.cancellation.cancelled();
+			if (this.rules.again(end, enoughTime) && another()) {
+				Dispatcher.this.log.record(MeshEvent.REQUEST_RESENT, "request", this.request.id(), "after",
+						target.instance(), "outcome", describe(end), "left_ms", left / NANOS_PER_MILLI);
+				return attempt().map((later) -> better(end, later));
+			}
+			return Promise.of(end);
+		}
+
+		// A key has one holder, which is asked once more; else somebody new must be left.
+		private boolean another() {
+			return byKey() || Dispatcher.this.directory.serving(this.service)
+				.stream()
+				.anyMatch((member) -> !this.tried.contains(member.instance()));
+		}
+
+		// An earlier send may have run, so "not run" would be untrue.
+		private SendOutcome better(SendOutcome earlier, SendOutcome later) {
+			return (later instanceof SendOutcome.NotRun && this.rules.mayHaveRun()) ? earlier : later;
+		}
+
+		private void learn(Member target, long sentNanos, SendOutcome end) {
+			if (byKey()) {
+				return;
+			}
+			long took = System.nanoTime() - sentNanos;
+			boolean failed = !(end instanceof SendOutcome.Answered answered)
+					|| answered.answer().status() >= ErrorKind.INTERNAL_ERROR.status();
+			if (this.cancellation.cancelled()) {
+				chooser(this.service).cancelled(target.instance());
+			}
+			else {
+				chooser(this.service).ended(target.instance(), this.route.requestClass(), took, failed);
+			}
+		}
+
+	}
+
+	static String describe(SendOutcome outcome) {
+		return switch (outcome) {
+			case SendOutcome.Answered answered -> "status " + answered.answer().status();
+			case SendOutcome.NotRun notRun -> "not run, " + notRun.failure().kind() + ": " + notRun.failure().detail();
+			case SendOutcome.Unknown unknown -> unknown.failure().kind() + ": " + unknown.failure().detail();
+		};
+	}
+
+}
--- /dev/null
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopClient.java
@@ -0,0 +1,87 @@
+package org.brasspier.daemon.internal.mesh;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+
+import io.activej.promise.Promise;
+import io.activej.reactor.nio.NioReactor;
+import org.brasspier.core.InstanceId;
+import org.brasspier.core.mesh.Member;
+import org.brasspier.core.mesh.SendOutcome;
+import org.brasspier.daemon.internal.request.Cancellation;
+
+/**
+ * The connections to other daemons, one for each. Belongs to the thread of requests.
+ */
+final class HopClient {
+
+	/**
+	 * A daemon that could not be reached, or is leaving, isn't tried for this long unless
+	 * there is no other: each try costs a request the time to connect.
+	 */
+	private static final long AVOID_NANOS = Duration.ofMillis(500).toNanos();
+
+	private final NioReactor reactor;
+
+	private final Map<InstanceId, Peer> peers = new HashMap<>();
+
+	HopClient(NioReactor reactor) {
+		this.reactor = reactor;
+	}
+
+	// Whether requests are better sent elsewhere just now.
+	boolean avoided(InstanceId instance, long now) {
+		Peer peer = this.peers.get(instance);
+		return peer != null && (now - peer.failedNanos < AVOID_NANOS && peer.failed || peer.link.leaving());
+	}
+
+	Promise<SendOutcome> send(Member member, Ask ask, Cancellation cancellation) {
+		Peer peer = peer(member);
+		return peer.link.send(ask, cancellation).whenResult(() -> note(peer));
+	}
+
+	private void note(Peer peer) {
+		if (peer.link.closed()) {
+			peer.failed = true;
+			peer.failedNanos = System.nanoTime();
+		}
+		else {
+			peer.failed = false;
+		}
+	}
+
+	private Peer peer(Member member) {
+		InetSocketAddress address = member.address();
+		Peer known = this.peers.get(member.instance());
+		if (known != null && known.address.equals(address) && !known.link.closed()) {
+			return known;
+		}
+		Peer opened = new Peer(address, new HopLink(this.reactor, address));
+		if (known != null) {
+			opened.failed = known.failed;
+			opened.failedNanos = known.failedNanos;
+		}
+		this.peers.put(member.instance(), opened);
+		return opened;
+	}
+
+	private static final class Peer {
+
+		private final InetSocketAddress address;
+
+		private final HopLink link;
+
+		private boolean failed;
+
+		private long failedNanos;
+
+		Peer(InetSocketAddress address, HopLink link) {
+			this.address = address;
+			this.link = link;
+		}
+
+	}
+
+}
--- /dev/null
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopCodec.java
@@ -0,0 +1,155 @@
+package org.brasspier.daemon.internal.mesh;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.OptionalInt;
+
+import org.brasspier.core.ErrorKind;
+import org.brasspier.core.Failure;
+import org.brasspier.core.RequestClass;
+import org.brasspier.core.ServiceName;
+import org.brasspier.core.mesh.SendOutcome;
+import org.brasspier.core.request.Answer;
+import org.brasspier.core.request.HeaderField;
+import org.brasspier.daemon.mesh.MeshRequest;
+import org.brasspier.wire.FrameReader;
+import org.brasspier.wire.FrameWriter;
+import org.brasspier.wire.WireException;
+
+/**
+ * Writes and reads messages between daemons. Stateless and thread-safe.
+ */
+final class HopCodec {
+
+	private static final int ASKED = 1;
+
+	private static final int ANSWERED = 2;
+
+	private static final int NOT_RUN = 3;
+
+	private static final int UNKNOWN = 4;
+
+	private static final int CANCELLED = 5;
+
+	private static final int PING = 6;
+
+	private static final int PONG = 7;
+
+	private static final int LEAVING = 8;
+
+	private static final int NO_KEY = -1;
+
+	private HopCodec() {
+	}
+
+	static byte[] encode(HopMessage message) {
+		FrameWriter frame = new FrameWriter();
+		switch (message) {
+			case HopMessage.Asked(long exchange, Ask ask) -> ask(frame.number(ASKED).number(exchange), ask);
+			case HopMessage.Replied(long exchange, SendOutcome outcome) -> outcome(frame, exchange, outcome);
+			case HopMessage.Cancelled(long exchange) -> frame.number(CANCELLED).number(exchange);
+			case HopMessage.Ping ignored -> frame.number(PING);
+			case HopMessage.Pong ignored -> frame.number(PONG);
+			case HopMessage.Leaving ignored -> frame.number(LEAVING);
+		}
+		return frame.frame();
+	}
+
+	private static void ask(FrameWriter frame, Ask ask) {
+		MeshRequest request = ask.request();
+		frame.text(ask.service().value())
+			.text(ask.caller().value())
+			.number(ask.requestClass().ordinal())
+			.flag(ask.idempotent())
+			.text(request.id())
+			.text(request.host())
+			.text(request.method())
+			.text(request.target())
+			.number(request.remainingMillis())
+			.number(request.key().orElse(NO_KEY));
+		headers(frame, request.headers());
+		frame.bytes(request.body());
+	}
+
+	private static void headers(FrameWriter frame, List<HeaderField> headers) {
+		frame.count(headers.size());
+		headers.forEach((field) -> frame.text(field.name()).text(field.value()));
+	}
+
+	private static void outcome(FrameWriter frame, long exchange, SendOutcome outcome) {
+		switch (outcome) {
+			case SendOutcome.Answered(Answer answer) -> {
+				frame.number(ANSWERED).number(exchange).number(answer.status());
+				headers(frame, answer.headers());
+				frame.bytes(answer.body());
+			}
+			case SendOutcome.NotRun(Failure failure, boolean reached) -> {
+				failure(frame.number(NOT_RUN).number(exchange), failure);
+				frame.flag(reached);
+			}
+			case SendOutcome.Unknown(Failure failure) -> failure(frame.number(UNKNOWN).number(exchange), failure);
+		}
+	}
+
+	private static void failure(FrameWriter frame, Failure failure) {
+		frame.text(failure.kind().name()).text(failure.detail()).number(failure.retryAfter().toMillis());
+	}
+
+	static HopMessage decode(FrameReader frame) throws WireException {
+		int type = frame.small();
+		return switch (type) {
+			case ASKED -> new HopMessage.Asked(frame.number(), ask(frame));
+			case ANSWERED -> new HopMessage.Replied(frame.number(), answered(frame));
+			case NOT_RUN ->
+				new HopMessage.Replied(frame.number(), new SendOutcome.NotRun(failure(frame), frame.flag()));
+			case UNKNOWN -> new HopMessage.Replied(frame.number(), new SendOutcome.Unknown(failure(frame)));
+			case CANCELLED -> new HopMessage.Cancelled(frame.number());
+			case PING -> new HopMessage.Ping();
+			case PONG -> new HopMessage.Pong();
+			case LEAVING -> new HopMessage.Leaving();
+			default -> throw new WireException("message type %d is not known".formatted(type));
+		};
+	}
+
+	private static Ask ask(FrameReader frame) throws WireException {
+		try {
+			ServiceName service = new ServiceName(frame.text());
+			ServiceName caller = new ServiceName(frame.text());
+			RequestClass requestClass = RequestClass.values()[frame.small()];
+			boolean idempotent = frame.flag();
+			String id = frame.text();
+			String host = frame.text();
+			String method = frame.text();
+			String target = frame.text();
+			int remaining = frame.small();
+			int key = frame.small();
+			OptionalInt about = (key == NO_KEY) ? OptionalInt.empty() : OptionalInt.of(key);
+			List<HeaderField> headers = frame.list(HopCodec::header);
+			return new Ask(service, caller, requestClass, idempotent,
+					new MeshRequest(id, host, method, target, headers, frame.bytes(), remaining, about));
+		}
+		catch (IllegalArgumentException | IndexOutOfBoundsException ex) {
+			throw new WireException("a request of another daemon makes no sense", ex);
+		}
+	}
+
+	private static HeaderField header(FrameReader frame) throws WireException {
+		return new HeaderField(frame.text(), frame.text());
+	}
+
+	private static SendOutcome answered(FrameReader frame) throws WireException {
+		int status = frame.small();
+		List<HeaderField> headers = frame.list(HopCodec::header);
+		return new SendOutcome.Answered(new Answer(status, headers, frame.bytes()));
+	}
+
+	private static Failure failure(FrameReader frame) throws WireException {
+		try {
+			return new Failure(ErrorKind.valueOf(frame.text()), frame.text(), Duration.ofMillis(frame.number()));
+		}
+		catch (IllegalArgumentException ex) {
+			throw new WireException("a failure of another daemon makes no sense", ex);
+		}
+	}
+
+}
--- /dev/null
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopLink.java
@@ -0,0 +1,191 @@
+package org.brasspier.daemon.internal.mesh;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import io.activej.net.socket.tcp.TcpSocket;
+import io.activej.promise.Promise;
+import io.activej.promise.SettablePromise;
+import io.activej.reactor.net.SocketSettings;
+import io.activej.reactor.nio.NioReactor;
+import io.activej.reactor.schedule.ScheduledRunnable;
+import org.brasspier.core.ErrorKind;
+import org.brasspier.core.Failure;
+import org.brasspier.core.mesh.SendOutcome;
+import org.brasspier.daemon.internal.peer.PeerConnection;
+import org.brasspier.daemon.internal.request.Cancellation;
+import org.brasspier.wire.FrameReader;
+import org.brasspier.wire.WireException;
+
+/**
+ * The connection to one other daemon. It guards against connections that go silent for
+ * good while new ones work, as when something between the two ends has lost track of
+ * them: anything that waits is pinged for, and silence ends the connection. Belongs to
+ * the thread of requests.
+ */
+final class HopLink {
+
+	/** Largest body of a request plus its head. */
+	static final int MAX_FRAME_BYTES = 72 << 20;
+
+	private static final SocketSettings SOCKETS = SocketSettings.builder().withTcpNoDelay(true).build();
+
+	/**
+	 * Many times a round trip between failure domains, a tenth of a caller's patience.
+	 */
+	private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(150);
+
+	private static final Duration PING_EVERY = Duration.ofMillis(100);
+
+	/**
+	 * Three pings and the pause that a processor share of a tenth of a second allows.
+	 */
+	private static final long SILENCE_NANOS = Duration.ofMillis(400).toNanos();
+
+	/** A receiver that doesn't read must not fill this process's memory. */
+	private static final long MAX_UNSENT_BYTES = 4 << 20;
+
+	private static final Duration RETRY_SOON = Duration.ofMillis(100);
+
+	private final NioReactor reactor;
+
+	private final Promise<PeerConnection> connection;
+
+	private final Map<Long, SettablePromise<SendOutcome>> waiting = new HashMap<>();
+
+	private Optional<PeerConnection> open = Optional.empty();
+
+	private long nextExchange = 1;
+
+	private long heardNanos;
+
+	private boolean pinging;
+
+	private boolean closed;
+
+	private boolean leaving;
+
+	HopLink(NioReactor reactor, InetSocketAddress address) {
+		this.reactor = reactor;
+		this.connection = TcpSocket.connect(reactor, address, CONNECT_TIMEOUT, SOCKETS).map((socket) -> {
+			this.heardNanos = System.nanoTime();
+			PeerConnection opened = PeerConnection.unproven(socket, MAX_FRAME_BYTES, this::receive);
+			opened.closed().whenResult(this::lost);
+			this.open = Optional.of(opened);
+			return opened;
+		}).whenException((ex) -> this.closed = true);
+	}
+
+	boolean closed() {
+		return this.closed;
+	}
+
+	boolean leaving() {
+		return this.leaving;
+	}
+
+	Promise<SendOutcome> send(Ask ask, Cancellation cancellation) {
+		SettablePromise<SendOutcome> outcome = new SettablePromise<>();
+		this.connection.whenComplete((ready, ex) -> {
+			if (ex != null || this.closed) {
+				outcome.set(notSent(ErrorKind.NO_BACKEND, "the daemon beside the backend server can't be reached"));
+			}
+			else if (ready.unsentBytes() > MAX_UNSENT_BYTES) {
+				outcome.set(notSent(ErrorKind.OVERLOADED, "the connection to the other daemon is full"));
+			}
+			else {
+				send(ready, ask, cancellation, outcome);
+			}
+		});
+		return outcome;
+	}
+
+	private static SendOutcome notSent(ErrorKind kind, String detail) {
+		return new SendOutcome.NotRun(new Failure(kind, detail, RETRY_SOON), false);
+	}
+
+	private void send(PeerConnection ready, Ask ask, Cancellation cancellation, SettablePromise<SendOutcome> outcome) {
+		long exchange = this.nextExchange++;
+		if (this.waiting.isEmpty()) {
+			this.heardNanos = System.nanoTime();
+		}
+		this.waiting.put(exchange, outcome);
+		ready.send(HopCodec.encode(new HopMessage.Asked(exchange, ask)));
+		ScheduledRunnable timeout = this.reactor.delay(ask.request().remainingMillis() + 1L,
+				() -> settle(exchange, new SendOutcome.Unknown(
+						Failure.of(ErrorKind.TIMED_OUT, "the deadline passed while another daemon had the request"))));
+		outcome.whenResult(timeout::cancel);
+		cancellation.whenCancelled(() -> {
+			if (this.waiting.containsKey(exchange)) {
+				ready.send(HopCodec.encode(new HopMessage.Cancelled(exchange)));
+			}
+		});
+		keepPinging();
+	}
+
+	private void keepPinging() {
+		if (this.pinging) {
+			return;
+		}
+		this.pinging = true;
+		this.reactor.delay(PING_EVERY, () -> {
+			this.pinging = false;
+			if (!this.closed && !this.waiting.isEmpty()) {
+				ping();
+			}
+		});
+	}
+
+	private void ping() {
+		long silent = System.nanoTime() - this.heardNanos;
+		if (silent >= SILENCE_NANOS) {
+			this.open.ifPresent((ready) -> ready
+				.close(new WireException("nothing came for %d ms".formatted(Duration.ofNanos(silent).toMillis()))));
+			return;
+		}
+		if (silent >= PING_EVERY.toNanos() / 2) {
+			this.open.ifPresent((ready) -> ready.send(HopCodec.encode(new HopMessage.Ping())));
+		}
+		keepPinging();
+	}
+
+	private void receive(FrameReader frame) throws WireException {
+		this.heardNanos = System.nanoTime();
+		switch (HopCodec.decode(frame)) {
+			case HopMessage.Replied(long exchange, SendOutcome outcome) -> settle(exchange, outcome);
+			case HopMessage.Leaving ignored -> this.leaving = true;
+			case HopMessage.Pong ignored -> {
+				// That it came is all it says.
+			}
+			case HopMessage.Asked ignored -> throw wrongSide();
+			case HopMessage.Cancelled ignored -> throw wrongSide();
+			case HopMessage.Ping ignored -> throw wrongSide();
+		}
+	}
+
+	private static WireException wrongSide() {
+		return new WireException("a message came from the wrong side of the connection");
+	}
+
+	// Numbers are never used twice, so a late answer finds nobody.
+	private void settle(long exchange, SendOutcome outcome) {
+		SettablePromise<SendOutcome> promise = this.waiting.remove(exchange);
+		if (promise != null) {
+			promise.set(outcome);
+		}
+	}
+
+	private void lost(Exception reason) {
+		this.closed = true;
+		SendOutcome outcome = new SendOutcome.Unknown(Failure.of(ErrorKind.OUTCOME_UNKNOWN,
+				"the connection to the other daemon broke: " + reason.getMessage()));
+		List<SettablePromise<SendOutcome>> all = List.copyOf(this.waiting.values());
+		this.waiting.clear();
+		all.forEach((promise) -> promise.set(outcome));
+	}
+
+}
--- /dev/null
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopMessage.java
@@ -0,0 +1,48 @@
+package org.brasspier.daemon.internal.mesh;
+
+import org.brasspier.core.mesh.SendOutcome;
+
+/**
+ * What one daemon sends to another. Immutable and thread-safe.
+ */
+sealed interface HopMessage {
+
+	/**
+	 * The backend server beside the receiver is to run a request.
+	 *
+	 * @param exchange the number under which it is answered
+	 * @param ask the request
+	 */
+	record Asked(long exchange, Ask ask) implements HopMessage {
+	}
+
+	/**
+	 * What came of it.
+	 *
+	 * @param exchange the number
+	 * @param outcome the outcome
+	 */
+	record Replied(long exchange, SendOutcome outcome) implements HopMessage {
+	}
+
+	/**
+	 * Nobody waits for it any more.
+	 *
+	 * @param exchange the number
+	 */
+	record Cancelled(long exchange) implements HopMessage {
+	}
+
+	/** Asks whether the receiver still hears. */
+	record Ping() implements HopMessage {
+	}
+
+	/** It does. */
+	record Pong() implements HopMessage {
+	}
+
+	/** The sender is about to stop; it answers what it has, and wants no more. */
+	record Leaving() implements HopMessage {
+	}
+
+}
--- /dev/null
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopServer.java
@@ -0,0 +1,122 @@
+package org.brasspier.daemon.internal.mesh;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+
+import io.activej.net.SimpleServer;
+import io.activej.net.socket.tcp.ITcpSocket;
+import io.activej.promise.Promise;
+import io.activej.reactor.nio.NioReactor;
+import org.brasspier.core.mesh.SendOutcome;
+import org.brasspier.daemon.internal.peer.PeerConnection;
+import org.brasspier.daemon.internal.request.Cancellation;
+import org.brasspier.wire.FrameReader;
+import org.brasspier.wire.WireException;
+
+/**
+ * Takes requests of other daemons for the backend server beside this one. It never passes
+ * them on, so stale routes can't make a request go in circles. Belongs to the thread of
+ * requests.
+ */
+final class HopServer {
+
+	private final SimpleServer server;
+
+	private final BackendGate gate;
+
+	private final MeshLog log;
+
+	private final Set<Exchanges> connections = new HashSet<>();
+
+	HopServer(NioReactor reactor, InetSocketAddress address, BackendGate gate, MeshLog log) {
+		this.server = SimpleServer.builder(reactor, this::accept).withListenAddress(address).build();
+		this.gate = gate;
+		this.log = log;
+	}
+
+	void listen() throws IOException {
+		this.server.listen();
+	}
+
+	// Tells all other daemons to send no more.
+	void leave() {
+		this.connections.forEach((each) -> each.send(new HopMessage.Leaving()));
+	}
+
+	private void accept(ITcpSocket socket) {
+		new Exchanges().begin(socket);
+	}
+
+	/**
+	 * What one connection asked for and waits for.
+	 */
+	private final class Exchanges {
+
+		private final Map<Long, Cancellation> running = new HashMap<>();
+
+		@org.jspecify.annotations.Nullable
+		private PeerConnection connection;
+
+		void begin(ITcpSocket socket) {
+			PeerConnection opened = PeerConnection.unproven(socket, HopLink.MAX_FRAME_BYTES, this::receive);
+			this.connection = opened;
+			HopServer.this.connections.add(this);
+			opened.closed().whenResult(this::closed);
+		}
+
+		// Whoever asked is gone, or can't be reached any more: nobody waits for answers.
+		private void closed(Exception reason) {
+			HopServer.this.connections.remove(this);
+			if (reason instanceof WireException && !PeerConnection.closedByPeer(reason)) {
+				HopServer.this.log.record(MeshEvent.BAD_PEER_INPUT, "reason", String.valueOf(reason.getMessage()));
+			}
+			java.util.List.copyOf(this.running.values()).forEach(Cancellation::cancel);
+		}
+
+		void send(HopMessage message) {
+			if (this.connection != null) {
+				this.connection.send(HopCodec.encode(message));
+			}
+		}
+
+		private void receive(FrameReader frame) throws WireException {
+			switch (HopCodec.decode(frame)) {
+				case HopMessage.Asked(long exchange, Ask ask) -> run(exchange, ask);
+				case HopMessage.Cancelled(long exchange) -> cancel(exchange);
+				case HopMessage.Ping ignored -> send(new HopMessage.Pong());
+				case HopMessage.Replied ignored -> throw wrongSide();
+				case HopMessage.Pong ignored -> throw wrongSide();
+				case HopMessage.Leaving ignored -> throw wrongSide();
+			}
+		}
+
+		private static WireException wrongSide() {
+			return new WireException("a message came from the wrong side of the connection");
+		}
+
+		private void run(long exchange, Ask ask) throws WireException {
+			Cancellation cancellation = new Cancellation();
+			if (this.running.put(exchange, cancellation) != null) {
+				throw new WireException("exchange %d was opened twice".formatted(exchange));
+			}
+			Promise<SendOutcome> outcome = HopServer.this.gate.run(ask, cancellation);
+			outcome.whenResult((end) -> {
+				this.running.remove(exchange);
+				send(new HopMessage.Replied(exchange, end));
+			});
+		}
+
+		private void cancel(long exchange) {
+			Cancellation cancellation = this.running.get(exchange);
+			if (cancellation != null) {
+				cancellation.cancel();
+			}
+		}
+
+	}
+
+}
--- /dev/null
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/MeshNode.java
@@ -0,0 +1,153 @@
+package org.brasspier.daemon.internal.mesh;
+
+import java.io.IOException;
+import java.time.Duration;
+
+import com.codahale.metrics.MetricRegistry;
+import io.activej.reactor.nio.NioReactor;
+import org.brasspier.core.mesh.RoutingConfig;
+import org.brasspier.daemon.internal.http.BackendPool;
+import org.brasspier.daemon.internal.http.CallerDoor;
+import org.brasspier.daemon.internal.operator.MetricsText;
+import org.brasspier.daemon.mesh.MeshAdapter;
+import org.brasspier.daemon.mesh.MeshSettings;
+
+/**
+ * The parts of a daemon of a mesh, joined. Belongs to the thread of requests.
+ */
+public final class MeshNode {
+
+	/**
+	 * How long a leaving daemon takes new connections. The platform asks once a second
+	 * whether it takes work and believes the second no, so callers come for up to two
+	 * seconds more.
+	 */
+	private static final Duration OPEN_ON = Duration.ofMillis(2500);
+
+	private static final Duration LOOK_AGAIN = Duration.ofMillis(20);
+
+	private static final int MAX_ANSWER_BYTES = 64 << 20;
+
+	private final NioReactor reactor;
+
+	private final MeshSettings settings;
+
+	private final MeshAdapter adapter;
+
+	private final MeshLog log;
+
+	private final MetricRegistry metrics = new MetricRegistry();
+
+	private final Directory directory;
+
+	private final ConfigHolder config;
+
+	private final BackendGate gate;
+
+	private final KeyKeeper keys;
+
+	private final MemberWriter member;
+
+	private final MeshEntry entry;
+
+	private final CallerDoor callers;
+
+	private final HopServer hops;
+
+	private final BackendDesk desk;
+
+	private final TableFeed configFeed;
+
+	private final TableFeed meshFeed;
+
+	private boolean leaving;
+
+	private long leavingSinceNanos;
+
+	/**
+	 * Joins the parts; nothing listens yet.
+	 * @param reactor the reactor of the thread of requests
+	 * @param settings what the daemon knows before it starts
+	 * @param adapter how the platform speaks
+	 */
+	public MeshNode(NioReactor reactor, MeshSettings settings, MeshAdapter adapter) {
+		this.reactor = reactor;
+		this.settings = settings;
+		this.adapter = adapter;
+		this.log = new MeshLog(settings.instance(), this.metrics);
+		StoreHealth health = new StoreHealth(this.log);
+		this.directory = new Directory(this.log);
+		this.config = new ConfigHolder(adapter.config(), this.log);
+		this.desk = new BackendDesk(settings.backend(), this.log);
+		BootClock clock = new BootClock();
+		this.keys = new KeyKeeper(reactor, settings, this.desk, this.directory, adapter.store(), this.config,
+				clock::nanos, health, this.log);
+		this.desk.grantsFrom((beat, now) -> this.keys.answer(beat));
+		BackendPool pool = new BackendPool(reactor, settings.backend().address(), MAX_ANSWER_BYTES);
+		this.gate = new BackendGate(reactor, settings, this.desk, pool, adapter.backends(), this.config, this.keys,
+				this.log);
+		this.member = new MemberWriter(reactor, settings, this.desk, this.directory, adapter.store(), health);
+		Dispatcher dispatcher = new Dispatcher(settings, this.directory, this.config, this.gate, new HopClient(reactor),
+				this.log);
+		this.entry = new MeshEntry(adapter.callers(), this.config, dispatcher, this.log, this.metrics);
+		this.callers = new CallerDoor(reactor, settings.listen().callers(), this.entry,
+				() -> this.config.get().limits());
+		this.hops = new HopServer(reactor, settings.listen().peers(), this.gate, this.log);
+		this.configFeed = new TableFeed(reactor, adapter.store(), adapter.config().table(), health,
+				(rows, whole) -> this.config.take(rows));
+		this.meshFeed = new TableFeed(reactor, adapter.store(), StoredRows.MESH, health, this.directory::take);
+	}
+
+	/**
+	 * Opens all ports and begins to follow the store.
+	 * @throws IOException if a port can't be opened
+	 */
+	public void start() throws IOException {
+		ControlPorts ports = new ControlPorts(this.reactor, this.log);
+		ports.heartbeats(this.settings.listen().backend(), this.adapter.heartbeats(), this.desk);
+		ports.readiness(this.settings.listen().readiness(), this.adapter.readinessPath(), this::ready);
+		ports.metrics(this.settings.listen(), new MetricsText(this.metrics)::text);
+		this.hops.listen();
+		this.callers.listen();
+		this.configFeed.start();
+		this.meshFeed.start();
+		this.member.start();
+		this.keys.start();
+		this.log.record(MeshEvent.STARTED, "service", this.settings.backend().service(), "failure_domain",
+				this.settings.failureDomain());
+	}
+
+	private boolean ready() {
+		RoutingConfig inForce = this.config.get();
+		return !this.leaving && inForce.known() && this.directory.known();
+	}
+
+	/**
+	 * Sends callers and other daemons elsewhere, answers what is asked for until nothing
+	 * is left, and then says so.
+	 * @param ended called once nothing is in flight any more
+	 */
+	public void leave(Runnable ended) {
+		this.leaving = true;
+		this.leavingSinceNanos = System.nanoTime();
+		this.log.record(MeshEvent.STOPPING, "open", this.entry.open(), "gate", this.gate.load());
+		this.callers.leave();
+		this.hops.leave();
+		this.reactor.delay(OPEN_ON, () -> {
+			this.callers.refuseNew();
+			whenIdle(ended);
+		});
+	}
+
+	private void whenIdle(Runnable ended) {
+		boolean closed = this.callers.closeIdle();
+		long left = this.settings.bounds().stop().toNanos() - (System.nanoTime() - this.leavingSinceNanos);
+		if (closed && this.gate.idle() || left <= 0) {
+			this.log.record(MeshEvent.STOPPED, "open", this.entry.open(), "gate", this.gate.load());
+			ended.run();
+			return;
+		}
+		this.reactor.delay(LOOK_AGAIN, () -> whenIdle(ended));
+	}
+
+}
--- /dev/null
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/StoredRows.java
@@ -0,0 +1,143 @@
+package org.brasspier.daemon.internal.mesh;
+
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.UnknownHostException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+import com.google.gson.Gson;
+import com.google.gson.JsonParseException;
+import io.vavr.control.Either;
+import org.brasspier.core.ErrorKind;
+import org.brasspier.core.FailureDomain;
+import org.brasspier.core.Failure;
+import org.brasspier.core.Fence;
+import org.brasspier.core.InstanceId;
+import org.brasspier.core.ServiceName;
+import org.brasspier.core.keys.BackendLife;
+import org.brasspier.core.keys.KeyHolder;
+import org.brasspier.core.keys.KeyHolding;
+import org.brasspier.core.keys.KeyMap;
+import org.brasspier.core.keys.KeySpan;
+import org.brasspier.core.mesh.Member;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * How the daemons' own rows in the platform's store read. Stateless and thread-safe.
+ */
+final class StoredRows {
+
+	/** The table of members and of who holds which keys; every daemon follows it. */
+	static final String MESH = "mesh";
+
+	/** The table of leases; only who watches leases reads it. */
+	static final String LEASES = "leases";
+
+	static final String MEMBER_PREFIX = "member/";
+
+	static final String KEYS_PREFIX = "keys/";
+
+	private static final Gson GSON = new Gson();
+
+	private StoredRows() {
+	}
+
+	static byte[] member(Member member) {
+		MemberRow row = new MemberRow(text(member.address()), member.failureDomain().value(), member.service().value(),
+				member.life().map(BackendLife::id).orElse(null), member.life().map(BackendLife::bornMillis).orElse(0L),
+				member.slots(), member.ready());
+		return bytes(row);
+	}
+
+	static Either<Failure, Member> member(String instance, byte[] value) {
+		return read(() -> {
+			MemberRow row = GSON.fromJson(new String(value, StandardCharsets.UTF_8), MemberRow.class);
+			Optional<BackendLife> life = Optional.ofNullable(row.backend())
+				.map((id) -> new BackendLife(id, row.born()));
+			return new Member(new InstanceId(instance), address(row.address()), new FailureDomain(row.domain()),
+					new ServiceName(row.service()), life, row.slots(), row.ready());
+		});
+	}
+
+	static byte[] keys(KeyMap map) {
+		List<KeyHolder> holders = map.holdings()
+			.stream()
+			.map((held) -> new KeyHolder(held.owner(), held.life()))
+			.distinct()
+			.toList();
+		List<HolderRow> holderRows = holders.stream()
+			.map((holder) -> new HolderRow(holder.instance().value(), holder.life().id(), holder.life().bornMillis()))
+			.toList();
+		List<SpanRow> spans = map.holdings()
+			.stream()
+			.map((held) -> new SpanRow(held.span().from(), held.span().to(),
+					holders.indexOf(new KeyHolder(held.owner(), held.life())), held.fence().value(),
+					held.handover().isEmpty() ? null : held.handover(),
+					held.next().map(InstanceId::value).orElse(null)))
+			.toList();
+		return bytes(new KeysRow(map.nextFence(), holderRows, spans));
+	}
+
+	static Either<Failure, KeyMap> keys(byte[] value) {
+		return read(() -> {
+			KeysRow row = GSON.fromJson(new String(value, StandardCharsets.UTF_8), KeysRow.class);
+			List<KeyHolding> holdings = new ArrayList<>();
+			for (SpanRow span : row.spans()) {
+				HolderRow holder = row.holders().get(span.holder());
+				holdings.add(new KeyHolding(new KeySpan(span.from(), span.to()), new InstanceId(holder.instance()),
+						new BackendLife(holder.backend(), holder.born()), new Fence(span.fence()),
+						Optional.ofNullable(span.handover()).orElse(""),
+						Optional.ofNullable(span.next()).map(InstanceId::new)));
+			}
+			return new KeyMap(holdings, row.next());
+		});
+	}
+
+	private static byte[] bytes(Object row) {
+		return GSON.toJson(row).getBytes(StandardCharsets.UTF_8);
+	}
+
+	private static <T> Either<Failure, T> read(Reading<T> reading) {
+		try {
+			return Either.right(reading.read());
+		}
+		catch (JsonParseException | IllegalArgumentException | NullPointerException | IndexOutOfBoundsException
+				| UnknownHostException ex) {
+			return Either.left(Failure.of(ErrorKind.STATE_UNREADABLE, "a row of the store can't be read: " + ex));
+		}
+	}
+
+	private static String text(InetSocketAddress address) {
+		return address.getAddress().getHostAddress() + ":" + address.getPort();
+	}
+
+	private static InetSocketAddress address(String text) throws UnknownHostException {
+		int colon = text.lastIndexOf(':');
+		// Always an IP number, so no name is looked up.
+		return new InetSocketAddress(InetAddress.getByName(text.substring(0, colon)),
+				Integer.parseInt(text.substring(colon + 1)));
+	}
+
+	private interface Reading<T> {
+
+		T read() throws UnknownHostException;
+
+	}
+
+	private record MemberRow(String address, String domain, String service, @Nullable String backend, long born,
+			int slots, boolean ready) {
+	}
+
+	private record HolderRow(String instance, String backend, long born) {
+	}
+
+	private record SpanRow(int from, int to, int holder, long fence, @Nullable String handover, @Nullable String next) {
+	}
+
+	private record KeysRow(long next, List<HolderRow> holders, List<SpanRow> spans) {
+	}
+
+}
--- a/daemon/src/main/java/org/brasspier/daemon/internal/operator/MetricsText.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/operator/MetricsText.java
@@ -17,7 +17,7 @@
  * version 0.0.4: for each metric its meaning, its type, and one series a line.
  * Thread-safe.
  */
-final class MetricsText {
+public final class MetricsText {
 
 	/** One monitoring system scrapes 3,500 daemons: 1.75 million series at most. */
 	static final int MAX_SERIES = 500;
@@ -26,11 +26,19 @@
 
 	private final MetricRegistry metrics;
 
-	MetricsText(MetricRegistry metrics) {
+	/**
+	 * Creates the text of a registry.
+	 * @param metrics the metrics
+	 */
+	public MetricsText(MetricRegistry metrics) {
 		this.metrics = metrics;
 	}
 
-	String text() {
+	/**
+	 * The metrics as they are now.
+	 * @return the text
+	 */
+	public String text() {
 		StringBuilder text = new StringBuilder();
 		int kept = 0;
 		int dropped = 0;
--- a/daemon/src/main/java/org/brasspier/daemon/internal/peer/PeerConnection.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/peer/PeerConnection.java
@@ -75,6 +75,22 @@
 		return opened;
 	}
 
+	/**
+	 * Opens a connection on which neither side proves who it is. For deployments whose
+	 * settings carry no shared secret and whose network keeps others out.
+	 * @param socket the connected socket
+	 * @param maxFrameBytes the largest frame accepted
+	 * @param handler takes the frames
+	 * @return the connection
+	 */
+	public static PeerConnection unproven(ITcpSocket socket, int maxFrameBytes, FrameHandler handler) {
+		PeerConnection connection = new PeerConnection(socket, maxFrameBytes);
+		connection.decoder.limit(maxFrameBytes);
+		connection.handler = handler;
+		connection.read();
+		return connection;
+	}
+
 	private void begin(SettablePromise<Opened> opened) {
 		this.closed.whenResult((reason) -> opened.trySetException(reason));
 		read();
--- /dev/null
+++ b/daemon/src/main/java/org/brasspier/daemon/mesh/MeshRequest.java
@@ -0,0 +1,39 @@
+package org.brasspier.daemon.mesh;
+
+import java.util.List;
+import java.util.OptionalInt;
+
+import org.brasspier.core.request.HeaderField;
+
+/**
+ * A caller's request, read. Immutable and thread-safe, if nobody changes the body.
+ *
+ * @param id the id that the caller gave to this attempt
+ * @param host the host that it names, without a port
+ * @param method the method
+ * @param target the path and query
+ * @param headers the header fields that go to the backend server as they are
+ * @param body the whole body
+ * @param remainingMillis how long the caller will wait from now
+ * @param key the key that it is about; empty if it names none
+ */
+public record MeshRequest(String id, String host, String method, String target, List<HeaderField> headers, byte[] body,
+		int remainingMillis, OptionalInt key) {
+
+	/**
+	 * Copies the list.
+	 */
+	public MeshRequest {
+		headers = List.copyOf(headers);
+	}
+
+	/**
+	 * The path without the query.
+	 * @return the path
+	 */
+	public String path() {
+		int query = this.target.indexOf('?');
+		return (query < 0) ? this.target : this.target.substring(0, query);
+	}
+
+}
