Shift busy keys from holders that are asked for too much

Each holder now tells the one that plans what its keys are asked for, cut into pieces, and pieces move. A cancelled connection no longer changes the list it walks.

--- a/core/src/main/java/org/brasspier/core/keys/GrantBook.java
+++ b/core/src/main/java/org/brasspier/core/keys/GrantBook.java
@@ -35,9 +35,9 @@
 
 	private final long startedNanos;
 
-	private final Map<KeySpan, Granted> granted = new HashMap<>();
+	private Map<KeySpan, Granted> granted = new HashMap<>();
 
-	private final Map<KeySpan, String> letGo = new HashMap<>();
+	private Map<KeySpan, String> letGo = new HashMap<>();
 
 	/**
 	 * Creates a book with nothing in it. A process before this one may have granted
@@ -63,8 +63,8 @@
 	 */
 	public Optional<GrantAnswer> answer(KeyMap map, HoldReport report, long leaseNanos, long now) {
 		List<KeyHolding> own = map.of(this.self).stream().filter((held) -> held.life().equals(report.life())).toList();
+		follow(own);
 		noteReleases(own, report);
-		forgetOthers(own);
 		long hold = Math.min(this.timing.hold().toNanos(), this.timing.within(leaseNanos));
 		if (hold < SHORTEST_HOLD_NANOS) {
 			return Optional.empty();
@@ -85,7 +85,10 @@
 		Granted before = this.granted.get(held.span());
 		boolean known = report.holds(held.span(), held.fence())
 				|| before != null && before.fence == held.fence().value() && before.live(now);
-		long usable = (known && before != null) ? Math.min(before.usableNanos, now) : now + (known ? 0 : SETTLE_NANOS);
+		long usable = known ? now : now + SETTLE_NANOS;
+		if (known && before != null) {
+			usable = Math.min(before.usableNanos, now);
+		}
 		this.granted.put(held.span(),
 				new Granted(held.fence().value(), usable, now + hold, now + this.timing.atMost(hold)));
 	}
@@ -99,24 +102,44 @@
 		}
 	}
 
-	private void forgetOthers(List<KeyHolding> own) {
-		List<KeySpan> spans = own.stream().map(KeyHolding::span).toList();
-		this.granted.keySet().retainAll(spans);
-		this.letGo.keySet().retainAll(spans);
+	// Spans are cut and joined while they are held: what holds for a span holds for each
+	// part of it, and for a whole if it holds for each of its parts.
+	private void follow(List<KeyHolding> own) {
+		Map<KeySpan, Granted> still = new HashMap<>();
+		Map<KeySpan, String> gone = new HashMap<>();
+		for (KeyHolding held : own) {
+			this.granted.entrySet()
+				.stream()
+				.filter((entry) -> entry.getKey().overlaps(held.span()))
+				.map(Map.Entry::getValue)
+				.reduce(Granted::join)
+				.ifPresent((joined) -> still.put(held.span(), joined));
+			this.letGo.entrySet()
+				.stream()
+				.filter((entry) -> entry.getKey().covers(held.span()))
+				.map(Map.Entry::getValue)
+				.findFirst()
+				.ifPresent((handover) -> gone.put(held.span(), handover));
+		}
+		this.granted = still;
+		this.letGo = gone;
 	}
 
 	/**
 	 * Whether a request for a key may be handed to the server now.
-	 * @param holding who holds the key
+	 * @param key the key
+	 * @param holding who holds it
 	 * @param life the server's life
 	 * @param now the time
 	 * @return true if the server holds it under that fence
 	 */
-	public boolean usable(KeyHolding holding, BackendLife life, long now) {
-		Granted grant = this.granted.get(holding.span());
-		return holding.owner().equals(this.self) && holding.life().equals(life) && holding.next().isEmpty()
-				&& grant != null && grant.fence == holding.fence().value() && now >= grant.usableNanos
-				&& now < grant.endNanos;
+	public boolean usable(int key, KeyHolding holding, BackendLife life, long now) {
+		boolean own = holding.owner().equals(this.self) && holding.life().equals(life) && holding.next().isEmpty();
+		return own && this.granted.entrySet()
+			.stream()
+			.filter((entry) -> entry.getKey().contains(key))
+			.map(Map.Entry::getValue)
+			.anyMatch((grant) -> grant.fence == holding.fence().value() && now >= grant.usableNanos && grant.live(now));
 	}
 
 	/**
@@ -131,10 +154,13 @@
 		if (handover != null) {
 			return Optional.of(handover);
 		}
-		Granted grant = this.granted.get(holding.span());
-		long until = (grant != null) ? grant.certainEndNanos
-				: this.startedNanos + this.timing.atMost(this.timing.hold().toNanos());
-		return (now >= until) ? Optional.of("") : Optional.empty();
+		long unknown = this.startedNanos + this.timing.atMost(this.timing.hold().toNanos());
+		long until = this.granted.entrySet()
+			.stream()
+			.filter((entry) -> entry.getKey().overlaps(holding.span()))
+			.mapToLong((entry) -> entry.getValue().certainEndNanos)
+			.reduce(unknown, (one, other) -> (one - other > 0) ? one : other);
+		return (now - until >= 0) ? Optional.of("") : Optional.empty();
 	}
 
 	/**
@@ -151,6 +177,14 @@
 			return now < this.endNanos;
 		}
 
+		// For a span that was granted in parts: usable once all are, and ended for
+		// certain only when the last one is.
+		Granted join(Granted other) {
+			boolean same = this.fence == other.fence;
+			return new Granted(same ? this.fence : -1, Math.max(this.usableNanos, other.usableNanos),
+					Math.min(this.endNanos, other.endNanos), Math.max(this.certainEndNanos, other.certainEndNanos));
+		}
+
 	}
 
 }
--- /dev/null
+++ b/core/src/main/java/org/brasspier/core/keys/HolderLoad.java
@@ -0,0 +1,32 @@
+package org.brasspier.core.keys;
+
+import java.util.List;
+
+import org.brasspier.core.InstanceId;
+
+/**
+ * How much is asked of one holder, and how much it can do. Immutable and thread-safe.
+ *
+ * @param instance its instance
+ * @param capacity requests a second that its backend server can run, above 0
+ * @param pieces what is asked for its keys, cut so that each piece can move on its own
+ */
+public record HolderLoad(InstanceId instance, double capacity, List<KeyLoad> pieces) {
+
+	/**
+	 * Checks the capacity and copies the list.
+	 * @throws IllegalArgumentException if the capacity is not positive
+	 */
+	public HolderLoad {
+		pieces = List.copyOf(pieces);
+		if (!(capacity > 0)) {
+			throw new IllegalArgumentException(
+					"instance %s: capacity %s must be positive".formatted(instance, capacity));
+		}
+	}
+
+	double rate() {
+		return this.pieces.stream().mapToDouble(KeyLoad::rate).sum();
+	}
+
+}
--- a/core/src/main/java/org/brasspier/core/keys/KeyHolding.java
+++ b/core/src/main/java/org/brasspier/core/keys/KeyHolding.java
@@ -24,6 +24,14 @@
 		return new KeyHolding(this.span, this.owner, this.life, this.fence, this.handover, Optional.of(wantedOwner));
 	}
 
+	KeyHolding part(KeySpan part) {
+		return new KeyHolding(part, this.owner, this.life, this.fence, this.handover, this.next);
+	}
+
+	boolean joins(KeyHolding other) {
+		return this.part(other.span).equals(other) && this.next.isEmpty();
+	}
+
 	KeyHolding staying() {
 		return new KeyHolding(this.span, this.owner, this.life, this.fence, this.handover, Optional.empty());
 	}
--- a/core/src/main/java/org/brasspier/core/keys/KeyMap.java
+++ b/core/src/main/java/org/brasspier/core/keys/KeyMap.java
@@ -73,6 +73,25 @@
 		return new KeyMap(dealt, count + 1L);
 	}
 
+	/**
+	 * Joins neighbouring holdings that differ in nothing but their keys, so that the
+	 * number of spans does not grow with each cut.
+	 * @return the same map in as few spans as that allows
+	 */
+	public KeyMap joined() {
+		List<KeyHolding> result = new ArrayList<>();
+		for (KeyHolding held : this.holdings) {
+			KeyHolding last = result.isEmpty() ? null : result.get(result.size() - 1);
+			if (last != null && last.joins(held)) {
+				result.set(result.size() - 1, last.part(new KeySpan(last.span().from(), held.span().to())));
+			}
+			else {
+				result.add(held);
+			}
+		}
+		return new KeyMap(result, this.nextFence);
+	}
+
 	/**
 	 * All holdings, by key.
 	 * @return an unmodifiable list
@@ -112,7 +131,7 @@
 	}
 
 	/**
-	 * Gives holdings to new holders, each under the next fence.
+	 * Gives holdings to new holders under the next fence.
 	 * @param moved which ones
 	 * @param holder who gets one
 	 * @param handover what its previous holder handed over; empty if nothing
@@ -120,20 +139,51 @@
 	 */
 	public KeyMap moved(Predicate<KeyHolding> moved, Function<KeyHolding, KeyHolder> holder,
 			Function<KeyHolding, String> handover) {
-		List<KeyHolding> changed = new ArrayList<>();
-		long fence = this.nextFence;
-		for (KeyHolding held : this.holdings) {
-			if (moved.test(held)) {
-				KeyHolder to = holder.apply(held);
-				changed.add(new KeyHolding(held.span(), to.instance(), to.life(), new Fence(fence),
-						handover.apply(held), Optional.empty()));
-				fence++;
+		Fence fence = new Fence(this.nextFence);
+		return new KeyMap(this.holdings.stream().map((held) -> {
+			if (!moved.test(held)) {
+				return held;
 			}
-			else {
-				changed.add(held);
+			KeyHolder to = holder.apply(held);
+			return new KeyHolding(held.span(), to.instance(), to.life(), fence, handover.apply(held), Optional.empty());
+		}).toList(), this.nextFence + 1);
+	}
+
+	/**
+	 * Says who is to have some spans next; holdings are cut where a span is part of one.
+	 * Their holders go on until they have let go.
+	 * @param moves the next owner of each span; a span that is not part of one holding
+	 * that stays is passed over
+	 * @return the new map
+	 */
+	public KeyMap carved(Map<KeySpan, InstanceId> moves) {
+		List<KeyHolding> result = new ArrayList<>();
+		for (KeyHolding held : this.holdings) {
+			List<KeySpan> inside = moves.keySet()
+				.stream()
+				.filter((span) -> held.span().covers(span) && held.next().isEmpty())
+				.sorted(Comparator.comparingInt(KeySpan::from))
+				.toList();
+			carve(held, inside, moves, result);
+		}
+		return new KeyMap(result, this.nextFence);
+	}
+
+	private static void carve(KeyHolding held, List<KeySpan> inside, Map<KeySpan, InstanceId> moves,
+			List<KeyHolding> result) {
+		int from = held.span().from();
+		for (KeySpan span : inside) {
+			if (span.from() > from) {
+				result.add(held.part(new KeySpan(from, span.from() - 1)));
 			}
+			InstanceId next = moves.get(span);
+			KeyHolding part = held.part(span);
+			result.add((next != null) ? part.wanted(next) : part);
+			from = span.to() + 1;
+		}
+		if (from <= held.span().to()) {
+			result.add(held.part(new KeySpan(from, held.span().to())));
 		}
-		return new KeyMap(changed, fence);
 	}
 
 	/**
--- a/core/src/main/java/org/brasspier/core/keys/KeyPlanner.java
+++ b/core/src/main/java/org/brasspier/core/keys/KeyPlanner.java
@@ -18,12 +18,6 @@
  */
 public final class KeyPlanner {
 
-	/**
-	 * A holder with less than this share of an even part is filled up. Above it, what a
-	 * move costs isn't worth the evenness.
-	 */
-	private static final double TOO_FEW = 0.5;
-
 	private KeyPlanner() {
 	}
 
@@ -83,7 +77,8 @@
 	}
 
 	/**
-	 * Fills up holders that have far less than an even part, from those with most.
+	 * Gives holders that have no keys an even part of them, from those with most. Who has
+	 * some keys may have few because they are busy ones; that is for {@link KeyBalance}.
 	 * @param map who holds what
 	 * @param holders who can hold keys now
 	 * @return the new map; empty if nothing changes
@@ -95,7 +90,7 @@
 		Dealer dealer = new Dealer(map, holders);
 		double even = (KeySpan.LAST_KEY + 1.0) / holders.size();
 		Map<KeySpan, InstanceId> moves = new HashMap<>();
-		for (KeyHolder poor : dealer.below(even * TOO_FEW)) {
+		for (KeyHolder poor : dealer.withoutKeys()) {
 			fillUp(map, dealer, poor.instance(), even, moves);
 		}
 		return changed(map, map.wanted((held) -> Optional.ofNullable(moves.get(held.span()))));
@@ -148,8 +143,8 @@
 			return least;
 		}
 
-		List<KeyHolder> below(double count) {
-			return this.holders.stream().filter((holder) -> keys(holder.instance()) < count).toList();
+		List<KeyHolder> withoutKeys() {
+			return this.holders.stream().filter((holder) -> keys(holder.instance()) == 0).toList();
 		}
 
 		int keys(InstanceId instance) {
--- a/daemon/src/main/java/org/brasspier/daemon/internal/http/CallerSocket.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/http/CallerSocket.java
@@ -4,6 +4,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.List;
 import java.util.Optional;
 
 import io.activej.async.exception.AsyncCloseException;
@@ -151,6 +152,9 @@
 
 	private void answered(Open opened, Answer answer) {
 		opened.answer = answer;
+		if (this.closed) {
+			return;
+		}
 		while (!this.open.isEmpty() && this.open.peek().answer != null) {
 			Open next = this.open.remove();
 			boolean close = this.open.isEmpty() && (this.last || this.door.leaving());
@@ -185,8 +189,10 @@
 	// The caller closed, or its connection broke: nobody will read what it asked for.
 	private void gone() {
 		close();
-		this.open.forEach((opened) -> opened.cancellation.cancel());
+		// Cancelling answers some of them at once, which must find none of them here.
+		List<Open> unanswered = List.copyOf(this.open);
 		this.open.clear();
+		unanswered.forEach((opened) -> opened.cancellation.cancel());
 	}
 
 	void close() {
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/BackendGate.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/BackendGate.java
@@ -14,6 +14,7 @@
 import org.brasspier.core.CallerId;
 import org.brasspier.core.ErrorKind;
 import org.brasspier.core.Failure;
+import org.brasspier.core.RequestClass;
 import org.brasspier.core.admission.AdmissionController;
 import org.brasspier.core.admission.AdmissionDecision;
 import org.brasspier.core.admission.AdmissionLimits;
@@ -43,6 +44,8 @@
 
 	private static final long NANOS_PER_MILLI = 1_000_000;
 
+	private static final double NANOS_PER_SECOND = 1_000_000_000;
+
 	private static final Duration RETRY_SOON = Duration.ofMillis(100);
 
 	/** How often something that waits is looked at. */
@@ -125,6 +128,7 @@
 	 */
 	Promise<SendOutcome> run(Ask ask, Cancellation cancellation) {
 		long now = System.nanoTime();
+		ask.request().key().ifPresent(this.keys::asked);
 		Optional<Failure> closed = closed(ask, now);
 		if (closed.isPresent()) {
 			return Promise.of(turnedAway(ask, closed.get()));
@@ -297,6 +301,13 @@
 		});
 	}
 
+	// How many lookups a second all slots together can run, from how long one took
+	// lately.
+	double capacity() {
+		long runNanos = Math.max(NANOS_PER_MILLI, this.admission.usualRunNanos(RequestClass.LOOKUP));
+		return this.desk.slots() * NANOS_PER_SECOND / runNanos;
+	}
+
 	boolean idle() {
 		return this.admission.running() == 0 && this.admission.waiting() == 0;
 	}
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopClient.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopClient.java
@@ -42,6 +42,10 @@
 		return peer.link.send(ask, cancellation).whenResult(() -> note(peer));
 	}
 
+	void tell(Member member, HopMessage message) {
+		peer(member).link.tell(message);
+	}
+
 	private void note(Peer peer) {
 		if (peer.link.closed()) {
 			peer.failed = true;
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopCodec.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopCodec.java
@@ -6,8 +6,12 @@
 
 import org.brasspier.core.ErrorKind;
 import org.brasspier.core.Failure;
+import org.brasspier.core.InstanceId;
 import org.brasspier.core.RequestClass;
 import org.brasspier.core.ServiceName;
+import org.brasspier.core.keys.HolderLoad;
+import org.brasspier.core.keys.KeyLoad;
+import org.brasspier.core.keys.KeySpan;
 import org.brasspier.core.mesh.SendOutcome;
 import org.brasspier.core.request.Answer;
 import org.brasspier.core.request.HeaderField;
@@ -37,6 +41,10 @@
 
 	private static final int LEAVING = 8;
 
+	private static final int LOAD = 9;
+
+	private static final double MILLI = 1000;
+
 	private static final int NO_KEY = -1;
 
 	private HopCodec() {
@@ -48,6 +56,7 @@
 			case HopMessage.Asked(long exchange, Ask ask) -> ask(frame.number(ASKED).number(exchange), ask);
 			case HopMessage.Replied(long exchange, SendOutcome outcome) -> outcome(frame, exchange, outcome);
 			case HopMessage.Cancelled(long exchange) -> frame.number(CANCELLED).number(exchange);
+			case HopMessage.Load(HolderLoad load) -> load(frame.number(LOAD), load);
 			case HopMessage.Ping ignored -> frame.number(PING);
 			case HopMessage.Pong ignored -> frame.number(PONG);
 			case HopMessage.Leaving ignored -> frame.number(LEAVING);
@@ -104,6 +113,7 @@
 				new HopMessage.Replied(frame.number(), new SendOutcome.NotRun(failure(frame), frame.flag()));
 			case UNKNOWN -> new HopMessage.Replied(frame.number(), new SendOutcome.Unknown(failure(frame)));
 			case CANCELLED -> new HopMessage.Cancelled(frame.number());
+			case LOAD -> new HopMessage.Load(load(frame));
 			case PING -> new HopMessage.Ping();
 			case PONG -> new HopMessage.Pong();
 			case LEAVING -> new HopMessage.Leaving();
@@ -111,6 +121,27 @@
 		};
 	}
 
+	// Rates travel as thousandths.
+	private static void load(FrameWriter frame, HolderLoad load) {
+		frame.text(load.instance().value()).number(Math.round(load.capacity() * MILLI)).count(load.pieces().size());
+		load.pieces()
+			.forEach((piece) -> frame.number(piece.span().from())
+				.number(piece.span().to())
+				.number(Math.round(piece.rate() * MILLI)));
+	}
+
+	private static HolderLoad load(FrameReader frame) throws WireException {
+		try {
+			InstanceId instance = new InstanceId(frame.text());
+			double capacity = frame.number() / MILLI;
+			return new HolderLoad(instance, capacity,
+					frame.list((each) -> new KeyLoad(new KeySpan(each.small(), each.small()), each.number() / MILLI)));
+		}
+		catch (IllegalArgumentException ex) {
+			throw new WireException("a load of another daemon makes no sense", ex);
+		}
+	}
+
 	private static Ask ask(FrameReader frame) throws WireException {
 		try {
 			ServiceName service = new ServiceName(frame.text());
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopLink.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopLink.java
@@ -104,6 +104,11 @@
 		return outcome;
 	}
 
+	// Sends what needs no answer; lost if the other daemon can't be reached.
+	void tell(HopMessage message) {
+		this.connection.whenResult((ready) -> ready.send(HopCodec.encode(message)));
+	}
+
 	private static SendOutcome notSent(ErrorKind kind, String detail) {
 		return new SendOutcome.NotRun(new Failure(kind, detail, RETRY_SOON), false);
 	}
@@ -164,6 +169,7 @@
 			case HopMessage.Asked ignored -> throw wrongSide();
 			case HopMessage.Cancelled ignored -> throw wrongSide();
 			case HopMessage.Ping ignored -> throw wrongSide();
+			case HopMessage.Load ignored -> throw wrongSide();
 		}
 	}
 
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopMessage.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopMessage.java
@@ -1,5 +1,6 @@
 package org.brasspier.daemon.internal.mesh;
 
+import org.brasspier.core.keys.HolderLoad;
 import org.brasspier.core.mesh.SendOutcome;
 
 /**
@@ -33,6 +34,14 @@
 	record Cancelled(long exchange) implements HopMessage {
 	}
 
+	/**
+	 * What the sender's backend server is asked for; the receiver plans who holds what.
+	 *
+	 * @param load the load
+	 */
+	record Load(HolderLoad load) implements HopMessage {
+	}
+
 	/** Asks whether the receiver still hears. */
 	record Ping() implements HopMessage {
 	}
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopServer.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopServer.java
@@ -28,13 +28,16 @@
 
 	private final BackendGate gate;
 
+	private final KeyKeeper keys;
+
 	private final MeshLog log;
 
 	private final Set<Exchanges> connections = new HashSet<>();
 
-	HopServer(NioReactor reactor, InetSocketAddress address, BackendGate gate, MeshLog log) {
+	HopServer(NioReactor reactor, InetSocketAddress address, BackendGate gate, KeyKeeper keys, MeshLog log) {
 		this.server = SimpleServer.builder(reactor, this::accept).withListenAddress(address).build();
 		this.gate = gate;
+		this.keys = keys;
 		this.log = log;
 	}
 
@@ -88,6 +91,7 @@
 				case HopMessage.Asked(long exchange, Ask ask) -> run(exchange, ask);
 				case HopMessage.Cancelled(long exchange) -> cancel(exchange);
 				case HopMessage.Ping ignored -> send(new HopMessage.Pong());
+				case HopMessage.Load(var load) -> HopServer.this.keys.reported(load);
 				case HopMessage.Replied ignored -> throw wrongSide();
 				case HopMessage.Pong ignored -> throw wrongSide();
 				case HopMessage.Leaving ignored -> throw wrongSide();
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/KeyKeeper.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/KeyKeeper.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.DoubleSupplier;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import java.util.stream.Collectors;
@@ -19,10 +20,14 @@
 import org.brasspier.core.keys.BackendLife;
 import org.brasspier.core.keys.GrantAnswer;
 import org.brasspier.core.keys.GrantBook;
+import org.brasspier.core.keys.HolderLoad;
+import org.brasspier.core.keys.KeyBalance;
 import org.brasspier.core.keys.KeyHolder;
 import org.brasspier.core.keys.KeyHolding;
 import org.brasspier.core.keys.KeyMap;
+import org.brasspier.core.keys.KeyMeter;
 import org.brasspier.core.keys.KeyPlanner;
+import org.brasspier.core.keys.KeySpan;
 import org.brasspier.core.keys.LeaseTiming;
 import org.brasspier.core.keys.LeaseWatch;
 import org.brasspier.core.keys.OwnLease;
@@ -63,6 +68,17 @@
 	 */
 	private static final long SILENT_NANOS = Duration.ofSeconds(6).toNanos();
 
+	private static final long REPORT_EVERY_NANOS = Duration.ofSeconds(1).toNanos();
+
+	/** Two reports and the way of the second. */
+	private static final long FRESH_NANOS = Duration.ofMillis(2500).toNanos();
+
+	/**
+	 * After a move loads are counted anew before the next one is planned: half of what
+	 * the meter remembers is then from after the move.
+	 */
+	private static final long REST_NANOS = Duration.ofSeconds(2).toNanos();
+
 	private final NioReactor reactor;
 
 	private final InstanceId self;
@@ -114,14 +130,27 @@
 
 	private Map<InstanceId, Long> rowVersions = Map.of();
 
+	private final KeyMeter meter;
+
+	private final HopClient hops;
+
+	private DoubleSupplier capacity = () -> 1;
+
+	private final Map<InstanceId, Reported> loads = new HashMap<>();
+
+	private long reportedNanos;
+
+	private long movedNanos;
+
 	KeyKeeper(NioReactor reactor, MeshSettings settings, BackendDesk desk, Directory directory, MetadataStore store,
-			Supplier<RoutingConfig> config, LongSupplier clock, StoreHealth health, MeshLog log) {
+			HopClient hops, Supplier<RoutingConfig> config, LongSupplier clock, StoreHealth health, MeshLog log) {
 		this.reactor = reactor;
 		this.self = settings.instance();
 		this.service = settings.backend().service();
 		this.desk = desk;
 		this.directory = directory;
 		this.store = store;
+		this.hops = hops;
 		this.config = config;
 		this.clock = clock;
 		this.health = health;
@@ -131,9 +160,17 @@
 		this.renewedNanos = now - this.timing.lease().toNanos();
 		this.lookedNanos = now - LOOK_EVERY_NANOS;
 		this.holdersSinceNanos = now;
+		this.meter = new KeyMeter(now);
+		this.reportedNanos = now;
+		this.movedNanos = now;
 		desk.listen(this::step);
 	}
 
+	// How many requests a second the backend server can run.
+	void capacityFrom(DoubleSupplier source) {
+		this.capacity = source;
+	}
+
 	void start() {
 		this.reactor.delayBackground(STEP, () -> {
 			step();
@@ -154,7 +191,15 @@
 		Optional<BackendLife> life = this.desk.life();
 		Optional<KeyMap> map = this.directory.keys(this.service);
 		return life.isPresent() && map.isPresent()
-				&& this.book.usable(map.get().holding(key), life.get(), this.clock.getAsLong());
+				&& this.book.usable(key, map.get().holding(key), life.get(), this.clock.getAsLong());
+	}
+
+	/**
+	 * Counts a request for a key.
+	 * @param key the key
+	 */
+	void asked(int key) {
+		this.meter.asked(key);
 	}
 
 	Optional<GrantAnswer> answer(Heartbeat beat) {
@@ -305,9 +350,10 @@
 			this.latestHolders = names;
 			this.holdersSinceNanos = now;
 		}
+		Optional<KeyMap> map = this.directory.keys(this.service);
+		map.ifPresent((known) -> report(known, holders, now));
 		boolean leads = !holders.isEmpty() && holders.get(0).instance().equals(this.self);
 		boolean settled = now - this.holdersSinceNanos >= SETTLED_NANOS;
-		Optional<KeyMap> map = this.directory.keys(this.service);
 		if (map.isEmpty()) {
 			if (leads && settled) {
 				commit(KeyMap.first(holders), List.of(), "first");
@@ -359,6 +405,45 @@
 				(held) -> released.getOrDefault(held, "")));
 	}
 
+	/**
+	 * Takes what another holder is asked for.
+	 * @param load its load
+	 */
+	void reported(HolderLoad load) {
+		this.loads.put(load.instance(), new Reported(load, this.clock.getAsLong()));
+	}
+
+	// Once a second each holder tells the one that plans what it is asked for.
+	private void report(KeyMap map, List<KeyHolder> holders, long now) {
+		if (now - this.reportedNanos < REPORT_EVERY_NANOS) {
+			return;
+		}
+		this.reportedNanos = now;
+		this.meter.tick(now);
+		List<KeySpan> spans = map.of(this.self).stream().map(KeyHolding::span).toList();
+		HolderLoad own = new HolderLoad(this.self, this.capacity.getAsDouble(), this.meter.pieces(spans));
+		reported(own);
+		holders.stream()
+			.map(KeyHolder::instance)
+			.findFirst()
+			.filter((leader) -> !leader.equals(this.self))
+			.flatMap(this.directory::member)
+			.ifPresent((leader) -> this.hops.tell(leader, new HopMessage.Load(own)));
+	}
+
+	private Optional<KeyMap> balanced(KeyMap map, List<KeyHolder> holders, long now) {
+		boolean moving = map.holdings().stream().anyMatch((held) -> held.next().isPresent());
+		if (moving || now - this.movedNanos < REST_NANOS) {
+			return Optional.empty();
+		}
+		List<HolderLoad> fresh = holders.stream()
+			.map((holder) -> this.loads.get(holder.instance()))
+			.filter((reported) -> reported != null && now - reported.sinceNanos < FRESH_NANOS)
+			.map((reported) -> reported.load)
+			.toList();
+		return (fresh.size() == holders.size()) ? KeyBalance.plan(map, fresh) : Optional.empty();
+	}
+
 	private void planAll(KeyMap map, List<KeyHolder> holders, boolean settled, long now) {
 		Map<InstanceId, Long> lost = new HashMap<>();
 		map.holdings()
@@ -378,9 +463,12 @@
 			commit(retargeted.get(), List.of(), "other targets");
 			return;
 		}
-		if (settled) {
-			KeyPlanner.evened(map, holders).ifPresent((planned) -> commit(planned, List.of(), "evened"));
+		Optional<KeyMap> evened = settled ? KeyPlanner.evened(map, holders) : Optional.empty();
+		if (evened.isPresent()) {
+			commit(evened.get(), List.of(), "evened");
+			return;
 		}
+		balanced(map, holders, now).ifPresent((planned) -> commit(planned, List.of(), "balanced"));
 	}
 
 	// Writing the lease rows of those whose keys are taken makes their next renewals
@@ -389,8 +477,10 @@
 		return lost.entrySet().stream().map((entry) -> new Taken(entry.getKey(), entry.getValue())).toList();
 	}
 
-	private void commit(KeyMap map, List<Taken> taken, String why) {
+	private void commit(KeyMap planned, List<Taken> taken, String why) {
+		KeyMap map = planned.joined();
 		this.committing = true;
+		this.movedNanos = this.clock.getAsLong();
 		String key = StoredRows.KEYS_PREFIX + this.service.value();
 		List<Expected> expected = new ArrayList<>();
 		List<Put> puts = new ArrayList<>();
@@ -438,6 +528,9 @@
 		});
 	}
 
+	private record Reported(HolderLoad load, long sinceNanos) {
+	}
+
 	private record Taken(InstanceId instance, long version) {
 	}
 
