--- /dev/null
+++ b/core/src/test/java/org/brasspier/core/keys/KeyBalanceTests.java
@@ -0,0 +1,147 @@
+package org.brasspier.core.keys;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
+
+import org.brasspier.core.InstanceId;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import static com.google.common.truth.Truth.assertThat;
+
+class KeyBalanceTests extends KeyFixtures {
+
+	private static final InstanceId D = new InstanceId("d");
+
+	private static final List<InstanceId> ALL = List.of(A, B, C, D);
+
+	/** Servers of one service differ in speed by a factor of three. */
+	private static final Map<InstanceId, Double> CAPACITY = Map.of(A, 93.0, B, 187.0, C, 187.0, D, 280.0);
+
+	private KeyMap map = KeyMap.first(holders(A, B, C, D));
+
+	private final Map<InstanceId, KeyMeter> meters = new HashMap<>();
+
+	private long now;
+
+	private void second(int[] keys) {
+		this.now += millis(1000);
+		for (int key : keys) {
+			meter(this.map.holding(key).owner()).asked(key);
+		}
+		ALL.forEach((instance) -> meter(instance).tick(this.now));
+	}
+
+	private KeyMeter meter(InstanceId instance) {
+		return this.meters.computeIfAbsent(instance, (key) -> new KeyMeter(0));
+	}
+
+	private List<HolderLoad> loads() {
+		return ALL.stream()
+			.map((instance) -> new HolderLoad(instance, CAPACITY.get(instance),
+					meter(instance).pieces(this.map.of(instance).stream().map(KeyHolding::span).toList())))
+			.toList();
+	}
+
+	private void carryOut(KeyMap planned) {
+		this.map = planned
+			.moved((held) -> held.next().isPresent(), (held) -> holder(held.next().orElseThrow()), (held) -> "warm")
+			.joined();
+	}
+
+	private double worstShare(int[] keys) {
+		return ALL.stream()
+			.mapToDouble((instance) -> IntStream.of(keys)
+				.filter((key) -> this.map.holding(key).owner().equals(instance))
+				.count() / CAPACITY.get(instance))
+			.max()
+			.orElseThrow();
+	}
+
+	// Popularity falls as a power of the rank, and ranks lie side by side.
+	private static int[] skewed(Random random, int first, int count) {
+		return IntStream.range(0, count)
+			.map((i) -> (first + (int) (Math.pow(random.nextDouble(), 7.5) * 60_000)) % (KeySpan.LAST_KEY + 1))
+			.toArray();
+	}
+
+	/**
+	 * Half of all lookups are for a hundredth of the keys, which lie side by side, and
+	 * one server is three times as fast as another. Equal spans gave the busiest server
+	 * more than twice the mean, and it refused a fifth of the lookups while others
+	 * rested. Some rounds of moves later none may be near its limit.
+	 */
+	@ParameterizedTest
+	@ValueSource(ints = { 0, 7_000, 31_000, 64_000 })
+	void skewedDemandIsSpreadByWhatEachServerCanDo(int first) {
+		Random random = new Random(first);
+		int[] keys = skewed(random, first, 375);
+		for (int round = 0; round < 8; round++) {
+			second(skewed(random, first, 375));
+			second(skewed(random, first, 375));
+			KeyBalance.plan(this.map, loads()).ifPresent(this::carryOut);
+		}
+		assertThat(worstShare(keys)).isLessThan(0.8);
+	}
+
+	@Test
+	void evenDemandMovesNothing() {
+		Random random = new Random(5);
+		double total = CAPACITY.values().stream().mapToDouble(Double::doubleValue).sum();
+		for (int second = 0; second < 10; second++) {
+			int[] keys = ALL.stream().flatMapToInt((instance) -> {
+				List<KeyHolding> own = this.map.of(instance);
+				return random.ints((long) (375 * CAPACITY.get(instance) / total), 0, own.size())
+					.map((i) -> own.get(i).span().from() + random.nextInt(own.get(i).span().size()));
+			}).toArray();
+			second(keys);
+		}
+		assertThat(KeyBalance.plan(this.map, loads())).isEmpty();
+	}
+
+	@Test
+	void idleServersAreLeftAlone() {
+		second(skewed(new Random(1), 0, 40));
+		assertThat(KeyBalance.plan(this.map, loads())).isEmpty();
+	}
+
+	/**
+	 * One key has more requests than any one server can do. No move mends that, and
+	 * handing the key around would only add the gaps of its moves.
+	 */
+	@Test
+	void aSingleKeyThatIsTooBusyForAnyServerIsNotHandedAround() {
+		int[] keys = Stream.generate(() -> 40_000).limit(400).mapToInt(Integer::intValue).toArray();
+		InstanceId fastest = D;
+		this.map = this.map.moved((held) -> held.span().contains(40_000), (held) -> holder(fastest), (held) -> "");
+		second(keys);
+		second(keys);
+		Optional<KeyMap> planned = KeyBalance.plan(this.map, loads());
+		assertThat(planned.map((map) -> map.holding(40_000).next().orElse(fastest))).isAnyOf(Optional.empty(),
+				Optional.of(fastest));
+	}
+
+	@Test
+	void aSurgeIsSeenWithinTwoSeconds() {
+		second(skewed(new Random(1), 0, 20));
+		second(skewed(new Random(2), 0, 400));
+		assertThat(KeyBalance.plan(this.map, loads())).isPresent();
+	}
+
+	@Test
+	void theNumberOfSpansStaysWithinAnAnswerToAHeartbeat() {
+		Random random = new Random(3);
+		for (int round = 0; round < 60; round++) {
+			second(skewed(random, round * 3000, 400));
+			KeyBalance.plan(this.map, loads()).ifPresent(this::carryOut);
+		}
+		assertThat(ALL.stream().mapToInt((instance) -> this.map.of(instance).size()).max().orElseThrow()).isAtMost(110);
+	}
+
+}
--- /dev/null
+++ b/core/src/test/java/org/brasspier/core/keys/LeaseTests.java
@@ -0,0 +1,79 @@
+package org.brasspier.core.keys;
+
+import java.util.Map;
+import java.util.stream.LongStream;
+
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+
+class LeaseTests extends KeyFixtures {
+
+	private static final long LEASE = TIMING.lease().toNanos();
+
+	private final OwnLease lease = new OwnLease(TIMING);
+
+	private final LeaseWatch watch = new LeaseWatch(TIMING);
+
+	private void lookEachSecond(long version, long fromMillis, long toMillis) {
+		LongStream.iterate(fromMillis, (at) -> at <= toMillis, (at) -> at + 1000)
+			.forEach((at) -> this.watch.look(Map.of(A, version), millis(at)));
+	}
+
+	@Test
+	void aLeaseCountsFromWhenItsRenewalWasSent() {
+		this.lease.renewed(millis(100), 7);
+		assertThat(this.lease.remainingNanos(millis(100))).isEqualTo(LEASE);
+		assertThat(this.lease.remainingNanos(millis(100) + LEASE)).isEqualTo(0);
+	}
+
+	/**
+	 * Another instance took the keys and wrote this one's lease row. The renewal that
+	 * fails on that must end the lease, whatever time was left by this one's own count.
+	 */
+	@Test
+	void aLeaseThatWasTakenAwayIsNotHeldThoughTimeIsLeft() {
+		this.lease.renewed(0, 7);
+		this.lease.overtaken(9);
+		assertThat(this.lease.remainingNanos(millis(1))).isEqualTo(0);
+		assertThat(this.lease.rowVersion()).isEqualTo(9);
+	}
+
+	@Test
+	void aLeaseThatIsRenewedIsNeverTakenForEnded() {
+		LongStream.range(0, 30).forEach((at) -> this.watch.look(Map.of(A, at / 2), millis(at * 1000)));
+		assertThat(this.watch.ended(A, millis(30_000))).isEmpty();
+		assertThat(this.watch.live(A, millis(30_000))).isTrue();
+	}
+
+	@Test
+	void aLeaseHasEndedOnceItsRowStoodStillForLongerThanItLastsByAnyClock() {
+		lookEachSecond(5, 0, 10_000);
+		assertThat(this.watch.ended(A, LEASE)).isEmpty();
+		assertThat(this.watch.ended(A, TIMING.atMost(LEASE))).hasValue(5L);
+	}
+
+	/**
+	 * The store is away for half a minute; nobody can renew. The first instance that
+	 * reads it again must not take everyone's keys before they had time to renew.
+	 */
+	@Test
+	void nobodyIsTakenForLostAsTheStoreReturns() {
+		lookEachSecond(5, 0, 3000);
+		this.watch.look(Map.of(A, 5L), millis(33_000));
+		assertThat(this.watch.ended(A, millis(33_100))).isEmpty();
+		this.watch.look(Map.of(A, 6L), millis(34_000));
+		this.watch.look(Map.of(A, 6L), millis(36_500));
+		assertThat(this.watch.ended(A, millis(36_500))).isEmpty();
+	}
+
+	@Test
+	void anInstanceWithoutALeaseIsLostOnlyAfterTheFirstLooks() {
+		this.watch.look(Map.of(), 0);
+		assertThat(this.watch.ended(B, millis(1000))).isEmpty();
+		this.watch.look(Map.of(), millis(2000));
+		this.watch.look(Map.of(), millis(4000));
+		assertThat(this.watch.ended(B, millis(4000))).hasValue(0L);
+	}
+
+}
--- /dev/null
+++ b/core/src/test/java/org/brasspier/core/mesh/BackendTrackTests.java
@@ -0,0 +1,83 @@
+package org.brasspier.core.mesh;
+
+import java.time.Duration;
+
+import org.brasspier.core.keys.BackendLife;
+import org.brasspier.core.mesh.BackendTrack.BackendPhase;
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+
+class BackendTrackTests {
+
+	private static final BackendLife FIRST = new BackendLife("i-1", 1000);
+
+	private static final BackendLife AGAIN = new BackendLife("i-1", 2000);
+
+	private static final BackendLife OTHER = new BackendLife("i-2", 3000);
+
+	private final BackendTrack track = new BackendTrack();
+
+	@Test
+	void aHeartbeatThatComesLateChangesNothing() {
+		this.track.beat(FIRST, 5, true, 0);
+		assertThat(this.track.beat(FIRST, 4, false, 1)).isFalse();
+		assertThat(this.track.phase()).isEqualTo(BackendPhase.DRAINING);
+	}
+
+	/**
+	 * A server starts again under the id it had, and its counts start anew. Taken for the
+	 * old one, its heartbeats would all look late, and it would never get any keys.
+	 */
+	@Test
+	void aServerThatStartsAgainUnderItsIdIsANewLife() {
+		this.track.beat(FIRST, 50, false, 0);
+		assertThat(this.track.beat(AGAIN, 1, false, 1)).isTrue();
+		assertThat(this.track.life()).hasValue(AGAIN);
+	}
+
+	/**
+	 * A heartbeat of a crashed server was held up by a partition and arrives after its
+	 * successor has registered. It must not bring the dead one back.
+	 */
+	@Test
+	void aHeartbeatOfALifeThatIsOverIsIgnored() {
+		this.track.beat(AGAIN, 1, false, 0);
+		assertThat(this.track.beat(FIRST, 90, false, Duration.ofSeconds(20).toNanos())).isFalse();
+		assertThat(this.track.life()).hasValue(AGAIN);
+	}
+
+	@Test
+	void leavingIsNeverTakenBack() {
+		this.track.beat(FIRST, 1, true, 0);
+		this.track.beat(FIRST, 2, false, 1);
+		assertThat(this.track.phase()).isEqualTo(BackendPhase.DRAINING);
+	}
+
+	@Test
+	void aServerThatHasSaidGoodbyeDoesNotComeBackByALateHeartbeat() {
+		this.track.beat(FIRST, 1, false, 0);
+		assertThat(this.track.departed("i-1")).isTrue();
+		assertThat(this.track.beat(FIRST, 2, false, 1)).isFalse();
+		assertThat(this.track.phase()).isEqualTo(BackendPhase.DEPARTED);
+		assertThat(this.track.beat(OTHER, 1, false, 2)).isTrue();
+		assertThat(this.track.phase()).isEqualTo(BackendPhase.READY);
+	}
+
+	@Test
+	void aGoodbyeOfAnotherServerIsIgnored() {
+		this.track.beat(OTHER, 1, false, 0);
+		assertThat(this.track.departed("i-1")).isFalse();
+		assertThat(this.track.phase()).isEqualTo(BackendPhase.READY);
+	}
+
+	@Test
+	void withoutTheTimeOfItsStartANewServerIsBelievedOnceTheOldOneIsSilent() {
+		BackendLife old = new BackendLife("i-1", 0);
+		BackendLife next = new BackendLife("i-2", 0);
+		this.track.beat(old, 1, false, 0);
+		assertThat(this.track.beat(next, 1, false, Duration.ofSeconds(1).toNanos())).isFalse();
+		assertThat(this.track.beat(next, 2, false, Duration.ofSeconds(4).toNanos())).isTrue();
+	}
+
+}
--- /dev/null
+++ b/core/src/test/java/org/brasspier/core/mesh/RoutingConfigTests.java
@@ -0,0 +1,62 @@
+package org.brasspier.core.mesh;
+
+import java.time.Duration;
+import java.util.List;
+
+import org.brasspier.core.RequestClass;
+import org.brasspier.core.ServiceName;
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+class RoutingConfigTests {
+
+	private static final ServiceName HULLS = new ServiceName("hulls");
+
+	private static final ServiceRule SERVICE = new ServiceRule(HULLS, 120, true);
+
+	private static RouteRule route(String name, String prefix, int rank) {
+		return new RouteRule(name, "host", prefix, true, Duration.ofMillis(500), Duration.ofMillis(200), rank,
+				List.of(new WeightedService(HULLS, 1)), 2);
+	}
+
+	private static RoutingConfig config(RouteRule... routes) {
+		return new RoutingConfig(7, List.of(routes), List.of(SERVICE), CallerLimits.DEFAULT);
+	}
+
+	@Test
+	void theLongestPrefixOfTheHostTakesTheRequest() {
+		RoutingConfig config = config(route("short", "/a/", 1), route("long", "/a/b/", 1));
+		assertThat(config.route("host", "/a/b/c").orElseThrow().name()).isEqualTo("long");
+		assertThat(config.route("host", "/a/x").orElseThrow().name()).isEqualTo("short");
+		assertThat(config.route("other", "/a/x")).isEmpty();
+		assertThat(config.route("host", "/b")).isEmpty();
+	}
+
+	@Test
+	void aRouteToAServiceThatIsNotThereIsRefused() {
+		assertThrows(IllegalArgumentException.class,
+				() -> new RoutingConfig(1, List.of(route("r", "/a/", 1)), List.of(), CallerLimits.DEFAULT));
+	}
+
+	@Test
+	void theMostUrgentLookupsAreCallsOfBackendServers() {
+		assertThat(route("r", "/a/", 0).requestClass()).isEqualTo(RequestClass.INTERNAL);
+		assertThat(route("r", "/a/", 1).requestClass()).isEqualTo(RequestClass.LOOKUP);
+	}
+
+	@Test
+	void aQueueHoldsNothingForLongerThanItsRoutesTargetAllows() {
+		assertThat(config(route("r", "/a/", 1)).admission(HULLS).of(RequestClass.LOOKUP).longestWait())
+			.isEqualTo(Duration.ofMillis(200));
+	}
+
+	@Test
+	void aPauseNeverExceedsWhatTheCallerCanWait() {
+		assertThat(RetryPause.of(Duration.ofSeconds(5), Duration.ofMillis(300))).isEqualTo(Duration.ofMillis(90));
+		assertThat(RetryPause.of(Duration.ofMillis(50), Duration.ofMillis(300))).isEqualTo(Duration.ofMillis(50));
+		assertThat(RetryPause.of(Duration.ZERO, Duration.ofMillis(300))).isEqualTo(Duration.ofMillis(90));
+	}
+
+}
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/Directory.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/Directory.java
@@ -10,7 +10,6 @@
 import org.brasspier.core.InstanceId;
 import org.brasspier.core.ServiceName;
 import org.brasspier.core.keys.KeyMap;
-import org.brasspier.core.mesh.Member;
 import org.brasspier.daemon.mesh.MetadataStore;
 
 /**
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/Dispatcher.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/Dispatcher.java
@@ -18,7 +18,6 @@
 import org.brasspier.core.choosing.BackendChooser;
 import org.brasspier.core.choosing.Candidate;
 import org.brasspier.core.keys.KeyMap;
-import org.brasspier.core.mesh.Member;
 import org.brasspier.core.mesh.ResendRules;
 import org.brasspier.core.mesh.RetryPause;
 import org.brasspier.core.mesh.RouteRule;
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopClient.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopClient.java
@@ -8,7 +8,6 @@
 import io.activej.promise.Promise;
 import io.activej.reactor.nio.NioReactor;
 import org.brasspier.core.InstanceId;
-import org.brasspier.core.mesh.Member;
 import org.brasspier.core.mesh.SendOutcome;
 import org.brasspier.daemon.internal.request.Cancellation;
 
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/KeyKeeper.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/KeyKeeper.java
@@ -31,7 +31,6 @@
 import org.brasspier.core.keys.LeaseTiming;
 import org.brasspier.core.keys.LeaseWatch;
 import org.brasspier.core.keys.OwnLease;
-import org.brasspier.core.mesh.Member;
 import org.brasspier.core.mesh.RoutingConfig;
 import org.brasspier.daemon.mesh.Heartbeat;
 import org.brasspier.daemon.mesh.MeshSettings;
--- a/core/src/main/java/org/brasspier/core/mesh/Member.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/Member.java
@@ -1,4 +1,4 @@
-package org.brasspier.core.mesh;
+package org.brasspier.daemon.internal.mesh;
 
 import java.net.InetSocketAddress;
 import java.util.Optional;
@@ -20,14 +20,14 @@
  * @param slots how many requests the backend server runs at once, at least 1
  * @param ready whether the backend server takes work
  */
-public record Member(InstanceId instance, InetSocketAddress address, FailureDomain failureDomain, ServiceName service,
+record Member(InstanceId instance, InetSocketAddress address, FailureDomain failureDomain, ServiceName service,
 		Optional<BackendLife> life, int slots, boolean ready) {
 
 	/**
 	 * Checks the numbers.
 	 * @throws IllegalArgumentException if the slots are less than 1
 	 */
-	public Member {
+	Member {
 		if (slots < 1) {
 			throw new IllegalArgumentException("instance %s: slots %d must be at least 1".formatted(instance, slots));
 		}
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/MemberWriter.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/MemberWriter.java
@@ -6,7 +6,6 @@
 import java.util.Optional;
 
 import io.activej.reactor.nio.NioReactor;
-import org.brasspier.core.mesh.Member;
 import org.brasspier.daemon.mesh.MeshSettings;
 import org.brasspier.daemon.mesh.MetadataStore;
 import org.brasspier.daemon.mesh.MetadataStore.Commit;
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/StoredRows.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/StoredRows.java
@@ -22,7 +22,6 @@
 import org.brasspier.core.keys.KeyHolding;
 import org.brasspier.core.keys.KeyMap;
 import org.brasspier.core.keys.KeySpan;
-import org.brasspier.core.mesh.Member;
 import org.jspecify.annotations.Nullable;
 
 /**
