--- a/core/src/main/java/org/brasspier/core/mesh/ResendRules.java
+++ b/core/src/main/java/org/brasspier/core/mesh/ResendRules.java
@@ -12,10 +12,11 @@
 public final class ResendRules {
 
 	/**
-	 * Daemons that may turn one request away before it is given up. With three backend
-	 * servers in most deployments this asks each once; a fourth would be as full.
+	 * Daemons that may turn one request away before it is given up. When two are full the
+	 * third mostly is too, and each asking costs both daemons processor time that they
+	 * lack just then.
 	 */
-	private static final int MOST_TURNS = 3;
+	private static final int MOST_TURNS = 2;
 
 	/** Statuses from here on say that the backend server failed. */
 	private static final int SERVER_ERROR = 500;
--- a/core/src/main/java/org/brasspier/core/mesh/RoutingConfig.java
+++ b/core/src/main/java/org/brasspier/core/mesh/RoutingConfig.java
@@ -39,6 +39,9 @@
 	 */
 	private static final double SURE_SHARE = 0.5;
 
+	/** Configurations may have hundreds of routes; a log line has room for some. */
+	private static final int SUMMARY_ROUTES = 8;
+
 	private final long version;
 
 	private final List<RouteRule> routes;
@@ -125,6 +128,18 @@
 			.findFirst();
 	}
 
+	/**
+	 * The first routes in short, for logs.
+	 * @return name, rank, class and services of each
+	 */
+	public String summary() {
+		return this.routes.stream()
+			.limit(SUMMARY_ROUTES)
+			.map((route) -> route.name() + " rank " + route.rank() + " " + route.requestClass() + " to "
+					+ route.services().stream().map((part) -> part.service().value()).toList())
+			.collect(Collectors.joining(", "));
+	}
+
 	/**
 	 * How a backend server of a service queues its requests. Waits follow the target
 	 * latencies of the routes, so that a queue never holds what would come too late.
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/BackendGate.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/BackendGate.java
@@ -150,6 +150,11 @@
 
 	// Why nothing may be handed over now.
 	private Optional<Failure> closed(Ask ask, long now) {
+		if (!this.config.get().known()) {
+			// Whether the service is divided by key is not known either, and a server
+			// that was given a request for keys it doesn't hold would decline it.
+			return Optional.of(new Failure(ErrorKind.NO_CONFIGURATION, "no configuration is known yet", RETRY_SOON));
+		}
 		if (!ask.service().equals(this.settings.backend().service())) {
 			return noBackend("this instance's backend server is of service " + this.settings.backend().service());
 		}
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/ConfigHolder.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/ConfigHolder.java
@@ -50,7 +50,7 @@
 		}
 		if (read.get().version() > this.inForce.version()) {
 			this.log.record(MeshEvent.CONFIG_IN_FORCE, "version", read.get().version(), "before",
-					this.inForce.version(), "bytes", value.length);
+					this.inForce.version(), "bytes", value.length, "routes", read.get().summary());
 			this.inForce = read.get();
 		}
 	}
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/Dispatcher.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/Dispatcher.java
@@ -119,6 +119,14 @@
 				(key) -> new BackendChooser(Math.max(1, this.directory.size()), this.random.split()));
 	}
 
+	static String describe(SendOutcome outcome) {
+		return switch (outcome) {
+			case SendOutcome.Answered answered -> "status " + answered.answer().status();
+			case SendOutcome.NotRun notRun -> "not run, " + notRun.failure().kind() + ": " + notRun.failure().detail();
+			case SendOutcome.Unknown unknown -> unknown.failure().kind() + ": " + unknown.failure().detail();
+		};
+	}
+
 	/**
 	 * One request on its way.
 	 */
@@ -219,7 +227,7 @@
 			long left = this.deadlineNanos - System.nanoTime();
 			boolean enoughTime = left > this.route.targetLatency().toNanos() / LEAST_TIME_DIVISOR
 					&& !this.cancellation.cancelled();
-			if (this.rules.again(end, enoughTime) && another()) {
+			if (this.rules.again(end, enoughTime && another(target, end))) {
 				Dispatcher.this.log.record(MeshEvent.REQUEST_RESENT, "request", this.request.id(), "after",
 						target.instance(), "outcome", describe(end), "left_ms", left / NANOS_PER_MILLI);
 				return attempt().map((later) -> better(end, later));
@@ -227,9 +235,15 @@
 			return Promise.of(end);
 		}
 
-		// A key has one holder, which is asked once more; else somebody new must be left.
-		private boolean another() {
-			return byKey() || Dispatcher.this.directory.serving(this.service)
+		// A key has one holder. Asked again at once it would say the same again, unless
+		// another one holds the key by now or the server itself failed; else somebody new
+		// must be left.
+		private boolean another(Member target, SendOutcome end) {
+			if (byKey()) {
+				boolean turnedAway = end instanceof SendOutcome.NotRun notRun && !notRun.reached();
+				return !turnedAway || holder(System.nanoTime()).filter((member) -> !member.equals(target)).isPresent();
+			}
+			return Dispatcher.this.directory.serving(this.service)
 				.stream()
 				.anyMatch((member) -> !this.tried.contains(member.instance()));
 		}
@@ -256,12 +270,4 @@
 
 	}
 
-	static String describe(SendOutcome outcome) {
-		return switch (outcome) {
-			case SendOutcome.Answered answered -> "status " + answered.answer().status();
-			case SendOutcome.NotRun notRun -> "not run, " + notRun.failure().kind() + ": " + notRun.failure().detail();
-			case SendOutcome.Unknown unknown -> unknown.failure().kind() + ": " + unknown.failure().detail();
-		};
-	}
-
 }
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/KeyKeeper.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/KeyKeeper.java
@@ -114,7 +114,7 @@
 
 	private boolean rowKnown;
 
-	private boolean held;
+	private boolean leaseHeld;
 
 	// After the lease was taken away the map may be out of date, though nothing says so.
 	private boolean mapTrusted;
@@ -233,8 +233,8 @@
 
 	private void noteLease(long now) {
 		boolean holds = this.lease.remainingNanos(now) > 0;
-		if (holds != this.held) {
-			this.held = holds;
+		if (holds != this.leaseHeld) {
+			this.leaseHeld = holds;
 			this.log.record(holds ? MeshEvent.LEASE_HELD : MeshEvent.LEASE_LOST, "row_version", this.lease.rowVersion(),
 					"left_ms", Duration.ofNanos(this.lease.remainingNanos(now)).toMillis());
 		}
--- a/daemon/src/main/java/org/brasspier/daemon/mesh/MetadataStore.java
+++ b/daemon/src/main/java/org/brasspier/daemon/mesh/MetadataStore.java
@@ -57,13 +57,6 @@
 	 */
 	record Rows(List<Row> rows, long version) {
 
-		/**
-		 * Copies the list.
-		 */
-		public Rows {
-			rows = List.copyOf(rows);
-		}
-
 	}
 
 	/**
@@ -74,14 +67,6 @@
 	 */
 	record Commit(List<Expected> expected, List<Put> puts) {
 
-		/**
-		 * Copies the lists.
-		 */
-		public Commit {
-			expected = List.copyOf(expected);
-			puts = List.copyOf(puts);
-		}
-
 	}
 
 	/**
