--- a/daemon/src/main/java/org/brasspier/daemon/internal/loop/Duty.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/loop/Duty.java
@@ -79,7 +79,8 @@
 				opening.open();
 				opened.complete(null);
 			}
-			catch (IOException ex) {
+			// Anything else that goes wrong would leave the starting thread waiting.
+			catch (IOException | RuntimeException | LinkageError ex) {
 				opened.completeExceptionally(ex);
 			}
 		});
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/ControlPorts.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/ControlPorts.java
@@ -2,6 +2,8 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
 import java.util.function.BooleanSupplier;
 
@@ -34,6 +36,8 @@
 
 	private final MeshLog log;
 
+	private final List<HttpServer> servers = new ArrayList<>();
+
 	ControlPorts(NioReactor reactor, MeshLog log) {
 		this.reactor = reactor;
 		this.log = log;
@@ -82,7 +86,13 @@
 	}
 
 	private void listen(InetSocketAddress address, AsyncServlet servlet) throws IOException {
-		HttpServer.builder(this.reactor, servlet).withListenAddress(address).build().listen();
+		HttpServer server = HttpServer.builder(this.reactor, servlet).withListenAddress(address).build();
+		server.listen();
+		this.servers.add(server);
+	}
+
+	void close() {
+		this.servers.forEach(HttpServer::close);
 	}
 
 }
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopServer.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopServer.java
@@ -50,6 +50,10 @@
 		this.connections.forEach((each) -> each.send(new HopMessage.Leaving()));
 	}
 
+	void close() {
+		this.server.close();
+	}
+
 	private void accept(ITcpSocket socket) {
 		new Exchanges().begin(socket);
 	}
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/MeshNode.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/MeshNode.java
@@ -60,6 +60,8 @@
 
 	private final TableFeed meshFeed;
 
+	private final ControlPorts ports;
+
 	private boolean leaving;
 
 	private long leavingSinceNanos;
@@ -95,6 +97,7 @@
 		this.callers = new CallerDoor(reactor, settings.listen().callers(), this.entry,
 				() -> this.config.get().limits());
 		this.hops = new HopServer(reactor, settings.listen().peers(), this.gate, this.keys, this.log);
+		this.ports = new ControlPorts(reactor, this.log);
 		this.configFeed = new TableFeed(reactor, adapter.store(), adapter.config().table(), health,
 				(rows, whole) -> this.config.take(rows));
 		this.meshFeed = new TableFeed(reactor, adapter.store(), StoredRows.MESH, health, this.directory::take);
@@ -105,10 +108,9 @@
 	 * @throws IOException if a port can't be opened
 	 */
 	public void start() throws IOException {
-		ControlPorts ports = new ControlPorts(this.reactor, this.log);
-		ports.heartbeats(this.settings.listen().backend(), this.adapter.heartbeats(), this.desk);
-		ports.readiness(this.settings.listen().readiness(), this.adapter.readinessPath(), this::ready);
-		ports.metrics(this.settings.listen(), new MetricsText(this.metrics)::text);
+		this.ports.heartbeats(this.settings.listen().backend(), this.adapter.heartbeats(), this.desk);
+		this.ports.readiness(this.settings.listen().readiness(), this.adapter.readinessPath(), this::ready);
+		this.ports.metrics(this.settings.listen(), new MetricsText(this.metrics)::text);
 		this.hops.listen();
 		this.callers.listen();
 		this.configFeed.start();
@@ -146,6 +148,8 @@
 		long left = this.settings.bounds().stop().toNanos() - (System.nanoTime() - this.leavingSinceNanos);
 		if (closed && this.gate.idle() || left <= 0) {
 			this.log.record(MeshEvent.STOPPED, "open", this.entry.open(), "gate", this.gate.load());
+			this.ports.close();
+			this.hops.close();
 			ended.run();
 			return;
 		}
