--- a/core/src/main/java/org/brasspier/core/keys/LeaseWatch.java
+++ b/core/src/main/java/org/brasspier/core/keys/LeaseWatch.java
@@ -81,7 +81,8 @@
 		if (row == null) {
 			return Optional.of(0L);
 		}
-		boolean over = now - row.sinceNanos >= this.timing.atMost(this.timing.lease().toNanos());
+		// Counted to the latest look: that nobody looked for a while says nothing.
+		boolean over = this.latestLookNanos - row.sinceNanos >= this.timing.atMost(this.timing.lease().toNanos());
 		return over ? Optional.of(row.version) : Optional.empty();
 	}
 
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/MeshNode.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/MeshNode.java
@@ -126,6 +126,14 @@
 		return !this.leaving && inForce.known() && this.directory.known();
 	}
 
+	/**
+	 * Logs that the settings were read again.
+	 * @param outcome what came of it
+	 */
+	public void reread(String outcome) {
+		this.log.record(MeshEvent.RELOADED, "outcome", outcome);
+	}
+
 	/**
 	 * Sends callers and other daemons elsewhere, answers what is asked for until nothing
 	 * is left, and then says so.
--- a/daemon/src/main/java/org/brasspier/daemon/mesh/MeshDaemon.java
+++ b/daemon/src/main/java/org/brasspier/daemon/mesh/MeshDaemon.java
@@ -50,6 +50,19 @@
 		});
 	}
 
+	/**
+	 * Logs that the settings were read again.
+	 * @param outcome what came of it
+	 */
+	public void reread(String outcome) {
+		this.duty.execute(() -> {
+			MeshNode joined = this.node;
+			if (joined != null) {
+				joined.reread(outcome);
+			}
+		});
+	}
+
 	/**
 	 * Ends it without cutting off what is in flight, as far as the time allows.
 	 */
