--- a/core/src/main/java/org/brasspier/core/mesh/RetryPause.java
+++ b/core/src/main/java/org/brasspier/core/mesh/RetryPause.java
@@ -3,11 +3,11 @@
 import java.time.Duration;
 
 /**
- * When a caller that was refused should come back. It comes back once, if it is told a
- * time of at most a third of what it has left; told a longer one it is lost, and told a
- * shorter one than the trouble lasts it is refused again. So the pause is what the
- * refusing side expects, but never more than the caller can wait. Stateless and
- * thread-safe.
+ * When a caller that was refused should come back. It comes back if it is told at most a
+ * third of the time that it has left. The pause is what the refusing side expects: where
+ * that is more than the caller can wait, saying less would only bring it back to be
+ * refused again, and its second request would take the place of somebody's first. Where
+ * nobody knows, it is as long as the caller can wait. Stateless and thread-safe.
  */
 public final class RetryPause {
 
@@ -29,8 +29,7 @@
 	public static Duration of(Duration expected, Duration remaining) {
 		Duration most = Duration.ofNanos((long) (remaining.toNanos() * MOST_SHARE));
 		Duration wanted = expected.isZero() ? most : expected;
-		Duration bounded = (wanted.compareTo(most) > 0) ? most : wanted;
-		return (bounded.compareTo(SHORTEST) < 0) ? SHORTEST : bounded;
+		return (wanted.compareTo(SHORTEST) < 0) ? SHORTEST : wanted;
 	}
 
 }
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/Ask.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/Ask.java
@@ -17,9 +17,7 @@
 		MeshRequest request) {
 
 	Ask within(int millis) {
-		MeshRequest timed = new MeshRequest(this.request.id(), this.request.host(), this.request.method(),
-				this.request.target(), this.request.headers(), this.request.body(), millis, this.request.key());
-		return new Ask(this.service, this.caller, this.requestClass, this.idempotent, timed);
+		return new Ask(this.service, this.caller, this.requestClass, this.idempotent, this.request.within(millis));
 	}
 
 }
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/BackendGate.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/BackendGate.java
@@ -71,6 +71,8 @@
 
 	private final KeyKeeper keys;
 
+	private final LagTimer lag;
+
 	private final MeshLog log;
 
 	private final AdmissionController admission = new AdmissionController(new AdmissionLimits(1, 1),
@@ -87,7 +89,7 @@
 	private boolean expiring;
 
 	BackendGate(NioReactor reactor, MeshSettings settings, BackendDesk desk, BackendPool pool, BackendProtocol protocol,
-			Supplier<RoutingConfig> config, KeyKeeper keys, MeshLog log) {
+			Supplier<RoutingConfig> config, KeyKeeper keys, LagTimer lag, MeshLog log) {
 		this.reactor = reactor;
 		this.settings = settings;
 		this.desk = desk;
@@ -95,6 +97,7 @@
 		this.protocol = protocol;
 		this.config = config;
 		this.keys = keys;
+		this.lag = lag;
 		this.log = log;
 		desk.listen(this::backendChanged);
 	}
@@ -134,7 +137,8 @@
 			return Promise.of(turnedAway(ask, closed.get()));
 		}
 		followConfig();
-		Order order = new Order(ask, cancellation, now + ask.request().remainingMillis() * NANOS_PER_MILLI);
+		int remaining = this.lag.requested(now).remainingMillis(ask.request().remainingMillis(), now);
+		Order order = new Order(ask, cancellation, now + remaining * NANOS_PER_MILLI);
 		long number = this.nextNumber++;
 		PendingRequest pending = new PendingRequest(number, ask.requestClass(), new CallerId(ask.caller().value()),
 				order.deadlineNanos);
--- /dev/null
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/LagTimer.java
@@ -0,0 +1,50 @@
+package org.brasspier.daemon.internal.mesh;
+
+import java.time.Duration;
+
+import io.activej.reactor.nio.NioReactor;
+import org.brasspier.core.mesh.LoopLag;
+
+/**
+ * The timer behind {@link LoopLag}. It runs only while requests come, so that an idle
+ * daemon rests. Belongs to the thread of requests.
+ */
+final class LagTimer {
+
+	private static final long KEEP_ON_NANOS = Duration.ofMillis(300).toNanos();
+
+	private final NioReactor reactor;
+
+	private final LoopLag lag = new LoopLag();
+
+	private boolean running;
+
+	private long requestNanos;
+
+	LagTimer(NioReactor reactor) {
+		this.reactor = reactor;
+	}
+
+	LoopLag requested(long now) {
+		this.requestNanos = now;
+		if (!this.running) {
+			this.running = true;
+			this.lag.ticked(now, now);
+			tickLater(now);
+		}
+		return this.lag;
+	}
+
+	private void tickLater(long now) {
+		long due = now + LoopLag.TICK.toNanos();
+		this.reactor.delay(LoopLag.TICK, () -> {
+			long came = System.nanoTime();
+			this.lag.ticked(due, came);
+			this.running = came - this.requestNanos < KEEP_ON_NANOS;
+			if (this.running) {
+				tickLater(came);
+			}
+		});
+	}
+
+}
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/MeshEntry.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/MeshEntry.java
@@ -9,6 +9,7 @@
 import io.vavr.control.Either;
 import org.brasspier.core.ErrorKind;
 import org.brasspier.core.Failure;
+import org.brasspier.core.mesh.LoopLag;
 import org.brasspier.core.mesh.RetryPause;
 import org.brasspier.core.mesh.RouteRule;
 import org.brasspier.core.mesh.RoutingConfig;
@@ -37,13 +38,16 @@
 
 	private final MetricRegistry metrics;
 
+	private final LagTimer lag;
+
 	private int open;
 
-	MeshEntry(CallerProtocol protocol, Supplier<RoutingConfig> config, Dispatcher dispatcher, MeshLog log,
+	MeshEntry(CallerProtocol protocol, Supplier<RoutingConfig> config, Dispatcher dispatcher, LagTimer lag, MeshLog log,
 			MetricRegistry metrics) {
 		this.protocol = protocol;
 		this.config = config;
 		this.dispatcher = dispatcher;
+		this.lag = lag;
 		this.log = log;
 		this.metrics = metrics;
 	}
@@ -61,7 +65,8 @@
 			malformed(read.getLeft().detail());
 			return Promise.of(failed(raw, read.getLeft()));
 		}
-		MeshRequest request = read.get();
+		LoopLag lag = this.lag.requested(begun);
+		MeshRequest request = read.get().within(lag.remainingMillis(read.get().remainingMillis(), begun));
 		RoutingConfig inForce = this.config.get();
 		if (!inForce.known()) {
 			return Promise
@@ -72,6 +77,10 @@
 			return Promise.of(refused(raw, request, Failure.of(ErrorKind.NO_ROUTE,
 					"no route of configuration %d takes it".formatted(inForce.version()))));
 		}
+		if (lag.shedding(begun)) {
+			return Promise.of(refused(raw, request, new Failure(ErrorKind.OVERLOADED,
+					"this daemon is behind with its work", Duration.ofNanos(lag.lagNanos(begun)))));
+		}
 		this.open++;
 		return this.dispatcher.dispatch(request, route.get(), cancellation).map((outcome) -> {
 			this.open--;
@@ -82,7 +91,7 @@
 	private Answer refused(RawRequest raw, MeshRequest request, Failure failure) {
 		this.log.record(MeshEvent.REQUEST_REFUSED, "request", request.id(), "reason", failure.kind(), "detail",
 				failure.detail(), "config", this.config.get().version());
-		boolean later = failure.kind() == ErrorKind.NO_CONFIGURATION;
+		boolean later = failure.kind() != ErrorKind.NO_ROUTE;
 		return this.protocol.failed(raw, later ? withPause(failure, request.remainingMillis()) : failure);
 	}
 
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/MeshNode.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/MeshNode.java
@@ -86,14 +86,15 @@
 		this.keys = new KeyKeeper(reactor, settings, this.desk, this.directory, adapter.store(), hopClient, this.config,
 				clock::nanos, health, this.log);
 		this.desk.grantsFrom((beat, now) -> this.keys.answer(beat));
+		LagTimer lag = new LagTimer(reactor);
 		BackendPool pool = new BackendPool(reactor, settings.backend().address(), MAX_ANSWER_BYTES);
-		this.gate = new BackendGate(reactor, settings, this.desk, pool, adapter.backends(), this.config, this.keys,
+		this.gate = new BackendGate(reactor, settings, this.desk, pool, adapter.backends(), this.config, this.keys, lag,
 				this.log);
 		this.keys.capacityFrom(this.gate::capacity);
 		this.member = new MemberWriter(reactor, settings, this.desk, this.directory, adapter.store(), health);
 		Dispatcher dispatcher = new Dispatcher(settings, this.directory, this.config, this.gate, new HopClient(reactor),
 				this.log);
-		this.entry = new MeshEntry(adapter.callers(), this.config, dispatcher, this.log, this.metrics);
+		this.entry = new MeshEntry(adapter.callers(), this.config, dispatcher, lag, this.log, this.metrics);
 		this.callers = new CallerDoor(reactor, settings.listen().callers(), this.entry,
 				() -> this.config.get().limits());
 		this.hops = new HopServer(reactor, settings.listen().peers(), this.gate, this.keys, this.log);
--- a/daemon/src/main/java/org/brasspier/daemon/mesh/MeshRequest.java
+++ b/daemon/src/main/java/org/brasspier/daemon/mesh/MeshRequest.java
@@ -27,6 +27,15 @@
 		headers = List.copyOf(headers);
 	}
 
+	/**
+	 * The same request with another time left.
+	 * @param millis how long the caller will wait from now
+	 * @return the request
+	 */
+	public MeshRequest within(int millis) {
+		return new MeshRequest(this.id, this.host, this.method, this.target, this.headers, this.body, millis, this.key);
+	}
+
 	/**
 	 * The path without the query.
 	 * @return the path
