A daemon that stops takes no work that it can't finish, and says so before it closes

Now the gate closes 2.5 s after SIGTERM, others are told on every connection and send nothing more, and connections close a quarter of a second later.

--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/BackendGate.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/BackendGate.java
@@ -88,6 +88,8 @@
 
 	private boolean expiring;
 
+	private boolean stopping;
+
 	BackendGate(NioReactor reactor, MeshSettings settings, BackendDesk desk, BackendPool pool, BackendProtocol protocol,
 			Supplier<RoutingConfig> config, KeyKeeper keys, LagTimer lag, MeshLog log) {
 		this.reactor = reactor;
@@ -152,8 +154,24 @@
 		};
 	}
 
+	/**
+	 * Takes no new work from now on, since this process is about to end. Without it, a
+	 * daemon that other daemons still send to is never idle, and what it took last is cut
+	 * off when its time is over, though the server was at work on it.
+	 */
+	void stop() {
+		this.stopping = true;
+	}
+
 	// Why nothing may be handed over now.
 	private Optional<Failure> closed(Ask ask, long now) {
+		if (this.stopping) {
+			return noBackend("the daemon beside the backend server is stopping");
+		}
+		return unservable(ask, now);
+	}
+
+	private Optional<Failure> unservable(Ask ask, long now) {
 		if (!this.config.get().known()) {
 			// Whether the service is divided by key is not known either, and a server
 			// that was given a request for keys it doesn't hold would decline it.
@@ -206,7 +224,7 @@
 
 	private Promise<SendOutcome> start(long number, Order order) {
 		long now = System.nanoTime();
-		Optional<Failure> closed = closed(order.ask, now);
+		Optional<Failure> closed = unservable(order.ask, now);
 		if (closed.isPresent() || this.desk.life().isEmpty() || order.cancellation.cancelled()) {
 			finished(number, RunOutcome.NOT_BEGUN);
 			Failure why = closed.orElseGet(() -> Failure.of(ErrorKind.DEADLINE_PASSED, "nobody waits for it"));
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopCodec.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopCodec.java
@@ -43,6 +43,8 @@
 
 	private static final int LOAD = 9;
 
+	private static final int STOPPING = 10;
+
 	private static final double MILLI = 1000;
 
 	private static final int NO_KEY = -1;
@@ -60,6 +62,7 @@
 			case HopMessage.Ping ignored -> frame.number(PING);
 			case HopMessage.Pong ignored -> frame.number(PONG);
 			case HopMessage.Leaving ignored -> frame.number(LEAVING);
+			case HopMessage.Stopping ignored -> frame.number(STOPPING);
 		}
 		return frame.frame();
 	}
@@ -117,6 +120,7 @@
 			case PING -> new HopMessage.Ping();
 			case PONG -> new HopMessage.Pong();
 			case LEAVING -> new HopMessage.Leaving();
+			case STOPPING -> new HopMessage.Stopping();
 			default -> throw new WireException("message type %d is not known".formatted(type));
 		};
 	}
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopLink.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopLink.java
@@ -69,6 +69,10 @@
 
 	private boolean leaving;
 
+	// What is sent into a connection that the other side is about to close has an unknown
+	// outcome, so nothing is.
+	private boolean stopping;
+
 	HopLink(NioReactor reactor, InetSocketAddress address) {
 		this.reactor = reactor;
 		this.connection = TcpSocket.connect(reactor, address, CONNECT_TIMEOUT, SOCKETS).map((socket) -> {
@@ -85,13 +89,13 @@
 	}
 
 	boolean leaving() {
-		return this.leaving;
+		return this.leaving || this.stopping;
 	}
 
 	Promise<SendOutcome> send(Ask ask, Cancellation cancellation) {
 		SettablePromise<SendOutcome> outcome = new SettablePromise<>();
 		this.connection.whenComplete((ready, ex) -> {
-			if (ex != null || this.closed) {
+			if (ex != null || this.closed || this.stopping) {
 				outcome.set(notSent(ErrorKind.NO_BACKEND, "the daemon beside the backend server can't be reached"));
 			}
 			else if (ready.unsentBytes() > MAX_UNSENT_BYTES) {
@@ -163,6 +167,7 @@
 		switch (HopCodec.decode(frame)) {
 			case HopMessage.Replied(long exchange, SendOutcome outcome) -> settle(exchange, outcome);
 			case HopMessage.Leaving ignored -> this.leaving = true;
+			case HopMessage.Stopping ignored -> this.stopping = true;
 			case HopMessage.Pong ignored -> {
 				// That it came is all it says.
 			}
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopMessage.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopMessage.java
@@ -54,4 +54,8 @@
 	record Leaving() implements HopMessage {
 	}
 
+	/** The sender takes nothing new from now on, and closes the connection soon. */
+	record Stopping() implements HopMessage {
+	}
+
 }
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopServer.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopServer.java
@@ -4,6 +4,7 @@
 import java.net.InetSocketAddress;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 
@@ -34,6 +35,10 @@
 
 	private final Set<Exchanges> connections = new HashSet<>();
 
+	private boolean leaving;
+
+	private boolean stopping;
+
 	HopServer(NioReactor reactor, InetSocketAddress address, BackendGate gate, KeyKeeper keys, MeshLog log) {
 		this.server = SimpleServer.builder(reactor, this::accept).withListenAddress(address).build();
 		this.gate = gate;
@@ -47,11 +52,19 @@
 
 	// Tells all other daemons to send no more.
 	void leave() {
+		this.leaving = true;
 		this.connections.forEach((each) -> each.send(new HopMessage.Leaving()));
 	}
 
+	// Tells all other daemons that nothing new is taken.
+	void stop() {
+		this.stopping = true;
+		this.connections.forEach((each) -> each.send(new HopMessage.Stopping()));
+	}
+
 	void close() {
 		this.server.close();
+		List.copyOf(this.connections).forEach(Exchanges::close);
 	}
 
 	private void accept(ITcpSocket socket) {
@@ -72,16 +85,19 @@
 			PeerConnection opened = PeerConnection.unproven(socket, HopLink.MAX_FRAME_BYTES, this::receive);
 			this.connection = opened;
 			HopServer.this.connections.add(this);
+			if (HopServer.this.leaving) {
+				send(HopServer.this.stopping ? new HopMessage.Stopping() : new HopMessage.Leaving());
+			}
 			opened.closed().whenResult(this::closed);
 		}
 
 		// Whoever asked is gone, or can't be reached any more: nobody waits for answers.
 		private void closed(Exception reason) {
 			HopServer.this.connections.remove(this);
-			if (reason instanceof WireException && !PeerConnection.closedByPeer(reason)) {
+			if (reason instanceof WireException && !PeerConnection.closedByPeer(reason) && !HopServer.this.leaving) {
 				HopServer.this.log.record(MeshEvent.BAD_PEER_INPUT, "reason", String.valueOf(reason.getMessage()));
 			}
-			java.util.List.copyOf(this.running.values()).forEach(Cancellation::cancel);
+			List.copyOf(this.running.values()).forEach(Cancellation::cancel);
 		}
 
 		void send(HopMessage message) {
@@ -90,6 +106,12 @@
 			}
 		}
 
+		void close() {
+			if (this.connection != null) {
+				this.connection.close(new WireException("this daemon ends"));
+			}
+		}
+
 		private void receive(FrameReader frame) throws WireException {
 			switch (HopCodec.decode(frame)) {
 				case HopMessage.Asked(long exchange, Ask ask) -> run(exchange, ask);
@@ -99,6 +121,7 @@
 				case HopMessage.Replied ignored -> throw wrongSide();
 				case HopMessage.Pong ignored -> throw wrongSide();
 				case HopMessage.Leaving ignored -> throw wrongSide();
+				case HopMessage.Stopping ignored -> throw wrongSide();
 			}
 		}
 
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/MeshNode.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/MeshNode.java
@@ -24,6 +24,12 @@
 	 */
 	private static final Duration OPEN_ON = Duration.ofMillis(2500);
 
+	/**
+	 * Other daemons know by then that nothing new is taken, and what they had sent before
+	 * has been answered: many round trips between failure domains.
+	 */
+	private static final Duration TOLD_AFTER = Duration.ofMillis(250);
+
 	private static final Duration LOOK_AGAIN = Duration.ofMillis(20);
 
 	private static final int MAX_ANSWER_BYTES = 64 << 20;
@@ -148,14 +154,17 @@
 		this.hops.leave();
 		this.reactor.delay(OPEN_ON, () -> {
 			this.callers.refuseNew();
+			this.gate.stop();
+			this.hops.stop();
 			whenIdle(ended);
 		});
 	}
 
 	private void whenIdle(Runnable ended) {
 		boolean closed = this.callers.closeIdle();
+		boolean told = System.nanoTime() - this.leavingSinceNanos >= OPEN_ON.plus(TOLD_AFTER).toNanos();
 		long left = this.settings.bounds().stop().toNanos() - (System.nanoTime() - this.leavingSinceNanos);
-		if (closed && this.gate.idle() || left <= 0) {
+		if (closed && told && this.gate.idle() || left <= 0) {
 			this.log.record(MeshEvent.STOPPED, "open", this.entry.open(), "gate", this.gate.load());
 			this.ports.close();
 			this.hops.close();
