--- a/core/src/main/java/org/brasspier/core/mesh/LoopLag.java
+++ b/core/src/main/java/org/brasspier/core/mesh/LoopLag.java
@@ -37,14 +37,14 @@
 	}
 
 	/**
-	 * How far the loop is behind.
+	 * How far the loop is behind. A tick that is overdue counts before it comes, however
+	 * late it is: requests that are read in the same turn of the loop come before it. A
+	 * timer that rested is told of a tick when it begins again.
 	 * @param now the time
-	 * @return nanoseconds
+	 * @return nanoseconds, at least 0
 	 */
 	public long lagNanos(long now) {
-		long sinceTick = Math.max(0, now - this.tickedNanos - TICK.toNanos());
-		boolean running = sinceTick < Duration.ofSeconds(1).toNanos();
-		return running ? Math.max(this.lagNanos, sinceTick) : 0;
+		return Math.max(this.lagNanos, now - this.tickedNanos - TICK.toNanos());
 	}
 
 	/**
--- a/core/src/test/java/org/brasspier/core/mesh/LoopLagTests.java
+++ b/core/src/test/java/org/brasspier/core/mesh/LoopLagTests.java
@@ -39,10 +39,25 @@
 		assertThat(this.lag.shedding(millis(400))).isTrue();
 	}
 
+	/**
+	 * The loop was held up for 2.6 seconds, and what had piled up was read before its
+	 * timer's tick. A tick that was more than a second overdue was taken for a timer at
+	 * rest, so just the worst delay counted for none, and 30 requests reached backend
+	 * servers seconds after their callers had left.
+	 */
+	@Test
+	void aTickThatIsOverdueBySecondsCountsInFull() {
+		this.lag.ticked(millis(100), millis(100));
+		assertThat(this.lag.shedding(millis(2700))).isTrue();
+		assertThat(this.lag.remainingMillis(500, millis(2700))).isEqualTo(0);
+	}
+
 	@Test
-	void aTimerThatRestsSaysNothing() {
+	void aTimerThatBeginsAgainSaysNothingOfItsRest() {
 		this.lag.ticked(millis(100), millis(300));
+		this.lag.ticked(millis(5000), millis(5000));
 		assertThat(this.lag.shedding(millis(5000))).isFalse();
+		assertThat(this.lag.remainingMillis(500, millis(5000))).isEqualTo(500);
 	}
 
 }
