--- a/standins/src/main/java/org/brasspier/standins/PlatformStandIn.java
+++ b/standins/src/main/java/org/brasspier/standins/PlatformStandIn.java
@@ -31,10 +31,10 @@
  */
 public final class PlatformStandIn implements AutoCloseable {
 
-	/** The brief: several hundred writes a second. */
+	/** As the platform is described: several hundred writes a second. */
 	private static final int WRITES_A_SECOND = 400;
 
-	/** The brief: about two thousand reads a second. */
+	/** As the platform is described: about two thousand reads a second. */
 	private static final int READS_A_SECOND = 2000;
 
 	private static final int MAX_BODY_BYTES = 8 << 20;
