Turn requests away that were held up on their way between daemons

Cause: a hop tells how much time a request has left, not when it was written. Change: both ends count time from the connection's beginning; the quickest message tells what is not held up. What was held up for the 400 ms after which its sender gives up is turned away, what was held up for less has that much less time left.

--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/BackendGate.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/BackendGate.java
@@ -25,6 +25,7 @@
 import org.brasspier.core.admission.RunOutcome;
 import org.brasspier.core.keys.BackendLife;
 import org.brasspier.core.mesh.BackendTrack.BackendPhase;
+import org.brasspier.core.mesh.LinkDelay;
 import org.brasspier.core.mesh.RoutingConfig;
 import org.brasspier.core.mesh.SendOutcome;
 import org.brasspier.core.request.Answer;
@@ -128,18 +129,19 @@
 	/**
 	 * Runs a request on the backend server.
 	 * @param ask the request
+	 * @param heldUpNanos how long it was held up on the way from another daemon
 	 * @param cancellation tells when nobody waits for it any more
 	 * @return what came of it; never an exception
 	 */
-	Promise<SendOutcome> run(Ask ask, Cancellation cancellation) {
+	Promise<SendOutcome> run(Ask ask, long heldUpNanos, Cancellation cancellation) {
 		long now = System.nanoTime();
 		ask.request().key().ifPresent(this.keys::asked);
-		Optional<Failure> closed = closed(ask, now);
+		Optional<Failure> closed = closed(ask, heldUpNanos, now);
 		if (closed.isPresent()) {
 			return Promise.of(turnedAway(ask, closed.get()));
 		}
 		followConfig();
-		int remaining = this.lag.requested(now).remainingMillis(ask.request().remainingMillis(), now);
+		int remaining = remaining(ask, heldUpNanos, now);
 		Order order = new Order(ask, cancellation, now + remaining * NANOS_PER_MILLI);
 		long number = this.nextNumber++;
 		PendingRequest pending = new PendingRequest(number, ask.requestClass(), new CallerId(ask.caller().value()),
@@ -164,13 +166,25 @@
 	}
 
 	// Why nothing may be handed over now.
-	private Optional<Failure> closed(Ask ask, long now) {
+	private Optional<Failure> closed(Ask ask, long heldUpNanos, long now) {
 		if (this.stopping) {
 			return noBackend("the daemon beside the backend server is stopping");
 		}
+		if (LinkDelay.givenUp(heldUpNanos)) {
+			return Optional.of(Failure.of(ErrorKind.DEADLINE_PASSED, "it was held up for %d ms between the daemons"
+				.formatted(Duration.ofNanos(heldUpNanos).toMillis())));
+		}
 		return unservable(ask, now);
 	}
 
+	// What waited for this loop to be read counts as held up on the way as well, so the
+	// longer of the two is taken, not both.
+	private int remaining(Ask ask, long heldUpNanos, long now) {
+		int said = ask.request().remainingMillis();
+		int afterLag = this.lag.requested(now).remainingMillis(said, now);
+		return (int) Math.max(0, Math.min(afterLag, said - heldUpNanos / NANOS_PER_MILLI));
+	}
+
 	private Optional<Failure> unservable(Ask ask, long now) {
 		if (!this.config.get().known()) {
 			// Whether the service is divided by key is not known either, and a server
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/Dispatcher.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/Dispatcher.java
@@ -227,7 +227,7 @@
 					this.route.idempotent(), this.request)
 				.within(remaining);
 			boolean here = target.instance().equals(Dispatcher.this.settings.instance());
-			Promise<SendOutcome> outcome = here ? Dispatcher.this.gate.run(ask, this.cancellation)
+			Promise<SendOutcome> outcome = here ? Dispatcher.this.gate.run(ask, 0, this.cancellation)
 					: Dispatcher.this.hops.send(target, ask, this.cancellation);
 			return outcome.then((end) -> next(target, now, end));
 		}
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopCodec.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopCodec.java
@@ -55,7 +55,8 @@
 	static byte[] encode(HopMessage message) {
 		FrameWriter frame = new FrameWriter();
 		switch (message) {
-			case HopMessage.Asked(long exchange, Ask ask) -> ask(frame.number(ASKED).number(exchange), ask);
+			case HopMessage.Asked(long exchange, long sentNanos, Ask ask) ->
+				ask(frame.number(ASKED).number(exchange).number(sentNanos), ask);
 			case HopMessage.Replied(long exchange, SendOutcome outcome) -> outcome(frame, exchange, outcome);
 			case HopMessage.Cancelled(long exchange) -> frame.number(CANCELLED).number(exchange);
 			case HopMessage.Load(HolderLoad load) -> load(frame.number(LOAD), load);
@@ -110,7 +111,7 @@
 	static HopMessage decode(FrameReader frame) throws WireException {
 		int type = frame.small();
 		return switch (type) {
-			case ASKED -> new HopMessage.Asked(frame.number(), ask(frame));
+			case ASKED -> new HopMessage.Asked(frame.number(), frame.number(), ask(frame));
 			case ANSWERED -> new HopMessage.Replied(frame.number(), answered(frame));
 			case NOT_RUN ->
 				new HopMessage.Replied(frame.number(), new SendOutcome.NotRun(failure(frame), frame.flag()));
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopLink.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopLink.java
@@ -15,6 +15,7 @@
 import io.activej.reactor.schedule.ScheduledRunnable;
 import org.brasspier.core.ErrorKind;
 import org.brasspier.core.Failure;
+import org.brasspier.core.mesh.LinkDelay;
 import org.brasspier.core.mesh.SendOutcome;
 import org.brasspier.daemon.internal.peer.PeerConnection;
 import org.brasspier.daemon.internal.request.Cancellation;
@@ -44,7 +45,7 @@
 	/**
 	 * Three pings and the pause that a processor share of a tenth of a second allows.
 	 */
-	private static final long SILENCE_NANOS = Duration.ofMillis(400).toNanos();
+	private static final long SILENCE_NANOS = LinkDelay.GIVEN_UP_AFTER.toNanos();
 
 	/** A receiver that doesn't read must not fill this process's memory. */
 	private static final long MAX_UNSENT_BYTES = 4 << 20;
@@ -61,6 +62,8 @@
 
 	private long nextExchange = 1;
 
+	private long openedNanos;
+
 	private long heardNanos;
 
 	private boolean pinging;
@@ -76,7 +79,8 @@
 	HopLink(NioReactor reactor, InetSocketAddress address) {
 		this.reactor = reactor;
 		this.connection = TcpSocket.connect(reactor, address, CONNECT_TIMEOUT, SOCKETS).map((socket) -> {
-			this.heardNanos = System.nanoTime();
+			this.openedNanos = System.nanoTime();
+			this.heardNanos = this.openedNanos;
 			PeerConnection opened = PeerConnection.unproven(socket, MAX_FRAME_BYTES, this::receive);
 			opened.closed().whenResult(this::lost);
 			this.open = Optional.of(opened);
@@ -123,7 +127,7 @@
 			this.heardNanos = System.nanoTime();
 		}
 		this.waiting.put(exchange, outcome);
-		ready.send(HopCodec.encode(new HopMessage.Asked(exchange, ask)));
+		ready.send(HopCodec.encode(new HopMessage.Asked(exchange, System.nanoTime() - this.openedNanos, ask)));
 		ScheduledRunnable timeout = this.reactor.delay(ask.request().remainingMillis() + 1L,
 				() -> settle(exchange, new SendOutcome.Unknown(
 						Failure.of(ErrorKind.TIMED_OUT, "the deadline passed while another daemon had the request"))));
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopMessage.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopMessage.java
@@ -12,9 +12,11 @@
 	 * The backend server beside the receiver is to run a request.
 	 *
 	 * @param exchange the number under which it is answered
+	 * @param sentNanos when it was written, from the beginning of the connection at its
+	 * sender
 	 * @param ask the request
 	 */
-	record Asked(long exchange, Ask ask) implements HopMessage {
+	record Asked(long exchange, long sentNanos, Ask ask) implements HopMessage {
 	}
 
 	/**
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopServer.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopServer.java
@@ -12,6 +12,7 @@
 import io.activej.net.socket.tcp.ITcpSocket;
 import io.activej.promise.Promise;
 import io.activej.reactor.nio.NioReactor;
+import org.brasspier.core.mesh.LinkDelay;
 import org.brasspier.core.mesh.SendOutcome;
 import org.brasspier.daemon.internal.peer.PeerConnection;
 import org.brasspier.daemon.internal.request.Cancellation;
@@ -78,6 +79,10 @@
 
 		private final Map<Long, Cancellation> running = new HashMap<>();
 
+		private final LinkDelay delay = new LinkDelay();
+
+		private final long openedNanos = System.nanoTime();
+
 		@org.jspecify.annotations.Nullable
 		private PeerConnection connection;
 
@@ -114,7 +119,7 @@
 
 		private void receive(FrameReader frame) throws WireException {
 			switch (HopCodec.decode(frame)) {
-				case HopMessage.Asked(long exchange, Ask ask) -> run(exchange, ask);
+				case HopMessage.Asked(long exchange, long sentNanos, Ask ask) -> run(exchange, sentNanos, ask);
 				case HopMessage.Cancelled(long exchange) -> cancel(exchange);
 				case HopMessage.Ping ignored -> send(new HopMessage.Pong());
 				case HopMessage.Load(var load) -> HopServer.this.keys.reported(load);
@@ -129,12 +134,13 @@
 			return new WireException("a message came from the wrong side of the connection");
 		}
 
-		private void run(long exchange, Ask ask) throws WireException {
+		private void run(long exchange, long sentNanos, Ask ask) throws WireException {
 			Cancellation cancellation = new Cancellation();
 			if (this.running.put(exchange, cancellation) != null) {
 				throw new WireException("exchange %d was opened twice".formatted(exchange));
 			}
-			Promise<SendOutcome> outcome = HopServer.this.gate.run(ask, cancellation);
+			long heldUp = this.delay.heldUpNanos(sentNanos, System.nanoTime() - this.openedNanos);
+			Promise<SendOutcome> outcome = HopServer.this.gate.run(ask, heldUp, cancellation);
 			outcome.whenResult((end) -> {
 				this.running.remove(exchange);
 				send(new HopMessage.Replied(exchange, end));
