--- /dev/null
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/KeyMapWriter.java
@@ -0,0 +1,136 @@
+package org.brasspier.daemon.internal.mesh;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.function.LongSupplier;
+
+import io.activej.reactor.nio.NioReactor;
+import org.brasspier.core.InstanceId;
+import org.brasspier.core.ServiceName;
+import org.brasspier.core.keys.KeyMap;
+import org.brasspier.daemon.mesh.MetadataStore;
+import org.brasspier.daemon.mesh.MetadataStore.Commit;
+import org.brasspier.daemon.mesh.MetadataStore.CommitResult;
+import org.brasspier.daemon.mesh.MetadataStore.Expected;
+import org.brasspier.daemon.mesh.MetadataStore.Put;
+
+/**
+ * Writes a service's map of keys, one change at a time, on condition that nobody else has
+ * changed it. Belongs to the thread of requests.
+ */
+final class KeyMapWriter {
+
+	/** Until another change is planned after the store failed one. */
+	private static final Duration TRY_AGAIN = Duration.ofMillis(250);
+
+	private final NioReactor reactor;
+
+	private final InstanceId self;
+
+	private final ServiceName service;
+
+	private final Directory directory;
+
+	private final MetadataStore store;
+
+	private final StoreHealth health;
+
+	private final MeshLog log;
+
+	private final LongSupplier clock;
+
+	private final Runnable written;
+
+	private boolean busy;
+
+	private long latestNanos;
+
+	KeyMapWriter(NioReactor reactor, InstanceId self, ServiceName service, Directory directory, MetadataStore store,
+			StoreHealth health, MeshLog log, LongSupplier clock, Runnable written) {
+		this.reactor = reactor;
+		this.self = self;
+		this.service = service;
+		this.directory = directory;
+		this.store = store;
+		this.health = health;
+		this.log = log;
+		this.clock = clock;
+		this.written = written;
+		this.latestNanos = clock.getAsLong();
+	}
+
+	// Whether a change is on its way, so that no other may be planned.
+	boolean busy() {
+		return this.busy;
+	}
+
+	long sinceLatestNanos(long now) {
+		return now - this.latestNanos;
+	}
+
+	void write(KeyMap planned, String why) {
+		write(planned, Map.of(), why);
+	}
+
+	/**
+	 * Writes a changed map.
+	 * @param planned the map
+	 * @param lost whose keys are taken, with the versions at which their leases ended:
+	 * writing their rows makes their next renewals fail, so that none of them goes on
+	 * with what it held
+	 * @param why what the log says
+	 */
+	void write(KeyMap planned, Map<InstanceId, Long> lost, String why) {
+		KeyMap map = planned.joined();
+		this.busy = true;
+		this.latestNanos = this.clock.getAsLong();
+		String key = StoredRows.KEYS_PREFIX + this.service.value();
+		List<Expected> expected = new ArrayList<>();
+		List<Put> puts = new ArrayList<>();
+		expected.add(new Expected(StoredRows.MESH, key, this.directory.keysVersion(this.service)));
+		puts.add(new Put(StoredRows.MESH, key, StoredRows.keys(map)));
+		lost.forEach((instance, version) -> {
+			expected.add(new Expected(StoredRows.LEASES, instance.value(), version));
+			puts.add(LeaseRenewal.row(instance, "taken by " + this.self.value()));
+		});
+		this.store.commit(new Commit(expected, puts)).whenResult((result) -> {
+			this.busy = false;
+			ended(map, why, result);
+		});
+	}
+
+	private void ended(KeyMap map, String why, CommitResult result) {
+		switch (result) {
+			case CommitResult.Done(long version) -> {
+				this.directory.learnt(this.service, map, version);
+				this.log.record(MeshEvent.KEYS_MOVED, "service", this.service, "why", why, "version", version,
+						"next_fence", map.nextFence(), "own", map.of(this.self).size());
+				this.written.run();
+			}
+			case CommitResult.Conflict ignored -> readAgain(why);
+			case CommitResult.Refused(String reason) -> failed(reason);
+			case CommitResult.Unknown(String reason) -> failed(reason);
+		}
+	}
+
+	private void failed(String reason) {
+		this.health.answered(StoredRows.MESH, new MetadataStore.StoreFailedException(reason));
+		this.busy = true;
+		this.reactor.delay(TRY_AGAIN, () -> this.busy = false);
+	}
+
+	private void readAgain(String why) {
+		this.busy = true;
+		this.store.read(StoredRows.MESH).whenComplete((rows, ex) -> {
+			this.busy = false;
+			this.health.answered(StoredRows.MESH, ex);
+			if (ex == null) {
+				this.directory.take(rows, true);
+				this.log.record(MeshEvent.KEYS_MOVED, "service", this.service, "why", why, "outcome", "overtaken");
+			}
+		});
+	}
+
+}
