Say that a daemon has ended only once its ports are closed

Cause: MeshTests.aPlannedStopCutsNothingOff failed once at a load of 20 with 'Address already in use': a listening port is closed by the event loop's next look for events, and the end was told before it. A daemon started in its place within the same process found the port taken. Change: the end is told one turn of the loop later.

--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/MeshNode.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/MeshNode.java
@@ -168,7 +168,9 @@
 			this.log.record(MeshEvent.STOPPED, "open", this.entry.open(), "gate", this.gate.load());
 			this.ports.close();
 			this.hops.close();
-			ended.run();
+			// A listening port stays open until the loop has looked for events once more;
+			// told sooner, a daemon that starts in this one's place finds it in use.
+			this.reactor.delay(LOOK_AGAIN, ended::run);
 			return;
 		}
 		this.reactor.delay(LOOK_AGAIN, () -> whenIdle(ended));
