--- a/integration/src/test/java/org/brasspier/integration/RequestPathAtMostOnceTests.java
+++ b/integration/src/test/java/org/brasspier/integration/RequestPathAtMostOnceTests.java
@@ -34,6 +34,10 @@
 		deployment = Deployment.start(DeploymentShape.small(new ServiceShape("hullbook", true, 3, 8, 60, true),
 				new ServiceShape("returns-desk", false, 3, 8, 60, false)));
 		deployment.awaitServed();
+		// All points are served before each instance has its share; a posting whose range
+		// moves between two sends is answered 409 by the next owner, and rightly so.
+		Await.until("each instance owns something",
+				() -> deployment.instances().stream().noneMatch((instance) -> deployment.ownedBy(instance).isEmpty()));
 	}
 
 	@AfterAll
--- a/standins/src/main/java/org/brasspier/standins/Ports.java
+++ b/standins/src/main/java/org/brasspier/standins/Ports.java
@@ -14,14 +14,36 @@
  */
 public final class Ports {
 
-	private static final int LOWEST = 12_000;
+	/**
+	 * Names the slice of ports that this process hands out, from 1 on. Test processes
+	 * that run side by side have a slice each: a port that one has handed out and whose
+	 * process is just being restarted would look free to the other.
+	 */
+	public static final String SLICE_PROPERTY = "brasspier.standins.port-slice";
+
+	private static final int SLICE_PORTS = 5_000;
+
+	private static final int FIRST = 12_000;
+
+	private static final int LAST = 32_000;
 
-	private static final int HIGHEST = 32_000;
+	private static final int SLICE = Integer.getInteger(SLICE_PROPERTY, 1);
+
+	private static final int LOWEST = FIRST + (SLICE - 1) * SLICE_PORTS;
+
+	private static final int HIGHEST = LOWEST + SLICE_PORTS;
 
 	private static final int MAX_TRIES = 1000;
 
 	private static final Set<Integer> given = new HashSet<>();
 
+	static {
+		if (SLICE < 1 || HIGHEST > LAST) {
+			throw new IllegalStateException(
+					"%s is %d, not from 1 to %d".formatted(SLICE_PROPERTY, SLICE, (LAST - FIRST) / SLICE_PORTS));
+		}
+	}
+
 	private Ports() {
 	}
 
