Hold repeats of what has run to half the share; ask on where an instance has no backend server

Two changes in the same classes. Change: ResendBudget; daemons spend 0.6 of the bound instead of 0.75. Change: an instance without a backend server is avoided for 200 ms, doubling up to 2 s; a request asks up to four such, instead of two.

--- a/core/src/main/java/org/brasspier/core/mesh/ResendRules.java
+++ b/core/src/main/java/org/brasspier/core/mesh/ResendRules.java
@@ -1,6 +1,6 @@
 package org.brasspier.core.mesh;
 
-import org.brasspier.core.retry.RetryBudget;
+import org.brasspier.core.ErrorKind;
 
 /**
  * Whether one request is sent once more, and what its caller is told in the end. The load
@@ -18,17 +18,25 @@
 	 */
 	private static final int MOST_TURNS = 2;
 
+	/**
+	 * Daemons that may turn one request away because no backend server is there. Unlike a
+	 * full one that says nothing of the others, and it costs no more than a hop.
+	 */
+	private static final int MOST_ABSENT = 4;
+
 	/** Statuses from here on say that the backend server failed. */
 	private static final int SERVER_ERROR = 500;
 
 	private final RouteRule route;
 
-	private final RetryBudget budget;
+	private final ResendBudget budget;
 
 	private int reached;
 
 	private int turnedAway;
 
+	private int absent;
+
 	private boolean mayHaveRun;
 
 	/**
@@ -36,7 +44,7 @@
 	 * @param route its route
 	 * @param budget what repeats are paid from
 	 */
-	public ResendRules(RouteRule route, RetryBudget budget) {
+	public ResendRules(RouteRule route, ResendBudget budget) {
 		this.route = route;
 		this.budget = budget;
 	}
@@ -59,12 +67,13 @@
 				this.mayHaveRun = true;
 				yield repeat(enoughTime);
 			}
-			case SendOutcome.NotRun notRun -> notRun.reached() ? declined(enoughTime) : turned(enoughTime);
+			case SendOutcome.NotRun notRun -> notRun.reached() ? declined(enoughTime) : turned(notRun, enoughTime);
 		};
 	}
 
 	private boolean repeat(boolean enoughTime) {
-		return this.route.idempotent() && enoughTime && this.reached < this.route.maxAttempts() && this.budget.spend();
+		return this.route.idempotent() && enoughTime && this.reached < this.route.maxAttempts()
+				&& this.budget.spendOnRerun();
 	}
 
 	private boolean declined(boolean enoughTime) {
@@ -72,7 +81,11 @@
 		return enoughTime && this.reached < this.route.maxAttempts() && this.budget.spend();
 	}
 
-	private boolean turned(boolean enoughTime) {
+	private boolean turned(SendOutcome.NotRun outcome, boolean enoughTime) {
+		if (outcome.failure().kind() == ErrorKind.NO_BACKEND) {
+			this.absent++;
+			return enoughTime && this.absent < MOST_ABSENT;
+		}
 		this.turnedAway++;
 		return enoughTime && this.turnedAway < MOST_TURNS;
 	}
--- a/core/src/main/java/org/brasspier/core/retry/RetryBudget.java
+++ b/core/src/main/java/org/brasspier/core/retry/RetryBudget.java
@@ -52,12 +52,20 @@
 		this.saved = Math.min(this.mostSaved, this.saved + this.share);
 	}
 
+	/**
+	 * Whether a resend could be paid for.
+	 * @return false if there is nothing left
+	 */
+	public boolean left() {
+		return this.saved >= 1;
+	}
+
 	/**
 	 * Pays for one resend.
 	 * @return false if there is nothing left, and the resend must not be
 	 */
 	public boolean spend() {
-		if (this.saved < 1) {
+		if (!left()) {
 			return false;
 		}
 		this.saved--;
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/Dispatcher.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/Dispatcher.java
@@ -19,12 +19,13 @@
 import org.brasspier.core.choosing.BackendChooser;
 import org.brasspier.core.choosing.Candidate;
 import org.brasspier.core.keys.KeyMap;
+import org.brasspier.core.mesh.AbsentInstances;
+import org.brasspier.core.mesh.ResendBudget;
 import org.brasspier.core.mesh.ResendRules;
 import org.brasspier.core.mesh.RetryPause;
 import org.brasspier.core.mesh.RouteRule;
 import org.brasspier.core.mesh.RoutingConfig;
 import org.brasspier.core.mesh.SendOutcome;
-import org.brasspier.core.retry.RetryBudget;
 import org.brasspier.daemon.internal.request.Cancellation;
 import org.brasspier.daemon.mesh.MeshRequest;
 import org.brasspier.daemon.mesh.MeshSettings;
@@ -47,8 +48,11 @@
 	/** A send isn't worth while with less than this share of the target latency left. */
 	private static final int LEAST_TIME_DIVISOR = 3;
 
-	/** A part of the operators' bound is kept back, since daemons don't count in step. */
-	private static final double BUDGET_SHARE = 0.75;
+	/**
+	 * A part of the operators' bound is kept back: daemons don't count in step, and a
+	 * called service also gets the calls of repeats that other services' budgets pay for.
+	 */
+	private static final double BUDGET_SHARE = 0.6;
 
 	/**
 	 * Daemons that are counted on at least, while few are known yet: each may spend its
@@ -70,7 +74,9 @@
 
 	private final Map<ServiceName, BackendChooser> choosers = new HashMap<>();
 
-	private final Map<ServiceName, RetryBudget> budgets = new HashMap<>();
+	private final Map<ServiceName, ResendBudget> budgets = new HashMap<>();
+
+	private final AbsentInstances absences = new AbsentInstances();
 
 	private final SplittableRandom random = new SplittableRandom();
 
@@ -93,7 +99,7 @@
 	 */
 	Promise<SendOutcome> dispatch(MeshRequest request, RouteRule route, Cancellation cancellation) {
 		ServiceName service = service(route);
-		RetryBudget budget = this.budgets.computeIfAbsent(service, (key) -> budget());
+		ResendBudget budget = this.budgets.computeIfAbsent(service, (key) -> budget());
 		budget.fresh();
 		return new Course(request, route, service, budget, cancellation).attempt();
 	}
@@ -114,11 +120,11 @@
 	}
 
 	// The slack is shared by all daemons, whose number is taken from the store's rows.
-	private RetryBudget budget() {
+	private ResendBudget budget() {
 		MeshSettings.Retries bound = this.settings.bounds().retries();
 		int daemons = Math.max(FEWEST_DAEMONS, this.directory.size());
 		int saved = Math.max(1, (int) (bound.slack() * BUDGET_SHARE / daemons));
-		return new RetryBudget(bound.ratio() * BUDGET_SHARE, saved);
+		return new ResendBudget(bound.ratio() * BUDGET_SHARE, saved);
 	}
 
 	private BackendChooser chooser(ServiceName service) {
@@ -155,7 +161,7 @@
 
 		private final Set<InstanceId> tried = new HashSet<>();
 
-		Course(MeshRequest request, RouteRule route, ServiceName service, RetryBudget budget,
+		Course(MeshRequest request, RouteRule route, ServiceName service, ResendBudget budget,
 				Cancellation cancellation) {
 			this.request = request;
 			this.route = route;
@@ -199,7 +205,8 @@
 				.filter((member) -> !this.tried.contains(member.instance()))
 				.toList();
 			List<Member> reachable = serving.stream()
-				.filter((member) -> !Dispatcher.this.hops.avoided(member.instance(), now))
+				.filter((member) -> !Dispatcher.this.hops.avoided(member.instance(), now)
+						&& !Dispatcher.this.absences.avoided(member.instance(), now))
 				.toList();
 			List<Candidate> candidates = (reachable.isEmpty() ? serving : reachable).stream()
 				.map(this::candidate)
@@ -267,7 +274,14 @@
 			if (byKey()) {
 				return;
 			}
-			long took = System.nanoTime() - sentNanos;
+			long now = System.nanoTime();
+			if (end instanceof SendOutcome.NotRun notRun && notRun.failure().kind() == ErrorKind.NO_BACKEND) {
+				Dispatcher.this.absences.absent(target.instance(), now);
+			}
+			else {
+				Dispatcher.this.absences.present(target.instance());
+			}
+			long took = now - sentNanos;
 			boolean failed = !(end instanceof SendOutcome.Answered answered)
 					|| answered.answer().status() >= ErrorKind.INTERNAL_ERROR.status();
 			if (this.cancellation.cancelled()) {
