Give no keys to an instance whose lease was taken as the store returns either

As the store returns nobody counts as lost for three seconds; the watch then called an instance live whose lease had been taken before the outage, and a holder that left gave it keys. Change: a taken lease is never live. LeaseTests.anInstanceWhoseLeaseWasTakenIsNoHolderAsTheStoreReturnsEither failed before.

--- a/core/src/main/java/org/brasspier/core/keys/LeaseWatch.java
+++ b/core/src/main/java/org/brasspier/core/keys/LeaseWatch.java
@@ -74,10 +74,11 @@
 	 * Whether an instance has renewed lately, as far as is known.
 	 * @param instance the instance
 	 * @param now the time
-	 * @return false if it has no lease or its lease has ended
+	 * @return false if it has no lease, or its lease was taken away or has ended
 	 */
 	public boolean live(InstanceId instance, long now) {
-		return this.seen.containsKey(instance) && ended(instance, now).isEmpty();
+		Seen row = this.seen.get(instance);
+		return row != null && !row.taken && ended(instance, now).isEmpty();
 	}
 
 	/**
--- a/core/src/test/java/org/brasspier/core/keys/LeaseTests.java
+++ b/core/src/test/java/org/brasspier/core/keys/LeaseTests.java
@@ -96,6 +96,19 @@
 		assertThat(this.watch.live(A, millis(13_000))).isTrue();
 	}
 
+	/**
+	 * The same, but the store is away in between: as it returns nobody is taken for lost
+	 * for a while, and a holder that leaves just then gave its keys to the lost one.
+	 */
+	@Test
+	void anInstanceWhoseLeaseWasTakenIsNoHolderAsTheStoreReturnsEither() {
+		lookEachSecond(5, 0, 11_000);
+		this.watch.look(Map.of(A, 6L, B, 3L), Set.of(A), millis(12_000));
+		this.watch.look(Map.of(A, 6L, B, 3L), Set.of(A), millis(20_000));
+		assertThat(this.watch.live(B, millis(20_000))).isTrue();
+		assertThat(this.watch.live(A, millis(20_000))).isFalse();
+	}
+
 	@Test
 	void anInstanceWithoutALeaseIsLostOnlyAfterTheFirstLooks() {
 		this.watch.look(Map.of(), 0);
