Let whoever sees a lease end take its keys; ask absent instances only if no other is known

And requests that a full server had turned away went on to instances without a server, waited up to 150 ms for a connection there, and were refused then. Change: every holder takes what it saw end, the store lets one win; an absent instance is asked only if no other is known.

--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/Dispatcher.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/Dispatcher.java
@@ -200,21 +200,26 @@
 		}
 
 		private Optional<Member> chosen(long now) {
-			List<Member> serving = Dispatcher.this.directory.serving(this.service)
-				.stream()
-				.filter((member) -> !this.tried.contains(member.instance()))
-				.toList();
-			List<Member> reachable = serving.stream()
-				.filter((member) -> !Dispatcher.this.hops.avoided(member.instance(), now)
-						&& !Dispatcher.this.absences.avoided(member.instance(), now))
-				.toList();
-			List<Candidate> candidates = (reachable.isEmpty() ? serving : reachable).stream()
-				.map(this::candidate)
-				.toList();
+			List<Candidate> candidates = untried(now).stream().map(this::candidate).toList();
 			return chooser(this.service).choose(candidates, this.requestClass, now)
 				.flatMap(Dispatcher.this.directory::member);
 		}
 
+		// Those that may be asked. One that could not be reached or had no backend server
+		// lately is asked only if no other is known: once a full one has turned the
+		// request
+		// away, asking it would keep the caller waiting for a tenth of a second for
+		// nothing.
+		private List<Member> untried(long now) {
+			List<Member> serving = Dispatcher.this.directory.serving(this.service);
+			List<Member> untried = serving.stream()
+				.filter((member) -> !this.tried.contains(member.instance()))
+				.filter((member) -> !Dispatcher.this.hops.avoided(member.instance(), now))
+				.filter((member) -> !Dispatcher.this.absences.avoided(member.instance(), now))
+				.toList();
+			return (untried.isEmpty() && this.tried.isEmpty()) ? serving : untried;
+		}
+
 		private Candidate candidate(Member member) {
 			boolean near = member.failureDomain().equals(Dispatcher.this.settings.failureDomain());
 			Duration distance = near ? Duration.ZERO
@@ -260,9 +265,7 @@
 				boolean turnedAway = end instanceof SendOutcome.NotRun notRun && !notRun.reached();
 				return !turnedAway || holder(System.nanoTime()).filter((member) -> !member.equals(target)).isPresent();
 			}
-			return Dispatcher.this.directory.serving(this.service)
-				.stream()
-				.anyMatch((member) -> !this.tried.contains(member.instance()));
+			return !untried(System.nanoTime()).isEmpty();
 		}
 
 		// An earlier send may have run, so "not run" would be untrue.
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/KeyKeeper.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/KeyKeeper.java
@@ -206,6 +206,9 @@
 		if (this.lease.mapTrusted() && planOwn(map.get(), holders, now)) {
 			return;
 		}
+		if (names.contains(this.self) && planLost(map.get(), holders, now)) {
+			return;
+		}
 		if (leads) {
 			planAll(map.get(), holders, settled, now);
 		}
@@ -264,7 +267,11 @@
 		return this.loads.ofAll(holders, now).flatMap((all) -> KeyBalance.plan(map, all));
 	}
 
-	private void planAll(KeyMap map, List<KeyHolder> holders, boolean settled, long now) {
+	// Whoever sees a lease end takes its keys, not only the one that plans: that one may
+	// have come after the loss, and has to watch for a whole lease first, while others
+	// have
+	// watched all along. The store lets one of them win.
+	private boolean planLost(KeyMap map, List<KeyHolder> holders, long now) {
 		Map<InstanceId, Long> lost = new HashMap<>();
 		map.holdings()
 			.stream()
@@ -273,10 +280,11 @@
 			.filter((owner) -> !owner.equals(this.self))
 			.forEach((owner) -> this.lease.ended(owner, now).ifPresent((version) -> lost.put(owner, version)));
 		Optional<KeyMap> withoutLost = KeyPlanner.withoutLost(map, lost.keySet(), holders);
-		if (withoutLost.isPresent()) {
-			this.writer.write(withoutLost.get(), lost, "lost " + lost.keySet());
-			return;
-		}
+		withoutLost.ifPresent((planned) -> this.writer.write(planned, lost, "lost " + lost.keySet()));
+		return withoutLost.isPresent();
+	}
+
+	private void planAll(KeyMap map, List<KeyHolder> holders, boolean settled, long now) {
 		Set<InstanceId> none = new HashSet<>();
 		Optional<KeyMap> retargeted = KeyPlanner.withoutLeaving(map, none, holders);
 		if (retargeted.isPresent()) {
