Report an order that is given up as given up, and don't give it up before its caller's time is over

Callers got 502 instead of 504, the server counted as failing, and the lookup counted as repeatable. Besides the gate took the lag of its whole loop off an order's time though the order had come just then, so it gave up early: 177 ms after it was sent. Change: the order is taken off its connection before that is closed. The gate takes off only what the order was held up on its way, which counts the loop's delay too; the entry takes off its own as before.

--- a/daemon/src/main/java/org/brasspier/daemon/internal/http/BackendSocket.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/http/BackendSocket.java
@@ -193,11 +193,12 @@
 		finish(this.collector.headComplete() ? new BackendReply.Garbled(detail) : new BackendReply.Broken(detail));
 	}
 
-	// Ends the order at hand, if any, and the connection.
+	// Ends the order at hand, if any, and the connection. The order is taken off first:
+	// closing ends the pending read at once, which would report the connection as broken.
 	void finish(BackendReply end) {
-		close();
 		Exchange current = this.exchange;
 		this.exchange = null;
+		close();
 		if (current != null) {
 			current.reply.trySet(end);
 		}
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/BackendGate.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/BackendGate.java
@@ -72,8 +72,6 @@
 
 	private final KeyKeeper keys;
 
-	private final LagTimer lag;
-
 	private final MeshLog log;
 
 	private final AdmissionController admission = new AdmissionController(new AdmissionLimits(1, 1),
@@ -92,7 +90,7 @@
 	private boolean stopping;
 
 	BackendGate(NioReactor reactor, MeshSettings settings, BackendDesk desk, BackendPool pool, BackendProtocol protocol,
-			Supplier<RoutingConfig> config, KeyKeeper keys, LagTimer lag, MeshLog log) {
+			Supplier<RoutingConfig> config, KeyKeeper keys, MeshLog log) {
 		this.reactor = reactor;
 		this.settings = settings;
 		this.desk = desk;
@@ -100,7 +98,6 @@
 		this.protocol = protocol;
 		this.config = config;
 		this.keys = keys;
-		this.lag = lag;
 		this.log = log;
 		desk.listen(this::backendChanged);
 	}
@@ -141,7 +138,10 @@
 			return Promise.of(turnedAway(ask, closed.get()));
 		}
 		followConfig();
-		int remaining = remaining(ask, heldUpNanos, now);
+		// Not less than what is left: what runs would be broken off before its caller's
+		// time is
+		// over. What waited for this loop counts as held up on the way.
+		long remaining = Math.max(0, ask.request().remainingMillis() - heldUpNanos / NANOS_PER_MILLI);
 		Order order = new Order(ask, cancellation, now + remaining * NANOS_PER_MILLI);
 		long number = this.nextNumber++;
 		PendingRequest pending = new PendingRequest(number, ask.requestClass(), new CallerId(ask.caller().value()),
@@ -177,14 +177,6 @@
 		return unservable(ask, now);
 	}
 
-	// What waited for this loop to be read counts as held up on the way as well, so the
-	// longer of the two is taken, not both.
-	private int remaining(Ask ask, long heldUpNanos, long now) {
-		int said = ask.request().remainingMillis();
-		int afterLag = this.lag.requested(now).remainingMillis(said, now);
-		return (int) Math.max(0, Math.min(afterLag, said - heldUpNanos / NANOS_PER_MILLI));
-	}
-
 	private Optional<Failure> unservable(Ask ask, long now) {
 		if (!this.config.get().known()) {
 			// Whether the service is divided by key is not known either, and a server
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/MeshNode.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/MeshNode.java
@@ -94,7 +94,7 @@
 		this.desk.grantsFrom((beat, now) -> this.keys.answer(beat));
 		LagTimer lag = new LagTimer(reactor);
 		BackendPool pool = new BackendPool(reactor, settings.backend().address(), MAX_ANSWER_BYTES);
-		this.gate = new BackendGate(reactor, settings, this.desk, pool, adapter.backends(), this.config, this.keys, lag,
+		this.gate = new BackendGate(reactor, settings, this.desk, pool, adapter.backends(), this.config, this.keys,
 				this.log);
 		this.keys.capacityFrom(this.gate::capacity);
 		this.member = new MemberWriter(reactor, settings, this.desk, this.directory, adapter.store(), health);
