--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/Dispatcher.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/Dispatcher.java
@@ -205,11 +205,9 @@
 				.flatMap(Dispatcher.this.directory::member);
 		}
 
-		// Those that may be asked. One that could not be reached or had no backend server
-		// lately is asked only if no other is known: once a full one has turned the
-		// request
-		// away, asking it would keep the caller waiting for a tenth of a second for
-		// nothing.
+		// Those that may be asked. One that could not be reached or had no server lately
+		// is asked only if no other is known: asking it after a full one has turned the
+		// request away would keep the caller waiting a tenth of a second for nothing.
 		private List<Member> untried(long now) {
 			List<Member> serving = Dispatcher.this.directory.serving(this.service);
 			List<Member> untried = serving.stream()
