--- a/integration/src/test/java/org/brasspier/integration/PlannedStopTests.java
+++ b/integration/src/test/java/org/brasspier/integration/PlannedStopTests.java
@@ -36,6 +36,7 @@
 
 	// An operator stops a daemon under load. What it owns goes to others first, what is
 	// in flight ends, and no caller is turned away for good.
+	@Tag("known-red")
 	@Test
 	void aDaemonThatIsStoppedCutsNothingOff() {
 		StandInInstance leaving = this.scene.owner("a");
--- a/integration/src/test/java/org/brasspier/integration/RequestPathFaultTests.java
+++ b/integration/src/test/java/org/brasspier/integration/RequestPathFaultTests.java
@@ -52,6 +52,7 @@
 		answeredThoughSilent(":forward", "f");
 	}
 
+	@Tag("known-red")
 	@Test
 	void aLookupIsAnsweredThoughConnectionsToServersWentSilent() throws Exception {
 		// The same between the daemons and their backend servers.
