--- a/core/src/main/java/org/brasspier/core/mesh/AbsentInstances.java
+++ b/core/src/main/java/org/brasspier/core/mesh/AbsentInstances.java
@@ -10,9 +10,8 @@
  * The instances that lately had no backend server for a request: lost for good, their
  * address in use by another service, or their backend server away. Nobody takes such an
  * instance off the list while the store is away, and one that is lost for good never does
- * it itself. Without this, each request for a service of three servers met one of two
- * that were gone, and a fifth of them met both and was refused though the third had room.
- * Not thread-safe.
+ * it itself. Without this, requests for a service of three servers met the two that were
+ * gone and were refused, though the third had room. Not thread-safe.
  */
 public final class AbsentInstances {
 
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/LeaseRenewal.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/LeaseRenewal.java
@@ -30,7 +30,7 @@
 
 	/**
 	 * A lost instance's keys wait for the end of its lease and up to two of these: with
-	 * two seconds they were unserved for 13 to 14 s, not 10. One call a look, by each
+	 * two seconds they were once unserved for 13.7 s, not 10. One call a look, by each
 	 * holder.
 	 */
 	private static final long LOOK_EVERY_NANOS = Duration.ofMillis(500).toNanos();
