--- /dev/null
+++ b/core/src/main/java/org/brasspier/core/keys/Deputy.java
@@ -0,0 +1,15 @@
+package org.brasspier.core.keys;
+
+import org.brasspier.core.InstanceId;
+
+/**
+ * One process of an instance that may take the keys of a holder which names it, without
+ * waiting for the end of that holder's whole lease. A process that starts anew has
+ * forgotten what its predecessor promised, so it is another deputy. Immutable and
+ * thread-safe.
+ *
+ * @param instance the instance
+ * @param process the number that the process drew when it started
+ */
+public record Deputy(InstanceId instance, long process) {
+}
--- a/core/src/main/java/org/brasspier/core/keys/LeaseTiming.java
+++ b/core/src/main/java/org/brasspier/core/keys/LeaseTiming.java
@@ -9,25 +9,31 @@
  * @param renewEvery how often it renews
  * @param hold how long a backend server may hold keys after it sent the heartbeat that
  * was answered with them; bounded by the lease as well
+ * @param promise how long a deputy promises to leave a holder's keys alone
  * @param drift by how much clocks may run apart, as a share
  */
-public record LeaseTiming(Duration lease, Duration renewEvery, Duration hold, double drift) {
+public record LeaseTiming(Duration lease, Duration renewEvery, Duration hold, Duration promise, double drift) {
 
 	/**
 	 * A lease of ten seconds with a renewal each two outlasts an outage of the store of
-	 * eight seconds, and a loss of an instance leaves its keys unserved for ten. A hold
-	 * of four seconds lasts through the restart of a daemon, which takes two, and through
-	 * three lost heartbeats; a silent backend server's keys are free after four. Clocks
-	 * of backend servers may run 2 % slow.
+	 * eight seconds. A hold of four seconds lasts through the restart of a daemon, which
+	 * takes two, and through three lost heartbeats; a silent backend server's keys are
+	 * free after four. A promise lasts as long as a hold, or it would cut holds short; so
+	 * a lost instance's keys are free after four seconds, too. Clocks of backend servers
+	 * may run 2 % slow.
 	 */
 	public static final LeaseTiming DEFAULT = new LeaseTiming(Duration.ofSeconds(10), Duration.ofSeconds(2),
-			Duration.ofSeconds(4), 0.02);
+			Duration.ofSeconds(4), Duration.ofSeconds(4), 0.02);
 
 	/**
 	 * Checks the times.
 	 * @throws IllegalArgumentException if they don't fit each other
 	 */
 	public LeaseTiming {
+		if (!promise.isPositive() || promise.compareTo(lease) > 0) {
+			throw new IllegalArgumentException(
+					"promise %s must be positive and no longer than lease %s".formatted(promise, lease));
+		}
 		if (!hold.isPositive() || hold.compareTo(lease) > 0 || !renewEvery.isPositive()
 				|| renewEvery.compareTo(lease) >= 0 || drift < 0 || drift > 0.1) {
 			throw new IllegalArgumentException(
--- a/core/src/main/java/org/brasspier/core/keys/LeaseWatch.java
+++ b/core/src/main/java/org/brasspier/core/keys/LeaseWatch.java
@@ -12,7 +12,11 @@
  * Watches the leases of other instances by the versions of their rows. A lease has ended
  * once its row has shown the same version for longer than a lease lasts: the renewal that
  * made that version was sent before it was first seen. Whoever acts on that names the
- * version in its write, so a renewal that comes in between wins. Not thread-safe.
+ * version in its write, so a renewal that comes in between wins.
+ * <p>
+ * Where a row names this process as deputy, its promises to the holder are enough: the
+ * holder grants nothing beyond them. So nothing needs to be watched for, and the keys of
+ * a lost instance wait for a promise's end rather than for a lease's. Not thread-safe.
  */
 public final class LeaseWatch {
 
@@ -25,6 +29,10 @@
 
 	private final LeaseTiming timing;
 
+	private final Deputy self;
+
+	private final PromiseBook promises;
+
 	private final Map<InstanceId, Seen> seen = new HashMap<>();
 
 	private long latestLookNanos;
@@ -36,38 +44,40 @@
 	/**
 	 * Creates a watch that has seen nothing.
 	 * @param timing the times
+	 * @param self this process
+	 * @param promises what it has promised
 	 */
-	public LeaseWatch(LeaseTiming timing) {
+	public LeaseWatch(LeaseTiming timing, Deputy self, PromiseBook promises) {
 		this.timing = timing;
-	}
-
-	/**
-	 * Takes what the store showed, none of it taken away.
-	 * @param versions the version of each lease's row
-	 * @param now when the answer came
-	 */
-	public void look(Map<InstanceId, Long> versions, long now) {
-		look(versions, Set.of(), now);
+		this.self = self;
+		this.promises = promises;
 	}
 
 	/**
 	 * Takes what the store showed. A row that another instance wrote as it took the keys
 	 * has a new version, but nobody renewed: counted as a renewal, it would make an
 	 * instance that is lost for good a holder again for as long as a lease.
-	 * @param versions the version of each lease's row
-	 * @param taken whose leases were taken away and not renewed since
+	 * @param rows each lease's row
 	 * @param now when the answer came
 	 */
-	public void look(Map<InstanceId, Long> versions, Set<InstanceId> taken, long now) {
+	public void look(Map<InstanceId, LeaseRow> rows, long now) {
 		if (!this.looked || now - this.latestLookNanos > GRACE_NANOS) {
 			this.notBeforeNanos = now + GRACE_NANOS;
 		}
 		this.looked = true;
 		this.latestLookNanos = now;
-		this.seen.keySet().retainAll(versions.keySet());
-		versions
-			.forEach((instance, version) -> this.seen.merge(instance, new Seen(version, now, taken.contains(instance)),
-					(before, after) -> (before.version == after.version) ? before : after));
+		this.seen.keySet().retainAll(rows.keySet());
+		rows.forEach((instance, row) -> this.seen.merge(instance, new Seen(row, now),
+				(before, after) -> (before.row.version() >= after.row.version()) ? before : after));
+	}
+
+	/**
+	 * Whether an instance has a lease's row.
+	 * @param instance the instance
+	 * @return true if the latest look showed one
+	 */
+	public boolean known(InstanceId instance) {
+		return this.seen.containsKey(instance);
 	}
 
 	/**
@@ -78,7 +88,7 @@
 	 */
 	public boolean live(InstanceId instance, long now) {
 		Seen row = this.seen.get(instance);
-		return row != null && !row.taken && ended(instance, now).isEmpty();
+		return row != null && !row.row.taken() && ended(instance, now).isEmpty();
 	}
 
 	/**
@@ -89,20 +99,47 @@
 	 * has no row; empty if the lease may still go on
 	 */
 	public Optional<Long> ended(InstanceId instance, long now) {
+		Seen seen = this.seen.get(instance);
+		if (seen != null && freeForDeputy(instance, seen.row, now)) {
+			return Optional.of(seen.row.version());
+		}
 		if (!this.looked || now - this.notBeforeNanos < 0) {
 			return Optional.empty();
 		}
-		Seen row = this.seen.get(instance);
-		if (row == null) {
+		if (seen == null) {
 			return Optional.of(0L);
 		}
 		// Counted to the latest look: that nobody looked for a while says nothing.
-		boolean over = row.taken
-				|| this.latestLookNanos - row.sinceNanos >= this.timing.atMost(this.timing.lease().toNanos());
-		return over ? Optional.of(row.version) : Optional.empty();
+		boolean over = seen.row.taken() || stillNanos(seen) >= this.timing.atMost(this.timing.lease().toNanos());
+		return over ? Optional.of(seen.row.version()) : Optional.empty();
+	}
+
+	// The holder grants nothing beyond the promises of the deputy that it names.
+	private boolean freeForDeputy(InstanceId instance, LeaseRow row, long now) {
+		return row.deputy().filter(this.self::equals).isPresent() && !this.promises.binds(instance, now);
+	}
+
+	private long stillNanos(Seen seen) {
+		return this.latestLookNanos - seen.sinceNanos;
+	}
+
+	/**
+	 * Whether a lease may be about to end, so that it is worth while to look more often.
+	 * @param holders whose leases matter
+	 * @param now the time
+	 * @return true if one is not known yet or was not renewed for two intervals, or if
+	 * its holder was promised something and has fallen silent
+	 */
+	public boolean suspicious(Set<InstanceId> holders, long now) {
+		long overdue = this.timing.renewEvery().toNanos() * 2;
+		return holders.stream().anyMatch((holder) -> {
+			Seen seen = this.seen.get(holder);
+			return seen == null || freeForDeputy(holder, seen.row, now)
+					|| !seen.row.taken() && stillNanos(seen) > overdue;
+		});
 	}
 
-	private record Seen(long version, long sinceNanos, boolean taken) {
+	private record Seen(LeaseRow row, long sinceNanos) {
 	}
 
 }
--- a/core/src/main/java/org/brasspier/core/keys/OwnLease.java
+++ b/core/src/main/java/org/brasspier/core/keys/OwnLease.java
@@ -1,16 +1,36 @@
 package org.brasspier.core.keys;
 
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
 /**
  * This instance's right to grant keys, renewed by conditional writes of its row in the
  * platform's store. It counts from when the renewal was <em>sent</em>, since the store
- * may have taken it at any moment after that, and others wait from when they saw it. All
- * times are nanoseconds of a clock that also runs while the machine is suspended. Not
- * thread-safe.
+ * may have taken it at any moment after that, and others wait from when they saw it.
+ * <p>
+ * The row may name a deputy, which may take the keys as soon as it is bound by no promise
+ * to this instance. So while a deputy is named, or may be named by a renewal whose
+ * outcome isn't known, the lease lasts no longer than the latest promise of that deputy,
+ * counted from when it was asked for. In exchange a lost holder's keys are free after a
+ * promise of some seconds, and not only after a lease that is long enough to outlast an
+ * outage of the store. All times are nanoseconds of a clock that also runs while the
+ * machine is suspended. Not thread-safe.
  */
 public final class OwnLease {
 
+	private static final long FOR_GOOD = Long.MAX_VALUE;
+
 	private final LeaseTiming timing;
 
+	private final Set<Deputy> unsettled = new HashSet<>();
+
+	private final Map<Deputy, Long> promisedUntilNanos = new HashMap<>();
+
+	private Optional<Deputy> deputy = Optional.empty();
+
 	private long rowVersion;
 
 	private long endNanos;
@@ -26,14 +46,50 @@
 	}
 
 	/**
-	 * Takes an acknowledged renewal.
+	 * Takes that a renewal is about to be sent.
+	 * @param named the deputy that it names
+	 */
+	public void renewing(Optional<Deputy> named) {
+		named.ifPresent(this.unsettled::add);
+	}
+
+	/**
+	 * Takes an acknowledged renewal. It named the row's version, so renewals before it
+	 * whose answers were lost have had no effect and never will.
 	 * @param sentNanos when it was sent
 	 * @param version the row's version that it made
+	 * @param named the deputy that it names
 	 */
-	public void renewed(long sentNanos, long version) {
+	public void renewed(long sentNanos, long version, Optional<Deputy> named) {
 		this.rowVersion = version;
 		this.endNanos = sentNanos + this.timing.lease().toNanos();
 		this.held = true;
+		this.deputy = named;
+		this.unsettled.clear();
+		this.promisedUntilNanos.values().removeIf((until) -> until - sentNanos <= 0 || until == FOR_GOOD);
+	}
+
+	/**
+	 * Takes a promise.
+	 * @param from who promised
+	 * @param askedNanos when it was asked for it
+	 */
+	public void promised(Deputy from, long askedNanos) {
+		this.promisedUntilNanos.merge(from, askedNanos + this.timing.promise().toNanos(), Math::max);
+	}
+
+	/**
+	 * Takes that a process answered for an instance. Another process of the same instance
+	 * is gone then. If its promise was still in force it can't have tried to take
+	 * anything, and never will; if not, a write of its may be under way.
+	 * @param answering the process that answered
+	 * @param now the time
+	 */
+	public void heard(Deputy answering, long now) {
+		this.promisedUntilNanos.replaceAll((other, until) -> {
+			boolean replaced = other.instance().equals(answering.instance()) && other.process() != answering.process();
+			return (replaced && now < until) ? FOR_GOOD : until;
+		});
 	}
 
 	/**
@@ -45,6 +101,8 @@
 	public void overtaken(long version) {
 		this.rowVersion = version;
 		this.held = false;
+		this.deputy = Optional.empty();
+		this.unsettled.clear();
 	}
 
 	/**
@@ -55,13 +113,41 @@
 		return this.rowVersion;
 	}
 
+	/**
+	 * The deputy that the row names, as far as is known.
+	 * @return empty if none
+	 */
+	public Optional<Deputy> deputy() {
+		return this.deputy;
+	}
+
+	/**
+	 * How long a promise goes on.
+	 * @param from who gave it
+	 * @param now the time
+	 * @return nanoseconds; 0 if there is none
+	 */
+	public long promisedNanos(Deputy from, long now) {
+		return Math.max(0, this.promisedUntilNanos.getOrDefault(from, now) - now);
+	}
+
 	/**
 	 * How long the lease goes on.
 	 * @param now the time
 	 * @return nanoseconds; 0 if it isn't held
 	 */
 	public long remainingNanos(long now) {
-		return this.held ? Math.max(0, this.endNanos - now) : 0;
+		if (!this.held) {
+			return 0;
+		}
+		long remaining = this.endNanos - now;
+		if (this.deputy.isPresent()) {
+			remaining = Math.min(remaining, promisedNanos(this.deputy.get(), now));
+		}
+		for (Deputy other : this.unsettled) {
+			remaining = Math.min(remaining, promisedNanos(other, now));
+		}
+		return Math.max(0, remaining);
 	}
 
 }
--- /dev/null
+++ b/core/src/test/java/org/brasspier/core/keys/DeputyLeaseTests.java
@@ -0,0 +1,131 @@
+package org.brasspier.core.keys;
+
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+
+class DeputyLeaseTests extends KeyFixtures {
+
+	private static final long PROMISE = TIMING.promise().toNanos();
+
+	private static final Deputy DEPUTY = new Deputy(B, 5);
+
+	private static final Deputy NEXT = new Deputy(C, 6);
+
+	private final OwnLease lease = new OwnLease(TIMING);
+
+	private final PromiseBook promises = new PromiseBook(TIMING);
+
+	private final LeaseWatch watch = new LeaseWatch(TIMING, DEPUTY, this.promises);
+
+	/**
+	 * An instance is lost. Its deputy has heard nothing since its last promise and takes
+	 * the keys as that ends. Waiting for the whole lease instead left a quarter of all
+	 * keys unserved for eleven seconds.
+	 */
+	@Test
+	void aLostHoldersKeysAreFreeForItsDeputyOnceThePromiseHasEnded() {
+		this.promises.promise(A, 7, 0);
+		this.watch.look(Map.of(A, LeaseRow.of(7, Optional.of(DEPUTY))), millis(100));
+		assertThat(this.watch.ended(A, PROMISE)).isEmpty();
+		assertThat(this.watch.ended(A, TIMING.atMost(PROMISE))).hasValue(7L);
+		assertThat(this.watch.suspicious(Set.of(A), TIMING.atMost(PROMISE))).isTrue();
+	}
+
+	@Test
+	void nobodyButTheDeputyTakesKeysBeforeTheLeaseHasEnded() {
+		this.watch.look(Map.of(A, LeaseRow.of(7, Optional.of(NEXT))), 0);
+		assertThat(this.watch.ended(A, millis(9_000))).isEmpty();
+	}
+
+	/**
+	 * A deputy's daemon restarts and is named by its predecessor's number. It has
+	 * forgotten what was promised, so it is nobody's deputy.
+	 */
+	@Test
+	void aProcessThatHasForgottenItsPromisesIsNoDeputy() {
+		this.watch.look(Map.of(A, LeaseRow.of(7, Optional.of(new Deputy(B, 4)))), 0);
+		assertThat(this.watch.ended(A, millis(9_000))).isEmpty();
+	}
+
+	@Test
+	void aLeaseThatNamesADeputyEndsWithThePromiseCountedFromTheAsking() {
+		this.lease.promised(DEPUTY, millis(100));
+		this.lease.renewed(millis(200), 7, Optional.of(DEPUTY));
+		assertThat(this.lease.remainingNanos(millis(200))).isEqualTo(PROMISE - millis(100));
+		assertThat(this.lease.remainingNanos(millis(100) + PROMISE)).isEqualTo(0);
+	}
+
+	/**
+	 * The store is away for eight seconds. The holder can't renew, but its deputy goes on
+	 * promising, so the keys are served on until the whole lease ends.
+	 */
+	@Test
+	void aHolderGoesOnWithoutTheStoreAsLongAsItsDeputyPromises() {
+		this.lease.promised(DEPUTY, 0);
+		this.lease.renewed(0, 7, Optional.of(DEPUTY));
+		for (long at = 0; at < 9_000; at += 500) {
+			this.lease.promised(DEPUTY, millis(at));
+			assertThat(this.lease.remainingNanos(millis(at))).isGreaterThan(0);
+		}
+		assertThat(this.lease.remainingNanos(TIMING.lease().toNanos())).isEqualTo(0);
+	}
+
+	/**
+	 * The answer to a renewal that names another deputy is lost. Either deputy may be in
+	 * the row, so the lease must end with whichever promise ends first.
+	 */
+	@Test
+	void aRenewalOfUnknownOutcomeBindsTheHolderToBothDeputies() {
+		this.lease.promised(DEPUTY, 0);
+		this.lease.renewed(0, 7, Optional.of(DEPUTY));
+		this.lease.promised(DEPUTY, millis(3_000));
+		this.lease.promised(NEXT, millis(1_000));
+		this.lease.renewing(Optional.of(NEXT));
+		assertThat(this.lease.remainingNanos(millis(3_000))).isEqualTo(PROMISE - millis(2_000));
+		this.lease.renewed(millis(3_200), 8, Optional.of(DEPUTY));
+		assertThat(this.lease.remainingNanos(millis(3_200))).isEqualTo(PROMISE - millis(200));
+	}
+
+	/**
+	 * The deputy sends the write that takes the keys, and the store is slow to carry it
+	 * out. The holder, whose link to the deputy was cut, asks again. A promise now would
+	 * let it grant keys that change hands a second later.
+	 */
+	@Test
+	void aDeputyThatHasTriedToTakeKeysPromisesNothingUntilTheLeaseIsRenewed() {
+		assertThat(this.promises.promise(A, 7, 0)).isTrue();
+		this.promises.attempting(A, 7);
+		assertThat(this.promises.promise(A, 7, millis(5_000))).isFalse();
+		assertThat(this.promises.promise(A, 8, millis(6_000))).isTrue();
+	}
+
+	/**
+	 * The store is away and the deputy's daemon restarts. The process that promised is
+	 * gone and can't take anything, so the holder goes on to the end of its lease.
+	 */
+	@Test
+	void aDeputyThatWasReplacedBeforeItsPromiseEndedBindsNobody() {
+		this.lease.promised(DEPUTY, 0);
+		this.lease.renewed(0, 7, Optional.of(DEPUTY));
+		this.lease.heard(new Deputy(B, 99), millis(2_000));
+		assertThat(this.lease.remainingNanos(millis(9_000))).isEqualTo(millis(1_000));
+	}
+
+	/**
+	 * The same, but the new process answers only after the old one's promise had ended:
+	 * the old one may have sent a write before it went, so the lease stays ended.
+	 */
+	@Test
+	void aDeputyThatWasReplacedAfterItsPromiseEndedMayHaveTakenTheKeys() {
+		this.lease.promised(DEPUTY, 0);
+		this.lease.renewed(0, 7, Optional.of(DEPUTY));
+		this.lease.heard(new Deputy(B, 99), PROMISE);
+		assertThat(this.lease.remainingNanos(millis(5_000))).isEqualTo(0);
+	}
+
+}
--- /dev/null
+++ b/core/src/test/java/org/brasspier/core/keys/LeaseModel.java
@@ -0,0 +1,368 @@
+package org.brasspier.core.keys;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.SplittableRandom;
+import java.util.function.Consumer;
+import java.util.stream.IntStream;
+
+import org.brasspier.core.InstanceId;
+
+/**
+ * Instances that renew leases, promise and take, over a store and links that delay, lose
+ * and hold up what they carry. Processes are killed, restarted and suspended, and their
+ * clocks run at different rates. Time is in nanoseconds of nobody's clock.
+ */
+final class LeaseModel {
+
+	static final int INSTANCES = 4;
+
+	private static final LeaseTiming TIMING = LeaseTiming.DEFAULT;
+
+	/** Rates from 0.991 to 1.009: nearly the 2 % by which two clocks may differ. */
+	private static final double MOST_DRIFT = 0.009;
+
+	private static final long STEP = Duration.ofMillis(250).toNanos();
+
+	private static final long ASK_EVERY = Duration.ofMillis(500).toNanos();
+
+	private static final long FRESH = Duration.ofMillis(1200).toNanos();
+
+	private static final long DAY = Duration.ofSeconds(60).toNanos();
+
+	private final SplittableRandom random;
+
+	private final PriorityQueue<Event> events = new PriorityQueue<>(
+			Comparator.comparingLong(Event::at).thenComparingLong(Event::number));
+
+	private final List<Instance> instances = new ArrayList<>();
+
+	private final Map<InstanceId, LeaseRow> rows = new HashMap<>();
+
+	private final List<String> violations = new ArrayList<>();
+
+	private long now;
+
+	private long nextNumber;
+
+	private long storeVersion;
+
+	private int takes;
+
+	private int earlyTakes;
+
+	LeaseModel(long seed) {
+		this.random = new SplittableRandom(seed);
+		IntStream.range(0, INSTANCES).forEach((index) -> this.instances.add(new Instance(index)));
+	}
+
+	void play() {
+		this.instances.forEach(Instance::start);
+		this.instances.forEach(this::planFaults);
+		while (!this.events.isEmpty() && this.now < DAY) {
+			Event next = this.events.poll();
+			this.now = next.at;
+			next.action.run();
+			this.instances.forEach(Instance::check);
+		}
+	}
+
+	List<String> violations() {
+		return this.violations;
+	}
+
+	int takes() {
+		return this.takes;
+	}
+
+	int earlyTakes() {
+		return this.earlyTakes;
+	}
+
+	private void after(long nanos, Runnable action) {
+		this.events.add(new Event(this.now + Math.max(1, nanos), this.nextNumber++, action));
+	}
+
+	private long millis(int from, int to) {
+		return Duration.ofMillis(this.random.nextInt(from, to)).toNanos();
+	}
+
+	private void planFaults(Instance instance) {
+		for (int fault = 0; fault < 4; fault++) {
+			long begins = millis(2_000, 55_000);
+			long lasts = millis(300, 12_000);
+			switch (this.random.nextInt(4)) {
+				case 0 -> spell(begins, lasts, (on) -> instance.storeAway = on);
+				case 1 -> spell(begins, lasts, (on) -> instance.linksCut = on);
+				case 2 -> spell(begins, lasts, (on) -> instance.suspended = on);
+				default -> spell(begins, lasts, instance::killed);
+			}
+		}
+	}
+
+	private void spell(long begins, long lasts, Consumer<Boolean> fault) {
+		after(begins, () -> fault.accept(true));
+		after(begins + lasts, () -> fault.accept(false));
+	}
+
+	// A link delivers soon, seldom late, or not at all; what a cut holds up comes later.
+	private void carry(Instance from, Instance to, Runnable delivery) {
+		boolean cut = from.linksCut || to.linksCut;
+		if (this.random.nextInt(100) < 3 || cut && this.random.nextInt(3) > 0) {
+			return;
+		}
+		boolean late = cut || this.random.nextInt(100) < 5;
+		after(late ? millis(100, 6_000) : millis(1, 5), () -> to.whenAwake(delivery));
+	}
+
+	// A write is refused, carried out with or without an answer, or carried out seconds
+	// later if its condition still holds.
+	private void commit(Instance writer, InstanceId row, long expected, LeaseRow written, Consumer<Reply> reply) {
+		Process by = writer.process;
+		if (writer.storeAway) {
+			after(millis(500, 1_500), () -> writer.answer(by, () -> reply.accept(Reply.LOST)));
+			return;
+		}
+		int luck = this.random.nextInt(100);
+		long delay = (luck < 10) ? millis(1_000, 6_000) : millis(2, 300);
+		boolean answered = luck >= 20;
+		after(delay, () -> {
+			boolean holds = this.rows.getOrDefault(row, LeaseRow.of(0, Optional.empty())).version() == expected;
+			long version = holds ? carryOut(row, written) : 0;
+			if (answered) {
+				after(millis(1, 5), () -> writer.answer(by, () -> reply.accept(new Reply(true, version))));
+			}
+		});
+		if (!answered) {
+			after(Duration.ofMillis(1_500).toNanos(), () -> writer.answer(by, () -> reply.accept(Reply.LOST)));
+		}
+	}
+
+	private long carryOut(InstanceId row, LeaseRow written) {
+		this.storeVersion++;
+		LeaseRow before = this.rows.put(row, new LeaseRow(this.storeVersion, written.takenBy(), written.deputy()));
+		if (written.taken()) {
+			this.takes++;
+			this.earlyTakes += (before != null && before.deputy().map(Deputy::instance).equals(written.takenBy())) ? 1
+					: 0;
+		}
+		return this.storeVersion;
+	}
+
+	/**
+	 * What the store says of a write.
+	 *
+	 * @param heard whether it answered at all
+	 * @param version the new version; 0 if the condition did not hold
+	 */
+	private record Reply(boolean heard, long version) {
+
+		private static final Reply LOST = new Reply(false, 0);
+
+	}
+
+	private record Event(long at, long number, Runnable action) {
+	}
+
+	/**
+	 * What a process remembers, and what is gone with it.
+	 */
+	private static final class Process {
+
+		private final Deputy deputy;
+
+		private final OwnLease lease = new OwnLease(TIMING);
+
+		private final PromiseBook promises = new PromiseBook(TIMING);
+
+		private final LeaseWatch watch;
+
+		private final Map<Deputy, Long> heard = new HashMap<>();
+
+		private boolean rowKnown;
+
+		private boolean renewing;
+
+		private boolean taking;
+
+		private long renewed;
+
+		private long asked;
+
+		Process(InstanceId instance, long number) {
+			this.deputy = new Deputy(instance, number);
+			this.watch = new LeaseWatch(TIMING, this.deputy, this.promises);
+		}
+
+	}
+
+	/**
+	 * An instance, whose processes come and go.
+	 */
+	private final class Instance {
+
+		private final InstanceId id;
+
+		private final double rate;
+
+		private final long offset;
+
+		private Process process;
+
+		private boolean alive = true;
+
+		private boolean storeAway;
+
+		private boolean linksCut;
+
+		private boolean suspended;
+
+		Instance(int index) {
+			this.id = new InstanceId("instance-" + index);
+			this.rate = 1 + LeaseModel.this.random.nextDouble(-MOST_DRIFT, MOST_DRIFT);
+			this.offset = millis(1_000, 1_000_000);
+			this.process = new Process(this.id, index);
+		}
+
+		private long clock() {
+			return this.offset + (long) (LeaseModel.this.now * this.rate);
+		}
+
+		void start() {
+			after(millis(0, 250), this::tick);
+		}
+
+		void killed(boolean down) {
+			this.alive = !down;
+			if (!down) {
+				this.process = new Process(this.id, LeaseModel.this.nextNumber++);
+			}
+		}
+
+		void whenAwake(Runnable action) {
+			if (this.suspended) {
+				after(millis(10, 50), () -> whenAwake(action));
+			}
+			else if (this.alive) {
+				action.run();
+			}
+		}
+
+		void answer(Process asker, Runnable action) {
+			whenAwake(() -> {
+				if (asker == this.process) {
+					action.run();
+				}
+			});
+		}
+
+		private void tick() {
+			after(STEP, this::tick);
+			if (this.alive && !this.suspended) {
+				step(this.process, clock());
+			}
+		}
+
+		private void step(Process own, long local) {
+			if (!this.storeAway) {
+				after(millis(2, 400), () -> answer(own, () -> looked(own, Map.copyOf(LeaseModel.this.rows))));
+			}
+			if (!own.rowKnown) {
+				return;
+			}
+			if (local - own.asked >= ASK_EVERY) {
+				own.asked = local;
+				others().forEach((other) -> ask(own, other, local));
+			}
+			boolean replace = own.lease.deputy().filter((named) -> !fresh(own, named, local)).isPresent();
+			if (!own.renewing && (replace || local - own.renewed >= TIMING.renewEvery().toNanos())) {
+				renew(own, local);
+			}
+			if (!own.taking) {
+				others().forEach((other) -> take(own, other, local));
+			}
+		}
+
+		private List<Instance> others() {
+			return LeaseModel.this.instances.stream().filter((other) -> other != this).toList();
+		}
+
+		private void looked(Process own, Map<InstanceId, LeaseRow> rows) {
+			own.watch.look(rows, clock());
+			long version = Optional.ofNullable(rows.get(this.id)).map(LeaseRow::version).orElse(0L);
+			if (!own.rowKnown || version > own.lease.rowVersion()) {
+				own.lease.overtaken(version);
+				own.rowKnown = true;
+			}
+		}
+
+		private void ask(Process own, Instance other, long local) {
+			long version = own.lease.rowVersion();
+			carry(this, other, () -> {
+				Process promising = other.process;
+				boolean promised = promising.promises.promise(this.id, version, other.clock());
+				carry(other, this, () -> answer(own, () -> {
+					own.lease.heard(promising.deputy, clock());
+					if (promised) {
+						own.lease.promised(promising.deputy, local);
+						own.heard.put(promising.deputy, local);
+					}
+				}));
+			});
+		}
+
+		private boolean fresh(Process own, Deputy deputy, long local) {
+			Long latest = own.heard.get(deputy);
+			return latest != null && local - latest < FRESH && own.lease.promisedNanos(deputy, local) > 0;
+		}
+
+		private void renew(Process own, long local) {
+			own.renewing = true;
+			own.renewed = local;
+			Optional<Deputy> named = own.lease.deputy()
+				.filter((deputy) -> fresh(own, deputy, local))
+				.or(() -> own.heard.keySet().stream().filter((deputy) -> fresh(own, deputy, local)).findFirst());
+			own.lease.renewing(named);
+			commit(this, this.id, own.lease.rowVersion(), LeaseRow.of(0, named), (reply) -> {
+				own.renewing = false;
+				if (reply.heard() && reply.version() > 0) {
+					own.lease.renewed(local, reply.version(), named);
+				}
+				else if (reply.heard()) {
+					own.lease.overtaken(own.lease.rowVersion());
+					own.rowKnown = false;
+				}
+			});
+		}
+
+		private void take(Process own, Instance other, long local) {
+			own.watch.ended(other.id, local).filter((version) -> !rowTaken(other)).ifPresent((version) -> {
+				own.taking = true;
+				own.promises.attempting(other.id, version);
+				commit(this, other.id, version, new LeaseRow(0, Optional.of(this.id), Optional.empty()),
+						(reply) -> own.taking = false);
+			});
+		}
+
+		private boolean rowTaken(Instance other) {
+			LeaseRow row = LeaseModel.this.rows.get(other.id);
+			return row != null && row.taken();
+		}
+
+		// Whoever took the keys may grant them from now on.
+		void check() {
+			if (rowTaken(this) && this.alive && this.process.lease.remainingNanos(clock()) > 0) {
+				LeaseModel.this.violations.add("%s still holds what was taken, at %d ms".formatted(this.id,
+						Duration.ofNanos(LeaseModel.this.now).toMillis()));
+			}
+		}
+
+	}
+
+}
--- a/core/src/test/java/org/brasspier/core/keys/LeaseTests.java
+++ b/core/src/test/java/org/brasspier/core/keys/LeaseTests.java
@@ -1,9 +1,10 @@
 package org.brasspier.core.keys;
 
 import java.util.Map;
-import java.util.Set;
+import java.util.Optional;
 import java.util.stream.LongStream;
 
+import org.brasspier.core.InstanceId;
 import org.junit.jupiter.api.Test;
 
 import static com.google.common.truth.Truth.assertThat;
@@ -12,18 +13,34 @@
 
 	private static final long LEASE = TIMING.lease().toNanos();
 
+	private static final Deputy SELF = new Deputy(C, 17);
+
+	private final PromiseBook promises = new PromiseBook(TIMING);
+
 	private final OwnLease lease = new OwnLease(TIMING);
 
-	private final LeaseWatch watch = new LeaseWatch(TIMING);
+	private final LeaseWatch watch = new LeaseWatch(TIMING, SELF, this.promises);
+
+	private void look(Map<InstanceId, LeaseRow> rows, long now) {
+		this.watch.look(rows, now);
+	}
+
+	private static LeaseRow row(long version) {
+		return LeaseRow.of(version, Optional.empty());
+	}
+
+	private static LeaseRow taken(long version) {
+		return new LeaseRow(version, Optional.of(B), Optional.empty());
+	}
 
 	private void lookEachSecond(long version, long fromMillis, long toMillis) {
 		LongStream.iterate(fromMillis, (at) -> at <= toMillis, (at) -> at + 1000)
-			.forEach((at) -> this.watch.look(Map.of(A, version), millis(at)));
+			.forEach((at) -> look(Map.of(A, row(version)), millis(at)));
 	}
 
 	@Test
 	void aLeaseCountsFromWhenItsRenewalWasSent() {
-		this.lease.renewed(millis(100), 7);
+		this.lease.renewed(millis(100), 7, Optional.empty());
 		assertThat(this.lease.remainingNanos(millis(100))).isEqualTo(LEASE);
 		assertThat(this.lease.remainingNanos(millis(100) + LEASE)).isEqualTo(0);
 	}
@@ -34,7 +51,7 @@
 	 */
 	@Test
 	void aLeaseThatWasTakenAwayIsNotHeldThoughTimeIsLeft() {
-		this.lease.renewed(0, 7);
+		this.lease.renewed(0, 7, Optional.empty());
 		this.lease.overtaken(9);
 		assertThat(this.lease.remainingNanos(millis(1))).isEqualTo(0);
 		assertThat(this.lease.rowVersion()).isEqualTo(9);
@@ -42,7 +59,7 @@
 
 	@Test
 	void aLeaseThatIsRenewedIsNeverTakenForEnded() {
-		LongStream.range(0, 30).forEach((at) -> this.watch.look(Map.of(A, at / 2), millis(at * 1000)));
+		LongStream.range(0, 30).forEach((at) -> look(Map.of(A, row(at / 2)), millis(at * 1000)));
 		assertThat(this.watch.ended(A, millis(30_000))).isEmpty();
 		assertThat(this.watch.live(A, millis(30_000))).isTrue();
 	}
@@ -73,10 +90,10 @@
 	@Test
 	void nobodyIsTakenForLostAsTheStoreReturns() {
 		lookEachSecond(5, 0, 3000);
-		this.watch.look(Map.of(A, 5L), millis(33_000));
+		look(Map.of(A, row(5L)), millis(33_000));
 		assertThat(this.watch.ended(A, millis(33_100))).isEmpty();
-		this.watch.look(Map.of(A, 6L), millis(34_000));
-		this.watch.look(Map.of(A, 6L), millis(36_500));
+		look(Map.of(A, row(6L)), millis(34_000));
+		look(Map.of(A, row(6L)), millis(36_500));
 		assertThat(this.watch.ended(A, millis(36_500))).isEmpty();
 	}
 
@@ -89,10 +106,10 @@
 	void anInstanceWhoseLeaseWasTakenIsNotTakenForOneThatRenewed() {
 		lookEachSecond(5, 0, 11_000);
 		assertThat(this.watch.ended(A, millis(11_000))).hasValue(5L);
-		this.watch.look(Map.of(A, 6L), Set.of(A), millis(12_000));
+		look(Map.of(A, taken(6L)), millis(12_000));
 		assertThat(this.watch.live(A, millis(12_000))).isFalse();
 		assertThat(this.watch.ended(A, millis(12_000))).hasValue(6L);
-		this.watch.look(Map.of(A, 7L), Set.of(), millis(13_000));
+		look(Map.of(A, row(7L)), millis(13_000));
 		assertThat(this.watch.live(A, millis(13_000))).isTrue();
 	}
 
@@ -103,18 +120,18 @@
 	@Test
 	void anInstanceWhoseLeaseWasTakenIsNoHolderAsTheStoreReturnsEither() {
 		lookEachSecond(5, 0, 11_000);
-		this.watch.look(Map.of(A, 6L, B, 3L), Set.of(A), millis(12_000));
-		this.watch.look(Map.of(A, 6L, B, 3L), Set.of(A), millis(20_000));
+		look(Map.of(A, taken(6L), B, row(3L)), millis(12_000));
+		look(Map.of(A, taken(6L), B, row(3L)), millis(20_000));
 		assertThat(this.watch.live(B, millis(20_000))).isTrue();
 		assertThat(this.watch.live(A, millis(20_000))).isFalse();
 	}
 
 	@Test
 	void anInstanceWithoutALeaseIsLostOnlyAfterTheFirstLooks() {
-		this.watch.look(Map.of(), 0);
+		look(Map.of(), 0);
 		assertThat(this.watch.ended(B, millis(1000))).isEmpty();
-		this.watch.look(Map.of(), millis(2000));
-		this.watch.look(Map.of(), millis(4000));
+		look(Map.of(), millis(2000));
+		look(Map.of(), millis(4000));
 		assertThat(this.watch.ended(B, millis(4000))).hasValue(0L);
 	}
 
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopClient.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopClient.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 
 import io.activej.promise.Promise;
 import io.activej.reactor.nio.NioReactor;
@@ -52,6 +53,18 @@
 		peer(member).link.tell(message);
 	}
 
+	/**
+	 * Asks another daemon to leave this instance's keys alone for a while.
+	 * @param member the other instance
+	 * @param holder this instance
+	 * @param rowVersion the version of its lease's row
+	 * @return its answer; empty if none came
+	 */
+	Promise<Optional<HopMessage.Promised>> askPromise(Member member, InstanceId holder, long rowVersion) {
+		Peer peer = peer(member);
+		return peer.link.askPromise(holder, rowVersion).whenResult(() -> note(peer));
+	}
+
 	private void note(Peer peer) {
 		if (peer.link.closed()) {
 			peer.failed = true;
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopCodec.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopCodec.java
@@ -45,6 +45,10 @@
 
 	private static final int STOPPING = 10;
 
+	private static final int PROMISE_ASKED = 11;
+
+	private static final int PROMISED = 12;
+
 	private static final double MILLI = 1000;
 
 	private static final int NO_KEY = -1;
@@ -60,6 +64,10 @@
 			case HopMessage.Replied(long exchange, SendOutcome outcome) -> outcome(frame, exchange, outcome);
 			case HopMessage.Cancelled(long exchange) -> frame.number(CANCELLED).number(exchange);
 			case HopMessage.Load(HolderLoad load) -> load(frame.number(LOAD), load);
+			case HopMessage.PromiseAsked(long exchange, InstanceId holder, long rowVersion) ->
+				frame.number(PROMISE_ASKED).number(exchange).text(holder.value()).number(rowVersion);
+			case HopMessage.Promised(long exchange, long process, boolean promised, boolean able) ->
+				frame.number(PROMISED).number(exchange).number(process).flag(promised).flag(able);
 			case HopMessage.Ping ignored -> frame.number(PING);
 			case HopMessage.Pong ignored -> frame.number(PONG);
 			case HopMessage.Leaving ignored -> frame.number(LEAVING);
@@ -118,6 +126,8 @@
 			case UNKNOWN -> new HopMessage.Replied(frame.number(), new SendOutcome.Unknown(failure(frame)));
 			case CANCELLED -> new HopMessage.Cancelled(frame.number());
 			case LOAD -> new HopMessage.Load(load(frame));
+			case PROMISE_ASKED -> new HopMessage.PromiseAsked(frame.number(), instance(frame), frame.number());
+			case PROMISED -> new HopMessage.Promised(frame.number(), frame.number(), frame.flag(), frame.flag());
 			case PING -> new HopMessage.Ping();
 			case PONG -> new HopMessage.Pong();
 			case LEAVING -> new HopMessage.Leaving();
@@ -126,6 +136,15 @@
 		};
 	}
 
+	private static InstanceId instance(FrameReader frame) throws WireException {
+		try {
+			return new InstanceId(frame.text());
+		}
+		catch (IllegalArgumentException ex) {
+			throw new WireException("the name of another instance makes no sense", ex);
+		}
+	}
+
 	// Rates travel as thousandths.
 	private static void load(FrameWriter frame, HolderLoad load) {
 		frame.text(load.instance().value()).number(Math.round(load.capacity() * MILLI)).count(load.pieces().size());
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopLink.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopLink.java
@@ -15,6 +15,7 @@
 import io.activej.reactor.schedule.ScheduledRunnable;
 import org.brasspier.core.ErrorKind;
 import org.brasspier.core.Failure;
+import org.brasspier.core.InstanceId;
 import org.brasspier.core.mesh.LinkDelay;
 import org.brasspier.core.mesh.SendOutcome;
 import org.brasspier.daemon.internal.peer.PeerConnection;
@@ -58,6 +59,8 @@
 
 	private final Map<Long, SettablePromise<SendOutcome>> waiting = new HashMap<>();
 
+	private final Map<Long, SettablePromise<Optional<HopMessage.Promised>>> promises = new HashMap<>();
+
 	private Optional<PeerConnection> open = Optional.empty();
 
 	private long nextExchange = 1;
@@ -117,15 +120,44 @@
 		this.connection.whenResult((ready) -> ready.send(HopCodec.encode(message)));
 	}
 
+	/**
+	 * Asks the other daemon to leave this instance's keys alone for a while.
+	 * @param holder this instance
+	 * @param rowVersion the version of its lease's row
+	 * @return its answer; empty if none came
+	 */
+	Promise<Optional<HopMessage.Promised>> askPromise(InstanceId holder, long rowVersion) {
+		SettablePromise<Optional<HopMessage.Promised>> answer = new SettablePromise<>();
+		this.connection.whenComplete((ready, ex) -> {
+			if (ex != null || this.closed) {
+				answer.set(Optional.empty());
+				return;
+			}
+			long exchange = begin();
+			this.promises.put(exchange, answer);
+			ready.send(HopCodec.encode(new HopMessage.PromiseAsked(exchange, holder, rowVersion)));
+			keepPinging();
+		});
+		return answer;
+	}
+
+	private long begin() {
+		if (!anybodyWaits()) {
+			this.heardNanos = System.nanoTime();
+		}
+		return this.nextExchange++;
+	}
+
+	private boolean anybodyWaits() {
+		return !this.waiting.isEmpty() || !this.promises.isEmpty();
+	}
+
 	private static SendOutcome notSent(ErrorKind kind, String detail) {
 		return new SendOutcome.NotRun(new Failure(kind, detail, RETRY_SOON), false);
 	}
 
 	private void send(PeerConnection ready, Ask ask, Cancellation cancellation, SettablePromise<SendOutcome> outcome) {
-		long exchange = this.nextExchange++;
-		if (this.waiting.isEmpty()) {
-			this.heardNanos = System.nanoTime();
-		}
+		long exchange = begin();
 		this.waiting.put(exchange, outcome);
 		ready.send(HopCodec.encode(new HopMessage.Asked(exchange, System.nanoTime() - this.openedNanos, ask)));
 		ScheduledRunnable timeout = this.reactor.delay(ask.request().remainingMillis() + 1L,
@@ -147,7 +179,7 @@
 		this.pinging = true;
 		this.reactor.delay(PING_EVERY, () -> {
 			this.pinging = false;
-			if (!this.closed && !this.waiting.isEmpty()) {
+			if (!this.closed && anybodyWaits()) {
 				ping();
 			}
 		});
@@ -170,6 +202,7 @@
 		this.heardNanos = System.nanoTime();
 		switch (HopCodec.decode(frame)) {
 			case HopMessage.Replied(long exchange, SendOutcome outcome) -> settle(exchange, outcome);
+			case HopMessage.Promised promised -> settle(promised);
 			case HopMessage.Leaving ignored -> this.leaving = true;
 			case HopMessage.Stopping ignored -> this.stopping = true;
 			case HopMessage.Pong ignored -> {
@@ -179,6 +212,7 @@
 			case HopMessage.Cancelled ignored -> throw wrongSide();
 			case HopMessage.Ping ignored -> throw wrongSide();
 			case HopMessage.Load ignored -> throw wrongSide();
+			case HopMessage.PromiseAsked ignored -> throw wrongSide();
 		}
 	}
 
@@ -194,8 +228,18 @@
 		}
 	}
 
+	private void settle(HopMessage.Promised promised) {
+		SettablePromise<Optional<HopMessage.Promised>> answer = this.promises.remove(promised.exchange());
+		if (answer != null) {
+			answer.set(Optional.of(promised));
+		}
+	}
+
 	private void lost(Exception reason) {
 		this.closed = true;
+		List<SettablePromise<Optional<HopMessage.Promised>>> unanswered = List.copyOf(this.promises.values());
+		this.promises.clear();
+		unanswered.forEach((answer) -> answer.set(Optional.empty()));
 		SendOutcome outcome = new SendOutcome.Unknown(Failure.of(ErrorKind.OUTCOME_UNKNOWN,
 				"the connection to the other daemon broke: " + reason.getMessage()));
 		List<SettablePromise<SendOutcome>> all = List.copyOf(this.waiting.values());
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopMessage.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopMessage.java
@@ -1,5 +1,6 @@
 package org.brasspier.daemon.internal.mesh;
 
+import org.brasspier.core.InstanceId;
 import org.brasspier.core.keys.HolderLoad;
 import org.brasspier.core.mesh.SendOutcome;
 
@@ -44,6 +45,27 @@
 	record Load(HolderLoad load) implements HopMessage {
 	}
 
+	/**
+	 * A holder of keys asks the receiver to leave them alone for a while.
+	 *
+	 * @param exchange the number under which it is answered
+	 * @param holder the holder
+	 * @param rowVersion the version of its lease's row, as it knows it
+	 */
+	record PromiseAsked(long exchange, InstanceId holder, long rowVersion) implements HopMessage {
+	}
+
+	/**
+	 * The answer to that.
+	 *
+	 * @param exchange the number
+	 * @param process which process of the instance answers
+	 * @param promised whether it leaves them alone
+	 * @param able whether it could take them if its promise ended
+	 */
+	record Promised(long exchange, long process, boolean promised, boolean able) implements HopMessage {
+	}
+
 	/** Asks whether the receiver still hears. */
 	record Ping() implements HopMessage {
 	}
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopServer.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopServer.java
@@ -123,7 +123,9 @@
 				case HopMessage.Cancelled(long exchange) -> cancel(exchange);
 				case HopMessage.Ping ignored -> send(new HopMessage.Pong());
 				case HopMessage.Load(var load) -> HopServer.this.keys.reported(load);
+				case HopMessage.PromiseAsked asked -> send(HopServer.this.keys.promise(asked));
 				case HopMessage.Replied ignored -> throw wrongSide();
+				case HopMessage.Promised ignored -> throw wrongSide();
 				case HopMessage.Pong ignored -> throw wrongSide();
 				case HopMessage.Leaving ignored -> throw wrongSide();
 				case HopMessage.Stopping ignored -> throw wrongSide();
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/KeyKeeper.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/KeyKeeper.java
@@ -11,6 +11,7 @@
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
 
 import io.activej.reactor.nio.NioReactor;
 import org.brasspier.core.InstanceId;
@@ -98,7 +99,7 @@
 		this.clock = clock;
 		long now = clock.getAsLong();
 		this.book = new GrantBook(this.self, LeaseTiming.DEFAULT, now);
-		this.lease = new LeaseRenewal(reactor, this.self, this.service, directory, store, health, log, clock,
+		this.lease = new LeaseRenewal(reactor, settings, directory, store, hops, health, log, clock,
 				LeaseTiming.DEFAULT, this::step);
 		this.writer = new KeyMapWriter(reactor, this.self, this.service, directory, store, health, log, clock,
 				this::step);
@@ -161,12 +162,36 @@
 			return;
 		}
 		long now = this.clock.getAsLong();
-		this.lease.step(now);
+		this.lease.step(leasesThatMatter(), now);
 		if (!this.writer.busy() && this.lease.rowKnown()) {
 			plan(now);
 		}
 	}
 
+	// Of those that have keys, and of those that might be given some.
+	private Set<InstanceId> leasesThatMatter() {
+		Stream<InstanceId> owners = this.directory.keys(this.service)
+			.stream()
+			.flatMap((map) -> map.holdings().stream())
+			.map(KeyHolding::owner);
+		Stream<InstanceId> unlisted = this.directory.serving(this.service)
+			.stream()
+			.map(Member::instance)
+			.filter((instance) -> !this.lease.known(instance));
+		return Stream.concat(owners, unlisted)
+			.filter((instance) -> !instance.equals(this.self))
+			.collect(Collectors.toSet());
+	}
+
+	/**
+	 * Answers a holder that asks this instance to leave its keys alone.
+	 * @param asked what it asks
+	 * @return the answer
+	 */
+	HopMessage.Promised promise(HopMessage.PromiseAsked asked) {
+		return this.lease.promise(asked, this.desk.ready() && !silent());
+	}
+
 	private List<KeyHolder> holders(long now) {
 		return this.directory.serving(this.service)
 			.stream()
@@ -280,7 +305,10 @@
 			.filter((owner) -> !owner.equals(this.self))
 			.forEach((owner) -> this.lease.ended(owner, now).ifPresent((version) -> lost.put(owner, version)));
 		Optional<KeyMap> withoutLost = KeyPlanner.withoutLost(map, lost.keySet(), holders);
-		withoutLost.ifPresent((planned) -> this.writer.write(planned, lost, "lost " + lost.keySet()));
+		withoutLost.ifPresent((planned) -> {
+			this.lease.attempting(lost);
+			this.writer.write(planned, lost, "lost " + lost.keySet());
+		});
 		return withoutLost.isPresent();
 	}
 
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/LeaseRenewal.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/LeaseRenewal.java
@@ -1,6 +1,6 @@
 package org.brasspier.daemon.internal.mesh;
 
-import java.nio.charset.StandardCharsets;
+import java.security.SecureRandom;
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
@@ -10,11 +10,17 @@
 import java.util.stream.Collectors;
 
 import io.activej.reactor.nio.NioReactor;
+import io.vavr.control.Either;
+import org.brasspier.core.Failure;
 import org.brasspier.core.InstanceId;
 import org.brasspier.core.ServiceName;
+import org.brasspier.core.keys.Deputy;
+import org.brasspier.core.keys.LeaseRow;
 import org.brasspier.core.keys.LeaseTiming;
 import org.brasspier.core.keys.LeaseWatch;
 import org.brasspier.core.keys.OwnLease;
+import org.brasspier.core.keys.PromiseBook;
+import org.brasspier.daemon.mesh.MeshSettings;
 import org.brasspier.daemon.mesh.MetadataStore;
 import org.brasspier.daemon.mesh.MetadataStore.Commit;
 import org.brasspier.daemon.mesh.MetadataStore.CommitResult;
@@ -29,13 +35,16 @@
 final class LeaseRenewal {
 
 	/**
-	 * A lost instance's keys wait for the end of its lease and up to two of these: with
-	 * two seconds they were once unserved for 13.7 s, not 10. One call a look, by each
-	 * holder.
+	 * How often leases are looked at while all are renewed: as often as that is due. One
+	 * call a look, by each holder.
 	 */
-	private static final long LOOK_EVERY_NANOS = Duration.ofMillis(500).toNanos();
+	private static final long LOOK_EVERY_NANOS = Duration.ofSeconds(2).toNanos();
 
-	private static final String TAKEN = "taken by ";
+	/**
+	 * A lost instance's keys wait for the end of its lease and up to two looks: with two
+	 * seconds they were once unserved for 13.7 s, not 10.
+	 */
+	private static final long LOOK_CLOSELY_NANOS = Duration.ofMillis(500).toNanos();
 
 	/**
 	 * Until a renewal that failed is sent again: an answer that was lost leaves the lease
@@ -68,8 +77,16 @@
 
 	private final OwnLease lease;
 
+	private final PromiseBook promises;
+
+	private final Deputy process;
+
 	private final LeaseWatch watch;
 
+	private final Deputies deputies;
+
+	private Optional<Deputy> named = Optional.empty();
+
 	private boolean renewing;
 
 	private boolean looking;
@@ -84,11 +101,11 @@
 
 	private long lookedNanos;
 
-	LeaseRenewal(NioReactor reactor, InstanceId self, ServiceName service, Directory directory, MetadataStore store,
+	LeaseRenewal(NioReactor reactor, MeshSettings settings, Directory directory, MetadataStore store, HopClient hops,
 			StoreHealth health, MeshLog log, LongSupplier clock, LeaseTiming timing, Runnable mapRead) {
 		this.reactor = reactor;
-		this.self = self;
-		this.service = service;
+		this.self = settings.instance();
+		this.service = settings.backend().service();
 		this.directory = directory;
 		this.store = store;
 		this.health = health;
@@ -97,7 +114,10 @@
 		this.timing = timing;
 		this.mapRead = mapRead;
 		this.lease = new OwnLease(timing);
-		this.watch = new LeaseWatch(timing);
+		this.promises = new PromiseBook(timing);
+		this.process = new Deputy(this.self, new SecureRandom().nextLong());
+		this.watch = new LeaseWatch(timing, this.process, this.promises);
+		this.deputies = new Deputies(settings, directory, hops, this.lease, clock);
 		long now = clock.getAsLong();
 		this.renewedNanos = now - timing.lease().toNanos();
 		this.lookedNanos = now - LOOK_EVERY_NANOS;
@@ -120,6 +140,11 @@
 		return this.watch.live(instance, now);
 	}
 
+	// Whether an instance has a lease's row, as far as was looked.
+	boolean known(InstanceId instance) {
+		return this.watch.known(instance);
+	}
+
 	// The version at which another instance's lease ended, if it did.
 	Optional<Long> ended(InstanceId instance, long now) {
 		return this.watch.ended(instance, now);
@@ -127,23 +152,43 @@
 
 	// What whoever takes an instance's keys writes in place of its lease.
 	static Put takenRow(InstanceId lost, InstanceId taker) {
-		return row(lost, TAKEN + taker.value());
+		return new Put(StoredRows.LEASES, lost.value(), StoredRows.leaseTakenBy(taker));
 	}
 
-	private static Put row(InstanceId instance, String text) {
-		return new Put(StoredRows.LEASES, instance.value(), text.getBytes(StandardCharsets.UTF_8));
+	/**
+	 * Answers a holder that asks this instance to leave its keys alone.
+	 * @param asked what it asks
+	 * @param able whether this instance could take keys
+	 * @return the answer
+	 */
+	HopMessage.Promised promise(HopMessage.PromiseAsked asked, boolean able) {
+		boolean promised = this.promises.promise(asked.holder(), asked.rowVersion(), this.clock.getAsLong());
+		return new HopMessage.Promised(asked.exchange(), this.process.process(), promised, able);
 	}
 
-	private static boolean taken(MetadataStore.Row row) {
-		return row.value().filter((value) -> new String(value, StandardCharsets.UTF_8).startsWith(TAKEN)).isPresent();
+	// Called before the write that takes keys is sent.
+	void attempting(Map<InstanceId, Long> lost) {
+		lost.forEach(this.promises::attempting);
 	}
 
-	void step(long now) {
+	/**
+	 * Looks at leases, asks for promises and renews, if it is time.
+	 * @param holders whose leases matter
+	 * @param now the time
+	 */
+	void step(Set<InstanceId> holders, long now) {
 		note(now);
-		if (!this.looking && now - this.lookedNanos >= LOOK_EVERY_NANOS) {
+		long lookEvery = this.watch.suspicious(holders, now) ? LOOK_CLOSELY_NANOS : LOOK_EVERY_NANOS;
+		if (!this.looking && now - this.lookedNanos >= lookEvery) {
 			look(now);
 		}
-		if (this.rowKnown && !this.renewing && now - this.renewedNanos >= this.timing.renewEvery().toNanos()) {
+		if (!this.rowKnown) {
+			return;
+		}
+		this.deputies.step(now);
+		long sinceRenewed = now - this.renewedNanos;
+		boolean change = sinceRenewed >= RENEW_AGAIN.toNanos() && this.deputies.changeWanted(now);
+		if (!this.renewing && (change || sinceRenewed >= this.timing.renewEvery().toNanos())) {
 			renew(now);
 		}
 	}
@@ -170,16 +215,11 @@
 	}
 
 	private void looked(MetadataStore.Rows rows) {
-		Map<InstanceId, Long> versions = rows.rows()
+		Map<InstanceId, LeaseRow> leases = rows.rows()
 			.stream()
-			.collect(Collectors.toMap((row) -> new InstanceId(row.key()), MetadataStore.Row::version));
-		Set<InstanceId> taken = rows.rows()
-			.stream()
-			.filter(LeaseRenewal::taken)
-			.map((row) -> new InstanceId(row.key()))
-			.collect(Collectors.toSet());
-		this.watch.look(versions, taken, this.clock.getAsLong());
-		long own = versions.getOrDefault(this.self, 0L);
+			.collect(Collectors.toMap((row) -> new InstanceId(row.key()), this::row));
+		this.watch.look(leases, this.clock.getAsLong());
+		long own = Optional.ofNullable(leases.get(this.self)).map(LeaseRow::version).orElse(0L);
 		if (!this.rowKnown || own > this.lease.rowVersion()) {
 			this.lease.overtaken(own);
 			this.rowKnown = true;
@@ -187,6 +227,15 @@
 		}
 	}
 
+	// A row that can't be read still counts by its version.
+	private LeaseRow row(MetadataStore.Row row) {
+		Either<Failure, LeaseRow> read = StoredRows.lease(row.version(), row.value().orElseGet(() -> new byte[0]));
+		if (read.isLeft()) {
+			this.log.record(MeshEvent.LEASE_DEPUTY, "holder", row.key(), "unreadable", read.getLeft().detail());
+		}
+		return read.getOrElse(LeaseRow.of(row.version(), Optional.empty()));
+	}
+
 	// Read after the lease row, so that whoever took the lease away has written the map
 	// before.
 	private void readMap() {
@@ -207,18 +256,21 @@
 	private void renew(long now) {
 		this.renewing = true;
 		this.renewedNanos = now;
+		Optional<Deputy> deputy = this.deputies.choice(now);
+		this.lease.renewing(deputy);
 		Commit commit = new Commit(List.of(new Expected(StoredRows.LEASES, this.self.value(), this.lease.rowVersion())),
-				List.of(row(this.self, this.service.value())));
+				List.of(new Put(StoredRows.LEASES, this.self.value(), StoredRows.lease(this.service, deputy))));
 		this.store.commit(commit).whenResult((result) -> {
 			this.renewing = false;
-			renewed(now, result);
+			renewed(now, deputy, result);
 		});
 	}
 
-	private void renewed(long sentNanos, CommitResult result) {
+	private void renewed(long sentNanos, Optional<Deputy> deputy, CommitResult result) {
 		switch (result) {
 			case CommitResult.Done(long version) -> {
-				this.lease.renewed(sentNanos, version);
+				this.lease.renewed(sentNanos, version, deputy);
+				noteDeputy(deputy);
 				note(this.clock.getAsLong());
 			}
 			case CommitResult.Conflict ignored -> overtaken();
@@ -227,6 +279,15 @@
 		}
 	}
 
+	private void noteDeputy(Optional<Deputy> deputy) {
+		if (!deputy.equals(this.named)) {
+			this.named = deputy;
+			this.log.record(MeshEvent.LEASE_DEPUTY, "deputy",
+					deputy.map((each) -> each.instance().value()).orElse("none"), "row_version",
+					this.lease.rowVersion());
+		}
+	}
+
 	// Taken away, or a renewal whose answer was lost took effect: the row says which, and
 	// nothing is granted until then.
 	private void overtaken() {
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/MeshEvent.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/MeshEvent.java
@@ -34,6 +34,8 @@
 	LEASE_HELD(1502),
 	/** This instance's lease was taken away or has lapsed. */
 	LEASE_LOST(1503),
+	/** Another instance, or nobody, may take this one's keys early from now on. */
+	LEASE_DEPUTY(1504),
 	/** A request was answered by a backend server. */
 	REQUEST_ANSWERED(2001),
 	/** A request was refused and did not run. */
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/StoredRows.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/StoredRows.java
@@ -18,10 +18,12 @@
 import org.brasspier.core.InstanceId;
 import org.brasspier.core.ServiceName;
 import org.brasspier.core.keys.BackendLife;
+import org.brasspier.core.keys.Deputy;
 import org.brasspier.core.keys.KeyHolder;
 import org.brasspier.core.keys.KeyHolding;
 import org.brasspier.core.keys.KeyMap;
 import org.brasspier.core.keys.KeySpan;
+import org.brasspier.core.keys.LeaseRow;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -39,6 +41,8 @@
 
 	static final String KEYS_PREFIX = "keys/";
 
+	private static final int HEXADECIMAL = 16;
+
 	private static final Gson GSON = new Gson();
 
 	private StoredRows() {
@@ -95,6 +99,25 @@
 		});
 	}
 
+	static byte[] lease(ServiceName service, Optional<Deputy> deputy) {
+		return bytes(new LeaseText(service.value(), deputy.map((each) -> each.instance().value()).orElse(null),
+				deputy.map((each) -> Long.toHexString(each.process())).orElse(null), null));
+	}
+
+	static byte[] leaseTakenBy(InstanceId taker) {
+		return bytes(new LeaseText(null, null, null, taker.value()));
+	}
+
+	static Either<Failure, LeaseRow> lease(long version, byte[] value) {
+		return read(() -> {
+			LeaseText row = GSON.fromJson(new String(value, StandardCharsets.UTF_8), LeaseText.class);
+			Optional<Deputy> deputy = (row.deputy() != null && row.process() != null) ? Optional
+				.of(new Deputy(new InstanceId(row.deputy()), Long.parseUnsignedLong(row.process(), HEXADECIMAL)))
+					: Optional.empty();
+			return new LeaseRow(version, Optional.ofNullable(row.takenBy()).map(InstanceId::new), deputy);
+		});
+	}
+
 	private static byte[] bytes(Object row) {
 		return GSON.toJson(row).getBytes(StandardCharsets.UTF_8);
 	}
@@ -126,6 +149,10 @@
 
 	}
 
+	private record LeaseText(@Nullable String service, @Nullable String deputy, @Nullable String process,
+			@Nullable String takenBy) {
+	}
+
 	private record MemberRow(String address, String domain, String service, @Nullable String backend, long born,
 			int slots, boolean ready) {
 	}
