Free keys sooner and serve them until their server is told to let go

A race of old, seen once as a red MeshTests.aCalmStretchIsServedWhole: a whole reading that was overtaken by the feed took an instance off the list for good, so it was given no keys. Change: keys are used until the answer that leaves them out; a silent server whose port stays closed is dead and holds nothing; an address in use by a later row frees the earlier one's keys; no pause is told where nobody knows one, and the expected next heartbeat where keys are being moved; a reading takes off the list only what is older than itself; a second deputy is asked along.

--- a/core/src/main/java/org/brasspier/core/keys/GrantBook.java
+++ b/core/src/main/java/org/brasspier/core/keys/GrantBook.java
@@ -71,7 +71,10 @@
 		}
 		List<KeyGrant> grants = new ArrayList<>();
 		for (KeyHolding held : own) {
-			if (held.next().isEmpty()) {
+			if (held.next().isPresent()) {
+				withhold(held.span(), now);
+			}
+			else {
 				// It may have let go of keys that are to stay after all.
 				this.letGo.remove(held.span());
 				grants.add(new KeyGrant(held.span(), held.fence(), held.handover()));
@@ -81,6 +84,13 @@
 		return Optional.of(new GrantAnswer(grants, Duration.ofNanos(hold)));
 	}
 
+	// The server lets go of what an answer leaves out, so nothing is handed to it after
+	// that. Until then it goes on: stopping as soon as a move is planned left the keys
+	// unserved for half a heartbeat's interval more.
+	private void withhold(KeySpan span, long now) {
+		this.granted.computeIfPresent(span, (key, grant) -> grant.until(now));
+	}
+
 	private void grant(KeyHolding held, HoldReport report, long now, long hold) {
 		Granted before = this.granted.get(held.span());
 		boolean known = report.holds(held.span(), held.fence())
@@ -134,7 +144,7 @@
 	 * @return true if the server holds it under that fence
 	 */
 	public boolean usable(int key, KeyHolding holding, BackendLife life, long now) {
-		boolean own = holding.owner().equals(this.self) && holding.life().equals(life) && holding.next().isEmpty();
+		boolean own = holding.owner().equals(this.self) && holding.life().equals(life);
 		return own && this.granted.entrySet()
 			.stream()
 			.filter((entry) -> entry.getKey().contains(key))
@@ -177,6 +187,10 @@
 			return now < this.endNanos;
 		}
 
+		Granted until(long now) {
+			return new Granted(this.fence, this.usableNanos, Math.min(this.endNanos, now), this.certainEndNanos);
+		}
+
 		// For a span that was granted in parts: usable once all are, and ended for
 		// certain only when the last one is.
 		Granted join(Granted other) {
--- a/core/src/main/java/org/brasspier/core/keys/LeaseWatch.java
+++ b/core/src/main/java/org/brasspier/core/keys/LeaseWatch.java
@@ -80,6 +80,15 @@
 		return this.seen.containsKey(instance);
 	}
 
+	/**
+	 * The version of an instance's lease.
+	 * @param instance the instance
+	 * @return what the latest look showed; empty if there is no row
+	 */
+	public Optional<Long> version(InstanceId instance) {
+		return Optional.ofNullable(this.seen.get(instance)).map((seen) -> seen.row.version());
+	}
+
 	/**
 	 * Whether an instance has renewed lately, as far as is known.
 	 * @param instance the instance
--- a/core/src/main/java/org/brasspier/core/mesh/BackendTrack.java
+++ b/core/src/main/java/org/brasspier/core/mesh/BackendTrack.java
@@ -19,6 +19,16 @@
 	 */
 	private static final long SILENT_NANOS = Duration.ofSeconds(3).toNanos();
 
+	/**
+	 * A server whose port is closed and that has sent no heartbeat for so long is dead:
+	 * one that lives sends one each 1.5 seconds at the latest, and has its port open.
+	 * Waiting for its grant to run out instead leaves its keys unserved for 2.5 s longer.
+	 */
+	private static final long DEAD_SILENT_NANOS = Duration.ofMillis(1600).toNanos();
+
+	/** So long its port must have been found closed, each time that it was tried. */
+	private static final long DEAD_CLOSED_NANOS = Duration.ofMillis(500).toNanos();
+
 	private Optional<BackendLife> life = Optional.empty();
 
 	private BackendPhase phase = BackendPhase.ABSENT;
@@ -27,6 +37,12 @@
 
 	private long heardNanos;
 
+	private boolean closed;
+
+	private long closedSinceNanos;
+
+	private long closedSeenNanos;
+
 	/**
 	 * Takes a heartbeat.
 	 * @param from the life that sent it
@@ -48,6 +64,7 @@
 		}
 		this.sequence = number;
 		this.heardNanos = now;
+		this.closed = false;
 		// Leaving is never taken back: who was told of it may not be sent work again.
 		if (draining && this.phase == BackendPhase.READY) {
 			this.phase = BackendPhase.DRAINING;
@@ -95,6 +112,29 @@
 		return this.phase;
 	}
 
+	/**
+	 * Takes that a connection to the server was tried.
+	 * @param open whether anything listens there
+	 * @param now the time
+	 */
+	public void tried(boolean open, long now) {
+		if (!open && !this.closed) {
+			this.closedSinceNanos = now;
+		}
+		this.closed = !open;
+		this.closedSeenNanos = now;
+	}
+
+	/**
+	 * Whether the server is certainly dead, so that it holds nothing any more.
+	 * @param now the time
+	 * @return true if its port stays closed and it is silent
+	 */
+	public boolean dead(long now) {
+		return this.closed && this.closedSeenNanos - this.closedSinceNanos >= DEAD_CLOSED_NANOS
+				&& this.closedSeenNanos - this.heardNanos > 0 && silentNanos(now) >= DEAD_SILENT_NANOS;
+	}
+
 	/**
 	 * How long ago it was last heard.
 	 * @param now the time
--- a/core/src/test/java/org/brasspier/core/keys/GrantBookTests.java
+++ b/core/src/test/java/org/brasspier/core/keys/GrantBookTests.java
@@ -80,6 +80,22 @@
 		assertThat(this.book.usable(this.own.span().from(), leavingHolding(), holder(A).life(), millis(901))).isFalse();
 	}
 
+	/**
+	 * A move is planned between two heartbeats. The server holds the keys until it is
+	 * told otherwise, so turning their requests away at once would leave them unserved
+	 * for half a heartbeat's interval more, at each move.
+	 */
+	@Test
+	void keysThatAreToLeaveAreUsedUntilTheirServerIsToldSo() {
+		int key = this.own.span().from();
+		beat(this.map, List.of(), List.of(), 0);
+		assertThat(this.book.usable(key, leavingHolding(), holder(A).life(), millis(800))).isTrue();
+		this.book.answer(leaving(), report(A, List.of(), List.of()), 0, millis(850));
+		assertThat(this.book.usable(key, leavingHolding(), holder(A).life(), millis(860))).isTrue();
+		beat(leaving(), List.of(), List.of(), millis(900));
+		assertThat(this.book.usable(key, leavingHolding(), holder(A).life(), millis(901))).isFalse();
+	}
+
 	/**
 	 * Keys move while their server still works on them: two servers would write the same
 	 * record. They go on only once the server says that it let go.
--- a/core/src/test/java/org/brasspier/core/mesh/BackendTrackTests.java
+++ b/core/src/test/java/org/brasspier/core/mesh/BackendTrackTests.java
@@ -80,4 +80,43 @@
 		assertThat(this.track.beat(next, 2, false, Duration.ofSeconds(4).toNanos())).isTrue();
 	}
 
+	private static long millis(long count) {
+		return Duration.ofMillis(count).toNanos();
+	}
+
+	/**
+	 * A server crashes. Its port is closed and its heartbeats stop, so its keys can go to
+	 * others at once; waiting for its grant to run out left them unserved for six
+	 * seconds.
+	 */
+	@Test
+	void aSilentServerWhosePortStaysClosedIsDead() {
+		this.track.beat(FIRST, 1, false, 0);
+		this.track.tried(false, millis(300));
+		this.track.tried(false, millis(900));
+		assertThat(this.track.dead(millis(1000))).isFalse();
+		assertThat(this.track.dead(millis(1700))).isTrue();
+	}
+
+	@Test
+	void aServerWithAnOpenPortIsNotTakenForDeadThoughItIsSilent() {
+		this.track.beat(FIRST, 1, false, 0);
+		this.track.tried(false, millis(300));
+		this.track.tried(true, millis(800));
+		assertThat(this.track.dead(millis(3000))).isFalse();
+	}
+
+	/**
+	 * A server resets a connection or two because too many are open. It sends heartbeats
+	 * on, so it lives and holds its keys.
+	 */
+	@Test
+	void aServerThatSendsHeartbeatsIsNotTakenForDead() {
+		this.track.beat(FIRST, 1, false, 0);
+		this.track.tried(false, millis(300));
+		this.track.tried(false, millis(1400));
+		this.track.beat(FIRST, 2, false, millis(1500));
+		assertThat(this.track.dead(millis(3200))).isFalse();
+	}
+
 }
--- a/daemon/src/main/java/org/brasspier/daemon/internal/http/BackendPool.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/http/BackendPool.java
@@ -1,5 +1,6 @@
 package org.brasspier.daemon.internal.http;
 
+import java.net.ConnectException;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.ArrayDeque;
@@ -73,7 +74,8 @@
 		BackendSocket.connect(this.reactor, this.address, CONNECT_TIMEOUT, this.maxBodyBytes)
 			.whenComplete((socket, ex) -> {
 				if (ex != null) {
-					run.end(new BackendReply.NotSent("no connection: " + ex.getMessage()));
+					run.end((ex instanceof ConnectException) ? new BackendReply.Closed()
+							: new BackendReply.NotSent("no connection: " + ex.getMessage()));
 				}
 				else if (run.ended()) {
 					socket.close();
--- a/daemon/src/main/java/org/brasspier/daemon/internal/http/BackendReply.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/http/BackendReply.java
@@ -23,6 +23,12 @@
 	record NotSent(String reason) implements BackendReply {
 	}
 
+	/**
+	 * Nothing listens at the server's address, so the order certainly did not run.
+	 */
+	record Closed() implements BackendReply {
+	}
+
 	/**
 	 * The connection ended before any answer.
 	 *
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/BackendDesk.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/BackendDesk.java
@@ -1,5 +1,6 @@
 package org.brasspier.daemon.internal.mesh;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -33,6 +34,8 @@
 
 	private int slots = 1;
 
+	private long heardNanos;
+
 	private long leavingSinceNanos;
 
 	private long coldUntilNanos;
@@ -73,6 +76,7 @@
 			return Either.right(Optional.empty());
 		}
 		this.slots = beat.slots();
+		this.heardNanos = now;
 		this.coldUntilNanos = now + beat.coldFor().toNanos();
 		changed(before, now);
 		return Either.right(this.grants.answer(beat, now));
@@ -120,10 +124,30 @@
 		return this.slots;
 	}
 
+	/**
+	 * How long until the server's next heartbeat may be expected, with which it gets
+	 * keys.
+	 * @param now the time
+	 * @return the time; zero if it is overdue, so that nobody knows
+	 */
+	Duration untilNextHeartbeat(long now) {
+		long left = this.heardNanos + this.backend.heartbeatEvery().toNanos() - now;
+		return Duration.ofNanos(Math.max(0, left));
+	}
+
 	boolean cold(long now) {
 		return now < this.coldUntilNanos;
 	}
 
+	// Takes that a connection to the server was tried.
+	void tried(boolean open) {
+		this.track.tried(open, System.nanoTime());
+	}
+
+	boolean dead() {
+		return this.track.dead(System.nanoTime());
+	}
+
 	long leavingForNanos(long now) {
 		return now - this.leavingSinceNanos;
 	}
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/BackendGate.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/BackendGate.java
@@ -49,6 +49,9 @@
 
 	private static final Duration RETRY_SOON = Duration.ofMillis(100);
 
+	/** The way of an answer to a heartbeat and of what it grants. */
+	private static final Duration GRANT_MARGIN = Duration.ofMillis(20);
+
 	/** How often something that waits is looked at. */
 	private static final Duration LOOK_AGAIN = Duration.ofMillis(5);
 
@@ -192,8 +195,9 @@
 			return noBackend("the backend server is " + this.desk.phase());
 		}
 		if (byKey && !this.keys.usable(ask.request().key().getAsInt())) {
-			return Optional
-				.of(new Failure(ErrorKind.NOT_OWNER, "the backend server doesn't hold this key now", RETRY_SOON));
+			Duration next = this.desk.untilNextHeartbeat(now);
+			return Optional.of(new Failure(ErrorKind.NOT_OWNER, "the backend server doesn't hold this key now",
+					next.isZero() ? next : next.plus(GRANT_MARGIN)));
 		}
 		return Optional.empty();
 	}
@@ -205,8 +209,9 @@
 		return leaving && this.desk.leavingForNanos(now) < this.settings.bounds().drain().minus(DRAIN_MARGIN).toNanos();
 	}
 
+	// Nobody knows for how long, so no pause is told.
 	private static Optional<Failure> noBackend(String detail) {
-		return Optional.of(new Failure(ErrorKind.NO_BACKEND, detail, RETRY_SOON));
+		return Optional.of(Failure.of(ErrorKind.NO_BACKEND, detail));
 	}
 
 	private SendOutcome turnedAway(Ask ask, Failure failure) {
@@ -258,6 +263,7 @@
 
 	private SendOutcome ended(long number, BackendOrder written, Order order, BackendReply reply) {
 		SendOutcome outcome = outcome(written, order, reply);
+		this.desk.tried(!(reply instanceof BackendReply.Closed));
 		finished(number, runOutcome(outcome, reply));
 		if (!(outcome instanceof SendOutcome.Answered)) {
 			this.log.record(MeshEvent.ORDER_FAILED, "request", order.ask.request().id(), "life", written.life(),
@@ -274,7 +280,9 @@
 								new Failure(ErrorKind.OVERLOADED, "the backend server declined it", RETRY_SOON), true)
 						: new SendOutcome.Answered(answer);
 			case BackendReply.NotSent(String reason) ->
-				new SendOutcome.NotRun(new Failure(ErrorKind.NO_BACKEND, reason, RETRY_SOON), false);
+				new SendOutcome.NotRun(Failure.of(ErrorKind.NO_BACKEND, reason), false);
+			case BackendReply.Closed ignored ->
+				new SendOutcome.NotRun(Failure.of(ErrorKind.NO_BACKEND, "the backend server's port is closed"), false);
 			case BackendReply.Broken(String reason) -> unknown(ErrorKind.OUTCOME_UNKNOWN, reason);
 			case BackendReply.Garbled(String reason) -> unknown(ErrorKind.BAD_ANSWER, reason);
 			case BackendReply.GivenUp ignored -> unknown(ErrorKind.TIMED_OUT, order.cancellation.cancelled()
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/Deputies.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/Deputies.java
@@ -65,8 +65,15 @@
 		this.askedNanos = now;
 		Optional<InstanceId> named = this.lease.deputy().map(Deputy::instance);
 		boolean enough = named.filter((instance) -> fit(instance, now)).isPresent();
-		candidates().stream()
-			.filter((member) -> !enough || named.get().equals(member.instance()))
+		List<Member> candidates = candidates();
+		candidates.stream()
+			.filter((member) -> enough && named.get().equals(member.instance()))
+			.forEach((member) -> ask(member, now));
+		// One more is asked, so that it can be named at once when the deputy falls
+		// silent; all are while there is none.
+		candidates.stream()
+			.filter((member) -> !enough || !named.get().equals(member.instance()))
+			.limit(enough ? 1 : candidates.size())
 			.forEach((member) -> ask(member, now));
 	}
 
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/Directory.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/Directory.java
@@ -34,7 +34,12 @@
 	void take(MetadataStore.Rows rows, boolean whole) {
 		if (whole) {
 			List<String> there = rows.rows().stream().map(MetadataStore.Row::key).toList();
-			this.members.keySet().removeIf((member) -> !there.contains(StoredRows.MEMBER_PREFIX + member.value()));
+			// A whole reading may have been overtaken by the feed, or be an old one that
+			// the store gave: what is newer than it stays. Without this an instance that
+			// started at the same moment as this one was unknown here for good.
+			this.members.entrySet()
+				.removeIf((member) -> member.getValue().version <= rows.version()
+						&& !there.contains(StoredRows.MEMBER_PREFIX + member.getKey().value()));
 		}
 		rows.rows().forEach(this::take);
 		this.known = true;
@@ -106,9 +111,23 @@
 			.stream()
 			.map(Entry::value)
 			.filter((member) -> member.service().equals(service) && member.ready())
+			.filter((member) -> !replaced(member.instance()))
 			.toList();
 	}
 
+	/**
+	 * Whether an instance is gone for good: another one has its address by now. Nobody
+	 * else takes the row of an instance that is lost off the list.
+	 * @param instance the instance
+	 * @return true if a later row names the same address
+	 */
+	boolean replaced(InstanceId instance) {
+		Entry<Member> own = this.members.get(instance);
+		return own != null && this.members.values()
+			.stream()
+			.anyMatch((other) -> other.version > own.version && other.value.address().equals(own.value.address()));
+	}
+
 	Optional<Member> member(InstanceId instance) {
 		return Optional.ofNullable(this.members.get(instance)).map(Entry::value);
 	}
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopLink.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopLink.java
@@ -51,8 +51,6 @@
 	/** A receiver that doesn't read must not fill this process's memory. */
 	private static final long MAX_UNSENT_BYTES = 4 << 20;
 
-	private static final Duration RETRY_SOON = Duration.ofMillis(100);
-
 	private final NioReactor reactor;
 
 	private final Promise<PeerConnection> connection;
@@ -153,7 +151,7 @@
 	}
 
 	private static SendOutcome notSent(ErrorKind kind, String detail) {
-		return new SendOutcome.NotRun(new Failure(kind, detail, RETRY_SOON), false);
+		return new SendOutcome.NotRun(Failure.of(kind, detail), false);
 	}
 
 	private void send(PeerConnection ready, Ask ask, Cancellation cancellation, SettablePromise<SendOutcome> outcome) {
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/KeyKeeper.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/KeyKeeper.java
@@ -50,11 +50,10 @@
 	private static final long SETTLED_NANOS = Duration.ofSeconds(2).toNanos();
 
 	/**
-	 * A backend server that was silent for so long gives its keys up. Longer than a hold,
-	 * since one that crashed is often back within five seconds and then goes on with its
-	 * own keys, and a move costs more than the wait.
+	 * A backend server that was silent for so long gives its keys up: as long as a hold,
+	 * since nothing holds them after that.
 	 */
-	private static final long SILENT_NANOS = Duration.ofSeconds(6).toNanos();
+	private static final long SILENT_NANOS = Duration.ofSeconds(4).toNanos();
 
 	/**
 	 * After a move loads are counted anew before the next one is planned: half of what
@@ -208,7 +207,7 @@
 	}
 
 	private boolean silent() {
-		return this.desk.silentNanos(System.nanoTime()) > SILENT_NANOS;
+		return this.desk.silentNanos(System.nanoTime()) > SILENT_NANOS || this.desk.dead();
 	}
 
 	private void plan(long now) {
@@ -268,7 +267,7 @@
 		map.of(this.self)
 			.stream()
 			.filter((held) -> held.next().filter(able::containsKey).isPresent())
-			.forEach((held) -> this.book.released(held, now).ifPresent((token) -> released.put(held, token)));
+			.forEach((held) -> released(held, now).ifPresent((token) -> released.put(held, token)));
 		if (released.isEmpty()) {
 			return Optional.empty();
 		}
@@ -276,6 +275,11 @@
 				(held) -> released.getOrDefault(held, "")));
 	}
 
+	// A server that is dead holds nothing, whatever it was granted.
+	private Optional<String> released(KeyHolding held, long now) {
+		return this.desk.dead() ? Optional.of("") : this.book.released(held, now);
+	}
+
 	/**
 	 * Takes what another holder is asked for.
 	 * @param load its load
@@ -303,7 +307,7 @@
 			.map(KeyHolding::owner)
 			.distinct()
 			.filter((owner) -> !owner.equals(this.self))
-			.forEach((owner) -> this.lease.ended(owner, now).ifPresent((version) -> lost.put(owner, version)));
+			.forEach((owner) -> endedAt(owner, now).ifPresent((version) -> lost.put(owner, version)));
 		Optional<KeyMap> withoutLost = KeyPlanner.withoutLost(map, lost.keySet(), holders);
 		withoutLost.ifPresent((planned) -> {
 			this.lease.attempting(lost);
@@ -312,6 +316,12 @@
 		return withoutLost.isPresent();
 	}
 
+	// Addresses are given away only after the backend server that had them has ended, so
+	// there is nobody left who could hold the keys.
+	private Optional<Long> endedAt(InstanceId owner, long now) {
+		return this.directory.replaced(owner) ? this.lease.versionOf(owner) : this.lease.ended(owner, now);
+	}
+
 	private void planAll(KeyMap map, List<KeyHolder> holders, boolean settled, long now) {
 		Set<InstanceId> none = new HashSet<>();
 		Optional<KeyMap> retargeted = KeyPlanner.withoutLeaving(map, none, holders);
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/LeaseRenewal.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/LeaseRenewal.java
@@ -145,6 +145,11 @@
 		return this.watch.known(instance);
 	}
 
+	// The version of another instance's lease, as far as was looked.
+	Optional<Long> versionOf(InstanceId instance) {
+		return this.watch.version(instance);
+	}
+
 	// The version at which another instance's lease ended, if it did.
 	Optional<Long> ended(InstanceId instance, long now) {
 		return this.watch.ended(instance, now);
--- /dev/null
+++ b/daemon/src/test/java/org/brasspier/daemon/internal/mesh/DirectoryTests.java
@@ -0,0 +1,71 @@
+package org.brasspier.daemon.internal.mesh;
+
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.Optional;
+
+import com.codahale.metrics.MetricRegistry;
+import org.brasspier.core.FailureDomain;
+import org.brasspier.core.InstanceId;
+import org.brasspier.core.ServiceName;
+import org.brasspier.daemon.mesh.MetadataStore;
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+
+class DirectoryTests {
+
+	private static final ServiceName SERVICE = new ServiceName("hulls");
+
+	private static final ServiceName OTHER = new ServiceName("jobs");
+
+	private static final InetSocketAddress ADDRESS = new InetSocketAddress("10.0.0.1", 7600);
+
+	private final Directory directory = new Directory(new MeshLog(new InstanceId("self"), new MetricRegistry()));
+
+	private void written(String instance, ServiceName service, InetSocketAddress address, long version) {
+		Member member = new Member(new InstanceId(instance), address, new FailureDomain("duluth"), service,
+				Optional.empty(), 1, true);
+		MetadataStore.Row row = new MetadataStore.Row(StoredRows.MEMBER_PREFIX + instance,
+				Optional.of(StoredRows.member(member)), version);
+		this.directory.take(new MetadataStore.Rows(List.of(row), version), false);
+	}
+
+	/**
+	 * An instance is lost for good, and its address goes to one of another service. The
+	 * row of the first stays, so its keys' requests were sent to the second and refused
+	 * for nine seconds.
+	 */
+	@Test
+	void anInstanceWhoseAddressAnotherOneHasIsGone() {
+		written("lost", SERVICE, ADDRESS, 5);
+		written("next", OTHER, ADDRESS, 9);
+		assertThat(this.directory.replaced(new InstanceId("lost"))).isTrue();
+		assertThat(this.directory.replaced(new InstanceId("next"))).isFalse();
+		assertThat(this.directory.serving(SERVICE)).isEmpty();
+		assertThat(this.directory.serving(OTHER)).hasSize(1);
+	}
+
+	/**
+	 * Two instances start at the same moment. One reads all rows, hears of the other by
+	 * its feed, and then gets the answer to its reading, which was made before. It forgot
+	 * the other one and gave it no keys for as long as both ran.
+	 */
+	@Test
+	void aReadingThatWasOvertakenTakesNobodyOffTheList() {
+		written("other", SERVICE, ADDRESS, 5);
+		this.directory.take(new MetadataStore.Rows(List.of(), 4), true);
+		assertThat(this.directory.serving(SERVICE)).hasSize(1);
+		this.directory.take(new MetadataStore.Rows(List.of(), 6), true);
+		assertThat(this.directory.serving(SERVICE)).isEmpty();
+	}
+
+	@Test
+	void anInstanceThatMovesToAnAddressThatWasAnothersIsTheOneThere() {
+		written("first", SERVICE, ADDRESS, 5);
+		written("first", SERVICE, new InetSocketAddress("10.0.0.2", 7600), 8);
+		written("next", OTHER, ADDRESS, 9);
+		assertThat(this.directory.replaced(new InstanceId("first"))).isFalse();
+	}
+
+}
