Let only who can renew plan and be given keys; rest balancing between full servers

Change: who has not renewed for two intervals is no target and doesn't plan; a holder finds other targets for its own keys; loads of those that can be reached are enough to balance; no keys go to a full server; a holder whose server is dead gives its lease up and tells its deputy. The lease model has dead servers among its faults.

--- a/core/src/main/java/org/brasspier/core/keys/KeyBalance.java
+++ b/core/src/main/java/org/brasspier/core/keys/KeyBalance.java
@@ -35,6 +35,14 @@
 	/** Moving a piece must leave its receiver this much below what the giver had. */
 	private static final double GAIN = 0.93;
 
+	/**
+	 * A server that is asked for so much of what it can do takes no more: the giver's
+	 * requests would be refused there instead, after a gap. Two full servers handed busy
+	 * keys to and fro each two to three seconds, and each time those were unserved for
+	 * 0.3 to 1.3 seconds.
+	 */
+	private static final double FULL = 0.95;
+
 	/**
 	 * Moves of one round. Each leaves its keys unserved for about half a second, so a
 	 * round stays small against what it mends.
@@ -91,7 +99,7 @@
 				return Optional.empty();
 			}
 			return this.seats.stream()
-				.filter((seat) -> seat != giver && seat.spans < MOST_SPANS)
+				.filter((seat) -> seat != giver && seat.spans < MOST_SPANS && seat.share() < FULL)
 				.sorted(Comparator.comparingDouble(Seat::share))
 				.map((taker) -> piece(giver, taker).map((piece) -> new Move(giver, taker, piece)))
 				.flatMap(Optional::stream)
--- a/core/src/main/java/org/brasspier/core/keys/KeyPlanner.java
+++ b/core/src/main/java/org/brasspier/core/keys/KeyPlanner.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
 
 import org.brasspier.core.InstanceId;
 
@@ -54,6 +55,19 @@
 					(held) -> holder, (held) -> ""));
 	}
 
+	/**
+	 * Finds other targets for keys that were to go to somebody who can't have them.
+	 * Without it they are unserved: their server has let go of them, and their next
+	 * holder never takes them.
+	 * @param map who holds what
+	 * @param whose which holdings to look at
+	 * @param holders who can hold keys now
+	 * @return the new map; empty if nothing changes
+	 */
+	public static Optional<KeyMap> retargeted(KeyMap map, Predicate<KeyHolding> whose, List<KeyHolder> holders) {
+		return withoutLeaving(map, Set.of(), whose, holders);
+	}
+
 	/**
 	 * Finds new owners for all keys of an instance that leaves, and for those that were
 	 * to go to somebody who can't have them.
@@ -63,13 +77,18 @@
 	 * @return the new map; empty if nothing changes
 	 */
 	public static Optional<KeyMap> withoutLeaving(KeyMap map, Set<InstanceId> leaving, List<KeyHolder> holders) {
+		return withoutLeaving(map, leaving, (held) -> true, holders);
+	}
+
+	private static Optional<KeyMap> withoutLeaving(KeyMap map, Set<InstanceId> leaving, Predicate<KeyHolding> whose,
+			List<KeyHolder> holders) {
 		Set<InstanceId> able = new HashSet<>(holders.stream().map(KeyHolder::instance).toList());
 		if (holders.isEmpty()) {
 			return Optional.empty();
 		}
 		Dealer dealer = new Dealer(map, holders);
 		KeyMap planned = map.wanted((held) -> {
-			boolean fine = held.next().map(able::contains).orElse(!leaving.contains(held.owner()));
+			boolean fine = !whose.test(held) || held.next().map(able::contains).orElse(!leaving.contains(held.owner()));
 			return fine ? Optional.empty()
 					: Optional.of(able.contains(held.owner()) ? held.owner() : dealer.least(held.span()).instance());
 		});
--- a/core/src/main/java/org/brasspier/core/keys/LeaseWatch.java
+++ b/core/src/main/java/org/brasspier/core/keys/LeaseWatch.java
@@ -27,6 +27,9 @@
 	 */
 	private static final long GRACE_NANOS = Duration.ofSeconds(3).toNanos();
 
+	/** For a slow answer of the store. */
+	private static final long SLACK_NANOS = Duration.ofMillis(500).toNanos();
+
 	private final LeaseTiming timing;
 
 	private final Deputy self;
@@ -90,14 +93,27 @@
 	}
 
 	/**
-	 * Whether an instance has renewed lately, as far as is known.
+	 * Whether an instance has renewed lately, so that it may be given keys and may plan.
+	 * One that the store turns away may hold its keys for seconds more, but it can't
+	 * learn that others are now its own, and plans nothing: while one such planned, a
+	 * full server had its keys for twelve seconds beside two idle ones.
 	 * @param instance the instance
 	 * @param now the time
-	 * @return false if it has no lease, or its lease was taken away or has ended
+	 * @return false if it has no lease, its lease was taken away, or it was not renewed
+	 * for two intervals; nobody could renew just before the store returned, which is not
+	 * counted
 	 */
-	public boolean live(InstanceId instance, long now) {
+	public boolean renewing(InstanceId instance, long now) {
 		Seen row = this.seen.get(instance);
-		return row != null && !row.row.taken() && ended(instance, now).isEmpty();
+		if (row == null || row.row.taken() || freeForDeputy(instance, row.row, now)) {
+			return false;
+		}
+		return now - this.notBeforeNanos < 0 || stillNanos(row) <= overdueNanos();
+	}
+
+	// A row stands still for an interval, and is looked at as seldom.
+	private long overdueNanos() {
+		return this.timing.renewEvery().toNanos() * 2 + SLACK_NANOS;
 	}
 
 	/**
@@ -140,11 +156,10 @@
 	 * its holder was promised something and has fallen silent
 	 */
 	public boolean suspicious(Set<InstanceId> holders, long now) {
-		long overdue = this.timing.renewEvery().toNanos() * 2;
 		return holders.stream().anyMatch((holder) -> {
 			Seen seen = this.seen.get(holder);
 			return seen == null || freeForDeputy(holder, seen.row, now)
-					|| !seen.row.taken() && stillNanos(seen) > overdue;
+					|| (!seen.row.taken() && stillNanos(seen) > overdueNanos());
 		});
 	}
 
--- a/core/src/main/java/org/brasspier/core/keys/OwnLease.java
+++ b/core/src/main/java/org/brasspier/core/keys/OwnLease.java
@@ -35,6 +35,8 @@
 
 	private long endNanos;
 
+	private long givenUpNanos = Long.MIN_VALUE;
+
 	private boolean held;
 
 	/**
@@ -63,7 +65,7 @@
 	public void renewed(long sentNanos, long version, Optional<Deputy> named) {
 		this.rowVersion = version;
 		this.endNanos = sentNanos + this.timing.lease().toNanos();
-		this.held = true;
+		this.held = sentNanos > this.givenUpNanos;
 		this.deputy = named;
 		this.unsettled.clear();
 		this.promisedUntilNanos.values().removeIf((until) -> until - sentNanos <= 0 || until == FOR_GOOD);
@@ -75,6 +77,9 @@
 	 * @param askedNanos when it was asked for it
 	 */
 	public void promised(Deputy from, long askedNanos) {
+		if (askedNanos <= this.givenUpNanos) {
+			return;
+		}
 		this.promisedUntilNanos.merge(from, askedNanos + this.timing.promise().toNanos(), Math::max);
 	}
 
@@ -105,6 +110,18 @@
 		this.unsettled.clear();
 	}
 
+	/**
+	 * Gives the lease up, so that the deputy can be told that it is bound no longer.
+	 * Nothing is granted until a renewal that is sent later, and what was promised before
+	 * counts no more.
+	 * @param now the time
+	 */
+	public void giveUp(long now) {
+		this.held = false;
+		this.givenUpNanos = now;
+		this.promisedUntilNanos.clear();
+	}
+
 	/**
 	 * The version that the next renewal begins from.
 	 * @return 0 if there is no row yet
@@ -121,6 +138,16 @@
 		return this.deputy;
 	}
 
+	/**
+	 * How long ago the latest renewal that was acknowledged was sent.
+	 * @param now the time
+	 * @return nanoseconds; more than a lease if there was none
+	 */
+	public long renewedAgoNanos(long now) {
+		long lease = this.timing.lease().toNanos();
+		return this.held ? lease - (this.endNanos - now) : lease + 1;
+	}
+
 	/**
 	 * How long a promise goes on.
 	 * @param from who gave it
--- a/core/src/main/java/org/brasspier/core/keys/PromiseBook.java
+++ b/core/src/main/java/org/brasspier/core/keys/PromiseBook.java
@@ -44,6 +44,14 @@
 		return true;
 	}
 
+	/**
+	 * Takes that a holder needs no promise any more: it grants nothing.
+	 * @param holder the holder
+	 */
+	public void released(InstanceId holder) {
+		this.boundUntilNanos.remove(holder);
+	}
+
 	/**
 	 * Whether a promise to a holder is in force.
 	 * @param holder the holder
--- a/core/src/test/java/org/brasspier/core/keys/DeputyLeaseTests.java
+++ b/core/src/test/java/org/brasspier/core/keys/DeputyLeaseTests.java
@@ -104,6 +104,42 @@
 		assertThat(this.promises.promise(A, 8, millis(6_000))).isTrue();
 	}
 
+	/**
+	 * A backend server ends while the store is away, and so does the daemon beside it. It
+	 * says so to its deputy, which takes the keys as the store returns; without that they
+	 * were unserved for four seconds more.
+	 */
+	@Test
+	void aHolderThatGivesUpFreesItsKeysAtOnce() {
+		this.lease.promised(DEPUTY, 0);
+		this.lease.renewed(0, 7, Optional.of(DEPUTY));
+		this.promises.promise(A, 7, 0);
+		this.watch.look(Map.of(A, LeaseRow.of(7, Optional.of(DEPUTY))), millis(100));
+		this.lease.giveUp(millis(150));
+		this.promises.released(A);
+		assertThat(this.lease.remainingNanos(millis(200))).isEqualTo(0);
+		assertThat(this.watch.ended(A, millis(200))).hasValue(7L);
+	}
+
+	/**
+	 * The server is back at once, and the lease is renewed. The deputy was told that it
+	 * is bound no longer, so an answer of its from before must not count, nor a renewal
+	 * that was under way.
+	 */
+	@Test
+	void whatWasPromisedBeforeALeaseWasGivenUpCountsNoMore() {
+		this.lease.promised(DEPUTY, 0);
+		this.lease.renewed(0, 7, Optional.of(DEPUTY));
+		this.lease.giveUp(millis(150));
+		this.lease.promised(DEPUTY, millis(100));
+		this.lease.renewed(millis(120), 8, Optional.of(DEPUTY));
+		assertThat(this.lease.remainingNanos(millis(200))).isEqualTo(0);
+		this.lease.renewed(millis(300), 9, Optional.of(DEPUTY));
+		assertThat(this.lease.remainingNanos(millis(310))).isEqualTo(0);
+		this.lease.promised(DEPUTY, millis(320));
+		assertThat(this.lease.remainingNanos(millis(330))).isGreaterThan(0);
+	}
+
 	/**
 	 * The store is away and the deputy's daemon restarts. The process that promised is
 	 * gone and can't take anything, so the holder goes on to the end of its lease.
--- a/core/src/test/java/org/brasspier/core/keys/KeyBalanceTests.java
+++ b/core/src/test/java/org/brasspier/core/keys/KeyBalanceTests.java
@@ -111,6 +111,24 @@
 		assertThat(KeyBalance.plan(this.map, loads())).isEmpty();
 	}
 
+	/**
+	 * All servers are asked for more than they can do, one of them for twice as much. Its
+	 * keys would only be refused elsewhere, after a second in which nobody serves them;
+	 * they were handed to and fro each two to three seconds.
+	 */
+	@Test
+	void nothingMovesBetweenFullServers() {
+		for (int second = 0; second < 4; second++) {
+			int[] keys = ALL.stream()
+				.flatMapToInt((instance) -> IntStream
+					.range(0, (int) (CAPACITY.get(instance) * (instance.equals(A) ? 2.5 : 1.1)))
+					.map((i) -> this.map.of(instance).get(i % 16).span().from() + i / 16))
+				.toArray();
+			second(keys);
+		}
+		assertThat(KeyBalance.plan(this.map, loads())).isEmpty();
+	}
+
 	/**
 	 * One key has more requests than any one server can do. No move mends that, and
 	 * handing the key around would only add the gaps of its moves.
--- a/core/src/test/java/org/brasspier/core/keys/LeaseModel.java
+++ b/core/src/test/java/org/brasspier/core/keys/LeaseModel.java
@@ -97,10 +97,11 @@
 		for (int fault = 0; fault < 4; fault++) {
 			long begins = millis(2_000, 55_000);
 			long lasts = millis(300, 12_000);
-			switch (this.random.nextInt(4)) {
+			switch (this.random.nextInt(5)) {
 				case 0 -> spell(begins, lasts, (on) -> instance.storeAway = on);
 				case 1 -> spell(begins, lasts, (on) -> instance.linksCut = on);
 				case 2 -> spell(begins, lasts, (on) -> instance.suspended = on);
+				case 3 -> spell(begins, lasts, (on) -> instance.serverDead = on);
 				default -> spell(begins, lasts, instance::killed);
 			}
 		}
@@ -223,6 +224,8 @@
 
 		private boolean suspended;
 
+		private boolean serverDead;
+
 		Instance(int index) {
 			this.id = new InstanceId("instance-" + index);
 			this.rate = 1 + LeaseModel.this.random.nextDouble(-MOST_DRIFT, MOST_DRIFT);
@@ -276,6 +279,10 @@
 			if (!own.rowKnown) {
 				return;
 			}
+			if (this.serverDead) {
+				giveUp(own, local);
+				return;
+			}
 			if (local - own.asked >= ASK_EVERY) {
 				own.asked = local;
 				others().forEach((other) -> ask(own, other, local));
@@ -317,6 +324,16 @@
 			});
 		}
 
+		private void giveUp(Process own, long local) {
+			if (own.lease.remainingNanos(local) == 0) {
+				return;
+			}
+			own.lease.giveUp(local);
+			LeaseModel.this.instances.stream()
+				.filter((other) -> own.lease.deputy().filter(other.process.deputy::equals).isPresent())
+				.forEach((deputy) -> carry(this, deputy, () -> deputy.process.promises.released(this.id)));
+		}
+
 		private boolean fresh(Process own, Deputy deputy, long local) {
 			Long latest = own.heard.get(deputy);
 			return latest != null && local - latest < FRESH && own.lease.promisedNanos(deputy, local) > 0;
--- a/core/src/test/java/org/brasspier/core/keys/LeaseTests.java
+++ b/core/src/test/java/org/brasspier/core/keys/LeaseTests.java
@@ -61,7 +61,7 @@
 	void aLeaseThatIsRenewedIsNeverTakenForEnded() {
 		LongStream.range(0, 30).forEach((at) -> look(Map.of(A, row(at / 2)), millis(at * 1000)));
 		assertThat(this.watch.ended(A, millis(30_000))).isEmpty();
-		assertThat(this.watch.live(A, millis(30_000))).isTrue();
+		assertThat(this.watch.renewing(A, millis(30_000))).isTrue();
 	}
 
 	/**
@@ -107,10 +107,10 @@
 		lookEachSecond(5, 0, 11_000);
 		assertThat(this.watch.ended(A, millis(11_000))).hasValue(5L);
 		look(Map.of(A, taken(6L)), millis(12_000));
-		assertThat(this.watch.live(A, millis(12_000))).isFalse();
+		assertThat(this.watch.renewing(A, millis(12_000))).isFalse();
 		assertThat(this.watch.ended(A, millis(12_000))).hasValue(6L);
 		look(Map.of(A, row(7L)), millis(13_000));
-		assertThat(this.watch.live(A, millis(13_000))).isTrue();
+		assertThat(this.watch.renewing(A, millis(13_000))).isTrue();
 	}
 
 	/**
@@ -122,8 +122,8 @@
 		lookEachSecond(5, 0, 11_000);
 		look(Map.of(A, taken(6L), B, row(3L)), millis(12_000));
 		look(Map.of(A, taken(6L), B, row(3L)), millis(20_000));
-		assertThat(this.watch.live(B, millis(20_000))).isTrue();
-		assertThat(this.watch.live(A, millis(20_000))).isFalse();
+		assertThat(this.watch.renewing(B, millis(20_000))).isTrue();
+		assertThat(this.watch.renewing(A, millis(20_000))).isFalse();
 	}
 
 	@Test
@@ -135,4 +135,24 @@
 		assertThat(this.watch.ended(B, millis(4000))).hasValue(0L);
 	}
 
+	/**
+	 * The store turns one instance away for twelve seconds. Its lease goes on for ten,
+	 * but it was the one that plans, and keys were given to it that it never heard of.
+	 */
+	@Test
+	void anInstanceThatCannotRenewIsGivenNothingLongBeforeItsLeaseEnds() {
+		lookEachSecond(5, 0, 4000);
+		assertThat(this.watch.renewing(A, millis(4000))).isTrue();
+		lookEachSecond(5, 5000, 5000);
+		assertThat(this.watch.renewing(A, millis(5000))).isFalse();
+		assertThat(this.watch.ended(A, millis(5000))).isEmpty();
+	}
+
+	@Test
+	void nobodyIsTakenForTurnedAwayAsTheStoreReturns() {
+		lookEachSecond(5, 0, 2000);
+		look(Map.of(A, row(5)), millis(12_000));
+		assertThat(this.watch.renewing(A, millis(12_100))).isTrue();
+	}
+
 }
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/Deputies.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/Deputies.java
@@ -108,6 +108,14 @@
 			}));
 	}
 
+	// Tells the deputy that nothing is granted here any more.
+	void release() {
+		this.lease.deputy()
+			.map(Deputy::instance)
+			.flatMap(this.directory::member)
+			.ifPresent((member) -> this.hops.tell(member, new HopMessage.PromiseReleased(this.self)));
+	}
+
 	private boolean fit(InstanceId instance, long now) {
 		Heard latest = this.heard.get(instance);
 		return latest != null && now - latest.askedNanos < FRESH_NANOS
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopCodec.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopCodec.java
@@ -49,6 +49,8 @@
 
 	private static final int PROMISED = 12;
 
+	private static final int PROMISE_RELEASED = 13;
+
 	private static final double MILLI = 1000;
 
 	private static final int NO_KEY = -1;
@@ -68,6 +70,7 @@
 				frame.number(PROMISE_ASKED).number(exchange).text(holder.value()).number(rowVersion);
 			case HopMessage.Promised(long exchange, long process, boolean promised, boolean able) ->
 				frame.number(PROMISED).number(exchange).number(process).flag(promised).flag(able);
+			case HopMessage.PromiseReleased(InstanceId holder) -> frame.number(PROMISE_RELEASED).text(holder.value());
 			case HopMessage.Ping ignored -> frame.number(PING);
 			case HopMessage.Pong ignored -> frame.number(PONG);
 			case HopMessage.Leaving ignored -> frame.number(LEAVING);
@@ -128,6 +131,7 @@
 			case LOAD -> new HopMessage.Load(load(frame));
 			case PROMISE_ASKED -> new HopMessage.PromiseAsked(frame.number(), instance(frame), frame.number());
 			case PROMISED -> new HopMessage.Promised(frame.number(), frame.number(), frame.flag(), frame.flag());
+			case PROMISE_RELEASED -> new HopMessage.PromiseReleased(instance(frame));
 			case PING -> new HopMessage.Ping();
 			case PONG -> new HopMessage.Pong();
 			case LEAVING -> new HopMessage.Leaving();
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopLink.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopLink.java
@@ -211,6 +211,7 @@
 			case HopMessage.Ping ignored -> throw wrongSide();
 			case HopMessage.Load ignored -> throw wrongSide();
 			case HopMessage.PromiseAsked ignored -> throw wrongSide();
+			case HopMessage.PromiseReleased ignored -> throw wrongSide();
 		}
 	}
 
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopMessage.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopMessage.java
@@ -66,6 +66,14 @@
 	record Promised(long exchange, long process, boolean promised, boolean able) implements HopMessage {
 	}
 
+	/**
+	 * A holder grants nothing any more, so the receiver may take its keys.
+	 *
+	 * @param holder the holder
+	 */
+	record PromiseReleased(InstanceId holder) implements HopMessage {
+	}
+
 	/** Asks whether the receiver still hears. */
 	record Ping() implements HopMessage {
 	}
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopServer.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopServer.java
@@ -124,6 +124,7 @@
 				case HopMessage.Ping ignored -> send(new HopMessage.Pong());
 				case HopMessage.Load(var load) -> HopServer.this.keys.reported(load);
 				case HopMessage.PromiseAsked asked -> send(HopServer.this.keys.promise(asked));
+				case HopMessage.PromiseReleased(var holder) -> HopServer.this.keys.released(holder);
 				case HopMessage.Replied ignored -> throw wrongSide();
 				case HopMessage.Promised ignored -> throw wrongSide();
 				case HopMessage.Pong ignored -> throw wrongSide();
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/KeyKeeper.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/KeyKeeper.java
@@ -2,7 +2,6 @@
 
 import java.time.Duration;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -161,7 +160,7 @@
 			return;
 		}
 		long now = this.clock.getAsLong();
-		this.lease.step(leasesThatMatter(), now);
+		this.lease.step(leasesThatMatter(), !this.desk.dead(), now);
 		if (!this.writer.busy() && this.lease.rowKnown()) {
 			plan(now);
 		}
@@ -191,12 +190,21 @@
 		return this.lease.promise(asked, this.desk.ready() && !silent());
 	}
 
+	/**
+	 * Takes that a holder grants nothing any more.
+	 * @param holder the holder
+	 */
+	void released(InstanceId holder) {
+		this.lease.released(holder);
+		step();
+	}
+
 	private List<KeyHolder> holders(long now) {
 		return this.directory.serving(this.service)
 			.stream()
 			.filter((member) -> member.life().isPresent())
-			.filter((member) -> member.instance().equals(this.self) ? this.desk.ready() && !silent()
-					: this.lease.live(member.instance(), now))
+			.filter((member) -> !member.instance().equals(this.self) || (this.desk.ready() && !silent()))
+			.filter((member) -> this.lease.renewing(member.instance(), now))
 			.map(KeyKeeper::holder)
 			.sorted((one, other) -> one.instance().compareTo(other.instance()))
 			.toList();
@@ -251,6 +259,11 @@
 			this.writer.write(handedOver.get(), "handed over");
 			return true;
 		}
+		Optional<KeyMap> retargeted = KeyPlanner.retargeted(map, (held) -> held.owner().equals(this.self), holders);
+		if (retargeted.isPresent()) {
+			this.writer.write(retargeted.get(), "other targets");
+			return true;
+		}
 		if (!this.desk.ready() || silent()) {
 			List<KeyHolder> others = holders.stream().filter((each) -> !each.instance().equals(this.self)).toList();
 			Optional<KeyMap> leaving = KeyPlanner.withoutLeaving(map, Set.of(this.self), others);
@@ -293,7 +306,7 @@
 		if (moving || this.writer.sinceLatestNanos(now) < REST_NANOS) {
 			return Optional.empty();
 		}
-		return this.loads.ofAll(holders, now).flatMap((all) -> KeyBalance.plan(map, all));
+		return KeyBalance.plan(map, this.loads.fresh(holders, now));
 	}
 
 	// Whoever sees a lease end takes its keys, not only the one that plans: that one may
@@ -323,8 +336,7 @@
 	}
 
 	private void planAll(KeyMap map, List<KeyHolder> holders, boolean settled, long now) {
-		Set<InstanceId> none = new HashSet<>();
-		Optional<KeyMap> retargeted = KeyPlanner.withoutLeaving(map, none, holders);
+		Optional<KeyMap> retargeted = KeyPlanner.retargeted(map, (held) -> true, holders);
 		if (retargeted.isPresent()) {
 			this.writer.write(retargeted.get(), "other targets");
 			return;
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/LeaseRenewal.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/LeaseRenewal.java
@@ -136,8 +136,12 @@
 		return this.lease.remainingNanos(now);
 	}
 
-	boolean live(InstanceId instance, long now) {
-		return this.watch.live(instance, now);
+	// Whether an instance may be given keys and may plan, as far as the store shows.
+	boolean renewing(InstanceId instance, long now) {
+		if (instance.equals(this.self)) {
+			return this.lease.renewedAgoNanos(now) <= this.timing.renewEvery().toNanos() * 2 + RENEW_AGAIN.toNanos();
+		}
+		return this.watch.renewing(instance, now);
 	}
 
 	// Whether an instance has a lease's row, as far as was looked.
@@ -171,6 +175,10 @@
 		return new HopMessage.Promised(asked.exchange(), this.process.process(), promised, able);
 	}
 
+	void released(InstanceId holder) {
+		this.promises.released(holder);
+	}
+
 	// Called before the write that takes keys is sent.
 	void attempting(Map<InstanceId, Long> lost) {
 		lost.forEach(this.promises::attempting);
@@ -179,9 +187,10 @@
 	/**
 	 * Looks at leases, asks for promises and renews, if it is time.
 	 * @param holders whose leases matter
+	 * @param granting whether there is a backend server that could be granted anything
 	 * @param now the time
 	 */
-	void step(Set<InstanceId> holders, long now) {
+	void step(Set<InstanceId> holders, boolean granting, long now) {
 		note(now);
 		long lookEvery = this.watch.suspicious(holders, now) ? LOOK_CLOSELY_NANOS : LOOK_EVERY_NANOS;
 		if (!this.looking && now - this.lookedNanos >= lookEvery) {
@@ -190,6 +199,10 @@
 		if (!this.rowKnown) {
 			return;
 		}
+		if (!granting) {
+			giveUp(now);
+			return;
+		}
 		this.deputies.step(now);
 		long sinceRenewed = now - this.renewedNanos;
 		boolean change = sinceRenewed >= RENEW_AGAIN.toNanos() && this.deputies.changeWanted(now);
@@ -198,6 +211,18 @@
 		}
 	}
 
+	// The backend server is dead, and this daemon may end with it while the store is
+	// away.
+	// The deputy then takes the keys as the store returns; without being told it waited
+	// for the last promise's end, four seconds more.
+	private void giveUp(long now) {
+		if (this.lease.remainingNanos(now) > 0) {
+			this.lease.giveUp(now);
+			this.deputies.release();
+			note(now);
+		}
+	}
+
 	private void note(long now) {
 		boolean holds = this.lease.remainingNanos(now) > 0;
 		if (holds != this.held) {
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/LoadReports.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/LoadReports.java
@@ -4,7 +4,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.function.DoubleSupplier;
 
 import org.brasspier.core.InstanceId;
@@ -78,14 +77,14 @@
 			.ifPresent((leader) -> this.hops.tell(leader, new HopMessage.Load(own)));
 	}
 
-	// The loads of all holders, or nothing as long as one of them has not told lately.
-	Optional<List<HolderLoad>> ofAll(List<KeyHolder> holders, long now) {
-		List<HolderLoad> fresh = holders.stream()
+	// The loads of those holders that have told lately. Waiting for all would stop the
+	// balancing for as long as one can't be reached.
+	List<HolderLoad> fresh(List<KeyHolder> holders, long now) {
+		return holders.stream()
 			.map((holder) -> this.latest.get(holder.instance()))
 			.filter((reported) -> reported != null && now - reported.sinceNanos < FRESH_NANOS)
 			.map((reported) -> reported.load)
 			.toList();
-		return (fresh.size() == holders.size()) ? Optional.of(fresh) : Optional.empty();
 	}
 
 	private record Reported(HolderLoad load, long sinceNanos) {
