Tell daemons that are behind what the store holds, from daemon to daemon

Cause: each daemon knew configuration, instances and maps of keys by its own feed only. Rows replace earlier versions only, wherever they come from. A caller refused for a key that is on its way to another holder is told no pause.

--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/BackendGate.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/BackendGate.java
@@ -195,9 +195,8 @@
 			return noBackend("the backend server is " + this.desk.phase());
 		}
 		if (byKey && !this.keys.usable(ask.request().key().getAsInt())) {
-			Duration next = this.desk.untilNextHeartbeat(now);
 			return Optional.of(new Failure(ErrorKind.NOT_OWNER, "the backend server doesn't hold this key now",
-					next.isZero() ? next : next.plus(GRANT_MARGIN)));
+					untilHeld(ask.request().key().getAsInt(), now)));
 		}
 		return Optional.empty();
 	}
@@ -209,6 +208,13 @@
 		return leaving && this.desk.leavingForNanos(now) < this.settings.bounds().drain().minus(DRAIN_MARGIN).toNanos();
 	}
 
+	// Keys come with the next heartbeat. When one that leaves is held by its next holder,
+	// and when an overdue heartbeat comes, nobody knows, and no pause is told.
+	private Duration untilHeld(int key, long now) {
+		Duration next = this.desk.untilNextHeartbeat(now);
+		return (next.isZero() || this.keys.leaving(key)) ? Duration.ZERO : next.plus(GRANT_MARGIN);
+	}
+
 	// Nobody knows for how long, so no pause is told.
 	private static Optional<Failure> noBackend(String detail) {
 		return Optional.of(Failure.of(ErrorKind.NO_BACKEND, detail));
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/ConfigHolder.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/ConfigHolder.java
@@ -22,6 +22,8 @@
 
 	private RoutingConfig inForce = RoutingConfig.NONE;
 
+	private Optional<MetadataStore.Row> row = Optional.empty();
+
 	ConfigHolder(ConfigSource source, MeshLog log) {
 		this.source = source;
 		this.log = log;
@@ -35,13 +37,20 @@
 	void take(MetadataStore.Rows rows) {
 		rows.rows()
 			.stream()
-			.filter((row) -> row.key().equals(this.source.key()))
-			.map(MetadataStore.Row::value)
-			.flatMap(Optional::stream)
-			.forEach(this::take);
+			.filter((each) -> each.key().equals(this.source.key()))
+			.forEach((each) -> each.value().ifPresent((value) -> take(each, value)));
+	}
+
+	// The row that the configuration in force was read from.
+	Optional<MetadataStore.Row> row() {
+		return this.row;
+	}
+
+	long rowVersion() {
+		return this.row.map(MetadataStore.Row::version).orElse(0L);
 	}
 
-	private void take(byte[] value) {
+	private void take(MetadataStore.Row from, byte[] value) {
 		Either<Failure, RoutingConfig> read = this.source.read(value);
 		if (read.isLeft()) {
 			this.log.record(MeshEvent.CONFIG_UNREADABLE, "in_force", this.inForce.version(), "reason",
@@ -52,6 +61,7 @@
 			this.log.record(MeshEvent.CONFIG_IN_FORCE, "version", read.get().version(), "before",
 					this.inForce.version(), "bytes", value.length, "routes", read.get().summary());
 			this.inForce = read.get();
+			this.row = Optional.of(from);
 		}
 	}
 
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/Directory.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/Directory.java
@@ -1,9 +1,11 @@
 package org.brasspier.daemon.internal.mesh;
 
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.stream.Stream;
 
 import io.vavr.control.Either;
 import org.brasspier.core.Failure;
@@ -97,6 +99,34 @@
 		}
 	}
 
+	// The newest version among the rows that are known.
+	long version() {
+		return Math.max(newest(this.members.values()), newest(this.keys.values()));
+	}
+
+	private static <T> long newest(Collection<Entry<T>> entries) {
+		return entries.stream().mapToLong(Entry::version).max().orElse(0);
+	}
+
+	/**
+	 * The rows that are newer than a version.
+	 * @param version the version
+	 * @return them as the store has them
+	 */
+	List<MetadataStore.Row> rowsAfter(long version) {
+		Stream<MetadataStore.Row> listed = this.members.entrySet()
+			.stream()
+			.filter((entry) -> entry.getValue().version > version)
+			.map((entry) -> new MetadataStore.Row(StoredRows.MEMBER_PREFIX + entry.getKey().value(),
+					Optional.of(StoredRows.member(entry.getValue().value)), entry.getValue().version));
+		Stream<MetadataStore.Row> maps = this.keys.entrySet()
+			.stream()
+			.filter((entry) -> entry.getValue().version > version)
+			.map((entry) -> new MetadataStore.Row(StoredRows.KEYS_PREFIX + entry.getKey().value(),
+					Optional.of(StoredRows.keys(entry.getValue().value)), entry.getValue().version));
+		return Stream.concat(listed, maps).toList();
+	}
+
 	// Whether the store was read at all since this process began.
 	boolean known() {
 		return this.known;
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopClient.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopClient.java
@@ -25,10 +25,13 @@
 
 	private final NioReactor reactor;
 
+	private final SharedRows rows;
+
 	private final Map<InstanceId, Peer> peers = new HashMap<>();
 
-	HopClient(NioReactor reactor) {
+	HopClient(NioReactor reactor, SharedRows rows) {
 		this.reactor = reactor;
+		this.rows = rows;
 	}
 
 	// Whether requests are better sent elsewhere just now.
@@ -81,7 +84,7 @@
 		if (known != null && known.address.equals(address) && !known.link.closed()) {
 			return known;
 		}
-		Peer opened = new Peer(address, new HopLink(this.reactor, address));
+		Peer opened = new Peer(address, new HopLink(this.reactor, address, this.rows));
 		if (known != null) {
 			opened.failed = known.failed;
 			opened.failedNanos = known.failedNanos;
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopCodec.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopCodec.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 import java.util.OptionalInt;
 
 import org.brasspier.core.ErrorKind;
@@ -12,10 +13,12 @@
 import org.brasspier.core.keys.HolderLoad;
 import org.brasspier.core.keys.KeyLoad;
 import org.brasspier.core.keys.KeySpan;
+import org.brasspier.core.mesh.KnownRows;
 import org.brasspier.core.mesh.SendOutcome;
 import org.brasspier.core.request.Answer;
 import org.brasspier.core.request.HeaderField;
 import org.brasspier.daemon.mesh.MeshRequest;
+import org.brasspier.daemon.mesh.MetadataStore;
 import org.brasspier.wire.FrameReader;
 import org.brasspier.wire.FrameWriter;
 import org.brasspier.wire.WireException;
@@ -51,10 +54,18 @@
 
 	private static final int PROMISE_RELEASED = 13;
 
+	private static final int KNOWN = 14;
+
+	private static final int ROWS_ASKED = 15;
+
+	private static final int ROWS_TOLD = 16;
+
 	private static final double MILLI = 1000;
 
 	private static final int NO_KEY = -1;
 
+	private static final byte[] NO_BYTES = new byte[0];
+
 	private HopCodec() {
 	}
 
@@ -71,6 +82,10 @@
 			case HopMessage.Promised(long exchange, long process, boolean promised, boolean able) ->
 				frame.number(PROMISED).number(exchange).number(process).flag(promised).flag(able);
 			case HopMessage.PromiseReleased(InstanceId holder) -> frame.number(PROMISE_RELEASED).text(holder.value());
+			case HopMessage.Known(KnownRows rows) -> frame.number(KNOWN).number(rows.config()).number(rows.mesh());
+			case HopMessage.RowsAsked(KnownRows rows) ->
+				frame.number(ROWS_ASKED).number(rows.config()).number(rows.mesh());
+			case HopMessage.RowsTold(var config, var mesh) -> rows(rows(frame.number(ROWS_TOLD), config), mesh);
 			case HopMessage.Ping ignored -> frame.number(PING);
 			case HopMessage.Pong ignored -> frame.number(PONG);
 			case HopMessage.Leaving ignored -> frame.number(LEAVING);
@@ -132,6 +147,9 @@
 			case PROMISE_ASKED -> new HopMessage.PromiseAsked(frame.number(), instance(frame), frame.number());
 			case PROMISED -> new HopMessage.Promised(frame.number(), frame.number(), frame.flag(), frame.flag());
 			case PROMISE_RELEASED -> new HopMessage.PromiseReleased(instance(frame));
+			case KNOWN -> new HopMessage.Known(new KnownRows(frame.number(), frame.number()));
+			case ROWS_ASKED -> new HopMessage.RowsAsked(new KnownRows(frame.number(), frame.number()));
+			case ROWS_TOLD -> new HopMessage.RowsTold(frame.list(HopCodec::row), frame.list(HopCodec::row));
 			case PING -> new HopMessage.Ping();
 			case PONG -> new HopMessage.Pong();
 			case LEAVING -> new HopMessage.Leaving();
@@ -140,6 +158,23 @@
 		};
 	}
 
+	private static FrameWriter rows(FrameWriter frame, List<MetadataStore.Row> rows) {
+		frame.count(rows.size());
+		rows.forEach((row) -> frame.text(row.key())
+			.number(row.version())
+			.flag(row.value().isPresent())
+			.bytes(row.value().orElse(NO_BYTES)));
+		return frame;
+	}
+
+	private static MetadataStore.Row row(FrameReader frame) throws WireException {
+		String key = frame.text();
+		long version = frame.number();
+		boolean there = frame.flag();
+		byte[] value = frame.bytes();
+		return new MetadataStore.Row(key, there ? Optional.of(value) : Optional.empty(), version);
+	}
+
 	private static InstanceId instance(FrameReader frame) throws WireException {
 		try {
 			return new InstanceId(frame.text());
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopLink.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopLink.java
@@ -16,7 +16,9 @@
 import org.brasspier.core.ErrorKind;
 import org.brasspier.core.Failure;
 import org.brasspier.core.InstanceId;
+import org.brasspier.core.mesh.KnownRows;
 import org.brasspier.core.mesh.LinkDelay;
+import org.brasspier.core.mesh.RowExchange;
 import org.brasspier.core.mesh.SendOutcome;
 import org.brasspier.daemon.internal.peer.PeerConnection;
 import org.brasspier.daemon.internal.request.Cancellation;
@@ -53,6 +55,10 @@
 
 	private final NioReactor reactor;
 
+	private final SharedRows rows;
+
+	private final RowExchange differences = new RowExchange();
+
 	private final Promise<PeerConnection> connection;
 
 	private final Map<Long, SettablePromise<SendOutcome>> waiting = new HashMap<>();
@@ -77,8 +83,9 @@
 	// outcome, so nothing is.
 	private boolean stopping;
 
-	HopLink(NioReactor reactor, InetSocketAddress address) {
+	HopLink(NioReactor reactor, InetSocketAddress address, SharedRows rows) {
 		this.reactor = reactor;
+		this.rows = rows;
 		this.connection = TcpSocket.connect(reactor, address, CONNECT_TIMEOUT, SOCKETS).map((socket) -> {
 			this.openedNanos = System.nanoTime();
 			this.heardNanos = this.openedNanos;
@@ -201,6 +208,8 @@
 		switch (HopCodec.decode(frame)) {
 			case HopMessage.Replied(long exchange, SendOutcome outcome) -> settle(exchange, outcome);
 			case HopMessage.Promised promised -> settle(promised);
+			case HopMessage.Known(KnownRows known) -> compare(known);
+			case HopMessage.RowsTold told -> this.rows.take(told);
 			case HopMessage.Leaving ignored -> this.leaving = true;
 			case HopMessage.Stopping ignored -> this.stopping = true;
 			case HopMessage.Pong ignored -> {
@@ -210,11 +219,22 @@
 			case HopMessage.Cancelled ignored -> throw wrongSide();
 			case HopMessage.Ping ignored -> throw wrongSide();
 			case HopMessage.Load ignored -> throw wrongSide();
+			case HopMessage.RowsAsked ignored -> throw wrongSide();
 			case HopMessage.PromiseAsked ignored -> throw wrongSide();
 			case HopMessage.PromiseReleased ignored -> throw wrongSide();
 		}
 	}
 
+	private void compare(KnownRows known) {
+		RowExchange.Step step = this.differences.noticed(this.rows.known(), known, System.nanoTime());
+		if (step.tell()) {
+			tell(this.rows.lacking(known));
+		}
+		if (step.ask()) {
+			tell(new HopMessage.RowsAsked(this.rows.known()));
+		}
+	}
+
 	private static WireException wrongSide() {
 		return new WireException("a message came from the wrong side of the connection");
 	}
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopMessage.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopMessage.java
@@ -1,8 +1,12 @@
 package org.brasspier.daemon.internal.mesh;
 
+import java.util.List;
+
 import org.brasspier.core.InstanceId;
 import org.brasspier.core.keys.HolderLoad;
+import org.brasspier.core.mesh.KnownRows;
 import org.brasspier.core.mesh.SendOutcome;
+import org.brasspier.daemon.mesh.MetadataStore;
 
 /**
  * What one daemon sends to another. Immutable and thread-safe.
@@ -74,6 +78,31 @@
 	record PromiseReleased(InstanceId holder) implements HopMessage {
 	}
 
+	/**
+	 * How much the sender knows of the store's rows.
+	 *
+	 * @param rows the newest versions
+	 */
+	record Known(KnownRows rows) implements HopMessage {
+	}
+
+	/**
+	 * The sender wants what it doesn't know.
+	 *
+	 * @param rows what it knows
+	 */
+	record RowsAsked(KnownRows rows) implements HopMessage {
+	}
+
+	/**
+	 * Rows of the store that the receiver may not know.
+	 *
+	 * @param config the configuration's row, or none
+	 * @param mesh rows of instances and of maps of keys
+	 */
+	record RowsTold(List<MetadataStore.Row> config, List<MetadataStore.Row> mesh) implements HopMessage {
+	}
+
 	/** Asks whether the receiver still hears. */
 	record Ping() implements HopMessage {
 	}
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopServer.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopServer.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.time.Duration;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -12,6 +13,7 @@
 import io.activej.net.socket.tcp.ITcpSocket;
 import io.activej.promise.Promise;
 import io.activej.reactor.nio.NioReactor;
+import org.brasspier.core.mesh.KnownRows;
 import org.brasspier.core.mesh.LinkDelay;
 import org.brasspier.core.mesh.SendOutcome;
 import org.brasspier.daemon.internal.peer.PeerConnection;
@@ -26,12 +28,20 @@
  */
 final class HopServer {
 
+	/**
+	 * How often a daemon says how much it knows, on a connection that is in use: often
+	 * enough to be told within half a second that it is behind.
+	 */
+	private static final long TELL_EVERY_NANOS = Duration.ofMillis(250).toNanos();
+
 	private final SimpleServer server;
 
 	private final BackendGate gate;
 
 	private final KeyKeeper keys;
 
+	private final SharedRows rows;
+
 	private final MeshLog log;
 
 	private final Set<Exchanges> connections = new HashSet<>();
@@ -40,10 +50,12 @@
 
 	private boolean stopping;
 
-	HopServer(NioReactor reactor, InetSocketAddress address, BackendGate gate, KeyKeeper keys, MeshLog log) {
+	HopServer(NioReactor reactor, InetSocketAddress address, BackendGate gate, KeyKeeper keys, SharedRows rows,
+			MeshLog log) {
 		this.server = SimpleServer.builder(reactor, this::accept).withListenAddress(address).build();
 		this.gate = gate;
 		this.keys = keys;
+		this.rows = rows;
 		this.log = log;
 	}
 
@@ -83,6 +95,8 @@
 
 		private final long openedNanos = System.nanoTime();
 
+		private long toldNanos = this.openedNanos - TELL_EVERY_NANOS;
+
 		@org.jspecify.annotations.Nullable
 		private PeerConnection connection;
 
@@ -126,6 +140,9 @@
 				case HopMessage.PromiseAsked asked -> send(HopServer.this.keys.promise(asked));
 				case HopMessage.PromiseReleased(var holder) -> HopServer.this.keys.released(holder);
 				case HopMessage.Replied ignored -> throw wrongSide();
+				case HopMessage.RowsAsked(KnownRows known) -> send(HopServer.this.rows.lacking(known));
+				case HopMessage.RowsTold told -> HopServer.this.rows.take(told);
+				case HopMessage.Known ignored -> throw wrongSide();
 				case HopMessage.Promised ignored -> throw wrongSide();
 				case HopMessage.Pong ignored -> throw wrongSide();
 				case HopMessage.Leaving ignored -> throw wrongSide();
@@ -147,9 +164,18 @@
 			outcome.whenResult((end) -> {
 				this.running.remove(exchange);
 				send(new HopMessage.Replied(exchange, end));
+				tellKnown();
 			});
 		}
 
+		private void tellKnown() {
+			long now = System.nanoTime();
+			if (now - this.toldNanos >= TELL_EVERY_NANOS) {
+				this.toldNanos = now;
+				send(new HopMessage.Known(HopServer.this.rows.known()));
+			}
+		}
+
 		private void cancel(long exchange) {
 			Cancellation cancellation = this.running.get(exchange);
 			if (cancellation != null) {
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/KeyKeeper.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/KeyKeeper.java
@@ -134,6 +134,15 @@
 				&& this.book.usable(key, map.get().holding(key), life.get(), this.clock.getAsLong());
 	}
 
+	/**
+	 * Whether a key is to go to another holder.
+	 * @param key the key
+	 * @return true if so, as far as is known
+	 */
+	boolean leaving(int key) {
+		return this.directory.keys(this.service).filter((map) -> map.holding(key).next().isPresent()).isPresent();
+	}
+
 	/**
 	 * Counts a request for a key.
 	 * @param key the key
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/MeshEvent.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/MeshEvent.java
@@ -22,6 +22,8 @@
 	CONFIG_IN_FORCE(1201),
 	/** A configuration can't be read; what was in force stays. */
 	CONFIG_UNREADABLE(1202),
+	/** Another daemon told what this one had not heard from the store. */
+	ROWS_TOLD(1203),
 	/** Another instance is there, or is there otherwise than before. */
 	MEMBER_CHANGED(1301),
 	/** The backend server beside this daemon has begun a life, leaves, or is gone. */
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/MeshNode.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/MeshNode.java
@@ -88,7 +88,8 @@
 		this.config = new ConfigHolder(adapter.config(), this.log);
 		this.desk = new BackendDesk(settings.backend(), this.log);
 		BootClock clock = new BootClock();
-		HopClient hopClient = new HopClient(reactor);
+		SharedRows shared = new SharedRows(this.config, this.directory, this.log);
+		HopClient hopClient = new HopClient(reactor, shared);
 		this.keys = new KeyKeeper(reactor, settings, this.desk, this.directory, adapter.store(), hopClient, this.config,
 				clock::nanos, health, this.log);
 		this.desk.grantsFrom((beat, now) -> this.keys.answer(beat));
@@ -98,12 +99,12 @@
 				this.log);
 		this.keys.capacityFrom(this.gate::capacity);
 		this.member = new MemberWriter(reactor, settings, this.desk, this.directory, adapter.store(), health);
-		Dispatcher dispatcher = new Dispatcher(settings, this.directory, this.config, this.gate, new HopClient(reactor),
-				this.log);
+		Dispatcher dispatcher = new Dispatcher(settings, this.directory, this.config, this.gate,
+				new HopClient(reactor, shared), this.log);
 		this.entry = new MeshEntry(adapter.callers(), this.config, dispatcher, lag, this.log, this.metrics);
 		this.callers = new CallerDoor(reactor, settings.listen().callers(), this.entry,
 				() -> this.config.get().limits());
-		this.hops = new HopServer(reactor, settings.listen().peers(), this.gate, this.keys, this.log);
+		this.hops = new HopServer(reactor, settings.listen().peers(), this.gate, this.keys, shared, this.log);
 		this.ports = new ControlPorts(reactor, this.log);
 		this.configFeed = new TableFeed(reactor, adapter.store(), adapter.config().table(), health,
 				(rows, whole) -> this.config.take(rows));
--- /dev/null
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/SharedRows.java
@@ -0,0 +1,54 @@
+package org.brasspier.daemon.internal.mesh;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import org.brasspier.core.mesh.KnownRows;
+import org.brasspier.daemon.mesh.MetadataStore;
+
+/**
+ * The rows of the store that this daemon knows, for other daemons that know fewer. A row
+ * replaces an earlier version only, wherever it comes from. Belongs to the thread of
+ * requests.
+ */
+final class SharedRows {
+
+	private final ConfigHolder config;
+
+	private final Directory directory;
+
+	private final MeshLog log;
+
+	SharedRows(ConfigHolder config, Directory directory, MeshLog log) {
+		this.config = config;
+		this.directory = directory;
+		this.log = log;
+	}
+
+	KnownRows known() {
+		return new KnownRows(this.config.rowVersion(), this.directory.version());
+	}
+
+	/**
+	 * What another daemon lacks.
+	 * @param other what it knows
+	 * @return the rows
+	 */
+	HopMessage.RowsTold lacking(KnownRows other) {
+		List<MetadataStore.Row> config = (this.config.rowVersion() > other.config())
+				? this.config.row().stream().toList() : List.of();
+		List<MetadataStore.Row> mesh = new ArrayList<>(this.directory.rowsAfter(other.mesh()));
+		return new HopMessage.RowsTold(config, mesh);
+	}
+
+	void take(HopMessage.RowsTold told) {
+		KnownRows before = known();
+		this.config.take(new MetadataStore.Rows(told.config(), 0));
+		if (!told.mesh().isEmpty()) {
+			this.directory.take(new MetadataStore.Rows(told.mesh(), 0), false);
+		}
+		this.log.record(MeshEvent.ROWS_TOLD, "config_rows", told.config().size(), "mesh_rows", told.mesh().size(),
+				"before", before, "after", known());
+	}
+
+}
