Send nothing new on a link that is not heard, before it is given up

Change: a link on which two pings went unanswered gets nothing new; its instance counts as unreachable.

--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopClient.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopClient.java
@@ -40,11 +40,12 @@
 		return peer != null && (peer.link.leaving() || unreachable(instance, now));
 	}
 
-	// Whether it could not be reached lately. A daemon that is leaving still serves what
+	// Whether it could not be reached lately, or is not heard just now. A daemon that is
+	// leaving still serves what
 	// only it can.
 	boolean unreachable(InstanceId instance, long now) {
 		Peer peer = this.peers.get(instance);
-		return peer != null && peer.failed && now - peer.failedNanos < AVOID_NANOS;
+		return peer != null && (peer.link.suspect(now) || (peer.failed && now - peer.failedNanos < AVOID_NANOS));
 	}
 
 	Promise<SendOutcome> send(Member member, Ask ask, Cancellation cancellation) {
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopLink.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopLink.java
@@ -50,6 +50,13 @@
 	 */
 	private static final long SILENCE_NANOS = LinkDelay.GIVEN_UP_AFTER.toNanos();
 
+	/**
+	 * Silent for so long, a link gets nothing new: two pings went unanswered. A lost
+	 * instance's requests then wait for half as long until they are refused or sent
+	 * elsewhere, and a daemon that is this far behind turns requests away anyway.
+	 */
+	private static final long SUSPECT_NANOS = Duration.ofMillis(200).toNanos();
+
 	/** A receiver that doesn't read must not fill this process's memory. */
 	private static final long MAX_UNSENT_BYTES = 4 << 20;
 
@@ -100,6 +107,11 @@
 		return this.closed;
 	}
 
+	// Whether something waits and nothing has come for a while.
+	boolean suspect(long now) {
+		return anybodyWaits() && now - this.heardNanos >= SUSPECT_NANOS;
+	}
+
 	boolean leaving() {
 		return this.leaving || this.stopping;
 	}
--- /dev/null
+++ b/daemon/src/test/java/org/brasspier/daemon/internal/mesh/HopClientTests.java
@@ -0,0 +1,86 @@
+package org.brasspier.daemon.internal.mesh;
+
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Predicate;
+
+import com.codahale.metrics.MetricRegistry;
+import io.activej.eventloop.Eventloop;
+import io.vavr.control.Either;
+import org.brasspier.core.Failure;
+import org.brasspier.core.FailureDomain;
+import org.brasspier.core.InstanceId;
+import org.brasspier.core.ServiceName;
+import org.brasspier.core.mesh.RoutingConfig;
+import org.brasspier.daemon.mesh.ConfigSource;
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+
+class HopClientTests {
+
+	private static final InstanceId OTHER = new InstanceId("other");
+
+	private final Eventloop loop = Eventloop.create();
+
+	private HopClient client() {
+		MeshLog log = new MeshLog(new InstanceId("self"), new MetricRegistry());
+		ConfigSource none = new ConfigSource() {
+
+			@Override
+			public String table() {
+				return "none";
+			}
+
+			@Override
+			public String key() {
+				return "none";
+			}
+
+			@Override
+			public Either<Failure, RoutingConfig> read(byte[] value) {
+				return Either.right(RoutingConfig.NONE);
+			}
+
+		};
+		return new HopClient(this.loop, new SharedRows(new ConfigHolder(none, log), new Directory(log), log));
+	}
+
+	/**
+	 * An instance is lost while requests are on their way to it: its connections stay
+	 * open and nothing comes. Each request that came in the next 400 ms was sent after
+	 * them and held as long, though two pings had gone unanswered by half that time.
+	 */
+	@Test
+	void anInstanceThatIsNotHeardIsAvoidedBeforeItsConnectionIsGivenUp() throws Exception {
+		try (ServerSocket silent = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+			HopClient client = client();
+			Member member = new Member(OTHER, (InetSocketAddress) silent.getLocalSocketAddress(),
+					new FailureDomain("z"), new ServiceName("keyed"), Optional.empty(), 1, true);
+			CompletableFuture<Boolean> avoidedWhileOpen = new CompletableFuture<>();
+			this.loop.keepAlive(true);
+			Thread thread = Thread.ofPlatform().start(this.loop);
+			this.loop.execute(() -> {
+				Predicate<InstanceId> avoided = (instance) -> client.avoided(instance, System.nanoTime());
+				client.askPromise(member, new InstanceId("self"), 1).whenResult(() -> avoidedWhileOpen.complete(false));
+				look(avoided, avoidedWhileOpen);
+			});
+			assertThat(avoidedWhileOpen.get()).isTrue();
+			this.loop.execute(() -> this.loop.keepAlive(false));
+			thread.join();
+		}
+	}
+
+	private void look(Predicate<InstanceId> avoided, CompletableFuture<Boolean> found) {
+		if (avoided.test(OTHER)) {
+			found.complete(true);
+		}
+		else if (!found.isDone()) {
+			this.loop.delay(5L, () -> look(avoided, found));
+		}
+	}
+
+}
