--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/ConfigHolder.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/ConfigHolder.java
@@ -1,5 +1,6 @@
 package org.brasspier.daemon.internal.mesh;
 
+import java.time.Duration;
 import java.util.Optional;
 import java.util.function.Supplier;
 
@@ -24,6 +25,8 @@
 
 	private Optional<MetadataStore.Row> row = Optional.empty();
 
+	private long sinceNanos;
+
 	ConfigHolder(ConfigSource source, MeshLog log) {
 		this.source = source;
 		this.log = log;
@@ -41,6 +44,10 @@
 			.forEach((each) -> each.value().ifPresent((value) -> take(each, value)));
 	}
 
+	long millisInForce() {
+		return this.row.isPresent() ? Duration.ofNanos(System.nanoTime() - this.sinceNanos).toMillis() : 0;
+	}
+
 	// The row that the configuration in force was read from.
 	Optional<MetadataStore.Row> row() {
 		return this.row;
@@ -62,6 +69,7 @@
 					this.inForce.version(), "bytes", value.length, "routes", read.get().summary());
 			this.inForce = read.get();
 			this.row = Optional.of(from);
+			this.sinceNanos = System.nanoTime();
 		}
 	}
 
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/KeyKeeper.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/KeyKeeper.java
@@ -111,6 +111,14 @@
 		this.loads.capacityFrom(source);
 	}
 
+	long leaseMillisLeft() {
+		return Duration.ofNanos(this.lease.remainingNanos(this.clock.getAsLong())).toMillis();
+	}
+
+	int spansHeld() {
+		return this.directory.keys(this.service).map((map) -> map.of(this.self).size()).orElse(0);
+	}
+
 	void start() {
 		this.reactor.delayBackground(STEP, () -> {
 			step();
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/LagTimer.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/LagTimer.java
@@ -35,6 +35,11 @@
 		return this.lag;
 	}
 
+	// How far the loop is behind; 0 while no requests come.
+	long lagMillis() {
+		return this.running ? Duration.ofNanos(this.lag.lagNanos(System.nanoTime())).toMillis() : 0;
+	}
+
 	private void tickLater(long now) {
 		long due = now + LoopLag.TICK.toNanos();
 		this.reactor.delay(LoopLag.TICK, () -> {
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/MeshEntry.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/MeshEntry.java
@@ -91,6 +91,7 @@
 	private Answer refused(RawRequest raw, MeshRequest request, Failure failure) {
 		this.log.record(MeshEvent.REQUEST_REFUSED, "request", request.id(), "reason", failure.kind(), "detail",
 				failure.detail(), "config", this.config.get().version());
+		this.metrics.counter("requests.failed.not_run." + failure.kind()).inc();
 		boolean later = failure.kind() != ErrorKind.NO_ROUTE;
 		return this.protocol.failed(raw, later ? withPause(failure, request.remainingMillis()) : failure);
 	}
@@ -98,6 +99,7 @@
 	private Answer answer(RawRequest raw, MeshRequest request, RouteRule route, SendOutcome outcome, long begun) {
 		long tookMillis = (System.nanoTime() - begun) / NANOS_PER_MILLI;
 		this.metrics.histogram("request.millis").update(tookMillis);
+		this.metrics.counter(outcomeName(outcome)).inc();
 		return switch (outcome) {
 			case SendOutcome.Answered(Answer answer) -> {
 				log(MeshEvent.REQUEST_ANSWERED, request, route, "status " + answer.status(), tookMillis);
@@ -114,6 +116,15 @@
 		};
 	}
 
+	// One counter for each kind of error, of which there is a closed list.
+	private static String outcomeName(SendOutcome outcome) {
+		return switch (outcome) {
+			case SendOutcome.Answered ignored -> "requests.answered";
+			case SendOutcome.NotRun(Failure failure, boolean reached) -> "requests.failed.not_run." + failure.kind();
+			case SendOutcome.Unknown(Failure failure) -> "requests.failed." + failure.kind();
+		};
+	}
+
 	private void log(MeshEvent event, MeshRequest request, RouteRule route, String outcome, long tookMillis) {
 		this.log.record(event, "request", request.id(), "route", route.name(), "key", request.key().orElse(-1),
 				"outcome", outcome, "took_ms", tookMillis, "deadline_ms", request.remainingMillis(), "config",
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/MeshNode.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/MeshNode.java
@@ -83,7 +83,7 @@
 		this.settings = settings;
 		this.adapter = adapter;
 		this.log = new MeshLog(settings.instance(), this.metrics);
-		StoreHealth health = new StoreHealth(this.log);
+		StoreHealth health = new StoreHealth(this.log, this.metrics);
 		this.directory = new Directory(this.log);
 		this.config = new ConfigHolder(adapter.config(), this.log);
 		this.desk = new BackendDesk(settings.backend(), this.log);
@@ -105,6 +105,10 @@
 		this.callers = new CallerDoor(reactor, settings.listen().callers(), this.entry,
 				() -> this.config.get().limits());
 		this.hops = new HopServer(reactor, settings.listen().peers(), this.gate, this.keys, shared, this.log);
+		new MeshGauges(this.metrics).gate(this.gate, this.desk)
+			.keys(this.keys)
+			.known(this.config, this.directory)
+			.process(lag);
 		this.ports = new ControlPorts(reactor, this.log);
 		this.configFeed = new TableFeed(reactor, adapter.store(), adapter.config().table(), health,
 				(rows, whole) -> this.config.take(rows));
--- a/daemon/src/main/java/org/brasspier/daemon/internal/operator/MetricHelp.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/operator/MetricHelp.java
@@ -11,6 +11,8 @@
 
 	private static final String FAILED = "requests.failed.";
 
+	private static final String EVENTS = "events.";
+
 	private static final String DUTY = "duty_cpu_millis_";
 
 	private static final Map<String, String> TEXTS = Map.ofEntries(
@@ -31,6 +33,22 @@
 			Map.entry("callers.malformed", "requests of callers that were malformed"),
 			Map.entry("backend.malformed", "calls of the backend server that were malformed"),
 			Map.entry("peers.refused", "connections of other daemons that were refused or malformed"),
+			Map.entry("gate_running", "requests at which the backend server is"),
+			Map.entry("gate_waiting", "requests that wait for the backend server"),
+			Map.entry("backend_slots", "requests that the backend server runs at once"),
+			Map.entry("backend_ready", "1 while the backend server takes work, else 0"),
+			Map.entry("mesh_lease_millis_left", "milliseconds for which this instance may grant keys"),
+			Map.entry("mesh_spans_held", "spans of keys that are this instance's by the newest known map"),
+			Map.entry("config_version", "version of the operators' configuration in force"),
+			Map.entry("config_millis_in_force", "milliseconds since it came into force here"),
+			Map.entry("mesh_instances_known", "instances that this daemon knows"),
+			Map.entry("mesh_rows_version", "newest version among the rows of instances and keys known here"),
+			Map.entry("start_time_millis", "when this process started, in milliseconds of the Unix epoch"),
+			Map.entry("loop_lag_millis", "milliseconds that the thread of requests is behind"),
+			Map.entry("store.calls.answered", "calls of the platform's store that were answered"),
+			Map.entry("store.calls.failed", "calls of the platform's store that were not answered, or refused"),
+			Map.entry("request.millis", "milliseconds from reading a request to its answer"),
+			Map.entry("log.dropped", "log lines left out since too many of one kind came"),
 			Map.entry("requests.answered", "requests of callers that were answered"));
 
 	private MetricHelp() {
@@ -41,6 +59,10 @@
 			return Optional.of("processor time of the thread of %s since the start, in milliseconds"
 				.formatted(metric.substring(DUTY.length())));
 		}
+		if (metric.startsWith(EVENTS)) {
+			return Optional.of("events of the kind %s; docs/OPERATIONS.md lists them"
+				.formatted(metric.substring(EVENTS.length())));
+		}
 		return (metric.startsWith(FAILED))
 				? Optional.of("requests of callers that ended with the error " + metric.substring(FAILED.length()))
 				: Optional.ofNullable(TEXTS.get(metric));
