Take a daemon that left and is back for what it is now

'I am leaving' was kept with the connection on which it was said, and a closed one was replaced only on the next send, which never came, since who leaves is sent nothing. After a planned restart a backend server rested for good unless all others failed. Change: what was said on a closed connection counts no more.

--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopLink.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopLink.java
@@ -112,8 +112,11 @@
 		return anybodyWaits() && now - this.heardNanos >= SUSPECT_NANOS;
 	}
 
+	// Whether the other daemon is about to stop. What a daemon said on a connection that
+	// is gone says nothing of the one that has started in its place: taken for leaving
+	// still, an instance got nothing from the others for good after a planned restart.
 	boolean leaving() {
-		return this.leaving || this.stopping;
+		return !this.closed && (this.leaving || this.stopping);
 	}
 
 	Promise<SendOutcome> send(Ask ask, Cancellation cancellation) {
--- a/daemon/src/test/java/org/brasspier/daemon/internal/mesh/HopClientTests.java
+++ b/daemon/src/test/java/org/brasspier/daemon/internal/mesh/HopClientTests.java
@@ -1,10 +1,14 @@
 package org.brasspier.daemon.internal.mesh;
 
+import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
+import java.net.Socket;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
 
 import com.codahale.metrics.MetricRegistry;
@@ -74,6 +78,42 @@
 		}
 	}
 
+	/**
+	 * A daemon is stopped as planned and started again. It had told the others that it
+	 * leaves, and they took it for leaving for as long as they ran: its backend server
+	 * rested while the others of its service refused a third of the lookups.
+	 */
+	@Test
+	void aDaemonThatLeftAndIsBackIsNoLongerAvoided() throws Exception {
+		try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+			CompletableFuture.runAsync(() -> sayLeavingAndClose(server));
+			HopClient client = client();
+			Member member = new Member(OTHER, (InetSocketAddress) server.getLocalSocketAddress(),
+					new FailureDomain("z"), new ServiceName("keyed"), Optional.empty(), 1, true);
+			CompletableFuture<Boolean> avoidedAtFirst = new CompletableFuture<>();
+			CompletableFuture<Boolean> noLonger = new CompletableFuture<>();
+			this.loop.keepAlive(true);
+			Thread thread = Thread.ofPlatform().start(this.loop);
+			this.loop.execute(() -> client.askPromise(member, new InstanceId("self"), 1).whenResult(() -> {
+				avoidedAtFirst.complete(client.avoided(OTHER, System.nanoTime()));
+				look((instance) -> !client.avoided(instance, System.nanoTime()), noLonger);
+			}));
+			assertThat(avoidedAtFirst.get()).isTrue();
+			assertThat(noLonger.get(30, TimeUnit.SECONDS)).isTrue();
+			this.loop.execute(() -> this.loop.keepAlive(false));
+			thread.join();
+		}
+	}
+
+	private static void sayLeavingAndClose(ServerSocket server) {
+		try (Socket socket = server.accept()) {
+			socket.getOutputStream().write(HopCodec.encode(new HopMessage.Leaving()));
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+	}
+
 	private void look(Predicate<InstanceId> avoided, CompletableFuture<Boolean> found) {
 		if (avoided.test(OTHER)) {
 			found.complete(true);
