Grant no hold longer than the platform allows

Cause: the bound on holds was read from the settings and used nowhere. Where it is under four seconds, backend servers would reject each answer whole and no key would be served. Change: holds and promises are no longer than the bound.

--- a/core/src/main/java/org/brasspier/core/keys/LeaseTiming.java
+++ b/core/src/main/java/org/brasspier/core/keys/LeaseTiming.java
@@ -42,6 +42,16 @@
 		}
 	}
 
+	/**
+	 * These times where the platform bounds a hold.
+	 * @param most the longest hold that backend servers accept
+	 * @return times with a hold, and a promise, no longer than that
+	 */
+	public LeaseTiming holdingAtMost(Duration most) {
+		boolean shorter = most.compareTo(this.hold) < 0;
+		return shorter ? new LeaseTiming(this.lease, this.renewEvery, most, most, this.drift) : this;
+	}
+
 	/**
 	 * The longest time that something granted for a while may last by another clock.
 	 * @param nanos the time granted, in nanoseconds
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/KeyKeeper.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/KeyKeeper.java
@@ -96,9 +96,10 @@
 		this.config = config;
 		this.clock = clock;
 		long now = clock.getAsLong();
-		this.book = new GrantBook(this.self, LeaseTiming.DEFAULT, now);
-		this.lease = new LeaseRenewal(reactor, settings, directory, store, hops, health, log, clock,
-				LeaseTiming.DEFAULT, this::step);
+		LeaseTiming timing = LeaseTiming.DEFAULT.holdingAtMost(settings.bounds().maxHold());
+		this.book = new GrantBook(this.self, timing, now);
+		this.lease = new LeaseRenewal(reactor, settings, directory, store, hops, health, log, clock, timing,
+				this::step);
 		this.writer = new KeyMapWriter(reactor, this.self, this.service, directory, store, health, log, clock,
 				this::step);
 		this.loads = new LoadReports(this.self, directory, hops, now);
