Draw a process's number so that no two processes of an instance share it; comments

Cause: a deputy is known by a number that its process draws; machines that start from one image may draw the same twice, and the second process would then answer for what the first had promised. Change: the clock that runs through suspensions is part of the number. Comments that the formatter had broken are joined.

--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/BackendGate.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/BackendGate.java
@@ -142,8 +142,7 @@
 		}
 		followConfig();
 		// Not less than what is left: what runs would be broken off before its caller's
-		// time is
-		// over. What waited for this loop counts as held up on the way.
+		// time is over. What waited for this loop counts as held up on the way.
 		long remaining = Math.max(0, ask.request().remainingMillis() - heldUpNanos / NANOS_PER_MILLI);
 		Order order = new Order(ask, cancellation, now + remaining * NANOS_PER_MILLI);
 		long number = this.nextNumber++;
@@ -303,9 +302,8 @@
 	private static RunOutcome runOutcome(SendOutcome outcome, BackendReply reply) {
 		return switch (outcome) {
 			case SendOutcome.Answered ignored -> RunOutcome.ANSWERED;
-			// Slots are counted exactly here, so a server that declines is at fault
-			// rather
-			// than full. Taken for full, a server that declined half of all requests at
+			// Slots are counted exactly here, so a server that declines is at fault and
+			// not full. Taken for full, a server that declined half of all requests at
 			// random was given ever fewer, and a half of what it could run went unserved.
 			case SendOutcome.NotRun ignored -> RunOutcome.NOT_BEGUN;
 			case SendOutcome.Unknown ignored ->
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/Deputies.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/Deputies.java
@@ -75,9 +75,8 @@
 		candidates.stream()
 			.filter((member) -> enough && named.get().equals(member.instance()))
 			.forEach((member) -> ask(member, now));
-		// Others are asked too: one of them is named at once when the deputy falls
-		// silent,
-		// and just after an outage only who answers is given keys.
+		// One of the others is named at once when the deputy falls silent, and just
+		// after an outage only who answers is given keys.
 		candidates.stream()
 			.filter((member) -> !enough || !named.get().equals(member.instance()))
 			.limit(MOST_ASKED)
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/KeyKeeper.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/KeyKeeper.java
@@ -328,8 +328,7 @@
 	}
 
 	// Whoever sees a lease end takes its keys, not only the one that plans: that one may
-	// have come after the loss, and has to watch for a whole lease first, while others
-	// have
+	// have come after the loss, and has to watch for a whole lease first. Others have
 	// watched all along. The store lets one of them win.
 	private boolean planLost(KeyMap map, List<KeyHolder> holders, long now) {
 		Map<InstanceId, Long> lost = new HashMap<>();
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/LeaseRenewal.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/LeaseRenewal.java
@@ -115,7 +115,7 @@
 		this.mapRead = mapRead;
 		this.lease = new OwnLease(timing);
 		this.promises = new PromiseBook(timing);
-		this.process = new Deputy(this.self, new SecureRandom().nextLong());
+		this.process = new Deputy(this.self, processNumber(clock));
 		this.watch = new LeaseWatch(timing, this.process, this.promises);
 		this.deputies = new Deputies(settings, directory, hops, this.lease, clock);
 		long now = clock.getAsLong();
@@ -123,6 +123,13 @@
 		this.lookedNanos = now - LOOK_EVERY_NANOS;
 	}
 
+	// No two processes of an instance may have the same, or one would answer for what the
+	// other promised. The clock sees to that where machines start from one image and draw
+	// the same numbers.
+	private static long processNumber(LongSupplier clock) {
+		return new SecureRandom().nextLong() ^ clock.getAsLong();
+	}
+
 	// Whether the own lease's row was read, so that conditions can name its version.
 	boolean rowKnown() {
 		return this.rowKnown;
