Grant keys by calls to backend servers where the platform asks for it

Cause: servers of the Riga deployment take grants and releases as calls; the daemons put them into answers to heartbeats, which those servers ignore.

Change: GrantDelivery says how grants travel, from the settings or the configuration. Unanswered grants may take effect late, so no release of their keys counts until they have run out, also for those of the process before this one. The stand-in speaks the calls, refuses older fences, carries grants out late and checks that no key is worked on by two servers.

--- a/core/src/main/java/org/brasspier/core/keys/GrantBook.java
+++ b/core/src/main/java/org/brasspier/core/keys/GrantBook.java
@@ -39,6 +39,8 @@
 
 	private Map<KeySpan, String> letGo = new HashMap<>();
 
+	private final List<LateGrant> lateGrants = new ArrayList<>();
+
 	/**
 	 * Creates a book with nothing in it. A process before this one may have granted
 	 * anything until now.
@@ -62,11 +64,10 @@
 	 * renewed and nothing is taken away
 	 */
 	public Optional<GrantAnswer> answer(KeyMap map, HoldReport report, long leaseNanos, long now) {
-		List<KeyHolding> own = map.of(this.self).stream().filter((held) -> held.life().equals(report.life())).toList();
-		follow(own);
+		List<KeyHolding> own = following(map, report.life());
 		noteReleases(own, report);
-		long hold = Math.min(this.timing.hold().toNanos(), this.timing.within(leaseNanos));
-		if (hold < SHORTEST_HOLD_NANOS) {
+		long hold = hold(leaseNanos);
+		if (hold == 0) {
 			return Optional.empty();
 		}
 		List<KeyGrant> grants = new ArrayList<>();
@@ -84,10 +85,77 @@
 		return Optional.of(new GrantAnswer(grants, Duration.ofNanos(hold)));
 	}
 
+	/**
+	 * The hold that may be granted now.
+	 * @param leaseNanos how long this instance's lease goes on
+	 * @return nanoseconds; 0 if it would be too short
+	 */
+	long hold(long leaseNanos) {
+		long hold = Math.min(this.timing.hold().toNanos(), this.timing.within(leaseNanos));
+		return (hold < SHORTEST_HOLD_NANOS) ? 0 : hold;
+	}
+
+	/**
+	 * Takes the map that is in force.
+	 * @param map who holds what
+	 * @param life the life of the backend server
+	 * @return this life's holdings
+	 */
+	List<KeyHolding> following(KeyMap map, BackendLife life) {
+		List<KeyHolding> own = map.of(this.self).stream().filter((held) -> held.life().equals(life)).toList();
+		follow(own);
+		return own;
+	}
+
+	// When a holding can't be used any more unless it is granted again.
+	long endNanos(KeyHolding held, long now) {
+		return Optional.ofNullable(this.granted.get(held.span()))
+			.filter((grant) -> grant.fence == held.fence().value() && grant.live(now))
+			.map(Granted::endNanos)
+			.orElse(now);
+	}
+
+	// What goes along with a grant. Keys that were released and are to stay after all
+	// keep what their server handed over.
+	String handover(KeyHolding held) {
+		return this.letGo.getOrDefault(held.span(), held.handover());
+	}
+
+	boolean letGo(KeyHolding held) {
+		return this.letGo.containsKey(held.span());
+	}
+
+	// The hold began between the sending of the call and its answer.
+	void granted(GrantCall.Grant call, long sentNanos, long now) {
+		long hold = call.hold().toNanos();
+		Granted before = this.granted.get(call.span());
+		long certainEnd = now + this.timing.atMost(hold);
+		if (before != null && before.certainEndNanos - certainEnd > 0) {
+			certainEnd = before.certainEndNanos;
+		}
+		this.letGo.remove(call.span());
+		this.granted.put(call.span(), new Granted(call.fence().value(), now, sentNanos + hold, certainEnd));
+	}
+
+	void released(KeySpan span, String handover) {
+		this.letGo.put(span, handover);
+	}
+
+	// It counts from when it arrived, which was before it was given up.
+	void mayBeGrantedLate(GrantCall.Grant call, long now) {
+		this.lateGrants.add(new LateGrant(call.span(), now + this.timing.atMost(call.hold().toNanos())));
+	}
+
+	// A process before this one may have sent grants that were not answered.
+	void predecessorMayBeGrantedLate() {
+		KeySpan all = new KeySpan(0, KeySpan.LAST_KEY);
+		this.lateGrants.add(new LateGrant(all, this.startedNanos + this.timing.atMost(this.timing.hold().toNanos())));
+	}
+
 	// The server lets go of what an answer leaves out, so nothing is handed to it after
 	// that. Until then it goes on: stopping as soon as a move is planned left the keys
 	// unserved for half a heartbeat's interval more.
-	private void withhold(KeySpan span, long now) {
+	void withhold(KeySpan span, long now) {
 		this.granted.computeIfPresent(span, (key, grant) -> grant.until(now));
 	}
 
@@ -160,6 +228,10 @@
 	 * @return what it handed over, empty text if nothing; empty if it may still hold it
 	 */
 	public Optional<String> released(KeyHolding holding, long now) {
+		this.lateGrants.removeIf((late) -> now - late.certainEndNanos >= 0);
+		if (this.lateGrants.stream().anyMatch((late) -> late.span.overlaps(holding.span()))) {
+			return Optional.empty();
+		}
 		String handover = this.letGo.get(holding.span());
 		if (handover != null) {
 			return Optional.of(handover);
@@ -173,6 +245,15 @@
 		return (now - until >= 0) ? Optional.of("") : Optional.empty();
 	}
 
+	/**
+	 * A grant without an answer, which may take effect until it would have run out.
+	 *
+	 * @param span its keys
+	 * @param certainEndNanos when it has ended by any clock
+	 */
+	private record LateGrant(KeySpan span, long certainEndNanos) {
+	}
+
 	/**
 	 * A grant.
 	 *
--- /dev/null
+++ b/core/src/main/java/org/brasspier/core/keys/GrantDelivery.java
@@ -0,0 +1,21 @@
+package org.brasspier.core.keys;
+
+/**
+ * How a backend server receives its grants. Immutable and thread-safe.
+ */
+public sealed interface GrantDelivery {
+
+	/**
+	 * Grants are part of the answer to each heartbeat, and the next heartbeat says what
+	 * was released.
+	 */
+	record InHeartbeats() implements GrantDelivery {
+	}
+
+	/**
+	 * Each grant and each release is a call to the backend server.
+	 */
+	record ByCall() implements GrantDelivery {
+	}
+
+}
--- a/core/src/main/java/org/brasspier/core/mesh/ServiceRule.java
+++ b/core/src/main/java/org/brasspier/core/mesh/ServiceRule.java
@@ -1,6 +1,9 @@
 package org.brasspier.core.mesh;
 
+import java.util.Optional;
+
 import org.brasspier.core.ServiceName;
+import org.brasspier.core.keys.GrantDelivery;
 
 /**
  * One service of the configuration. Immutable and thread-safe.
@@ -8,8 +11,10 @@
  * @param name the service's name
  * @param maxConnections how many connections one backend server accepts, at least 1
  * @param byKey whether its backend servers run a request only while they hold its key
+ * @param grants how its backend servers receive grants of keys; empty if the settings of
+ * each daemon say so
  */
-public record ServiceRule(ServiceName name, int maxConnections, boolean byKey) {
+public record ServiceRule(ServiceName name, int maxConnections, boolean byKey, Optional<GrantDelivery> grants) {
 
 	/**
 	 * Checks the rule.
--- /dev/null
+++ b/core/src/test/java/org/brasspier/core/keys/GrantModelTests.java
@@ -0,0 +1,35 @@
+package org.brasspier.core.keys;
+
+import java.util.stream.LongStream;
+import java.util.stream.Stream;
+
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+
+import static com.google.common.truth.Truth.assertWithMessage;
+
+class GrantModelTests {
+
+	static Stream<GrantDelivery> deliveries() {
+		return Stream.of(new GrantDelivery.InHeartbeats(), new GrantDelivery.ByCall());
+	}
+
+	/** Guards against two servers that hold one key while grants are carried out late. */
+	@ParameterizedTest
+	@MethodSource("deliveries")
+	void noKeyHasTwoHoldersWhateverIsLostOrCarriedOutLate(GrantDelivery delivery) {
+		int moves = 0;
+		int lateGrants = 0;
+		for (long seed : LongStream.range(0, 40).toArray()) {
+			GrantModel model = new GrantModel(seed, delivery);
+			model.play();
+			assertWithMessage("seed %s", seed).that(model.violations()).isEmpty();
+			moves += model.moves();
+			lateGrants += model.lateGrants();
+		}
+		assertWithMessage("keys moved").that(moves).isGreaterThan(1000);
+		boolean byCall = delivery instanceof GrantDelivery.ByCall;
+		assertWithMessage("grants carried out late").that(lateGrants).isAtLeast(byCall ? 1000 : 0);
+	}
+
+}
--- a/core/src/test/java/org/brasspier/core/mesh/RoutingConfigTests.java
+++ b/core/src/test/java/org/brasspier/core/mesh/RoutingConfigTests.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 
 import org.brasspier.core.RequestClass;
 import org.brasspier.core.ServiceName;
@@ -14,7 +15,7 @@
 
 	private static final ServiceName HULLS = new ServiceName("hulls");
 
-	private static final ServiceRule SERVICE = new ServiceRule(HULLS, 120, true);
+	private static final ServiceRule SERVICE = new ServiceRule(HULLS, 120, true, Optional.empty());
 
 	private static RouteRule route(String name, String prefix, int rank) {
 		return new RouteRule(name, "host", prefix, true, Duration.ofMillis(500), Duration.ofMillis(200), rank,
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/Directory.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/Directory.java
@@ -1,5 +1,6 @@
 package org.brasspier.daemon.internal.mesh;
 
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
@@ -27,12 +28,19 @@
 
 	private final Map<ServiceName, Entry<KeyMap>> keys = new HashMap<>();
 
+	private final List<Runnable> listeners = new ArrayList<>();
+
 	private boolean known;
 
 	Directory(MeshLog log) {
 		this.log = log;
 	}
 
+	// Called after each change of who holds which keys.
+	void listen(Runnable listener) {
+		this.listeners.add(listener);
+	}
+
 	void take(MetadataStore.Rows rows, boolean whole) {
 		if (whole) {
 			List<String> there = rows.rows().stream().map(MetadataStore.Row::key).toList();
@@ -96,6 +104,7 @@
 		Entry<KeyMap> before = this.keys.get(service);
 		if (before == null || before.version < version) {
 			this.keys.put(service, new Entry<>(map, version));
+			this.listeners.forEach(Runnable::run);
 		}
 	}
 
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/KeyKeeper.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/KeyKeeper.java
@@ -18,6 +18,7 @@
 import org.brasspier.core.keys.BackendLife;
 import org.brasspier.core.keys.GrantAnswer;
 import org.brasspier.core.keys.GrantBook;
+import org.brasspier.core.keys.GrantDelivery;
 import org.brasspier.core.keys.HolderLoad;
 import org.brasspier.core.keys.KeyBalance;
 import org.brasspier.core.keys.KeyHolder;
@@ -26,6 +27,8 @@
 import org.brasspier.core.keys.KeyPlanner;
 import org.brasspier.core.keys.LeaseTiming;
 import org.brasspier.core.mesh.RoutingConfig;
+import org.brasspier.core.mesh.ServiceRule;
+import org.brasspier.daemon.mesh.GrantProtocol;
 import org.brasspier.daemon.mesh.Heartbeat;
 import org.brasspier.daemon.mesh.MeshSettings;
 import org.brasspier.daemon.mesh.MetadataStore;
@@ -80,6 +83,12 @@
 
 	private final KeyMapWriter writer;
 
+	private final GrantDelivery delivery;
+
+	private final GrantSender sender;
+
+	private boolean stepPosted;
+
 	private final LoadReports loads;
 
 	private Set<InstanceId> latestHolders = Set.of();
@@ -87,7 +96,8 @@
 	private long holdersSinceNanos;
 
 	KeyKeeper(NioReactor reactor, MeshSettings settings, BackendDesk desk, Directory directory, MetadataStore store,
-			HopClient hops, Supplier<RoutingConfig> config, LongSupplier clock, StoreHealth health, MeshLog log) {
+			GrantProtocol grants, HopClient hops, Supplier<RoutingConfig> config, LongSupplier clock,
+			StoreHealth health, MeshLog log) {
 		this.reactor = reactor;
 		this.self = settings.instance();
 		this.service = settings.backend().service();
@@ -102,9 +112,13 @@
 				this::step);
 		this.writer = new KeyMapWriter(reactor, this.self, this.service, directory, store, health, log, clock,
 				this::step);
+		this.delivery = settings.backend().grants();
+		this.sender = new GrantSender(reactor, settings.backend().address(), grants, desk, this.book, clock, log,
+				this::step);
 		this.loads = new LoadReports(this.self, directory, hops, now);
 		this.holdersSinceNanos = now;
 		desk.listen(this::step);
+		directory.listen(this::stepSoon);
 	}
 
 	// How many requests a second the backend server can run.
@@ -127,6 +141,22 @@
 		});
 	}
 
+	// Once for all changes of one turn of the loop.
+	private void stepSoon() {
+		if (!this.stepPosted) {
+			this.stepPosted = true;
+			this.reactor.post(() -> {
+				this.stepPosted = false;
+				step();
+			});
+		}
+	}
+
+	// The operators' word for the service goes before the settings of this process.
+	private GrantDelivery delivery() {
+		return this.config.get().service(this.service).flatMap(ServiceRule::grants).orElse(this.delivery);
+	}
+
 	private boolean byKey() {
 		return this.config.get().service(this.service).filter((rule) -> rule.byKey()).isPresent();
 	}
@@ -161,6 +191,13 @@
 	}
 
 	Optional<GrantAnswer> answer(Heartbeat beat) {
+		return switch (delivery()) {
+			case GrantDelivery.InHeartbeats ignored -> answerWithGrants(beat);
+			case GrantDelivery.ByCall ignored -> Optional.empty();
+		};
+	}
+
+	private Optional<GrantAnswer> answerWithGrants(Heartbeat beat) {
 		Optional<KeyMap> map = this.directory.keys(this.service);
 		if (!byKey() || map.isEmpty() || !this.lease.mapTrusted()) {
 			return Optional.empty();
@@ -179,11 +216,26 @@
 		}
 		long now = this.clock.getAsLong();
 		this.lease.step(leasesThatMatter(), !this.desk.dead(), now);
+		sendGrants(now);
 		if (!this.writer.busy() && this.lease.rowKnown()) {
 			plan(now);
 		}
 	}
 
+	private void sendGrants(long now) {
+		switch (delivery()) {
+			case GrantDelivery.ByCall ignored when this.lease.mapTrusted() -> this.directory.keys(this.service)
+				.ifPresent(
+						(map) -> this.sender.step(map, this.desk.life().orElseThrow(), this.lease.remainingNanos(now)));
+			case GrantDelivery.ByCall ignored -> {
+				// Another instance may hold what the known map says is this one's.
+			}
+			case GrantDelivery.InHeartbeats ignored -> {
+				// They go with the answer to the next heartbeat.
+			}
+		}
+	}
+
 	// Of those that have keys, and of those that might be given some.
 	private Set<InstanceId> leasesThatMatter() {
 		Stream<InstanceId> owners = this.directory.keys(this.service)
@@ -272,6 +324,12 @@
 			this.writer.write(renewedLife.get(), "new life");
 			return true;
 		}
+		List<KeyHolding> superseded = map.of(this.self).stream().filter(this.sender::needsNewFence).toList();
+		if (!superseded.isEmpty()) {
+			KeyHolder own = new KeyHolder(this.self, this.desk.life().orElseThrow());
+			this.writer.write(map.moved(superseded::contains, (held) -> own, KeyHolding::handover), "new fence");
+			return true;
+		}
 		Optional<KeyMap> handedOver = handedOver(map, holders, now);
 		if (handedOver.isPresent()) {
 			this.writer.write(handedOver.get(), "handed over");
@@ -308,7 +366,10 @@
 
 	// A server that is dead holds nothing, whatever it was granted.
 	private Optional<String> released(KeyHolding held, long now) {
-		return this.desk.dead() ? Optional.of("") : this.book.released(held, now);
+		if (this.desk.dead()) {
+			return Optional.of("");
+		}
+		return this.sender.granting(held.span()) ? Optional.empty() : this.book.released(held, now);
 	}
 
 	/**
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/MeshEvent.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/MeshEvent.java
@@ -38,6 +38,8 @@
 	LEASE_LOST(1503),
 	/** Another instance, or nobody, may take this one's keys early from now on. */
 	LEASE_DEPUTY(1504),
+	/** The backend server did not carry out a grant or a release. */
+	GRANT_FAILED(1505),
 	/** A request was answered by a backend server. */
 	REQUEST_ANSWERED(2001),
 	/** A request was refused and did not run. */
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/MeshNode.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/MeshNode.java
@@ -90,8 +90,8 @@
 		BootClock clock = new BootClock();
 		SharedRows shared = new SharedRows(this.config, this.directory, this.log);
 		HopClient hopClient = new HopClient(reactor, shared);
-		this.keys = new KeyKeeper(reactor, settings, this.desk, this.directory, adapter.store(), hopClient, this.config,
-				clock::nanos, health, this.log);
+		this.keys = new KeyKeeper(reactor, settings, this.desk, this.directory, adapter.store(), adapter.grants(),
+				hopClient, this.config, clock::nanos, health, this.log);
 		this.desk.grantsFrom((beat, now) -> this.keys.answer(beat));
 		LagTimer lag = new LagTimer(reactor);
 		BackendPool pool = new BackendPool(reactor, settings.backend().address(), MAX_ANSWER_BYTES);
--- a/daemon/src/main/java/org/brasspier/daemon/mesh/MeshSettings.java
+++ b/daemon/src/main/java/org/brasspier/daemon/mesh/MeshSettings.java
@@ -7,6 +7,7 @@
 import org.brasspier.core.FailureDomain;
 import org.brasspier.core.InstanceId;
 import org.brasspier.core.ServiceName;
+import org.brasspier.core.keys.GrantDelivery;
 
 /**
  * What a daemon of a mesh learns before it starts. Immutable and thread-safe.
@@ -39,8 +40,11 @@
 	 * @param service its service
 	 * @param address where it listens
 	 * @param heartbeatEvery how often it sends a heartbeat, about
+	 * @param grants how it receives grants of keys, unless the configuration says
+	 * otherwise for its service
 	 */
-	public record Backend(ServiceName service, InetSocketAddress address, Duration heartbeatEvery) {
+	public record Backend(ServiceName service, InetSocketAddress address, Duration heartbeatEvery,
+			GrantDelivery grants) {
 	}
 
 	/**
