Tell callers refused in a lasting overload to come back after it

While no request finds a free slot there is no such turn: who comes back is refused again or takes a fresh one's place.

Change: the pause is at least as long as no request of the class has found a free slot; an overload is expected to last as long again as it has lasted. A burst of one moment is told as before.

Test: callersRefusedInALastingOverloadAreNotToldToComeBackIntoIt, red without the change (50 ms told).

--- a/core/src/main/java/org/brasspier/core/admission/AdmissionController.java
+++ b/core/src/main/java/org/brasspier/core/admission/AdmissionController.java
@@ -84,6 +84,7 @@
 		}
 		if (queue(request.requestClass()).isEmpty() && this.slots.free(request.requestClass(), now)) {
 			start(request, now);
+			retryTimes(request.requestClass()).foundFreeSlot(now);
 			return new Run();
 		}
 		return enqueue(request, now);
@@ -333,11 +334,14 @@
 
 	private Failure overloaded(String detail, RequestClass requestClass, long now) {
 		double turn = Math.max(this.times.mean(requestClass) / this.slots.usable(), queueTurn(requestClass, now));
-		Duration pause = this.retryTimes.computeIfAbsent(requestClass, (key) -> new RetryTimes())
-			.next(now, expectedWait(requestClass, now), turn);
+		Duration pause = retryTimes(requestClass).next(now, expectedWait(requestClass, now), turn);
 		return new Failure(ErrorKind.OVERLOADED, detail, pause);
 	}
 
+	private RetryTimes retryTimes(RequestClass requestClass) {
+		return this.retryTimes.computeIfAbsent(requestClass, (key) -> new RetryTimes());
+	}
+
 	// Where other classes go first, the queue moves slower than the server does.
 	private double queueTurn(RequestClass requestClass, long now) {
 		return queue(requestClass).isEmpty() ? 0 : pace(requestClass).expectedNanos(1, now);
--- a/core/src/main/java/org/brasspier/core/admission/RetryTimes.java
+++ b/core/src/main/java/org/brasspier/core/admission/RetryTimes.java
@@ -6,7 +6,11 @@
  * When refused callers of one class should come back: one after the other, as fast as
  * their queue moves. Made for bursts: if all were told the same moment, the burst would
  * only be put off; if all classes were told one after the other, a lookup would be told
- * to wait for audit readers that it goes before. Not thread-safe.
+ * to wait for audit readers that it goes before.
+ * <p>
+ * While the server is saturated there is no room for who comes back: fresh requests alone
+ * fill it, and a returning caller is refused again or takes the place of a fresh one. An
+ * overload is expected to last as long again as it has lasted. Not thread-safe.
  */
 final class RetryTimes {
 
@@ -21,6 +25,19 @@
 
 	private long nextNanos;
 
+	private long freeNanos;
+
+	private boolean everFree;
+
+	/**
+	 * Takes that a request of the class found a free slot.
+	 * @param now the time
+	 */
+	void foundFreeSlot(long now) {
+		this.freeNanos = now;
+		this.everFree = true;
+	}
+
 	/**
 	 * The pause for one more refused request.
 	 * @param now the time
@@ -29,7 +46,9 @@
 	 * @return from 50 ms to 10 s
 	 */
 	Duration next(long now, double waitNanos, double turnNanos) {
-		long earliest = now + (long) Math.min(LONGEST_NANOS, Math.max(SHORTEST_NANOS, waitNanos));
+		long saturated = this.everFree ? now - this.freeNanos : 0;
+		double wait = Math.max(saturated, Math.max(SHORTEST_NANOS, waitNanos));
+		long earliest = now + (long) Math.min(LONGEST_NANOS, wait);
 		this.nextNanos = Math.max(earliest, Math.min(this.nextNanos + (long) turnNanos, now + LONGEST_NANOS));
 		return Duration.ofNanos(this.nextNanos - now);
 	}
--- a/core/src/test/java/org/brasspier/core/admission/AdmissionControllerTests.java
+++ b/core/src/test/java/org/brasspier/core/admission/AdmissionControllerTests.java
@@ -151,6 +151,21 @@
 		assertThat(failure.retryAfter().toMillis()).isLessThan(1000);
 	}
 
+	/** Guards against callers that are sent back into an overload that goes on. */
+	@Test
+	void callersRefusedInALastingOverloadAreNotToldToComeBackIntoIt() {
+		fill();
+		IntStream.range(0, 100).forEach((i) -> offer(RequestClass.LOOKUP, CREW, 1000));
+		long running = 1;
+		for (int i = 1; i <= 100; i++) {
+			running = this.admission.finished(running, RunOutcome.ANSWERED, i * 10 * MILLI).run().getFirst();
+			this.admission.offer(request(RequestClass.LOOKUP, CREW, 10_000), i * 10 * MILLI);
+			this.admission.offer(request(RequestClass.LOOKUP, CREW, 10_000), i * 10 * MILLI);
+		}
+		AdmissionDecision decision = this.admission.offer(request(RequestClass.LOOKUP, CREW, 10_000), 1000 * MILLI);
+		assertThat(((Refuse) decision).failure().retryAfter().toMillis()).isAtLeast(1000);
+	}
+
 	/**
 	 * A crew's lookup at a marina is turned away although the crew asks for little: one
 	 * office's script fills the queue first. The office's last request must make room.
