Let changes gather before the store is asked for the next ones

Changes come in groups: instances that start, keys that move.

Change: after an answer with changes a feed waits 200 ms before it asks again. Whoever writes a map of keys tells it to the instances that must act on it, so that moves don't wait for feeds.

--- a/core/src/main/java/org/brasspier/core/keys/KeyMap.java
+++ b/core/src/main/java/org/brasspier/core/keys/KeyMap.java
@@ -2,13 +2,17 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Function;
 import java.util.function.Predicate;
+import java.util.stream.Collectors;
 import java.util.stream.IntStream;
+import java.util.stream.Stream;
 
 import org.brasspier.core.Fence;
 import org.brasspier.core.InstanceId;
@@ -130,6 +134,19 @@
 		return this.holdings.stream().filter((held) -> held.owner().equals(owner)).toList();
 	}
 
+	/**
+	 * Who has to act on this map.
+	 * @param before the map before it; empty if there was none
+	 * @return the owners of holdings that it changes, and those that are to have them
+	 */
+	public Set<InstanceId> concerned(Optional<KeyMap> before) {
+		Set<KeyHolding> known = before.map(KeyMap::holdings).<Set<KeyHolding>>map(HashSet::new).orElseGet(Set::of);
+		return this.holdings.stream()
+			.filter((held) -> !known.contains(held))
+			.flatMap((held) -> Stream.concat(Stream.of(held.owner()), held.next().stream()))
+			.collect(Collectors.toSet());
+	}
+
 	/**
 	 * Gives holdings to new holders under the next fence.
 	 * @param moved which ones
--- a/core/src/test/java/org/brasspier/core/keys/KeyMapTests.java
+++ b/core/src/test/java/org/brasspier/core/keys/KeyMapTests.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.stream.IntStream;
 
@@ -53,8 +54,7 @@
 	@Test
 	void joiningUndoesACutThatIsNoLongerNeeded() {
 		KeyMap carved = this.map.carved(Map.of(new KeySpan(100, 199), B));
-		KeyMap back = carved.wanted(
-				(held) -> held.next().isPresent() ? java.util.Optional.of(held.owner()) : java.util.Optional.empty());
+		KeyMap back = carved.wanted((held) -> held.next().isPresent() ? Optional.of(held.owner()) : Optional.empty());
 		assertThat(back.joined().holdings()).isEqualTo(this.map.holdings());
 	}
 
@@ -83,10 +83,9 @@
 
 	@Test
 	void keysThatWereToGoToSomebodyWhoIsLostGoElsewhere() {
-		KeyMap towardsA = this.map
-			.wanted((held) -> held.owner().equals(B) ? java.util.Optional.of(A) : java.util.Optional.empty());
+		KeyMap towardsA = this.map.wanted((held) -> held.owner().equals(B) ? Optional.of(A) : Optional.empty());
 		KeyMap after = KeyPlanner.withoutLeaving(towardsA, Set.of(), holders(B, C)).orElseThrow();
-		assertThat(after.of(B).stream().anyMatch((held) -> held.next().equals(java.util.Optional.of(A)))).isFalse();
+		assertThat(after.of(B).stream().anyMatch((held) -> held.next().equals(Optional.of(A)))).isFalse();
 	}
 
 	@Test
@@ -95,11 +94,19 @@
 		KeyMap after = KeyPlanner.evened(two, holders(A, B, C)).orElseThrow();
 		int coming = after.holdings()
 			.stream()
-			.filter((held) -> held.next().equals(java.util.Optional.of(C)))
+			.filter((held) -> held.next().equals(Optional.of(C)))
 			.mapToInt((held) -> held.span().size())
 			.sum();
 		assertThat(coming).isAtLeast(15_000);
 		assertThat(KeyPlanner.evened(after, holders(A, B, C))).isEmpty();
 	}
 
+	@Test
+	void aMapConcernsTheOwnersOfWhatItChangesAndThoseThatAreToHaveIt() {
+		KeyMap moving = this.map.carved(Map.of(this.map.of(A).get(0).span(), B));
+		assertThat(this.map.concerned(Optional.empty())).containsExactly(A, B, C);
+		assertThat(this.map.concerned(Optional.of(this.map))).isEmpty();
+		assertThat(moving.concerned(Optional.of(this.map))).containsExactly(A, B);
+	}
+
 }
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/KeyKeeper.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/KeyKeeper.java
@@ -110,7 +110,7 @@
 		this.book = new GrantBook(this.self, timing, now);
 		this.lease = new LeaseRenewal(reactor, settings, directory, store, hops, health, log, clock, timing,
 				this::step);
-		this.writer = new KeyMapWriter(reactor, this.self, this.service, directory, store, health, log, clock,
+		this.writer = new KeyMapWriter(reactor, this.self, this.service, directory, store, hops, health, log, clock,
 				this::step);
 		this.delivery = settings.backend().grants();
 		this.sender = new GrantSender(reactor, settings.backend().address(), grants, desk, this.book, clock, log,
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/KeyMapWriter.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/KeyMapWriter.java
@@ -4,6 +4,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
 import java.util.function.LongSupplier;
 
 import io.activej.reactor.nio.NioReactor;
@@ -41,6 +43,8 @@
 
 	private final LongSupplier clock;
 
+	private final HopClient hops;
+
 	private final Runnable written;
 
 	private boolean busy;
@@ -48,12 +52,13 @@
 	private long latestNanos;
 
 	KeyMapWriter(NioReactor reactor, InstanceId self, ServiceName service, Directory directory, MetadataStore store,
-			StoreHealth health, MeshLog log, LongSupplier clock, Runnable written) {
+			HopClient hops, StoreHealth health, MeshLog log, LongSupplier clock, Runnable written) {
 		this.reactor = reactor;
 		this.self = self;
 		this.service = service;
 		this.directory = directory;
 		this.store = store;
+		this.hops = hops;
 		this.health = health;
 		this.log = log;
 		this.clock = clock;
@@ -104,7 +109,9 @@
 	private void ended(KeyMap map, String why, CommitResult result) {
 		switch (result) {
 			case CommitResult.Done(long version) -> {
+				Optional<KeyMap> before = this.directory.keys(this.service);
 				this.directory.learnt(this.service, map, version);
+				tell(map.concerned(before), map, version);
 				this.log.record(MeshEvent.KEYS_MOVED, "service", this.service, "why", why, "version", version,
 						"next_fence", map.nextFence(), "own", map.of(this.self).size());
 				this.written.run();
@@ -115,6 +122,18 @@
 		}
 	}
 
+	// Their feeds may tell them later, and the keys are unserved until they act.
+	private void tell(Set<InstanceId> concerned, KeyMap map, long version) {
+		MetadataStore.Row row = new MetadataStore.Row(StoredRows.KEYS_PREFIX + this.service.value(),
+				Optional.of(StoredRows.keys(map)), version);
+		HopMessage.RowsTold told = new HopMessage.RowsTold(List.of(), List.of(row));
+		concerned.stream()
+			.filter((instance) -> !instance.equals(this.self))
+			.map(this.directory::member)
+			.flatMap(Optional::stream)
+			.forEach((member) -> this.hops.tell(member, told));
+	}
+
 	private void failed(String reason) {
 		this.health.answered(StoredRows.MESH, new MetadataStore.StoreFailedException(reason));
 		this.busy = true;
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/TableFeed.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/TableFeed.java
@@ -19,6 +19,13 @@
 	 */
 	static final Duration WAIT = Duration.ofSeconds(6);
 
+	/**
+	 * How long changes are left to gather in the store. Rows change in groups, as when
+	 * instances start or keys move, and a call for each change is one for each instance.
+	 * Who must act on a change at once is told by whoever made it.
+	 */
+	private static final Duration GATHER = Duration.ofMillis(200);
+
 	private static final Duration FIRST_PAUSE = Duration.ofMillis(100);
 
 	private static final Duration LONGEST_PAUSE = Duration.ofMillis(800);
@@ -67,7 +74,13 @@
 			}
 			this.pause = FIRST_PAUSE;
 			take(rows, whole);
-			next();
+			boolean changed = !whole && rows.filter((each) -> !each.rows().isEmpty()).isPresent();
+			if (changed) {
+				this.reactor.delay(GATHER, this::next);
+			}
+			else {
+				next();
+			}
 		});
 	}
 
