Let in only what a saturated server can answer within its target

Change: the expected wait of what is let in is at most the target less 1.5 mean runs; two waiting requests are always allowed, so that no slot rests.

Test: aSaturatedServerLetsInOnlyWhatItCanAnswerInTime, red without the change.

--- a/core/src/main/java/org/brasspier/core/admission/AdmissionController.java
+++ b/core/src/main/java/org/brasspier/core/admission/AdmissionController.java
@@ -16,6 +16,7 @@
 import org.brasspier.core.admission.AdmissionDecision.Queued;
 import org.brasspier.core.admission.AdmissionDecision.Refuse;
 import org.brasspier.core.admission.AdmissionDecision.Run;
+import org.brasspier.core.admission.AdmissionSettings.ClassRules;
 
 /**
  * Decides for one backend server which request runs, waits or is refused at once. All
@@ -37,6 +38,12 @@
 
 	private final CallerShares shares = new CallerShares();
 
+	/** How much of its mean a run may take at most for its request to be in time. */
+	private static final double RUN_ALLOWANCE = 1.5;
+
+	/** Requests for which there is always room to wait. */
+	private static final int SHORT_QUEUE = 2;
+
 	private final Map<RequestClass, RetryTimes> retryTimes = new EnumMap<>(RequestClass.class);
 
 	private final Map<RequestClass, ClassQueue> queues = new EnumMap<>(RequestClass.class);
@@ -263,7 +270,7 @@
 			return new Refuse(overloaded("the deadline can't be met", requestClass, now));
 		}
 		Optional<RefusedRequest> displaced = Optional.empty();
-		if (wait > this.settings.of(requestClass).letInWait().toNanos()) {
+		if (wait > usefulWait(requestClass)) {
 			displaced = queue(requestClass).displaceFor(request.caller()).map((other) -> giveUp(other, now));
 			if (displaced.isEmpty()) {
 				return new Refuse(overloaded("the queue is full", requestClass, now));
@@ -278,6 +285,18 @@
 		return new Queued(displaced);
 	}
 
+	// Under saturation every request that is let in waits as long as the queue allows, so
+	// one that would be answered after its target is only let in in place of one that
+	// would not. A short queue is allowed whatever the class takes, so that no slot
+	// rests.
+	private double usefulWait(RequestClass requestClass) {
+		ClassRules rules = this.settings.of(requestClass);
+		double mean = this.times.mean(requestClass);
+		double inTime = rules.longestWait().toNanos() - RUN_ALLOWANCE * mean;
+		double shortQueue = SHORT_QUEUE * mean / this.slots.usable();
+		return Math.min(rules.letInWait().toNanos(), Math.max(inTime, shortQueue));
+	}
+
 	// Who has waited as long as its class may has been overtaken by others; its caller is
 	// told at once instead of shortly before the deadline.
 	private long latestStart(PendingRequest request, long now) {
--- a/core/src/test/java/org/brasspier/core/admission/AdmissionControllerTests.java
+++ b/core/src/test/java/org/brasspier/core/admission/AdmissionControllerTests.java
@@ -151,6 +151,19 @@
 		assertThat(failure.retryAfter().toMillis()).isLessThan(1000);
 	}
 
+	/** Guards against a queue so long that a saturated server answers everything late. */
+	@Test
+	void aSaturatedServerLetsInOnlyWhatItCanAnswerInTime() {
+		long run = 60 * MILLI;
+		long target = AdmissionSettings.DEFAULT.of(RequestClass.LOOKUP).longestWait().toNanos();
+		AdmissionController wide = controller(10, 100);
+		wide.offer(request(RequestClass.LOOKUP, CREW, 10_000), 0);
+		wide.finished(this.lastId, RunOutcome.ANSWERED, run);
+		IntStream.range(0, 50).forEach((i) -> wide.offer(request(RequestClass.LOOKUP, CREW, 10_000), run));
+		assertThat(wide.waiting()).isAtLeast(1);
+		assertThat(wide.waiting() * run / 10 + run).isAtMost(target);
+	}
+
 	/** Guards against callers that are sent back into an overload that goes on. */
 	@Test
 	void callersRefusedInALastingOverloadAreNotToldToComeBackIntoIt() {
