Keep slots for internal calls only where there are some to speak of

A few requests on added routes of another rank count as internal calls, and keep the slot for ten minutes.

Change: slots are kept only where internal calls are 2 of 100 requests or more.

Test: aHandfulOfInternalCallsKeepsNoSlotFromOthers, red without the change; the test of circles of calls is unchanged.

--- a/core/src/main/java/org/brasspier/core/admission/SlotRules.java
+++ b/core/src/main/java/org/brasspier/core/admission/SlotRules.java
@@ -19,6 +19,16 @@
 	 */
 	private static final int INTERNAL_ONE_IN = 8;
 
+	/**
+	 * The share of all requests from which on internal calls have slots kept. A handful
+	 * of them, as when a new route is tried out, would cost a server of ten slots a
+	 * tenth.
+	 */
+	private static final double INTERNAL_SHARE = 0.02;
+
+	/** Some 250 requests change the estimate of that share. */
+	private static final double SHARE_WEIGHT = 1.0 / 256;
+
 	/**
 	 * How long after the last request of a class its slots are kept from others. A server
 	 * that has no internal calls, or only audit reads, uses all its slots for what comes.
@@ -32,6 +42,10 @@
 
 	private final Map<RequestClass, Long> lastSeen = new EnumMap<>(RequestClass.class);
 
+	private double internalShare;
+
+	private long seenCount;
+
 	private final SlotDemand shortWork = new SlotDemand();
 
 	private final ServiceTimes times;
@@ -55,6 +69,10 @@
 
 	void seen(RequestClass requestClass, long now) {
 		this.lastSeen.put(requestClass, now);
+		double internal = (requestClass == RequestClass.INTERNAL) ? 1 : 0;
+		this.seenCount++;
+		double weight = Math.max(SHARE_WEIGHT, 1.0 / this.seenCount);
+		this.internalShare += weight * (internal - this.internalShare);
 	}
 
 	void take(RequestClass requestClass, long now) {
@@ -101,7 +119,7 @@
 	}
 
 	private int kept(long now) {
-		boolean keep = usable() > 1 && recent(RequestClass.INTERNAL, now);
+		boolean keep = usable() > 1 && recent(RequestClass.INTERNAL, now) && this.internalShare >= INTERNAL_SHARE;
 		return keep ? Math.max(1, usable() / INTERNAL_ONE_IN) : 0;
 	}
 
--- a/core/src/test/java/org/brasspier/core/admission/AdmissionControllerTests.java
+++ b/core/src/test/java/org/brasspier/core/admission/AdmissionControllerTests.java
@@ -208,6 +208,19 @@
 		assertThat(wide.offer(request(RequestClass.INTERNAL, CREW, 1000), MILLI)).isInstanceOf(Run.class);
 	}
 
+	/** Guards against a slot that rests under load for the sake of a handful of calls. */
+	@Test
+	void aHandfulOfInternalCallsKeepsNoSlotFromOthers() {
+		AdmissionController wide = controller(6, 100);
+		for (int i = 0; i < 500; i++) {
+			RequestClass requestClass = (i % 100 == 0) ? RequestClass.INTERNAL : RequestClass.LOOKUP;
+			wide.offer(request(requestClass, CREW, 10_000), i * MILLI);
+			wide.finished(this.lastId, RunOutcome.ANSWERED, i * MILLI);
+		}
+		IntStream.range(0, 20).forEach((i) -> wide.offer(request(RequestClass.LOOKUP, CREW, 10_000), 500 * MILLI));
+		assertThat(wide.running()).isEqualTo(6);
+	}
+
 	@Test
 	void aCancelledRequestThatWaitedNeverRuns() {
 		fill();
