Let all requests of a gate wait in one line

Callers were told apart by the service beside which a request began, which says nothing of who sent it, so nobody is protected by that.

Change: one caller for all.

--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/BackendGate.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/BackendGate.java
@@ -61,6 +61,13 @@
 	 */
 	private static final Duration DRAIN_MARGIN = Duration.ofMillis(500);
 
+	/**
+	 * All requests wait in one line. The service beside which a request began says
+	 * nothing of who sent it, and making room for another one's requests would refuse
+	 * some that have waited already.
+	 */
+	private static final CallerId CALLER = new CallerId("any");
+
 	private final NioReactor reactor;
 
 	private final MeshSettings settings;
@@ -146,8 +153,7 @@
 		long remaining = Math.max(0, ask.request().remainingMillis() - heldUpNanos / NANOS_PER_MILLI);
 		Order order = new Order(ask, cancellation, now + remaining * NANOS_PER_MILLI);
 		long number = this.nextNumber++;
-		PendingRequest pending = new PendingRequest(number, ask.requestClass(), new CallerId(ask.caller().value()),
-				order.deadlineNanos);
+		PendingRequest pending = new PendingRequest(number, ask.requestClass(), CALLER, order.deadlineNanos);
 		return switch (this.admission.offer(pending, now)) {
 			case AdmissionDecision.Run ignored -> start(number, order);
 			case AdmissionDecision.Queued queued -> {
