--- a/core/src/main/java/org/brasspier/core/ownership/ManagerSide.java
+++ b/core/src/main/java/org/brasspier/core/ownership/ManagerSide.java
@@ -228,9 +228,9 @@
 	}
 
 	void order(InstanceId from, ControlMessage.OrderSent sent, long now) {
-		OrderDesk desk = new OrderDesk(this.parts.lease.known(), this.parts.manager, this.parts.memory,
+		OperatorOrders desk = new OperatorOrders(this.parts.lease.known(), this.parts.manager, this.parts.memory,
 				this.parts.access);
-		OrderDesk.Answer answer = desk.take(sent.order(), now);
+		OperatorOrders.Answer answer = desk.take(sent.order(), now);
 		this.parts.out.send(from, new ControlMessage.OrderAnswer(sent.number(), answer.accepted(), answer.detail()));
 	}
 
--- a/core/src/main/java/org/brasspier/core/request/CrashMarks.java
+++ b/core/src/main/java/org/brasspier/core/request/CrashHistory.java
@@ -21,7 +21,7 @@
  * Innocent requests clear themselves by ending well. Marks travel with the ranges, so the
  * count is over all owners. Not thread-safe.
  */
-public final class CrashMarks {
+public final class CrashHistory {
 
 	/** So many losses a request may be part of; from then on it is refused. */
 	public static final int MAX_CRASHES = 2;
--- a/core/src/test/java/org/brasspier/core/request/CrashMarksTests.java
+++ b/core/src/test/java/org/brasspier/core/request/CrashHistoryTests.java
@@ -7,7 +7,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
-class CrashMarksTests {
+class CrashHistoryTests {
 
 	private static final KeyHash POINT = new KeyHash(5);
 
@@ -17,27 +17,27 @@
 	void theSecondOwnersCrashCountsOnFromTheFirsts() {
 		// A request crashed the first owner's server. Its range, and the mark with it,
 		// went to the second owner, whose server it crashed too. The third must refuse.
-		CrashMarks first = new CrashMarks();
+		CrashHistory first = new CrashHistory();
 		first.crashed(77, POINT);
-		CrashMarks second = new CrashMarks();
+		CrashHistory second = new CrashHistory();
 		second.merge(first.goingWith(RANGE));
-		assertThat(second.crashed(77, POINT)).isEqualTo(CrashMarks.MAX_CRASHES);
-		CrashMarks third = new CrashMarks();
+		assertThat(second.crashed(77, POINT)).isEqualTo(CrashHistory.MAX_CRASHES);
+		CrashHistory third = new CrashHistory();
 		third.merge(second.goingWith(RANGE));
 		third.merge(first.goingWith(RANGE));
-		assertThat(third.count(77)).isEqualTo(CrashMarks.MAX_CRASHES);
+		assertThat(third.count(77)).isEqualTo(CrashHistory.MAX_CRASHES);
 	}
 
 	@Test
 	void marksOfOtherRangesStay() {
-		CrashMarks marks = new CrashMarks();
+		CrashHistory marks = new CrashHistory();
 		marks.crashed(77, POINT);
 		assertThat(marks.goingWith(new KeyRange(10, 20))).isEmpty();
 	}
 
 	@Test
 	void aRequestThatEndsWellIsNoLongerSuspect() {
-		CrashMarks marks = new CrashMarks();
+		CrashHistory marks = new CrashHistory();
 		marks.crashed(77, POINT);
 		marks.endedWell(77);
 		assertThat(marks.count(77)).isEqualTo(0);
@@ -45,7 +45,7 @@
 
 	@Test
 	void theHighestCountsTravelAndAreForgottenLast() {
-		CrashMarks marks = new CrashMarks();
+		CrashHistory marks = new CrashHistory();
 		marks.crashed(500, POINT);
 		marks.crashed(500, POINT);
 		for (int i = 0; i < 100; i++) {
--- a/daemon/src/main/java/org/brasspier/daemon/internal/backend/GrantsKeeper.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/backend/GrantRenewal.java
@@ -20,7 +20,7 @@
  * gets no order before it has acknowledged the grant it falls under: it would refuse it.
  * Belongs to the thread of requests.
  */
-public final class GrantsKeeper {
+public final class GrantRenewal {
 
 	/** As often as heartbeats renew the lease; see docs/DESIGN.md, H. */
 	private static final long RENEW_NANOS = 150_000_000;
@@ -53,7 +53,7 @@
 	 * @param ownership what this instance holds and knows now
 	 * @param catalog the services as the document in force describes them
 	 */
-	public GrantsKeeper(BackendCalls calls, Supplier<OwnershipSnapshot> ownership, Supplier<ServiceCatalog> catalog) {
+	public GrantRenewal(BackendCalls calls, Supplier<OwnershipSnapshot> ownership, Supplier<ServiceCatalog> catalog) {
 		this.calls = calls;
 		this.ownership = ownership;
 		this.catalog = catalog;
--- a/daemon/src/main/java/org/brasspier/daemon/internal/http/CallerDoor.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/http/CallerServer.java
@@ -25,7 +25,7 @@
 /**
  * The port for callers. Belongs to the thread of requests.
  */
-public final class CallerDoor {
+public final class CallerServer {
 
 	private static final Duration LOOK_EVERY = Duration.ofSeconds(1);
 
@@ -55,7 +55,7 @@
 	 * @param handler serves the requests
 	 * @param limits what callers may send, as in force now
 	 */
-	public CallerDoor(NioReactor reactor, InetSocketAddress address, Handler handler, Supplier<CallerLimits> limits) {
+	public CallerServer(NioReactor reactor, InetSocketAddress address, Handler handler, Supplier<CallerLimits> limits) {
 		this.reactor = reactor;
 		this.address = address;
 		this.handler = handler;
--- a/daemon/src/main/java/org/brasspier/daemon/internal/http/CallerSocket.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/http/CallerSocket.java
@@ -40,7 +40,7 @@
 
 	private final ITcpSocket socket;
 
-	private final CallerDoor door;
+	private final CallerServer door;
 
 	private final CallerLimits limits;
 
@@ -60,7 +60,7 @@
 
 	private long quietSinceNanos;
 
-	CallerSocket(ITcpSocket socket, CallerDoor door, CallerLimits limits, long now) {
+	CallerSocket(ITcpSocket socket, CallerServer door, CallerLimits limits, long now) {
 		this.socket = socket;
 		this.door = door;
 		this.limits = limits;
--- a/daemon/src/main/java/org/brasspier/daemon/internal/measure/MeasureKeeper.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/measure/MeasureRecorder.java
@@ -29,7 +29,7 @@
  * loss of all daemons at once loses the last five minutes; the loss of one loses what it
  * alone had counted since. Belongs to the thread of operators.
  */
-public final class MeasureKeeper {
+public final class MeasureRecorder {
 
 	static final Duration PERIOD = Duration.ofMinutes(5);
 
@@ -64,7 +64,7 @@
 	 * @param events the time line
 	 * @param wallMillis the wall clock, in milliseconds since 1970
 	 */
-	public MeasureKeeper(TableService table, String cell, MemberReports members, EventLog events,
+	public MeasureRecorder(TableService table, String cell, MemberReports members, EventLog events,
 			LongSupplier wallMillis) {
 		this.store = new MeasureStore(table, cell);
 		this.members = members;
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/BackendGate.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/BackendGate.java
@@ -72,7 +72,7 @@
 
 	private final MeshSettings settings;
 
-	private final BackendDesk desk;
+	private final BackendRegistration registration;
 
 	private final BackendPool pool;
 
@@ -80,7 +80,7 @@
 
 	private final Supplier<RoutingConfig> config;
 
-	private final KeyKeeper keys;
+	private final KeyOwnership keys;
 
 	private final MeshLog log;
 
@@ -99,22 +99,22 @@
 
 	private boolean stopping;
 
-	BackendGate(NioReactor reactor, MeshSettings settings, BackendDesk desk, BackendPool pool, BackendProtocol protocol,
-			Supplier<RoutingConfig> config, KeyKeeper keys, MeshLog log) {
+	BackendGate(NioReactor reactor, MeshSettings settings, BackendRegistration registration, BackendPool pool,
+			BackendProtocol protocol, Supplier<RoutingConfig> config, KeyOwnership keys, MeshLog log) {
 		this.reactor = reactor;
 		this.settings = settings;
-		this.desk = desk;
+		this.registration = registration;
 		this.pool = pool;
 		this.protocol = protocol;
 		this.config = config;
 		this.keys = keys;
 		this.log = log;
-		desk.listen(this::backendChanged);
+		registration.listen(this::backendChanged);
 	}
 
 	private void backendChanged() {
-		if (!this.desk.life().equals(this.life)) {
-			this.life = this.desk.life();
+		if (!this.registration.life().equals(this.life)) {
+			this.life = this.registration.life();
 			this.pool.forget();
 		}
 		this.rulesOfVersion = -1;
@@ -128,8 +128,8 @@
 		this.rulesOfVersion = inForce.version();
 		int connections = inForce.service(this.settings.backend().service())
 			.map((rule) -> rule.maxConnections())
-			.orElse(this.desk.slots());
-		this.admission.limits(new AdmissionLimits(this.desk.slots(), connections));
+			.orElse(this.registration.slots());
+		this.admission.limits(new AdmissionLimits(this.registration.slots(), connections));
 		this.admission.rules(inForce.admission(this.settings.backend().service()), Map.of());
 	}
 
@@ -140,7 +140,7 @@
 	 * @param cancellation tells when nobody waits for it any more
 	 * @return what came of it; never an exception
 	 */
-	Promise<SendOutcome> run(Ask ask, long heldUpNanos, Cancellation cancellation) {
+	Promise<SendOutcome> run(HopRequest ask, long heldUpNanos, Cancellation cancellation) {
 		long now = System.nanoTime();
 		ask.request().key().ifPresent(this.keys::asked);
 		Optional<Failure> closed = closed(ask, heldUpNanos, now);
@@ -174,7 +174,7 @@
 	}
 
 	// Why nothing may be handed over now.
-	private Optional<Failure> closed(Ask ask, long heldUpNanos, long now) {
+	private Optional<Failure> closed(HopRequest ask, long heldUpNanos, long now) {
 		if (this.stopping) {
 			return noBackend("the daemon beside the backend server is stopping");
 		}
@@ -185,7 +185,7 @@
 		return unservable(ask, now);
 	}
 
-	private Optional<Failure> unservable(Ask ask, long now) {
+	private Optional<Failure> unservable(HopRequest ask, long now) {
 		if (!this.config.get().known()) {
 			// Whether the service is divided by key is not known either, and a server
 			// that was given a request for keys it doesn't hold would decline it.
@@ -196,8 +196,8 @@
 		}
 		boolean byKey = ask.request().key().isPresent()
 				&& this.config.get().service(ask.service()).filter((rule) -> rule.byKey()).isPresent();
-		if (!this.desk.ready() && !(byKey && mayFinish(now))) {
-			return noBackend("the backend server is " + this.desk.phase());
+		if (!this.registration.ready() && !(byKey && mayFinish(now))) {
+			return noBackend("the backend server is " + this.registration.phase());
 		}
 		if (byKey && !this.keys.usable(ask.request().key().getAsInt())) {
 			return Optional.of(new Failure(ErrorKind.NOT_OWNER, "the backend server doesn't hold this key now",
@@ -209,14 +209,16 @@
 	// Keys are served on until another server has them, but no longer than a leaving
 	// server may be given work.
 	private boolean mayFinish(long now) {
-		boolean leaving = this.desk.phase() == BackendPhase.DRAINING || this.desk.phase() == BackendPhase.DEPARTED;
-		return leaving && this.desk.leavingForNanos(now) < this.settings.bounds().drain().minus(DRAIN_MARGIN).toNanos();
+		boolean leaving = this.registration.phase() == BackendPhase.DRAINING
+				|| this.registration.phase() == BackendPhase.DEPARTED;
+		return leaving && this.registration
+			.leavingForNanos(now) < this.settings.bounds().drain().minus(DRAIN_MARGIN).toNanos();
 	}
 
 	// Keys come with the next heartbeat. When one that leaves is held by its next holder,
 	// and when an overdue heartbeat comes, nobody knows, and no pause is told.
 	private Duration untilHeld(int key, long now) {
-		Duration next = this.desk.untilNextHeartbeat(now);
+		Duration next = this.registration.untilNextHeartbeat(now);
 		return (next.isZero() || this.keys.leaving(key)) ? Duration.ZERO : next.plus(GRANT_MARGIN);
 	}
 
@@ -225,7 +227,7 @@
 		return Optional.of(Failure.of(ErrorKind.NO_BACKEND, detail));
 	}
 
-	private SendOutcome turnedAway(Ask ask, Failure failure) {
+	private SendOutcome turnedAway(HopRequest ask, Failure failure) {
 		this.log.record(MeshEvent.GATE_TURNED_AWAY, "request", ask.request().id(), "class", ask.requestClass(),
 				"reason", failure.kind(), "detail", failure.detail(), "running", this.admission.running(), "waiting",
 				this.admission.waiting(), "left_ms", ask.request().remainingMillis());
@@ -247,12 +249,12 @@
 	private Promise<SendOutcome> start(long number, Order order) {
 		long now = System.nanoTime();
 		Optional<Failure> closed = unservable(order.ask, now);
-		if (closed.isPresent() || this.desk.life().isEmpty() || order.cancellation.cancelled()) {
+		if (closed.isPresent() || this.registration.life().isEmpty() || order.cancellation.cancelled()) {
 			finished(number, RunOutcome.NOT_BEGUN);
 			Failure why = closed.orElseGet(() -> Failure.of(ErrorKind.DEADLINE_PASSED, "nobody waits for it"));
 			return Promise.of(turnedAway(order.ask, why));
 		}
-		return send(number, order, this.desk.life().get(), now);
+		return send(number, order, this.registration.life().get(), now);
 	}
 
 	private Promise<SendOutcome> send(long number, Order order, BackendLife to, long now) {
@@ -274,7 +276,7 @@
 
 	private SendOutcome ended(long number, BackendOrder written, Order order, BackendReply reply) {
 		SendOutcome outcome = outcome(written, order, reply);
-		this.desk.tried(!(reply instanceof BackendReply.Closed));
+		this.registration.tried(!(reply instanceof BackendReply.Closed));
 		finished(number, runOutcome(outcome, reply));
 		if (!(outcome instanceof SendOutcome.Answered)) {
 			this.log.record(MeshEvent.ORDER_FAILED, "request", order.ask.request().id(), "life", written.life(),
@@ -360,7 +362,7 @@
 	// lately.
 	double capacity() {
 		long runNanos = Math.max(NANOS_PER_MILLI, this.admission.usualRunNanos(RequestClass.LOOKUP));
-		return this.desk.slots() * NANOS_PER_SECOND / runNanos;
+		return this.registration.slots() * NANOS_PER_SECOND / runNanos;
 	}
 
 	boolean idle() {
@@ -371,7 +373,7 @@
 		return List.of(this.admission.running(), this.admission.waiting());
 	}
 
-	private record Order(Ask ask, Cancellation cancellation, long deadlineNanos) {
+	private record Order(HopRequest ask, Cancellation cancellation, long deadlineNanos) {
 	}
 
 	private record Waiting(Order order, SettablePromise<SendOutcome> outcome) {
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/BackendDesk.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/BackendRegistration.java
@@ -20,7 +20,7 @@
  * What is known of the backend server beside this daemon, from its heartbeats. An
  * acknowledged leaving binds from that moment on. Belongs to the thread of requests.
  */
-final class BackendDesk {
+final class BackendRegistration {
 
 	private final MeshSettings.Backend backend;
 
@@ -40,7 +40,7 @@
 
 	private long coldUntilNanos;
 
-	BackendDesk(MeshSettings.Backend backend, MeshLog log) {
+	BackendRegistration(MeshSettings.Backend backend, MeshLog log) {
 		this.backend = backend;
 		this.log = log;
 	}
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/ControlPorts.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/ControlPorts.java
@@ -58,20 +58,21 @@
 		}
 	}
 
-	void heartbeats(InetSocketAddress address, HeartbeatProtocol protocol, BackendDesk desk) throws IOException {
+	void heartbeats(InetSocketAddress address, HeartbeatProtocol protocol, BackendRegistration registration)
+			throws IOException {
 		listen(address,
 				(request) -> WholeBody.read(request, MAX_HEARTBEAT_BYTES)
-					.then((body) -> heartbeat(request, body, protocol, desk),
+					.then((body) -> heartbeat(request, body, protocol, registration),
 							(ex) -> refuse(Failure.of(ErrorKind.BAD_REQUEST, String.valueOf(ex.getMessage())))));
 	}
 
 	private Promise<HttpResponse> heartbeat(HttpRequest request, byte[] body, HeartbeatProtocol protocol,
-			BackendDesk desk) {
+			BackendRegistration registration) {
 		Either<Failure, BackendMessage> message = protocol.message(request.getMethod().name(), request.getPath(), body);
 		if (message.isLeft()) {
 			return refuse(message.getLeft());
 		}
-		Either<Failure, Optional<GrantAnswer>> taken = desk.take(message.get());
+		Either<Failure, Optional<GrantAnswer>> taken = registration.take(message.get());
 		if (taken.isLeft()) {
 			return refuse(taken.getLeft());
 		}
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/Dispatcher.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/Dispatcher.java
@@ -233,8 +233,8 @@
 
 		private Promise<SendOutcome> send(Member target, int remaining, long now) {
 			this.tried.add(target.instance());
-			Ask ask = new Ask(this.service, Dispatcher.this.settings.backend().service(), this.requestClass,
-					this.route.idempotent(), this.request)
+			HopRequest ask = new HopRequest(this.service, Dispatcher.this.settings.backend().service(),
+					this.requestClass, this.route.idempotent(), this.request)
 				.within(remaining);
 			boolean here = target.instance().equals(Dispatcher.this.settings.instance());
 			Promise<SendOutcome> outcome = here ? Dispatcher.this.gate.run(ask, 0, this.cancellation)
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/GrantSender.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/GrantSender.java
@@ -42,7 +42,7 @@
 
 	private final GrantProtocol protocol;
 
-	private final BackendDesk desk;
+	private final BackendRegistration registration;
 
 	private final GrantCalls calls;
 
@@ -54,12 +54,12 @@
 
 	private final Runnable ended;
 
-	GrantSender(NioReactor reactor, InetSocketAddress server, GrantProtocol protocol, BackendDesk desk, GrantBook book,
-			LongSupplier clock, MeshLog log, Runnable ended) {
+	GrantSender(NioReactor reactor, InetSocketAddress server, GrantProtocol protocol, BackendRegistration registration,
+			GrantBook book, LongSupplier clock, MeshLog log, Runnable ended) {
 		this.reactor = reactor;
 		this.server = server;
 		this.protocol = protocol;
-		this.desk = desk;
+		this.registration = registration;
 		this.calls = new GrantCalls(book);
 		this.grants = new BackendPool(reactor, server, MAX_ANSWER_BYTES);
 		this.clock = clock;
@@ -113,7 +113,7 @@
 
 	private void take(GrantCall call, long sentNanos, BackendReply reply) {
 		long now = this.clock.getAsLong();
-		this.desk.tried(!(reply instanceof BackendReply.Closed));
+		this.registration.tried(!(reply instanceof BackendReply.Closed));
 		switch (reply) {
 			case BackendReply.Whole(var answer) -> answered(call, sentNanos, this.protocol.reply(answer), now);
 			case BackendReply.NotSent ignored -> notSent(call, reply, now);
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopClient.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopClient.java
@@ -50,7 +50,7 @@
 		return peer != null && (peer.lost || peer.link.suspect(now));
 	}
 
-	Promise<SendOutcome> send(Member member, Ask ask, Cancellation cancellation) {
+	Promise<SendOutcome> send(Member member, HopRequest ask, Cancellation cancellation) {
 		Peer peer = peer(member);
 		return peer.link.send(ask, cancellation).whenResult(() -> note(peer));
 	}
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopCodec.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopCodec.java
@@ -72,7 +72,7 @@
 	static byte[] encode(HopMessage message) {
 		FrameWriter frame = new FrameWriter();
 		switch (message) {
-			case HopMessage.Asked(long exchange, long sentNanos, Ask ask) ->
+			case HopMessage.Asked(long exchange, long sentNanos, HopRequest ask) ->
 				ask(frame.number(ASKED).number(exchange).number(sentNanos), ask);
 			case HopMessage.Replied(long exchange, SendOutcome outcome) -> outcome(frame, exchange, outcome);
 			case HopMessage.Cancelled(long exchange) -> frame.number(CANCELLED).number(exchange);
@@ -94,7 +94,7 @@
 		return frame.frame();
 	}
 
-	private static void ask(FrameWriter frame, Ask ask) {
+	private static void ask(FrameWriter frame, HopRequest ask) {
 		MeshRequest request = ask.request();
 		frame.text(ask.service().value())
 			.text(ask.caller().value())
@@ -205,7 +205,7 @@
 		}
 	}
 
-	private static Ask ask(FrameReader frame) throws WireException {
+	private static HopRequest ask(FrameReader frame) throws WireException {
 		try {
 			ServiceName service = new ServiceName(frame.text());
 			ServiceName caller = new ServiceName(frame.text());
@@ -219,7 +219,7 @@
 			int key = frame.small();
 			OptionalInt about = (key == NO_KEY) ? OptionalInt.empty() : OptionalInt.of(key);
 			List<HeaderField> headers = frame.list(HopCodec::header);
-			return new Ask(service, caller, requestClass, idempotent,
+			return new HopRequest(service, caller, requestClass, idempotent,
 					new MeshRequest(id, host, method, target, headers, frame.bytes(), remaining, about));
 		}
 		catch (IllegalArgumentException | IndexOutOfBoundsException ex) {
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopLink.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopLink.java
@@ -122,7 +122,7 @@
 		return !this.closed && (this.leaving || this.stopping);
 	}
 
-	Promise<SendOutcome> send(Ask ask, Cancellation cancellation) {
+	Promise<SendOutcome> send(HopRequest ask, Cancellation cancellation) {
 		SettablePromise<SendOutcome> outcome = new SettablePromise<>();
 		this.connection.whenComplete((ready, ex) -> {
 			if (ex != null || this.closed || this.stopping) {
@@ -206,7 +206,8 @@
 		return new SendOutcome.NotRun(Failure.of(kind, detail), false);
 	}
 
-	private void send(PeerConnection ready, Ask ask, Cancellation cancellation, SettablePromise<SendOutcome> outcome) {
+	private void send(PeerConnection ready, HopRequest ask, Cancellation cancellation,
+			SettablePromise<SendOutcome> outcome) {
 		long exchange = begin();
 		this.waiting.put(exchange, outcome);
 		ready.send(HopCodec.encode(new HopMessage.Asked(exchange, System.nanoTime() - this.openedNanos, ask)));
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopMessage.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopMessage.java
@@ -21,7 +21,7 @@
 	 * sender
 	 * @param ask the request
 	 */
-	record Asked(long exchange, long sentNanos, Ask ask) implements HopMessage {
+	record Asked(long exchange, long sentNanos, HopRequest ask) implements HopMessage {
 	}
 
 	/**
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/Ask.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopRequest.java
@@ -13,11 +13,12 @@
  * @param idempotent whether it may run more than once
  * @param request the request, with the time that is left
  */
-record Ask(ServiceName service, ServiceName caller, RequestClass requestClass, boolean idempotent,
+record HopRequest(ServiceName service, ServiceName caller, RequestClass requestClass, boolean idempotent,
 		MeshRequest request) {
 
-	Ask within(int millis) {
-		return new Ask(this.service, this.caller, this.requestClass, this.idempotent, this.request.within(millis));
+	HopRequest within(int millis) {
+		return new HopRequest(this.service, this.caller, this.requestClass, this.idempotent,
+				this.request.within(millis));
 	}
 
 }
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopServer.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopServer.java
@@ -38,7 +38,7 @@
 
 	private final BackendGate gate;
 
-	private final KeyKeeper keys;
+	private final KeyOwnership keys;
 
 	private final SharedRows rows;
 
@@ -50,7 +50,7 @@
 
 	private boolean stopping;
 
-	HopServer(NioReactor reactor, InetSocketAddress address, BackendGate gate, KeyKeeper keys, SharedRows rows,
+	HopServer(NioReactor reactor, InetSocketAddress address, BackendGate gate, KeyOwnership keys, SharedRows rows,
 			MeshLog log) {
 		this.server = SimpleServer.builder(reactor, this::accept).withListenAddress(address).build();
 		this.gate = gate;
@@ -133,7 +133,7 @@
 
 		private void receive(FrameReader frame) throws WireException {
 			switch (HopCodec.decode(frame)) {
-				case HopMessage.Asked(long exchange, long sentNanos, Ask ask) -> run(exchange, sentNanos, ask);
+				case HopMessage.Asked(long exchange, long sentNanos, HopRequest ask) -> run(exchange, sentNanos, ask);
 				case HopMessage.Cancelled(long exchange) -> cancel(exchange);
 				case HopMessage.Ping ignored -> send(new HopMessage.Pong());
 				case HopMessage.Load(var load) -> HopServer.this.keys.reported(load);
@@ -154,7 +154,7 @@
 			return new WireException("a message came from the wrong side of the connection");
 		}
 
-		private void run(long exchange, long sentNanos, Ask ask) throws WireException {
+		private void run(long exchange, long sentNanos, HopRequest ask) throws WireException {
 			Cancellation cancellation = new Cancellation();
 			if (this.running.put(exchange, cancellation) != null) {
 				throw new WireException("exchange %d was opened twice".formatted(exchange));
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/KeyKeeper.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/KeyOwnership.java
@@ -40,7 +40,7 @@
  * the lowest name does, and the store's conditions settle who wins if two do. Belongs to
  * the thread of requests.
  */
-final class KeyKeeper {
+final class KeyOwnership {
 
 	private static final Duration STEP = Duration.ofMillis(250);
 
@@ -69,7 +69,7 @@
 
 	private final ServiceName service;
 
-	private final BackendDesk desk;
+	private final BackendRegistration registration;
 
 	private final Directory directory;
 
@@ -95,13 +95,13 @@
 
 	private long holdersSinceNanos;
 
-	KeyKeeper(NioReactor reactor, MeshSettings settings, BackendDesk desk, Directory directory, MetadataStore store,
-			GrantProtocol grants, HopClient hops, Supplier<RoutingConfig> config, LongSupplier clock,
-			StoreHealth health, MeshLog log) {
+	KeyOwnership(NioReactor reactor, MeshSettings settings, BackendRegistration registration, Directory directory,
+			MetadataStore store, GrantProtocol grants, HopClient hops, Supplier<RoutingConfig> config,
+			LongSupplier clock, StoreHealth health, MeshLog log) {
 		this.reactor = reactor;
 		this.self = settings.instance();
 		this.service = settings.backend().service();
-		this.desk = desk;
+		this.registration = registration;
 		this.directory = directory;
 		this.config = config;
 		this.clock = clock;
@@ -113,11 +113,11 @@
 		this.writer = new KeyMapWriter(reactor, this.self, this.service, directory, store, hops, health, log, clock,
 				this::step);
 		this.delivery = settings.backend().grants();
-		this.sender = new GrantSender(reactor, settings.backend().address(), grants, desk, this.book, clock, log,
-				this::step);
+		this.sender = new GrantSender(reactor, settings.backend().address(), grants, registration, this.book, clock,
+				log, this::step);
 		this.loads = new LoadReports(this.self, directory, hops, now);
 		this.holdersSinceNanos = now;
-		desk.listen(this::step);
+		registration.listen(this::step);
 		directory.listen(this::stepSoon);
 	}
 
@@ -167,7 +167,7 @@
 	 * @return true if it holds it
 	 */
 	boolean usable(int key) {
-		Optional<BackendLife> life = this.desk.life();
+		Optional<BackendLife> life = this.registration.life();
 		Optional<KeyMap> map = this.directory.keys(this.service);
 		return life.isPresent() && map.isPresent()
 				&& this.book.usable(key, map.get().holding(key), life.get(), this.clock.getAsLong());
@@ -211,11 +211,11 @@
 	}
 
 	private void step() {
-		if (!byKey() || this.desk.life().isEmpty() || !this.directory.known()) {
+		if (!byKey() || this.registration.life().isEmpty() || !this.directory.known()) {
 			return;
 		}
 		long now = this.clock.getAsLong();
-		this.lease.step(leasesThatMatter(), !this.desk.dead(), now);
+		this.lease.step(leasesThatMatter(), !this.registration.dead(), now);
 		sendGrants(now);
 		if (!this.writer.busy() && this.lease.rowKnown()) {
 			plan(now);
@@ -225,8 +225,8 @@
 	private void sendGrants(long now) {
 		switch (delivery()) {
 			case GrantDelivery.ByCall ignored when this.lease.mapTrusted() -> this.directory.keys(this.service)
-				.ifPresent(
-						(map) -> this.sender.step(map, this.desk.life().orElseThrow(), this.lease.remainingNanos(now)));
+				.ifPresent((map) -> this.sender.step(map, this.registration.life().orElseThrow(),
+						this.lease.remainingNanos(now)));
 			case GrantDelivery.ByCall ignored -> {
 				// Another instance may hold what the known map says is this one's.
 			}
@@ -257,7 +257,7 @@
 	 * @return the answer
 	 */
 	HopMessage.Promised promise(HopMessage.PromiseAsked asked) {
-		return this.lease.promise(asked, this.desk.ready() && !silent());
+		return this.lease.promise(asked, this.registration.ready() && !silent());
 	}
 
 	/**
@@ -273,9 +273,9 @@
 		return this.directory.serving(this.service)
 			.stream()
 			.filter((member) -> member.life().isPresent())
-			.filter((member) -> !member.instance().equals(this.self) || (this.desk.ready() && !silent()))
+			.filter((member) -> !member.instance().equals(this.self) || (this.registration.ready() && !silent()))
 			.filter((member) -> this.lease.renewing(member.instance(), now))
-			.map(KeyKeeper::holder)
+			.map(KeyOwnership::holder)
 			.sorted((one, other) -> one.instance().compareTo(other.instance()))
 			.toList();
 	}
@@ -285,7 +285,7 @@
 	}
 
 	private boolean silent() {
-		return this.desk.silentNanos(System.nanoTime()) > SILENT_NANOS || this.desk.dead();
+		return this.registration.silentNanos(System.nanoTime()) > SILENT_NANOS || this.registration.dead();
 	}
 
 	private void plan(long now) {
@@ -318,15 +318,16 @@
 
 	// What only this instance may do: it knows what its backend server holds.
 	private boolean planOwn(KeyMap map, List<KeyHolder> holders, long now) {
-		Optional<KeyMap> renewedLife = this.desk.ready()
-				? KeyPlanner.withLife(map, new KeyHolder(this.self, this.desk.life().orElseThrow())) : Optional.empty();
+		Optional<KeyMap> renewedLife = this.registration.ready()
+				? KeyPlanner.withLife(map, new KeyHolder(this.self, this.registration.life().orElseThrow()))
+				: Optional.empty();
 		if (renewedLife.isPresent()) {
 			this.writer.write(renewedLife.get(), "new life");
 			return true;
 		}
 		List<KeyHolding> superseded = map.of(this.self).stream().filter(this.sender::needsNewFence).toList();
 		if (!superseded.isEmpty()) {
-			KeyHolder own = new KeyHolder(this.self, this.desk.life().orElseThrow());
+			KeyHolder own = new KeyHolder(this.self, this.registration.life().orElseThrow());
 			this.writer.write(map.moved(superseded::contains, (held) -> own, KeyHolding::handover), "new fence");
 			return true;
 		}
@@ -340,7 +341,7 @@
 			this.writer.write(retargeted.get(), "other targets");
 			return true;
 		}
-		if (!this.desk.ready() || silent()) {
+		if (!this.registration.ready() || silent()) {
 			List<KeyHolder> others = holders.stream().filter((each) -> !each.instance().equals(this.self)).toList();
 			Optional<KeyMap> leaving = KeyPlanner.withoutLeaving(map, Set.of(this.self), others);
 			leaving.ifPresent((planned) -> this.writer.write(planned, "leaving"));
@@ -366,7 +367,7 @@
 
 	// A server that is dead holds nothing, whatever it was granted.
 	private Optional<String> released(KeyHolding held, long now) {
-		if (this.desk.dead()) {
+		if (this.registration.dead()) {
 			return Optional.of("");
 		}
 		return this.sender.granting(held.span()) ? Optional.empty() : this.book.released(held, now);
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/MemberWriter.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/MemberWriter.java
@@ -28,7 +28,7 @@
 
 	private final InetSocketAddress address;
 
-	private final BackendDesk desk;
+	private final BackendRegistration registration;
 
 	private final Directory directory;
 
@@ -40,16 +40,16 @@
 
 	private long lookNotBeforeNanos = System.nanoTime();
 
-	MemberWriter(NioReactor reactor, MeshSettings settings, BackendDesk desk, Directory directory, MetadataStore store,
-			StoreHealth health) {
+	MemberWriter(NioReactor reactor, MeshSettings settings, BackendRegistration registration, Directory directory,
+			MetadataStore store, StoreHealth health) {
 		this.reactor = reactor;
 		this.settings = settings;
 		this.address = settings.listen().peers();
-		this.desk = desk;
+		this.registration = registration;
 		this.directory = directory;
 		this.store = store;
 		this.health = health;
-		desk.listen(this::look);
+		registration.listen(this::look);
 	}
 
 	void start() {
@@ -61,12 +61,13 @@
 
 	private Member own() {
 		return new Member(this.settings.instance(), this.address, this.settings.failureDomain(),
-				this.settings.backend().service(), this.desk.life(), this.desk.slots(), this.desk.ready());
+				this.settings.backend().service(), this.registration.life(), this.registration.slots(),
+				this.registration.ready());
 	}
 
 	void look() {
 		boolean early = System.nanoTime() - this.lookNotBeforeNanos < 0;
-		if (this.writing || early || !this.directory.known() || this.desk.life().isEmpty()) {
+		if (this.writing || early || !this.directory.known() || this.registration.life().isEmpty()) {
 			return;
 		}
 		Member own = own();
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/MeshEntry.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/MeshEntry.java
@@ -15,7 +15,7 @@
 import org.brasspier.core.mesh.RoutingConfig;
 import org.brasspier.core.mesh.SendOutcome;
 import org.brasspier.core.request.Answer;
-import org.brasspier.daemon.internal.http.CallerDoor;
+import org.brasspier.daemon.internal.http.CallerServer;
 import org.brasspier.daemon.internal.request.Cancellation;
 import org.brasspier.daemon.mesh.CallerProtocol;
 import org.brasspier.daemon.mesh.MeshRequest;
@@ -24,7 +24,7 @@
 /**
  * Serves the requests that begin on this instance. Belongs to the thread of requests.
  */
-final class MeshEntry implements CallerDoor.Handler {
+final class MeshEntry implements CallerServer.Handler {
 
 	private static final long NANOS_PER_MILLI = 1_000_000;
 
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/MeshGauges.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/MeshGauges.java
@@ -18,15 +18,15 @@
 		this.metrics = metrics;
 	}
 
-	MeshGauges gate(BackendGate gate, BackendDesk desk) {
+	MeshGauges gate(BackendGate gate, BackendRegistration registration) {
 		show("gate_running", () -> gate.load().get(0));
 		show("gate_waiting", () -> gate.load().get(1));
-		show("backend_slots", desk::slots);
-		show("backend_ready", () -> desk.ready() ? 1 : 0);
+		show("backend_slots", registration::slots);
+		show("backend_ready", () -> registration.ready() ? 1 : 0);
 		return this;
 	}
 
-	MeshGauges keys(KeyKeeper keys) {
+	MeshGauges keys(KeyOwnership keys) {
 		show("mesh_lease_millis_left", keys::leaseMillisLeft);
 		show("mesh_spans_held", keys::spansHeld);
 		return this;
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/MeshNode.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/MeshNode.java
@@ -7,7 +7,7 @@
 import io.activej.reactor.nio.NioReactor;
 import org.brasspier.core.mesh.RoutingConfig;
 import org.brasspier.daemon.internal.http.BackendPool;
-import org.brasspier.daemon.internal.http.CallerDoor;
+import org.brasspier.daemon.internal.http.CallerServer;
 import org.brasspier.daemon.internal.operator.MetricsText;
 import org.brasspier.daemon.mesh.MeshAdapter;
 import org.brasspier.daemon.mesh.MeshSettings;
@@ -50,17 +50,17 @@
 
 	private final BackendGate gate;
 
-	private final KeyKeeper keys;
+	private final KeyOwnership keys;
 
 	private final MemberWriter member;
 
 	private final MeshEntry entry;
 
-	private final CallerDoor callers;
+	private final CallerServer callers;
 
 	private final HopServer hops;
 
-	private final BackendDesk desk;
+	private final BackendRegistration registration;
 
 	private final TableFeed configFeed;
 
@@ -86,26 +86,26 @@
 		StoreHealth health = new StoreHealth(this.log, this.metrics);
 		this.directory = new Directory(this.log);
 		this.config = new ConfigHolder(adapter.config(), this.log);
-		this.desk = new BackendDesk(settings.backend(), this.log);
+		this.registration = new BackendRegistration(settings.backend(), this.log);
 		BootClock clock = new BootClock();
 		SharedRows shared = new SharedRows(this.config, this.directory, this.log);
 		HopClient hopClient = new HopClient(reactor, shared);
-		this.keys = new KeyKeeper(reactor, settings, this.desk, this.directory, adapter.store(), adapter.grants(),
-				hopClient, this.config, clock::nanos, health, this.log);
-		this.desk.grantsFrom((beat, now) -> this.keys.answer(beat));
+		this.keys = new KeyOwnership(reactor, settings, this.registration, this.directory, adapter.store(),
+				adapter.grants(), hopClient, this.config, clock::nanos, health, this.log);
+		this.registration.grantsFrom((beat, now) -> this.keys.answer(beat));
 		LagTimer lag = new LagTimer(reactor);
 		BackendPool pool = new BackendPool(reactor, settings.backend().address(), MAX_ANSWER_BYTES);
-		this.gate = new BackendGate(reactor, settings, this.desk, pool, adapter.backends(), this.config, this.keys,
-				this.log);
+		this.gate = new BackendGate(reactor, settings, this.registration, pool, adapter.backends(), this.config,
+				this.keys, this.log);
 		this.keys.capacityFrom(this.gate::capacity);
-		this.member = new MemberWriter(reactor, settings, this.desk, this.directory, adapter.store(), health);
+		this.member = new MemberWriter(reactor, settings, this.registration, this.directory, adapter.store(), health);
 		Dispatcher dispatcher = new Dispatcher(settings, this.directory, this.config, this.gate,
 				new HopClient(reactor, shared), this.log);
 		this.entry = new MeshEntry(adapter.callers(), this.config, dispatcher, lag, this.log, this.metrics);
-		this.callers = new CallerDoor(reactor, settings.listen().callers(), this.entry,
+		this.callers = new CallerServer(reactor, settings.listen().callers(), this.entry,
 				() -> this.config.get().limits());
 		this.hops = new HopServer(reactor, settings.listen().peers(), this.gate, this.keys, shared, this.log);
-		new MeshGauges(this.metrics).gate(this.gate, this.desk)
+		new MeshGauges(this.metrics).gate(this.gate, this.registration)
 			.keys(this.keys)
 			.known(this.config, this.directory)
 			.process(lag);
@@ -120,7 +120,7 @@
 	 * @throws IOException if a port can't be opened
 	 */
 	public void start() throws IOException {
-		this.ports.heartbeats(this.settings.listen().backend(), this.adapter.heartbeats(), this.desk);
+		this.ports.heartbeats(this.settings.listen().backend(), this.adapter.heartbeats(), this.registration);
 		this.ports.readiness(this.settings.listen().readiness(), this.adapter.readinessPath(), this::ready);
 		this.ports.metrics(this.settings.listen(), new MetricsText(this.metrics)::text);
 		this.hops.listen();
--- a/daemon/src/main/java/org/brasspier/daemon/internal/operator/MeasureCalls.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/operator/MeasureCalls.java
@@ -15,7 +15,7 @@
 import org.brasspier.core.measure.MeasureSums;
 import org.brasspier.core.measure.Measured;
 import org.brasspier.daemon.internal.DaemonContext;
-import org.brasspier.daemon.internal.measure.MeasureKeeper;
+import org.brasspier.daemon.internal.measure.MeasureRecorder;
 import org.brasspier.wire.operator.MeasuresAnswer;
 
 /**
@@ -29,9 +29,9 @@
 
 	private final DaemonContext context;
 
-	private final MeasureKeeper keeper;
+	private final MeasureRecorder keeper;
 
-	MeasureCalls(DaemonContext context, MeasureKeeper keeper) {
+	MeasureCalls(DaemonContext context, MeasureRecorder keeper) {
 		this.context = context;
 		this.keeper = keeper;
 	}
@@ -58,7 +58,7 @@
 		return day.with(IsoFields.DAY_OF_QUARTER, 1).atStartOfDay(ZoneOffset.UTC).toInstant().toEpochMilli();
 	}
 
-	private HttpResponse render(MeasureKeeper.KeptMeasures kept, long from, long to) {
+	private HttpResponse render(MeasureRecorder.KeptMeasures kept, long from, long to) {
 		Targets targets = this.context.documents().inForce().document().targets();
 		Map<String, MeasureSums> services = new TreeMap<>(kept.services());
 		return Answers.ok(new MeasuresAnswer(this.context.settings().cell(), from, to, kept.untilMillis(),
--- a/daemon/src/main/java/org/brasspier/daemon/internal/operator/OperatorsDuty.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/operator/OperatorsDuty.java
@@ -19,7 +19,7 @@
 import org.brasspier.daemon.internal.document.DocumentService;
 import org.brasspier.daemon.internal.loop.Duty;
 import org.brasspier.daemon.internal.loop.Ring;
-import org.brasspier.daemon.internal.measure.MeasureKeeper;
+import org.brasspier.daemon.internal.measure.MeasureRecorder;
 import org.brasspier.daemon.internal.ownership.CellView;
 import org.brasspier.daemon.internal.ownership.DocumentVersions;
 import org.brasspier.daemon.internal.ownership.OwnershipOrders;
@@ -101,7 +101,7 @@
 		PeerClient peers = new PeerClient(http, this.context, this.cell);
 		DocumentService service = new DocumentService(platform, platform, this.context.documents(), peers,
 				this.context.events(), this::managing);
-		MeasureKeeper keeper = new MeasureKeeper(platform, settings.cell(), peers, this.context.events(),
+		MeasureRecorder keeper = new MeasureRecorder(platform, settings.cell(), peers, this.context.events(),
 				System::currentTimeMillis);
 		OperatorSecrets secrets = new OperatorSecrets(settings.secrets().operatorSecrets(),
 				() -> this.context.documents().inForce().document().acceptedSecrets());
--- a/daemon/src/main/java/org/brasspier/daemon/internal/request/InFlight.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/request/InFlight.java
@@ -9,7 +9,7 @@
 import org.brasspier.core.KeyHash;
 import org.brasspier.core.ServiceName;
 import org.brasspier.core.ownership.HeldRange;
-import org.brasspier.core.request.CrashMarks;
+import org.brasspier.core.request.CrashHistory;
 import org.brasspier.daemon.internal.ownership.RequestsReport;
 
 /**
@@ -18,7 +18,7 @@
  */
 final class InFlight {
 
-	private final CrashMarks marks;
+	private final CrashHistory marks;
 
 	private final OwnershipReports reports;
 
@@ -27,7 +27,7 @@
 	private final List<HeldRange> draining = new ArrayList<>();
 
 	// The reports are offered to a ring, which may be full; then they are offered again.
-	InFlight(CrashMarks marks, OwnershipReports reports) {
+	InFlight(CrashHistory marks, OwnershipReports reports) {
 		this.marks = marks;
 		this.reports = reports;
 	}
--- a/daemon/src/main/java/org/brasspier/daemon/internal/request/OrderRunner.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/request/OrderRunner.java
@@ -17,7 +17,7 @@
 import org.brasspier.daemon.internal.backend.BackendCalls;
 import org.brasspier.daemon.internal.backend.BackendClient;
 import org.brasspier.daemon.internal.backend.BackendWatch;
-import org.brasspier.daemon.internal.backend.GrantsKeeper;
+import org.brasspier.daemon.internal.backend.GrantRenewal;
 import org.brasspier.daemon.internal.event.EventLog;
 import org.jspecify.annotations.Nullable;
 
@@ -39,7 +39,7 @@
 
 	private final BackendWatch watch;
 
-	private final GrantsKeeper grants;
+	private final GrantRenewal grants;
 
 	private final EventLog events;
 
@@ -53,7 +53,7 @@
 
 	private final Deque<Break> breaks = new ArrayDeque<>();
 
-	OrderRunner(NioReactor reactor, BackendClient client, BackendCalls calls, BackendWatch watch, GrantsKeeper grants,
+	OrderRunner(NioReactor reactor, BackendClient client, BackendCalls calls, BackendWatch watch, GrantRenewal grants,
 			EventLog events, GuardTimes guards, LoadReports loads, Consumer<CallerRequest> suspects) {
 		this.reactor = reactor;
 		this.client = client;
@@ -143,7 +143,7 @@
 		return this.watch;
 	}
 
-	GrantsKeeper grants() {
+	GrantRenewal grants() {
 		return this.grants;
 	}
 
--- a/daemon/src/main/java/org/brasspier/daemon/internal/request/OwnerGate.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/request/OwnerGate.java
@@ -30,7 +30,7 @@
 
 	private final Supplier<OwnershipSnapshot> ownership;
 
-	private final PostingDesk postings;
+	private final PostingExecutor postings;
 
 	private final Suspects suspects;
 
@@ -53,7 +53,7 @@
 	 * @param servers hands an admitted request to a backend server
 	 * @param events the time line
 	 */
-	OwnerGate(Supplier<OwnershipSnapshot> ownership, PostingDesk postings, Suspects suspects, InFlight inFlight,
+	OwnerGate(Supplier<OwnershipSnapshot> ownership, PostingExecutor postings, Suspects suspects, InFlight inFlight,
 			Function<Admitted, OrderRun> servers, EventLog events) {
 		this.ownership = ownership;
 		this.postings = postings;
--- a/daemon/src/main/java/org/brasspier/daemon/internal/request/PostingDesk.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/request/PostingExecutor.java
@@ -26,7 +26,7 @@
  * Runs each posting at most once: asks the ledger, lets resends wait for the first send's
  * run and gives each the whole answer. Belongs to the thread of requests.
  */
-final class PostingDesk {
+final class PostingExecutor {
 
 	private static final long NANOS_PER_MILLI = 1_000_000;
 
@@ -38,7 +38,7 @@
 
 	private final Map<Posting, SettablePromise<Outcome>> running = new HashMap<>();
 
-	PostingDesk(NioReactor reactor, RequestLedger ledger, EventLog events) {
+	PostingExecutor(NioReactor reactor, RequestLedger ledger, EventLog events) {
 		this.reactor = reactor;
 		this.ledger = ledger;
 		this.events = events;
--- a/daemon/src/main/java/org/brasspier/daemon/internal/request/RequestPath.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/request/RequestPath.java
@@ -9,7 +9,7 @@
 import io.activej.net.SimpleServer;
 import io.activej.reactor.nio.NioReactor;
 import org.brasspier.core.choosing.BackendChooser;
-import org.brasspier.core.request.CrashMarks;
+import org.brasspier.core.request.CrashHistory;
 import org.brasspier.core.request.LedgerLimits;
 import org.brasspier.core.request.RequestLedger;
 import org.brasspier.core.retry.RecentTimes;
@@ -20,7 +20,7 @@
 import org.brasspier.daemon.internal.backend.BackendClient;
 import org.brasspier.daemon.internal.backend.BackendPort;
 import org.brasspier.daemon.internal.backend.BackendWatch;
-import org.brasspier.daemon.internal.backend.GrantsKeeper;
+import org.brasspier.daemon.internal.backend.GrantRenewal;
 import org.brasspier.daemon.internal.caller.CallerListener;
 import org.brasspier.daemon.internal.caller.CallerPort;
 import org.brasspier.daemon.internal.measure.OutcomeMeter;
@@ -55,11 +55,11 @@
 
 	private final BackendWatch watch;
 
-	private final GrantsKeeper grants;
+	private final GrantRenewal grants;
 
 	private final ServerGate serverGate;
 
-	private final CrashMarks marks = new CrashMarks();
+	private final CrashHistory marks = new CrashHistory();
 
 	private final InFlight inFlight;
 
@@ -89,7 +89,7 @@
 		Suspects suspects = new Suspects(this.marks, context.events());
 		BackendCalls calls = new BackendCalls(reactor);
 		this.watch = new BackendWatch(reactor, calls, context.events());
-		this.grants = new GrantsKeeper(calls, known.ownership(), known.catalog());
+		this.grants = new GrantRenewal(calls, known.ownership(), known.catalog());
 		this.loads = new LoadReports(known.ownership(), reports, context.outcomes());
 		OrderRunner runner = new OrderRunner(reactor, new BackendClient(reactor, settings.limits().maxBodyBytes()),
 				calls, this.watch, this.grants, context.events(), guards, this.loads, suspects::partOfLoss);
@@ -112,10 +112,10 @@
 		this.forwards = this.forwardServer.listenOn(reactor);
 	}
 
-	private static PostingDesk desk(NioReactor reactor, DaemonContext context) {
+	private static PostingExecutor desk(NioReactor reactor, DaemonContext context) {
 		RequestLedger ledger = new RequestLedger(new SecureRandom().nextLong(), LedgerLimits.DEFAULT,
 				System.nanoTime() / NANOS_PER_MILLI);
-		return new PostingDesk(reactor, ledger, context.events());
+		return new PostingExecutor(reactor, ledger, context.events());
 	}
 
 	private static RetryRules retries() {
--- a/daemon/src/main/java/org/brasspier/daemon/internal/request/ServerGate.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/request/ServerGate.java
@@ -26,7 +26,7 @@
 import org.brasspier.core.document.ServicePolicy;
 import org.brasspier.daemon.internal.backend.BackendAnnouncement;
 import org.brasspier.daemon.internal.backend.BackendWatch;
-import org.brasspier.daemon.internal.backend.GrantsKeeper;
+import org.brasspier.daemon.internal.backend.GrantRenewal;
 import org.brasspier.daemon.internal.ownership.RequestsReport.BackendState;
 import org.brasspier.daemon.internal.ownership.RequestsReport.BackendStatus;
 
@@ -54,7 +54,7 @@
 
 	private final BackendWatch watch;
 
-	private final GrantsKeeper grants;
+	private final GrantRenewal grants;
 
 	private final OrderRunner runner;
 
@@ -83,7 +83,7 @@
 	 * @param runner hands orders over
 	 * @param catalog what the document in force says of services
 	 */
-	ServerGate(NioReactor reactor, BackendWatch watch, GrantsKeeper grants, OrderRunner runner,
+	ServerGate(NioReactor reactor, BackendWatch watch, GrantRenewal grants, OrderRunner runner,
 			Supplier<ServiceCatalog> catalog) {
 		this.reactor = reactor;
 		this.watch = watch;
--- a/daemon/src/main/java/org/brasspier/daemon/internal/request/Suspects.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/request/Suspects.java
@@ -8,7 +8,7 @@
 import org.brasspier.core.ownership.HeldRange;
 import org.brasspier.core.ownership.MarkedRange;
 import org.brasspier.core.request.CallerRequest;
-import org.brasspier.core.request.CrashMarks;
+import org.brasspier.core.request.CrashHistory;
 import org.brasspier.daemon.internal.event.EventLog;
 
 /**
@@ -17,7 +17,7 @@
  */
 final class Suspects {
 
-	private final CrashMarks marks;
+	private final CrashHistory marks;
 
 	private final EventLog events;
 
@@ -25,7 +25,7 @@
 
 	private List<MarkedRange> followed = List.of();
 
-	Suspects(CrashMarks marks, EventLog events) {
+	Suspects(CrashHistory marks, EventLog events) {
 		this.marks = marks;
 		this.events = events;
 	}
@@ -62,7 +62,7 @@
 
 	// Whether it must not reach another backend server.
 	boolean keptAway(CallerRequest request) {
-		return !this.marks.isEmpty() && this.marks.count(request.mark()) >= CrashMarks.MAX_CRASHES;
+		return !this.marks.isEmpty() && this.marks.count(request.mark()) >= CrashHistory.MAX_CRASHES;
 	}
 
 }
--- a/daemon/src/test/java/org/brasspier/daemon/internal/measure/MeasureKeeperTests.java
+++ b/daemon/src/test/java/org/brasspier/daemon/internal/measure/MeasureRecorderTests.java
@@ -24,7 +24,7 @@
 /**
  * The measures are kept in the platform's store, each minute and move once.
  */
-class MeasureKeeperTests {
+class MeasureRecorderTests {
 
 	private static final ServiceName HULLBOOK = new ServiceName("hullbook");
 
@@ -38,7 +38,7 @@
 
 	private long viewVersion;
 
-	private final MeasureKeeper keeper = keeper();
+	private final MeasureRecorder keeper = keeper();
 
 	@Test
 	void reportsAreAddedOnceHoweverOftenTheyAreCollected() {
@@ -106,13 +106,13 @@
 	@Test
 	void onlyThePrimaryWrites() {
 		minute(10);
-		this.millis += MeasureKeeper.PERIOD.toMillis();
+		this.millis += MeasureRecorder.PERIOD.toMillis();
 		this.keeper.tick(view("a"), false);
 		assertThat(this.platform.rows).isEmpty();
 	}
 
-	private MeasureKeeper keeper() {
-		return new MeasureKeeper(this.platform, "main",
+	private MeasureRecorder keeper() {
+		return new MeasureRecorder(this.platform, "main",
 				(after) -> Promise.of(this.counted.stream().filter((report) -> report.minute() > after).toList()),
 				new EventLog(100), () -> this.millis);
 	}
@@ -123,8 +123,8 @@
 		this.millis += Duration.ofMinutes(1).toMillis();
 	}
 
-	private void keep(MeasureKeeper by, String owner) {
-		this.millis += MeasureKeeper.PERIOD.toMillis();
+	private void keep(MeasureRecorder by, String owner) {
+		this.millis += MeasureRecorder.PERIOD.toMillis();
 		by.tick(view(owner), true);
 	}
 
--- a/daemon/src/test/java/org/brasspier/daemon/internal/request/SuspectsTests.java
+++ b/daemon/src/test/java/org/brasspier/daemon/internal/request/SuspectsTests.java
@@ -13,7 +13,7 @@
 import org.brasspier.core.ownership.HeldRange;
 import org.brasspier.core.ownership.MarkedRange;
 import org.brasspier.core.request.CallerRequest;
-import org.brasspier.core.request.CrashMarks;
+import org.brasspier.core.request.CrashHistory;
 import org.brasspier.core.request.RequestIdentity;
 import org.brasspier.daemon.internal.event.EventLog;
 import org.junit.jupiter.api.Test;
@@ -26,7 +26,7 @@
 			true, new RequestIdentity(new RequestId("killer"), false, false, Optional.empty()), RequestClass.LOOKUP,
 			new CallerId("office"), 1000, new CallerRequest.Target("GET", "/x"), List.of(), new byte[0]);
 
-	private final Suspects suspects = new Suspects(new CrashMarks(), new EventLog(10));
+	private final Suspects suspects = new Suspects(new CrashHistory(), new EventLog(10));
 
 	// A request has crashed two servers and waits at a daemon for the next owner. That
 	// daemon gets the range, and the request is woken by the snapshot that says so. While
@@ -34,7 +34,7 @@
 	// (in 2 of 300 tries); now they are part of the snapshot.
 	@Test
 	void marksHoldFromTheSnapshotThatGivesTheirRange() {
-		this.suspects.follow(List.of(marked(8, CrashMarks.MAX_CRASHES)));
+		this.suspects.follow(List.of(marked(8, CrashHistory.MAX_CRASHES)));
 		assertThat(this.suspects.keptAway(KILLER)).isTrue();
 	}
 
@@ -52,7 +52,7 @@
 	void marksOfALaterGrantAreTakenAgain() {
 		this.suspects.follow(List.of(marked(8, 1)));
 		this.suspects.endedWell(KILLER);
-		this.suspects.follow(List.of(marked(9, CrashMarks.MAX_CRASHES)));
+		this.suspects.follow(List.of(marked(9, CrashHistory.MAX_CRASHES)));
 		assertThat(this.suspects.keptAway(KILLER)).isTrue();
 	}
 
