Spread a range that turns hot within seconds

Change: the next busiest is asked too; loads stand for two seconds, rounds are one second apart, and up to 32 pieces move in one.

--- a/core/src/main/java/org/brasspier/core/keys/KeyBalance.java
+++ b/core/src/main/java/org/brasspier/core/keys/KeyBalance.java
@@ -47,7 +47,7 @@
 	 * Moves of one round. Each leaves its keys unserved for about half a second, so a
 	 * round stays small against what it mends.
 	 */
-	private static final int MOST_MOVES = 16;
+	private static final int MOST_MOVES = 32;
 
 	/** The rows that fit an answer to a heartbeat, with room to spare. */
 	private static final int MOST_SPANS = 72;
@@ -93,11 +93,19 @@
 			this.mean = rate / loads.stream().mapToDouble(HolderLoad::capacity).sum();
 		}
 
+		// From the busiest holder that has a piece to give: another one may be just as
+		// much in need, while the busiest has nothing that fits.
 		Optional<Move> next() {
-			Seat giver = this.seats.stream().max(Comparator.comparingDouble(Seat::share)).orElseThrow();
-			if (giver.share() < BUSY || giver.share() < this.mean + TRIGGER * Math.max(this.mean, BUSY)) {
-				return Optional.empty();
-			}
+			return this.seats.stream()
+				.filter((seat) -> seat.share() >= BUSY
+						&& seat.share() >= this.mean + TRIGGER * Math.max(this.mean, BUSY))
+				.sorted(Comparator.comparingDouble(Seat::share).reversed())
+				.map(this::from)
+				.flatMap(Optional::stream)
+				.findFirst();
+		}
+
+		private Optional<Move> from(Seat giver) {
 			return this.seats.stream()
 				.filter((seat) -> seat != giver && seat.spans < MOST_SPANS && seat.share() < FULL)
 				.sorted(Comparator.comparingDouble(Seat::share))
--- a/core/src/main/java/org/brasspier/core/keys/KeyMeter.java
+++ b/core/src/main/java/org/brasspier/core/keys/KeyMeter.java
@@ -14,10 +14,10 @@
 
 	/**
 	 * How much of a rate is left after one second without requests. The rate then stands
-	 * for some four seconds: long enough that chance is a twentieth at a hundred requests
-	 * a second, short enough to follow a key that turns hot for five seconds.
+	 * for some two seconds: long enough that chance is a tenth at a hundred requests a
+	 * second, short enough that keys that have just come count soon.
 	 */
-	private static final double KEEP = 0.75;
+	private static final double KEEP = 0.5;
 
 	/**
 	 * When so many times more is asked than before, what was before says nothing of how
--- /dev/null
+++ b/core/src/test/java/org/brasspier/core/keys/KeyBalanceLoadTests.java
@@ -0,0 +1,109 @@
+package org.brasspier.core.keys;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+
+import org.brasspier.core.InstanceId;
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Servers of unequal speed under skewed demand that turns hot in one place, second by
+ * second: what a server can't run is refused and comes back twice.
+ */
+class KeyBalanceLoadTests extends KeyFixtures {
+
+	private static final List<InstanceId> ALL = List.of(new InstanceId("a"), new InstanceId("b"), new InstanceId("c"),
+			new InstanceId("d"), new InstanceId("e"), new InstanceId("f"));
+
+	private static final double[] CAPACITY = { 90, 90, 150, 150, 210, 210 };
+
+	private static final int RETURNS = 2;
+
+	private final Random random = new Random(7);
+
+	private KeyMap map = KeyMap.first(ALL.stream().map(KeyFixtures::holder).toList());
+
+	private final Map<InstanceId, KeyMeter> meters = new HashMap<>();
+
+	private List<Integer> returning = new ArrayList<>();
+
+	private long now;
+
+	private int key(double hotShare, int hotFrom) {
+		if (this.random.nextDouble() < hotShare) {
+			return hotFrom + this.random.nextInt(200);
+		}
+		return (int) (Math.pow(this.random.nextDouble(), 5.5) * KeySpan.LAST_KEY);
+	}
+
+	private KeyMeter meter(InstanceId instance) {
+		return this.meters.computeIfAbsent(instance, (id) -> new KeyMeter(0));
+	}
+
+	// Plays a second and returns what was asked of the busiest server, as a share of what
+	// it can run.
+	private double second(int fresh, double hotShare, int hotFrom) {
+		Map<InstanceId, Integer> served = new HashMap<>();
+		List<Integer> coming = new ArrayList<>(this.returning);
+		for (int i = 0; i < fresh; i++) {
+			coming.add(key(hotShare, hotFrom) * (RETURNS + 1) + RETURNS);
+		}
+		Collections.shuffle(coming, this.random);
+		List<Integer> next = new ArrayList<>();
+		for (int coded : coming) {
+			int key = coded / (RETURNS + 1);
+			InstanceId owner = this.map.holding(key).owner();
+			meter(owner).asked(key);
+			if (served.merge(owner, 1, Integer::sum) <= CAPACITY[ALL.indexOf(owner)]) {
+				continue;
+			}
+			if (coded % (RETURNS + 1) > 0) {
+				next.add(coded - 1);
+			}
+		}
+		this.returning = next;
+		this.now += millis(1000);
+		ALL.forEach((instance) -> meter(instance).tick(this.now));
+		return served.entrySet()
+			.stream()
+			.mapToDouble((entry) -> entry.getValue() / CAPACITY[ALL.indexOf(entry.getKey())])
+			.max()
+			.orElseThrow();
+	}
+
+	private void balance() {
+		List<HolderLoad> loads = ALL.stream()
+			.map((instance) -> new HolderLoad(instance, CAPACITY[ALL.indexOf(instance)],
+					meter(instance).pieces(this.map.of(instance).stream().map(KeyHolding::span).toList())))
+			.toList();
+		Optional<KeyMap> planned = KeyBalance.plan(this.map, loads);
+		planned.ifPresent((moves) -> this.map = moves
+			.moved((held) -> held.next().isPresent(), (held) -> holder(held.next().orElseThrow()), (held) -> "warm")
+			.joined());
+	}
+
+	/**
+	 * Guards against servers that refuse for many seconds while others of their service
+	 * rest.
+	 */
+	@Test
+	void aRangeThatTurnsHotIsSpreadWithinSixSeconds() {
+		List<Double> busiest = new ArrayList<>();
+		for (int second = 1; second <= 20; second++) {
+			busiest.add(second(650, 0.35, 30_000));
+			if (second > 1) {
+				balance();
+			}
+		}
+		assertThat(busiest.get(1)).isGreaterThan(2.0);
+		assertThat(busiest.subList(6, 20).stream().filter((share) -> share > 1).toList()).isEmpty();
+	}
+
+}
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/KeyOwnership.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/KeyOwnership.java
@@ -61,7 +61,7 @@
 	 * After a move loads are counted anew before the next one is planned: half of what
 	 * the meter remembers is then from after the move.
 	 */
-	private static final long REST_NANOS = Duration.ofSeconds(2).toNanos();
+	private static final long REST_NANOS = Duration.ofSeconds(1).toNanos();
 
 	private final NioReactor reactor;
 
