Judge an overload by the share of refusals, not by a slot that was free once

Change: an overload lasts as long as a tenth or more of the requests of the last half second are refused.

--- a/core/src/main/java/org/brasspier/core/admission/AdmissionController.java
+++ b/core/src/main/java/org/brasspier/core/admission/AdmissionController.java
@@ -91,7 +91,6 @@
 		}
 		if (queue(request.requestClass()).isEmpty() && this.slots.free(request.requestClass(), now)) {
 			start(request, now);
-			retryTimes(request.requestClass()).foundFreeSlot(now);
 			return new Run();
 		}
 		return enqueue(request, now);
@@ -336,6 +335,7 @@
 	private void start(PendingRequest request, long now) {
 		double expected = this.times.mean(request.requestClass());
 		this.slots.take(request.requestClass(), now);
+		retryTimes(request.requestClass()).begun(now);
 		this.shares.charge(request.caller(), expected);
 		this.shares.begun(request.caller());
 		this.running.put(request.id(), new Running(request, now, expected, this.running.size() + 1));
--- a/core/src/main/java/org/brasspier/core/admission/RetryTimes.java
+++ b/core/src/main/java/org/brasspier/core/admission/RetryTimes.java
@@ -8,9 +8,9 @@
  * only be put off; if all classes were told one after the other, a lookup would be told
  * to wait for audit readers that it goes before.
  * <p>
- * While the server is saturated there is no room for who comes back: fresh requests alone
- * fill it, and a returning caller is refused again or takes the place of a fresh one. An
- * overload is expected to last as long again as it has lasted. Not thread-safe.
+ * While the server is overloaded there is no room for who comes back: fresh requests
+ * alone fill it, and a returning caller is refused again or takes the place of a fresh
+ * one. An overload is expected to last as long again as it has lasted. Not thread-safe.
  */
 final class RetryTimes {
 
@@ -23,19 +23,53 @@
 	 */
 	private static final long LONGEST_NANOS = Duration.ofSeconds(10).toNanos();
 
+	/** Refusals and runs of about this time tell whether the server is overloaded. */
+	private static final double WINDOW_NANOS = Duration.ofMillis(500).toNanos();
+
+	/** From this share of refusals on, who comes back takes the place of another. */
+	private static final double OVERLOADED_SHARE = 0.1;
+
 	private long nextNanos;
 
-	private long freeNanos;
+	private double begun;
+
+	private double refused;
 
-	private boolean everFree;
+	private long countedNanos;
+
+	private boolean overloaded;
+
+	private long overloadedSinceNanos;
 
 	/**
-	 * Takes that a request of the class found a free slot.
+	 * Takes that a request of the class was begun.
 	 * @param now the time
 	 */
-	void foundFreeSlot(long now) {
-		this.freeNanos = now;
-		this.everFree = true;
+	void begun(long now) {
+		decay(now);
+		this.begun++;
+		noteOverload(now);
+	}
+
+	private void refused(long now) {
+		decay(now);
+		this.refused++;
+		noteOverload(now);
+	}
+
+	private void decay(long now) {
+		double kept = Math.exp(-Math.max(0, now - this.countedNanos) / WINDOW_NANOS);
+		this.begun *= kept;
+		this.refused *= kept;
+		this.countedNanos = now;
+	}
+
+	private void noteOverload(long now) {
+		boolean before = this.overloaded;
+		this.overloaded = this.refused >= OVERLOADED_SHARE * (this.begun + this.refused);
+		if (this.overloaded && !before) {
+			this.overloadedSinceNanos = now;
+		}
 	}
 
 	/**
@@ -46,8 +80,9 @@
 	 * @return from 50 ms to 10 s
 	 */
 	Duration next(long now, double waitNanos, double turnNanos) {
-		long saturated = this.everFree ? now - this.freeNanos : 0;
-		double wait = Math.max(saturated, Math.max(SHORTEST_NANOS, waitNanos));
+		refused(now);
+		double lasted = this.overloaded ? now - this.overloadedSinceNanos : 0;
+		double wait = Math.max(lasted, Math.max(SHORTEST_NANOS, waitNanos));
 		long earliest = now + (long) Math.min(LONGEST_NANOS, wait);
 		this.nextNanos = Math.max(earliest, Math.min(this.nextNanos + (long) turnNanos, now + LONGEST_NANOS));
 		return Duration.ofNanos(this.nextNanos - now);
