Serve who can be answered in time first while a server is overloaded

Change: an entry tells requests that have two targets' time less left than the longest of their route. While a tenth or more of the fresh requests are refused, a gate gives such a request only a slot that rests and lets it wait for none.

--- a/core/src/main/java/org/brasspier/core/admission/AdmissionController.java
+++ b/core/src/main/java/org/brasspier/core/admission/AdmissionController.java
@@ -87,12 +87,15 @@
 			return new Refuse(Failure.of(ErrorKind.DEADLINE_PASSED, "the deadline passed on the way"));
 		}
 		if (hopeless(request, now)) {
-			return new Refuse(overloaded("the deadline can't be met", request.requestClass(), now));
+			return new Refuse(overloaded("the deadline can't be met", request, now));
 		}
 		if (queue(request.requestClass()).isEmpty() && this.slots.free(request.requestClass(), now)) {
 			start(request, now);
 			return new Run();
 		}
+		if (request.overdue() && retryTimes(request.requestClass()).overloaded(now)) {
+			return new Refuse(overloaded("its target has passed and no slot is free", request, now));
+		}
 		return enqueue(request, now);
 	}
 
@@ -266,13 +269,13 @@
 		// Saturation: a request that can't make its deadline only takes a slot from one
 		// that can, so it is told so before it waits.
 		if (now + wait + this.times.mean(requestClass) > request.deadlineNanos()) {
-			return new Refuse(overloaded("the deadline can't be met", requestClass, now));
+			return new Refuse(overloaded("the deadline can't be met", request, now));
 		}
 		Optional<RefusedRequest> displaced = Optional.empty();
 		if (wait > usefulWait(requestClass)) {
 			displaced = queue(requestClass).displaceFor(request.caller()).map((other) -> giveUp(other, now));
 			if (displaced.isEmpty()) {
-				return new Refuse(overloaded("the queue is full", requestClass, now));
+				return new Refuse(overloaded("the queue is full", request, now));
 			}
 		}
 		if (queue(requestClass).isEmpty()) {
@@ -315,7 +318,7 @@
 		PendingRequest request = entry.request();
 		this.waiting.remove(request.id());
 		return new RefusedRequest(request.id(),
-				overloaded("gave way to what can still be served in time", request.requestClass(), now));
+				overloaded("gave way to what can still be served in time", request, now));
 	}
 
 	private Optional<PendingRequest> take(long now) {
@@ -351,7 +354,11 @@
 		return Math.max(ahead / this.slots.usable(), observed);
 	}
 
-	private Failure overloaded(String detail, RequestClass requestClass, long now) {
+	private Failure overloaded(String detail, PendingRequest request, long now) {
+		RequestClass requestClass = request.requestClass();
+		if (!request.overdue()) {
+			retryTimes(requestClass).refused(now);
+		}
 		double turn = Math.max(this.times.mean(requestClass) / this.slots.usable(), queueTurn(requestClass, now));
 		Duration pause = retryTimes(requestClass).next(now, expectedWait(requestClass, now), turn);
 		return new Failure(ErrorKind.OVERLOADED, detail, pause);
--- a/core/src/main/java/org/brasspier/core/admission/RetryTimes.java
+++ b/core/src/main/java/org/brasspier/core/admission/RetryTimes.java
@@ -26,6 +26,9 @@
 	/** Refusals and runs of about this time tell whether the server is overloaded. */
 	private static final double WINDOW_NANOS = Duration.ofMillis(500).toNanos();
 
+	/** Fewer refusals in that time are a moment's chance. */
+	private static final double LEAST_REFUSED = 0.5;
+
 	/** From this share of refusals on, who comes back takes the place of another. */
 	private static final double OVERLOADED_SHARE = 0.1;
 
@@ -51,12 +54,27 @@
 		noteOverload(now);
 	}
 
-	private void refused(long now) {
+	/**
+	 * Takes that a request of the class was refused that could have been answered within
+	 * its target.
+	 * @param now the time
+	 */
+	void refused(long now) {
 		decay(now);
 		this.refused++;
 		noteOverload(now);
 	}
 
+	/**
+	 * Whether so many are refused that there is no room for who comes back.
+	 * @param now the time
+	 * @return true if so
+	 */
+	boolean overloaded(long now) {
+		decay(now);
+		return this.overloaded && this.refused >= LEAST_REFUSED;
+	}
+
 	private void decay(long now) {
 		double kept = Math.exp(-Math.max(0, now - this.countedNanos) / WINDOW_NANOS);
 		this.begun *= kept;
@@ -80,7 +98,6 @@
 	 * @return from 50 ms to 10 s
 	 */
 	Duration next(long now, double waitNanos, double turnNanos) {
-		refused(now);
 		double lasted = this.overloaded ? now - this.overloadedSinceNanos : 0;
 		double wait = Math.max(lasted, Math.max(SHORTEST_NANOS, waitNanos));
 		long earliest = now + (long) Math.min(LONGEST_NANOS, wait);
--- a/core/src/test/java/org/brasspier/core/admission/AdmissionControllerTests.java
+++ b/core/src/test/java/org/brasspier/core/admission/AdmissionControllerTests.java
@@ -151,6 +151,22 @@
 		assertThat(failure.retryAfter().toMillis()).isLessThan(1000);
 	}
 
+	/**
+	 * Guards against fresh requests that are answered late since returning callers take
+	 * the slots.
+	 */
+	@Test
+	void inAnOverloadAnOverdueRequestTakesOnlyASlotThatRests() {
+		fill();
+		PendingRequest overdue = new PendingRequest(900, RequestClass.LOOKUP, CREW, 1000 * MILLI, true);
+		assertThat(this.admission.offer(overdue, 0)).isInstanceOf(Queued.class);
+		IntStream.range(0, 20).forEach((i) -> offer(RequestClass.LOOKUP, CREW, 1000));
+		PendingRequest another = new PendingRequest(901, RequestClass.LOOKUP, CREW, 1000 * MILLI, true);
+		assertThat(this.admission.offer(another, 0)).isInstanceOf(Refuse.class);
+		AdmissionController idle = controller(1, 10);
+		assertThat(idle.offer(another, 0)).isInstanceOf(Run.class);
+	}
+
 	/** Guards against a queue so long that a saturated server answers everything late. */
 	@Test
 	void aSaturatedServerLetsInOnlyWhatItCanAnswerInTime() {
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/BackendGate.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/BackendGate.java
@@ -153,7 +153,8 @@
 		long remaining = Math.max(0, ask.request().remainingMillis() - heldUpNanos / NANOS_PER_MILLI);
 		Order order = new Order(ask, cancellation, now + remaining * NANOS_PER_MILLI);
 		long number = this.nextNumber++;
-		PendingRequest pending = new PendingRequest(number, ask.requestClass(), CALLER, order.deadlineNanos);
+		PendingRequest pending = new PendingRequest(number, ask.requestClass(), CALLER, order.deadlineNanos,
+				ask.overdue());
 		return switch (this.admission.offer(pending, now)) {
 			case AdmissionDecision.Run ignored -> start(number, order);
 			case AdmissionDecision.Queued queued -> {
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/Dispatcher.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/Dispatcher.java
@@ -20,6 +20,7 @@
 import org.brasspier.core.choosing.Candidate;
 import org.brasspier.core.keys.KeyMap;
 import org.brasspier.core.mesh.AbsentInstances;
+import org.brasspier.core.mesh.OverdueRequests;
 import org.brasspier.core.mesh.ResendBudget;
 import org.brasspier.core.mesh.ResendRules;
 import org.brasspier.core.mesh.RetryPause;
@@ -78,6 +79,8 @@
 
 	private final AbsentInstances absences = new AbsentInstances();
 
+	private final OverdueRequests overdueRequests = new OverdueRequests();
+
 	private final SplittableRandom random = new SplittableRandom();
 
 	Dispatcher(MeshSettings settings, Directory directory, Supplier<RoutingConfig> config, BackendGate gate,
@@ -155,6 +158,8 @@
 
 		private final ResendRules rules;
 
+		private final boolean overdue;
+
 		private final Cancellation cancellation;
 
 		private final long deadlineNanos;
@@ -168,6 +173,7 @@
 			this.service = service;
 			this.requestClass = Dispatcher.this.config.get().requestClass(route, service);
 			this.rules = new ResendRules(route, budget);
+			this.overdue = Dispatcher.this.overdueRequests.overdue(route, request.remainingMillis());
 			this.cancellation = cancellation;
 			long millis = Math.min(request.remainingMillis(), route.timeout().toMillis());
 			this.deadlineNanos = System.nanoTime() + millis * NANOS_PER_MILLI;
@@ -234,7 +240,7 @@
 		private Promise<SendOutcome> send(Member target, int remaining, long now) {
 			this.tried.add(target.instance());
 			HopRequest ask = new HopRequest(this.service, Dispatcher.this.settings.backend().service(),
-					this.requestClass, this.route.idempotent(), this.request)
+					this.requestClass, this.route.idempotent(), this.overdue, this.request)
 				.within(remaining);
 			boolean here = target.instance().equals(Dispatcher.this.settings.instance());
 			Promise<SendOutcome> outcome = here ? Dispatcher.this.gate.run(ask, 0, this.cancellation)
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopCodec.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopCodec.java
@@ -100,6 +100,7 @@
 			.text(ask.caller().value())
 			.number(ask.requestClass().ordinal())
 			.flag(ask.idempotent())
+			.flag(ask.overdue())
 			.text(request.id())
 			.text(request.host())
 			.text(request.method())
@@ -211,6 +212,7 @@
 			ServiceName caller = new ServiceName(frame.text());
 			RequestClass requestClass = RequestClass.values()[frame.small()];
 			boolean idempotent = frame.flag();
+			boolean overdue = frame.flag();
 			String id = frame.text();
 			String host = frame.text();
 			String method = frame.text();
@@ -219,7 +221,7 @@
 			int key = frame.small();
 			OptionalInt about = (key == NO_KEY) ? OptionalInt.empty() : OptionalInt.of(key);
 			List<HeaderField> headers = frame.list(HopCodec::header);
-			return new HopRequest(service, caller, requestClass, idempotent,
+			return new HopRequest(service, caller, requestClass, idempotent, overdue,
 					new MeshRequest(id, host, method, target, headers, frame.bytes(), remaining, about));
 		}
 		catch (IllegalArgumentException | IndexOutOfBoundsException ex) {
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopRequest.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopRequest.java
@@ -11,13 +11,14 @@
  * @param caller the service of the instance where the request began
  * @param requestClass how it is queued
  * @param idempotent whether it may run more than once
+ * @param overdue whether it can't be answered within its target any more
  * @param request the request, with the time that is left
  */
 record HopRequest(ServiceName service, ServiceName caller, RequestClass requestClass, boolean idempotent,
-		MeshRequest request) {
+		boolean overdue, MeshRequest request) {
 
 	HopRequest within(int millis) {
-		return new HopRequest(this.service, this.caller, this.requestClass, this.idempotent,
+		return new HopRequest(this.service, this.caller, this.requestClass, this.idempotent, this.overdue,
 				this.request.within(millis));
 	}
 
