--- a/core/src/main/java/org/brasspier/core/keys/GrantAnswer.java
+++ b/core/src/main/java/org/brasspier/core/keys/GrantAnswer.java
@@ -5,7 +5,7 @@
 
 /**
  * Everything that a backend server is to hold, and for how long from when it sent its
- * heartbeat. It lets go of all else. Immutable and thread-safe.
+ * heartbeat. It releases all else. Immutable and thread-safe.
  *
  * @param grants the keys
  * @param hold how long it may hold them
--- a/core/src/main/java/org/brasspier/core/keys/GrantBook.java
+++ b/core/src/main/java/org/brasspier/core/keys/GrantBook.java
@@ -10,11 +10,10 @@
 import org.brasspier.core.InstanceId;
 
 /**
- * What this instance has granted to the backend server beside it, and what that has let
- * go of. A key may go to another holder only if the server said that it let go, if
- * another life of the server has begun, or if the latest grant has run out by any clock.
- * All times are nanoseconds of a clock that also runs while the machine is suspended. Not
- * thread-safe.
+ * What this instance has granted to the backend server beside it, and x * go of. A key
+ * may go to another holder only if the server said that it released it, if another life
+ * of the server has begun, or if the latest grant has run out by any clock. All times are
+ * nanoseconds of a clock that also runs while the machine is suspended. Not thread-safe.
  */
 public final class GrantBook {
 
@@ -37,7 +36,7 @@
 
 	private Map<KeySpan, Granted> granted = new HashMap<>();
 
-	private Map<KeySpan, String> letGo = new HashMap<>();
+	private Map<KeySpan, String> releasedSpans = new HashMap<>();
 
 	private final List<LateGrant> lateGrants = new ArrayList<>();
 
@@ -76,8 +75,8 @@
 				withhold(held.span(), now);
 			}
 			else {
-				// It may have let go of keys that are to stay after all.
-				this.letGo.remove(held.span());
+				// It may have released keys that are to stay after all.
+				this.releasedSpans.remove(held.span());
 				grants.add(new KeyGrant(held.span(), held.fence(), held.handover()));
 				grant(held, report, now, hold);
 			}
@@ -118,11 +117,11 @@
 	// What goes along with a grant. Keys that were released and are to stay after all
 	// keep what their server handed over.
 	String handover(KeyHolding held) {
-		return this.letGo.getOrDefault(held.span(), held.handover());
+		return this.releasedSpans.getOrDefault(held.span(), held.handover());
 	}
 
-	boolean letGo(KeyHolding held) {
-		return this.letGo.containsKey(held.span());
+	boolean wasReleased(KeyHolding held) {
+		return this.releasedSpans.containsKey(held.span());
 	}
 
 	// The hold began between the sending of the call and its answer.
@@ -133,12 +132,12 @@
 		if (before != null && before.certainEndNanos - certainEnd > 0) {
 			certainEnd = before.certainEndNanos;
 		}
-		this.letGo.remove(call.span());
+		this.releasedSpans.remove(call.span());
 		this.granted.put(call.span(), new Granted(call.fence().value(), now, sentNanos + hold, certainEnd));
 	}
 
 	void released(KeySpan span, String handover) {
-		this.letGo.put(span, handover);
+		this.releasedSpans.put(span, handover);
 	}
 
 	// It counts from when it arrived, which was before it was given up.
@@ -152,9 +151,9 @@
 		this.lateGrants.add(new LateGrant(all, this.startedNanos + this.timing.atMost(this.timing.hold().toNanos())));
 	}
 
-	// The server lets go of what an answer leaves out, so nothing is handed to it after
-	// that. Until then it goes on: stopping as soon as a move is planned left the keys
-	// unserved for half a heartbeat's interval more.
+	// The server releases what an answer leaves out, so nothing is handed to it after
+	// that. Until then it goes on serving the keys: they would be unserved for half a
+	// heartbeat's interval more if that ended with the plan.
 	void withhold(KeySpan span, long now) {
 		this.granted.computeIfPresent(span, (key, grant) -> grant.until(now));
 	}
@@ -175,7 +174,7 @@
 		for (KeyHolding held : own) {
 			boolean leaving = held.next().isPresent();
 			if (leaving && !report.holdsAny(held.span())) {
-				report.released(held.span()).ifPresent((handover) -> this.letGo.put(held.span(), handover));
+				report.released(held.span()).ifPresent((handover) -> this.releasedSpans.put(held.span(), handover));
 			}
 		}
 	}
@@ -192,7 +191,7 @@
 				.map(Map.Entry::getValue)
 				.reduce(Granted::join)
 				.ifPresent((joined) -> still.put(held.span(), joined));
-			this.letGo.entrySet()
+			this.releasedSpans.entrySet()
 				.stream()
 				.filter((entry) -> entry.getKey().covers(held.span()))
 				.map(Map.Entry::getValue)
@@ -200,7 +199,7 @@
 				.ifPresent((handover) -> gone.put(held.span(), handover));
 		}
 		this.granted = still;
-		this.letGo = gone;
+		this.releasedSpans = gone;
 	}
 
 	/**
@@ -221,7 +220,7 @@
 	}
 
 	/**
-	 * Whether the server has certainly let go of a holding, so that it may go to another
+	 * Whether the server has certainly released a holding, so that it may go to another
 	 * holder.
 	 * @param holding a holding of this instance
 	 * @param now the time
@@ -232,7 +231,7 @@
 		if (this.lateGrants.stream().anyMatch((late) -> late.span.overlaps(holding.span()))) {
 			return Optional.empty();
 		}
-		String handover = this.letGo.get(holding.span());
+		String handover = this.releasedSpans.get(holding.span());
 		if (handover != null) {
 			return Optional.of(handover);
 		}
--- a/core/src/main/java/org/brasspier/core/keys/GrantCalls.java
+++ b/core/src/main/java/org/brasspier/core/keys/GrantCalls.java
@@ -71,7 +71,7 @@
 		this.superseded.removeIf((span) -> own.stream().noneMatch((held) -> held.span().equals(span)));
 		List<GrantCall> calls = new ArrayList<>();
 		own.stream()
-			.filter((held) -> held.next().isPresent() && free(held.span()) && !this.book.letGo(held))
+			.filter((held) -> held.next().isPresent() && free(held.span()) && !this.book.wasReleased(held))
 			.forEach((held) -> calls.add(release(held, now)));
 		long hold = this.book.hold(leaseNanos - ARRIVAL_NANOS);
 		if (hold > 0) {
--- a/core/src/main/java/org/brasspier/core/keys/HoldReport.java
+++ b/core/src/main/java/org/brasspier/core/keys/HoldReport.java
@@ -10,7 +10,7 @@
  *
  * @param life the life that says so
  * @param holds what it holds or is still working on
- * @param freed what it has let go of since its last acknowledged heartbeat
+ * @param freed what it has released since its last acknowledged heartbeat
  */
 public record HoldReport(BackendLife life, List<HeldKeys> holds, List<ReleasedKeys> freed) {
 
--- a/core/src/main/java/org/brasspier/core/keys/KeyMap.java
+++ b/core/src/main/java/org/brasspier/core/keys/KeyMap.java
@@ -168,7 +168,7 @@
 
 	/**
 	 * Says who is to have some spans next; holdings are cut where a span is part of one.
-	 * Their holders go on until they have let go.
+	 * Their holders go on until they have released them.
 	 * @param moves the next owner of each span; a span that is not part of one holding
 	 * that stays is passed over
 	 * @return the new map
@@ -204,7 +204,8 @@
 	}
 
 	/**
-	 * Says who is to have some holdings next. Their holders go on until they have let go.
+	 * Says who is to have some holdings next. Their holders go on until they have
+	 * released them.
 	 * @param wanted the next owner of a holding; empty if it is to stay as it is
 	 * @return the new map
 	 */
--- a/core/src/main/java/org/brasspier/core/keys/KeyPlanner.java
+++ b/core/src/main/java/org/brasspier/core/keys/KeyPlanner.java
@@ -57,8 +57,8 @@
 
 	/**
 	 * Finds other targets for keys that were to go to somebody who can't have them.
-	 * Without it they are unserved: their server has let go of them, and their next
-	 * holder never takes them.
+	 * Without it they are unserved: their server has released them, and their next holder
+	 * never takes them.
 	 * @param map who holds what
 	 * @param whose which holdings to look at
 	 * @param holders who can hold keys now
--- a/core/src/main/java/org/brasspier/core/keys/ReleasedKeys.java
+++ b/core/src/main/java/org/brasspier/core/keys/ReleasedKeys.java
@@ -1,7 +1,7 @@
 package org.brasspier.core.keys;
 
 /**
- * Keys that a backend server has let go of. Immutable and thread-safe.
+ * Keys that a backend server has released. Immutable and thread-safe.
  *
  * @param span the keys
  * @param handover what it hands over to the next holder
