Let the test of overdue requests fail without what it guards

It passed with the guard taken out: the queue was full, so an overdue request was refused as any other would be. Now the queue has room, and a fresh request is let in beside the overdue one that is refused. Seen red without the guard, as are the tests of the short queue, the kept slots, the pause and the hot range.

--- a/core/src/test/java/org/brasspier/core/admission/AdmissionControllerTests.java
+++ b/core/src/test/java/org/brasspier/core/admission/AdmissionControllerTests.java
@@ -161,8 +161,11 @@
 		PendingRequest overdue = new PendingRequest(900, RequestClass.LOOKUP, CREW, 1000 * MILLI, true);
 		assertThat(this.admission.offer(overdue, 0)).isInstanceOf(Queued.class);
 		IntStream.range(0, 20).forEach((i) -> offer(RequestClass.LOOKUP, CREW, 1000));
+		this.admission.finished(1, RunOutcome.ANSWERED, 10 * MILLI);
 		PendingRequest another = new PendingRequest(901, RequestClass.LOOKUP, CREW, 1000 * MILLI, true);
-		assertThat(this.admission.offer(another, 0)).isInstanceOf(Refuse.class);
+		assertThat(this.admission.offer(another, 10 * MILLI)).isInstanceOf(Refuse.class);
+		assertThat(this.admission.offer(request(RequestClass.LOOKUP, CREW, 1000), 10 * MILLI))
+			.isInstanceOf(Queued.class);
 		AdmissionController idle = controller(1, 10);
 		assertThat(idle.offer(another, 0)).isInstanceOf(Run.class);
 	}
