Say who told a configuration, and what a backend server's phase was before

The two hypotheses on the reported DRAIN differ in what a process had heard before it took a server for ready, and those on CONFIG in whether the store or another daemon told a version.

--- a/core/src/main/java/org/brasspier/core/mesh/BackendTrack.java
+++ b/core/src/main/java/org/brasspier/core/mesh/BackendTrack.java
@@ -104,6 +104,14 @@
 		return this.life;
 	}
 
+	/**
+	 * The number of the newest heartbeat of that life.
+	 * @return the number; 0 if none was taken
+	 */
+	public long sequence() {
+		return this.sequence;
+	}
+
 	/**
 	 * What it is at.
 	 * @return the phase
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/BackendRegistration.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/BackendRegistration.java
@@ -100,7 +100,7 @@
 			this.leavingSinceNanos = now;
 		}
 		this.log.record(MeshEvent.BACKEND_CHANGED, "life", after.life.map(String::valueOf).orElse(""), "phase",
-				after.phase, "slots", after.slots);
+				after.phase, "before", before.phase, "slots", after.slots, "sequence", this.track.sequence());
 		this.listeners.forEach(Runnable::run);
 	}
 
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/MeshNode.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/MeshNode.java
@@ -111,7 +111,7 @@
 			.process(lag);
 		this.ports = new ControlPorts(reactor, this.log);
 		this.configFeed = new TableFeed(reactor, adapter.store(), adapter.config().table(), health,
-				(rows, whole) -> this.config.take(rows));
+				(rows, whole) -> this.config.take(rows, ConfigHolder.Teller.STORE));
 		this.meshFeed = new TableFeed(reactor, adapter.store(), StoredRows.MESH, health, this.directory::take);
 	}
 
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/SharedRows.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/SharedRows.java
@@ -43,7 +43,7 @@
 
 	void take(HopMessage.RowsTold told) {
 		KnownRows before = known();
-		this.config.take(new MetadataStore.Rows(told.config(), 0));
+		this.config.take(new MetadataStore.Rows(told.config(), 0), ConfigHolder.Teller.PEER);
 		if (!told.mesh().isEmpty()) {
 			this.directory.take(new MetadataStore.Rows(told.mesh(), 0), false);
 		}
