Notice a silent feed in time: calls end one after the other, and failures are followed by short ones

Cause: a feed may hang for its wait and a margin, 7.5 s in all. A change answers all feeds at the same moment, so their next calls also ended at the same moment. When the store or all connections were silent then, every feed hung, and the try after it hung as long. Daemons that are behind are told by others, but no daemon knew more. Class of fault: a long call is taken for a live connection, and the peers that should make up for it fail in step with it.

Change: feeds of the known daemons end half a second apart (FeedPace); after a failure the store is asked for an answer at once, on a connection of its own, until one comes; a failed call of any table, or newer rows from another daemon, puts the feeds in doubt. Few daemons wait shorter. Calls that hang are not slowed down further.

--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/Directory.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/Directory.java
@@ -145,6 +145,18 @@
 		return this.members.size();
 	}
 
+	/**
+	 * An instance's place among all that are known, by name.
+	 * @param instance the instance
+	 * @return the number of those before it
+	 */
+	int position(InstanceId instance) {
+		return (int) this.members.keySet()
+			.stream()
+			.filter((other) -> other.value().compareTo(instance.value()) < 0)
+			.count();
+	}
+
 	List<Member> serving(ServiceName service) {
 		return this.members.values()
 			.stream()
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/MeshEvent.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/MeshEvent.java
@@ -18,6 +18,8 @@
 	STORE_REGAINED(1101),
 	/** The platform's store does not answer, or turns this instance away. */
 	STORE_LOST(1102),
+	/** A feed may have gone silent; the store is asked anew. */
+	FEED_DOUBTED(1103),
 	/** A configuration is in force. */
 	CONFIG_IN_FORCE(1201),
 	/** A configuration can't be read; what was in force stays. */
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/MeshNode.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/MeshNode.java
@@ -5,6 +5,8 @@
 
 import com.codahale.metrics.MetricRegistry;
 import io.activej.reactor.nio.NioReactor;
+import org.brasspier.core.InstanceId;
+import org.brasspier.core.mesh.FeedPace;
 import org.brasspier.core.mesh.RoutingConfig;
 import org.brasspier.daemon.internal.http.BackendPool;
 import org.brasspier.daemon.internal.http.CallerServer;
@@ -34,6 +36,8 @@
 
 	private static final int MAX_ANSWER_BYTES = 64 << 20;
 
+	private static final String TOLD_BY_PEER = "another daemon told newer rows";
+
 	private final NioReactor reactor;
 
 	private final MeshSettings settings;
@@ -110,9 +114,17 @@
 			.known(this.config, this.directory)
 			.process(lag);
 		this.ports = new ControlPorts(reactor, this.log);
-		this.configFeed = new TableFeed(reactor, adapter.store(), adapter.config().table(), health,
+		TableFeed.Position position = (pace) -> nextWait(pace, settings.instance());
+		this.configFeed = new TableFeed(reactor, adapter.store(), adapter.config().table(), position, health, this.log,
 				(rows, whole) -> this.config.take(rows, ConfigHolder.Teller.STORE));
-		this.meshFeed = new TableFeed(reactor, adapter.store(), StoredRows.MESH, health, this.directory::take);
+		this.meshFeed = new TableFeed(reactor, adapter.store(), StoredRows.MESH, position, health, this.log,
+				this.directory::take);
+		shared.whenBehind(() -> this.configFeed.doubt(TOLD_BY_PEER), () -> this.meshFeed.doubt(TOLD_BY_PEER));
+	}
+
+	private Duration nextWait(FeedPace pace, InstanceId self) {
+		int position = this.directory.position(self);
+		return pace.nextWait(position, Math.max(position + 1, this.directory.size()));
 	}
 
 	/**
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/SharedRows.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/SharedRows.java
@@ -19,12 +19,24 @@
 
 	private final MeshLog log;
 
+	private Runnable configBehind = () -> {
+	};
+
+	private Runnable meshBehind = () -> {
+	};
+
 	SharedRows(ConfigHolder config, Directory directory, MeshLog log) {
 		this.config = config;
 		this.directory = directory;
 		this.log = log;
 	}
 
+	// Called when another daemon tells what this one's feeds have not.
+	void whenBehind(Runnable config, Runnable mesh) {
+		this.configBehind = config;
+		this.meshBehind = mesh;
+	}
+
 	KnownRows known() {
 		return new KnownRows(this.config.rowVersion(), this.directory.version());
 	}
@@ -49,6 +61,12 @@
 		}
 		this.log.record(MeshEvent.ROWS_TOLD, "config_rows", told.config().size(), "mesh_rows", told.mesh().size(),
 				"before", before, "after", known());
+		if (known().config() > before.config()) {
+			this.configBehind.run();
+		}
+		if (known().mesh() > before.mesh()) {
+			this.meshBehind.run();
+		}
 	}
 
 }
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/StoreHealth.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/StoreHealth.java
@@ -1,5 +1,8 @@
 package org.brasspier.daemon.internal.mesh;
 
+import java.util.ArrayList;
+import java.util.List;
+
 import com.codahale.metrics.MetricRegistry;
 import org.jspecify.annotations.Nullable;
 
@@ -12,6 +15,8 @@
 
 	private final MetricRegistry metrics;
 
+	private final List<Runnable> listeners = new ArrayList<>();
+
 	private boolean lost;
 
 	StoreHealth(MeshLog log, MetricRegistry metrics) {
@@ -19,11 +24,17 @@
 		this.metrics = metrics;
 	}
 
+	// Called when a call fails after others were answered.
+	void listen(Runnable listener) {
+		this.listeners.add(listener);
+	}
+
 	void answered(String table, @Nullable Exception failure) {
 		this.metrics.counter((failure != null) ? "store.calls.failed" : "store.calls.answered").inc();
 		if (failure != null && !this.lost) {
 			this.lost = true;
 			this.log.record(MeshEvent.STORE_LOST, "table", table, "reason", String.valueOf(failure.getMessage()));
+			this.listeners.forEach(Runnable::run);
 		}
 		else if (failure == null && this.lost) {
 			this.lost = false;
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/TableFeed.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/TableFeed.java
@@ -2,23 +2,18 @@
 
 import java.time.Duration;
 import java.util.Optional;
-import java.util.function.BiConsumer;
 
 import io.activej.promise.Promise;
 import io.activej.reactor.nio.NioReactor;
+import org.brasspier.core.mesh.FeedPace;
 import org.brasspier.daemon.mesh.MetadataStore;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Follows the changes of one table of the store. Belongs to the thread of requests.
  */
 final class TableFeed {
 
-	/**
-	 * How long the store may hold an answer back. A feed that went silent is noticed
-	 * after this and a second; a shorter wait costs more calls.
-	 */
-	static final Duration WAIT = Duration.ofSeconds(6);
-
 	/**
 	 * How long changes are left to gather in the store. Rows change in groups, as when
 	 * instances start or keys move, and a call for each change is one for each instance.
@@ -26,64 +21,90 @@
 	 */
 	private static final Duration GATHER = Duration.ofMillis(200);
 
-	private static final Duration FIRST_PAUSE = Duration.ofMillis(100);
-
-	private static final Duration LONGEST_PAUSE = Duration.ofMillis(800);
-
 	private final NioReactor reactor;
 
 	private final MetadataStore store;
 
 	private final String table;
 
-	private final BiConsumer<MetadataStore.Rows, Boolean> receiver;
+	private final Position position;
+
+	private final Receiver receiver;
 
 	private final StoreHealth health;
 
-	private Duration pause = FIRST_PAUSE;
+	private final MeshLog log;
+
+	private final FeedPace pace = new FeedPace();
 
 	// Changes up to this version are known; nothing is while it is negative.
 	private long version = -1;
 
-	TableFeed(NioReactor reactor, MetadataStore store, String table, StoreHealth health,
-			BiConsumer<MetadataStore.Rows, Boolean> receiver) {
+	// Of the newest call; an answer to an earlier one is ignored.
+	private long call;
+
+	private boolean asking;
+
+	private long askedNanos;
+
+	TableFeed(NioReactor reactor, MetadataStore store, String table, Position position, StoreHealth health, MeshLog log,
+			Receiver receiver) {
 		this.reactor = reactor;
 		this.store = store;
 		this.table = table;
+		this.position = position;
 		this.health = health;
+		this.log = log;
 		this.receiver = receiver;
+		health.listen(() -> doubt("a call of the store failed"));
 	}
 
 	void start() {
-		next();
+		ask();
 	}
 
-	boolean known() {
-		return this.version >= 0;
+	/**
+	 * Asks the store anew unless that is being done: it may have answered the call that
+	 * waits long ago, on a connection that has gone silent.
+	 * @param reason why, for the log
+	 */
+	void doubt(String reason) {
+		if (!this.pace.doubt() || !this.asking) {
+			return;
+		}
+		this.log.record(MeshEvent.FEED_DOUBTED, "table", this.table, "version", this.version, "reason", reason,
+				"asked_ms_ago", sinceAsked().toMillis());
+		ask();
 	}
 
-	private void next() {
-		Promise<Optional<MetadataStore.Rows>> answer = known() ? this.store.changes(this.table, this.version, WAIT)
-				: this.store.read(this.table).map(Optional::of);
-		boolean whole = !known();
+	private void ask() {
+		long number = ++this.call;
+		boolean whole = this.version < 0;
+		this.asking = true;
+		this.askedNanos = System.nanoTime();
+		Promise<Optional<MetadataStore.Rows>> answer = whole ? this.store.read(this.table).map(Optional::of)
+				: this.store.changes(this.table, this.version, this.position.nextWait(this.pace));
 		answer.whenComplete((rows, ex) -> {
-			this.health.answered(this.table, ex);
-			if (ex != null) {
-				later();
-				return;
-			}
-			this.pause = FIRST_PAUSE;
-			take(rows, whole);
-			boolean changed = !whole && rows.filter((each) -> !each.rows().isEmpty()).isPresent();
-			if (changed) {
-				this.reactor.delay(GATHER, this::next);
-			}
-			else {
-				next();
+			if (number == this.call) {
+				this.asking = false;
+				answered(rows, whole, ex);
 			}
 		});
 	}
 
+	private void answered(Optional<MetadataStore.Rows> rows, boolean whole, @Nullable Exception failure) {
+		if (failure != null) {
+			later(this.pace.failed(sinceAsked()));
+		}
+		else {
+			boolean changed = whole || rows.filter((each) -> !each.rows().isEmpty()).isPresent();
+			this.pace.answered(changed);
+			take(rows, whole);
+			later((changed && !whole) ? GATHER : Duration.ZERO);
+		}
+		this.health.answered(this.table, failure);
+	}
+
 	private void take(Optional<MetadataStore.Rows> rows, boolean whole) {
 		if (rows.isEmpty()) {
 			// The store has forgotten what lies between: everything is read anew.
@@ -93,14 +114,49 @@
 		// An answer may lag behind an earlier one; versions only ever go up.
 		if (rows.get().version() >= this.version) {
 			this.version = rows.get().version();
-			this.receiver.accept(rows.get(), whole);
+			this.receiver.take(rows.get(), whole);
+		}
+	}
+
+	private void later(Duration pause) {
+		if (pause.isZero()) {
+			ask();
+		}
+		else {
+			this.reactor.delay(pause, this::ask);
 		}
 	}
 
-	private void later() {
-		this.reactor.delay(this.pause, this::next);
-		Duration doubled = this.pause.multipliedBy(2);
-		this.pause = (doubled.compareTo(LONGEST_PAUSE) > 0) ? LONGEST_PAUSE : doubled;
+	private Duration sinceAsked() {
+		return Duration.ofNanos(System.nanoTime() - this.askedNanos);
+	}
+
+	/**
+	 * Takes what the store told.
+	 */
+	interface Receiver {
+
+		/**
+		 * Takes rows.
+		 * @param rows the rows
+		 * @param whole whether these are all rows of the table
+		 */
+		void take(MetadataStore.Rows rows, boolean whole);
+
+	}
+
+	/**
+	 * This daemon's place among all daemons that follow the store.
+	 */
+	interface Position {
+
+		/**
+		 * How long the store may hold an answer back.
+		 * @param pace the feed's pace
+		 * @return the time
+		 */
+		Duration nextWait(FeedPace pace);
+
 	}
 
 }
--- a/daemon/src/main/java/org/brasspier/daemon/mesh/MetadataStore.java
+++ b/daemon/src/main/java/org/brasspier/daemon/mesh/MetadataStore.java
@@ -25,7 +25,7 @@
 	 * Waits for changes of a table.
 	 * @param table the table
 	 * @param after the version up to which changes are known
-	 * @param wait the longest time to wait
+	 * @param wait the longest time to wait; zero asks at once, on a connection of its own
 	 * @return what changed, as soon as something did; no rows if nothing did; empty if
 	 * the store no longer knows that far back; fails with a {@link StoreFailedException}
 	 * if the store did not answer
--- /dev/null
+++ b/daemon/src/test/java/org/brasspier/daemon/internal/mesh/TableFeedTests.java
@@ -0,0 +1,125 @@
+package org.brasspier.daemon.internal.mesh;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+import com.codahale.metrics.MetricRegistry;
+import io.activej.eventloop.Eventloop;
+import io.activej.promise.Promise;
+import io.activej.promise.SettablePromise;
+import org.brasspier.core.InstanceId;
+import org.brasspier.daemon.mesh.MetadataStore;
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * No network: the store is a list of calls that the test answers.
+ */
+class TableFeedTests {
+
+	private static final MetadataStore.Rows FIVE = new MetadataStore.Rows(List.of(), 5);
+
+	private final Eventloop loop = Eventloop.builder().withCurrentThread().build();
+
+	private final RecordedCalls store = new RecordedCalls();
+
+	private final MeshLog log = new MeshLog(new InstanceId("self"), new MetricRegistry());
+
+	private final StoreHealth health = new StoreHealth(this.log, new MetricRegistry());
+
+	private final List<Long> taken = new ArrayList<>();
+
+	private final TableFeed feed = new TableFeed(this.loop, this.store, "table", (pace) -> pace.nextWait(0, 1),
+			this.health, this.log, (rows, whole) -> this.taken.add(rows.version()));
+
+	private void startedAndRead() {
+		this.feed.start();
+		this.store.reads.get(0).set(FIVE);
+	}
+
+	@Test
+	void aFeedThatHasReadTheTableWaitsForChanges() {
+		startedAndRead();
+		assertThat(this.store.waits).containsExactly(Duration.ofSeconds(1));
+		assertThat(this.taken).containsExactly(5L);
+	}
+
+	/**
+	 * Guards against a feed that waits on a silent connection after another call has
+	 * shown that the store is away.
+	 */
+	@Test
+	void aFeedAsksAnewOnceAnotherCallOfTheStoreHasFailed() {
+		startedAndRead();
+		this.health.answered("leases", new MetadataStore.StoreFailedException("no answer"));
+		assertThat(this.store.waits).containsExactly(Duration.ofSeconds(1), Duration.ZERO).inOrder();
+	}
+
+	/**
+	 * Guards against a daemon that relies on others, one change after another, while its
+	 * own feed stays silent.
+	 */
+	@Test
+	void aFeedAsksAnewOnceAnotherDaemonKnewMore() {
+		startedAndRead();
+		this.feed.doubt("another daemon told newer rows");
+		this.feed.doubt("another daemon told newer rows");
+		assertThat(this.store.waits).containsExactly(Duration.ofSeconds(1), Duration.ZERO).inOrder();
+		this.store.changes.get(1).set(Optional.of(new MetadataStore.Rows(List.of(), 9)));
+		assertThat(this.store.waits).containsExactly(Duration.ofSeconds(1), Duration.ZERO, Duration.ofSeconds(1))
+			.inOrder();
+	}
+
+	/**
+	 * Guards against two calls of one feed under way at a time after the first was given
+	 * up.
+	 */
+	@Test
+	void theAnswerToACallThatWasGivenUpIsIgnored() {
+		startedAndRead();
+		this.feed.doubt("another daemon told newer rows");
+		this.store.changes.get(0).set(Optional.of(new MetadataStore.Rows(List.of(), 7)));
+		assertThat(this.store.waits).hasSize(2);
+		this.store.changes.get(1).set(Optional.of(new MetadataStore.Rows(List.of(), 9)));
+		assertThat(this.taken).containsExactly(5L, 9L).inOrder();
+	}
+
+	@Test
+	void aTableIsReadAnewWhenTheStoreHasForgottenItsHistory() {
+		startedAndRead();
+		this.store.changes.get(0).set(Optional.empty());
+		assertThat(this.store.reads).hasSize(2);
+	}
+
+	private static final class RecordedCalls implements MetadataStore {
+
+		private final List<SettablePromise<Rows>> reads = new ArrayList<>();
+
+		private final List<SettablePromise<Optional<Rows>>> changes = new ArrayList<>();
+
+		private final List<Duration> waits = new ArrayList<>();
+
+		@Override
+		public Promise<Rows> read(String table) {
+			this.reads.add(new SettablePromise<>());
+			return this.reads.get(this.reads.size() - 1);
+		}
+
+		@Override
+		public Promise<Optional<Rows>> changes(String table, long after, Duration wait) {
+			this.waits.add(wait);
+			this.changes.add(new SettablePromise<>());
+			return this.changes.get(this.changes.size() - 1);
+		}
+
+		@Override
+		public Promise<CommitResult> commit(Commit commit) {
+			return Promise.of(new CommitResult.Refused("not part of this test"));
+		}
+
+	}
+
+}
