Remember each acknowledged leaving: of servers not yet heard of, and across a restart

What callers saw: nothing; the rule is that a server which said it leaves gets no more requests (DRAIN).

Cause: knowledge that was acknowledged once was kept only with the life that a process had registered. A departure of a server that it had not heard of, or had not believed yet, was answered 200 and dropped; a new process began with nothing. The copy of an earlier heartbeat, ready, that comes two seconds after a departure then registered the server as ready. Class of fault: an acknowledgement that is not recorded where it must be found again.

Change: BackendTrack keeps who leaves, also by id alone; a process takes from its instance's row that an earlier one acknowledged a leaving, from the store or from another daemon; who finds a server leaving gives it no more work, not 1.5 s more; a copy of a heartbeat that was taken brings no earlier life back.

--- a/core/src/main/java/org/brasspier/core/mesh/BackendTrack.java
+++ b/core/src/main/java/org/brasspier/core/mesh/BackendTrack.java
@@ -1,7 +1,11 @@
 package org.brasspier.core.mesh;
 
 import java.time.Duration;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 import org.brasspier.core.keys.BackendLife;
 
@@ -29,10 +33,19 @@
 	/** So long its port must have been found closed, each time that it was tried. */
 	private static final long DEAD_CLOSED_NANOS = Duration.ofMillis(500).toNanos();
 
+	private final Set<BackendLife> leaving = new HashSet<>();
+
+	// Of servers that left before this process heard of their life.
+	private final Set<String> leavingIds = new HashSet<>();
+
+	private final Map<BackendLife, Long> lastNumbers = new HashMap<>();
+
 	private Optional<BackendLife> life = Optional.empty();
 
 	private BackendPhase phase = BackendPhase.ABSENT;
 
+	private boolean seenReady;
+
 	private long sequence;
 
 	private long heardNanos;
@@ -53,16 +66,19 @@
 	 */
 	public boolean beat(BackendLife from, long number, boolean draining, long now) {
 		if (!this.life.equals(Optional.of(from))) {
-			if (!begins(from, now)) {
+			if (!begins(from, number, now)) {
+				if (draining) {
+					this.leaving.add(from);
+				}
 				return false;
 			}
-			this.life = Optional.of(from);
-			this.phase = BackendPhase.READY;
+			begin(from, leaves(from, number) || draining);
 		}
 		else if (number <= this.sequence || this.phase == BackendPhase.DEPARTED) {
 			return false;
 		}
 		this.sequence = number;
+		this.lastNumbers.put(from, number);
 		this.heardNanos = now;
 		this.closed = false;
 		// Leaving is never taken back: who was told of it may not be sent work again.
@@ -72,7 +88,22 @@
 		return true;
 	}
 
-	private boolean begins(BackendLife from, long now) {
+	private void begin(BackendLife from, boolean leaves) {
+		this.life = Optional.of(from);
+		this.phase = leaves ? BackendPhase.DRAINING : BackendPhase.READY;
+		this.seenReady = !leaves;
+	}
+
+	// A life's first heartbeat shows that it began after whatever left under its id.
+	private boolean leaves(BackendLife from, long number) {
+		boolean first = from.bornMillis() > 0 && number == 1;
+		return this.leaving.contains(from) || (this.leavingIds.contains(from.id()) && !first);
+	}
+
+	private boolean begins(BackendLife from, long number, long now) {
+		if (number <= this.lastNumbers.getOrDefault(from, -1L)) {
+			return false;
+		}
 		if (this.life.isEmpty()) {
 			return true;
 		}
@@ -84,18 +115,40 @@
 	}
 
 	/**
-	 * Takes that a server leaves without having said so before.
+	 * Takes that a server leaves without having said so before. One that isn't known yet
+	 * is remembered: a heartbeat that it sent earlier may still come.
 	 * @param id its id
 	 * @return false if it isn't the known one
 	 */
 	public boolean departed(String id) {
 		if (this.life.filter((known) -> known.id().equals(id)).isEmpty()) {
+			this.leavingIds.add(id);
 			return false;
 		}
+		this.life.ifPresent(this.leaving::add);
 		this.phase = BackendPhase.DEPARTED;
 		return true;
 	}
 
+	/**
+	 * Takes that an earlier process has acknowledged a server's leaving.
+	 * @param left the server's life
+	 */
+	public void left(BackendLife left) {
+		this.leaving.add(left);
+		if (this.phase == BackendPhase.READY && this.life.equals(Optional.of(left))) {
+			begin(left, true);
+		}
+	}
+
+	/**
+	 * Whether this process has known the present life before it began to leave.
+	 * @return false if it may have been leaving for long
+	 */
+	public boolean seenReady() {
+		return this.seenReady;
+	}
+
 	/**
 	 * The life that was last heard of.
 	 * @return empty if none ever was
--- a/core/src/test/java/org/brasspier/core/mesh/BackendTrackTests.java
+++ b/core/src/test/java/org/brasspier/core/mesh/BackendTrackTests.java
@@ -80,6 +80,95 @@
 		assertThat(this.track.beat(next, 2, false, Duration.ofSeconds(4).toNanos())).isTrue();
 	}
 
+	/**
+	 * Guards against a departure that is acknowledged and forgotten: the late copy of an
+	 * earlier heartbeat made the server ready again, and it was sent requests.
+	 */
+	@Test
+	void aServerThatLeftBeforeItWasHeardOfIsNotReadyByALateHeartbeat() {
+		BackendLife unheard = new BackendLife("i-1", 0);
+		this.track.departed("i-1");
+		this.track.beat(unheard, 35, false, millis(2100));
+		assertThat(this.track.phase()).isNotEqualTo(BackendPhase.READY);
+		assertThat(this.track.seenReady()).isFalse();
+	}
+
+	/**
+	 * Guards against the same while a server that crashed is still taken for the present
+	 * one.
+	 */
+	@Test
+	void aServerThatLeftWhileItsPredecessorCountedAsAliveIsNotReadyByALateHeartbeat() {
+		BackendLife crashed = new BackendLife("i-1", 0);
+		BackendLife next = new BackendLife("i-2", 0);
+		this.track.beat(crashed, 9, false, 0);
+		assertThat(this.track.beat(next, 1, false, millis(2000))).isFalse();
+		this.track.departed("i-2");
+		this.track.beat(next, 1, false, millis(4100));
+		assertThat(this.track.phase()).isNotEqualTo(BackendPhase.READY);
+	}
+
+	@Test
+	void drainingThatWasSaidBeforeTheServerWasBelievedBinds() {
+		BackendLife next = new BackendLife("i-2", 0);
+		this.track.beat(new BackendLife("i-1", 0), 9, false, 0);
+		assertThat(this.track.beat(next, 2, true, millis(2000))).isFalse();
+		this.track.beat(next, 3, false, millis(4100));
+		assertThat(this.track.phase()).isEqualTo(BackendPhase.DRAINING);
+	}
+
+	/**
+	 * Guards against a restarted process that takes a server for ready whose leaving the
+	 * one before acknowledged.
+	 */
+	@Test
+	void aLeavingThatAnEarlierProcessAcknowledgedBinds() {
+		this.track.left(FIRST);
+		this.track.beat(FIRST, 12, false, 0);
+		assertThat(this.track.phase()).isEqualTo(BackendPhase.DRAINING);
+		assertThat(this.track.seenReady()).isFalse();
+	}
+
+	@Test
+	void aLeavingThatIsLearntAfterTheFirstHeartbeatBindsFromThenOn() {
+		this.track.beat(FIRST, 12, false, 0);
+		this.track.left(OTHER);
+		assertThat(this.track.phase()).isEqualTo(BackendPhase.READY);
+		this.track.left(FIRST);
+		assertThat(this.track.phase()).isEqualTo(BackendPhase.DRAINING);
+	}
+
+	@Test
+	void aServerThatStartsAgainUnderTheIdOfOneThatLeftIsReady() {
+		this.track.left(FIRST);
+		this.track.departed("i-1");
+		this.track.beat(AGAIN, 1, false, 0);
+		assertThat(this.track.phase()).isEqualTo(BackendPhase.READY);
+	}
+
+	/**
+	 * Guards against a copy of a crashed server's heartbeat that comes while its
+	 * successor is silent: without the time of their starts nothing else tells them
+	 * apart.
+	 */
+	@Test
+	void aCopyOfAHeartbeatThatWasTakenBringsNoEarlierServerBack() {
+		BackendLife old = new BackendLife("i-1", 0);
+		BackendLife next = new BackendLife("i-2", 0);
+		this.track.beat(old, 9, false, 0);
+		this.track.beat(next, 1, false, millis(4000));
+		assertThat(this.track.beat(old, 9, false, millis(9000))).isFalse();
+		assertThat(this.track.life()).hasValue(next);
+		assertThat(this.track.beat(old, 10, false, millis(9500))).isTrue();
+	}
+
+	@Test
+	void aServerThatIsFirstHeardOfAsItLeavesWasNotSeenReady() {
+		this.track.beat(FIRST, 12, true, 0);
+		assertThat(this.track.phase()).isEqualTo(BackendPhase.DRAINING);
+		assertThat(this.track.seenReady()).isFalse();
+	}
+
 	private static long millis(long count) {
 		return Duration.ofMillis(count).toNanos();
 	}
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/BackendGate.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/BackendGate.java
@@ -212,8 +212,8 @@
 	private boolean mayFinish(long now) {
 		boolean leaving = this.registration.phase() == BackendPhase.DRAINING
 				|| this.registration.phase() == BackendPhase.DEPARTED;
-		return leaving && this.registration
-			.leavingForNanos(now) < this.settings.bounds().drain().minus(DRAIN_MARGIN).toNanos();
+		Duration longest = this.settings.bounds().drain().minus(DRAIN_MARGIN);
+		return leaving && this.registration.leavingFor(now).filter((since) -> since.compareTo(longest) < 0).isPresent();
 	}
 
 	// Keys come with the next heartbeat. When one that leaves is held by its next holder,
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/BackendRegistration.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/BackendRegistration.java
@@ -91,6 +91,16 @@
 		return Either.right(Optional.empty());
 	}
 
+	/**
+	 * Takes that an earlier process of this instance has acknowledged a server's leaving.
+	 * @param life the server's life
+	 */
+	void left(BackendLife life) {
+		State before = state();
+		this.track.left(life);
+		changed(before, System.nanoTime());
+	}
+
 	private void changed(State before, long now) {
 		State after = state();
 		if (before.equals(after)) {
@@ -148,8 +158,9 @@
 		return this.track.dead(System.nanoTime());
 	}
 
-	long leavingForNanos(long now) {
-		return now - this.leavingSinceNanos;
+	// As far as this process knows: one that found the server leaving can't tell.
+	Optional<Duration> leavingFor(long now) {
+		return this.track.seenReady() ? Optional.of(Duration.ofNanos(now - this.leavingSinceNanos)) : Optional.empty();
 	}
 
 	long silentNanos(long now) {
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/Directory.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/Directory.java
@@ -30,6 +30,9 @@
 
 	private final List<Runnable> listeners = new ArrayList<>();
 
+	private Runnable taken = () -> {
+	};
+
 	private boolean known;
 
 	Directory(MeshLog log) {
@@ -41,6 +44,11 @@
 		this.listeners.add(listener);
 	}
 
+	// Called after rows were taken over, wherever they came from.
+	void whenTaken(Runnable listener) {
+		this.taken = listener;
+	}
+
 	void take(MetadataStore.Rows rows, boolean whole) {
 		if (whole) {
 			List<String> there = rows.rows().stream().map(MetadataStore.Row::key).toList();
@@ -53,6 +61,7 @@
 		}
 		rows.rows().forEach(this::take);
 		this.known = true;
+		this.taken.run();
 	}
 
 	private void take(MetadataStore.Row row) {
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/MeshNode.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/MeshNode.java
@@ -119,9 +119,18 @@
 				(rows, whole) -> this.config.take(rows, ConfigHolder.Teller.STORE));
 		this.meshFeed = new TableFeed(reactor, adapter.store(), StoredRows.MESH, position, health, this.log,
 				this.directory::take);
+		this.directory.whenTaken(this::takeOwnRow);
 		shared.whenBehind(() -> this.configFeed.doubt(TOLD_BY_PEER), () -> this.meshFeed.doubt(TOLD_BY_PEER));
 	}
 
+	// What an earlier process of this instance acknowledged binds this one as well.
+	private void takeOwnRow() {
+		this.directory.member(this.settings.instance())
+			.filter((own) -> !own.ready())
+			.flatMap(Member::life)
+			.ifPresent(this.registration::left);
+	}
+
 	private Duration nextWait(FeedPace pace, InstanceId self) {
 		int position = this.directory.position(self);
 		return pace.nextWait(position, Math.max(position + 1, this.directory.size()));
