Look once more whether an order may be sent when its connection is open

Cause: the gate decided when an order began, and opening a connection may take half a second more. Keys of a leaving server are served for 1.5 s after it said so, so an order that found no open connection could reach it at the bound of two seconds, and behind a loop that lags beyond it (DRAIN); or after its keys had gone. A leaving server closes its connections, so new ones are usual then.

The order is now not sent, which is certain, and goes elsewhere.

BackendPoolTests.anOrderThatIsNoLongerAllowedOnceTheConnectionIsOpenIsNotSent: the order was sent before.

--- a/daemon/src/main/java/org/brasspier/daemon/internal/http/BackendPool.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/http/BackendPool.java
@@ -5,6 +5,7 @@
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.function.BooleanSupplier;
 import java.util.function.Predicate;
 
 import io.activej.promise.Promise;
@@ -62,9 +63,10 @@
 	 * @param request the order
 	 * @param repeatable whether it may run twice
 	 * @param own tells its answer from one to an earlier order
+	 * @param allowed whether it may still be sent, asked once a new connection is open
 	 * @return its run
 	 */
-	public BackendRun run(RawRequest request, boolean repeatable, Predicate<Answer> own) {
+	public BackendRun run(RawRequest request, boolean repeatable, Predicate<Answer> own, BooleanSupplier allowed) {
 		BackendRun run = new BackendRun();
 		BackendSocket kept = kept(repeatable);
 		if (kept != null) {
@@ -80,6 +82,10 @@
 				else if (run.ended()) {
 					socket.close();
 				}
+				else if (!allowed.getAsBoolean()) {
+					socket.close();
+					run.end(new BackendReply.NotSent("the backend server may no longer be given it"));
+				}
 				else {
 					begin(run, socket, request, own);
 				}
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/BackendGate.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/BackendGate.java
@@ -262,7 +262,8 @@
 		int remaining = (int) Math.max(1, (order.deadlineNanos - now) / NANOS_PER_MILLI);
 		BackendOrder written = new BackendOrder(order.ask.request(), order.ask.caller(), to, remaining);
 		BackendPool.BackendRun run = this.pool.run(this.protocol.order(written), order.ask.idempotent(),
-				(answer) -> this.protocol.verdict(written, answer) != BackendProtocol.Verdict.OTHER_ORDER);
+				(answer) -> this.protocol.verdict(written, answer) != BackendProtocol.Verdict.OTHER_ORDER,
+				() -> mayBeSent(order, to));
 		ScheduledRunnable timeout = this.reactor.delay(remaining + 1L, run::giveUp);
 		// A posting that runs is left to end: its caller's leaving doesn't undo it, and
 		// what is broken off halfway nobody can tell the outcome of.
@@ -275,6 +276,11 @@
 		});
 	}
 
+	// A connection may take as long to open as a leaving server may still be given work.
+	private boolean mayBeSent(Order order, BackendLife to) {
+		return this.registration.life().equals(Optional.of(to)) && unservable(order.ask, System.nanoTime()).isEmpty();
+	}
+
 	private SendOutcome ended(long number, BackendOrder written, Order order, BackendReply reply) {
 		SendOutcome outcome = outcome(written, order, reply);
 		this.registration.tried(!(reply instanceof BackendReply.Closed));
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/GrantSender.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/GrantSender.java
@@ -101,7 +101,8 @@
 
 	private void send(GrantCall call, BackendPool pool, Duration timeout, Runnable done) {
 		long sentNanos = this.clock.getAsLong();
-		BackendPool.BackendRun run = pool.run(this.protocol.request(call, this.server), true, (answer) -> true);
+		BackendPool.BackendRun run = pool.run(this.protocol.request(call, this.server), true, (answer) -> true,
+				() -> true);
 		ScheduledRunnable giveUp = this.reactor.delay(timeout, run::giveUp);
 		run.reply().whenResult((reply) -> {
 			giveUp.cancel();
--- a/daemon/src/test/java/org/brasspier/daemon/internal/http/BackendPoolTests.java
+++ b/daemon/src/test/java/org/brasspier/daemon/internal/http/BackendPoolTests.java
@@ -37,7 +37,7 @@
 			loop.keepAlive(true);
 			Thread thread = Thread.ofPlatform().start(loop);
 			loop.execute(() -> {
-				BackendPool.BackendRun run = pool.run(LOOKUP, true, (answer) -> true);
+				BackendPool.BackendRun run = pool.run(LOOKUP, true, (answer) -> true, () -> true);
 				run.reply().whenResult(reply::complete);
 				read.thenRun(() -> loop.execute(run::giveUp));
 			});
@@ -47,6 +47,30 @@
 		}
 	}
 
+	/**
+	 * Guards against an order that reaches a server which began to leave while the
+	 * connection to it was opened.
+	 */
+	@Test
+	void anOrderThatIsNoLongerAllowedOnceTheConnectionIsOpenIsNotSent() throws Exception {
+		try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+			Eventloop loop = Eventloop.create();
+			BackendPool pool = new BackendPool(loop, (InetSocketAddress) server.getLocalSocketAddress(),
+					MAX_BODY_BYTES);
+			CompletableFuture<BackendReply> reply = new CompletableFuture<>();
+			loop.keepAlive(true);
+			Thread thread = Thread.ofPlatform().start(loop);
+			loop.execute(
+					() -> pool.run(LOOKUP, true, (answer) -> true, () -> false).reply().whenResult(reply::complete));
+			assertThat(reply.get()).isInstanceOf(BackendReply.NotSent.class);
+			try (Socket socket = server.accept()) {
+				assertThat(socket.getInputStream().read()).isEqualTo(-1);
+			}
+			loop.execute(() -> loop.keepAlive(false));
+			thread.join();
+		}
+	}
+
 	// The connection stays open as long as the process.
 	private static void readOneByte(ServerSocket server) {
 		try {
