--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/ConfigHolder.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/ConfigHolder.java
@@ -37,11 +37,11 @@
 		return this.inForce;
 	}
 
-	void take(MetadataStore.Rows rows, Teller teller) {
+	void take(MetadataStore.Rows rows, Origin origin) {
 		rows.rows()
 			.stream()
 			.filter((each) -> each.key().equals(this.source.key()))
-			.forEach((each) -> each.value().ifPresent((value) -> take(each, value, teller)));
+			.forEach((each) -> each.value().ifPresent((value) -> take(each, value, origin)));
 	}
 
 	long millisInForce() {
@@ -57,7 +57,7 @@
 		return this.row.map(MetadataStore.Row::version).orElse(0L);
 	}
 
-	private void take(MetadataStore.Row from, byte[] value, Teller teller) {
+	private void take(MetadataStore.Row from, byte[] value, Origin origin) {
 		Either<Failure, RoutingConfig> read = this.source.read(value);
 		if (read.isLeft()) {
 			this.log.record(MeshEvent.CONFIG_UNREADABLE, "in_force", this.inForce.version(), "reason",
@@ -66,7 +66,7 @@
 		}
 		if (read.get().version() > this.inForce.version()) {
 			this.log.record(MeshEvent.CONFIG_IN_FORCE, "version", read.get().version(), "before",
-					this.inForce.version(), "source", teller, "row", from.version(), "bytes", value.length, "routes",
+					this.inForce.version(), "source", origin, "row", from.version(), "bytes", value.length, "routes",
 					read.get().summary());
 			this.inForce = read.get();
 			this.row = Optional.of(from);
@@ -75,9 +75,9 @@
 	}
 
 	/**
-	 * Who told a configuration.
+	 * Where a configuration came from.
 	 */
-	enum Teller {
+	enum Origin {
 
 		/** The platform's store. */
 		STORE,
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/MeshNode.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/MeshNode.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.time.Duration;
+import java.util.function.Function;
 
 import com.codahale.metrics.MetricRegistry;
 import io.activej.reactor.nio.NioReactor;
@@ -114,10 +115,10 @@
 			.known(this.config, this.directory)
 			.process(lag);
 		this.ports = new ControlPorts(reactor, this.log);
-		TableFeed.Position position = (pace) -> nextWait(pace, settings.instance());
-		this.configFeed = new TableFeed(reactor, adapter.store(), adapter.config().table(), position, health, this.log,
-				(rows, whole) -> this.config.take(rows, ConfigHolder.Teller.STORE));
-		this.meshFeed = new TableFeed(reactor, adapter.store(), StoredRows.MESH, position, health, this.log,
+		Function<FeedPace, Duration> nextWait = (pace) -> nextWait(pace, settings.instance());
+		this.configFeed = new TableFeed(reactor, adapter.store(), adapter.config().table(), nextWait, health, this.log,
+				(rows, whole) -> this.config.take(rows, ConfigHolder.Origin.STORE));
+		this.meshFeed = new TableFeed(reactor, adapter.store(), StoredRows.MESH, nextWait, health, this.log,
 				this.directory::take);
 		this.directory.whenTaken(this::takeOwnRow);
 		shared.whenBehind(() -> this.configFeed.doubt(TOLD_BY_PEER), () -> this.meshFeed.doubt(TOLD_BY_PEER));
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/SharedRows.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/SharedRows.java
@@ -55,7 +55,7 @@
 
 	void take(HopMessage.RowsTold told) {
 		KnownRows before = known();
-		this.config.take(new MetadataStore.Rows(told.config(), 0), ConfigHolder.Teller.PEER);
+		this.config.take(new MetadataStore.Rows(told.config(), 0), ConfigHolder.Origin.PEER);
 		if (!told.mesh().isEmpty()) {
 			this.directory.take(new MetadataStore.Rows(told.mesh(), 0), false);
 		}
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/TableFeed.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/TableFeed.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Optional;
+import java.util.function.Function;
 
 import io.activej.promise.Promise;
 import io.activej.reactor.nio.NioReactor;
@@ -27,7 +28,7 @@
 
 	private final String table;
 
-	private final Position position;
+	private final Function<FeedPace, Duration> nextWait;
 
 	private final Receiver receiver;
 
@@ -47,12 +48,12 @@
 
 	private long askedNanos;
 
-	TableFeed(NioReactor reactor, MetadataStore store, String table, Position position, StoreHealth health, MeshLog log,
-			Receiver receiver) {
+	TableFeed(NioReactor reactor, MetadataStore store, String table, Function<FeedPace, Duration> nextWait,
+			StoreHealth health, MeshLog log, Receiver receiver) {
 		this.reactor = reactor;
 		this.store = store;
 		this.table = table;
-		this.position = position;
+		this.nextWait = nextWait;
 		this.health = health;
 		this.log = log;
 		this.receiver = receiver;
@@ -83,7 +84,7 @@
 		this.asking = true;
 		this.askedNanos = System.nanoTime();
 		Promise<Optional<MetadataStore.Rows>> answer = whole ? this.store.read(this.table).map(Optional::of)
-				: this.store.changes(this.table, this.version, this.position.nextWait(this.pace));
+				: this.store.changes(this.table, this.version, this.nextWait.apply(this.pace));
 		answer.whenComplete((rows, ex) -> {
 			if (number == this.call) {
 				this.asking = false;
@@ -145,18 +146,4 @@
 
 	}
 
-	/**
-	 * This daemon's place among all daemons that follow the store.
-	 */
-	interface Position {
-
-		/**
-		 * How long the store may hold an answer back.
-		 * @param pace the feed's pace
-		 * @return the time
-		 */
-		Duration nextWait(FeedPace pace);
-
-	}
-
 }
