--- a/standins/src/main/java/org/brasspier/standins/Deployment.java
+++ b/standins/src/main/java/org/brasspier/standins/Deployment.java
@@ -23,6 +23,9 @@
  */
 public final class Deployment implements AutoCloseable {
 
+	/** A system property: if it is true, histories and logs of all deployments stay. */
+	private static final String KEEP_FILES = "brasspier.standins.keep-files";
+
 	private final DeploymentShape shape;
 
 	private final Path folder;
@@ -33,7 +36,7 @@
 
 	private final List<StandInInstance> instances;
 
-	private volatile boolean keepFiles;
+	private volatile boolean keepFiles = Boolean.getBoolean(KEEP_FILES);
 
 	private Deployment(DeploymentShape shape, Path folder) {
 		this.shape = shape;
