End a silent call to the backend server after its 300 ms

Cause: grants are sent one call at a time, and a lease lasts 600 ms. The HTTP client's read timeout of 300 ms is looked at once a second only (its check of expired connections is scheduled every 1000 ms), so a call that had gone silent held back all grants for up to 1.3 s.

--- a/daemon/src/main/java/org/brasspier/daemon/internal/backend/BackendCalls.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/backend/BackendCalls.java
@@ -1,16 +1,14 @@
 package org.brasspier.daemon.internal.backend;
 
 import java.net.ConnectException;
-import java.net.InetSocketAddress;
 import java.time.Duration;
 
 import com.google.gson.FieldNamingPolicy;
 import com.google.gson.Gson;
 import com.google.gson.GsonBuilder;
-import io.activej.dns.DnsClient;
-import io.activej.http.HttpClient;
 import io.activej.http.HttpRequest;
 import io.activej.promise.Promise;
+import io.activej.promise.Promises;
 import io.activej.reactor.nio.NioReactor;
 import org.brasspier.core.RequestId;
 
@@ -21,22 +19,16 @@
  */
 public final class BackendCalls {
 
-	/** Two in a row without an answer, and the server counts as frozen. */
-	static final Duration TIMEOUT = Duration.ofMillis(300);
+	/** A call lasts no longer, from connecting to the whole answer. */
+	private static final Duration TIMEOUT = Duration.ofMillis(300);
 
 	private static final int MAX_BODY_BYTES = 4096;
 
-	private static final InetSocketAddress NO_NAME_SERVER = new InetSocketAddress("127.0.0.1", 53);
-
 	private static final Gson GSON = new GsonBuilder()
 		.setFieldNamingPolicy(FieldNamingPolicy.LOWER_CASE_WITH_UNDERSCORES)
 		.create();
 
-	/**
-	 * A new connection for each call, some twenty a second: a pooled one that went silent
-	 * would make a server look frozen that is well, or leave it without its grants.
-	 */
-	private final HttpClient http;
+	private final NioReactor reactor;
 
 	private String address = "";
 
@@ -45,12 +37,7 @@
 	 * @param reactor the reactor of the thread of requests
 	 */
 	public BackendCalls(NioReactor reactor) {
-		this.http = HttpClient.builder(reactor, DnsClient.create(reactor, NO_NAME_SERVER))
-			.withConnectTimeout(TIMEOUT)
-			.withReadWriteTimeout(TIMEOUT)
-			.withNoKeepAlive()
-			.withMaxBodySize(MAX_BODY_BYTES)
-			.build();
+		this.reactor = reactor;
 	}
 
 	/**
@@ -66,9 +53,19 @@
 	 * @return how that ended; never an exception
 	 */
 	Promise<Health> health() {
-		return this.http.request(HttpRequest.get(url("/brasspier/health")).build())
-			.then((response) -> response.loadBody(MAX_BODY_BYTES))
-			.map((body) -> Health.ANSWERED, (ex) -> refused(ex) ? Health.REFUSED : Health.SILENT);
+		return call(HttpRequest.get(url("/brasspier/health")).build()).map((status) -> Health.ANSWERED,
+				(ex) -> refused(ex) ? Health.REFUSED : Health.SILENT);
+	}
+
+	// Each call has a connection of its own, which ends with it: a kept one that went
+	// silent would make a server look frozen that is well, or leave it without its
+	// grants. The HTTP client looks for overdue calls only once a second, so the time
+	// limit is kept here.
+	private Promise<Integer> call(HttpRequest request) {
+		BackendConnection connection = new BackendConnection(this.reactor);
+		Promise<Integer> status = connection.request(request)
+			.then((response) -> response.loadBody(MAX_BODY_BYTES).map((body) -> response.getCode()));
+		return Promises.timeout(TIMEOUT, status).whenComplete(connection::close);
 	}
 
 	// A refused connection: nobody listens, so the process is gone. A port that is not a
@@ -83,9 +80,8 @@
 	 * @return whether they were acknowledged; never an exception
 	 */
 	Promise<Boolean> grants(GrantList grants) {
-		return this.http.request(HttpRequest.put(url("/brasspier/grants")).withBody(GSON.toJson(grants)).build())
-			.then((response) -> response.loadBody(MAX_BODY_BYTES).map((body) -> response.getCode() / 100 == 2))
-			.map((taken) -> taken, (ex) -> false);
+		return call(HttpRequest.put(url("/brasspier/grants")).withBody(GSON.toJson(grants)).build())
+			.map((status) -> status / 100 == 2, (ex) -> false);
 	}
 
 	/**
@@ -93,9 +89,7 @@
 	 * @param id the order's request id
 	 */
 	public void cancel(RequestId id) {
-		this.http
-			.request(HttpRequest.post(url("/brasspier/cancel")).withBody(GSON.toJson(new Cancel(id.value()))).build())
-			.then((response) -> response.loadBody(MAX_BODY_BYTES))
+		call(HttpRequest.post(url("/brasspier/cancel")).withBody(GSON.toJson(new Cancel(id.value()))).build())
 			.whenException(() -> {
 				// The order's own deadline ends it.
 			});
