Send a second try only under a grant that the server has acknowledged

Cause: an order is held back until its grant is acknowledged, but only before its first try. The second one is sent a third of the time later without a look, and by then the grant may have run out.

Change: the second try waits for the grant like the first one. If it can't be made in time, the outcome is unknown as before.

--- a/daemon/src/main/java/org/brasspier/daemon/internal/request/OrderRunner.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/request/OrderRunner.java
@@ -8,6 +8,8 @@
 import java.util.Set;
 import java.util.function.Consumer;
 
+import io.activej.promise.Promise;
+import io.activej.promise.Promises;
 import io.activej.reactor.nio.NioReactor;
 import org.brasspier.core.ErrorKind;
 import org.brasspier.core.Failure;
@@ -31,6 +33,11 @@
 
 	private static final int MAX_BREAKS = 64;
 
+	/** A silent call of grants ends sooner than this, and the next one is answered. */
+	private static final long GRANT_WAIT_NANOS = 500_000_000;
+
+	private static final Duration LOOK_AGAIN = Duration.ofMillis(5);
+
 	private final NioReactor reactor;
 
 	private final BackendClient client;
@@ -99,6 +106,20 @@
 		return null;
 	}
 
+	// Waits until the server has acknowledged the order's grant, and tells whether it
+	// has.
+	Promise<Boolean> acknowledged(Order order) {
+		return acknowledged(order, Math.min(order.deadlineNanos(), System.nanoTime() + GRANT_WAIT_NANOS));
+	}
+
+	private Promise<Boolean> acknowledged(Order order, long giveUpNanos) {
+		long now = System.nanoTime();
+		if (this.grants.acknowledged(order.held(), now) || now - giveUpNanos >= 0) {
+			return Promise.of(now - giveUpNanos < 0);
+		}
+		return Promises.delay(LOOK_AGAIN).then(() -> acknowledged(order, giveUpNanos));
+	}
+
 	void ended(RunningOrder running, Order order, long busyNanos) {
 		this.running.remove(running);
 		this.loads.ran(order.request(), busyNanos);
--- a/daemon/src/main/java/org/brasspier/daemon/internal/request/RunningOrder.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/request/RunningOrder.java
@@ -104,13 +104,27 @@
 				this.runner.record(EventKind.CONNECTION_REPLACED, this.order, "no answer on the first connection");
 				this.secondTry = true;
 				this.runner.client().forgetConnections();
-				hand(now, this.order.remainingMillis(now), false);
+				handAgain();
 				return;
 			}
 			end(reply);
 		});
 	}
 
+	// The grant may have run out while the first try was silent.
+	private void handAgain() {
+		Promise<Boolean> granted = this.checksFences ? this.runner.acknowledged(this.order) : Promise.of(true);
+		granted.whenResult((acknowledged) -> {
+			long now = System.nanoTime();
+			if (acknowledged && !this.serverLost && !this.cancelled && this.order.remainingMillis(now) > 0) {
+				hand(now, this.order.remainingMillis(now), false);
+			}
+			else {
+				unknown(ErrorKind.OUTCOME_UNKNOWN, "nothing came for the first try, and a second one can't be made");
+			}
+		});
+	}
+
 	// Whether a late run would do harm after the range has moved: not where the server
 	// refuses old fences by itself, nor for a read where no key is owned.
 	private boolean harmlessWhenLate() {
--- a/daemon/src/main/java/org/brasspier/daemon/internal/request/ServerGate.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/request/ServerGate.java
@@ -8,7 +8,6 @@
 import java.util.function.Supplier;
 
 import io.activej.promise.Promise;
-import io.activej.promise.Promises;
 import io.activej.promise.SettablePromise;
 import io.activej.reactor.nio.NioReactor;
 import org.brasspier.core.ErrorKind;
@@ -41,9 +40,6 @@
 
 	private static final Duration RETRY_SOON = Duration.ofMillis(100);
 
-	/** A grant is acknowledged within a round trip or not at all. */
-	private static final long GRANT_WAIT_NANOS = 500_000_000;
-
 	/** How often something that waits is looked at. */
 	private static final Duration LOOK_AGAIN = Duration.ofMillis(5);
 
@@ -124,9 +120,8 @@
 
 	private OrderRun afterGrant(Order order, Cancellation cancellation) {
 		SettablePromise<Void> over = new SettablePromise<>();
-		long giveUpNanos = Math.min(order.deadlineNanos(), System.nanoTime() + GRANT_WAIT_NANOS);
-		Promise<Outcome> outcome = granted(order, giveUpNanos).then((granted) -> {
-			OrderRun run = granted ? offer(order, cancellation)
+		Promise<Outcome> outcome = this.runner.acknowledged(order).then((acknowledged) -> {
+			OrderRun run = acknowledged ? offer(order, cancellation)
 					: OrderRun.ended(noBackend("the backend server has not acknowledged its grant"));
 			run.over().whenComplete(() -> over.set(null));
 			return run.outcome();
@@ -134,14 +129,6 @@
 		return new OrderRun(outcome, over);
 	}
 
-	private Promise<Boolean> granted(Order order, long giveUpNanos) {
-		long now = System.nanoTime();
-		if (this.grants.acknowledged(order.held(), now) || now - giveUpNanos >= 0) {
-			return Promise.of(now - giveUpNanos < 0);
-		}
-		return Promises.delay(LOOK_AGAIN).then(() -> granted(order, giveUpNanos));
-	}
-
 	private void followDocument(ServiceName service) {
 		Optional<ServicePolicy> policy = this.catalog.get().find(service);
 		if (policy.equals(this.inForce)) {
--- a/daemon/src/test/java/org/brasspier/daemon/internal/request/FakeServer.java
+++ b/daemon/src/test/java/org/brasspier/daemon/internal/request/FakeServer.java
@@ -26,6 +26,10 @@
 	volatile Behaviour behaviour = (exchange, body) -> answer(exchange, 200,
 			"done " + exchange.getRequestURI() + " " + body);
 
+	private final Gate all = new Gate();
+
+	private final Gate grantCalls = new Gate();
+
 	private final ExecutorService threads = Executors.newVirtualThreadPerTaskExecutor();
 
 	private final HttpServer http;
@@ -34,12 +38,18 @@
 		this.http = HttpServer.create(new InetSocketAddress("127.0.0.1", 0), 100);
 		this.http.setExecutor(this.threads);
 		this.http.createContext("/", this::order);
-		this.http.createContext("/brasspier/health", (exchange) -> answer(exchange, 200, "{\"state\": \"ready\"}"));
+		this.http.createContext("/brasspier/health", (exchange) -> {
+			this.all.pass();
+			answer(exchange, 200, "{\"state\": \"ready\"}");
+		});
 		this.http.createContext("/brasspier/grants", (exchange) -> {
+			this.all.pass();
+			this.grantCalls.pass();
 			this.grants.add(read(exchange));
 			answer(exchange, 200, "{}");
 		});
 		this.http.createContext("/brasspier/cancel", (exchange) -> {
+			this.all.pass();
 			this.cancelled.add(read(exchange));
 			answer(exchange, 200, "{}");
 		});
@@ -74,6 +84,20 @@
 		return this.http.getAddress().getPort();
 	}
 
+	// Answers nothing, not even a probe, as a process that was paused.
+	void freeze() {
+		this.all.shut();
+	}
+
+	// Answers no call of grants until they are taken again.
+	void holdGrants() {
+		this.grantCalls.shut();
+	}
+
+	void takeGrants() {
+		this.grantCalls.open();
+	}
+
 	// Ends at once, as a process does: it stops listening and drops all connections.
 	void crash() throws InterruptedException {
 		Thread.ofPlatform().daemon().start(() -> this.http.stop(0));
@@ -82,6 +106,8 @@
 
 	@Override
 	public void close() {
+		this.all.open();
+		this.grantCalls.open();
 		this.http.stop(0);
 		this.threads.shutdownNow();
 	}
@@ -95,6 +121,36 @@
 
 	}
 
+	/**
+	 * Holds threads back while it is shut.
+	 */
+	private static final class Gate {
+
+		private boolean shut;
+
+		synchronized void shut() {
+			this.shut = true;
+		}
+
+		synchronized void open() {
+			this.shut = false;
+			notifyAll();
+		}
+
+		synchronized void pass() {
+			while (this.shut) {
+				try {
+					wait();
+				}
+				catch (InterruptedException ex) {
+					Thread.currentThread().interrupt();
+					return;
+				}
+			}
+		}
+
+	}
+
 	/**
 	 * An order as it came.
 	 */
