Release a range only when its frozen backend server can't go by it any more

What callers could see: two servers at work under two fences of one range.

Cause: a daemon that finds its server silent gives its orders up and releases its ranges at once. Three things bind the server longer: the grants in lists that it acknowledged, or that got no answer and that it may read when it wakes, for up to a lease; orders under such a grant; and reads without a key on servers that check no fences, which were held to be harmless. An earlier try that was followed by one on another server wasn't waited for either.

Change: a range is reported as drained when no grant of it is valid any more, by what was sent, not by what was acknowledged; orders of unknown outcome count until their deadline or, where fences are checked, the end of their grant. A server whose port refuses connections holds nothing back.

--- a/daemon/src/main/java/org/brasspier/daemon/internal/backend/GrantRenewal.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/backend/GrantRenewal.java
@@ -1,6 +1,8 @@
 package org.brasspier.daemon.internal.backend;
 
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.function.Supplier;
 import java.util.stream.Collectors;
@@ -27,6 +29,9 @@
 
 	private static final long NANOS_PER_MILLI = 1_000_000;
 
+	/** A list's end is told in whole milliseconds and read on the server's own clock. */
+	private static final long ROUNDING_NANOS = 2 * NANOS_PER_MILLI;
+
 	private final BackendCalls calls;
 
 	private final Supplier<OwnershipSnapshot> ownership;
@@ -37,12 +42,21 @@
 
 	private Set<HeldRange> sent = Set.of();
 
+	private Set<HeldRange> unanswered = Set.of();
+
+	/**
+	 * Ranges of lists that failed or were forgotten, with when the server's grant ends.
+	 */
+	private final Map<HeldRange, Long> doubtful = new HashMap<>();
+
 	private Set<HeldRange> wanted = Set.of();
 
 	private @Nullable Sources sources;
 
 	private long acknowledgedUntilNanos;
 
+	private long unansweredUntilNanos;
+
 	private long sentAtNanos;
 
 	private boolean sending;
@@ -64,6 +78,7 @@
 	 * fence that it was granted.
 	 */
 	public void forget() {
+		doubt(this.acknowledged, this.acknowledgedUntilNanos);
 		this.acknowledged = Set.of();
 		this.sent = Set.of();
 	}
@@ -78,6 +93,21 @@
 		return nowNanos - this.acknowledgedUntilNanos < 0 && this.acknowledged.contains(held);
 	}
 
+	/**
+	 * How long the server may still go by a grant: one it acknowledged, or one in a list
+	 * that got no answer. A server that was paused may read such a list when it wakes.
+	 * @param held the range with its fence
+	 * @param nowNanos the time, as {@link System#nanoTime()} counts
+	 * @return the nanoseconds until no grant of it is valid, 0 if none is now
+	 */
+	public long remainingNanos(HeldRange held, long nowNanos) {
+		long acknowledgedFor = this.acknowledged.contains(held) ? this.acknowledgedUntilNanos - nowNanos : 0;
+		long unansweredFor = this.unanswered.contains(held) ? this.unansweredUntilNanos - nowNanos : 0;
+		long doubtfulFor = this.doubtful.getOrDefault(held, nowNanos) - nowNanos;
+		long longest = Math.max(acknowledgedFor, Math.max(unansweredFor, doubtfulFor));
+		return (longest > 0) ? longest + ROUNDING_NANOS : 0;
+	}
+
 	/**
 	 * Sends what has changed, or all anew when it is time. Called every few milliseconds.
 	 * @param server what the backend server announced
@@ -94,6 +124,8 @@
 		this.sent = wanted;
 		this.sentAtNanos = nowNanos;
 		long untilNanos = snapshot.leaseEndNanos();
+		this.unanswered = wanted;
+		this.unansweredUntilNanos = untilNanos;
 		long validMillis = Math.max(0, (untilNanos - nowNanos) / NANOS_PER_MILLI);
 		this.calls.grants(GrantList.of(List.copyOf(wanted), validMillis))
 			.whenResult((taken) -> sent(wanted, untilNanos, taken));
@@ -111,17 +143,25 @@
 
 	private void sent(Set<HeldRange> wanted, long untilNanos, boolean taken) {
 		this.sending = false;
+		this.unanswered = Set.of();
+		if (taken && this.sent.equals(wanted)) {
+			this.acknowledged = wanted;
+			this.acknowledgedUntilNanos = untilNanos;
+			return;
+		}
+		doubt(wanted, untilNanos);
 		if (!taken) {
 			// It may or may not have them; the next renewal sends all again.
 			this.sent = Set.of();
-			return;
-		}
-		if (this.sent.equals(wanted)) {
-			this.acknowledged = wanted;
-			this.acknowledgedUntilNanos = untilNanos;
 		}
 	}
 
+	private void doubt(Set<HeldRange> ranges, long untilNanos) {
+		long now = System.nanoTime();
+		this.doubtful.values().removeIf((until) -> until - now <= 0);
+		ranges.forEach((held) -> this.doubtful.merge(held, untilNanos, Math::max));
+	}
+
 	// Where a service is divided by request ids, an order comes under its id's owner's
 	// fence, whoever that is, so the server is granted all ranges that are known. Where
 	// it
--- a/daemon/src/main/java/org/brasspier/daemon/internal/request/ForwardClient.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/request/ForwardClient.java
@@ -96,13 +96,15 @@
 		return new OrderRun(outcome, over(order, leaseEnd, outcome));
 	}
 
-	// An order whose outcome is unknown may still take effect there, until its deadline
-	// or
-	// until the lease it was given under has ended, with the guard.
+	// An order whose outcome is unknown may still take effect there: a read without a key
+	// until its deadline, any other until the lease it was given under has ended, with
+	// the guard.
 	private Promise<Void> over(Order order, long leaseEndNanos, Promise<Outcome> outcome) {
 		SettablePromise<Void> over = new SettablePromise<>();
 		outcome.whenResult((end) -> {
-			long until = Math.min(order.deadlineNanos(), leaseEndNanos + this.guards.nanos(order.request().service()));
+			long authorityEnd = leaseEndNanos + this.guards.nanos(order.request().service());
+			boolean read = !order.request().byKey() && order.request().requestClass().idempotent();
+			long until = read ? order.deadlineNanos() : Math.min(order.deadlineNanos(), authorityEnd);
 			long rest = (until - System.nanoTime()) / NANOS_PER_MILLI;
 			boolean certain = !(end instanceof Outcome.Failed failed) || failed.certainlyNotRun();
 			if (certain || rest <= 0) {
--- a/daemon/src/main/java/org/brasspier/daemon/internal/request/InFlight.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/request/InFlight.java
@@ -4,6 +4,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.function.Predicate;
 
 import org.brasspier.core.Fence;
 import org.brasspier.core.KeyHash;
@@ -22,14 +23,18 @@
 
 	private final OwnershipReports reports;
 
+	private final Predicate<HeldRange> granted;
+
 	private final Set<Entry> entries = new HashSet<>();
 
 	private final List<HeldRange> draining = new ArrayList<>();
 
 	// The reports are offered to a ring, which may be full; then they are offered again.
-	InFlight(CrashHistory marks, OwnershipReports reports) {
+	// A backend server that may still go by a grant, as after a pause, keeps its range.
+	InFlight(CrashHistory marks, OwnershipReports reports, Predicate<HeldRange> granted) {
 		this.marks = marks;
 		this.reports = reports;
+		this.granted = granted;
 	}
 
 	Entry begin(ServiceName service, KeyHash point, Fence fence) {
@@ -54,8 +59,9 @@
 
 	// Also called each few milliseconds, for reports that the ring did not take.
 	void reportDrained() {
-		this.draining.removeIf((held) -> this.entries.stream().noneMatch((entry) -> entry.isOf(held))
-				&& this.reports.offer(new RequestsReport.RangeDrained(held, this.marks.goingWith(held.range()))));
+		this.draining
+			.removeIf((held) -> this.entries.stream().noneMatch((entry) -> entry.isOf(held)) && !this.granted.test(held)
+					&& this.reports.offer(new RequestsReport.RangeDrained(held, this.marks.goingWith(held.range()))));
 	}
 
 	int size() {
--- a/daemon/src/main/java/org/brasspier/daemon/internal/request/RequestPath.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/request/RequestPath.java
@@ -95,7 +95,7 @@
 				calls, this.watch, this.grants, context.events(), guards, this.loads, suspects::partOfLoss);
 		this.serverGate = new ServerGate(reactor, this.watch, this.grants, runner, known.catalog());
 		ForwardClient client = new ForwardClient(reactor, context, known.ownership(), guards);
-		this.inFlight = new InFlight(this.marks, reports);
+		this.inFlight = new InFlight(this.marks, reports, this.serverGate::granted);
 		ServerChoice choice = new ServerChoice(settings.instance(), this.serverGate, client, known.cell(),
 				known.catalog(), new BackendChooser(1, new SplittableRandom()), retries());
 		this.ownerGate = new OwnerGate(known.ownership(), desk(reactor, context), suspects, this.inFlight, choice::run,
--- a/daemon/src/main/java/org/brasspier/daemon/internal/request/RunningOrder.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/request/RunningOrder.java
@@ -125,16 +125,16 @@
 		});
 	}
 
-	// Whether a late run would do harm after the range has moved: not where the server
-	// refuses old fences by itself, nor for a read where no key is owned.
-	private boolean harmlessWhenLate() {
+	// Whether the order may name its own deadline: where the server refuses old fences by
+	// itself, and for a read where no key is owned.
+	private boolean mayOutlastLease() {
 		return this.checksFences || (!this.order.request().byKey() && this.order.request().requestClass().idempotent());
 	}
 
 	// A server that checks no fences may freeze with the order and wake after the range
 	// has moved; it then finds this moment passed and leaves the work undone.
 	private long deadlineAt() {
-		if (harmlessWhenLate()) {
+		if (mayOutlastLease()) {
 			return this.order.deadlineNanos();
 		}
 		long leaseEnd = this.order.leaseEndNanos().getAsLong();
@@ -220,10 +220,8 @@
 		}
 		this.runner.ended(this, this.order, System.nanoTime() - this.handedNanos);
 		this.slotFree.accept(slot);
-		long rest = (this.deadlineAtNanos - System.nanoTime()) / NANOS_PER_MILLI;
-		boolean mayTakeEffect = slot == RunOutcome.BROKEN && !harmlessWhenLate() && rest > 0
-				&& !this.runner.watch().gone();
-		if (mayTakeEffect) {
+		long rest = runsOnForNanos(slot) / NANOS_PER_MILLI;
+		if (rest > 0) {
 			this.runner.reactor().delay(Duration.ofMillis(rest + 1), () -> this.over.trySet(null));
 		}
 		else {
@@ -231,6 +229,18 @@
 		}
 	}
 
+	// A server that was paused begins what it has not read yet when it wakes, until the
+	// order's deadline or, where it checks fences, until its grant ends.
+	private long runsOnForNanos(RunOutcome slot) {
+		if (slot != RunOutcome.BROKEN || this.runner.watch().gone()) {
+			return 0;
+		}
+		long now = System.nanoTime();
+		long untilDeadline = this.deadlineAtNanos - now;
+		return this.checksFences ? Math.min(untilDeadline, this.runner.grants().remainingNanos(this.order.held(), now))
+				: untilDeadline;
+	}
+
 	void abandon(String reason) {
 		this.serverLost = true;
 		this.run.ifPresent((current) -> current.abandon(reason));
--- a/daemon/src/main/java/org/brasspier/daemon/internal/request/ServerChoice.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/request/ServerChoice.java
@@ -1,6 +1,7 @@
 package org.brasspier.daemon.internal.request;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
@@ -8,6 +9,7 @@
 import java.util.function.Supplier;
 
 import io.activej.promise.Promise;
+import io.activej.promise.Promises;
 import io.activej.promise.SettablePromise;
 import org.brasspier.core.InstanceId;
 import org.brasspier.core.Ran;
@@ -67,32 +69,34 @@
 	}
 
 	private OrderRun choose(OwnerGate.Admitted admitted) {
+		List<Promise<Void>> runs = new ArrayList<>();
+		Promise<Outcome> outcome = attempt(admitted, new HashSet<>(), runs);
 		SettablePromise<Void> over = new SettablePromise<>();
-		Promise<Outcome> outcome = attempt(admitted, new HashSet<>(), over);
+		outcome.whenComplete(() -> Promises.all(runs).whenComplete(() -> over.set(null)));
 		return new OrderRun(outcome, over);
 	}
 
-	private Promise<Outcome> attempt(OwnerGate.Admitted admitted, Set<InstanceId> tried, SettablePromise<Void> over) {
+	// Also a try that was followed by another may still take effect where it was sent.
+	private Promise<Outcome> attempt(OwnerGate.Admitted admitted, Set<InstanceId> tried, List<Promise<Void>> runs) {
 		Order order = admitted.order();
 		RequestClass requestClass = order.request().requestClass();
 		long begun = System.nanoTime();
 		Optional<InstanceId> chosen = this.chooser.choose(candidates(order.request().service(), tried), requestClass,
 				begun);
 		if (chosen.isEmpty()) {
-			over.trySet(null);
 			return Promise.of(ServerGate.noBackend("no backend server of the service can take the request"));
 		}
 		tried.add(chosen.get());
 		OrderRun run = chosen.get().equals(this.self) ? this.own.run(order, admitted.cancellation())
 				: this.others.execute(chosen.get(), order, admitted.cancellation());
+		runs.add(run.over());
 		return run.outcome().then((outcome) -> {
 			boolean failed = outcome instanceof Outcome.Failed;
 			this.chooser.ended(chosen.get(), requestClass, System.nanoTime() - begun, failed);
 			if (outcome instanceof Outcome.Failed failure && again(order, failure, tried, admitted.cancellation())) {
-				Promise<Outcome> next = attempt(admitted, tried, over);
+				Promise<Outcome> next = attempt(admitted, tried, runs);
 				return failure.certainlyNotRun() ? next : next.map(Outcome::afterUnknown);
 			}
-			run.over().whenComplete(() -> over.trySet(null));
 			return Promise.of(outcome);
 		});
 	}
--- a/daemon/src/main/java/org/brasspier/daemon/internal/request/ServerGate.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/request/ServerGate.java
@@ -23,6 +23,7 @@
 import org.brasspier.core.admission.RunOutcome;
 import org.brasspier.core.document.ServiceCatalog;
 import org.brasspier.core.document.ServicePolicy;
+import org.brasspier.core.ownership.HeldRange;
 import org.brasspier.daemon.internal.backend.BackendAnnouncement;
 import org.brasspier.daemon.internal.backend.BackendWatch;
 import org.brasspier.daemon.internal.backend.GrantRenewal;
@@ -129,6 +130,22 @@
 		return new OrderRun(outcome, over);
 	}
 
+	/**
+	 * Whether the backend server may still run orders of a range by its grants. Where a
+	 * service is divided by request ids, its servers have grants of all ranges at all
+	 * times, and only orders in flight count.
+	 * @param held the range with its fence
+	 * @return false if no grant of it is valid any more
+	 */
+	boolean granted(HeldRange held) {
+		boolean byId = this.catalog.get()
+			.find(held.service())
+			.filter((policy) -> policy.division() == ServicePolicy.Division.BY_REQUEST_ID)
+			.isPresent();
+		boolean checksFences = this.watch.announcement().filter(BackendAnnouncement::checksFences).isPresent();
+		return checksFences && !byId && !this.watch.gone() && this.grants.remainingNanos(held, System.nanoTime()) > 0;
+	}
+
 	private void followDocument(ServiceName service) {
 		Optional<ServicePolicy> policy = this.catalog.get().find(service);
 		if (policy.equals(this.inForce)) {
