Send all lookups again that wait on a link that went silent

Cause: each request that waits on the link pays for its own resend, from a budget that holds 20 and earns a tenth of a resend a fresh request. A link that goes silent loses all at once.

Change: a link that was in use ten times as long as it was silent has carried the fresh requests that pay for what waits on it, so these resends need no budget (ConnectionAllowance). A peer that stalls more often than that is still held to the budget.

Evidence: SilentLinkTests, 40 lookups on one silent link: fails without the change, passes with it.

Elsewhere: the deployed mesh pays for repeats in the same way, from what the platform's rule on repeats leaves it; not changed.

--- a/core/src/main/java/org/brasspier/core/retry/RetryRules.java
+++ b/core/src/main/java/org/brasspier/core/retry/RetryRules.java
@@ -44,9 +44,20 @@
 	 * @return true if it must be sent again now
 	 */
 	public boolean resend(RequestClass requestClass, Ran ran, Duration remaining) {
+		return mayResend(requestClass, ran, remaining) && this.budget.spend();
+	}
+
+	/**
+	 * The same, for a request whose resend needs no budget.
+	 * @param requestClass the request's class
+	 * @param ran what is known of the failed try
+	 * @param remaining the time until the deadline
+	 * @return true if it must be sent again now
+	 */
+	public boolean mayResend(RequestClass requestClass, Ran ran, Duration remaining) {
 		boolean harmless = ran == Ran.NOT_RUN || requestClass.idempotent() && ran == Ran.UNKNOWN;
 		boolean inTime = remaining.compareTo(this.times.percentile(50)) > 0;
-		return harmless && inTime && !remaining.isZero() && this.budget.spend();
+		return harmless && inTime && !remaining.isZero();
 	}
 
 	/**
--- a/daemon/src/main/java/org/brasspier/daemon/internal/request/ForwardLink.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/request/ForwardLink.java
@@ -16,6 +16,7 @@
 import org.brasspier.core.Failure;
 import org.brasspier.core.InstanceId;
 import org.brasspier.core.event.EventKind;
+import org.brasspier.core.retry.ConnectionAllowance;
 import org.brasspier.core.routing.PeerAddress;
 import org.brasspier.daemon.internal.peer.PeerConnection;
 import org.brasspier.daemon.internal.settings.CurrentSecrets;
@@ -70,7 +71,9 @@
 
 	private long nextExchange = 1;
 
-	private long heardNanos = System.nanoTime();
+	private long openedNanos;
+
+	private long heardNanos;
 
 	private long pingedNanos;
 
@@ -112,7 +115,8 @@
 	private PeerConnection ready(PeerConnection.Opened opened) {
 		this.client.events().record(EventKind.PEER_CONNECTED, this.peer, "forwarding to it");
 		this.open = Optional.of(opened.connection());
-		this.heardNanos = System.nanoTime();
+		this.openedNanos = System.nanoTime();
+		this.heardNanos = this.openedNanos;
 		opened.connection().onFrame(this::receive);
 		opened.connection().closed().whenResult(this::lost);
 		return opened.connection();
@@ -222,8 +226,12 @@
 	private void lost(Exception reason) {
 		gone();
 		this.client.events().record(EventKind.PEER_LOST, this.peer, String.valueOf(reason.getMessage()));
-		Outcome outcome = Outcome.failed(ErrorKind.OUTCOME_UNKNOWN,
+		Duration used = Duration.ofNanos(this.heardNanos - this.openedNanos);
+		Duration silent = Duration.ofNanos(System.nanoTime() - this.heardNanos);
+		Failure failure = Failure.of(ErrorKind.OUTCOME_UNKNOWN,
 				"the connection to %s broke: %s".formatted(this.peer, reason.getMessage()));
+		Outcome outcome = new Outcome.Failed(failure, "", Optional.empty(), false,
+				ConnectionAllowance.covers(used, silent));
 		List<SettablePromise<Outcome>> all = List.copyOf(this.waiting.values());
 		this.waiting.clear();
 		all.forEach((promise) -> promise.trySet(outcome));
--- a/daemon/src/main/java/org/brasspier/daemon/internal/request/Outcome.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/request/Outcome.java
@@ -8,6 +8,7 @@
 import org.brasspier.core.InstanceId;
 import org.brasspier.core.Ran;
 import org.brasspier.core.request.Answer;
+import org.brasspier.core.retry.ConnectionAllowance;
 
 /**
  * How a request ended, as it is relayed towards its caller. Immutable and thread-safe.
@@ -85,12 +86,19 @@
 	 * @param ticket the ticket to resend with, empty if none
 	 * @param owner who owns the request as far as the answering daemon knows
 	 * @param backendLost whether it ran when its backend server was lost
+	 * @param resendPaid whether sending it again needs no retry budget, see
+	 * {@link ConnectionAllowance}
 	 */
-	record Failed(Failure failure, String ticket, Optional<Owner> owner, boolean backendLost) implements Outcome {
+	record Failed(Failure failure, String ticket, Optional<Owner> owner, boolean backendLost,
+			boolean resendPaid) implements Outcome {
+
+		Failed(Failure failure, String ticket, Optional<Owner> owner, boolean backendLost) {
+			this(failure, ticket, owner, backendLost, false);
+		}
 
 		@Override
 		public Failed withTicket(String newTicket) {
-			return new Failed(this.failure, newTicket, this.owner, this.backendLost);
+			return new Failed(this.failure, newTicket, this.owner, this.backendLost, this.resendPaid);
 		}
 
 		/**
--- a/daemon/src/main/java/org/brasspier/daemon/internal/request/RequestRouter.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/request/RequestRouter.java
@@ -73,6 +73,8 @@
 	public Promise<Outcome> route(CallerRequest request, Cancellation cancellation) {
 		this.budget.fresh();
 		Route route = new Route(request, cancellation, System.nanoTime());
+		// The first send may have run, so that the second one certainly did not is no
+		// answer: "not run" would let the caller send a posting anew that has run.
 		return route.attempt().map((outcome) -> route.resent ? Outcome.afterUnknown(outcome) : outcome);
 	}
 
@@ -141,11 +143,10 @@
 			if (mayFindAnotherOwner(failed)) {
 				return later(route, failed);
 			}
-			if (mayBeSentAgain(failed) && RequestRouter.this.budget.spend()) {
+			if (mayBeSentAgain(failed) && (failed.resendPaid() || RequestRouter.this.budget.spend())) {
 				this.resent = true;
 				this.request = this.request.resent();
-				Promise<Outcome> again = failed.backendLost() ? later(route, failed) : attempt();
-				return again.map((end) -> afterDoubt(failed, end));
+				return failed.backendLost() ? later(route, failed) : attempt();
 			}
 			return Promise.of(outcome);
 		}
@@ -172,13 +173,6 @@
 			return lost && harmless && !this.resent;
 		}
 
-		// The first send may have run, so that the second one certainly did not is no
-		// answer: "not run" would let the caller send a posting anew that has run.
-		private static Outcome afterDoubt(Outcome.Failed first, Outcome end) {
-			boolean notRun = end instanceof Outcome.Failed failed && failed.certainlyNotRun();
-			return notRun ? first : end;
-		}
-
 		private Promise<Outcome> later(Optional<Assignment> seen, Outcome.Failed refusal) {
 			long now = System.nanoTime();
 			if (now - this.waitUntilNanos >= 0) {
--- a/daemon/src/main/java/org/brasspier/daemon/internal/request/ServerChoice.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/request/ServerChoice.java
@@ -105,8 +105,10 @@
 	private boolean again(Order order, Outcome.Failed failed, Set<InstanceId> tried, Cancellation cancellation) {
 		Ran ran = failed.backendLost() ? Ran.RAN : failed.failure().kind().ran();
 		Duration remaining = Duration.ofMillis(order.remainingMillis(System.nanoTime()));
+		RequestClass requestClass = order.request().requestClass();
 		return tried.size() < MAX_TRIES && !cancellation.cancelled()
-				&& this.retries.resend(order.request().requestClass(), ran, remaining);
+				&& (failed.resendPaid() ? this.retries.mayResend(requestClass, ran, remaining)
+						: this.retries.resend(requestClass, ran, remaining));
 	}
 
 	private List<Candidate> candidates(ServiceName service, Set<InstanceId> tried) {
--- a/daemon/src/test/java/org/brasspier/daemon/internal/request/PathFixture.java
+++ b/daemon/src/test/java/org/brasspier/daemon/internal/request/PathFixture.java
@@ -121,6 +121,9 @@
 
 		final RequestsDuty requests;
 
+		/** Where the other members reach the port for forwarded requests. */
+		volatile int forwardedThrough = this.forwardPort;
+
 		volatile List<MarkedRange> marked = List.of();
 
 		private volatile OwnershipSnapshot snapshot;
@@ -158,7 +161,7 @@
 					Map.of(HULLBOOK, List.of(new Assignment(KeyRange.ALL, owner.instance, new Fence(fence)))));
 			Map<InstanceId, PeerAddress> addresses = new LinkedHashMap<>();
 			PathFixture.this.members.forEach((id, member) -> addresses.put(id,
-					new PeerAddress("127.0.0.1", 1, member.forwardPort, member.callerPort, 1)));
+					new PeerAddress("127.0.0.1", 1, member.forwardedThrough, member.callerPort, 1)));
 			this.snapshot = new OwnershipSnapshot(this.instance, routes,
 					owner.instance.equals(this.instance) ? routes : RouteTable.EMPTY, RouteTable.EMPTY, this.marked,
 					leaseEndNanos, new PeerAddresses(addresses));
@@ -170,12 +173,16 @@
 
 		// Announces its server and waits until the daemon has taken note.
 		String announce(String state, boolean checksFences) throws Exception {
+			return announce(state, checksFences, 4);
+		}
+
+		String announce(String state, boolean checksFences, int slots) throws Exception {
 			HttpResponse<String> response = HTTP
 				.send(HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + this.backendPort + "/v1/announce"))
 					.POST(HttpRequest.BodyPublishers.ofString("""
-							{"service": "hullbook", "address": "127.0.0.1:%d", "state": "%s", "slots": 4,
-							 "connections": 20, "checks_fences": %s, "cold_start_millis": 0}
-							""".formatted(this.server.port(), state, checksFences)))
+							{"service": "hullbook", "address": "127.0.0.1:%d", "state": "%s", "slots": %d,
+							 "connections": %d, "checks_fences": %s, "cold_start_millis": 0}
+							""".formatted(this.server.port(), state, slots, slots + 16, checksFences)))
 					.build(), HttpResponse.BodyHandlers.ofString());
 			return response.body();
 		}
--- /dev/null
+++ b/daemon/src/test/java/org/brasspier/daemon/internal/request/SilentLinkTests.java
@@ -0,0 +1,75 @@
+package org.brasspier.daemon.internal.request;
+
+import java.net.InetSocketAddress;
+import java.net.http.HttpResponse;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
+
+import org.brasspier.core.retry.RetryBudget;
+import org.brasspier.standins.FaultLink;
+import org.brasspier.standins.FaultProxy;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+
+class SilentLinkTests {
+
+	/** Twice as long as what waits on a link that is silent for 400 ms needs. */
+	private static final long WELL_USED_SECONDS = 8;
+
+	private static final int WAITING = 2 * RetryBudget.USUAL_MOST_SAVED;
+
+	private final PathFixture fixture = new PathFixture();
+
+	private final FaultProxy proxy = new FaultProxy();
+
+	private PathFixture.Member entry;
+
+	private PathFixture.Member owner;
+
+	private FaultLink link;
+
+	@BeforeEach
+	void startTwoDaemons() throws Exception {
+		this.entry = this.fixture.add("entry");
+		this.owner = this.fixture.add("owner");
+		this.link = this.proxy.link("forward", new InetSocketAddress("127.0.0.1", this.owner.forwardPort), 0);
+		this.owner.forwardedThrough = this.link.address().getPort();
+		this.fixture.owns(this.owner, 7);
+	}
+
+	@AfterEach
+	void stop() throws Exception {
+		this.fixture.close();
+		this.proxy.close();
+	}
+
+	// Guards against lookups that fail because each that waits on a silent connection
+	// pays for a resend of its own.
+	@Test
+	void allLookupsThatWaitOnASilentLinkAreAnswered() throws Exception {
+		long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(WELL_USED_SECONDS);
+		while (System.nanoTime() < end) {
+			this.owner.announce("ready", true, WAITING);
+			assertThat(lookup().get(20, TimeUnit.SECONDS).statusCode()).isEqualTo(200);
+			TimeUnit.MILLISECONDS.sleep(50);
+		}
+		this.link.silenceOpenConnections();
+		List<CompletableFuture<HttpResponse<String>>> waiting = IntStream.range(0, WAITING)
+			.mapToObj((i) -> lookup())
+			.toList();
+		for (CompletableFuture<HttpResponse<String>> answer : waiting) {
+			assertThat(answer.get(20, TimeUnit.SECONDS).body()).isEqualTo("done /x ");
+		}
+	}
+
+	private CompletableFuture<HttpResponse<String>> lookup() {
+		return this.entry.send("GET", "/v1/hullbook/x", "", "Brasspier-Key", "hull-7", "Brasspier-Deadline-Millis",
+				"5000");
+	}
+
+}
