Don't let a stall put off the end of a grant or of an order

Cause: the time until which a grant or an order is valid was worked out from a reading of the monotonic clock taken earlier, and then added to the time of day. A stall between the two made the told time later than the one that the daemon itself goes by.

Change: the time of day is read first, and the monotonic clock after it, so a stall makes the told time earlier. The wait for an order's end looks at the clock again, since timers fire up to a millisecond early.

--- a/daemon/src/main/java/org/brasspier/daemon/internal/backend/GrantList.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/backend/GrantList.java
@@ -1,5 +1,6 @@
 package org.brasspier.daemon.internal.backend;
 
+import java.util.Collection;
 import java.util.List;
 
 import org.brasspier.core.ownership.HeldRange;
@@ -14,9 +15,13 @@
  */
 record GrantList(List<Grant> grants, long validMillis, long validUntil) {
 
-	static GrantList of(List<HeldRange> held, long validMillis) {
-		return new GrantList(held.stream().map(Grant::of).toList(), validMillis,
-				System.currentTimeMillis() + validMillis);
+	private static final long NANOS_PER_MILLI = 1_000_000;
+
+	// The time of day first: a pause between the two readings must not put the end off.
+	static GrantList until(long untilNanos, Collection<HeldRange> held) {
+		long timeOfDayMillis = System.currentTimeMillis();
+		long validMillis = Math.max(0, (untilNanos - System.nanoTime()) / NANOS_PER_MILLI);
+		return new GrantList(held.stream().map(Grant::of).toList(), validMillis, timeOfDayMillis + validMillis);
 	}
 
 	/**
--- a/daemon/src/main/java/org/brasspier/daemon/internal/backend/GrantRenewal.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/backend/GrantRenewal.java
@@ -126,9 +126,7 @@
 		long untilNanos = snapshot.leaseEndNanos();
 		this.unanswered = wanted;
 		this.unansweredUntilNanos = untilNanos;
-		long validMillis = Math.max(0, (untilNanos - nowNanos) / NANOS_PER_MILLI);
-		this.calls.grants(GrantList.of(List.copyOf(wanted), validMillis))
-			.whenResult((taken) -> sent(wanted, untilNanos, taken));
+		this.calls.grants(GrantList.until(untilNanos, wanted)).whenResult((taken) -> sent(wanted, untilNanos, taken));
 	}
 
 	// Looked at 50 times a second, while what it's made from changes now and then.
--- a/daemon/src/main/java/org/brasspier/daemon/internal/request/RunningOrder.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/request/RunningOrder.java
@@ -26,6 +26,9 @@
 	/** A cancelled order that still runs after this is given up. */
 	private static final Duration CANCEL_WAIT = Duration.ofMillis(250);
 
+	/** Deadlines are told in whole milliseconds, of which the last one still counts. */
+	private static final long ROUNDING_NANOS = 2 * NANOS_PER_MILLI;
+
 	/** A refused resend soon finds the next owner or the server back. */
 	private static final Duration RETRY_SOON = Duration.ofMillis(100);
 
@@ -83,7 +86,7 @@
 		int remaining = this.order.remainingMillis(nowNanos);
 		long firstTry = Math.max(SHORTEST_TRY_MILLIS, remaining / FIRST_TRY_ONE_IN);
 		boolean twoTries = hurried() && firstTry < remaining;
-		hand(nowNanos, twoTries ? firstTry : remaining, twoTries);
+		hand(twoTries ? firstTry : remaining, twoTries);
 	}
 
 	// Audit reads are long by nature, so silence tells nothing; postings run once.
@@ -92,9 +95,11 @@
 		return requestClass == RequestClass.LOOKUP || requestClass == RequestClass.INTERNAL;
 	}
 
-	private void hand(long nowNanos, long waitMillis, boolean again) {
+	private void hand(long waitMillis, boolean again) {
 		this.deadlineAtNanos = deadlineAt();
-		long deadlineAtMillis = System.currentTimeMillis() + (this.deadlineAtNanos - nowNanos) / NANOS_PER_MILLI;
+		// The time of day first: a pause between the two readings must not put it off.
+		long timeOfDayMillis = System.currentTimeMillis();
+		long deadlineAtMillis = timeOfDayMillis + (this.deadlineAtNanos - System.nanoTime()) / NANOS_PER_MILLI;
 		BackendRun next = this.runner.client()
 			.run(new BackendOrder(this.order.request(), this.order.held(), deadlineAtMillis, waitMillis));
 		this.run = Optional.of(next);
@@ -117,7 +122,7 @@
 		granted.whenResult((acknowledged) -> {
 			long now = System.nanoTime();
 			if (acknowledged && !this.serverLost && !this.cancelled && this.order.remainingMillis(now) > 0) {
-				hand(now, this.order.remainingMillis(now), false);
+				hand(this.order.remainingMillis(now), false);
 			}
 			else {
 				unknown(ErrorKind.OUTCOME_UNKNOWN, "nothing came for the first try, and a second one can't be made");
@@ -220,13 +225,18 @@
 		}
 		this.runner.ended(this, this.order, System.nanoTime() - this.handedNanos);
 		this.slotFree.accept(slot);
-		long rest = runsOnForNanos(slot) / NANOS_PER_MILLI;
-		if (rest > 0) {
-			this.runner.reactor().delay(Duration.ofMillis(rest + 1), () -> this.over.trySet(null));
-		}
-		else {
+		long runsOnFor = runsOnForNanos(slot);
+		overAt(System.nanoTime() + runsOnFor + ((runsOnFor > 0) ? ROUNDING_NANOS : 0));
+	}
+
+	// Timers may fire a moment early.
+	private void overAt(long nanos) {
+		long rest = nanos - System.nanoTime();
+		if (rest <= 0) {
 			this.over.trySet(null);
+			return;
 		}
+		this.runner.reactor().delay(Duration.ofNanos(rest).plusMillis(1), () -> overAt(nanos));
 	}
 
 	// A server that was paused begins what it has not read yet when it wakes, until the
--- a/daemon/src/test/java/org/brasspier/daemon/internal/backend/BackendCallsTests.java
+++ b/daemon/src/test/java/org/brasspier/daemon/internal/backend/BackendCallsTests.java
@@ -27,7 +27,7 @@
 			BackendCalls calls = new BackendCalls(loop);
 			calls.address("127.0.0.1:" + silent.getLocalPort());
 			loop.post(() -> {
-				calls.grants(GrantList.of(List.of(), 0)).whenResult((taken) -> order.add("taken " + taken));
+				calls.grants(GrantList.until(0, List.of())).whenResult((taken) -> order.add("taken " + taken));
 				loop.delay(LATE_MILLIS, () -> order.add("late"));
 			});
 			loop.run();
--- a/daemon/src/test/java/org/brasspier/daemon/internal/request/FakeServer.java
+++ b/daemon/src/test/java/org/brasspier/daemon/internal/request/FakeServer.java
@@ -60,7 +60,8 @@
 		String body = read(exchange);
 		this.orders.add(new Seen(exchange.getRequestMethod() + " " + exchange.getRequestURI(),
 				exchange.getRequestHeaders().getFirst("Brasspier-Request-Id"),
-				exchange.getRequestHeaders().getFirst("Brasspier-Fence")));
+				exchange.getRequestHeaders().getFirst("Brasspier-Fence"),
+				Long.parseLong(exchange.getRequestHeaders().getFirst("Brasspier-Deadline-At"))));
 		try {
 			this.behaviour.serve(exchange, body);
 		}
@@ -154,7 +155,7 @@
 	/**
 	 * An order as it came.
 	 */
-	record Seen(String line, String id, String fence) {
+	record Seen(String line, String id, String fence, long deadlineAtMillis) {
 
 	}
 
--- a/daemon/src/test/java/org/brasspier/daemon/internal/request/FrozenServerTests.java
+++ b/daemon/src/test/java/org/brasspier/daemon/internal/request/FrozenServerTests.java
@@ -40,8 +40,8 @@
 	}
 
 	private void start(boolean byKey, boolean checksFences) throws Exception {
-		this.fixture.catalog = Document
-			.of(Map.of(new FieldPath("service/hullbook/divided-by-key"), byKey ? "yes" : "no"))
+		this.fixture.catalog = Document.of(Map.of(new FieldPath("service/hullbook/divided-by-key"),
+				byKey ? "yes" : "no", new FieldPath("service/hullbook/lookup-deadline-millis"), "9000"))
 			.catalog();
 		this.a = this.fixture.add("a");
 		this.fixture.owns(this.a, 7);
@@ -71,7 +71,6 @@
 	void aRangeIsNotReleasedBeforeAReadOnItsFrozenServerIsOverdue() throws Exception {
 		start(false, false);
 		this.a.server.behaviour = (exchange, body) -> this.finish.await(20, TimeUnit.SECONDS);
-		long sent = System.nanoTime();
 		CompletableFuture<HttpResponse<String>> read = this.a.send("GET", "/v1/hullbook/x", "", "Brasspier-Request-Id",
 				"r-1", "Brasspier-Class", "audit", "Brasspier-Deadline-Millis", "4000");
 		PathFixture.await(() -> !this.a.server.orders.isEmpty());
@@ -79,7 +78,7 @@
 		PathFixture.await(() -> seen(EventKind.BACKEND_LOST));
 		this.a.order(new RequestsOrder.DrainRange(HELD));
 		PathFixture.await(this::drained);
-		assertThat(System.nanoTime() - sent).isAtLeast(TimeUnit.MILLISECONDS.toNanos(4000));
+		assertThat(System.currentTimeMillis()).isGreaterThan(this.a.server.orders.getFirst().deadlineAtMillis());
 		read.get(20, TimeUnit.SECONDS);
 	}
 
@@ -106,18 +105,22 @@
 		int before = this.a.server.grants.size();
 		PathFixture.await(() -> this.a.server.grants.size() > before + 1);
 		CountDownLatch granted = new CountDownLatch(1);
+		int firstTry = this.a.server.orders.size() + 1;
 		this.a.server.behaviour = (exchange, body) -> {
-			if (this.a.server.orders.size() == 2) {
+			if (this.a.server.orders.size() == firstTry) {
 				this.finish.await(20, TimeUnit.SECONDS);
 			}
 			FakeServer.answer(exchange, (granted.getCount() == 0) ? 200 : 500, "granted " + (granted.getCount() == 0));
 		};
+		long lastEvent = this.a.events.after(0).getLast().number();
 		this.a.server.holdGrants();
 		CompletableFuture<HttpResponse<String>> lookup = this.a.send("GET", "/v1/hullbook/x", "", "Brasspier-Key",
 				"hull-7", "Brasspier-Deadline-Millis", "9000");
-		PathFixture.await(() -> this.a.server.orders.size() == 2);
+		PathFixture.await(() -> this.a.server.orders.size() == firstTry);
 		this.a.sees(this.a, 7);
-		PathFixture.await(() -> seen(EventKind.CONNECTION_REPLACED));
+		PathFixture.await(() -> this.a.events.after(lastEvent)
+			.stream()
+			.anyMatch((event) -> event.kind() == EventKind.CONNECTION_REPLACED));
 		granted.countDown();
 		this.a.server.takeGrants();
 		assertThat(lookup.get(20, TimeUnit.SECONDS).body()).isEqualTo("granted true");
