Relay an answer after a lapse if nobody else held the range meanwhile

Cause: an answer that arrives after the lease has lapsed was thrown away, even if the lease was renewed within milliseconds. When the primary lease manager stops, starved members' leases lapse for a moment.

Change: the answer waits up to a second for the lease. It is relayed if the range is still held under the same fence: any other owner would have had a higher one. If it isn't, the outcome is unknown as before. Test: fails without the change; a second one keeps the case with a newer fence.

--- a/daemon/src/main/java/org/brasspier/daemon/internal/request/OwnerGate.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/request/OwnerGate.java
@@ -6,6 +6,7 @@
 import java.util.function.Supplier;
 
 import io.activej.promise.Promise;
+import io.activej.promise.Promises;
 import io.activej.promise.SettablePromise;
 import org.brasspier.core.ErrorKind;
 import org.brasspier.core.Failure;
@@ -28,6 +29,11 @@
 
 	private static final Duration RETRY_SOON = Duration.ofMillis(100);
 
+	/** A lease that isn't renewed within this has gone to others. */
+	private static final long RENEWAL_WAIT_NANOS = 1_000_000_000;
+
+	private static final Duration LOOK_AGAIN = Duration.ofMillis(5);
+
 	private final Supplier<OwnershipSnapshot> ownership;
 
 	private final PostingExecutor postings;
@@ -121,7 +127,7 @@
 		InFlight.Entry entry = this.inFlight.begin(request.service(), request.hash(), held.fence());
 		OrderRun run = this.servers.apply(new Admitted(order, cancellation));
 		run.over().whenComplete(() -> this.inFlight.end(entry));
-		return run.outcome().map((outcome) -> relay(order, leaseRun, outcome));
+		return run.outcome().then((outcome) -> relay(order, leaseRun, outcome));
 	}
 
 	private long leaseEnd(long leaseRun) {
@@ -130,19 +136,40 @@
 		return this.continuity.unbroken(leaseRun, snapshot, now) ? snapshot.leaseEndNanos() : now - 1;
 	}
 
-	private Outcome relay(Order order, long leaseRun, Outcome outcome) {
+	private Promise<Outcome> relay(Order order, long leaseRun, Outcome outcome) {
 		if (outcome instanceof Outcome.Failed failed && failed.backendLost()) {
 			this.suspects.partOfLoss(order.request());
 		}
 		if (outcome instanceof Outcome.Answered) {
 			this.suspects.endedWell(order.request());
 			if (leaseEnd(leaseRun) - System.nanoTime() <= 0) {
-				// A pause past the lease: another owner may already have changed what
-				// this answer says, so it must not reach the caller.
-				return Outcome.failed(ErrorKind.OUTCOME_UNKNOWN, "the lease ran out while the request ran");
+				long waitUntil = Math.min(order.deadlineNanos(), System.nanoTime() + RENEWAL_WAIT_NANOS);
+				return afterLapse(order, outcome, waitUntil);
 			}
 		}
-		return outcome;
+		return Promise.of(outcome);
+	}
+
+	// While the lease had run out another owner may have changed what the answer says. It
+	// has not if the lease runs again and the range is held under the same fence: each
+	// other owner would have had a higher one.
+	private Promise<Outcome> afterLapse(Order order, Outcome answered, long waitUntilNanos) {
+		OwnershipSnapshot snapshot = this.ownership.get();
+		long now = System.nanoTime();
+		if (snapshot.leaseValid(now) && heldAlone(order, snapshot)) {
+			return Promise.of(answered);
+		}
+		if (snapshot.leaseValid(now) || now - waitUntilNanos >= 0) {
+			return Promise.of(Outcome.failed(ErrorKind.OUTCOME_UNKNOWN, "the lease ran out while the request ran"));
+		}
+		return Promises.delay(LOOK_AGAIN).then(() -> afterLapse(order, answered, waitUntilNanos));
+	}
+
+	private static boolean heldAlone(Order order, OwnershipSnapshot snapshot) {
+		return snapshot.routes()
+			.find(order.request().service(), order.request().hash())
+			.filter((route) -> route.owner().equals(snapshot.self()) && route.fence().equals(order.held().fence()))
+			.isPresent();
 	}
 
 	private static Outcome notOwner(OwnershipSnapshot snapshot, CallerRequest request) {
--- a/daemon/src/test/java/org/brasspier/daemon/internal/request/RequestPathTests.java
+++ b/daemon/src/test/java/org/brasspier/daemon/internal/request/RequestPathTests.java
@@ -167,6 +167,47 @@
 		assertThat(running.get(20, TimeUnit.SECONDS).body()).doesNotContain("old");
 	}
 
+	// Guards against a posting that ran and whose answer is thrown away, because the
+	// lease
+	// was renewed a moment late in a starved process.
+	@Test
+	void anAnswerIsRelayedOnceTheLeaseIsRenewedUnderTheSameFence() throws Exception {
+		CompletableFuture<HttpResponse<String>> running = answeredDuringLapse();
+		this.a.sees(this.a, 7);
+		assertThat(running.get(20, TimeUnit.SECONDS).body()).isEqualTo("booked");
+	}
+
+	// Guards against an answer that another owner may have overtaken: the range was held
+	// elsewhere during the lapse and has come back.
+	@Test
+	void anAnswerIsNotRelayedOnceTheRangeHasANewerFence() throws Exception {
+		CompletableFuture<HttpResponse<String>> running = answeredDuringLapse();
+		this.a.sees(this.a, 9);
+		HttpResponse<String> answer = running.get(20, TimeUnit.SECONDS);
+		assertThat(answer.headers().firstValue("Brasspier-Ran")).hasValue("unknown");
+		assertThat(answer.body()).doesNotContain("booked");
+	}
+
+	private CompletableFuture<HttpResponse<String>> answeredDuringLapse() throws Exception {
+		String[] headers = { "Brasspier-Key", "hull-7", "Brasspier-Request-Id", "p-1" };
+		String ticket = this.a.post("/v1/hullbook/bookings", "x", headers)
+			.headers()
+			.firstValue("Brasspier-Ticket")
+			.orElseThrow();
+		CountDownLatch finish = new CountDownLatch(1);
+		this.a.server.behaviour = (exchange, body) -> {
+			finish.await(20, TimeUnit.SECONDS);
+			FakeServer.answer(exchange, 201, "booked");
+		};
+		CompletableFuture<HttpResponse<String>> running = this.a.send("POST", "/v1/hullbook/bookings", "x",
+				"Brasspier-Key", "hull-7", "Brasspier-Request-Id", "p-1", "Brasspier-Ticket", ticket);
+		PathFixture.await(() -> !this.a.server.orders.isEmpty());
+		this.a.sees(this.a, 7, System.nanoTime() - 1);
+		finish.countDown();
+		PathFixture.await(() -> this.a.events.after(0).stream().anyMatch((event) -> event.kind().number() == 302));
+		return running;
+	}
+
 	@Test
 	void aRequestThatCrashesItsServerIsRefusedAfterTheSecondLoss() throws Exception {
 		// A lookup makes each backend server that runs it end. Its caller sends it again
