Let the last instance of a service serve until the next one has come

What callers saw: NO_OWNER for every request of a service for 0.9 s and 1.7 s in two failed runs of aRollingReplacementOfAllInstancesFailsNoRequest, and a storm of resends after it.

Cause: an instance that leaves lets go of what nobody can take at once. The test stopped the second instance of a service while the first one's daemon was still starting: jobdesk-1 DRAINING at 13:06:27.255, jobdesk-0 started at 28.254.

Change: it keeps its ranges for 2.5 s, within the three seconds in which a draining server takes new work, and then lets go as before. Also mends a garbled sentence in GrantBook.

--- a/core/src/main/java/org/brasspier/core/keys/GrantBook.java
+++ b/core/src/main/java/org/brasspier/core/keys/GrantBook.java
@@ -10,10 +10,11 @@
 import org.brasspier.core.InstanceId;
 
 /**
- * What this instance has granted to the backend server beside it, and x * go of. A key
- * may go to another holder only if the server said that it released it, if another life
- * of the server has begun, or if the latest grant has run out by any clock. All times are
- * nanoseconds of a clock that also runs while the machine is suspended. Not thread-safe.
+ * What this instance has granted to the backend server beside it, and what the server has
+ * released. A key may go to another holder only if the server said that it released it,
+ * if another life of the server has begun, or if the latest grant has run out by any
+ * clock. All times are nanoseconds of a clock that also runs while the machine is
+ * suspended. Not thread-safe.
  */
 public final class GrantBook {
 
--- a/core/src/main/java/org/brasspier/core/ownership/PlanFacts.java
+++ b/core/src/main/java/org/brasspier/core/ownership/PlanFacts.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Function;
+import java.util.function.Predicate;
 
 import org.brasspier.core.InstanceId;
 
@@ -24,11 +25,13 @@
  * @param load the load of each range that is known
  * @param warmShare the share of its capacity that an instance may be given
  * @param movedAt when a range last changed its owner
+ * @param awaitsSuccessor whether an instance began to leave so lately that it keeps what
+ * nobody else can take
  */
 record PlanFacts(VersionedRow known, long now, Set<MemberKey> lost, Set<MemberKey> suspects, List<MemberInfo> announced,
 		Map<HeldRange, List<CrashMark>> released, List<PlannedMove> moves, List<ManagerPair> closed,
 		Set<InstanceId> drained, boolean balance, PrimaryMemory.Placement placement,
-		Function<HeldRange, RangeLoad> load, Function<MemberInfo, Double> warmShare,
-		Function<HeldRange, Long> movedAt) {
+		Function<HeldRange, RangeLoad> load, Function<MemberInfo, Double> warmShare, Function<HeldRange, Long> movedAt,
+		Predicate<MemberInfo> awaitsSuccessor) {
 
 }
--- a/core/src/main/java/org/brasspier/core/ownership/PrimaryMemory.java
+++ b/core/src/main/java/org/brasspier/core/ownership/PrimaryMemory.java
@@ -26,6 +26,13 @@
 	 */
 	private static final long ANNOUNCEMENT_MILLIS = 1000;
 
+	/**
+	 * How long a leaving instance keeps ranges that nobody can take, so that the next
+	 * instance of its service finds them served. Its backend server takes new work for
+	 * three seconds after it began to drain.
+	 */
+	private static final long SUCCESSOR_WAIT_MILLIS = 2500;
+
 	private SortedMap<InstanceId, Announced> announced = TreeMap.empty();
 
 	private SortedMap<HeldRange, List<CrashMark>> released = TreeMap.empty();
@@ -40,6 +47,8 @@
 
 	private SortedMap<MemberKey, Long> activeSince = TreeMap.empty();
 
+	private SortedMap<MemberKey, Long> leavingSince = TreeMap.empty();
+
 	private SortedSet<MemberKey> warm = TreeSet.empty();
 
 	private long since;
@@ -53,6 +62,7 @@
 		copy.loads = this.loads;
 		copy.movedAt = this.movedAt;
 		copy.activeSince = this.activeSince;
+		copy.leavingSince = this.leavingSince;
 		copy.warm = this.warm;
 		copy.since = this.since;
 		return copy;
@@ -73,6 +83,7 @@
 		this.drained = Optional.empty();
 		this.loads = TreeMap.empty();
 		this.movedAt = TreeMap.empty();
+		this.leavingSince = TreeMap.empty();
 		this.since = now;
 		this.warm = TreeSet.ofAll(row.members()
 			.stream()
@@ -99,11 +110,23 @@
 			.filter((member) -> member.phase() == MemberPhase.ACTIVE && !this.activeSince.containsKey(member.key()))
 			.forEach((member) -> this.activeSince = this.activeSince.put(member.key(), now));
 		this.activeSince = this.activeSince.filterKeys(known.row()::has);
+		noteLeavers(known.row(), now);
 		if (this.drained.filter(known.row().drained()::equals).isPresent()) {
 			this.drained = Optional.empty();
 		}
 	}
 
+	private void noteLeavers(CellRow row, long now) {
+		SortedSet<MemberKey> leavers = TreeSet.ofAll(row.members()
+			.stream()
+			.filter((member) -> member.phase() != MemberPhase.ACTIVE)
+			.map(MemberInfo::key)
+			.toList());
+		this.leavingSince = this.leavingSince.filterKeys(leavers::contains);
+		leavers.reject(this.leavingSince::containsKey)
+			.forEach((key) -> this.leavingSince = this.leavingSince.put(key, now));
+	}
+
 	void announced(MemberInfo member, long now) {
 		this.announced = this.announced.put(member.instance(), new Announced(member, now));
 	}
@@ -171,13 +194,17 @@
 		Map<HeldRange, List<CrashMark>> letGo = this.released.toJavaMap();
 		return new PlanFacts(known, now, lost, suspects, fresh, letGo, this.moves, manager.closed(known.row(), now),
 				drained(known.row()), balance, placement, this::load, (member) -> warmShare(member, now),
-				(held) -> this.movedAt.get(held).getOrElse(this.since));
+				(held) -> this.movedAt.get(held).getOrElse(this.since), (member) -> awaitsSuccessor(member, now));
 	}
 
 	private RangeLoad load(HeldRange held) {
 		return this.loads.get(held).getOrElse(() -> new RangeLoad(held.range(), 0, Optional.empty()));
 	}
 
+	private boolean awaitsSuccessor(MemberInfo member, long now) {
+		return this.leavingSince.get(member.key()).exists((began) -> now - began < SUCCESSOR_WAIT_MILLIS);
+	}
+
 	// A server that has just come runs slowly until its state is warm: its share grows
 	// with the time since, over the cold start that it announced itself.
 	private double warmShare(MemberInfo member, long now) {
--- a/core/src/main/java/org/brasspier/core/ownership/ServicePlan.java
+++ b/core/src/main/java/org/brasspier/core/ownership/ServicePlan.java
@@ -169,8 +169,8 @@
 		}
 	}
 
-	// Where nobody can take what a leaving instance owns, it lets go all the same, or it
-	// could never stop.
+	// Where nobody can take what a leaving instance owns, it lets go all the same after a
+	// while, or it could never stop.
 	private void letGoOfLeavers() {
 		if (!this.placeable.isEmpty()) {
 			return;
@@ -178,6 +178,7 @@
 		List<InstanceId> leavers = this.before.members()
 			.stream()
 			.filter((member) -> member.phase() != MemberPhase.ACTIVE)
+			.filter((member) -> !this.facts.awaitsSuccessor().test(member))
 			.map(MemberInfo::instance)
 			.toList();
 		this.ranges.values()
--- a/core/src/test/java/org/brasspier/core/ownership/OwnershipMachineTests.java
+++ b/core/src/test/java/org/brasspier/core/ownership/OwnershipMachineTests.java
@@ -257,6 +257,27 @@
 		assertSound();
 	}
 
+	// Guards against a service without an owner in a rolling replacement: the last
+	// instance is told to stop while the next one is still starting.
+	@Test
+	void theLastInstanceThatLeavesServesUntilTheNextOneHasCome() {
+		List<ModelProcess> all = List.copyOf(this.cell.processes.values());
+		ModelProcess last = this.cell.primary();
+		all.stream().filter((process) -> process != last).forEach((process) -> {
+			this.cell.run(process, process.machine.leave(process.clock(this.cell.now)));
+			this.cell.runUntil(20 * ONE_SECOND, () -> process.left);
+			this.cell.kill(process);
+		});
+		this.cell.run(last, last.machine.leave(last.clock(this.cell.now)));
+		this.cell.run(2 * ONE_SECOND);
+		assertSound();
+		ModelProcess next = this.cell.start("e", "domain-e", 1000);
+		this.cell.runUntil(20 * ONE_SECOND, () -> last.left);
+		this.cell.run(ONE_SECOND);
+		assertThat(next.serves(this.cell.now)).isNotEmpty();
+		assertSound();
+	}
+
 	// A holder is frozen past its lease and wakes as if nothing had happened.
 	@Test
 	void aFrozenHolderServesNothingAfterItWakes() {
