Call a deployment served only when each running daemon answers

What tests saw: "HTTP/1.1 header parser received no bytes" (the first finding of the known failure aLookupIsAnsweredThoughConnectionsBetweenDaemonsWentSilent), and rolling replacements that stopped the next instance while the one before was still starting.

Cause: Deployment.awaitServed says that it waits for each running daemon, but it asked by callers that go to another daemon where one refuses connections. A test then asks the one that isn't there: the proxy in front of it accepts and closes. A fault of the stand-ins; no daemon closed a connection without an answer in any log that was kept.

Change: each running daemon is asked by callers that know no other. Test: DeploymentTests pauses a daemon as it starts.

--- a/standins/src/main/java/org/brasspier/standins/Deployment.java
+++ b/standins/src/main/java/org/brasspier/standins/Deployment.java
@@ -205,10 +205,13 @@
 	 * daemon.
 	 */
 	public void awaitServed() {
-		try (CallerFleet probe = new CallerFleet(this.instances.stream()
-			.filter((instance) -> instance.daemon().alive())
-			.map((instance) -> instance.ports().callers())
-			.toList())) {
+		this.instances.stream().filter((instance) -> instance.daemon().alive()).forEach(this::awaitServedThrough);
+	}
+
+	// Callers that know one daemon only: others would answer in place of one that does
+	// not listen yet.
+	private void awaitServedThrough(StandInInstance entry) {
+		try (CallerFleet probe = new CallerFleet(List.of(entry.ports().callers()))) {
 			this.shape.services().forEach((service) -> Probe.served(probe, service));
 		}
 	}
