Count a grant for each part of its range when the range is released

Cause: a grant was looked up by exactly the range that is released.

Change: grants of the same service and fence that overlap it count.

--- a/daemon/src/main/java/org/brasspier/daemon/internal/backend/GrantRenewal.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/backend/GrantRenewal.java
@@ -8,6 +8,7 @@
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
 
+import org.brasspier.core.KeyRange;
 import org.brasspier.core.ServiceName;
 import org.brasspier.core.document.ServiceCatalog;
 import org.brasspier.core.document.ServicePolicy;
@@ -94,20 +95,33 @@
 	}
 
 	/**
-	 * How long the server may still go by a grant: one it acknowledged, or one in a list
-	 * that got no answer. A server that was paused may read such a list when it wakes.
+	 * How long the server may still go by a grant of any part of a range: one it
+	 * acknowledged, or one in a list that got no answer. A server that was paused may
+	 * read such a list when it wakes.
 	 * @param held the range with its fence
 	 * @param nowNanos the time, as {@link System#nanoTime()} counts
 	 * @return the nanoseconds until no grant of it is valid, 0 if none is now
 	 */
 	public long remainingNanos(HeldRange held, long nowNanos) {
-		long acknowledgedFor = this.acknowledged.contains(held) ? this.acknowledgedUntilNanos - nowNanos : 0;
-		long unansweredFor = this.unanswered.contains(held) ? this.unansweredUntilNanos - nowNanos : 0;
-		long doubtfulFor = this.doubtful.getOrDefault(held, nowNanos) - nowNanos;
+		long acknowledgedFor = overlaps(this.acknowledged, held) ? this.acknowledgedUntilNanos - nowNanos : 0;
+		long unansweredFor = overlaps(this.unanswered, held) ? this.unansweredUntilNanos - nowNanos : 0;
+		long doubtfulFor = this.doubtful.entrySet()
+			.stream()
+			.filter((entry) -> overlaps(Set.of(entry.getKey()), held))
+			.mapToLong((entry) -> entry.getValue() - nowNanos)
+			.max()
+			.orElse(0);
 		long longest = Math.max(acknowledgedFor, Math.max(unansweredFor, doubtfulFor));
 		return (longest > 0) ? longest + ROUNDING_NANOS : 0;
 	}
 
+	// A range may have been split or joined since it was granted, under the same fence.
+	private static boolean overlaps(Set<HeldRange> granted, HeldRange held) {
+		return granted.stream()
+			.anyMatch((grant) -> grant.service().equals(held.service()) && grant.fence().equals(held.fence())
+					&& overlap(grant.range(), held.range()));
+	}
+
 	/**
 	 * Sends what has changed, or all anew when it is time. Called every few milliseconds.
 	 * @param server what the backend server announced
@@ -173,14 +187,14 @@
 		Stream<Assignment> others = snapshot.routes()
 			.assignments(server.service())
 			.stream()
-			.filter((route) -> byId && own.stream().noneMatch((mine) -> overlaps(mine, route)));
+			.filter((route) -> byId && own.stream().noneMatch((mine) -> overlap(mine.range(), route.range())));
 		return Stream.concat(own.stream(), others)
 			.map((assignment) -> new HeldRange(server.service(), assignment.range(), assignment.fence()))
 			.collect(Collectors.toUnmodifiableSet());
 	}
 
-	private static boolean overlaps(Assignment mine, Assignment route) {
-		return mine.range().low() < route.range().high() && route.range().low() < mine.range().high();
+	private static boolean overlap(KeyRange one, KeyRange other) {
+		return one.low() < other.high() && other.low() < one.high();
 	}
 
 	/**
