Ask the catalogue in one place whether request ids are divided

The same four lines stood in GrantRenewal, ServerChoice and, since the release of frozen servers' ranges, in ServerGate. No change of behaviour; GrantRenewalTests, RequestsByIdTests and FrozenServerTests pass.

--- a/core/src/main/java/org/brasspier/core/document/ServiceCatalog.java
+++ b/core/src/main/java/org/brasspier/core/document/ServiceCatalog.java
@@ -75,4 +75,14 @@
 		return Optional.ofNullable(this.policies.get(service)).or(() -> this.unlisted);
 	}
 
+	/**
+	 * Whether request ids are divided in place of keys, so that any server of the service
+	 * may run a request.
+	 * @param service the service
+	 * @return false also if nothing is known of the service
+	 */
+	public boolean dividedByRequestId(ServiceName service) {
+		return find(service).filter((policy) -> policy.division() == ServicePolicy.Division.BY_REQUEST_ID).isPresent();
+	}
+
 }
--- a/daemon/src/main/java/org/brasspier/daemon/internal/backend/GrantRenewal.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/backend/GrantRenewal.java
@@ -11,7 +11,6 @@
 import org.brasspier.core.KeyRange;
 import org.brasspier.core.ServiceName;
 import org.brasspier.core.document.ServiceCatalog;
-import org.brasspier.core.document.ServicePolicy;
 import org.brasspier.core.ownership.HeldRange;
 import org.brasspier.core.routing.Assignment;
 import org.brasspier.core.routing.OwnershipSnapshot;
@@ -179,10 +178,7 @@
 	// it
 	// is divided by key, only what is held here.
 	private Set<HeldRange> wanted(BackendAnnouncement server, OwnershipSnapshot snapshot) {
-		boolean byId = this.catalog.get()
-			.find(server.service())
-			.filter((policy) -> policy.division() == ServicePolicy.Division.BY_REQUEST_ID)
-			.isPresent();
+		boolean byId = this.catalog.get().dividedByRequestId(server.service());
 		List<Assignment> own = snapshot.held().assignments(server.service());
 		Stream<Assignment> others = snapshot.routes()
 			.assignments(server.service())
--- a/daemon/src/main/java/org/brasspier/daemon/internal/request/ServerChoice.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/request/ServerChoice.java
@@ -18,7 +18,6 @@
 import org.brasspier.core.choosing.BackendChooser;
 import org.brasspier.core.choosing.Candidate;
 import org.brasspier.core.document.ServiceCatalog;
-import org.brasspier.core.document.ServicePolicy;
 import org.brasspier.core.ownership.MemberPhase;
 import org.brasspier.core.retry.RetryRules;
 import org.brasspier.daemon.internal.ownership.CellView;
@@ -61,10 +60,7 @@
 
 	OrderRun run(OwnerGate.Admitted admitted) {
 		Order order = admitted.order();
-		boolean anyServer = this.catalog.get()
-			.find(order.request().service())
-			.filter((policy) -> policy.division() == ServicePolicy.Division.BY_REQUEST_ID)
-			.isPresent();
+		boolean anyServer = this.catalog.get().dividedByRequestId(order.request().service());
 		return anyServer ? choose(admitted) : this.own.run(order, admitted.cancellation());
 	}
 
--- a/daemon/src/main/java/org/brasspier/daemon/internal/request/ServerGate.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/request/ServerGate.java
@@ -138,10 +138,7 @@
 	 * @return false if no grant of it is valid any more
 	 */
 	boolean granted(HeldRange held) {
-		boolean byId = this.catalog.get()
-			.find(held.service())
-			.filter((policy) -> policy.division() == ServicePolicy.Division.BY_REQUEST_ID)
-			.isPresent();
+		boolean byId = this.catalog.get().dividedByRequestId(held.service());
 		boolean checksFences = this.watch.announcement().filter(BackendAnnouncement::checksFences).isPresent();
 		return checksFences && !byId && !this.watch.gone() && this.grants.remainingNanos(held, System.nanoTime()) > 0;
 	}
