Give probes of the backend server more time than calls of grants

The logs show that no probe was answered between two announcements, not why.

Change: probes may take 800 ms, about what they took before, so a frozen server is lost after 1.7 s (1.6 s seen before). Calls of grants and cancellations end after 400 ms, still before an order stops waiting for its grant.

--- a/core/src/main/java/org/brasspier/core/request/BackendLiveness.java
+++ b/core/src/main/java/org/brasspier/core/request/BackendLiveness.java
@@ -7,7 +7,7 @@
  * Made for servers whose health lags or misleads: a refused connection is proof of a
  * loss, silence is taken for one only if nothing else was heard, and an answered order
  * outweighs a silent probe. A frozen server accepts connections and says nothing, so two
- * silent probes of 300 ms each must pass; one alone may be a long pause of its memory
+ * silent probes in a row must pass; one alone may be a long pause of its memory
  * management. Not thread-safe.
  */
 public final class BackendLiveness {
--- a/daemon/src/main/java/org/brasspier/daemon/internal/backend/BackendCalls.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/backend/BackendCalls.java
@@ -19,8 +19,13 @@
  */
 public final class BackendCalls {
 
-	/** A call lasts no longer, from connecting to the whole answer. */
-	private static final Duration TIMEOUT = Duration.ofMillis(300);
+	/**
+	 * Shorter than an order waits for its grant, so that the call after it is in time.
+	 */
+	private static final Duration TIMEOUT = Duration.ofMillis(400);
+
+	/** A starved server may answer this late; taken for lost, its ranges would move. */
+	private static final Duration PROBE_TIMEOUT = Duration.ofMillis(800);
 
 	private static final int MAX_BODY_BYTES = 4096;
 
@@ -53,7 +58,7 @@
 	 * @return how that ended; never an exception
 	 */
 	Promise<Health> health() {
-		return call(HttpRequest.get(url("/brasspier/health")).build()).map((status) -> Health.ANSWERED,
+		return call(HttpRequest.get(url("/brasspier/health")).build(), PROBE_TIMEOUT).map((status) -> Health.ANSWERED,
 				(ex) -> refused(ex) ? Health.REFUSED : Health.SILENT);
 	}
 
@@ -61,11 +66,11 @@
 	// silent would make a server look frozen that is well, or leave it without its
 	// grants. The HTTP client looks for overdue calls only once a second, so the time
 	// limit is kept here.
-	private Promise<Integer> call(HttpRequest request) {
+	private Promise<Integer> call(HttpRequest request, Duration timeout) {
 		BackendConnection connection = new BackendConnection(this.reactor);
 		Promise<Integer> status = connection.request(request)
 			.then((response) -> response.loadBody(MAX_BODY_BYTES).map((body) -> response.getCode()));
-		return Promises.timeout(TIMEOUT, status).whenComplete(connection::close);
+		return Promises.timeout(timeout, status).whenComplete(connection::close);
 	}
 
 	// A refused connection: nobody listens, so the process is gone. A port that is not a
@@ -80,7 +85,7 @@
 	 * @return whether they were acknowledged; never an exception
 	 */
 	Promise<Boolean> grants(GrantList grants) {
-		return call(HttpRequest.put(url("/brasspier/grants")).withBody(GSON.toJson(grants)).build())
+		return call(HttpRequest.put(url("/brasspier/grants")).withBody(GSON.toJson(grants)).build(), TIMEOUT)
 			.map((status) -> status / 100 == 2, (ex) -> false);
 	}
 
@@ -89,7 +94,7 @@
 	 * @param id the order's request id
 	 */
 	public void cancel(RequestId id) {
-		call(HttpRequest.post(url("/brasspier/cancel")).withBody(GSON.toJson(new Cancel(id.value()))).build())
+		call(HttpRequest.post(url("/brasspier/cancel")).withBody(GSON.toJson(new Cancel(id.value()))).build(), TIMEOUT)
 			.whenException(() -> {
 				// The order's own deadline ends it.
 			});
--- a/daemon/src/main/java/org/brasspier/daemon/internal/backend/BackendWatch.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/backend/BackendWatch.java
@@ -18,7 +18,7 @@
  */
 public final class BackendWatch {
 
-	/** A frozen server is then lost after about 0.7 s, a dead one after 0.1 s. */
+	/** A frozen server is then lost after about 1.7 s, a dead one after 0.1 s. */
 	private static final long PROBE_EVERY_MILLIS = 100;
 
 	private final NioReactor reactor;
