Close the connections of a stand-in's event loop with it

Cause: an event loop that is broken off leaves its channels open. The test process of the integration module keeps one loop for each deployment and each fleet of callers, so their connections stayed open in it: of 2,265 descriptors after 26 s of the module, 1,920 were sockets in CLOSE-WAIT. At about 95 descriptors a second the limit of 20,000 is reached within the module.

Change: a loop that is closed closes all channels of its selector.

Evidence: StandInLoopTests fails without the change, "Read timed out". Other causes ruled out: 5,000 ports a slice, of which a run hands out a few hundred, and TIME_WAIT, which doesn't keep a listener from binding.

--- a/standins/src/main/java/org/brasspier/standins/StandInLoop.java
+++ b/standins/src/main/java/org/brasspier/standins/StandInLoop.java
@@ -1,6 +1,8 @@
 package org.brasspier.standins;
 
+import java.io.IOException;
 import java.time.Duration;
+import java.util.Set;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
@@ -19,6 +21,8 @@
  */
 final class StandInLoop implements AutoCloseable {
 
+	private static final org.slf4j.Logger LOG = LoggerFactory.getLogger(StandInLoop.class);
+
 	private static final Duration CALL_LIMIT = Duration.ofSeconds(10);
 
 	static {
@@ -85,10 +89,27 @@
 		this.thread.join();
 	}
 
+	/**
+	 * Closes all its connections and listening ports and ends the thread soon.
+	 */
 	@Override
 	public void close() {
+		this.loop.execute(this::closeChannels);
 		this.loop.execute(() -> this.loop.keepAlive(false));
 		this.loop.execute(this.loop::breakEventloop);
 	}
 
+	// An event loop that ends leaves its channels open, and the process that it shares
+	// with others goes on.
+	private void closeChannels() {
+		Set.copyOf(this.loop.ensureSelector().keys()).forEach((key) -> {
+			try {
+				key.channel().close();
+			}
+			catch (IOException ex) {
+				LOG.warn("a channel could not be closed", ex);
+			}
+		});
+	}
+
 }
