Remember a posting's answer though its first send may not be told it

Cause: the owner looked at its lease before the memory of postings took note of the end. A lease that stayed lapsed for over a second, as in starved processes while lease managers change, put the refusal into that memory in place of the answer, and each resend under the same fence got the refusal.

Change: the memory keeps what the backend server answered; whether an answer may be relayed is asked for each send, by the lease since its own admission. A resend that is admitted holds its range under the same fence, so nobody else has held it since. The refusal carries the posting's ticket.

--- a/daemon/src/main/java/org/brasspier/daemon/internal/request/OwnerGate.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/request/OwnerGate.java
@@ -29,7 +29,7 @@
 
 	private static final Duration RETRY_SOON = Duration.ofMillis(100);
 
-	/** A lease that isn't renewed within this has gone to others. */
+	/** A caller is told sooner than its deadline, and gets the answer by a resend. */
 	private static final long RENEWAL_WAIT_NANOS = 1_000_000_000;
 
 	private static final Duration LOOK_AGAIN = Duration.ofMillis(5);
@@ -90,11 +90,24 @@
 			return Promise.of(Outcome.failed(ErrorKind.CRASHED_BACKENDS,
 					"backend servers were lost each time they ran this request"));
 		}
-		Supplier<Promise<Outcome>> run = () -> turn(request, held, leaseRun, now, cancellation);
+		Admitted admitted = new Admitted(order(request, held, leaseRun, now), cancellation);
+		return ended(admitted, now).then((outcome) -> relay(admitted.order(), leaseRun, outcome));
+	}
+
+	private Order order(CallerRequest request, HeldRange held, long leaseRun, long receivedNanos) {
+		long deadline = receivedNanos + request.remainingMillis() * NANOS_PER_MILLI;
+		return new Order(request, held, deadline, () -> leaseEnd(leaseRun));
+	}
+
+	// A posting's answer is remembered also if it may not be relayed now: a resend under
+	// the same fence gets it.
+	private Promise<Outcome> ended(Admitted admitted, long nowNanos) {
+		CallerRequest request = admitted.order().request();
+		HeldRange held = admitted.order().held();
 		if (request.requestClass() == RequestClass.POSTING) {
-			return this.postings.admit(request, held, now, run);
+			return this.postings.admit(request, held, nowNanos, () -> turn(admitted));
 		}
-		return run.get().map((outcome) -> this.postings.withTicket(outcome, held));
+		return turn(admitted).map((outcome) -> this.postings.withTicket(outcome, held));
 	}
 
 	/**
@@ -106,28 +119,35 @@
 
 	// Suspects run one at a time, beside any others. So the innocent ones, which clear
 	// themselves by ending well, are not part of the culprit's second crash.
-	private Promise<Outcome> turn(CallerRequest request, HeldRange held, long leaseRun, long receivedNanos,
-			Cancellation cancellation) {
+	private Promise<Outcome> turn(Admitted admitted) {
+		CallerRequest request = admitted.order().request();
 		if (!this.suspects.contains(request)) {
-			return hand(request, held, leaseRun, receivedNanos, cancellation);
+			return hand(admitted);
 		}
 		SettablePromise<Void> next = new SettablePromise<>();
 		Promise<Void> before = this.suspectsTurn;
 		this.suspectsTurn = next;
 		return before.then(() -> this.suspects.keptAway(request)
 				? Promise.of(Outcome.failed(ErrorKind.CRASHED_BACKENDS, "it was part of one more loss"))
-				: hand(request, held, leaseRun, receivedNanos, cancellation))
+				: hand(admitted))
 			.whenComplete(() -> next.set(null));
 	}
 
-	private Promise<Outcome> hand(CallerRequest request, HeldRange held, long leaseRun, long receivedNanos,
-			Cancellation cancellation) {
-		long deadline = receivedNanos + request.remainingMillis() * NANOS_PER_MILLI;
-		Order order = new Order(request, held, deadline, () -> leaseEnd(leaseRun));
-		InFlight.Entry entry = this.inFlight.begin(request.service(), request.hash(), held.fence());
-		OrderRun run = this.servers.apply(new Admitted(order, cancellation));
+	private Promise<Outcome> hand(Admitted admitted) {
+		CallerRequest request = admitted.order().request();
+		InFlight.Entry entry = this.inFlight.begin(request.service(), request.hash(), admitted.order().held().fence());
+		OrderRun run = this.servers.apply(admitted);
 		run.over().whenComplete(() -> this.inFlight.end(entry));
-		return run.outcome().then((outcome) -> relay(order, leaseRun, outcome));
+		return run.outcome().whenResult((outcome) -> followSuspect(request, outcome));
+	}
+
+	private void followSuspect(CallerRequest request, Outcome outcome) {
+		switch (outcome) {
+			case Outcome.Answered ignored -> this.suspects.endedWell(request);
+			case Outcome.Failed failed when failed.backendLost() -> this.suspects.partOfLoss(request);
+			case Outcome.Failed ignored -> {
+			}
+		}
 	}
 
 	private long leaseEnd(long leaseRun) {
@@ -137,15 +157,9 @@
 	}
 
 	private Promise<Outcome> relay(Order order, long leaseRun, Outcome outcome) {
-		if (outcome instanceof Outcome.Failed failed && failed.backendLost()) {
-			this.suspects.partOfLoss(order.request());
-		}
-		if (outcome instanceof Outcome.Answered) {
-			this.suspects.endedWell(order.request());
-			if (leaseEnd(leaseRun) - System.nanoTime() <= 0) {
-				long waitUntil = Math.min(order.deadlineNanos(), System.nanoTime() + RENEWAL_WAIT_NANOS);
-				return afterLapse(order, outcome, waitUntil);
-			}
+		if (outcome instanceof Outcome.Answered && leaseEnd(leaseRun) - System.nanoTime() <= 0) {
+			long waitUntil = Math.min(order.deadlineNanos(), System.nanoTime() + RENEWAL_WAIT_NANOS);
+			return afterLapse(order, outcome, waitUntil);
 		}
 		return Promise.of(outcome);
 	}
@@ -160,7 +174,8 @@
 			return Promise.of(answered);
 		}
 		if (snapshot.leaseValid(now) || now - waitUntilNanos >= 0) {
-			return Promise.of(Outcome.failed(ErrorKind.OUTCOME_UNKNOWN, "the lease ran out while the request ran"));
+			return Promise.of(Outcome.failed(ErrorKind.OUTCOME_UNKNOWN, "the lease ran out while the request ran")
+				.withTicket(answered.ticket()));
 		}
 		return Promises.delay(LOOK_AGAIN).then(() -> afterLapse(order, answered, waitUntilNanos));
 	}
--- a/daemon/src/test/java/org/brasspier/daemon/internal/request/RequestPathTests.java
+++ b/daemon/src/test/java/org/brasspier/daemon/internal/request/RequestPathTests.java
@@ -26,6 +26,8 @@
 
 	private PathFixture.Member b;
 
+	private String ticket = "";
+
 	@BeforeEach
 	void startTwoDaemons() throws Exception {
 		this.a = this.fixture.add("a");
@@ -188,9 +190,34 @@
 		assertThat(answer.body()).doesNotContain("booked");
 	}
 
+	// Guards against a posting that ran and stays without its answer for all resends: the
+	// lease was lapsed for longer than the first send's answer waited for it.
+	@Test
+	void aResendGetsTheAnswerThatALongLapseOfTheLeaseKeptFromTheFirstSend() throws Exception {
+		HttpResponse<String> first = answeredDuringLapse().get(20, TimeUnit.SECONDS);
+		assertThat(first.headers().firstValue("Brasspier-Error")).hasValue("OUTCOME_UNKNOWN");
+		this.a.sees(this.a, 7);
+		HttpResponse<String> resend = this.a.post("/v1/hullbook/bookings", "x", "Brasspier-Key", "hull-7",
+				"Brasspier-Request-Id", "p-1", "Brasspier-Attempt", "2", "Brasspier-Ticket", this.ticket);
+		assertThat(resend.body()).isEqualTo("booked");
+		assertThat(this.a.server.orders).hasSize(1);
+	}
+
+	// Guards against an answer that is told after another owner may have changed what it
+	// says: it was kept from the first send, and the range was held elsewhere since.
+	@Test
+	void aResendDoesNotGetAnAnswerOfAnEarlierFence() throws Exception {
+		answeredDuringLapse().get(20, TimeUnit.SECONDS);
+		this.a.sees(this.a, 9);
+		HttpResponse<String> resend = this.a.post("/v1/hullbook/bookings", "x", "Brasspier-Key", "hull-7",
+				"Brasspier-Request-Id", "p-1", "Brasspier-Attempt", "2", "Brasspier-Ticket", this.ticket);
+		assertThat(resend.headers().firstValue("Brasspier-Error")).hasValue("POSSIBLY_RAN_BEFORE");
+		assertThat(this.a.server.orders).hasSize(1);
+	}
+
 	private CompletableFuture<HttpResponse<String>> answeredDuringLapse() throws Exception {
 		String[] headers = { "Brasspier-Key", "hull-7", "Brasspier-Request-Id", "p-1" };
-		String ticket = this.a.post("/v1/hullbook/bookings", "x", headers)
+		this.ticket = this.a.post("/v1/hullbook/bookings", "x", headers)
 			.headers()
 			.firstValue("Brasspier-Ticket")
 			.orElseThrow();
@@ -200,7 +227,7 @@
 			FakeServer.answer(exchange, 201, "booked");
 		};
 		CompletableFuture<HttpResponse<String>> running = this.a.send("POST", "/v1/hullbook/bookings", "x",
-				"Brasspier-Key", "hull-7", "Brasspier-Request-Id", "p-1", "Brasspier-Ticket", ticket);
+				"Brasspier-Key", "hull-7", "Brasspier-Request-Id", "p-1", "Brasspier-Ticket", this.ticket);
 		PathFixture.await(() -> !this.a.server.orders.isEmpty());
 		this.a.sees(this.a, 7, System.nanoTime() - 1);
 		finish.countDown();
