Replace a racing test of the second try by two that wait on events

FrozenServerTests.aSecondTryWaitsForAGrantThatTheServerHasAcknowledged named its deadline under a form that has none: the lookup had one second, its first try ended at 333 ms, and the first grant was still valid then. So the second try was rightly sent at once and raced with the test, which told nothing of the product.

Change: the deadline is set under the form of limits, so that the grant ends two seconds before the first try does, and the server itself tells whether it has taken a newer grant. A second test has the server take none: then no second try may reach it at all, whatever the timing.

--- a/daemon/src/test/java/org/brasspier/daemon/internal/request/FrozenServerTests.java
+++ b/daemon/src/test/java/org/brasspier/daemon/internal/request/FrozenServerTests.java
@@ -15,7 +15,6 @@
 import org.brasspier.daemon.internal.ownership.RequestsOrder;
 import org.brasspier.daemon.internal.ownership.RequestsReport;
 import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 import static com.google.common.truth.Truth.assertThat;
@@ -42,7 +41,7 @@
 
 	private void start(boolean byKey, boolean checksFences) throws Exception {
 		this.fixture.catalog = Document.of(Map.of(new FieldPath("service/hullbook/divided-by-key"),
-				byKey ? "yes" : "no", new FieldPath("service/hullbook/lookup-deadline-millis"), "9000"))
+				byKey ? "yes" : "no", new FieldPath("limits/hullbook/lookup-deadline-millis"), "9000"))
 			.catalog();
 		this.a = this.fixture.add("a");
 		this.fixture.owns(this.a, 7);
@@ -95,37 +94,53 @@
 		PathFixture.await(this::drained);
 	}
 
-	// Guards against a lookup that ends in an unknown outcome: its connection is silent,
-	// its second try meets a server whose grant has run out meanwhile.
-	@Tag("known-red")
+	// Guards against a second try that is sent to a server whose grant has run out while
+	// the first one was silent: it refuses the fence.
+	@Test
+	void aSecondTryIsNotSentToAServerThatHasNotAcknowledgedItsGrant() throws Exception {
+		CompletableFuture<HttpResponse<String>> lookup = silentUntilItsGrantHasRunOut();
+		assertThat(lookup.get(20, TimeUnit.SECONDS).headers().firstValue("Brasspier-Ran")).hasValue("unknown");
+		assertThat(seen(EventKind.CONNECTION_REPLACED)).isTrue();
+		assertThat(ordersNamed("silent-1")).isEqualTo(1);
+	}
+
+	// Guards against a lookup that ends in an unknown outcome though its server is back:
+	// its second try gives up because no grant is acknowledged in that moment.
 	@Test
 	void aSecondTryWaitsForAGrantThatTheServerHasAcknowledged() throws Exception {
+		CompletableFuture<HttpResponse<String>> lookup = silentUntilItsGrantHasRunOut();
+		PathFixture.await(() -> seen(EventKind.CONNECTION_REPLACED));
+		this.a.server.takeGrants();
+		assertThat(lookup.get(20, TimeUnit.SECONDS).body()).isEqualTo("granted true");
+		assertThat(ordersNamed("silent-1")).isEqualTo(2);
+	}
+
+	// A lookup whose first try says nothing. Its deadline leaves the first try three
+	// seconds, the server's grant ends after one, and the server takes no newer one.
+	private CompletableFuture<HttpResponse<String>> silentUntilItsGrantHasRunOut() throws Exception {
 		start(true, true);
 		this.a.get("/v1/hullbook/warm", "Brasspier-Key", "hull-7");
-		long firstGrantsEnd = System.nanoTime() + TimeUnit.SECONDS.toNanos(2);
-		this.a.sees(this.a, 7, firstGrantsEnd);
+		this.a.sees(this.a, 7, System.nanoTime() + TimeUnit.SECONDS.toNanos(1));
 		int before = this.a.server.grants.size();
 		PathFixture.await(() -> this.a.server.grants.size() > before + 1);
-		CountDownLatch granted = new CountDownLatch(1);
-		int firstTry = this.a.server.orders.size() + 1;
+		this.a.server.holdGrants();
+		int taken = this.a.server.grants.size();
 		this.a.server.behaviour = (exchange, body) -> {
-			if (this.a.server.orders.size() == firstTry) {
+			if (ordersNamed("silent-1") == 1) {
 				this.finish.await(20, TimeUnit.SECONDS);
 			}
-			FakeServer.answer(exchange, (granted.getCount() == 0) ? 200 : 500, "granted " + (granted.getCount() == 0));
+			boolean granted = this.a.server.grants.size() > taken;
+			FakeServer.answer(exchange, granted ? 200 : 500, "granted " + granted);
 		};
-		long lastEvent = this.a.events.after(0).getLast().number();
-		this.a.server.holdGrants();
 		CompletableFuture<HttpResponse<String>> lookup = this.a.send("GET", "/v1/hullbook/x", "", "Brasspier-Key",
-				"hull-7", "Brasspier-Deadline-Millis", "9000");
-		PathFixture.await(() -> this.a.server.orders.size() == firstTry);
+				"hull-7", "Brasspier-Request-Id", "silent-1", "Brasspier-Deadline-Millis", "9000");
+		PathFixture.await(() -> ordersNamed("silent-1") == 1);
 		this.a.sees(this.a, 7);
-		PathFixture.await(() -> this.a.events.after(lastEvent)
-			.stream()
-			.anyMatch((event) -> event.kind() == EventKind.CONNECTION_REPLACED));
-		granted.countDown();
-		this.a.server.takeGrants();
-		assertThat(lookup.get(20, TimeUnit.SECONDS).body()).isEqualTo("granted true");
+		return lookup;
+	}
+
+	private long ordersNamed(String id) {
+		return this.a.server.orders.stream().filter((order) -> order.id().equals(id)).count();
 	}
 
 	private boolean seen(EventKind kind) {
