Count an order's lease from its sending, also between daemons

What could be seen: two backend servers at work on one request id under two owners. An order of a service without keys that one daemon hands to another says for how long its owner's lease still runs, and the second daemon counted that from when it read the order. Held up between them, or unread in a daemon that was paused, it began after the lease had ended. The sender also took the time before the connection was open, which may take 750 ms of a lease of 600.

Change: an order says when it was sent, in the receiver's own time as the sender knows it from the receiver's latest pong, so the two clocks need not agree and the time is never later than the truth. The receiver takes the time since then off the lease and off the caller's time, and refuses at once, with an event, what has no lease left. The time left is told when the order is written. The new fields stand at the end of their frames: daemons of earlier builds pass over them, and their own orders are taken as before.

--- a/daemon/src/main/java/org/brasspier/daemon/internal/request/ForwardClient.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/request/ForwardClient.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.function.Supplier;
 
 import io.activej.promise.Promise;
@@ -70,8 +71,8 @@
 	 * @return how it ended; never an exception
 	 */
 	public Promise<Outcome> forward(InstanceId owner, CallerRequest request, Cancellation cancellation) {
-		return exchange(owner, (number) -> new ForwardMessage.Forward(number, request), request.remainingMillis(),
-				cancellation);
+		return exchange(owner, (number, sentNanos) -> new ForwardMessage.Forward(number, request),
+				request.remainingMillis(), cancellation);
 	}
 
 	/**
@@ -88,14 +89,20 @@
 			return OrderRun
 				.ended(Outcome.failed(new Failure(ErrorKind.NO_OWNER, "the owner's lease ran out", RETRY_SOON)));
 		}
-		int remaining = order.remainingMillis(now);
-		int authority = (int) ((leaseEnd - now) / NANOS_PER_MILLI);
-		CallerRequest request = order.request().withRemainingMillis(remaining);
-		Promise<Outcome> outcome = exchange(chosen, (number) -> new ForwardMessage.Execute(number, request,
-				order.held().range(), order.held().fence(), authority), remaining, cancellation);
+		Promise<Outcome> outcome = exchange(chosen, (number, sentNanos) -> execute(order, leaseEnd, number, sentNanos),
+				order.remainingMillis(now), cancellation);
 		return new OrderRun(outcome, over(order, leaseEnd, outcome));
 	}
 
+	// Made when it is sent: its connection may have taken most of a lease to open.
+	private static ForwardMessage execute(Order order, long leaseEndNanos, long exchange, long sentNanos) {
+		long now = System.nanoTime();
+		CallerRequest request = order.request().withRemainingMillis(order.remainingMillis(now));
+		int authority = (int) Math.max(0, (leaseEndNanos - now) / NANOS_PER_MILLI);
+		return new ForwardMessage.Execute(exchange, request, order.held().range(), order.held().fence(), authority,
+				OptionalLong.of(sentNanos));
+	}
+
 	// An order whose outcome is unknown may still take effect there: a read without a key
 	// until its deadline, any other until the lease it was given under has ended, with
 	// the guard.
--- a/daemon/src/main/java/org/brasspier/daemon/internal/request/ForwardLink.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/request/ForwardLink.java
@@ -73,6 +73,8 @@
 
 	private long openedNanos;
 
+	private PeerClock peerClock = PeerClock.openedAt(0);
+
 	private long heardNanos;
 
 	private long pingedNanos;
@@ -117,6 +119,7 @@
 		this.open = Optional.of(opened.connection());
 		this.openedNanos = System.nanoTime();
 		this.heardNanos = this.openedNanos;
+		this.peerClock = PeerClock.openedAt(this.openedNanos);
 		opened.connection().onFrame(this::receive);
 		opened.connection().closed().whenResult(this::lost);
 		return opened.connection();
@@ -146,7 +149,7 @@
 			this.heardNanos = System.nanoTime();
 		}
 		this.waiting.put(exchange, outcome);
-		send(ready, message.numbered(exchange));
+		send(ready, message.numbered(exchange, this.peerClock.at(System.nanoTime())));
 		ScheduledRunnable timeout = this.client.reactor()
 			.delay(Duration.ofMillis(waitMillis + 1L), () -> settle(exchange,
 					Outcome.failed(ErrorKind.TIMED_OUT, "the deadline passed while the owner had the request")));
@@ -196,8 +199,10 @@
 			case ForwardMessage.Answered message ->
 				settle(message.exchange(), new Outcome.Answered(message.answer(), message.fence(), message.ticket()));
 			case ForwardMessage.Failed message -> settle(message.exchange(), failed(message));
-			case ForwardMessage.Pong ignored ->
+			case ForwardMessage.Pong pong -> {
 				this.client.measured(this.peer, Duration.ofNanos(this.heardNanos - this.pingedNanos));
+				pong.sentNanos().ifPresent((sent) -> this.peerClock = PeerClock.heard(sent, this.heardNanos));
+			}
 			case ForwardMessage.Forward message -> throw unexpected(message);
 			case ForwardMessage.Execute message -> throw unexpected(message);
 			case ForwardMessage.Cancel message -> throw unexpected(message);
@@ -250,9 +255,10 @@
 		/**
 		 * The message.
 		 * @param exchange the number of its exchange
+		 * @param sentNanos when it is sent, see {@link PeerClock}
 		 * @return the message to encode
 		 */
-		ForwardMessage numbered(long exchange);
+		ForwardMessage numbered(long exchange, long sentNanos);
 
 	}
 
--- a/daemon/src/main/java/org/brasspier/daemon/internal/request/ForwardServer.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/request/ForwardServer.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.function.Supplier;
 
 import com.codahale.metrics.Counter;
@@ -40,6 +41,8 @@
 
 	private static final long NANOS_PER_MILLI = 1_000_000;
 
+	private static final Duration RETRY_SOON = Duration.ofMillis(100);
+
 	private final Settings settings;
 
 	private final CurrentSecrets secrets;
@@ -101,7 +104,7 @@
 			});
 	}
 
-	private Promise<Outcome> execute(ForwardMessage.Execute message, Cancellation cancellation) {
+	private Promise<Outcome> execute(ForwardMessage.Execute message, long heldUpNanos, Cancellation cancellation) {
 		CallerRequest request = message.request();
 		Fence known = this.ownership.get()
 			.routes()
@@ -110,12 +113,18 @@
 			.orElse(Fence.NONE);
 		if (message.fence().olderThan(known)) {
 			return Promise.of(Outcome.failed(new Failure(ErrorKind.NO_OWNER,
-					"the id's range has a newer owner than the one who sent this", Duration.ofMillis(100))));
+					"the id's range has a newer owner than the one who sent this", RETRY_SOON)));
+		}
+		long sent = System.nanoTime() - heldUpNanos;
+		long leaseEnd = sent + message.authorityMillis() * NANOS_PER_MILLI;
+		if (leaseEnd - System.nanoTime() <= 0) {
+			String detail = "it was held up for %d ms between daemons, longer than its owner's lease"
+				.formatted(heldUpNanos / NANOS_PER_MILLI);
+			this.events.record(EventKind.REQUEST_REFUSED, request, detail);
+			return Promise.of(Outcome.failed(new Failure(ErrorKind.NO_OWNER, detail, RETRY_SOON)));
 		}
-		long now = System.nanoTime();
-		long leaseEnd = now + message.authorityMillis() * NANOS_PER_MILLI;
 		HeldRange held = new HeldRange(request.service(), message.range(), message.fence());
-		Order order = new Order(request, held, now + request.remainingMillis() * NANOS_PER_MILLI, () -> leaseEnd);
+		Order order = new Order(request, held, sent + request.remainingMillis() * NANOS_PER_MILLI, () -> leaseEnd);
 		return this.servers.run(order, cancellation).outcome();
 	}
 
@@ -128,6 +137,8 @@
 
 		private final Map<Long, Cancellation> running = new HashMap<>();
 
+		private final long openedNanos = System.nanoTime();
+
 		Exchanges(PeerConnection connection) {
 			this.connection = connection;
 		}
@@ -150,16 +161,27 @@
 				case ForwardMessage.Forward(long exchange, CallerRequest request) ->
 					answer(exchange, ForwardServer.this.owner.serve(request, begin(exchange)));
 				case ForwardMessage.Execute message ->
-					answer(message.exchange(), execute(message, begin(message.exchange())));
+					answer(message.exchange(), execute(message, heldUpNanos(message), begin(message.exchange())));
 				case ForwardMessage.Cancel(long exchange) ->
 					Optional.ofNullable(this.running.get(exchange)).ifPresent(Cancellation::cancel);
-				case ForwardMessage.Ping(long exchange) -> send(new ForwardMessage.Pong(exchange));
+				case ForwardMessage.Ping(long exchange) ->
+					send(new ForwardMessage.Pong(exchange, OptionalLong.of(sinceOpenedNanos())));
 				case ForwardMessage.Pong message -> throw unexpected(message);
 				case ForwardMessage.Answered message -> throw unexpected(message);
 				case ForwardMessage.Failed message -> throw unexpected(message);
 			}
 		}
 
+		private long sinceOpenedNanos() {
+			return System.nanoTime() - this.openedNanos;
+		}
+
+		// At most: the sender's count of this side's time lags by a message's way.
+		private long heldUpNanos(ForwardMessage.Execute message) {
+			long now = sinceOpenedNanos();
+			return Math.max(0, now - message.sentNanos().orElse(now));
+		}
+
 		private void send(ForwardMessage message) {
 			this.connection.send(ForwardCodec.encode(message, ForwardServer.this.events.stamp()));
 		}
--- a/wire/src/main/java/org/brasspier/wire/ForwardCodec.java
+++ b/wire/src/main/java/org/brasspier/wire/ForwardCodec.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 
 import org.brasspier.core.CallerId;
 import org.brasspier.core.ErrorKind;
@@ -67,10 +68,14 @@
 					.number(execute.range().high())
 					.number(execute.fence().value())
 					.number(execute.authorityMillis());
+				execute.sentNanos().ifPresent(out::number);
 			}
 			case ForwardMessage.Failed failed -> writeFailed(out, failed);
 			case ForwardMessage.Ping(long exchange) -> out.number(PING).number(exchange);
-			case ForwardMessage.Pong(long exchange) -> out.number(PONG).number(exchange);
+			case ForwardMessage.Pong(long exchange, OptionalLong sentNanos) -> {
+				out.number(PONG).number(exchange);
+				sentNanos.ifPresent(out::number);
+			}
 			case ForwardMessage.Cancel(long exchange) -> out.number(CANCEL).number(exchange);
 		}
 		return out.frame();
@@ -98,7 +103,7 @@
 				case FAILED -> readFailed(exchange, frame);
 				case EXECUTE -> readExecute(exchange, frame);
 				case PING -> new ForwardMessage.Ping(exchange);
-				case PONG -> new ForwardMessage.Pong(exchange);
+				case PONG -> new ForwardMessage.Pong(exchange, readSent(frame));
 				case CANCEL -> new ForwardMessage.Cancel(exchange);
 				default -> throw new WireException("frame type %d is unknown".formatted(type));
 			};
@@ -144,7 +149,12 @@
 
 	private static ForwardMessage readExecute(long exchange, FrameReader in) throws WireException {
 		return new ForwardMessage.Execute(exchange, readRequest(in), new KeyRange(in.number(), in.number()),
-				new Fence(in.number()), in.small());
+				new Fence(in.number()), in.small(), readSent(in));
+	}
+
+	// Daemons of earlier builds don't tell the time of sending.
+	private static OptionalLong readSent(FrameReader in) throws WireException {
+		return in.more() ? OptionalLong.of(in.number()) : OptionalLong.empty();
 	}
 
 	private static void writeFailed(FrameWriter out, ForwardMessage.Failed message) {
--- a/wire/src/main/java/org/brasspier/wire/ForwardMessage.java
+++ b/wire/src/main/java/org/brasspier/wire/ForwardMessage.java
@@ -1,6 +1,7 @@
 package org.brasspier.wire;
 
 import java.util.Optional;
+import java.util.OptionalLong;
 
 import org.brasspier.core.Failure;
 import org.brasspier.core.Fence;
@@ -41,10 +42,13 @@
 	 * @param range the range of ids that the owner holds
 	 * @param fence the fence it holds it under
 	 * @param authorityMillis for how long the owner's lease lets the order take effect,
-	 * in milliseconds from its arrival
+	 * in milliseconds from its sending
+	 * @param sentNanos when it was sent, not later than the truth, in the receiver's
+	 * nanoseconds since the connection's beginning; empty from a sender that tells no
+	 * time
 	 */
-	record Execute(long exchange, CallerRequest request, KeyRange range, Fence fence,
-			int authorityMillis) implements ForwardMessage {
+	record Execute(long exchange, CallerRequest request, KeyRange range, Fence fence, int authorityMillis,
+			OptionalLong sentNanos) implements ForwardMessage {
 
 	}
 
@@ -97,8 +101,10 @@
 	 * The reply to a {@link Ping}.
 	 *
 	 * @param exchange the number of the ping
+	 * @param sentNanos when it was sent, in its sender's nanoseconds since the
+	 * connection's beginning; empty from a sender that tells no time
 	 */
-	record Pong(long exchange) implements ForwardMessage {
+	record Pong(long exchange, OptionalLong sentNanos) implements ForwardMessage {
 
 	}
 
