Call a posting not run if its ticket let no owner admit it

Two faults met. (1) Postings that waited on the silent link were sent again as "may have run", though their tickets were of the earlier owner, which no owner admits: the next answer was POSSIBLY_RAN_BEFORE in place of a new ticket.

Change: an entry daemon that knows that the range has a newer fence than the ticket calls what became of the send "not run"; so does it without a ticket.

Evidence: SilentLinkTests.aPostingWithAnOutdatedTicketIsNotCalledPossiblyRun- ThoughItsLinkBroke fails without the change, and so does aRequestIsAnswered- AtItsDeadlineThoughItsLinkIsStillOpening; aPostingWhoseTicketIsGoodIsCalled- PossiblyRunOnceItsOwnerHasChanged keeps the other side.

--- a/core/src/main/java/org/brasspier/core/request/Ticket.java
+++ b/core/src/main/java/org/brasspier/core/request/Ticket.java
@@ -38,6 +38,16 @@
 		}
 	}
 
+	/**
+	 * Whether a posting with this ticket certainly does not run, wherever it is sent: no
+	 * owner of its key holds a fence as old as the ticket's any more.
+	 * @param present a fence that the key's range is known to have had before the sending
+	 * @return false if an owner may admit it
+	 */
+	public boolean outdatedUnder(Fence present) {
+		return this.fence.olderThan(present);
+	}
+
 	/**
 	 * The text for callers, with a checksum so that a damaged one is refused.
 	 * @return visible ASCII characters
--- a/daemon/src/main/java/org/brasspier/daemon/internal/request/ForwardLink.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/request/ForwardLink.java
@@ -127,7 +127,14 @@
 
 	Promise<Outcome> exchange(Message message, int waitMillis, Cancellation cancellation) {
 		SettablePromise<Outcome> outcome = new SettablePromise<>();
+		long deadlineNanos = System.nanoTime() + Duration.ofMillis(waitMillis).toNanos();
+		ScheduledRunnable unsent = whenOver(deadlineNanos, () -> outcome
+			.trySet(Outcome.failed(ErrorKind.DEADLINE_PASSED, "the deadline passed before it was sent")));
 		this.connection.whenComplete((ready, ex) -> {
+			unsent.cancel();
+			if (outcome.isComplete()) {
+				return;
+			}
 			if (ex != null || this.closed) {
 				outcome.trySet(ForwardClient.unreachable("the daemon of %s can't be reached".formatted(this.peer)));
 			}
@@ -136,13 +143,18 @@
 						"the connection to %s is full".formatted(this.peer), RETRY_SOON)));
 			}
 			else {
-				send(ready, message, waitMillis, cancellation, outcome);
+				send(ready, message, deadlineNanos, cancellation, outcome);
 			}
 		});
 		return outcome;
 	}
 
-	private void send(PeerConnection ready, Message message, int waitMillis, Cancellation cancellation,
+	private ScheduledRunnable whenOver(long deadlineNanos, Runnable action) {
+		Duration rest = Duration.ofNanos(Math.max(0, deadlineNanos - System.nanoTime()));
+		return this.client.reactor().delay(rest.plusMillis(1), action);
+	}
+
+	private void send(PeerConnection ready, Message message, long deadlineNanos, Cancellation cancellation,
 			SettablePromise<Outcome> outcome) {
 		long exchange = this.nextExchange++;
 		if (this.waiting.isEmpty()) {
@@ -150,9 +162,8 @@
 		}
 		this.waiting.put(exchange, outcome);
 		send(ready, message.numbered(exchange, this.peerClock.at(System.nanoTime())));
-		ScheduledRunnable timeout = this.client.reactor()
-			.delay(Duration.ofMillis(waitMillis + 1L), () -> settle(exchange,
-					Outcome.failed(ErrorKind.TIMED_OUT, "the deadline passed while the owner had the request")));
+		ScheduledRunnable timeout = whenOver(deadlineNanos, () -> settle(exchange,
+				Outcome.failed(ErrorKind.TIMED_OUT, "the deadline passed while the owner had the request")));
 		outcome.whenResult(timeout::cancel);
 		cancellation.whenCancelled(() -> {
 			if (this.waiting.containsKey(exchange)) {
--- a/daemon/src/main/java/org/brasspier/daemon/internal/request/RequestRouter.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/request/RequestRouter.java
@@ -7,8 +7,10 @@
 import io.activej.promise.Promise;
 import org.brasspier.core.ErrorKind;
 import org.brasspier.core.Failure;
+import org.brasspier.core.RequestClass;
 import org.brasspier.core.event.EventKind;
 import org.brasspier.core.request.CallerRequest;
+import org.brasspier.core.request.Ticket;
 import org.brasspier.core.retry.RetryBudget;
 import org.brasspier.core.routing.Assignment;
 import org.brasspier.core.routing.OwnershipSnapshot;
@@ -128,7 +130,32 @@
 				return RequestRouter.this.owner.serve(timed, this.cancellation);
 			}
 			RequestRouter.this.events.record(EventKind.REQUEST_FORWARDED, this.request, "to " + known.instance());
-			return RequestRouter.this.forwards.forward(known.instance(), timed, this.cancellation);
+			return RequestRouter.this.forwards.forward(known.instance(), timed, this.cancellation)
+				.map((outcome) -> mayRunAt(known) ? outcome : notRun(outcome));
+		}
+
+		// A posting with no ticket, or with one of an earlier owner, is admitted by none.
+		private boolean mayRunAt(Outcome.Owner owner) {
+			return this.request.requestClass() != RequestClass.POSTING || this.request.identity()
+				.ticket()
+				.flatMap(Ticket::parse)
+				.filter((ticket) -> !ticket.outdatedUnder(owner.fence()))
+				.isPresent();
+		}
+
+		// Silence and broken links leave open what the owner has done with a request.
+		// Here
+		// it certainly did not run it.
+		private static Outcome notRun(Outcome outcome) {
+			if (!(outcome instanceof Outcome.Failed failed)) {
+				return outcome;
+			}
+			String detail = failed.failure().detail() + "; the posting's ticket let it run nowhere";
+			return switch (failed.failure().kind()) {
+				case OUTCOME_UNKNOWN -> Outcome.failed(new Failure(ErrorKind.NO_OWNER, detail, RETRY_LATER));
+				case TIMED_OUT -> Outcome.failed(ErrorKind.DEADLINE_PASSED, detail);
+				default -> failed;
+			};
 		}
 
 		private Promise<Outcome> next(Outcome.Owner sentTo, Optional<Assignment> route, Outcome outcome) {
--- a/daemon/src/test/java/org/brasspier/daemon/internal/request/SilentLinkTests.java
+++ b/daemon/src/test/java/org/brasspier/daemon/internal/request/SilentLinkTests.java
@@ -6,10 +6,12 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.IntStream;
+import java.util.stream.Stream;
 
 import org.brasspier.core.retry.RetryBudget;
 import org.brasspier.standins.FaultLink;
 import org.brasspier.standins.FaultProxy;
+import org.brasspier.standins.LinkState;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -67,6 +69,56 @@
 		}
 	}
 
+	// Guards against a posting that is called possibly run though no owner could admit
+	// it: its ticket is of an earlier owner, and its link broke.
+	@Test
+	void aPostingWithAnOutdatedTicketIsNotCalledPossiblyRunThoughItsLinkBroke() throws Exception {
+		this.owner.announce("ready", true);
+		String earlier = ticketOf(post());
+		this.fixture.owns(this.owner, 8);
+		this.link.silenceOpenConnections();
+		HttpResponse<String> refused = post("Brasspier-Ticket", earlier);
+		assertThat(refused.headers().firstValue("Brasspier-Error")).hasValue("TICKET_REQUIRED");
+		assertThat(post("Brasspier-Ticket", ticketOf(refused)).body()).isEqualTo("done /bookings x");
+		assertThat(this.owner.server.orders).hasSize(1);
+	}
+
+	// Guards against a posting that runs twice: its link broke, and its ticket lets it
+	// run.
+	@Test
+	void aPostingWhoseTicketIsGoodIsCalledPossiblyRunOnceItsOwnerHasChanged() throws Exception {
+		this.owner.announce("ready", true);
+		this.owner.server.behaviour = (exchange, body) -> {
+			this.fixture.owns(this.owner, 8);
+			this.link.silenceOpenConnections();
+			FakeServer.answer(exchange, 200, "done");
+		};
+		HttpResponse<String> answer = post("Brasspier-Ticket", ticketOf(post()));
+		assertThat(answer.headers().firstValue("Brasspier-Ran")).hasValue("unknown");
+		assertThat(this.owner.server.orders).hasSize(1);
+	}
+
+	// Guards against a caller that is told nothing by its deadline, and takes its posting
+	// for possibly run: the connection to the owner was still opening.
+	@Test
+	void aRequestIsAnsweredAtItsDeadlineThoughItsLinkIsStillOpening() throws Exception {
+		this.owner.announce("ready", true);
+		this.link.state(LinkState.HELD);
+		HttpResponse<String> answer = post("Brasspier-Deadline-Millis", "200");
+		assertThat(answer.headers().firstValue("Brasspier-Error")).hasValue("DEADLINE_PASSED");
+		assertThat(answer.headers().firstValue("Brasspier-Ran")).hasValue("not_run");
+	}
+
+	private HttpResponse<String> post(String... more) throws Exception {
+		String[] headers = { "Brasspier-Key", "hull-7", "Brasspier-Request-Id", "p-1", "Brasspier-Attempt", "1" };
+		return this.entry.post("/v1/hullbook/bookings", "x",
+				Stream.of(headers, more).flatMap(Stream::of).toArray(String[]::new));
+	}
+
+	private static String ticketOf(HttpResponse<String> answer) {
+		return answer.headers().firstValue("Brasspier-Ticket").orElseThrow();
+	}
+
 	private CompletableFuture<HttpResponse<String>> lookup() {
 		return this.entry.send("GET", "/v1/hullbook/x", "", "Brasspier-Key", "hull-7", "Brasspier-Deadline-Millis",
 				"5000");
