Say why no port could be bound

Cause: Ports took every failure to bind for a port in use, so a process out of file descriptors said "no free port was found in 1000 tries".

Change: the failures are attached to the exception. No behaviour changes.

--- a/standins/src/main/java/org/brasspier/standins/Ports.java
+++ b/standins/src/main/java/org/brasspier/standins/Ports.java
@@ -5,6 +5,7 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.util.HashSet;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 
@@ -52,22 +53,25 @@
 	 * @return the address on 127.0.0.1
 	 */
 	public static synchronized InetSocketAddress free() {
+		IllegalStateException none = new IllegalStateException(
+				"no free port was found in %d tries".formatted(MAX_TRIES));
 		for (int i = 0; i < MAX_TRIES; i++) {
 			int port = ThreadLocalRandom.current().nextInt(LOWEST, HIGHEST);
-			if (!given.contains(port) && bindable(port)) {
-				given.add(port);
+			Optional<IOException> fault = given.contains(port) ? Optional.empty() : bind(port);
+			if (fault.isEmpty() && given.add(port)) {
 				return new InetSocketAddress("127.0.0.1", port);
 			}
+			fault.ifPresent(none::addSuppressed);
 		}
-		throw new IllegalStateException("no free port was found in %d tries".formatted(MAX_TRIES));
+		throw none;
 	}
 
-	private static boolean bindable(int port) {
+	private static Optional<IOException> bind(int port) {
 		try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
-			return socket.isBound();
+			return Optional.empty();
 		}
 		catch (IOException ex) {
-			return false;
+			return Optional.of(ex);
 		}
 	}
 
