Take the opening of a hop's connection off a request's time

What could be seen: a backend server at work on a request for up to 150 ms after its caller's deadline, and a request sent though its time was over, while daemons open their connections, as after a restart.

A request that waits for its connection to the other daemon told the time left from before the wait.

Change: the time is taken when the request is written; if none is left, it is answered DEADLINE_PASSED, "not run".

Evidence: HopClientTests.aRequestWhoseConnectionOpensAfterItsDeadlineIsNotSent fails without the change: the request was sent and its outcome unknown.

--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopLink.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopLink.java
@@ -42,6 +42,8 @@
 	/**
 	 * Many times a round trip between failure domains, a tenth of a caller's patience.
 	 */
+	private static final long NANOS_PER_MILLI = 1_000_000;
+
 	private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(150);
 
 	private static final Duration PING_EVERY = Duration.ofMillis(100);
@@ -124,15 +126,20 @@
 
 	Promise<SendOutcome> send(HopRequest ask, Cancellation cancellation) {
 		SettablePromise<SendOutcome> outcome = new SettablePromise<>();
+		long askedNanos = System.nanoTime();
 		this.connection.whenComplete((ready, ex) -> {
+			int left = ask.request().remainingMillis() - (int) ((System.nanoTime() - askedNanos) / NANOS_PER_MILLI);
 			if (ex != null || this.closed || this.stopping) {
 				outcome.set(notSent(ErrorKind.NO_BACKEND, "the daemon beside the backend server can't be reached"));
 			}
 			else if (ready.unsentBytes() > MAX_UNSENT_BYTES) {
 				outcome.set(notSent(ErrorKind.OVERLOADED, "the connection to the other daemon is full"));
 			}
+			else if (left <= 0) {
+				outcome.set(notSent(ErrorKind.DEADLINE_PASSED, "the deadline passed before it was sent"));
+			}
 			else {
-				send(ready, ask, cancellation, outcome);
+				send(ready, ask.within(left), cancellation, outcome);
 			}
 		});
 		return outcome;
--- a/daemon/src/test/java/org/brasspier/daemon/internal/mesh/HopClientTests.java
+++ b/daemon/src/test/java/org/brasspier/daemon/internal/mesh/HopClientTests.java
@@ -7,7 +7,9 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.util.List;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -19,9 +21,13 @@
 import org.brasspier.core.Failure;
 import org.brasspier.core.FailureDomain;
 import org.brasspier.core.InstanceId;
+import org.brasspier.core.RequestClass;
 import org.brasspier.core.ServiceName;
 import org.brasspier.core.mesh.RoutingConfig;
+import org.brasspier.core.mesh.SendOutcome;
+import org.brasspier.daemon.internal.request.Cancellation;
 import org.brasspier.daemon.mesh.ConfigSource;
+import org.brasspier.daemon.mesh.MeshRequest;
 import org.junit.jupiter.api.Test;
 
 import static com.google.common.truth.Truth.assertThat;
@@ -131,6 +137,33 @@
 		}
 	}
 
+	// Guards against a request that is sent after its deadline: the time that passed
+	// while
+	// its connection opened was not taken off what it had left.
+	@Test
+	void aRequestWhoseConnectionOpensAfterItsDeadlineIsNotSent() throws Exception {
+		try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+			HopClient client = client();
+			Member member = new Member(OTHER, (InetSocketAddress) server.getLocalSocketAddress(),
+					new FailureDomain("z"), new ServiceName("keyed"), Optional.empty(), 1, true);
+			MeshRequest request = new MeshRequest("r-1", "host", "GET", "/", List.of(), new byte[0], 1,
+					OptionalInt.empty());
+			HopRequest ask = new HopRequest(member.service(), member.service(), RequestClass.LOOKUP, true, false,
+					request);
+			CompletableFuture<SendOutcome> outcome = new CompletableFuture<>();
+			this.loop.keepAlive(true);
+			Thread.ofPlatform().daemon().start(this.loop);
+			this.loop.execute(() -> {
+				long asked = System.nanoTime();
+				client.send(member, ask, new Cancellation()).whenResult(outcome::complete);
+				while (System.nanoTime() - asked < TimeUnit.MILLISECONDS.toNanos(5)) {
+					Thread.onSpinWait();
+				}
+			});
+			assertThat(outcome.get(30, TimeUnit.SECONDS)).isInstanceOf(SendOutcome.NotRun.class);
+		}
+	}
+
 	// Takes some connections without a word until they are closed, then answers one.
 	private static void standStillFor(ServerSocket server, int connections, AtomicInteger silent) {
 		try {
