--- a/integration/src/test/java/org/brasspier/integration/FaultMixTests.java
+++ b/integration/src/test/java/org/brasspier/integration/FaultMixTests.java
@@ -3,7 +3,6 @@
 import java.util.stream.LongStream;
 
 import org.brasspier.bench.demo.FaultTrial;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -32,7 +31,6 @@
 	// before: it counts an order's time from when it reads it, so the order that its
 	// owner had given up still looked in time.
 	@Test
-	@Tag("known-red")
 	void aMixOfFaultsWithAPausedServerBreaksNoPromise() {
 		play(16);
 	}
--- a/integration/src/test/java/org/brasspier/integration/RequestPathFaultTests.java
+++ b/integration/src/test/java/org/brasspier/integration/RequestPathFaultTests.java
@@ -17,7 +17,6 @@
 import org.brasspier.standins.StandInRequest;
 import org.junit.jupiter.api.AfterAll;
 import org.junit.jupiter.api.BeforeAll;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 import static com.google.common.truth.Truth.assertThat;
@@ -43,7 +42,6 @@
 		deployment.close();
 	}
 
-	@Tag("known-red")
 	@Test
 	void aLookupIsAnsweredThoughConnectionsBetweenDaemonsWentSilent() throws Exception {
 		// Something between the daemons loses track of all open connections: they stay
@@ -52,7 +50,6 @@
 		answeredThoughSilent(":forward", "f");
 	}
 
-	@Tag("known-red")
 	@Test
 	void aLookupIsAnsweredThoughConnectionsToServersWentSilent() throws Exception {
 		// The same between the daemons and their backend servers.
