Count a new process as new whatever its server announces

Known failure PlannedStopTests.aRollingReplacementOfAllInstancesFailsNoRequest. What callers saw: a lookup refused OVERLOADED for 4.7 s. Cause, from the logs of that entry: 24 ranges, a third of all keys, went within a second to a process that had begun two seconds before. Only a cold start that a server announces held its share back, and a member that owned any range when an epoch began was taken as warm, while replacing an instance that manages leases begins an epoch.

Change: each process counts as new for five seconds at least, and stays so through epochs (WarmUp, taken out of PrimaryMemory). Whoever served in the first row that a process sees is warm.

--- a/core/src/main/java/org/brasspier/core/ownership/PrimaryMemory.java
+++ b/core/src/main/java/org/brasspier/core/ownership/PrimaryMemory.java
@@ -45,11 +45,9 @@
 
 	private SortedMap<HeldRange, Long> movedAt = TreeMap.empty();
 
-	private SortedMap<MemberKey, Long> activeSince = TreeMap.empty();
-
 	private SortedMap<MemberKey, Long> leavingSince = TreeMap.empty();
 
-	private SortedSet<MemberKey> warm = TreeSet.empty();
+	private WarmUp warmUp = new WarmUp();
 
 	private long since;
 
@@ -61,9 +59,8 @@
 		copy.drained = this.drained;
 		copy.loads = this.loads;
 		copy.movedAt = this.movedAt;
-		copy.activeSince = this.activeSince;
 		copy.leavingSince = this.leavingSince;
-		copy.warm = this.warm;
+		copy.warmUp = this.warmUp.copy();
 		copy.since = this.since;
 		return copy;
 	}
@@ -85,11 +82,6 @@
 		this.movedAt = TreeMap.empty();
 		this.leavingSince = TreeMap.empty();
 		this.since = now;
-		this.warm = TreeSet.ofAll(row.members()
-			.stream()
-			.filter((member) -> !row.ownedBy(member.instance()).isEmpty())
-			.map(MemberInfo::key)
-			.toList());
 	}
 
 	void adopt(VersionedRow known, long now) {
@@ -104,12 +96,7 @@
 		this.movedAt = this.movedAt.filterKeys(owned::contains);
 		owned.filter((held) -> held.fence().value() == known.version())
 			.forEach((held) -> this.movedAt = this.movedAt.put(held, now));
-		known.row()
-			.members()
-			.stream()
-			.filter((member) -> member.phase() == MemberPhase.ACTIVE && !this.activeSince.containsKey(member.key()))
-			.forEach((member) -> this.activeSince = this.activeSince.put(member.key(), now));
-		this.activeSince = this.activeSince.filterKeys(known.row()::has);
+		this.warmUp.adopt(known.row(), now);
 		noteLeavers(known.row(), now);
 		if (this.drained.filter(known.row().drained()::equals).isPresent()) {
 			this.drained = Optional.empty();
@@ -193,7 +180,7 @@
 			.toJavaList();
 		Map<HeldRange, List<CrashMark>> letGo = this.released.toJavaMap();
 		return new PlanFacts(known, now, lost, suspects, fresh, letGo, this.moves, manager.closed(known.row(), now),
-				drained(known.row()), balance, placement, this::load, (member) -> warmShare(member, now),
+				drained(known.row()), balance, placement, this::load, (member) -> this.warmUp.share(member, now),
 				(held) -> this.movedAt.get(held).getOrElse(this.since), (member) -> awaitsSuccessor(member, now));
 	}
 
@@ -205,17 +192,6 @@
 		return this.leavingSince.get(member.key()).exists((began) -> now - began < SUCCESSOR_WAIT_MILLIS);
 	}
 
-	// A server that has just come runs slowly until its state is warm: its share grows
-	// with the time since, over the cold start that it announced itself.
-	private double warmShare(MemberInfo member, long now) {
-		int coldStart = member.backend().map(MemberInfo.Backend::coldStartMillis).orElse(0);
-		if (coldStart <= 0 || this.warm.contains(member.key())) {
-			return 1;
-		}
-		long served = now - this.activeSince.get(member.key()).getOrElse(now);
-		return Math.clamp(served / (double) coldStart, 0.1, 1);
-	}
-
 	/**
 	 * An announcement.
 	 *
