Follow the store by one daemon of each failure domain, which tells the others

Hypothesis: store calls are the dearest price of a large deployment since each change of a table answers the feed of every daemon. Where few daemons read and pass rows on over the links, calls grow with failure domains and changes.

Change: every daemon takes the first of each failure domain in an order by hash that all agree on, leaving out whom it can't reach (ReaderChoice). Readers follow the store as before, the ends of their calls half a second apart; the others' feeds rest (TableFeed.rest) and follow the reader of their own failure domain, which they ask each 400 ms and which tells changes at once (RowFollowers, StoreFollowing). Who is followed reads. A reader that the store does not answer says so; other readers then ask anew, and followers that hear of no current reader turn to the store within 1.15 s, spread over 250 ms (FollowedReaders). Versions up to which all is known travel along, so a feed goes on from where it was told. A feed that another daemon has overtaken is looked at again 600 ms later instead of asking at once, which cost a call and a connection for each key that moved. Daemons of an earlier build are not chosen: their rows don't say that they pass rows on.

--- a/core/src/main/java/org/brasspier/core/mesh/FeedPace.java
+++ b/core/src/main/java/org/brasspier/core/mesh/FeedPace.java
@@ -79,6 +79,14 @@
 		return (left.compareTo(FIRST_PAUSE) < 0) ? FIRST_PAUSE : left;
 	}
 
+	/**
+	 * Whether the store may be silent or turn this instance away.
+	 * @return true until it answers
+	 */
+	public boolean doubted() {
+		return this.doubted;
+	}
+
 	/**
 	 * Takes that the store may be silent, for a reason other than a call of this feed.
 	 * @return false if that is known already, so that a call without a wait is under way
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/Directory.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/Directory.java
@@ -28,6 +28,8 @@
 
 	private final Map<ServiceName, Entry<KeyMap>> keys = new HashMap<>();
 
+	private final Map<ServiceName, List<Member>> serving = new HashMap<>();
+
 	private final List<Runnable> listeners = new ArrayList<>();
 
 	private Runnable taken = () -> {
@@ -56,8 +58,9 @@
 			// the store gave: what is newer than it stays. Without this an instance that
 			// started at the same moment as this one was unknown here for good.
 			this.members.entrySet()
-				.removeIf((member) -> member.getValue().version <= rows.version()
+				.removeIf((member) -> member.getValue().version() <= rows.version()
 						&& !there.contains(StoredRows.MEMBER_PREFIX + member.getKey().value()));
+			this.serving.clear();
 		}
 		rows.rows().forEach(this::take);
 		this.known = true;
@@ -76,6 +79,7 @@
 	private void takeMember(MetadataStore.Row row, String instance) {
 		if (row.value().isEmpty()) {
 			this.members.remove(new InstanceId(instance));
+			this.serving.clear();
 			return;
 		}
 		Either<Failure, Member> read = StoredRows.member(instance, row.value().get());
@@ -85,10 +89,11 @@
 		}
 		Member member = read.get();
 		Entry<Member> before = this.members.get(member.instance());
-		if (before != null && before.version >= row.version()) {
+		if (before != null && before.version() >= row.version()) {
 			return;
 		}
-		this.members.put(member.instance(), new Entry<>(member, row.version()));
+		this.members.put(member.instance(), new Entry<>(member, row));
+		this.serving.clear();
 		this.log.record(MeshEvent.MEMBER_CHANGED, "member", instance, "service", member.service(), "ready",
 				member.ready(), "life", member.life().map(String::valueOf).orElse(""), "version", row.version());
 	}
@@ -99,7 +104,7 @@
 			this.log.record(MeshEvent.KEYS_MOVED, "service", service, "unreadable", read.getLeft().detail());
 			return;
 		}
-		learnt(new ServiceName(service), read.get(), row.version());
+		learnt(new ServiceName(service), read.get(), row);
 	}
 
 	/**
@@ -107,12 +112,12 @@
 	 * known.
 	 * @param service the service
 	 * @param map who holds what
-	 * @param version the row's version
+	 * @param row the row that the map was read from or written to
 	 */
-	void learnt(ServiceName service, KeyMap map, long version) {
+	void learnt(ServiceName service, KeyMap map, MetadataStore.Row row) {
 		Entry<KeyMap> before = this.keys.get(service);
-		if (before == null || before.version < version) {
-			this.keys.put(service, new Entry<>(map, version));
+		if (before == null || before.version() < row.version()) {
+			this.keys.put(service, new Entry<>(map, row));
 			this.listeners.forEach(Runnable::run);
 		}
 	}
@@ -132,17 +137,10 @@
 	 * @return them as the store has them
 	 */
 	List<MetadataStore.Row> rowsAfter(long version) {
-		Stream<MetadataStore.Row> listed = this.members.entrySet()
-			.stream()
-			.filter((entry) -> entry.getValue().version > version)
-			.map((entry) -> new MetadataStore.Row(StoredRows.MEMBER_PREFIX + entry.getKey().value(),
-					Optional.of(StoredRows.member(entry.getValue().value)), entry.getValue().version));
-		Stream<MetadataStore.Row> maps = this.keys.entrySet()
-			.stream()
-			.filter((entry) -> entry.getValue().version > version)
-			.map((entry) -> new MetadataStore.Row(StoredRows.KEYS_PREFIX + entry.getKey().value(),
-					Optional.of(StoredRows.keys(entry.getValue().value)), entry.getValue().version));
-		return Stream.concat(listed, maps).toList();
+		return Stream.concat(this.members.values().stream(), this.keys.values().stream())
+			.map(Entry::row)
+			.filter((row) -> row.version() > version)
+			.toList();
 	}
 
 	// Whether the store was read at all since this process began.
@@ -166,13 +164,15 @@
 			.count();
 	}
 
+	// Asked for with each request, and changes with members only.
 	List<Member> serving(ServiceName service) {
-		return this.members.values()
-			.stream()
-			.map(Entry::value)
-			.filter((member) -> member.service().equals(service) && member.ready())
-			.filter((member) -> !replaced(member.instance()))
-			.toList();
+		return this.serving.computeIfAbsent(service,
+				(key) -> reachable().filter((member) -> member.service().equals(key) && member.ready()).toList());
+	}
+
+	// Those that are not gone for good.
+	Stream<Member> reachable() {
+		return this.members.values().stream().map(Entry::value).filter((member) -> !replaced(member.instance()));
 	}
 
 	/**
@@ -185,7 +185,7 @@
 		Entry<Member> own = this.members.get(instance);
 		return own != null && this.members.values()
 			.stream()
-			.anyMatch((other) -> other.version > own.version && other.value.address().equals(own.value.address()));
+			.anyMatch((other) -> other.version() > own.version() && other.value.address().equals(own.value.address()));
 	}
 
 	Optional<Member> member(InstanceId instance) {
@@ -194,7 +194,7 @@
 
 	long memberVersion(InstanceId instance) {
 		Entry<Member> entry = this.members.get(instance);
-		return (entry != null) ? entry.version : 0;
+		return (entry != null) ? entry.version() : 0;
 	}
 
 	Optional<KeyMap> keys(ServiceName service) {
@@ -203,10 +203,15 @@
 
 	long keysVersion(ServiceName service) {
 		Entry<KeyMap> entry = this.keys.get(service);
-		return (entry != null) ? entry.version : 0;
+		return (entry != null) ? entry.version() : 0;
 	}
 
-	private record Entry<T>(T value, long version) {
+	private record Entry<T>(T value, MetadataStore.Row row) {
+
+		long version() {
+			return this.row.version();
+		}
+
 	}
 
 }
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopClient.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopClient.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Consumer;
 
 import io.activej.promise.Promise;
 import io.activej.reactor.nio.NioReactor;
@@ -71,6 +72,19 @@
 		return peer.link.askPromise(holder, rowVersion).whenResult(() -> note(peer));
 	}
 
+	/**
+	 * Asks another daemon for what the store tells it, now and for a while.
+	 * @param member the other instance
+	 * @param ask what is known here
+	 * @param receiver takes what it passes on
+	 * @return its first answer; empty if none came
+	 */
+	Promise<Optional<HopMessage.RowsPassed>> follow(Member member, HopMessage.RowsFollowed ask,
+			Consumer<HopMessage.RowsPassed> receiver) {
+		Peer peer = peer(member);
+		return peer.link.follow(ask, receiver).whenResult(() -> note(peer));
+	}
+
 	private void note(Peer peer) {
 		if (peer.link.closed() && !peer.lost) {
 			peer.lost = true;
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopCodec.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopCodec.java
@@ -60,6 +60,10 @@
 
 	private static final int ROWS_TOLD = 16;
 
+	private static final int ROWS_FOLLOWED = 17;
+
+	private static final int ROWS_PASSED = 18;
+
 	private static final double MILLI = 1000;
 
 	private static final int NO_KEY = -1;
@@ -82,10 +86,13 @@
 			case HopMessage.Promised(long exchange, long process, boolean promised, boolean able) ->
 				frame.number(PROMISED).number(exchange).number(process).flag(promised).flag(able);
 			case HopMessage.PromiseReleased(InstanceId holder) -> frame.number(PROMISE_RELEASED).text(holder.value());
-			case HopMessage.Known(KnownRows rows) -> frame.number(KNOWN).number(rows.config()).number(rows.mesh());
-			case HopMessage.RowsAsked(KnownRows rows) ->
-				frame.number(ROWS_ASKED).number(rows.config()).number(rows.mesh());
-			case HopMessage.RowsTold(var config, var mesh) -> rows(rows(frame.number(ROWS_TOLD), config), mesh);
+			case HopMessage.Known(KnownRows rows) -> known(frame.number(KNOWN), rows);
+			case HopMessage.RowsAsked(KnownRows rows) -> known(frame.number(ROWS_ASKED), rows);
+			case HopMessage.RowsTold told -> told(frame.number(ROWS_TOLD), told);
+			case HopMessage.RowsFollowed(KnownRows known, boolean reads) ->
+				known(frame.number(ROWS_FOLLOWED), known).flag(reads);
+			case HopMessage.RowsPassed(KnownRows after, KnownRows upTo, boolean current, HopMessage.RowsTold rows) ->
+				told(known(known(frame.number(ROWS_PASSED), after), upTo).flag(current), rows);
 			case HopMessage.Ping ignored -> frame.number(PING);
 			case HopMessage.Pong ignored -> frame.number(PONG);
 			case HopMessage.Leaving ignored -> frame.number(LEAVING);
@@ -148,9 +155,11 @@
 			case PROMISE_ASKED -> new HopMessage.PromiseAsked(frame.number(), instance(frame), frame.number());
 			case PROMISED -> new HopMessage.Promised(frame.number(), frame.number(), frame.flag(), frame.flag());
 			case PROMISE_RELEASED -> new HopMessage.PromiseReleased(instance(frame));
-			case KNOWN -> new HopMessage.Known(new KnownRows(frame.number(), frame.number()));
-			case ROWS_ASKED -> new HopMessage.RowsAsked(new KnownRows(frame.number(), frame.number()));
-			case ROWS_TOLD -> new HopMessage.RowsTold(frame.list(HopCodec::row), frame.list(HopCodec::row));
+			case KNOWN -> new HopMessage.Known(known(frame));
+			case ROWS_ASKED -> new HopMessage.RowsAsked(known(frame));
+			case ROWS_TOLD -> told(frame);
+			case ROWS_FOLLOWED -> new HopMessage.RowsFollowed(known(frame), frame.flag());
+			case ROWS_PASSED -> new HopMessage.RowsPassed(known(frame), known(frame), frame.flag(), told(frame));
 			case PING -> new HopMessage.Ping();
 			case PONG -> new HopMessage.Pong();
 			case LEAVING -> new HopMessage.Leaving();
@@ -159,6 +168,22 @@
 		};
 	}
 
+	private static FrameWriter known(FrameWriter frame, KnownRows rows) {
+		return frame.number(rows.config()).number(rows.mesh());
+	}
+
+	private static KnownRows known(FrameReader frame) throws WireException {
+		return new KnownRows(frame.number(), frame.number());
+	}
+
+	private static FrameWriter told(FrameWriter frame, HopMessage.RowsTold told) {
+		return rows(rows(frame, told.config()), told.mesh());
+	}
+
+	private static HopMessage.RowsTold told(FrameReader frame) throws WireException {
+		return new HopMessage.RowsTold(frame.list(HopCodec::row), frame.list(HopCodec::row));
+	}
+
 	private static FrameWriter rows(FrameWriter frame, List<MetadataStore.Row> rows) {
 		frame.count(rows.size());
 		rows.forEach((row) -> frame.text(row.key())
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopLink.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopLink.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Consumer;
 
 import io.activej.net.socket.tcp.TcpSocket;
 import io.activej.promise.Promise;
@@ -77,6 +78,11 @@
 
 	private final List<SettablePromise<Boolean>> probes = new ArrayList<>();
 
+	private final List<SettablePromise<Optional<HopMessage.RowsPassed>>> follows = new ArrayList<>();
+
+	private Consumer<HopMessage.RowsPassed> follower = (passed) -> {
+	};
+
 	private Optional<PeerConnection> open = Optional.empty();
 
 	private long nextExchange = 1;
@@ -171,6 +177,42 @@
 		return answer;
 	}
 
+	/**
+	 * Asks the other daemon for what the store tells it, now and for a while.
+	 * @param ask what is known here
+	 * @param receiver takes what it passes on
+	 * @return its first answer; empty if none came
+	 */
+	Promise<Optional<HopMessage.RowsPassed>> follow(HopMessage.RowsFollowed ask,
+			Consumer<HopMessage.RowsPassed> receiver) {
+		SettablePromise<Optional<HopMessage.RowsPassed>> answer = new SettablePromise<>();
+		this.connection.whenComplete((ready, ex) -> {
+			if (ex != null || this.closed) {
+				answer.set(Optional.empty());
+				return;
+			}
+			if (!anybodyWaits()) {
+				this.heardNanos = System.nanoTime();
+			}
+			this.follower = receiver;
+			this.follows.add(answer);
+			ready.send(HopCodec.encode(ask));
+			keepPinging();
+		});
+		return answer;
+	}
+
+	private void passed(HopMessage.RowsPassed passed) {
+		this.follower.accept(passed);
+		endFollows(Optional.of(passed));
+	}
+
+	private void endFollows(Optional<HopMessage.RowsPassed> answer) {
+		List<SettablePromise<Optional<HopMessage.RowsPassed>>> ended = List.copyOf(this.follows);
+		this.follows.clear();
+		ended.forEach((follow) -> follow.set(answer));
+	}
+
 	/**
 	 * Asks whether the other daemon hears.
 	 * @return true once anything has come from it; false if the connection is lost first
@@ -206,7 +248,7 @@
 	}
 
 	private boolean anybodyWaits() {
-		return !this.waiting.isEmpty() || !this.promises.isEmpty() || !this.probes.isEmpty();
+		return !this.waiting.isEmpty() || !this.promises.isEmpty() || !this.probes.isEmpty() || !this.follows.isEmpty();
 	}
 
 	private static SendOutcome notSent(ErrorKind kind, String detail) {
@@ -264,6 +306,7 @@
 			case HopMessage.Promised promised -> settle(promised);
 			case HopMessage.Known(KnownRows known) -> compare(known);
 			case HopMessage.RowsTold told -> this.rows.take(told);
+			case HopMessage.RowsPassed passed -> passed(passed);
 			case HopMessage.Leaving ignored -> this.leaving = true;
 			case HopMessage.Stopping ignored -> this.stopping = true;
 			case HopMessage.Pong ignored -> {
@@ -274,6 +317,7 @@
 			case HopMessage.Ping ignored -> throw wrongSide();
 			case HopMessage.Load ignored -> throw wrongSide();
 			case HopMessage.RowsAsked ignored -> throw wrongSide();
+			case HopMessage.RowsFollowed ignored -> throw wrongSide();
 			case HopMessage.PromiseAsked ignored -> throw wrongSide();
 			case HopMessage.PromiseReleased ignored -> throw wrongSide();
 		}
@@ -311,6 +355,7 @@
 	private void lost(Exception reason) {
 		this.closed = true;
 		endProbes(false);
+		endFollows(Optional.empty());
 		List<SettablePromise<Optional<HopMessage.Promised>>> unanswered = List.copyOf(this.promises.values());
 		this.promises.clear();
 		unanswered.forEach((answer) -> answer.set(Optional.empty()));
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopMessage.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopMessage.java
@@ -101,6 +101,44 @@
 	 * @param mesh rows of instances and of maps of keys
 	 */
 	record RowsTold(List<MetadataStore.Row> config, List<MetadataStore.Row> mesh) implements HopMessage {
+
+		/**
+		 * Whether there is nothing to tell.
+		 * @return true if there are no rows
+		 */
+		boolean isEmpty() {
+			return this.config.isEmpty() && this.mesh.isEmpty();
+		}
+
+	}
+
+	/**
+	 * The sender wants to be told what the store tells the receiver.
+	 *
+	 * @param known up to which versions it knows all changes
+	 * @param reads whether it follows the store as well
+	 */
+	record RowsFollowed(KnownRows known, boolean reads) implements HopMessage {
+	}
+
+	/**
+	 * What the store has told the sender, for a daemon that follows it.
+	 *
+	 * @param after the versions from which on all changes are here
+	 * @param upTo the versions up to which they are
+	 * @param current whether the store answers the sender
+	 * @param rows the rows that have changed
+	 */
+	record RowsPassed(KnownRows after, KnownRows upTo, boolean current, RowsTold rows) implements HopMessage {
+
+		/**
+		 * The same for a receiver that is to hear no more than whether the store answers.
+		 * @return a message that says nothing of any change
+		 */
+		RowsPassed withoutRows() {
+			return new RowsPassed(this.after, this.after, this.current, new RowsTold(List.of(), List.of()));
+		}
+
 	}
 
 	/** Asks whether the receiver still hears. */
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopServer.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopServer.java
@@ -42,6 +42,8 @@
 
 	private final SharedRows rows;
 
+	private final RowFollowers followers;
+
 	private final MeshLog log;
 
 	private final Set<Exchanges> connections = new HashSet<>();
@@ -51,11 +53,12 @@
 	private boolean stopping;
 
 	HopServer(NioReactor reactor, InetSocketAddress address, BackendGate gate, KeyOwnership keys, SharedRows rows,
-			MeshLog log) {
+			RowFollowers followers, MeshLog log) {
 		this.server = SimpleServer.builder(reactor, this::accept).withListenAddress(address).build();
 		this.gate = gate;
 		this.keys = keys;
 		this.rows = rows;
+		this.followers = followers;
 		this.log = log;
 	}
 
@@ -113,6 +116,7 @@
 		// Whoever asked is gone, or can't be reached any more: nobody waits for answers.
 		private void closed(Exception reason) {
 			HopServer.this.connections.remove(this);
+			HopServer.this.followers.gone(this);
 			if (reason instanceof WireException && !PeerConnection.closedByPeer(reason) && !HopServer.this.leaving) {
 				HopServer.this.log.record(MeshEvent.BAD_PEER_INPUT, "reason", String.valueOf(reason.getMessage()));
 			}
@@ -139,10 +143,12 @@
 				case HopMessage.Load(var load) -> HopServer.this.keys.reported(load);
 				case HopMessage.PromiseAsked asked -> send(HopServer.this.keys.promise(asked));
 				case HopMessage.PromiseReleased(var holder) -> HopServer.this.keys.released(holder);
+				case HopMessage.RowsFollowed asked -> HopServer.this.followers.followed(this, asked, this::send);
 				case HopMessage.Replied ignored -> throw wrongSide();
 				case HopMessage.RowsAsked(KnownRows known) -> send(HopServer.this.rows.lacking(known));
 				case HopMessage.RowsTold told -> HopServer.this.rows.take(told);
 				case HopMessage.Known ignored -> throw wrongSide();
+				case HopMessage.RowsPassed ignored -> throw wrongSide();
 				case HopMessage.Promised ignored -> throw wrongSide();
 				case HopMessage.Pong ignored -> throw wrongSide();
 				case HopMessage.Leaving ignored -> throw wrongSide();
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/KeyMapWriter.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/KeyMapWriter.java
@@ -95,23 +95,26 @@
 		List<Expected> expected = new ArrayList<>();
 		List<Put> puts = new ArrayList<>();
 		expected.add(new Expected(StoredRows.MESH, key, this.directory.keysVersion(this.service)));
-		puts.add(new Put(StoredRows.MESH, key, StoredRows.keys(map)));
+		byte[] value = StoredRows.keys(map);
+		puts.add(new Put(StoredRows.MESH, key, value));
 		lost.forEach((instance, version) -> {
 			expected.add(new Expected(StoredRows.LEASES, instance.value(), version));
 			puts.add(LeaseRenewal.takenRow(instance, this.self));
 		});
 		this.store.commit(new Commit(expected, puts)).whenResult((result) -> {
 			this.busy = false;
-			ended(map, why, result);
+			ended(map, value, why, result);
 		});
 	}
 
-	private void ended(KeyMap map, String why, CommitResult result) {
+	private void ended(KeyMap map, byte[] written, String why, CommitResult result) {
 		switch (result) {
 			case CommitResult.Done(long version) -> {
 				Optional<KeyMap> before = this.directory.keys(this.service);
-				this.directory.learnt(this.service, map, version);
-				tell(map.concerned(before), map, version);
+				MetadataStore.Row row = new MetadataStore.Row(StoredRows.KEYS_PREFIX + this.service.value(),
+						Optional.of(written), version);
+				this.directory.learnt(this.service, map, row);
+				tell(map.concerned(before), row);
 				this.log.record(MeshEvent.KEYS_MOVED, "service", this.service, "why", why, "version", version,
 						"next_fence", map.nextFence(), "own", map.of(this.self).size());
 				this.written.run();
@@ -123,9 +126,7 @@
 	}
 
 	// Their feeds may tell them later, and the keys are unserved until they act.
-	private void tell(Set<InstanceId> concerned, KeyMap map, long version) {
-		MetadataStore.Row row = new MetadataStore.Row(StoredRows.KEYS_PREFIX + this.service.value(),
-				Optional.of(StoredRows.keys(map)), version);
+	private void tell(Set<InstanceId> concerned, MetadataStore.Row row) {
 		HopMessage.RowsTold told = new HopMessage.RowsTold(List.of(), List.of(row));
 		concerned.stream()
 			.filter((instance) -> !instance.equals(this.self))
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/Member.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/Member.java
@@ -19,9 +19,11 @@
  * @param life the life of the backend server; empty if none was heard of
  * @param slots how many requests the backend server runs at once, at least 1
  * @param ready whether the backend server takes work
+ * @param passesRows whether its daemon passes on what the store tells it; daemons of an
+ * earlier build don't
  */
 record Member(InstanceId instance, InetSocketAddress address, FailureDomain failureDomain, ServiceName service,
-		Optional<BackendLife> life, int slots, boolean ready) {
+		Optional<BackendLife> life, int slots, boolean ready, boolean passesRows) {
 
 	/**
 	 * Checks the numbers.
@@ -33,4 +35,9 @@
 		}
 	}
 
+	Member(InstanceId instance, InetSocketAddress address, FailureDomain failureDomain, ServiceName service,
+			Optional<BackendLife> life, int slots, boolean ready) {
+		this(instance, address, failureDomain, service, life, slots, ready, true);
+	}
+
 }
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/MeshEvent.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/MeshEvent.java
@@ -20,6 +20,8 @@
 	STORE_LOST(1102),
 	/** A feed may have gone silent; the store is asked anew. */
 	FEED_DOUBTED(1103),
+	/** From now on the store is followed by this daemon, or through others. */
+	STORE_FOLLOWED(1104),
 	/** A configuration is in force. */
 	CONFIG_IN_FORCE(1201),
 	/** A configuration can't be read; what was in force stays. */
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/MeshNode.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/MeshNode.java
@@ -2,12 +2,9 @@
 
 import java.io.IOException;
 import java.time.Duration;
-import java.util.function.Function;
 
 import com.codahale.metrics.MetricRegistry;
 import io.activej.reactor.nio.NioReactor;
-import org.brasspier.core.InstanceId;
-import org.brasspier.core.mesh.FeedPace;
 import org.brasspier.core.mesh.RoutingConfig;
 import org.brasspier.daemon.internal.http.BackendPool;
 import org.brasspier.daemon.internal.http.CallerServer;
@@ -37,8 +34,6 @@
 
 	private static final int MAX_ANSWER_BYTES = 64 << 20;
 
-	private static final String TOLD_BY_PEER = "another daemon told newer rows";
-
 	private final NioReactor reactor;
 
 	private final MeshSettings settings;
@@ -67,9 +62,7 @@
 
 	private final BackendRegistration registration;
 
-	private final TableFeed configFeed;
-
-	private final TableFeed meshFeed;
+	private final StoreFollowing following;
 
 	private final ControlPorts ports;
 
@@ -109,19 +102,16 @@
 		this.entry = new MeshEntry(adapter.callers(), this.config, dispatcher, lag, this.log, this.metrics);
 		this.callers = new CallerServer(reactor, settings.listen().callers(), this.entry,
 				() -> this.config.get().limits());
-		this.hops = new HopServer(reactor, settings.listen().peers(), this.gate, this.keys, shared, this.log);
+		this.following = new StoreFollowing(reactor, settings, adapter, this.config, this.directory, hopClient, shared,
+				health, this.log);
+		this.hops = new HopServer(reactor, settings.listen().peers(), this.gate, this.keys, shared,
+				this.following.followers(), this.log);
 		new MeshGauges(this.metrics).gate(this.gate, this.registration)
 			.keys(this.keys)
 			.known(this.config, this.directory)
 			.process(lag);
 		this.ports = new ControlPorts(reactor, this.log);
-		Function<FeedPace, Duration> nextWait = (pace) -> nextWait(pace, settings.instance());
-		this.configFeed = new TableFeed(reactor, adapter.store(), adapter.config().table(), nextWait, health, this.log,
-				(rows, whole) -> this.config.take(rows, ConfigHolder.Origin.STORE));
-		this.meshFeed = new TableFeed(reactor, adapter.store(), StoredRows.MESH, nextWait, health, this.log,
-				this.directory::take);
 		this.directory.whenTaken(this::takeOwnRow);
-		shared.whenBehind(() -> this.configFeed.doubt(TOLD_BY_PEER), () -> this.meshFeed.doubt(TOLD_BY_PEER));
 	}
 
 	// What an earlier process of this instance acknowledged binds this one as well.
@@ -132,11 +122,6 @@
 			.ifPresent(this.registration::left);
 	}
 
-	private Duration nextWait(FeedPace pace, InstanceId self) {
-		int position = this.directory.position(self);
-		return pace.nextWait(position, Math.max(position + 1, this.directory.size()));
-	}
-
 	/**
 	 * Opens all ports and begins to follow the store.
 	 * @throws IOException if a port can't be opened
@@ -147,8 +132,7 @@
 		this.ports.metrics(this.settings.listen(), new MetricsText(this.metrics)::text);
 		this.hops.listen();
 		this.callers.listen();
-		this.configFeed.start();
-		this.meshFeed.start();
+		this.following.start();
 		this.member.start();
 		this.keys.start();
 		this.log.record(MeshEvent.STARTED, "service", this.settings.backend().service(), "failure_domain",
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/SharedRows.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/SharedRows.java
@@ -54,13 +54,22 @@
 	}
 
 	void take(HopMessage.RowsTold told) {
+		KnownRows before = known();
+		takeRows(told);
+		this.log.record(MeshEvent.ROWS_TOLD, "config_rows", told.config().size(), "mesh_rows", told.mesh().size(),
+				"before", before, "after", known());
+	}
+
+	/**
+	 * Takes rows, and has the feeds looked after that the store has not told them to.
+	 * @param told the rows
+	 */
+	void takeRows(HopMessage.RowsTold told) {
 		KnownRows before = known();
 		this.config.take(new MetadataStore.Rows(told.config(), 0), ConfigHolder.Origin.PEER);
 		if (!told.mesh().isEmpty()) {
 			this.directory.take(new MetadataStore.Rows(told.mesh(), 0), false);
 		}
-		this.log.record(MeshEvent.ROWS_TOLD, "config_rows", told.config().size(), "mesh_rows", told.mesh().size(),
-				"before", before, "after", known());
 		if (known().config() > before.config()) {
 			this.configBehind.run();
 		}
--- /dev/null
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/StoreFollowing.java
@@ -0,0 +1,186 @@
+package org.brasspier.daemon.internal.mesh;
+
+import java.time.Duration;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+import io.activej.reactor.nio.NioReactor;
+import org.brasspier.core.InstanceId;
+import org.brasspier.core.mesh.FeedPace;
+import org.brasspier.core.mesh.FollowedReaders;
+import org.brasspier.core.mesh.KnownRows;
+import org.brasspier.core.mesh.ReaderChoice;
+import org.brasspier.daemon.mesh.MeshAdapter;
+import org.brasspier.daemon.mesh.MeshSettings;
+import org.brasspier.daemon.mesh.MetadataStore;
+
+/**
+ * How this daemon follows the store: as one of few that read it for all others, through
+ * two of those, or by itself where it hears from neither. Belongs to the thread of
+ * requests.
+ */
+final class StoreFollowing {
+
+	private static final String TOLD_BY_PEER = "another daemon told newer rows";
+
+	private static final String OTHER_UNANSWERED = "the store no longer answers another daemon";
+
+	private static final Duration STEP = Duration.ofMillis(200);
+
+	private static final long ASK_EVERY_NANOS = FollowedReaders.ASK_EVERY.toNanos();
+
+	private final NioReactor reactor;
+
+	private final ReaderChoice.Candidate self;
+
+	private final Directory directory;
+
+	private final HopClient hops;
+
+	private final SharedRows rows;
+
+	private final TableFeed configFeed;
+
+	private final TableFeed meshFeed;
+
+	private final RowFollowers followers;
+
+	private final FollowedReaders readers;
+
+	private final MeshLog log;
+
+	private final Map<InstanceId, Long> askedNanos = new HashMap<>();
+
+	private ReaderChoice choice;
+
+	private boolean following = true;
+
+	StoreFollowing(NioReactor reactor, MeshSettings settings, MeshAdapter adapter, ConfigHolder config,
+			Directory directory, HopClient hops, SharedRows rows, StoreHealth health, MeshLog log) {
+		this.reactor = reactor;
+		this.self = new ReaderChoice.Candidate(settings.instance(), settings.failureDomain());
+		this.directory = directory;
+		this.hops = hops;
+		this.rows = rows;
+		this.configFeed = new TableFeed(reactor, adapter.store(), adapter.config().table(), this::nextWait, health, log,
+				(read, whole) -> taken(read, () -> config.take(read, ConfigHolder.Origin.STORE)));
+		this.meshFeed = new TableFeed(reactor, adapter.store(), StoredRows.MESH, this::nextWait, health, log,
+				(read, whole) -> taken(read, () -> directory.take(read, whole)));
+		this.followers = new RowFollowers(reactor, this::lacking);
+		this.readers = new FollowedReaders(settings.instance());
+		this.log = log;
+		this.choice = ReaderChoice.of(this.self, List.of());
+		this.configFeed.whenDoubtChanges(this.followers::changed);
+		this.meshFeed.whenDoubtChanges(this.followers::changed);
+		rows.whenBehind(() -> this.configFeed.overtaken(TOLD_BY_PEER), () -> this.meshFeed.overtaken(TOLD_BY_PEER));
+	}
+
+	private void taken(MetadataStore.Rows read, Runnable take) {
+		take.run();
+		if (!read.rows().isEmpty()) {
+			this.followers.changed();
+		}
+	}
+
+	RowFollowers followers() {
+		return this.followers;
+	}
+
+	void start() {
+		this.configFeed.start();
+		this.meshFeed.start();
+		later();
+	}
+
+	private void later() {
+		this.reactor.delayBackground(STEP, () -> {
+			step();
+			later();
+		});
+	}
+
+	// The ends of the calls of all that follow the store are spread over time.
+	private Duration nextWait(FeedPace pace) {
+		if (this.choice.reads()) {
+			return pace.nextWait(this.choice.position(), this.choice.readers().size());
+		}
+		int position = this.directory.position(this.self.instance());
+		return pace.nextWait(position, Math.max(position + 1, this.directory.size()));
+	}
+
+	private KnownRows complete() {
+		return new KnownRows(Math.max(0, this.configFeed.version()), Math.max(0, this.meshFeed.version()));
+	}
+
+	private HopMessage.RowsPassed lacking(KnownRows known) {
+		boolean current = this.configFeed.current() && this.meshFeed.current();
+		return new HopMessage.RowsPassed(known, complete(), current, this.rows.lacking(known));
+	}
+
+	private void step() {
+		long now = System.nanoTime();
+		this.choice = ReaderChoice.of(this.self, candidates(now));
+		this.askedNanos.keySet().retainAll(this.choice.followed());
+		this.choice.followed()
+			.stream()
+			.filter((reader) -> now - this.askedNanos.getOrDefault(reader, now - ASK_EVERY_NANOS) >= ASK_EVERY_NANOS)
+			.flatMap((reader) -> this.directory.member(reader).stream())
+			.forEach((reader) -> follow(reader, now));
+		decide(now);
+	}
+
+	private Collection<ReaderChoice.Candidate> candidates(long now) {
+		return this.directory.reachable()
+			.filter(Member::passesRows)
+			.filter((member) -> !this.hops.avoided(member.instance(), now))
+			.map((member) -> new ReaderChoice.Candidate(member.instance(), member.failureDomain()))
+			.toList();
+	}
+
+	private void follow(Member reader, long now) {
+		InstanceId instance = reader.instance();
+		this.askedNanos.put(instance, now);
+		this.hops
+			.follow(reader, new HopMessage.RowsFollowed(complete(), this.following), (passed) -> take(instance, passed))
+			.whenResult((answer) -> {
+				if (answer.isEmpty()) {
+					this.readers.lost(instance);
+				}
+			});
+	}
+
+	private void take(InstanceId reader, HopMessage.RowsPassed passed) {
+		KnownRows before = this.rows.known();
+		this.rows.takeRows(passed.rows());
+		this.configFeed.told(passed.after().config(), passed.upTo().config());
+		this.meshFeed.told(passed.after().mesh(), passed.upTo().mesh());
+		if (this.readers.heard(reader, passed.current(), System.nanoTime())) {
+			this.configFeed.doubt(OTHER_UNANSWERED);
+			this.meshFeed.doubt(OTHER_UNANSWERED);
+		}
+		if (!this.rows.known().equals(before)) {
+			this.followers.changed();
+		}
+	}
+
+	private void decide(long now) {
+		boolean follow = this.choice.reads() || this.followers.any()
+				|| !this.readers.covered(this.choice.followed(), now);
+		if (follow != this.following) {
+			this.following = follow;
+			this.log.record(MeshEvent.STORE_FOLLOWED, "by_itself", follow, "readers", this.choice.readers().size(),
+					"followed", this.choice.followed());
+		}
+		if (follow) {
+			this.configFeed.resume();
+			this.meshFeed.resume();
+		}
+		else {
+			this.configFeed.rest();
+			this.meshFeed.rest();
+		}
+	}
+
+}
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/StoredRows.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/StoredRows.java
@@ -51,7 +51,7 @@
 	static byte[] member(Member member) {
 		MemberRow row = new MemberRow(text(member.address()), member.failureDomain().value(), member.service().value(),
 				member.life().map(BackendLife::id).orElse(null), member.life().map(BackendLife::bornMillis).orElse(0L),
-				member.slots(), member.ready());
+				member.slots(), member.ready(), member.passesRows());
 		return bytes(row);
 	}
 
@@ -61,7 +61,7 @@
 			Optional<BackendLife> life = Optional.ofNullable(row.backend())
 				.map((id) -> new BackendLife(id, row.born()));
 			return new Member(new InstanceId(instance), address(row.address()), new FailureDomain(row.domain()),
-					new ServiceName(row.service()), life, row.slots(), row.ready());
+					new ServiceName(row.service()), life, row.slots(), row.ready(), row.passesRows());
 		});
 	}
 
@@ -154,7 +154,7 @@
 	}
 
 	private record MemberRow(String address, String domain, String service, @Nullable String backend, long born,
-			int slots, boolean ready) {
+			int slots, boolean ready, boolean passesRows) {
 	}
 
 	private record HolderRow(String instance, String backend, long born) {
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/TableFeed.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/TableFeed.java
@@ -22,6 +22,12 @@
 	 */
 	private static final Duration GATHER = Duration.ofMillis(200);
 
+	/**
+	 * How long after another daemon has told a change the store may take to tell it too:
+	 * changes gather, and a slow store takes some hundred milliseconds.
+	 */
+	private static final Duration TOLD_LATER = Duration.ofMillis(600);
+
 	private final NioReactor reactor;
 
 	private final MetadataStore store;
@@ -46,6 +52,12 @@
 
 	private boolean asking;
 
+	private Runnable doubtChanged = () -> {
+	};
+
+	// While others read the table for this daemon.
+	private boolean resting;
+
 	private long askedNanos;
 
 	TableFeed(NioReactor reactor, MetadataStore store, String table, Function<FeedPace, Duration> nextWait,
@@ -60,6 +72,11 @@
 		health.listen(() -> doubt("a call of the store failed"));
 	}
 
+	// Called when the store may have fallen silent, and when it answers again.
+	void whenDoubtChanges(Runnable listener) {
+		this.doubtChanged = listener;
+	}
+
 	void start() {
 		ask();
 	}
@@ -75,9 +92,69 @@
 		}
 		this.log.record(MeshEvent.FEED_DOUBTED, "table", this.table, "version", this.version, "reason", reason,
 				"asked_ms_ago", sinceAsked().toMillis());
+		this.doubtChanged.run();
 		ask();
 	}
 
+	/**
+	 * Leaves the store alone, since other daemons tell what it says.
+	 */
+	void rest() {
+		if (!this.resting) {
+			this.resting = true;
+			this.asking = false;
+			this.call++;
+		}
+	}
+
+	/**
+	 * Follows the store again, and asks for an answer at once.
+	 */
+	void resume() {
+		if (this.resting) {
+			this.resting = false;
+			this.pace.doubt();
+			ask();
+		}
+	}
+
+	// All changes up to this version are known; negative if nothing is.
+	long version() {
+		return this.version;
+	}
+
+	// Whether this feed follows the store, and the store answers.
+	boolean current() {
+		return !this.resting && this.version >= 0 && !this.pace.doubted();
+	}
+
+	/**
+	 * Takes that another daemon has told all changes of a stretch.
+	 * @param after the version from which on it told them
+	 * @param upTo the version up to which it did
+	 */
+	void told(long after, long upTo) {
+		if (after <= Math.max(0, this.version)) {
+			this.version = Math.max(this.version, upTo);
+		}
+	}
+
+	/**
+	 * Takes that another daemon has told a change that the store has not. The call that
+	 * waits is to be answered soon, or its connection is silent.
+	 * @param reason why, for the log
+	 */
+	void overtaken(String reason) {
+		long number = this.call;
+		if (this.asking) {
+			this.reactor.delay(TOLD_LATER, () -> {
+				if (number == this.call) {
+					doubt(reason);
+				}
+			});
+		}
+	}
+
 	private void ask() {
 		long number = ++this.call;
 		boolean whole = this.version < 0;
@@ -94,18 +171,28 @@
 	}
 
 	private void answered(Optional<MetadataStore.Rows> rows, boolean whole, @Nullable Exception failure) {
+		boolean doubted = this.pace.doubted();
 		if (failure != null) {
-			later(this.pace.failed(sinceAsked()));
+			Duration pause = this.pace.failed(sinceAsked());
+			noteDoubt(doubted);
+			later(pause);
 		}
 		else {
 			boolean changed = whole || rows.filter((each) -> !each.rows().isEmpty()).isPresent();
 			this.pace.answered(changed);
 			take(rows, whole);
+			noteDoubt(doubted);
 			later((changed && !whole) ? GATHER : Duration.ZERO);
 		}
 		this.health.answered(this.table, failure);
 	}
 
+	private void noteDoubt(boolean before) {
+		if (this.pace.doubted() != before) {
+			this.doubtChanged.run();
+		}
+	}
+
 	private void take(Optional<MetadataStore.Rows> rows, boolean whole) {
 		if (rows.isEmpty()) {
 			// The store has forgotten what lies between: everything is read anew.
@@ -122,10 +209,14 @@
 	private void later(Duration pause) {
 		if (pause.isZero()) {
 			ask();
+			return;
 		}
-		else {
-			this.reactor.delay(pause, this::ask);
-		}
+		long number = this.call;
+		this.reactor.delay(pause, () -> {
+			if (number == this.call) {
+				ask();
+			}
+		});
 	}
 
 	private Duration sinceAsked() {
--- a/daemon/src/test/java/org/brasspier/daemon/internal/mesh/TableFeedTests.java
+++ b/daemon/src/test/java/org/brasspier/daemon/internal/mesh/TableFeedTests.java
@@ -94,6 +94,48 @@
 		assertThat(this.store.reads).hasSize(2);
 	}
 
+	/**
+	 * Guards against calls of the store that grow with the number of daemons.
+	 */
+	@Test
+	void aFeedThatRestsAsksNothing() {
+		startedAndRead();
+		this.feed.rest();
+		this.store.changes.get(0).set(Optional.of(new MetadataStore.Rows(List.of(), 7)));
+		this.health.answered("leases", new MetadataStore.StoreFailedException("no answer"));
+		assertThat(this.store.waits).hasSize(1);
+		assertThat(this.feed.current()).isFalse();
+	}
+
+	/**
+	 * Guards against changes that are missed, or read twice, between resting and asking.
+	 */
+	@Test
+	void aFeedGoesOnFromWhatOtherDaemonsHaveTold() {
+		startedAndRead();
+		this.feed.rest();
+		this.feed.told(5, 8);
+		this.feed.told(9, 12);
+		assertThat(this.feed.version()).isEqualTo(8);
+		this.feed.resume();
+		assertThat(this.store.afters).containsExactly(5L, 8L).inOrder();
+		assertThat(this.store.waits).containsExactly(Duration.ofSeconds(1), Duration.ZERO).inOrder();
+		this.store.changes.get(1).set(Optional.of(new MetadataStore.Rows(List.of(), 9)));
+		assertThat(this.feed.current()).isTrue();
+	}
+
+	/**
+	 * Guards against daemons that rely on a reader whose own calls are not answered.
+	 */
+	@Test
+	void aFeedThatIsNotAnsweredIsNotCurrentAndSaysSo() {
+		List<Boolean> current = new ArrayList<>();
+		this.feed.whenDoubtChanges(() -> current.add(this.feed.current()));
+		startedAndRead();
+		this.store.changes.get(0).setException(new MetadataStore.StoreFailedException("no answer"));
+		assertThat(current).containsExactly(false);
+	}
+
 	private static final class RecordedCalls implements MetadataStore {
 
 		private final List<SettablePromise<Rows>> reads = new ArrayList<>();
@@ -102,6 +144,8 @@
 
 		private final List<Duration> waits = new ArrayList<>();
 
+		private final List<Long> afters = new ArrayList<>();
+
 		@Override
 		public Promise<Rows> read(String table) {
 			this.reads.add(new SettablePromise<>());
@@ -111,6 +155,7 @@
 		@Override
 		public Promise<Optional<Rows>> changes(String table, long after, Duration wait) {
 			this.waits.add(wait);
+			this.afters.add(after);
 			this.changes.add(new SettablePromise<>());
 			return this.changes.get(this.changes.size() - 1);
 		}
