Tell the readers of the store what is written, and keep a key map within a row

Hypothesis: while keys move, each reader's feed is answered five times a second; where whoever writes a row tells the readers, the feed is a safety net and may gather for a second. Found on the way, by counting bytes: a map of 37 holders was 592 spans of some 70 bytes, 41 KB of the 64 KB a row may have, and grew with each busy key that was cut out; a service of 42 holders begins nearer still.

Change: rows written are told to the readers, which pass them on (written in Directory and StoreFollowing); the feed of the daemons' own rows gathers for a second, the configuration's for 200 ms as before. A span's row is a list without its end (18 to 70 bytes), read in the earlier form too; a service begins with at most 256 spans and is never cut into more than 1,000. StoredRowsTests: the largest map fits a row; rows that make no sense name nothing.

--- a/core/src/main/java/org/brasspier/core/keys/KeyBalance.java
+++ b/core/src/main/java/org/brasspier/core/keys/KeyBalance.java
@@ -67,7 +67,9 @@
 		}
 		Round round = new Round(map, loads);
 		Map<KeySpan, InstanceId> moves = new HashMap<>();
-		while (moves.size() < MOST_MOVES) {
+		// A piece that is cut out of a span leaves two in its place.
+		int room = Math.min(MOST_MOVES, (KeyMap.MOST_SPANS - map.holdings().size()) / 2);
+		while (moves.size() < room) {
 			Optional<Move> move = round.next();
 			if (move.isEmpty()) {
 				break;
--- a/core/src/main/java/org/brasspier/core/keys/KeyMap.java
+++ b/core/src/main/java/org/brasspier/core/keys/KeyMap.java
@@ -31,6 +31,15 @@
 	 */
 	static final int SPANS_EACH = 16;
 
+	/**
+	 * Spans of a service to begin with. With many holders they are narrow anyway, and
+	 * every change of the map is passed on whole.
+	 */
+	static final int FIRST_SPANS = 256;
+
+	/** So many fit a row of the store, each with all that can be said of it. */
+	static final int MOST_SPANS = 1000;
+
 	private final List<KeyHolding> holdings;
 
 	private final long nextFence;
@@ -67,7 +76,7 @@
 	 * @return the map
 	 */
 	public static KeyMap first(List<KeyHolder> holders) {
-		int count = holders.size() * SPANS_EACH;
+		int count = holders.size() * Math.clamp(FIRST_SPANS / holders.size(), 1, SPANS_EACH);
 		long keys = KeySpan.LAST_KEY + 1L;
 		List<KeyHolding> dealt = IntStream.range(0, count).mapToObj((i) -> {
 			KeySpan span = new KeySpan((int) (keys * i / count), (int) (keys * (i + 1) / count - 1));
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/Directory.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/Directory.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Consumer;
 import java.util.stream.Stream;
 
 import io.vavr.control.Either;
@@ -35,6 +36,9 @@
 	private Runnable taken = () -> {
 	};
 
+	private Consumer<MetadataStore.Row> written = (row) -> {
+	};
+
 	private boolean known;
 
 	Directory(MeshLog log) {
@@ -46,6 +50,20 @@
 		this.listeners.add(listener);
 	}
 
+	// Called after this daemon has written a row.
+	void whenWritten(Consumer<MetadataStore.Row> listener) {
+		this.written = listener;
+	}
+
+	/**
+	 * Takes a row over that this daemon has written.
+	 * @param row the row as it is now
+	 */
+	void written(MetadataStore.Row row) {
+		take(new MetadataStore.Rows(List.of(row), row.version()), false);
+		this.written.accept(row);
+	}
+
 	// Called after rows were taken over, wherever they came from.
 	void whenTaken(Runnable listener) {
 		this.taken = listener;
@@ -107,14 +125,7 @@
 		learnt(new ServiceName(service), read.get(), row);
 	}
 
-	/**
-	 * Takes a map over that this daemon read or wrote itself, unless a newer one is
-	 * known.
-	 * @param service the service
-	 * @param map who holds what
-	 * @param row the row that the map was read from or written to
-	 */
-	void learnt(ServiceName service, KeyMap map, MetadataStore.Row row) {
+	private void learnt(ServiceName service, KeyMap map, MetadataStore.Row row) {
 		Entry<KeyMap> before = this.keys.get(service);
 		if (before == null || before.version() < row.version()) {
 			this.keys.put(service, new Entry<>(map, row));
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/KeyMapWriter.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/KeyMapWriter.java
@@ -113,7 +113,7 @@
 				Optional<KeyMap> before = this.directory.keys(this.service);
 				MetadataStore.Row row = new MetadataStore.Row(StoredRows.KEYS_PREFIX + this.service.value(),
 						Optional.of(written), version);
-				this.directory.learnt(this.service, map, row);
+				this.directory.written(row);
 				tell(map.concerned(before), row);
 				this.log.record(MeshEvent.KEYS_MOVED, "service", this.service, "why", why, "version", version,
 						"next_fence", map.nextFence(), "own", map.of(this.self).size());
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/MemberWriter.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/MemberWriter.java
@@ -93,8 +93,7 @@
 	private void written(Member own, String key, byte[] value, CommitResult result) {
 		switch (result) {
 			case CommitResult.Done(long version) -> {
-				this.directory.take(new MetadataStore.Rows(
-						List.of(new MetadataStore.Row(key, Optional.of(value), version)), version), false);
+				this.directory.written(new MetadataStore.Row(key, Optional.of(value), version));
 				look();
 			}
 			// The feed tells what is there; the next look goes on from that.
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/SharedRows.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/SharedRows.java
@@ -19,6 +19,9 @@
 
 	private final MeshLog log;
 
+	private Runnable told = () -> {
+	};
+
 	private Runnable configBehind = () -> {
 	};
 
@@ -37,6 +40,11 @@
 		this.meshBehind = mesh;
 	}
 
+	// Called after another daemon has told something new.
+	void whenTold(Runnable listener) {
+		this.told = listener;
+	}
+
 	KnownRows known() {
 		return new KnownRows(this.config.rowVersion(), this.directory.version());
 	}
@@ -76,6 +84,9 @@
 		if (known().mesh() > before.mesh()) {
 			this.meshBehind.run();
 		}
+		if (!known().equals(before)) {
+			this.told.run();
+		}
 	}
 
 }
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/StoreFollowing.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/StoreFollowing.java
@@ -27,6 +27,15 @@
 
 	private static final String OTHER_UNANSWERED = "the store no longer answers another daemon";
 
+	/** Configurations are rare, and have to be in force soon. */
+	private static final Duration CONFIG_GATHER = Duration.ofMillis(200);
+
+	/**
+	 * Rows of the daemons change in groups, as when instances start or keys move, and
+	 * whoever writes one tells the daemons that read for the others.
+	 */
+	private static final Duration MESH_GATHER = Duration.ofSeconds(1);
+
 	private static final Duration STEP = Duration.ofMillis(200);
 
 	private static final long ASK_EVERY_NANOS = FollowedReaders.ASK_EVERY.toNanos();
@@ -64,16 +73,19 @@
 		this.directory = directory;
 		this.hops = hops;
 		this.rows = rows;
-		this.configFeed = new TableFeed(reactor, adapter.store(), adapter.config().table(), this::nextWait, health, log,
+		this.configFeed = new TableFeed(reactor, adapter.store(), adapter.config().table(), CONFIG_GATHER,
+				this::nextWait, health, log,
 				(read, whole) -> taken(read, () -> config.take(read, ConfigHolder.Origin.STORE)));
-		this.meshFeed = new TableFeed(reactor, adapter.store(), StoredRows.MESH, this::nextWait, health, log,
-				(read, whole) -> taken(read, () -> directory.take(read, whole)));
+		this.meshFeed = new TableFeed(reactor, adapter.store(), StoredRows.MESH, MESH_GATHER, this::nextWait, health,
+				log, (read, whole) -> taken(read, () -> directory.take(read, whole)));
 		this.followers = new RowFollowers(reactor, this::lacking);
 		this.readers = new FollowedReaders(settings.instance());
 		this.log = log;
 		this.choice = ReaderChoice.of(this.self, List.of());
 		this.configFeed.whenDoubtChanges(this.followers::changed);
 		this.meshFeed.whenDoubtChanges(this.followers::changed);
+		directory.whenWritten(this::written);
+		rows.whenTold(this.followers::changed);
 		rows.whenBehind(() -> this.configFeed.overtaken(TOLD_BY_PEER), () -> this.meshFeed.overtaken(TOLD_BY_PEER));
 	}
 
@@ -114,6 +126,17 @@
 		return new KnownRows(Math.max(0, this.configFeed.version()), Math.max(0, this.meshFeed.version()));
 	}
 
+	// Those that read for the others know at once and pass it on.
+	private void written(MetadataStore.Row row) {
+		HopMessage.RowsTold told = new HopMessage.RowsTold(List.of(), List.of(row));
+		this.choice.readers()
+			.stream()
+			.filter((reader) -> !reader.equals(this.self.instance()))
+			.flatMap((reader) -> this.directory.member(reader).stream())
+			.forEach((reader) -> this.hops.tell(reader, told));
+		this.followers.changed();
+	}
+
 	private HopMessage.RowsPassed lacking(KnownRows known) {
 		boolean current = this.configFeed.current() && this.meshFeed.current();
 		return new HopMessage.RowsPassed(known, complete(), current, this.rows.lacking(known));
@@ -152,7 +175,6 @@
 	}
 
 	private void take(InstanceId reader, HopMessage.RowsPassed passed) {
-		KnownRows before = this.rows.known();
 		this.rows.takeRows(passed.rows());
 		this.configFeed.told(passed.after().config(), passed.upTo().config());
 		this.meshFeed.told(passed.after().mesh(), passed.upTo().mesh());
@@ -160,9 +182,6 @@
 			this.configFeed.doubt(OTHER_UNANSWERED);
 			this.meshFeed.doubt(OTHER_UNANSWERED);
 		}
-		if (!this.rows.known().equals(before)) {
-			this.followers.changed();
-		}
 	}
 
 	private void decide(long now) {
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/StoredRows.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/StoredRows.java
@@ -9,7 +9,11 @@
 import java.util.Optional;
 
 import com.google.gson.Gson;
+import com.google.gson.JsonArray;
+import com.google.gson.JsonElement;
+import com.google.gson.JsonObject;
 import com.google.gson.JsonParseException;
+import com.google.gson.JsonParser;
 import io.vavr.control.Either;
 import org.brasspier.core.ErrorKind;
 import org.brasspier.core.Failure;
@@ -43,6 +47,12 @@
 
 	private static final int HEXADECIMAL = 16;
 
+	/** Where a span's row has what was handed over, if anything follows the fence. */
+	private static final int HANDOVER = 3;
+
+	/** Where a span's row has who is next. */
+	private static final int NEXT = 4;
+
 	private static final Gson GSON = new Gson();
 
 	private StoredRows() {
@@ -74,31 +84,60 @@
 		List<HolderRow> holderRows = holders.stream()
 			.map((holder) -> new HolderRow(holder.instance().value(), holder.life().id(), holder.life().bornMillis()))
 			.toList();
-		List<SpanRow> spans = map.holdings()
+		List<List<Object>> spans = map.holdings()
 			.stream()
-			.map((held) -> new SpanRow(held.span().from(), held.span().to(),
-					holders.indexOf(new KeyHolder(held.owner(), held.life())), held.fence().value(),
-					held.handover().isEmpty() ? null : held.handover(),
-					held.next().map(InstanceId::value).orElse(null)))
+			.map((held) -> span(held, holders.indexOf(new KeyHolder(held.owner(), held.life()))))
 			.toList();
 		return bytes(new KeysRow(map.nextFence(), holderRows, spans));
 	}
 
+	// [first key, holder, fence], then what was handed over and who is next where there
+	// is any: a map of many spans has to fit a row. Spans follow one another without
+	// gaps.
+	private static List<Object> span(KeyHolding held, int holder) {
+		List<Object> row = new ArrayList<>(List.of(held.span().from(), holder, held.fence().value()));
+		if (!held.handover().isEmpty() || held.next().isPresent()) {
+			row.add(held.handover());
+		}
+		held.next().ifPresent((next) -> row.add(next.value()));
+		return row;
+	}
+
 	static Either<Failure, KeyMap> keys(byte[] value) {
 		return read(() -> {
-			KeysRow row = GSON.fromJson(new String(value, StandardCharsets.UTF_8), KeysRow.class);
+			JsonObject row = JsonParser.parseString(new String(value, StandardCharsets.UTF_8)).getAsJsonObject();
+			List<KeyHolder> holders = row.getAsJsonArray("holders")
+				.asList()
+				.stream()
+				.map((holder) -> GSON.fromJson(holder, HolderRow.class))
+				.map((holder) -> new KeyHolder(new InstanceId(holder.instance()),
+						new BackendLife(holder.backend(), holder.born())))
+				.toList();
+			List<JsonElement> spans = row.getAsJsonArray("spans").asList();
 			List<KeyHolding> holdings = new ArrayList<>();
-			for (SpanRow span : row.spans()) {
-				HolderRow holder = row.holders().get(span.holder());
-				holdings.add(new KeyHolding(new KeySpan(span.from(), span.to()), new InstanceId(holder.instance()),
-						new BackendLife(holder.backend(), holder.born()), new Fence(span.fence()),
-						Optional.ofNullable(span.handover()).orElse(""),
-						Optional.ofNullable(span.next()).map(InstanceId::new)));
+			int end = KeySpan.LAST_KEY + 1;
+			for (JsonElement span : spans.reversed()) {
+				SpanRow read = spanRow(span);
+				KeyHolder holder = holders.get(read.holder());
+				holdings.add(new KeyHolding(new KeySpan(read.from(), end - 1), holder.instance(), holder.life(),
+						new Fence(read.fence()), Optional.ofNullable(read.handover()).orElse(""),
+						Optional.ofNullable(read.next()).map(InstanceId::new)));
+				end = read.from();
 			}
-			return new KeyMap(holdings, row.next());
+			return new KeyMap(holdings, row.get("next").getAsLong());
 		});
 	}
 
+	// Daemons of an earlier build wrote objects.
+	private static SpanRow spanRow(JsonElement span) {
+		if (span instanceof JsonArray row) {
+			String handover = (row.size() > HANDOVER) ? row.get(HANDOVER).getAsString() : null;
+			String next = (row.size() > NEXT) ? row.get(NEXT).getAsString() : null;
+			return new SpanRow(row.get(0).getAsInt(), row.get(1).getAsInt(), row.get(2).getAsLong(), handover, next);
+		}
+		return GSON.fromJson(span, SpanRow.class);
+	}
+
 	static byte[] lease(ServiceName service, Optional<Deputy> deputy) {
 		return bytes(new LeaseText(service.value(), deputy.map((each) -> each.instance().value()).orElse(null),
 				deputy.map((each) -> Long.toHexString(each.process())).orElse(null), null));
@@ -126,8 +165,8 @@
 		try {
 			return Either.right(reading.read());
 		}
-		catch (JsonParseException | IllegalArgumentException | NullPointerException | IndexOutOfBoundsException
-				| UnknownHostException ex) {
+		catch (JsonParseException | IllegalArgumentException | IllegalStateException | UnsupportedOperationException
+				| ClassCastException | NullPointerException | IndexOutOfBoundsException | UnknownHostException ex) {
 			return Either.left(Failure.of(ErrorKind.STATE_UNREADABLE, "a row of the store can't be read: " + ex));
 		}
 	}
@@ -160,10 +199,10 @@
 	private record HolderRow(String instance, String backend, long born) {
 	}
 
-	private record SpanRow(int from, int to, int holder, long fence, @Nullable String handover, @Nullable String next) {
+	private record SpanRow(int from, int holder, long fence, @Nullable String handover, @Nullable String next) {
 	}
 
-	private record KeysRow(long next, List<HolderRow> holders, List<SpanRow> spans) {
+	private record KeysRow(long next, List<HolderRow> holders, List<List<Object>> spans) {
 	}
 
 }
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/TableFeed.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/TableFeed.java
@@ -15,13 +15,6 @@
  */
 final class TableFeed {
 
-	/**
-	 * How long changes are left to gather in the store. Rows change in groups, as when
-	 * instances start or keys move, and a call for each change is one for each instance.
-	 * Who must act on a change at once is told by whoever made it.
-	 */
-	private static final Duration GATHER = Duration.ofMillis(200);
-
 	/**
 	 * How long after another daemon has told a change the store may take to tell it too:
 	 * changes gather, and a slow store takes some hundred milliseconds.
@@ -34,6 +27,8 @@
 
 	private final String table;
 
+	private final Duration gather;
+
 	private final Function<FeedPace, Duration> nextWait;
 
 	private final Receiver receiver;
@@ -60,11 +55,23 @@
 
 	private long askedNanos;
 
-	TableFeed(NioReactor reactor, MetadataStore store, String table, Function<FeedPace, Duration> nextWait,
-			StoreHealth health, MeshLog log, Receiver receiver) {
+	/**
+	 * Creates a feed that has not asked yet.
+	 * @param reactor the reactor of the thread of requests
+	 * @param store the store
+	 * @param table the table
+	 * @param gather how long changes are left to gather in the store after one was told
+	 * @param nextWait how long the store may hold back the next answer
+	 * @param health is told of each answer
+	 * @param log the log
+	 * @param receiver takes what the store tells
+	 */
+	TableFeed(NioReactor reactor, MetadataStore store, String table, Duration gather,
+			Function<FeedPace, Duration> nextWait, StoreHealth health, MeshLog log, Receiver receiver) {
 		this.reactor = reactor;
 		this.store = store;
 		this.table = table;
+		this.gather = gather;
 		this.nextWait = nextWait;
 		this.health = health;
 		this.log = log;
@@ -182,7 +189,7 @@
 			this.pace.answered(changed);
 			take(rows, whole);
 			noteDoubt(doubted);
-			later((changed && !whole) ? GATHER : Duration.ZERO);
+			later((changed && !whole) ? this.gather : Duration.ZERO);
 		}
 		this.health.answered(this.table, failure);
 	}
--- /dev/null
+++ b/daemon/src/test/java/org/brasspier/daemon/internal/mesh/StoredRowsTests.java
@@ -0,0 +1,90 @@
+package org.brasspier.daemon.internal.mesh;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Optional;
+import java.util.stream.IntStream;
+
+import org.brasspier.core.Fence;
+import org.brasspier.core.InstanceId;
+import org.brasspier.core.keys.BackendLife;
+import org.brasspier.core.keys.KeyHolder;
+import org.brasspier.core.keys.KeyHolding;
+import org.brasspier.core.keys.KeyMap;
+import org.brasspier.core.keys.KeySpan;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import static com.google.common.truth.Truth.assertThat;
+
+class StoredRowsTests {
+
+	private static final int ROW_BYTES = 65536;
+
+	private static final int MOST_SPANS = 1000;
+
+	private static final BackendLife LIFE = new BackendLife("i-7f3a91c2aa", 1_768_037_294_514L);
+
+	// All that can be said of a span, as long as it can be.
+	private static KeyMap largest() {
+		List<KeyHolding> holdings = IntStream.range(0, MOST_SPANS).mapToObj((i) -> {
+			int from = (int) ((KeySpan.LAST_KEY + 1L) * i / MOST_SPANS);
+			int to = (int) ((KeySpan.LAST_KEY + 1L) * (i + 1) / MOST_SPANS - 1);
+			return new KeyHolding(new KeySpan(from, to), new InstanceId("sidecar-sault-ste-marie-" + i % 42), LIFE,
+					new Fence(900_000 + i), "5c0e7a21d94b36f8",
+					(i % 20 == 0) ? Optional.of(new InstanceId("sidecar-sault-ste-marie-1")) : Optional.empty());
+		}).toList();
+		return new KeyMap(holdings, 1_000_000);
+	}
+
+	/**
+	 * Guards against a map that the store refuses for its size: no key could move any
+	 * more.
+	 */
+	@Test
+	void theLargestMapFitsARowOfTheStore() {
+		assertThat(StoredRows.keys(largest()).length).isAtMost(ROW_BYTES);
+	}
+
+	@Test
+	void aMapIsReadAsItWasWritten() {
+		KeyMap map = largest();
+		KeyMap read = StoredRows.keys(StoredRows.keys(map)).get();
+		assertThat(read.holdings()).isEqualTo(map.holdings());
+		assertThat(read.nextFence()).isEqualTo(map.nextFence());
+		KeyMap first = KeyMap.first(List.of(new KeyHolder(new InstanceId("a"), LIFE)));
+		assertThat(StoredRows.keys(StoredRows.keys(first)).get().holdings()).isEqualTo(first.holdings());
+	}
+
+	/**
+	 * Guards against daemons that lose the map while a deployment is brought to this
+	 * build.
+	 */
+	@Test
+	void aMapOfAnEarlierBuildIsRead() {
+		String row = """
+				{"next":9,"holders":[{"instance":"a","backend":"i","born":1},{"instance":"b","backend":"j","born":2}],
+				"spans":[{"from":0,"to":99,"holder":1,"fence":3,"handover":"token","next":"a"},
+				{"from":100,"to":65535,"holder":0,"fence":8}]}""";
+		KeyMap read = StoredRows.keys(row.getBytes(StandardCharsets.UTF_8)).get();
+		assertThat(read.holding(99).owner()).isEqualTo(new InstanceId("b"));
+		assertThat(read.holding(99).next()).isEqualTo(Optional.of(new InstanceId("a")));
+		assertThat(read.holding(100).fence()).isEqualTo(new Fence(8));
+	}
+
+	/**
+	 * Guards against a row of another writer that ends the feed with an exception.
+	 */
+	@ParameterizedTest
+	@ValueSource(strings = { "", "[]", "{}", "{\"next\":1,\"holders\":[],\"spans\":[[0,0,0]]}",
+			"{\"next\":1,\"holders\":[null],\"spans\":[[0,0,0]]}", "{\"next\":null,\"holders\":[],\"spans\":[]}",
+			"{\"next\":1,\"holders\":{},\"spans\":7}",
+			"{\"next\":5,\"holders\":[{\"instance\":\"a\",\"backend\":\"i\",\"born\":1}],\"spans\":[[0]]}",
+			"{\"next\":5,\"holders\":[{\"instance\":\"a\",\"backend\":\"i\",\"born\":1}],\"spans\":[[9,0,1]]}",
+			"{\"next\":5,\"holders\":[{\"instance\":\"a\",\"backend\":\"i\",\"born\":1}],\"spans\":[\"x\"]}" })
+	void aRowThatMakesNoSenseNamesNoMap(String row) {
+		assertThat(StoredRows.keys(row.getBytes(StandardCharsets.UTF_8)).isLeft()).isTrue();
+	}
+
+}
--- a/daemon/src/test/java/org/brasspier/daemon/internal/mesh/TableFeedTests.java
+++ b/daemon/src/test/java/org/brasspier/daemon/internal/mesh/TableFeedTests.java
@@ -32,8 +32,8 @@
 
 	private final List<Long> taken = new ArrayList<>();
 
-	private final TableFeed feed = new TableFeed(this.loop, this.store, "table", (pace) -> pace.nextWait(0, 1),
-			this.health, this.log, (rows, whole) -> this.taken.add(rows.version()));
+	private final TableFeed feed = new TableFeed(this.loop, this.store, "table", Duration.ofMillis(200),
+			(pace) -> pace.nextWait(0, 1), this.health, this.log, (rows, whole) -> this.taken.add(rows.version()));
 
 	private void startedAndRead() {
 		this.feed.start();
