Look at the leases through one daemon of a service

Hypothesis: each holder of keys reads all leases each two seconds, so reads grow with holders and bytes with their square. What is shown may be old: whoever acts on it names the versions that it saw, and a renewal since makes its write fail.

Change: holders ask the instance of their service with the lowest name, which plans and has to look anyway (LeaseLooks); it reads the table at most each 1.5 s for all of them, each 0.4 s while a lease may have ended. Whoever gets no answer reads the store itself, and so does a holder that does not know its own row. Answers by number on a link are kept in one class (Awaited).

--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopClient.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopClient.java
@@ -72,6 +72,17 @@
 		return peer.link.askPromise(holder, rowVersion).whenResult(() -> note(peer));
 	}
 
+	/**
+	 * Asks another daemon what the store shows of the leases.
+	 * @param member the other instance
+	 * @param oldest how old the answer may be
+	 * @return its answer; empty if none came
+	 */
+	Promise<Optional<HopMessage.LeasesTold>> askLeases(Member member, Duration oldest) {
+		Peer peer = peer(member);
+		return peer.link.askLeases(oldest).whenResult(() -> note(peer));
+	}
+
 	/**
 	 * Asks another daemon for what the store tells it, now and for a while.
 	 * @param member the other instance
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopCodec.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopCodec.java
@@ -64,6 +64,10 @@
 
 	private static final int ROWS_PASSED = 18;
 
+	private static final int LEASES_ASKED = 19;
+
+	private static final int LEASES_TOLD = 20;
+
 	private static final double MILLI = 1000;
 
 	private static final int NO_KEY = -1;
@@ -93,6 +97,10 @@
 				known(frame.number(ROWS_FOLLOWED), known).flag(reads);
 			case HopMessage.RowsPassed(KnownRows after, KnownRows upTo, boolean current, HopMessage.RowsTold rows) ->
 				told(known(known(frame.number(ROWS_PASSED), after), upTo).flag(current), rows);
+			case HopMessage.LeasesAsked(long exchange, int oldestMillis) ->
+				frame.number(LEASES_ASKED).number(exchange).number(oldestMillis);
+			case HopMessage.LeasesTold(long exchange, var leases) ->
+				rows(frame.number(LEASES_TOLD).number(exchange).flag(leases.isPresent()), leases.orElse(List.of()));
 			case HopMessage.Ping ignored -> frame.number(PING);
 			case HopMessage.Pong ignored -> frame.number(PONG);
 			case HopMessage.Leaving ignored -> frame.number(LEAVING);
@@ -160,6 +168,8 @@
 			case ROWS_TOLD -> told(frame);
 			case ROWS_FOLLOWED -> new HopMessage.RowsFollowed(known(frame), frame.flag());
 			case ROWS_PASSED -> new HopMessage.RowsPassed(known(frame), known(frame), frame.flag(), told(frame));
+			case LEASES_ASKED -> new HopMessage.LeasesAsked(frame.number(), frame.small());
+			case LEASES_TOLD -> leasesTold(frame);
 			case PING -> new HopMessage.Ping();
 			case PONG -> new HopMessage.Pong();
 			case LEAVING -> new HopMessage.Leaving();
@@ -193,6 +203,13 @@
 		return frame;
 	}
 
+	private static HopMessage.LeasesTold leasesTold(FrameReader frame) throws WireException {
+		long exchange = frame.number();
+		boolean answered = frame.flag();
+		List<MetadataStore.Row> rows = frame.list(HopCodec::row);
+		return new HopMessage.LeasesTold(exchange, answered ? Optional.of(rows) : Optional.empty());
+	}
+
 	private static MetadataStore.Row row(FrameReader frame) throws WireException {
 		String key = frame.text();
 		long version = frame.number();
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopLink.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopLink.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
+import java.util.function.LongFunction;
 
 import io.activej.net.socket.tcp.TcpSocket;
 import io.activej.promise.Promise;
@@ -74,7 +75,9 @@
 
 	private final Map<Long, SettablePromise<SendOutcome>> waiting = new HashMap<>();
 
-	private final Map<Long, SettablePromise<Optional<HopMessage.Promised>>> promises = new HashMap<>();
+	private final Awaited<HopMessage.Promised> promises = new Awaited<>();
+
+	private final Awaited<HopMessage.LeasesTold> leases = new Awaited<>();
 
 	private final List<SettablePromise<Boolean>> probes = new ArrayList<>();
 
@@ -163,18 +166,29 @@
 	 * @return its answer; empty if none came
 	 */
 	Promise<Optional<HopMessage.Promised>> askPromise(InstanceId holder, long rowVersion) {
-		SettablePromise<Optional<HopMessage.Promised>> answer = new SettablePromise<>();
-		this.connection.whenComplete((ready, ex) -> {
+		return ask(this.promises, (exchange) -> new HopMessage.PromiseAsked(exchange, holder, rowVersion));
+	}
+
+	/**
+	 * Asks the other daemon what the store shows of the leases.
+	 * @param oldest how old the answer may be
+	 * @return its answer; empty if none came
+	 */
+	Promise<Optional<HopMessage.LeasesTold>> askLeases(Duration oldest) {
+		return ask(this.leases, (exchange) -> new HopMessage.LeasesAsked(exchange, (int) oldest.toMillis()));
+	}
+
+	private <T> Promise<Optional<T>> ask(Awaited<T> answers, LongFunction<HopMessage> question) {
+		return this.connection.then((ready, ex) -> {
 			if (ex != null || this.closed) {
-				answer.set(Optional.empty());
-				return;
+				return Promise.of(Optional.empty());
 			}
 			long exchange = begin();
-			this.promises.put(exchange, answer);
-			ready.send(HopCodec.encode(new HopMessage.PromiseAsked(exchange, holder, rowVersion)));
+			Promise<Optional<T>> answer = answers.begin(exchange);
+			ready.send(HopCodec.encode(question.apply(exchange)));
 			keepPinging();
+			return answer;
 		});
-		return answer;
 	}
 
 	/**
@@ -303,7 +317,8 @@
 		endProbes(true);
 		switch (HopCodec.decode(frame)) {
 			case HopMessage.Replied(long exchange, SendOutcome outcome) -> settle(exchange, outcome);
-			case HopMessage.Promised promised -> settle(promised);
+			case HopMessage.Promised promised -> this.promises.settle(promised.exchange(), promised);
+			case HopMessage.LeasesTold told -> this.leases.settle(told.exchange(), told);
 			case HopMessage.Known(KnownRows known) -> compare(known);
 			case HopMessage.RowsTold told -> this.rows.take(told);
 			case HopMessage.RowsPassed passed -> passed(passed);
@@ -318,6 +333,7 @@
 			case HopMessage.Load ignored -> throw wrongSide();
 			case HopMessage.RowsAsked ignored -> throw wrongSide();
 			case HopMessage.RowsFollowed ignored -> throw wrongSide();
+			case HopMessage.LeasesAsked ignored -> throw wrongSide();
 			case HopMessage.PromiseAsked ignored -> throw wrongSide();
 			case HopMessage.PromiseReleased ignored -> throw wrongSide();
 		}
@@ -345,20 +361,12 @@
 		}
 	}
 
-	private void settle(HopMessage.Promised promised) {
-		SettablePromise<Optional<HopMessage.Promised>> answer = this.promises.remove(promised.exchange());
-		if (answer != null) {
-			answer.set(Optional.of(promised));
-		}
-	}
-
 	private void lost(Exception reason) {
 		this.closed = true;
 		endProbes(false);
 		endFollows(Optional.empty());
-		List<SettablePromise<Optional<HopMessage.Promised>>> unanswered = List.copyOf(this.promises.values());
-		this.promises.clear();
-		unanswered.forEach((answer) -> answer.set(Optional.empty()));
+		this.promises.lost();
+		this.leases.lost();
 		SendOutcome outcome = new SendOutcome.Unknown(Failure.of(ErrorKind.OUTCOME_UNKNOWN,
 				"the connection to the other daemon broke: " + reason.getMessage()));
 		List<SettablePromise<SendOutcome>> all = List.copyOf(this.waiting.values());
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopMessage.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopMessage.java
@@ -1,6 +1,7 @@
 package org.brasspier.daemon.internal.mesh;
 
 import java.util.List;
+import java.util.Optional;
 
 import org.brasspier.core.InstanceId;
 import org.brasspier.core.keys.HolderLoad;
@@ -141,6 +142,24 @@
 
 	}
 
+	/**
+	 * The sender wants to know what the store shows of the leases.
+	 *
+	 * @param exchange the number under which it is answered
+	 * @param oldestMillis how old the answer may be, in milliseconds
+	 */
+	record LeasesAsked(long exchange, int oldestMillis) implements HopMessage {
+	}
+
+	/**
+	 * The answer to that.
+	 *
+	 * @param exchange the number
+	 * @param rows the leases' rows; empty if the store did not answer
+	 */
+	record LeasesTold(long exchange, Optional<List<MetadataStore.Row>> rows) implements HopMessage {
+	}
+
 	/** Asks whether the receiver still hears. */
 	record Ping() implements HopMessage {
 	}
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopServer.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopServer.java
@@ -142,6 +142,7 @@
 				case HopMessage.Ping ignored -> send(new HopMessage.Pong());
 				case HopMessage.Load(var load) -> HopServer.this.keys.reported(load);
 				case HopMessage.PromiseAsked asked -> send(HopServer.this.keys.promise(asked));
+				case HopMessage.LeasesAsked asked -> HopServer.this.keys.leases(asked).whenResult(this::send);
 				case HopMessage.PromiseReleased(var holder) -> HopServer.this.keys.released(holder);
 				case HopMessage.RowsFollowed asked -> HopServer.this.followers.followed(this, asked, this::send);
 				case HopMessage.Replied ignored -> throw wrongSide();
@@ -149,6 +150,7 @@
 				case HopMessage.RowsTold told -> HopServer.this.rows.take(told);
 				case HopMessage.Known ignored -> throw wrongSide();
 				case HopMessage.RowsPassed ignored -> throw wrongSide();
+				case HopMessage.LeasesTold ignored -> throw wrongSide();
 				case HopMessage.Promised ignored -> throw wrongSide();
 				case HopMessage.Pong ignored -> throw wrongSide();
 				case HopMessage.Leaving ignored -> throw wrongSide();
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/KeyOwnership.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/KeyOwnership.java
@@ -9,6 +9,7 @@
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
 
+import io.activej.promise.Promise;
 import io.activej.reactor.nio.NioReactor;
 import org.brasspier.core.InstanceId;
 import org.brasspier.core.ServiceName;
@@ -54,6 +55,8 @@
 
 	private final GrantBook book;
 
+	private final LeaseLooks looks;
+
 	private final LeaseRenewal lease;
 
 	private final KeyMapWriter writer;
@@ -81,7 +84,8 @@
 		long now = clock.getAsLong();
 		LeaseTiming timing = LeaseTiming.DEFAULT.holdingAtMost(settings.bounds().maxHold());
 		this.book = new GrantBook(this.self, timing, now);
-		this.lease = new LeaseRenewal(reactor, settings, directory, store, hops, health, log, clock, timing,
+		this.looks = new LeaseLooks(settings, directory, store, hops, health);
+		this.lease = new LeaseRenewal(reactor, settings, directory, store, this.looks, hops, health, log, clock, timing,
 				this::step);
 		this.writer = new KeyMapWriter(reactor, this.self, this.service, directory, store, hops, health, log, clock,
 				this::step);
@@ -234,6 +238,15 @@
 		return this.lease.promise(asked, this.planning.able());
 	}
 
+	/**
+	 * Answers another instance that asks what the store shows of the leases.
+	 * @param asked its question
+	 * @return the answer; never fails
+	 */
+	Promise<HopMessage> leases(HopMessage.LeasesAsked asked) {
+		return this.looks.answer(asked);
+	}
+
 	/**
 	 * Takes that a holder grants nothing any more.
 	 * @param holder the holder
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/LeaseRenewal.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/LeaseRenewal.java
@@ -9,6 +9,7 @@
 import java.util.function.LongSupplier;
 import java.util.stream.Collectors;
 
+import io.activej.promise.Promise;
 import io.activej.reactor.nio.NioReactor;
 import io.vavr.control.Either;
 import org.brasspier.core.Failure;
@@ -35,8 +36,7 @@
 final class LeaseRenewal {
 
 	/**
-	 * How often leases are looked at while all are renewed: as often as that is due. One
-	 * call a look, by each holder.
+	 * How often leases are looked at while all are renewed: as often as that is due.
 	 */
 	private static final long LOOK_EVERY_NANOS = Duration.ofSeconds(2).toNanos();
 
@@ -46,6 +46,13 @@
 	 */
 	private static final long LOOK_CLOSELY_NANOS = Duration.ofMillis(500).toNanos();
 
+	/**
+	 * How old a look may be, as a share of the time between two: then one daemon's serves
+	 * all that look in turn, and no renewal is overlooked for longer than a look and a
+	 * half.
+	 */
+	private static final double OLDEST_SHARE = 0.75;
+
 	/**
 	 * Until a renewal that failed is sent again: an answer that was lost leaves the lease
 	 * a renewal shorter.
@@ -65,6 +72,8 @@
 
 	private final MetadataStore store;
 
+	private final LeaseLooks looks;
+
 	private final StoreHealth health;
 
 	private final MeshLog log;
@@ -101,13 +110,14 @@
 
 	private long lookedNanos;
 
-	LeaseRenewal(NioReactor reactor, MeshSettings settings, Directory directory, MetadataStore store, HopClient hops,
-			StoreHealth health, MeshLog log, LongSupplier clock, LeaseTiming timing, Runnable mapRead) {
+	LeaseRenewal(NioReactor reactor, MeshSettings settings, Directory directory, MetadataStore store, LeaseLooks looks,
+			HopClient hops, StoreHealth health, MeshLog log, LongSupplier clock, LeaseTiming timing, Runnable mapRead) {
 		this.reactor = reactor;
 		this.self = settings.instance();
 		this.service = settings.backend().service();
 		this.directory = directory;
 		this.store = store;
+		this.looks = looks;
 		this.health = health;
 		this.log = log;
 		this.clock = clock;
@@ -205,7 +215,7 @@
 		note(now);
 		long lookEvery = this.watch.suspicious(holders, now) ? LOOK_CLOSELY_NANOS : LOOK_EVERY_NANOS;
 		if (!this.looking && now - this.lookedNanos >= lookEvery) {
-			look(now);
+			look(now, lookEvery);
 		}
 		if (!this.rowKnown) {
 			return;
@@ -243,12 +253,14 @@
 		}
 	}
 
-	private void look(long now) {
+	// What the own row's version is only the store can say, after it was written last.
+	private void look(long now, long every) {
 		this.looking = true;
 		this.lookedNanos = now;
-		this.store.read(StoredRows.LEASES).whenComplete((rows, ex) -> {
+		Promise<MetadataStore.Rows> shown = this.rowKnown
+				? this.looks.look(Duration.ofNanos((long) (every * OLDEST_SHARE))) : this.looks.read(Duration.ZERO);
+		shown.whenComplete((rows, ex) -> {
 			this.looking = false;
-			this.health.answered(StoredRows.LEASES, ex);
 			if (ex == null) {
 				looked(rows);
 			}
@@ -337,7 +349,7 @@
 		this.mapTrusted = false;
 		long now = this.clock.getAsLong();
 		note(now);
-		look(now);
+		look(now, LOOK_EVERY_NANOS);
 	}
 
 	private void failed(String reason) {
