Ask at once where a feed is doubted while changes gather

Logs: the readers doubted their feeds one after the other, "the store no longer answers another daemon", and none was cut off.

Cause: a feed that was told a change by another daemon looks 600 ms later whether the store has told it too. By then it had, and changes were gathering; the look compared only the call's number, doubted the feed, and a feed that does not ask stayed in doubt for up to a second.

Change: a feed that was answered is not doubted, and one that is doubted while changes gather asks at once. TableFeedTests: two red without it.

Also: while a daemon of an earlier build is known, key maps are written in the form that it reads.

--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/KeyMapWriter.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/KeyMapWriter.java
@@ -95,7 +95,7 @@
 		List<Expected> expected = new ArrayList<>();
 		List<Put> puts = new ArrayList<>();
 		expected.add(new Expected(StoredRows.MESH, key, this.directory.keysVersion(this.service)));
-		byte[] value = StoredRows.keys(map);
+		byte[] value = StoredRows.keys(map, !this.directory.reachable().allMatch(Member::passesRows));
 		puts.add(new Put(StoredRows.MESH, key, value));
 		lost.forEach((instance, version) -> {
 			expected.add(new Expected(StoredRows.LEASES, instance.value(), version));
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/StoredRows.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/StoredRows.java
@@ -75,7 +75,13 @@
 		});
 	}
 
-	static byte[] keys(KeyMap map) {
+	/**
+	 * Writes a map.
+	 * @param map the map
+	 * @param earlierBuilds whether daemons of an earlier build are to read it
+	 * @return the row's value
+	 */
+	static byte[] keys(KeyMap map, boolean earlierBuilds) {
 		List<KeyHolder> holders = map.holdings()
 			.stream()
 			.map((held) -> new KeyHolder(held.owner(), held.life()))
@@ -84,17 +90,22 @@
 		List<HolderRow> holderRows = holders.stream()
 			.map((holder) -> new HolderRow(holder.instance().value(), holder.life().id(), holder.life().bornMillis()))
 			.toList();
-		List<List<Object>> spans = map.holdings()
-			.stream()
-			.map((held) -> span(held, holders.indexOf(new KeyHolder(held.owner(), held.life()))))
-			.toList();
+		List<Object> spans = map.holdings().stream().map((held) -> {
+			int holder = holders.indexOf(new KeyHolder(held.owner(), held.life()));
+			return earlierBuilds ? earlierSpan(held, holder) : span(held, holder);
+		}).toList();
 		return bytes(new KeysRow(map.nextFence(), holderRows, spans));
 	}
 
+	private static Object earlierSpan(KeyHolding held, int holder) {
+		return new SpanRow(held.span().from(), held.span().to(), holder, held.fence().value(),
+				held.handover().isEmpty() ? null : held.handover(), held.next().map(InstanceId::value).orElse(null));
+	}
+
 	// [first key, holder, fence], then what was handed over and who is next where there
 	// is any: a map of many spans has to fit a row. Spans follow one another without
 	// gaps.
-	private static List<Object> span(KeyHolding held, int holder) {
+	private static Object span(KeyHolding held, int holder) {
 		List<Object> row = new ArrayList<>(List.of(held.span().from(), holder, held.fence().value()));
 		if (!held.handover().isEmpty() || held.next().isPresent()) {
 			row.add(held.handover());
@@ -115,25 +126,26 @@
 				.toList();
 			List<JsonElement> spans = row.getAsJsonArray("spans").asList();
 			List<KeyHolding> holdings = new ArrayList<>();
-			int end = KeySpan.LAST_KEY + 1;
+			int end = KeySpan.LAST_KEY;
 			for (JsonElement span : spans.reversed()) {
-				SpanRow read = spanRow(span);
+				SpanRow read = spanRow(span, end);
 				KeyHolder holder = holders.get(read.holder());
-				holdings.add(new KeyHolding(new KeySpan(read.from(), end - 1), holder.instance(), holder.life(),
+				holdings.add(new KeyHolding(new KeySpan(read.from(), read.to()), holder.instance(), holder.life(),
 						new Fence(read.fence()), Optional.ofNullable(read.handover()).orElse(""),
 						Optional.ofNullable(read.next()).map(InstanceId::new)));
-				end = read.from();
+				end = read.from() - 1;
 			}
 			return new KeyMap(holdings, row.get("next").getAsLong());
 		});
 	}
 
 	// Daemons of an earlier build wrote objects.
-	private static SpanRow spanRow(JsonElement span) {
+	private static SpanRow spanRow(JsonElement span, int end) {
 		if (span instanceof JsonArray row) {
 			String handover = (row.size() > HANDOVER) ? row.get(HANDOVER).getAsString() : null;
 			String next = (row.size() > NEXT) ? row.get(NEXT).getAsString() : null;
-			return new SpanRow(row.get(0).getAsInt(), row.get(1).getAsInt(), row.get(2).getAsLong(), handover, next);
+			int from = row.get(0).getAsInt();
+			return new SpanRow(from, end, row.get(1).getAsInt(), row.get(2).getAsLong(), handover, next);
 		}
 		return GSON.fromJson(span, SpanRow.class);
 	}
@@ -199,10 +211,10 @@
 	private record HolderRow(String instance, String backend, long born) {
 	}
 
-	private record SpanRow(int from, int holder, long fence, @Nullable String handover, @Nullable String next) {
+	private record SpanRow(int from, int to, int holder, long fence, @Nullable String handover, @Nullable String next) {
 	}
 
-	private record KeysRow(long next, List<HolderRow> holders, List<List<Object>> spans) {
+	private record KeysRow(long next, List<HolderRow> holders, List<Object> spans) {
 	}
 
 }
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/TableFeed.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/TableFeed.java
@@ -47,6 +47,9 @@
 
 	private boolean asking;
 
+	// Between an answer that told a change and the next call.
+	private boolean gathering;
+
 	private Runnable doubtChanged = () -> {
 	};
 
@@ -94,7 +97,8 @@
 	 * @param reason why, for the log
 	 */
 	void doubt(String reason) {
-		if (!this.pace.doubt() || !this.asking) {
+		boolean news = this.pace.doubt();
+		if (!news || !(this.asking || this.gathering)) {
 			return;
 		}
 		this.log.record(MeshEvent.FEED_DOUBTED, "table", this.table, "version", this.version, "reason", reason,
@@ -110,6 +114,7 @@
 		if (!this.resting) {
 			this.resting = true;
 			this.asking = false;
+			this.gathering = false;
 			this.call++;
 		}
 	}
@@ -155,7 +160,7 @@
 		long number = this.call;
 		if (this.asking) {
 			this.reactor.delay(TOLD_LATER, () -> {
-				if (number == this.call) {
+				if (number == this.call && this.asking) {
 					doubt(reason);
 				}
 			});
@@ -164,6 +169,7 @@
 
 	private void ask() {
 		long number = ++this.call;
+		this.gathering = false;
 		boolean whole = this.version < 0;
 		this.asking = true;
 		this.askedNanos = System.nanoTime();
@@ -189,7 +195,8 @@
 			this.pace.answered(changed);
 			take(rows, whole);
 			noteDoubt(doubted);
-			later((changed && !whole) ? this.gather : Duration.ZERO);
+			this.gathering = changed && !whole;
+			later(this.gathering ? this.gather : Duration.ZERO);
 		}
 		this.health.answered(this.table, failure);
 	}
--- a/daemon/src/test/java/org/brasspier/daemon/internal/mesh/StoredRowsTests.java
+++ b/daemon/src/test/java/org/brasspier/daemon/internal/mesh/StoredRowsTests.java
@@ -44,17 +44,18 @@
 	 */
 	@Test
 	void theLargestMapFitsARowOfTheStore() {
-		assertThat(StoredRows.keys(largest()).length).isAtMost(ROW_BYTES);
+		assertThat(StoredRows.keys(largest(), false).length).isAtMost(ROW_BYTES);
 	}
 
 	@Test
 	void aMapIsReadAsItWasWritten() {
 		KeyMap map = largest();
-		KeyMap read = StoredRows.keys(StoredRows.keys(map)).get();
+		KeyMap read = StoredRows.keys(StoredRows.keys(map, false)).get();
 		assertThat(read.holdings()).isEqualTo(map.holdings());
 		assertThat(read.nextFence()).isEqualTo(map.nextFence());
+		assertThat(StoredRows.keys(StoredRows.keys(map, true)).get().holdings()).isEqualTo(map.holdings());
 		KeyMap first = KeyMap.first(List.of(new KeyHolder(new InstanceId("a"), LIFE)));
-		assertThat(StoredRows.keys(StoredRows.keys(first)).get().holdings()).isEqualTo(first.holdings());
+		assertThat(StoredRows.keys(StoredRows.keys(first, false)).get().holdings()).isEqualTo(first.holdings());
 	}
 
 	/**
@@ -64,13 +65,14 @@
 	@Test
 	void aMapOfAnEarlierBuildIsRead() {
 		String row = """
-				{"next":9,"holders":[{"instance":"a","backend":"i","born":1},{"instance":"b","backend":"j","born":2}],
-				"spans":[{"from":0,"to":99,"holder":1,"fence":3,"handover":"token","next":"a"},
-				{"from":100,"to":65535,"holder":0,"fence":8}]}""";
+				{"next":9,"holders":[{"instance":"b","backend":"j","born":2},{"instance":"a","backend":"i","born":1}],
+				"spans":[{"from":0,"to":99,"holder":0,"fence":3,"handover":"token","next":"a"},
+				{"from":100,"to":65535,"holder":1,"fence":8}]}""";
 		KeyMap read = StoredRows.keys(row.getBytes(StandardCharsets.UTF_8)).get();
 		assertThat(read.holding(99).owner()).isEqualTo(new InstanceId("b"));
 		assertThat(read.holding(99).next()).isEqualTo(Optional.of(new InstanceId("a")));
 		assertThat(read.holding(100).fence()).isEqualTo(new Fence(8));
+		assertThat(new String(StoredRows.keys(read, true), StandardCharsets.UTF_8)).isEqualTo(row.replace("\n", ""));
 	}
 
 	/**
--- a/daemon/src/test/java/org/brasspier/daemon/internal/mesh/TableFeedTests.java
+++ b/daemon/src/test/java/org/brasspier/daemon/internal/mesh/TableFeedTests.java
@@ -136,6 +136,44 @@
 		assertThat(current).containsExactly(false);
 	}
 
+	/**
+	 * Guards against a reader that counts as unanswered, so that all that follow it turn
+	 * to the store, for as long as it leaves changes to gather.
+	 */
+	@Test
+	void aFeedThatIsDoubtedWhileChangesGatherAsksAtOnce() {
+		startedAndRead();
+		MetadataStore.Row row = new MetadataStore.Row("key", Optional.empty(), 7);
+		this.store.changes.get(0).set(Optional.of(new MetadataStore.Rows(List.of(row), 7)));
+		assertThat(this.store.waits).hasSize(1);
+		this.feed.doubt("the store no longer answers another daemon");
+		assertThat(this.store.waits).containsExactly(Duration.ofSeconds(1), Duration.ZERO).inOrder();
+		this.store.changes.get(1).set(Optional.of(new MetadataStore.Rows(List.of(), 7)));
+		assertThat(this.feed.current()).isTrue();
+	}
+
+	/**
+	 * Guards against the same where another daemon told the change first and the store
+	 * has told it since.
+	 */
+	@Test
+	void aFeedThatWasAnsweredInTheMeantimeIsNotDoubted() {
+		Eventloop virtual = Eventloop.builder().withCurrentThread().build();
+		TableFeed answered = new TableFeed(virtual, this.store, "table", Duration.ofSeconds(2),
+				(pace) -> pace.nextWait(0, 1), this.health, this.log, (rows, whole) -> {
+				});
+		answered.start();
+		this.store.reads.get(0).set(FIVE);
+		answered.overtaken("another daemon told newer rows");
+		MetadataStore.Row row = new MetadataStore.Row("key", Optional.empty(), 7);
+		this.store.changes.get(0).set(Optional.of(new MetadataStore.Rows(List.of(row), 7)));
+		virtual.delay(800, () -> answered.rest());
+		boolean[] current = new boolean[1];
+		virtual.delay(700, () -> current[0] = answered.current());
+		virtual.run();
+		assertThat(current[0]).isTrue();
+	}
+
 	private static final class RecordedCalls implements MetadataStore {
 
 		private final List<SettablePromise<Rows>> reads = new ArrayList<>();
