--- a/integration/src/test/java/org/brasspier/integration/PlannedStopTests.java
+++ b/integration/src/test/java/org/brasspier/integration/PlannedStopTests.java
@@ -10,7 +10,6 @@
 import org.brasspier.standins.StandInInstance;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 import static com.google.common.truth.Truth.assertThat;
@@ -60,7 +59,6 @@
 
 	// All instances are replaced, one after another, as on a day of upgrades. Not one
 	// caller's request fails.
-	@Tag("known-red")
 	@Test
 	void aRollingReplacementOfAllInstancesFailsNoRequest() {
 		this.scene.deployment().instances().forEach((instance) -> {
