--- a/core/src/test/java/org/brasspier/core/keys/KeyBalanceTests.java
+++ b/core/src/test/java/org/brasspier/core/keys/KeyBalanceTests.java
@@ -8,6 +8,7 @@
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
 
+import org.brasspier.core.Fence;
 import org.brasspier.core.InstanceId;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -162,4 +163,32 @@
 		assertThat(ALL.stream().mapToInt((instance) -> this.map.of(instance).size()).max().orElseThrow()).isAtMost(110);
 	}
 
+	/**
+	 * Guards against a map that is cut until the store refuses it for its size.
+	 */
+	@Test
+	void aMapThatFillsItsRowIsCutNoFurther() {
+		int spans = KeyMap.MOST_SPANS;
+		List<KeyHolding> holdings = IntStream.range(0, spans).mapToObj((i) -> {
+			KeySpan span = new KeySpan((KeySpan.LAST_KEY + 1) * i / spans,
+					(KeySpan.LAST_KEY + 1) * (i + 1) / spans - 1);
+			KeyHolder holder = holder((i % 2 == 0) ? A : B);
+			return new KeyHolding(span, holder.instance(), holder.life(), new Fence(1 + i), "", Optional.empty());
+		}).toList();
+		KeyMap full = new KeyMap(holdings, spans + 1L);
+		KeyLoad hot = new KeyLoad(new KeySpan(0, 3), 90);
+		List<HolderLoad> loads = List.of(new HolderLoad(A, 100, List.of(hot, new KeyLoad(new KeySpan(4, 9), 20))),
+				new HolderLoad(D, 100, List.of()));
+		assertThat(KeyBalance.plan(this.map, loads)).isNotEqualTo(Optional.empty());
+		assertThat(KeyBalance.plan(full, loads)).isEqualTo(Optional.empty());
+	}
+
+	@Test
+	void aServiceOfManyHoldersBeginsWithFewSpansEach() {
+		List<InstanceId> many = IntStream.range(0, 42).mapToObj((i) -> new InstanceId("holder-" + i)).toList();
+		assertThat(KeyMap.first(holders(many.toArray(InstanceId[]::new))).holdings().size())
+			.isAtMost(KeyMap.FIRST_SPANS);
+		assertThat(KeyMap.first(holders(A, B, C, D)).holdings()).hasSize(4 * KeyMap.SPANS_EACH);
+	}
+
 }
