End a stopped daemon's event loop

Cause, from the run's output: daemons of the tests before went on renewing leases and writing rows under the same instances' names after STOPPED, into the store of this test, whose port was that of a store closed before.

--- a/daemon/src/main/java/org/brasspier/daemon/mesh/MeshDaemon.java
+++ b/daemon/src/main/java/org/brasspier/daemon/mesh/MeshDaemon.java
@@ -64,7 +64,8 @@
 	}
 
 	/**
-	 * Ends it without cutting off what is in flight, as far as the time allows.
+	 * Ends it without cutting off what is in flight, as far as the time allows. Nothing
+	 * is read or written by it afterwards.
 	 */
 	public void leave() {
 		CompletableFuture<Void> ended = new CompletableFuture<>();
@@ -79,6 +80,7 @@
 		});
 		try {
 			ended.get(this.settings.bounds().stop().toMillis() + END_MARGIN_MILLIS, TimeUnit.MILLISECONDS);
+			this.duty.stop();
 		}
 		catch (InterruptedException ex) {
 			Thread.currentThread().interrupt();
