--- /dev/null
+++ b/core/src/test/java/org/brasspier/core/choosing/ChoosersModel.java
@@ -0,0 +1,275 @@
+package org.brasspier.core.choosing;
+
+import java.time.Duration;
+import java.util.Arrays;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.stream.IntStream;
+
+import org.brasspier.core.CallerId;
+import org.brasspier.core.InstanceId;
+import org.brasspier.core.RequestClass;
+import org.brasspier.core.admission.AdmissionController;
+import org.brasspier.core.admission.AdmissionDecision;
+import org.brasspier.core.admission.AdmissionLimits;
+import org.brasspier.core.admission.AdmissionSettings;
+import org.brasspier.core.admission.AdmissionSettings.ClassRules;
+import org.brasspier.core.admission.NextRequests;
+import org.brasspier.core.admission.PendingRequest;
+import org.brasspier.core.admission.RunOutcome;
+
+/**
+ * Many daemons that choose, each for itself, among the backend servers of one service;
+ * each server admits by itself. In virtual time, without network.
+ */
+final class ChoosersModel {
+
+	private static final long MILLI = 1_000_000;
+
+	private static final long SECOND = 1000 * MILLI;
+
+	private static final long WAY = MILLI;
+
+	private static final long LOOK_AGAIN = 5 * MILLI;
+
+	private static final Duration TARGET = Duration.ofMillis(600);
+
+	private static final Duration DEADLINE = Duration.ofMillis(1200);
+
+	private static final double LET_IN_SHARE = 0.6;
+
+	private static final int SLOTS = 4;
+
+	/** Servers that one request is brought to at most. */
+	private static final int MOST_SENDS = 2;
+
+	private static final double[] SPEEDS = { 0.5, 1, 1, 1.5 };
+
+	private final PriorityQueue<Event> events = new PriorityQueue<>(
+			Comparator.comparingLong(Event::at).thenComparingLong(Event::number));
+
+	private final List<BackendChooser> choosers;
+
+	private final List<Server> servers;
+
+	private final SplittableRandom random;
+
+	private final Load load;
+
+	private long now;
+
+	private long numbers;
+
+	private int asked;
+
+	private int inTime;
+
+	private int refused;
+
+	ChoosersModel(int daemons, Load load, long seed) {
+		this.random = new SplittableRandom(seed);
+		this.load = load;
+		this.choosers = IntStream.range(0, daemons)
+			.mapToObj((i) -> new BackendChooser(daemons, this.random.split()))
+			.toList();
+		this.servers = IntStream.range(0, load.servers()).mapToObj(Server::new).toList();
+	}
+
+	/**
+	 * Plays the load.
+	 * @return what became of the requests after the first quarter of the time
+	 */
+	Result play() {
+		long gap = SECOND / this.load.perSecond();
+		long end = this.load.seconds() * SECOND;
+		for (long at = 0; at < end; at += gap) {
+			at(at + (long) (gap * this.random.nextDouble()), () -> new Request().send());
+		}
+		while (!this.events.isEmpty()) {
+			Event next = this.events.remove();
+			this.now = next.at();
+			next.action().run();
+		}
+		double mean = this.servers.stream().mapToInt((server) -> server.offered).average().orElse(1);
+		int busiest = this.servers.stream().mapToInt((server) -> server.offered).max().orElse(0);
+		return new Result((double) this.inTime / this.asked, (double) this.refused / this.asked, busiest / mean);
+	}
+
+	private void at(long time, Runnable action) {
+		this.events.add(new Event(time, this.numbers++, action));
+	}
+
+	private boolean counted(long startedNanos) {
+		return startedNanos >= this.load.seconds() * SECOND / 4;
+	}
+
+	/**
+	 * What is asked for.
+	 *
+	 * @param servers the service's backend servers
+	 * @param perSecond requests a second over all daemons
+	 * @param runMillis the mean time of a run on a server of speed 1
+	 * @param seconds for how long
+	 */
+	record Load(int servers, int perSecond, int runMillis, int seconds) {
+
+	}
+
+	/**
+	 * What became of the requests.
+	 *
+	 * @param inTime the share answered within the target latency
+	 * @param refused the share refused
+	 * @param busiestOverMean requests offered to the busiest server over the mean
+	 */
+	record Result(double inTime, double refused, double busiestOverMean) {
+
+	}
+
+	private record Event(long at, long number, Runnable action) {
+
+	}
+
+	/**
+	 * A request on its way.
+	 */
+	private final class Request {
+
+		private final BackendChooser chooser = ChoosersModel.this.choosers
+			.get(ChoosersModel.this.random.nextInt(ChoosersModel.this.choosers.size()));
+
+		private final long startedNanos = ChoosersModel.this.now;
+
+		private final long runNanos = (long) (ChoosersModel.this.load.runMillis() * MILLI
+				* (0.5 + ChoosersModel.this.random.nextDouble()));
+
+		private final Set<InstanceId> tried = new HashSet<>();
+
+		private long sentNanos;
+
+		Request() {
+			if (counted(this.startedNanos)) {
+				ChoosersModel.this.asked++;
+			}
+		}
+
+		void send() {
+			List<Candidate> candidates = ChoosersModel.this.servers.stream()
+				.map((server) -> server.candidate)
+				.filter((candidate) -> !this.tried.contains(candidate.instance()))
+				.toList();
+			InstanceId chosen = this.chooser.choose(candidates, RequestClass.LOOKUP, ChoosersModel.this.now)
+				.orElseThrow();
+			this.tried.add(chosen);
+			this.sentNanos = ChoosersModel.this.now;
+			Server server = ChoosersModel.this.servers.get(Integer.parseInt(chosen.value()));
+			at(ChoosersModel.this.now + WAY, () -> server.offer(this));
+		}
+
+		void ended(Server server, boolean answered) {
+			at(ChoosersModel.this.now + WAY, () -> {
+				this.chooser.ended(server.candidate.instance(), RequestClass.LOOKUP,
+						ChoosersModel.this.now - this.sentNanos, !answered);
+				if (!answered && this.tried.size() < MOST_SENDS) {
+					send();
+				}
+				else if (counted(this.startedNanos)) {
+					count(answered);
+				}
+			});
+		}
+
+		private void count(boolean answered) {
+			if (!answered) {
+				ChoosersModel.this.refused++;
+			}
+			else if (ChoosersModel.this.now - this.startedNanos <= TARGET.toNanos()) {
+				ChoosersModel.this.inTime++;
+			}
+		}
+
+	}
+
+	/**
+	 * A backend server with the gate beside it.
+	 */
+	private final class Server {
+
+		private final Candidate candidate;
+
+		private final double speed;
+
+		private final AdmissionController admission;
+
+		private final Map<Long, Request> requests = new HashMap<>();
+
+		private int offered;
+
+		private boolean looking;
+
+		Server(int number) {
+			this.candidate = new Candidate(new InstanceId("" + number), Duration.ZERO, SLOTS, 1);
+			this.speed = SPEEDS[number % SPEEDS.length];
+			Map<RequestClass, ClassRules> rules = new HashMap<>();
+			Duration letIn = Duration.ofNanos((long) (TARGET.toNanos() * LET_IN_SHARE));
+			Arrays.stream(RequestClass.values())
+				.forEach((each) -> rules.put(each, new ClassRules(letIn, TARGET, 1, TARGET.dividedBy(4))));
+			this.admission = new AdmissionController(new AdmissionLimits(SLOTS, SLOTS), new AdmissionSettings(rules));
+		}
+
+		void offer(Request request) {
+			if (counted(request.startedNanos)) {
+				this.offered++;
+			}
+			long number = ChoosersModel.this.numbers++;
+			this.requests.put(number, request);
+			PendingRequest pending = new PendingRequest(number, RequestClass.LOOKUP, new CallerId("any"),
+					request.startedNanos + DEADLINE.toNanos());
+			switch (this.admission.offer(pending, ChoosersModel.this.now)) {
+				case AdmissionDecision.Run ignored -> run(number);
+				case AdmissionDecision.Queued ignored -> lookSoon();
+				case AdmissionDecision.Refuse ignored -> refuse(number);
+			}
+		}
+
+		private void run(long number) {
+			Request request = this.requests.get(number);
+			at(ChoosersModel.this.now + (long) (request.runNanos / this.speed), () -> {
+				this.requests.remove(number);
+				request.ended(this, true);
+				carryOut(this.admission.finished(number, RunOutcome.ANSWERED, ChoosersModel.this.now));
+			});
+		}
+
+		private void lookSoon() {
+			if (this.looking) {
+				return;
+			}
+			this.looking = true;
+			at(ChoosersModel.this.now + LOOK_AGAIN, () -> {
+				this.looking = false;
+				carryOut(this.admission.expired(ChoosersModel.this.now));
+				if (this.admission.waiting() > 0) {
+					lookSoon();
+				}
+			});
+		}
+
+		private void carryOut(NextRequests next) {
+			next.refused().forEach((each) -> refuse(each.id()));
+			next.run().forEach(this::run);
+		}
+
+		private void refuse(long number) {
+			this.requests.remove(number).ended(this, false);
+		}
+
+	}
+
+}
