Log why and where each request is sent

The log told that a gate turned a request away, but not why that server had been chosen, so trials, a wrong number of daemons and old observations could not be told apart. REQUEST_SENT names the server, the reason of the choice and the number of daemons that the choice reckons with. No choice is changed.

--- a/core/src/main/java/org/brasspier/core/choosing/BackendChooser.java
+++ b/core/src/main/java/org/brasspier/core/choosing/BackendChooser.java
@@ -64,14 +64,35 @@
 	 * @return empty only if there are no candidates
 	 */
 	public Optional<InstanceId> choose(List<Candidate> candidates, RequestClass requestClass, long now) {
+		return chooseWithReason(candidates, requestClass, now).map(Choice::instance);
+	}
+
+	/**
+	 * Does the same as {@link #choose} and tells why the server was chosen.
+	 * @param candidates the servers that may take it
+	 * @param requestClass its class
+	 * @param now the time, in nanoseconds
+	 * @return empty only if there are no candidates
+	 */
+	public Optional<Choice> chooseWithReason(List<Candidate> candidates, RequestClass requestClass, long now) {
 		this.servers.keySet()
 			.removeIf((known) -> candidates.stream().noneMatch((each) -> each.instance().equals(known))
 					&& server(known).inFlight() == 0);
 		Set<InstanceId> avoided = avoided(candidates);
-		Optional<Candidate> chosen = trickle(candidates, requestClass, now)
-			.or(() -> quickest(candidates, avoided, requestClass));
-		chosen.ifPresent((candidate) -> server(candidate.instance()).chosen(now));
-		return chosen.map(Candidate::instance);
+		Optional<Choice> chosen = trickle(candidates, requestClass, now)
+			.map((candidate) -> new Choice(candidate.instance(), Choice.Reason.TRIAL))
+			.or(() -> quickest(candidates, avoided, requestClass)
+				.map((candidate) -> new Choice(candidate.instance(), Choice.Reason.QUICKEST)));
+		chosen.ifPresent((choice) -> server(choice.instance()).chosen(now));
+		return chosen;
+	}
+
+	/**
+	 * How many daemons are reckoned with.
+	 * @return at least 1
+	 */
+	public int choosers() {
+		return this.choosers;
 	}
 
 	/**
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/Dispatcher.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/Dispatcher.java
@@ -18,6 +18,7 @@
 import org.brasspier.core.ServiceName;
 import org.brasspier.core.choosing.BackendChooser;
 import org.brasspier.core.choosing.Candidate;
+import org.brasspier.core.choosing.Choice;
 import org.brasspier.core.keys.KeyMap;
 import org.brasspier.core.mesh.AbsentInstances;
 import org.brasspier.core.mesh.OverdueRequests;
@@ -186,11 +187,14 @@
 				return Promise.of(new SendOutcome.NotRun(
 						Failure.of(ErrorKind.DEADLINE_PASSED, "the deadline passed before it was sent"), false));
 			}
-			Optional<Member> target = byKey() ? holder(now) : chosen(now);
-			if (target.isEmpty()) {
-				return Promise.of(nobody(remaining));
+			if (byKey()) {
+				return holder(now).map((target) -> send(target, "KEY", remaining, now))
+					.orElseGet(() -> Promise.of(nobody(remaining)));
 			}
-			return send(target.get(), remaining, now);
+			Optional<Choice> choice = choice(now);
+			return choice.flatMap((chosen) -> Dispatcher.this.directory.member(chosen.instance()))
+				.map((target) -> send(target, choice.get().reason().name(), remaining, now))
+				.orElseGet(() -> Promise.of(nobody(remaining)));
 		}
 
 		private boolean byKey() {
@@ -205,10 +209,9 @@
 				.filter((member) -> !Dispatcher.this.hops.unreachable(member.instance(), now));
 		}
 
-		private Optional<Member> chosen(long now) {
+		private Optional<Choice> choice(long now) {
 			List<Candidate> candidates = untried(now).stream().map(this::candidate).toList();
-			return chooser(this.service).choose(candidates, this.requestClass, now)
-				.flatMap(Dispatcher.this.directory::member);
+			return chooser(this.service).chooseWithReason(candidates, this.requestClass, now);
 		}
 
 		// Those that may be asked. One that could not be reached or had no server lately
@@ -237,8 +240,11 @@
 					"no backend server of %s can take it now".formatted(this.service), pause), false);
 		}
 
-		private Promise<SendOutcome> send(Member target, int remaining, long now) {
+		private Promise<SendOutcome> send(Member target, String reason, int remaining, long now) {
 			this.tried.add(target.instance());
+			Dispatcher.this.log.record(MeshEvent.REQUEST_SENT, "request", this.request.id(), "to", target.instance(),
+					"service", this.service, "reason", reason, "daemons",
+					byKey() ? 0 : chooser(this.service).choosers(), "left_ms", remaining);
 			HopRequest ask = new HopRequest(this.service, Dispatcher.this.settings.backend().service(),
 					this.requestClass, this.route.idempotent(), this.overdue, this.request)
 				.within(remaining);
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/MeshEvent.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/MeshEvent.java
@@ -52,6 +52,8 @@
 	REQUEST_FAILED(2003),
 	/** A request is sent once more. */
 	REQUEST_RESENT(2004),
+	/** A request is sent to the daemon beside a backend server. */
+	REQUEST_SENT(2005),
 	/** The gate to the backend server turned a request away. */
 	GATE_TURNED_AWAY(2101),
 	/** The backend server failed an order. */
