Search for a free slot before a request waits

A request that met a full server waited there though others were idle, and a server that turned slow was asked on until each daemon had noticed.

A request is brought to one server after the other without waiting; a gate with no free slot says how long the wait would be (NO_FREE_SLOT), and after two full servers the request waits where it is shortest. What a gate says is remembered for that long. Such a try never reaches a backend server, so it costs no budget. Daemons of an earlier build queue as before.

--- a/core/src/main/java/org/brasspier/core/ErrorKind.java
+++ b/core/src/main/java/org/brasspier/core/ErrorKind.java
@@ -42,6 +42,9 @@
 	/** The queue or the caller's share is full, or the deadline can't be met. */
 	OVERLOADED(503, Ran.NOT_RUN, 6),
 
+	/** No slot is free, and the request was not to wait for one. */
+	NO_FREE_SLOT(503, Ran.NOT_RUN, 6),
+
 	/** Nobody holds the range just now. */
 	NO_OWNER(503, Ran.NOT_RUN, 6),
 
--- a/core/src/main/java/org/brasspier/core/admission/AdmissionController.java
+++ b/core/src/main/java/org/brasspier/core/admission/AdmissionController.java
@@ -99,6 +99,22 @@
 		return enqueue(request, now);
 	}
 
+	/**
+	 * How long a request would wait for a slot if it were offered now.
+	 * @param request the request
+	 * @param now the time
+	 * @return empty if it would run at once or be refused
+	 */
+	public Optional<Duration> waitFor(PendingRequest request, long now) {
+		RequestClass requestClass = request.requestClass();
+		boolean runs = queue(requestClass).isEmpty() && this.slots.free(requestClass, now);
+		double wait = expectedWait(requestClass, now);
+		if (runs || this.draining || late(request, wait, now) || wait > usefulWait(requestClass)) {
+			return Optional.empty();
+		}
+		return Optional.of(Duration.ofNanos((long) (wait + this.times.mean(requestClass) / this.slots.usable())));
+	}
+
 	// A caller's last resend, with less time left than its work takes. Even with a
 	// free slot it would mostly run in vain, end as "unknown" and be paid for by others.
 	// An idle server takes it all the same, or an estimate that a stall has raised would
@@ -268,7 +284,7 @@
 		double wait = expectedWait(requestClass, now);
 		// Saturation: a request that can't make its deadline only takes a slot from one
 		// that can, so it is told so before it waits.
-		if (now + wait + this.times.mean(requestClass) > request.deadlineNanos()) {
+		if (late(request, wait, now)) {
 			return new Refuse(overloaded("the deadline can't be met", request, now));
 		}
 		Optional<RefusedRequest> displaced = Optional.empty();
@@ -287,6 +303,10 @@
 		return new Queued(displaced);
 	}
 
+	private boolean late(PendingRequest request, double wait, long now) {
+		return now + wait + this.times.mean(request.requestClass()) > request.deadlineNanos();
+	}
+
 	// Under saturation every request that is let in waits as long as the queue allows, so
 	// one that would be answered after its target is only let in in place of one that
 	// would not. A short queue is allowed whatever the class takes, so that no slot
--- a/core/src/main/java/org/brasspier/core/choosing/BackendChooser.java
+++ b/core/src/main/java/org/brasspier/core/choosing/BackendChooser.java
@@ -88,12 +88,21 @@
 		Set<InstanceId> avoided = avoided(candidates);
 		Optional<Choice> chosen = trial(candidates, requestClass, now)
 			.map((candidate) -> new Choice(candidate.instance(), Choice.Reason.TRIAL))
-			.or(() -> quickest(candidates, avoided, requestClass)
+			.or(() -> quickest(candidates, avoided, requestClass, now)
 				.map((candidate) -> new Choice(candidate.instance(), Choice.Reason.QUICKEST)));
 		chosen.ifPresent((choice) -> server(choice.instance()).chosen(now));
 		return chosen;
 	}
 
+	/**
+	 * Counts a request as in flight at a server that was chosen otherwise.
+	 * @param instance the server
+	 * @param now the time, in nanoseconds
+	 */
+	public void chosen(InstanceId instance, long now) {
+		server(instance).chosen(now);
+	}
+
 	/**
 	 * How many daemons are reckoned with.
 	 * @return at least 1
@@ -114,6 +123,16 @@
 		server(instance).ended(relative, failed);
 	}
 
+	/**
+	 * Takes that a chosen request could not run at once and was not left to wait.
+	 * @param instance the server without a free slot
+	 * @param wait how long it would have waited there
+	 * @param now the time, in nanoseconds
+	 */
+	public void full(InstanceId instance, Duration wait, long now) {
+		server(instance).full(now + wait.toNanos());
+	}
+
 	/**
 	 * Forgets a chosen request whose caller is gone.
 	 * @param instance the server that had it
@@ -162,20 +181,21 @@
 		return longestUnchosen;
 	}
 
-	private Optional<Candidate> quickest(List<Candidate> candidates, Set<InstanceId> avoided,
-			RequestClass requestClass) {
+	private Optional<Candidate> quickest(List<Candidate> candidates, Set<InstanceId> avoided, RequestClass requestClass,
+			long now) {
 		return candidates.stream()
 			.filter((each) -> !avoided.contains(each.instance()))
-			.map((each) -> new Scored(each, expectedNanos(each, requestClass), this.random.nextDouble()))
+			.map((each) -> new Scored(each, expectedNanos(each, requestClass, now), this.random.nextDouble()))
 			.min(Comparator.comparingDouble(Scored::nanos).thenComparingDouble(Scored::lot))
 			.map(Scored::candidate);
 	}
 
-	private double expectedNanos(Candidate candidate, RequestClass requestClass) {
+	private double expectedNanos(Candidate candidate, RequestClass requestClass, long now) {
 		ObservedServer server = server(candidate.instance());
 		double run = this.times.mean(requestClass) * server.slowness();
 		double busy = server.inFlight() * this.choosers / (candidate.slots() * candidate.warmShare());
-		return candidate.distance().toNanos() + run * (1 + busy) / (1.01 - server.errors());
+		long wait = Math.max(0, server.fullUntilNanos() - now);
+		return candidate.distance().toNanos() + wait + run * (1 + busy) / (1.01 - server.errors());
 	}
 
 	private ObservedServer server(InstanceId instance) {
--- a/core/src/main/java/org/brasspier/core/choosing/Choice.java
+++ b/core/src/main/java/org/brasspier/core/choosing/Choice.java
@@ -18,6 +18,9 @@
 		/** Its answer is expected first. */
 		QUICKEST,
 
+		/** No server that was asked has a free slot, and the wait is shortest there. */
+		SHORTEST_WAIT,
+
 		/**
 		 * It was not chosen for a while, and what was observed of it may have changed.
 		 */
--- a/core/src/main/java/org/brasspier/core/choosing/ObservedServer.java
+++ b/core/src/main/java/org/brasspier/core/choosing/ObservedServer.java
@@ -19,6 +19,8 @@
 
 	private long lastChosenNanos = Long.MIN_VALUE / 2;
 
+	private long fullUntilNanos = Long.MIN_VALUE / 2;
+
 	void chosen(long now) {
 		this.inFlight++;
 		this.lastChosenNanos = now;
@@ -32,6 +34,11 @@
 		}
 	}
 
+	void full(long untilNanos) {
+		cancelled();
+		this.fullUntilNanos = untilNanos;
+	}
+
 	void cancelled() {
 		this.inFlight = Math.max(0, this.inFlight - 1);
 	}
@@ -48,6 +55,10 @@
 		return this.inFlight;
 	}
 
+	long fullUntilNanos() {
+		return this.fullUntilNanos;
+	}
+
 	long lastChosenNanos() {
 		return this.lastChosenNanos;
 	}
--- a/core/src/main/java/org/brasspier/core/mesh/ResendRules.java
+++ b/core/src/main/java/org/brasspier/core/mesh/ResendRules.java
@@ -82,6 +82,10 @@
 	}
 
 	private boolean turned(SendOutcome.NotRun outcome, boolean enoughTime) {
+		// Not a refusal: the same server would take it if it were left to wait.
+		if (outcome.failure().kind() == ErrorKind.NO_FREE_SLOT) {
+			return true;
+		}
 		if (outcome.failure().kind() == ErrorKind.NO_BACKEND) {
 			this.absent++;
 			return enoughTime && this.absent < MOST_ABSENT;
--- a/core/src/test/java/org/brasspier/core/admission/AdmissionControllerTests.java
+++ b/core/src/test/java/org/brasspier/core/admission/AdmissionControllerTests.java
@@ -1,5 +1,6 @@
 package org.brasspier.core.admission;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -38,6 +39,20 @@
 		assertThat(this.admission.running()).isEqualTo(2);
 	}
 
+	@Test
+	void tellsTheWaitOnlyOfWhatWouldBeQueued() {
+		assertThat(this.admission.waitFor(request(RequestClass.LOOKUP, CREW, 1000), 0)).isEmpty();
+		fill();
+		Duration first = this.admission.waitFor(request(RequestClass.LOOKUP, CREW, 1000), 0).orElseThrow();
+		offer(RequestClass.LOOKUP, CREW, 1000);
+		assertThat(this.admission.waitFor(request(RequestClass.LOOKUP, CREW, 1000), 0).orElseThrow())
+			.isGreaterThan(first);
+		assertThat(this.admission.waiting()).isEqualTo(1);
+		assertThat(this.admission.waitFor(request(RequestClass.LOOKUP, CREW, 1), 0)).isEmpty();
+		this.admission.draining(true);
+		assertThat(this.admission.waitFor(request(RequestClass.LOOKUP, CREW, 1000), 0)).isEmpty();
+	}
+
 	@Test
 	void neverRunsMoreThanTheConnections() {
 		AdmissionController narrow = controller(17, 1);
--- a/core/src/test/java/org/brasspier/core/mesh/ResendRulesTests.java
+++ b/core/src/test/java/org/brasspier/core/mesh/ResendRulesTests.java
@@ -54,6 +54,17 @@
 		assertThat(rules.again(LOST, true)).isFalse();
 	}
 
+	// Guards against a search for a free slot that is taken for refusals and given up.
+	@Test
+	void serversWithoutAFreeSlotDoNotCountAsRefusals() {
+		SendOutcome noFreeSlot = new SendOutcome.NotRun(Failure.of(ErrorKind.NO_FREE_SLOT, "none"), false);
+		ResendRules rules = rules(false);
+		assertThat(rules.again(noFreeSlot, true)).isTrue();
+		assertThat(rules.again(noFreeSlot, true)).isTrue();
+		assertThat(rules.again(TURNED_AWAY, true)).isTrue();
+		assertThat(rules.again(TURNED_AWAY, true)).isFalse();
+	}
+
 	@Test
 	void whatComesTooLateIsNotSentAgain() {
 		assertThat(rules(true).again(LOST, false)).isFalse();
--- a/daemon/src/main/java/org/brasspier/daemon/internal/caller/AnswerWriter.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/caller/AnswerWriter.java
@@ -96,7 +96,7 @@
 
 	private static boolean turnedAway(ErrorKind kind) {
 		return switch (kind) {
-			case OVERLOADED, NO_OWNER, NOT_OWNER, NO_BACKEND, DEADLINE_PASSED, BODY_TOO_LARGE -> true;
+			case OVERLOADED, NO_FREE_SLOT, NO_OWNER, NOT_OWNER, NO_BACKEND, DEADLINE_PASSED, BODY_TOO_LARGE -> true;
 			default -> false;
 		};
 	}
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/BackendGate.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/BackendGate.java
@@ -155,6 +155,10 @@
 		long number = this.nextNumber++;
 		PendingRequest pending = new PendingRequest(number, ask.requestClass(), CALLER, order.deadlineNanos,
 				ask.overdue());
+		Optional<Duration> wait = ask.mayWait() ? Optional.empty() : this.admission.waitFor(pending, now);
+		if (wait.isPresent()) {
+			return Promise.of(turnedAway(ask, new Failure(ErrorKind.NO_FREE_SLOT, "no slot is free", wait.get())));
+		}
 		return switch (this.admission.offer(pending, now)) {
 			case AdmissionDecision.Run ignored -> start(number, order);
 			case AdmissionDecision.Queued queued -> {
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/Dispatcher.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/Dispatcher.java
@@ -19,6 +19,7 @@
 import org.brasspier.core.choosing.BackendChooser;
 import org.brasspier.core.choosing.Candidate;
 import org.brasspier.core.choosing.Choice;
+import org.brasspier.core.choosing.SlotSearch;
 import org.brasspier.core.keys.KeyMap;
 import org.brasspier.core.mesh.AbsentInstances;
 import org.brasspier.core.mesh.OverdueRequests;
@@ -167,6 +168,8 @@
 
 		private final Set<InstanceId> tried = new HashSet<>();
 
+		private final SlotSearch search = new SlotSearch();
+
 		Course(MeshRequest request, RouteRule route, ServiceName service, ResendBudget budget,
 				Cancellation cancellation) {
 			this.request = request;
@@ -211,6 +214,14 @@
 
 		private Optional<Choice> choice(long now) {
 			List<Candidate> candidates = untried(now).stream().map(this::candidate).toList();
+			boolean onlyOne = this.tried.isEmpty() && candidates.size() == 1;
+			if (candidates.isEmpty() || onlyOne || this.search.mayWait()) {
+				Optional<InstanceId> shortest = this.search.takeShortestWait();
+				if (shortest.isPresent()) {
+					chooser(this.service).chosen(shortest.get(), now);
+					return shortest.map((instance) -> new Choice(instance, Choice.Reason.SHORTEST_WAIT));
+				}
+			}
 			return chooser(this.service).chooseWithReason(candidates, this.requestClass, now);
 		}
 
@@ -246,7 +257,8 @@
 					"service", this.service, "reason", reason, "daemons",
 					byKey() ? 0 : chooser(this.service).choosers(), "left_ms", remaining);
 			HopRequest ask = new HopRequest(this.service, Dispatcher.this.settings.backend().service(),
-					this.requestClass, this.route.idempotent(), this.overdue, this.request)
+					this.requestClass, this.route.idempotent(), this.overdue, byKey() || this.search.mayWait(),
+					this.request)
 				.within(remaining);
 			boolean here = target.instance().equals(Dispatcher.this.settings.instance());
 			Promise<SendOutcome> outcome = here ? Dispatcher.this.gate.run(ask, 0, this.cancellation)
@@ -300,6 +312,11 @@
 			if (this.cancellation.cancelled()) {
 				chooser(this.service).cancelled(target.instance());
 			}
+			else if (end instanceof SendOutcome.NotRun notRun && notRun.failure().kind() == ErrorKind.NO_FREE_SLOT) {
+				Duration wait = notRun.failure().retryAfter();
+				chooser(this.service).full(target.instance(), wait, now);
+				this.search.full(target.instance(), wait);
+			}
 			else {
 				chooser(this.service).ended(target.instance(), this.requestClass, took, failed);
 			}
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopCodec.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopCodec.java
@@ -123,7 +123,7 @@
 			.number(request.remainingMillis())
 			.number(request.key().orElse(NO_KEY));
 		headers(frame, request.headers());
-		frame.bytes(request.body());
+		frame.bytes(request.body()).flag(ask.mayWait());
 	}
 
 	private static void headers(FrameWriter frame, List<HeaderField> headers) {
@@ -263,8 +263,11 @@
 			int key = frame.small();
 			OptionalInt about = (key == NO_KEY) ? OptionalInt.empty() : OptionalInt.of(key);
 			List<HeaderField> headers = frame.list(HopCodec::header);
-			return new HopRequest(service, caller, requestClass, idempotent, overdue,
-					new MeshRequest(id, host, method, target, headers, frame.bytes(), remaining, about));
+			byte[] body = frame.bytes();
+			// Daemons of an earlier build don't say whether it may wait: it always may.
+			boolean mayWait = !frame.more() || frame.flag();
+			return new HopRequest(service, caller, requestClass, idempotent, overdue, mayWait,
+					new MeshRequest(id, host, method, target, headers, body, remaining, about));
 		}
 		catch (IllegalArgumentException | IndexOutOfBoundsException ex) {
 			throw new WireException("a request of another daemon makes no sense", ex);
