Let the daemon with the widest link of a failure domain read the store

Each failure domain has machines with 200 Mbit/s.

The settings' link rate goes into the instance's row, and the daemon with the widest link reads. The choice is worked out again only when the daemons that can be reached have changed.

--- a/core/src/main/java/org/brasspier/core/mesh/ReaderChoice.java
+++ b/core/src/main/java/org/brasspier/core/mesh/ReaderChoice.java
@@ -17,9 +17,9 @@
 
 /**
  * Which daemons read the store for all others, as one of them sees it. There is no vote:
- * each takes the first of every failure domain in an order that all agree on, leaving out
- * whom it can't reach. Two that disagree for a moment cost a reader more. Immutable and
- * thread-safe.
+ * each takes the first of every failure domain in an order that all agree on, widest
+ * network link first, leaving out whom it can't reach. Two that disagree for a moment
+ * cost a reader more. Immutable and thread-safe.
  *
  * @param readers the readers, at most one of each failure domain unless there is but one
  * @param followed whom this daemon follows, never itself: a reader, or two if it is one
@@ -36,8 +36,11 @@
 	 */
 	private static final int FOLLOWED_BY_READERS = 2;
 
-	private static final Comparator<Candidate> ORDER = Comparator
-		.comparingLong((Candidate candidate) -> Hashing.komihash5_0().hashCharsToLong(candidate.instance().value()))
+	// A reader sends each row to all daemons of its failure domain. On a narrow link that
+	// holds up whatever else comes from it for so long that it is taken for lost.
+	private static final Comparator<Candidate> ORDER = Comparator.comparingInt(Candidate::linkMegabits)
+		.reversed()
+		.thenComparingLong((Candidate candidate) -> Hashing.komihash5_0().hashCharsToLong(candidate.instance().value()))
 		.thenComparing(Candidate::instance);
 
 	/**
@@ -98,8 +101,19 @@
 	 *
 	 * @param instance its instance
 	 * @param domain its failure domain
+	 * @param linkMegabits what its network link carries, in megabits a second; 0 if that
+	 * is not known
 	 */
-	public record Candidate(InstanceId instance, FailureDomain domain) {
+	public record Candidate(InstanceId instance, FailureDomain domain, int linkMegabits) {
+
+		/**
+		 * Creates a candidate whose network link is not known.
+		 * @param instance its instance
+		 * @param domain its failure domain
+		 */
+		public Candidate(InstanceId instance, FailureDomain domain) {
+			this(instance, domain, 0);
+		}
 	}
 
 }
--- a/core/src/test/java/org/brasspier/core/mesh/ReaderChoiceTests.java
+++ b/core/src/test/java/org/brasspier/core/mesh/ReaderChoiceTests.java
@@ -64,6 +64,19 @@
 		assertThat(ReaderChoice.of(near.get(0), near).readers()).hasSize(2);
 	}
 
+	// Guards against a reader whose narrow link is held up by rows for all daemons of its
+	// failure domain, so that requests to it and from it fail.
+	@Test
+	void theDaemonWithTheWidestLinkOfAFailureDomainReads() {
+		List<Candidate> mixed = TWELVE.stream()
+			.map((each) -> new Candidate(each.instance(), each.domain(),
+					each.instance().value().endsWith("1") ? 200 : 10))
+			.toList();
+		InstanceId wide = new InstanceId("instance-1");
+		InstanceId otherWide = new InstanceId("instance-11");
+		mixed.forEach((self) -> assertThat(ReaderChoice.of(self, mixed).readers()).containsAtLeast(wide, otherWide));
+	}
+
 	@Test
 	void whoKnowsNobodyReadsAlone() {
 		ReaderChoice choice = ReaderChoice.of(TWELVE.get(0), List.of());
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/Member.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/Member.java
@@ -21,9 +21,11 @@
  * @param ready whether the backend server takes work
  * @param passesRows whether its daemon passes on what the store tells it; daemons of an
  * earlier build don't
+ * @param linkMegabits what its network link carries, in megabits a second; 0 if that is
+ * not known
  */
 record Member(InstanceId instance, InetSocketAddress address, FailureDomain failureDomain, ServiceName service,
-		Optional<BackendLife> life, int slots, boolean ready, boolean passesRows) {
+		Optional<BackendLife> life, int slots, boolean ready, boolean passesRows, int linkMegabits) {
 
 	/**
 	 * Checks the numbers.
@@ -37,7 +39,7 @@
 
 	Member(InstanceId instance, InetSocketAddress address, FailureDomain failureDomain, ServiceName service,
 			Optional<BackendLife> life, int slots, boolean ready) {
-		this(instance, address, failureDomain, service, life, slots, ready, true);
+		this(instance, address, failureDomain, service, life, slots, ready, true, 0);
 	}
 
 }
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/MemberWriter.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/MemberWriter.java
@@ -62,7 +62,7 @@
 	private Member own() {
 		return new Member(this.settings.instance(), this.address, this.settings.failureDomain(),
 				this.settings.backend().service(), this.registration.life(), this.registration.slots(),
-				this.registration.ready());
+				this.registration.ready(), true, this.settings.linkMegabits());
 	}
 
 	void look() {
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/StoreFollowing.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/StoreFollowing.java
@@ -1,7 +1,6 @@
 package org.brasspier.daemon.internal.mesh;
 
 import java.time.Duration;
-import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -62,6 +61,8 @@
 
 	private final Map<InstanceId, Long> askedNanos = new HashMap<>();
 
+	private List<ReaderChoice.Candidate> candidates = List.of();
+
 	private ReaderChoice choice;
 
 	private boolean following = true;
@@ -69,7 +70,7 @@
 	StoreFollowing(NioReactor reactor, MeshSettings settings, MeshAdapter adapter, ConfigHolder config,
 			Directory directory, HopClient hops, SharedRows rows, StoreHealth health, MeshLog log) {
 		this.reactor = reactor;
-		this.self = new ReaderChoice.Candidate(settings.instance(), settings.failureDomain());
+		this.self = new ReaderChoice.Candidate(settings.instance(), settings.failureDomain(), settings.linkMegabits());
 		this.directory = directory;
 		this.hops = hops;
 		this.rows = rows;
@@ -144,7 +145,7 @@
 
 	private void step() {
 		long now = System.nanoTime();
-		this.choice = ReaderChoice.of(this.self, candidates(now));
+		choose(candidates(now));
 		this.askedNanos.keySet().retainAll(this.choice.followed());
 		this.choice.followed()
 			.stream()
@@ -154,11 +155,19 @@
 		decide(now);
 	}
 
-	private Collection<ReaderChoice.Candidate> candidates(long now) {
+	private void choose(List<ReaderChoice.Candidate> candidates) {
+		if (!candidates.equals(this.candidates)) {
+			this.candidates = candidates;
+			this.choice = ReaderChoice.of(this.self, candidates);
+		}
+	}
+
+	private List<ReaderChoice.Candidate> candidates(long now) {
 		return this.directory.reachable()
 			.filter(Member::passesRows)
 			.filter((member) -> !this.hops.avoided(member.instance(), now))
-			.map((member) -> new ReaderChoice.Candidate(member.instance(), member.failureDomain()))
+			.map((member) -> new ReaderChoice.Candidate(member.instance(), member.failureDomain(),
+					member.linkMegabits()))
 			.toList();
 	}
 
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/StoredRows.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/StoredRows.java
@@ -61,7 +61,7 @@
 	static byte[] member(Member member) {
 		MemberRow row = new MemberRow(text(member.address()), member.failureDomain().value(), member.service().value(),
 				member.life().map(BackendLife::id).orElse(null), member.life().map(BackendLife::bornMillis).orElse(0L),
-				member.slots(), member.ready(), member.passesRows());
+				member.slots(), member.ready(), member.passesRows(), member.linkMegabits());
 		return bytes(row);
 	}
 
@@ -71,7 +71,8 @@
 			Optional<BackendLife> life = Optional.ofNullable(row.backend())
 				.map((id) -> new BackendLife(id, row.born()));
 			return new Member(new InstanceId(instance), address(row.address()), new FailureDomain(row.domain()),
-					new ServiceName(row.service()), life, row.slots(), row.ready(), row.passesRows());
+					new ServiceName(row.service()), life, row.slots(), row.ready(), row.passesRows(),
+					row.linkMegabits());
 		});
 	}
 
@@ -205,7 +206,7 @@
 	}
 
 	private record MemberRow(String address, String domain, String service, @Nullable String backend, long born,
-			int slots, boolean ready, boolean passesRows) {
+			int slots, boolean ready, boolean passesRows, int linkMegabits) {
 	}
 
 	private record HolderRow(String instance, String backend, long born) {
--- a/daemon/src/main/java/org/brasspier/daemon/mesh/MeshSettings.java
+++ b/daemon/src/main/java/org/brasspier/daemon/mesh/MeshSettings.java
@@ -17,9 +17,24 @@
  * @param listen where it listens
  * @param backend the backend server beside it
  * @param bounds the times that operators promise their users
+ * @param linkMegabits what the instance's network link carries, in megabits a second; 0
+ * if that is not known
  */
 public record MeshSettings(InstanceId instance, FailureDomain failureDomain, Listen listen, Backend backend,
-		Bounds bounds) {
+		Bounds bounds, int linkMegabits) {
+
+	/**
+	 * Creates settings of an instance whose network link is not known.
+	 * @param instance its instance
+	 * @param failureDomain the instance's failure domain
+	 * @param listen where it listens
+	 * @param backend the backend server beside it
+	 * @param bounds the times that operators promise their users
+	 */
+	public MeshSettings(InstanceId instance, FailureDomain failureDomain, Listen listen, Backend backend,
+			Bounds bounds) {
+		this(instance, failureDomain, listen, backend, bounds, 0);
+	}
 
 	/**
 	 * Where a daemon listens. Each is a port of its own.
--- a/daemon/src/test/java/org/brasspier/daemon/internal/mesh/StoredRowsTests.java
+++ b/daemon/src/test/java/org/brasspier/daemon/internal/mesh/StoredRowsTests.java
@@ -1,12 +1,15 @@
 package org.brasspier.daemon.internal.mesh;
 
+import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Optional;
 import java.util.stream.IntStream;
 
+import org.brasspier.core.FailureDomain;
 import org.brasspier.core.Fence;
 import org.brasspier.core.InstanceId;
+import org.brasspier.core.ServiceName;
 import org.brasspier.core.keys.BackendLife;
 import org.brasspier.core.keys.KeyHolder;
 import org.brasspier.core.keys.KeyHolding;
@@ -47,6 +50,16 @@
 		assertThat(StoredRows.keys(largest(), false).length).isAtMost(ROW_BYTES);
 	}
 
+	@Test
+	void aMemberIsReadAsItWasWrittenAndByDaemonsOfAnEarlierBuild() {
+		Member member = new Member(new InstanceId("a"), new InetSocketAddress("127.0.0.1", 7600),
+				new FailureDomain("z"), new ServiceName("s"), Optional.of(LIFE), 4, true, true, 200);
+		byte[] row = StoredRows.member(member);
+		assertThat(StoredRows.member("a", row).get()).isEqualTo(member);
+		String earlier = new String(row, StandardCharsets.UTF_8).replace(",\"linkMegabits\":200", "");
+		assertThat(StoredRows.member("a", earlier.getBytes(StandardCharsets.UTF_8)).get().linkMegabits()).isEqualTo(0);
+	}
+
 	@Test
 	void aMapIsReadAsItWasWritten() {
 		KeyMap map = largest();
