Follow the number of daemons where requests are chosen and repeated

The chooser and the budget of repeats took the number of daemons once, at the first request of a service. A daemon that knew few others then would have counted its own requests in flight for too little, and kept too large a part of the deployment's slack of repeats for as long as it ran.

BackendChooserTests.oneRequestStandsFor... and ResendRulesTests.aBudgetThatMoreDaemonsShare... come with the change.

--- a/core/src/main/java/org/brasspier/core/choosing/BackendChooser.java
+++ b/core/src/main/java/org/brasspier/core/choosing/BackendChooser.java
@@ -51,7 +51,7 @@
 
 	private final RandomGenerator random;
 
-	private final int choosers;
+	private int choosers;
 
 	private double trialAllowance;
 
@@ -107,6 +107,14 @@
 		server(instance).chosen(now);
 	}
 
+	/**
+	 * Takes how many daemons choose among the same servers from now on.
+	 * @param daemons how many, at least 1
+	 */
+	public void choosers(int daemons) {
+		this.choosers = daemons;
+	}
+
 	/**
 	 * How many daemons are reckoned with.
 	 * @return at least 1
--- a/core/src/main/java/org/brasspier/core/mesh/ResendBudget.java
+++ b/core/src/main/java/org/brasspier/core/mesh/ResendBudget.java
@@ -30,6 +30,16 @@
 		this.reruns = new RetryBudget(share / SENDS_OF_A_RERUN, mostSaved);
 	}
 
+	/**
+	 * Takes another bound of what can be saved up, as when the number of daemons that
+	 * share it has changed.
+	 * @param most the most repeats that can be saved up, at least 1
+	 */
+	public void mostSaved(int most) {
+		this.all.mostSaved(most);
+		this.reruns.mostSaved(most);
+	}
+
 	/**
 	 * Counts a request that is sent for the first time.
 	 */
--- a/core/src/main/java/org/brasspier/core/retry/RetryBudget.java
+++ b/core/src/main/java/org/brasspier/core/retry/RetryBudget.java
@@ -18,7 +18,7 @@
 
 	private final double share;
 
-	private final int mostSaved;
+	private int mostSaved;
 
 	private double saved;
 
@@ -45,6 +45,15 @@
 		return new RetryBudget(USUAL_SHARE, USUAL_MOST_SAVED);
 	}
 
+	/**
+	 * Takes another bound of what can be saved up; what is saved beyond it is lost.
+	 * @param most the most resends that can be saved up, at least 1
+	 */
+	public void mostSaved(int most) {
+		this.mostSaved = most;
+		this.saved = Math.min(most, this.saved);
+	}
+
 	/**
 	 * Counts a request that is sent for the first time.
 	 */
--- a/core/src/test/java/org/brasspier/core/choosing/BackendChooserTests.java
+++ b/core/src/test/java/org/brasspier/core/choosing/BackendChooserTests.java
@@ -65,6 +65,17 @@
 		assertThat(this.chosen.keySet()).containsExactly(0, 1);
 	}
 
+	// Guards against a daemon that started first and goes on choosing as if it were
+	// alone.
+	@Test
+	void oneRequestStandsForThoseOfAllDaemonsThatCameSince() {
+		List<Candidate> nearAndFar = List.of(candidate(0, 0, 1), candidate(1, 12, 1));
+		assertThat(index(this.chooser.choose(nearAndFar, RequestClass.POSTING, 0).orElseThrow())).isEqualTo(0);
+		assertThat(index(this.chooser.choose(nearAndFar, RequestClass.POSTING, 0).orElseThrow())).isEqualTo(0);
+		this.chooser.choosers(40);
+		assertThat(index(this.chooser.choose(nearAndFar, RequestClass.POSTING, 0).orElseThrow())).isEqualTo(1);
+	}
+
 	// Guards against a failing server that is asked first again and again, since what was
 	// observed of it is forgotten when its request is sent to another one.
 	@Test
--- a/core/src/test/java/org/brasspier/core/mesh/ResendRulesTests.java
+++ b/core/src/test/java/org/brasspier/core/mesh/ResendRulesTests.java
@@ -54,6 +54,15 @@
 		assertThat(rules.again(LOST, true)).isFalse();
 	}
 
+	// Guards against daemons that start together, each with the whole slack of the
+	// deployment since it knows nobody yet.
+	@Test
+	void aBudgetThatMoreDaemonsShareIsCutAtOnce() {
+		ResendBudget shared = new ResendBudget(0.1, 20);
+		shared.mostSaved(2);
+		assertThat(IntStream.range(0, 20).filter((i) -> shared.spend()).count()).isEqualTo(2);
+	}
+
 	// Guards against a search for a free slot that is taken for refusals and given up.
 	@Test
 	void serversWithoutAFreeSlotDoNotCountAsRefusals() {
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/Dispatcher.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/Dispatcher.java
@@ -105,6 +105,7 @@
 	Promise<SendOutcome> dispatch(MeshRequest request, RouteRule route, Cancellation cancellation) {
 		ServiceName service = service(route);
 		ResendBudget budget = this.budgets.computeIfAbsent(service, (key) -> budget());
+		budget.mostSaved(mostSaved());
 		budget.fresh();
 		return new Course(request, route, service, budget, cancellation).attempt();
 	}
@@ -125,16 +126,21 @@
 	}
 
 	// The slack is shared by all daemons, whose number is taken from the store's rows.
-	private ResendBudget budget() {
-		MeshSettings.Retries bound = this.settings.bounds().retries();
+	private int mostSaved() {
 		int daemons = Math.max(FEWEST_DAEMONS, this.directory.size());
-		int saved = Math.max(1, (int) (bound.slack() * BUDGET_SHARE / daemons));
-		return new ResendBudget(bound.ratio() * BUDGET_SHARE, saved);
+		return Math.max(1, (int) (this.settings.bounds().retries().slack() * BUDGET_SHARE / daemons));
+	}
+
+	private ResendBudget budget() {
+		return new ResendBudget(this.settings.bounds().retries().ratio() * BUDGET_SHARE, mostSaved());
 	}
 
 	private BackendChooser chooser(ServiceName service) {
-		return this.choosers.computeIfAbsent(service,
-				(key) -> new BackendChooser(Math.max(1, this.directory.size()), this.random.split()));
+		int daemons = Math.max(1, this.directory.size());
+		BackendChooser chooser = this.choosers.computeIfAbsent(service,
+				(key) -> new BackendChooser(daemons, this.random.split()));
+		chooser.choosers(daemons);
+		return chooser;
 	}
 
 	static String describe(SendOutcome outcome) {
