Let a daemon's first lookup be a trial, of any server not yet chosen

The first lookup of a daemon may be a trial again; among servers that were never chosen it is drawn, so that many daemons that start together do not all ask the first one in the table.

--- a/core/src/main/java/org/brasspier/core/choosing/BackendChooser.java
+++ b/core/src/main/java/org/brasspier/core/choosing/BackendChooser.java
@@ -53,7 +53,7 @@
 
 	private int choosers;
 
-	private double trialAllowance;
+	private double trialAllowance = 1;
 
 	private long latestNanos;
 
@@ -198,7 +198,9 @@
 		Optional<Candidate> longestUnchosen = candidates.stream()
 			.filter((each) -> server(each.instance()).inFlight() == 0)
 			.filter((each) -> now - server(each.instance()).lastChosenNanos() >= TRIAL_AFTER_NANOS)
-			.min(Comparator.comparingLong((each) -> server(each.instance()).lastChosenNanos()));
+			.map((each) -> new Scored(each, server(each.instance()).lastChosenNanos(), this.random.nextDouble()))
+			.min(Comparator.comparingDouble(Scored::nanos).thenComparingDouble(Scored::lot))
+			.map(Scored::candidate);
 		longestUnchosen.ifPresent((each) -> this.trialAllowance = 0);
 		return longestUnchosen;
 	}
