Try only servers that would not be chosen anyway

A daemon's first lookup was a trial drawn among all servers that were never chosen, the quickest one among them. The quickest server is no candidate for a trial now, so that test no longer depends on the draw.

BackendChooserTests.theFirstLookupTriesAServer... holds it for 20 seeds.

--- a/core/src/main/java/org/brasspier/core/choosing/BackendChooser.java
+++ b/core/src/main/java/org/brasspier/core/choosing/BackendChooser.java
@@ -90,10 +90,10 @@
 		this.latestNanos = now;
 		forgetUnused(candidates);
 		Set<InstanceId> avoided = avoided(candidates, now);
-		Optional<Choice> chosen = trial(candidates, requestClass, now)
+		Optional<Candidate> quickest = quickest(candidates, avoided, requestClass, now);
+		Optional<Choice> chosen = trial(candidates, quickest, requestClass, now)
 			.map((candidate) -> new Choice(candidate.instance(), Choice.Reason.TRIAL))
-			.or(() -> quickest(candidates, avoided, requestClass, now)
-				.map((candidate) -> new Choice(candidate.instance(), Choice.Reason.QUICKEST)));
+			.or(() -> quickest.map((candidate) -> new Choice(candidate.instance(), Choice.Reason.QUICKEST)));
 		chosen.ifPresent((choice) -> server(choice.instance()).chosen(now));
 		return chosen;
 	}
@@ -186,7 +186,8 @@
 		return server.slowness(now) / (1.01 - server.errors(now));
 	}
 
-	private Optional<Candidate> trial(List<Candidate> candidates, RequestClass requestClass, long now) {
+	private Optional<Candidate> trial(List<Candidate> candidates, Optional<Candidate> quickest,
+			RequestClass requestClass, long now) {
 		// A posting that fails on trial can't be sent again, so it is no trial.
 		if (!requestClass.idempotent()) {
 			return Optional.empty();
@@ -196,6 +197,7 @@
 			return Optional.empty();
 		}
 		Optional<Candidate> longestUnchosen = candidates.stream()
+			.filter((each) -> !quickest.equals(Optional.of(each)))
 			.filter((each) -> server(each.instance()).inFlight() == 0)
 			.filter((each) -> now - server(each.instance()).lastChosenNanos() >= TRIAL_AFTER_NANOS)
 			.map((each) -> new Scored(each, server(each.instance()).lastChosenNanos(), this.random.nextDouble()))
--- a/core/src/test/java/org/brasspier/core/choosing/BackendChooserTests.java
+++ b/core/src/test/java/org/brasspier/core/choosing/BackendChooserTests.java
@@ -76,6 +76,17 @@
 		assertThat(index(this.chooser.choose(nearAndFar, RequestClass.POSTING, 0).orElseThrow())).isEqualTo(1);
 	}
 
+	// Guards against servers that a daemon with few requests never asks, since its only
+	// trials are of the server that it would have asked anyway.
+	@Test
+	void theFirstLookupTriesAServerThatIsNotTheQuickest() {
+		List<Candidate> nearAndFar = List.of(candidate(0, 0, 1), candidate(1, 2, 1));
+		IntStream.range(0, 20).forEach((seed) -> {
+			BackendChooser fresh = new BackendChooser(1, new SplittableRandom(seed));
+			assertThat(index(fresh.choose(nearAndFar, RequestClass.LOOKUP, 0).orElseThrow())).isEqualTo(1);
+		});
+	}
+
 	// Guards against a failing server that is asked first again and again, since what was
 	// observed of it is forgotten when its request is sent to another one.
 	@Test
