Log the processor time of a daemon by what its threads are for

PROCESSOR_TIMES adds it up from what the kernel shows of each thread, the virtual machine's own included.

--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/MeshEvent.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/MeshEvent.java
@@ -14,6 +14,8 @@
 	STOPPED(1003),
 	/** Its settings were read again. */
 	RELOADED(1004),
+	/** Processor time of the process so far, by what its threads are for. */
+	PROCESSOR_TIMES(1005),
 	/** The platform's store answers again. */
 	STORE_REGAINED(1101),
 	/** The platform's store does not answer, or turns this instance away. */
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/MeshNode.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/MeshNode.java
@@ -2,6 +2,8 @@
 
 import java.io.IOException;
 import java.time.Duration;
+import java.util.Locale;
+import java.util.stream.Stream;
 
 import com.codahale.metrics.MetricRegistry;
 import io.activej.reactor.nio.NioReactor;
@@ -32,6 +34,8 @@
 
 	private static final Duration LOOK_AGAIN = Duration.ofMillis(20);
 
+	private static final Duration PROCESSOR_TIMES_EVERY = Duration.ofSeconds(10);
+
 	private static final int MAX_ANSWER_BYTES = 64 << 20;
 
 	private final NioReactor reactor;
@@ -66,6 +70,8 @@
 
 	private final ControlPorts ports;
 
+	private final ProcessorTimes processorTimes = new ProcessorTimes();
+
 	private boolean leaving;
 
 	private long leavingSinceNanos;
@@ -137,6 +143,24 @@
 		this.keys.start();
 		this.log.record(MeshEvent.STARTED, "service", this.settings.backend().service(), "failure_domain",
 				this.settings.failureDomain());
+		recordProcessorTimesLater();
+	}
+
+	private void recordProcessorTimesLater() {
+		this.reactor.delay(PROCESSOR_TIMES_EVERY, () -> {
+			recordProcessorTimes();
+			recordProcessorTimesLater();
+		});
+	}
+
+	private void recordProcessorTimes() {
+		this.log.record(MeshEvent.PROCESSOR_TIMES,
+				this.processorTimes.read()
+					.entrySet()
+					.stream()
+					.flatMap((time) -> Stream.of(time.getKey().name().toLowerCase(Locale.ROOT) + "_ms",
+							time.getValue().toMillis()))
+					.toArray());
 	}
 
 	private boolean ready() {
@@ -176,6 +200,7 @@
 		boolean told = System.nanoTime() - this.leavingSinceNanos >= OPEN_ON.plus(TOLD_AFTER).toNanos();
 		long left = this.settings.bounds().stop().toNanos() - (System.nanoTime() - this.leavingSinceNanos);
 		if (closed && told && this.gate.idle() || left <= 0) {
+			recordProcessorTimes();
 			this.log.record(MeshEvent.STOPPED, "open", this.entry.open(), "gate", this.gate.load());
 			this.ports.close();
 			this.hops.close();
