--- a/standins/src/main/java/org/brasspier/standins/Deployment.java
+++ b/standins/src/main/java/org/brasspier/standins/Deployment.java
@@ -231,7 +231,20 @@
 	 * @return the instance, empty if the key was never granted
 	 */
 	public Optional<StandInInstance> owner(String service, String key) {
-		return ServerRecords.owner(serverRecords(), service, KeyHash.of(key)).map(this::instance);
+		return ServerRecords.latestGrant(serverRecords(), service, KeyHash.of(key))
+			.map(ServerRecord::server)
+			.map(this::instance);
+	}
+
+	/**
+	 * The fence under which a key is owned now, by what the servers recorded. It rises
+	 * whenever the key's range changes hands.
+	 * @param service the service
+	 * @param key the key, or the request's id where the service is divided by ids
+	 * @return the fence, 0 if the key was never granted
+	 */
+	public long fence(String service, String key) {
+		return ServerRecords.latestGrant(serverRecords(), service, KeyHash.of(key)).map(ServerRecord::fence).orElse(0L);
 	}
 
 	/**
--- a/standins/src/main/java/org/brasspier/standins/ServerRecords.java
+++ b/standins/src/main/java/org/brasspier/standins/ServerRecords.java
@@ -74,12 +74,18 @@
 				&& line.keyRange().low() < owned.range().high() && owned.range().low() < line.keyRange().high();
 	}
 
-	static Optional<String> owner(List<ServerRecord> records, String service, KeyHash point) {
+	/**
+	 * The latest grant of a key's range.
+	 * @param records the servers' records
+	 * @param service the service
+	 * @param point where the key is
+	 * @return the grant with the highest fence, empty if the key was never granted
+	 */
+	static Optional<ServerRecord> latestGrant(List<ServerRecord> records, String service, KeyHash point) {
 		return records.stream()
 			.filter((line) -> line.kind() == ServerRecord.Kind.GRANTED && line.service().equals(service))
 			.filter((line) -> line.keyRange().contains(point))
-			.max(Comparator.comparingLong(ServerRecord::fence))
-			.map(ServerRecord::server);
+			.max(Comparator.comparingLong(ServerRecord::fence));
 	}
 
 }
