--- /dev/null
+++ b/standins/src/main/java/org/brasspier/standins/PortSlice.java
@@ -0,0 +1,67 @@
+package org.brasspier.standins;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.locks.LockSupport;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
+
+/**
+ * A range of ports that no other process of this machine hands out: a port whose process
+ * is just being restarted looks free to everybody else. Its first port is bound for as
+ * long as the slice is held, so it is given back however this process ends. Immutable and
+ * thread-safe.
+ *
+ * @param lowest the first port that may be handed out
+ * @param guard bound to the port before it
+ */
+record PortSlice(int lowest, ServerSocket guard) implements AutoCloseable {
+
+	private static final long LOOK_AGAIN_NANOS = Duration.ofMillis(100).toNanos();
+
+	/**
+	 * Claims a slice. Where all are held it waits until one is given back.
+	 * @param first the first port of all slices
+	 * @param ports how many ports a slice has
+	 * @param preferred the slice to try first, from 1 on
+	 * @param slices how many there are
+	 * @return the slice, held until it is closed or this process ends
+	 */
+	static PortSlice claim(int first, int ports, int preferred, int slices) {
+		return Stream.generate(() -> anyFree(first, ports, preferred, slices))
+			.flatMap(Optional::stream)
+			.findFirst()
+			.orElseThrow();
+	}
+
+	private static Optional<PortSlice> anyFree(int first, int ports, int preferred, int slices) {
+		Optional<PortSlice> free = IntStream.range(0, slices)
+			.map((step) -> first + (preferred - 1 + step) % slices * ports)
+			.mapToObj(PortSlice::guardedBy)
+			.flatMap(Optional::stream)
+			.findFirst();
+		if (free.isEmpty()) {
+			LockSupport.parkNanos(LOOK_AGAIN_NANOS);
+		}
+		return free;
+	}
+
+	private static Optional<PortSlice> guardedBy(int port) {
+		try {
+			return Optional.of(new PortSlice(port + 1, new ServerSocket(port, 1, InetAddress.getLoopbackAddress())));
+		}
+		catch (IOException ex) {
+			// Another process holds the slice.
+			return Optional.empty();
+		}
+	}
+
+	@Override
+	public void close() throws IOException {
+		this.guard.close();
+	}
+
+}
--- a/standins/src/main/java/org/brasspier/standins/Ports.java
+++ b/standins/src/main/java/org/brasspier/standins/Ports.java
@@ -16,9 +16,8 @@
 public final class Ports {
 
 	/**
-	 * Names the slice of ports that this process hands out, from 1 on. Test processes
-	 * that run side by side have a slice each: a port that one has handed out and whose
-	 * process is just being restarted would look free to the other.
+	 * Names the slice of ports that this process hands out if no other process has it,
+	 * from 1 on.
 	 */
 	public static final String SLICE_PROPERTY = "brasspier.standins.port-slice";
 
@@ -28,23 +27,27 @@
 
 	private static final int LAST = 32_000;
 
-	private static final int SLICE = Integer.getInteger(SLICE_PROPERTY, 1);
+	private static final int SLICES = (LAST - FIRST) / SLICE_PORTS;
 
-	private static final int LOWEST = FIRST + (SLICE - 1) * SLICE_PORTS;
-
-	private static final int HIGHEST = LOWEST + SLICE_PORTS;
+	private static final int PREFERRED = Integer.getInteger(SLICE_PROPERTY, 1);
 
 	private static final int MAX_TRIES = 1000;
 
 	private static final Set<Integer> given = new HashSet<>();
 
 	static {
-		if (SLICE < 1 || HIGHEST > LAST) {
-			throw new IllegalStateException(
-					"%s is %d, not from 1 to %d".formatted(SLICE_PROPERTY, SLICE, (LAST - FIRST) / SLICE_PORTS));
+		if (PREFERRED < 1 || PREFERRED > SLICES) {
+			throw new IllegalStateException("%s is %d, not from 1 to %d".formatted(SLICE_PROPERTY, PREFERRED, SLICES));
 		}
 	}
 
+	// Never closed: it is this process's own for as long as it runs.
+	private static final PortSlice SLICE = PortSlice.claim(FIRST, SLICE_PORTS, PREFERRED, SLICES);
+
+	private static final int LOWEST = SLICE.lowest();
+
+	private static final int HIGHEST = LOWEST + SLICE_PORTS - 1;
+
 	private Ports() {
 	}
 
