Compare and hash names without method handles

Hypothesis 2, cold code: in a process that lives for a minute the generated equals and hashCode of records run through method handles whose classes are spun at run time. One type costs 15 to 30 ms at its first use and five times as much a call until it is compiled (400 lookups in a map: 15 ms, written out 0.3 ms).

--- a/core/src/main/java/org/brasspier/core/InstanceId.java
+++ b/core/src/main/java/org/brasspier/core/InstanceId.java
@@ -1,5 +1,7 @@
 package org.brasspier.core;
 
+import org.jspecify.annotations.Nullable;
+
 /**
  * The identity of an instance: one daemon and the backend server beside it. Immutable and
  * thread-safe.
@@ -27,4 +29,16 @@
 		return this.value;
 	}
 
+	// Written out: generated ones go through method handles, which take milliseconds to
+	// set up in a process that has just started.
+	@Override
+	public boolean equals(@Nullable Object other) {
+		return other instanceof InstanceId that && this.value.equals(that.value);
+	}
+
+	@Override
+	public int hashCode() {
+		return this.value.hashCode();
+	}
+
 }
--- a/core/src/main/java/org/brasspier/core/ServiceName.java
+++ b/core/src/main/java/org/brasspier/core/ServiceName.java
@@ -1,5 +1,7 @@
 package org.brasspier.core;
 
+import org.jspecify.annotations.Nullable;
+
 /**
  * The name of a service that operators describe and callers ask for. Immutable and
  * thread-safe.
@@ -27,4 +29,16 @@
 		return this.value;
 	}
 
+	// Written out: generated ones go through method handles, which take milliseconds to
+	// set up in a process that has just started.
+	@Override
+	public boolean equals(@Nullable Object other) {
+		return other instanceof ServiceName that && this.value.equals(that.value);
+	}
+
+	@Override
+	public int hashCode() {
+		return this.value.hashCode();
+	}
+
 }
--- a/core/src/main/java/org/brasspier/core/keys/BackendLife.java
+++ b/core/src/main/java/org/brasspier/core/keys/BackendLife.java
@@ -1,5 +1,7 @@
 package org.brasspier.core.keys;
 
+import org.jspecify.annotations.Nullable;
+
 /**
  * One life of a backend server, from a start to its end. A server may start again under
  * the id it had and then knows nothing of before, so the id alone doesn't tell two lives
@@ -26,4 +28,16 @@
 		return this.id + "@" + this.bornMillis;
 	}
 
+	// Written out: generated ones go through method handles, which take milliseconds to
+	// set up in a process that has just started.
+	@Override
+	public boolean equals(@Nullable Object other) {
+		return other instanceof BackendLife that && this.bornMillis == that.bornMillis && this.id.equals(that.id);
+	}
+
+	@Override
+	public int hashCode() {
+		return 31 * this.id.hashCode() + Long.hashCode(this.bornMillis);
+	}
+
 }
--- a/core/src/main/java/org/brasspier/core/keys/KeyHolder.java
+++ b/core/src/main/java/org/brasspier/core/keys/KeyHolder.java
@@ -1,6 +1,7 @@
 package org.brasspier.core.keys;
 
 import org.brasspier.core.InstanceId;
+import org.jspecify.annotations.Nullable;
 
 /**
  * A backend server that can hold keys now. Immutable and thread-safe.
@@ -9,4 +10,17 @@
  * @param life its life
  */
 public record KeyHolder(InstanceId instance, BackendLife life) {
+
+	// Written out: generated ones go through method handles, which take milliseconds to
+	// set up in a process that has just started.
+	@Override
+	public boolean equals(@Nullable Object other) {
+		return other instanceof KeyHolder that && this.instance.equals(that.instance) && this.life.equals(that.life);
+	}
+
+	@Override
+	public int hashCode() {
+		return 31 * this.instance.hashCode() + this.life.hashCode();
+	}
+
 }
--- a/core/src/main/java/org/brasspier/core/keys/KeySpan.java
+++ b/core/src/main/java/org/brasspier/core/keys/KeySpan.java
@@ -1,5 +1,7 @@
 package org.brasspier.core.keys;
 
+import org.jspecify.annotations.Nullable;
+
 /**
  * An inclusive range of keys. Immutable and thread-safe.
  *
@@ -62,4 +64,16 @@
 		return this.from + "-" + this.to;
 	}
 
+	// Written out: generated ones go through method handles, which take milliseconds to
+	// set up in a process that has just started.
+	@Override
+	public boolean equals(@Nullable Object other) {
+		return other instanceof KeySpan that && this.from == that.from && this.to == that.to;
+	}
+
+	@Override
+	public int hashCode() {
+		return 31 * this.from + this.to;
+	}
+
 }
--- a/core/src/main/java/org/brasspier/core/mesh/KnownRows.java
+++ b/core/src/main/java/org/brasspier/core/mesh/KnownRows.java
@@ -1,5 +1,7 @@
 package org.brasspier.core.mesh;
 
+import org.jspecify.annotations.Nullable;
+
 /**
  * How much a daemon knows of what the platform's store keeps, as the newest versions of
  * the rows that it has. All rows have versions from one counter. Immutable and
@@ -19,4 +21,16 @@
 		return this.config > other.config || this.mesh > other.mesh;
 	}
 
+	// Written out: generated ones go through method handles, which take milliseconds to
+	// set up in a process that has just started.
+	@Override
+	public boolean equals(@Nullable Object other) {
+		return other instanceof KnownRows that && this.config == that.config && this.mesh == that.mesh;
+	}
+
+	@Override
+	public int hashCode() {
+		return 31 * Long.hashCode(this.config) + Long.hashCode(this.mesh);
+	}
+
 }
--- a/core/src/main/java/org/brasspier/core/mesh/ReaderChoice.java
+++ b/core/src/main/java/org/brasspier/core/mesh/ReaderChoice.java
@@ -14,6 +14,7 @@
 import com.dynatrace.hash4j.hashing.Hashing;
 import org.brasspier.core.FailureDomain;
 import org.brasspier.core.InstanceId;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Which daemons read the store for all others, as one of them sees it. There is no vote:
@@ -114,6 +115,21 @@
 		public Candidate(InstanceId instance, FailureDomain domain) {
 			this(instance, domain, 0);
 		}
+
+		// Written out: generated ones go through method handles, which take milliseconds
+		// to
+		// set up in a process that has just started.
+		@Override
+		public boolean equals(@Nullable Object other) {
+			return other instanceof Candidate that && this.linkMegabits == that.linkMegabits
+					&& this.instance.equals(that.instance) && this.domain.equals(that.domain);
+		}
+
+		@Override
+		public int hashCode() {
+			return 31 * this.instance.hashCode() + this.domain.hashCode();
+		}
+
 	}
 
 }
