Plan no change of a key map where every holding may stay

Each holder looked four times a second, and at each change of the map, for keys whose target can't have them, by building the whole map anew and comparing the two: 2 ms a look on Riga grown (trial, keys.planning 50 ms in 3 s). It looks for such a holding first. Plans are the same; KeyPlannerTests.

--- a/core/src/main/java/org/brasspier/core/keys/KeyPlanner.java
+++ b/core/src/main/java/org/brasspier/core/keys/KeyPlanner.java
@@ -83,15 +83,14 @@
 	private static Optional<KeyMap> withoutLeaving(KeyMap map, Set<InstanceId> leaving, Predicate<KeyHolding> whose,
 			List<KeyHolder> holders) {
 		Set<InstanceId> able = new HashSet<>(holders.stream().map(KeyHolder::instance).toList());
-		if (holders.isEmpty()) {
+		Predicate<KeyHolding> stays = (held) -> !whose.test(held)
+				|| held.next().map(able::contains).orElse(!leaving.contains(held.owner()));
+		if (holders.isEmpty() || map.holdings().stream().allMatch(stays)) {
 			return Optional.empty();
 		}
 		Dealer dealer = new Dealer(map, holders);
-		KeyMap planned = map.wanted((held) -> {
-			boolean fine = !whose.test(held) || held.next().map(able::contains).orElse(!leaving.contains(held.owner()));
-			return fine ? Optional.empty()
-					: Optional.of(able.contains(held.owner()) ? held.owner() : dealer.least(held.span()).instance());
-		});
+		KeyMap planned = map.wanted((held) -> stays.test(held) ? Optional.empty()
+				: Optional.of(able.contains(held.owner()) ? held.owner() : dealer.least(held.span()).instance()));
 		return changed(map, planned);
 	}
 
@@ -107,9 +106,13 @@
 			return Optional.empty();
 		}
 		Dealer dealer = new Dealer(map, holders);
+		List<KeyHolder> withoutKeys = dealer.withoutKeys();
+		if (withoutKeys.isEmpty()) {
+			return Optional.empty();
+		}
 		double even = (KeySpan.LAST_KEY + 1.0) / holders.size();
 		Map<KeySpan, InstanceId> moves = new HashMap<>();
-		for (KeyHolder poor : dealer.withoutKeys()) {
+		for (KeyHolder poor : withoutKeys) {
 			fillUp(map, dealer, poor.instance(), even, moves);
 		}
 		return changed(map, map.wanted((held) -> Optional.ofNullable(moves.get(held.span()))));
--- a/integration/src/test/java/org/brasspier/integration/document/OperatorsViewTests.java
+++ b/integration/src/test/java/org/brasspier/integration/document/OperatorsViewTests.java
@@ -20,7 +20,6 @@
 import org.brasspier.standins.TrafficMix;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
@@ -56,7 +55,6 @@
 
 	// A crew asks what became of a lookup. It reached one daemon, was forwarded to the
 	// owner's, and ran there; the operator follows it by its id through both.
-	@Tag("known-red")
 	@Test
 	void aRequestIsFollowedByItsIdThroughEveryProcess() {
 		StandInInstance entry = this.deployment.instances().getFirst();
