Compile the patterns of a request once; claim ports when the first is asked for

A request compiled three regular expressions and a refusal a format of decimals, each time. The slice is claimed by the first call for a port.

--- a/daemon/src/main/java/org/brasspier/daemon/internal/http/BackendSocket.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/http/BackendSocket.java
@@ -5,6 +5,8 @@
 import java.time.Duration;
 import java.util.Optional;
 import java.util.function.Predicate;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 
 import io.activej.async.exception.AsyncCloseException;
 import io.activej.bytebuf.ByteBuf;
@@ -26,6 +28,8 @@
  */
 final class BackendSocket {
 
+	private static final Pattern KEEP_ALIVE_SECONDS = Pattern.compile("timeout=([0-9]{1,6})", Pattern.CASE_INSENSITIVE);
+
 	private static final SocketSettings SOCKETS = SocketSettings.builder().withTcpNoDelay(true).build();
 
 	private static final long NANOS_PER_SECOND = 1_000_000_000;
@@ -165,9 +169,9 @@
 			.stream()
 			.filter((field) -> field.name().equalsIgnoreCase("Keep-Alive"))
 			.map(HeaderField::value)
-			.map((text) -> text.replaceFirst("(?i).*timeout=([0-9]{1,6}).*", "$1"))
-			.filter((text) -> text.matches("[0-9]{1,6}"))
-			.map((text) -> Math.max(0, Long.parseLong(text) * NANOS_PER_SECOND - REST_MARGIN_NANOS))
+			.map(KEEP_ALIVE_SECONDS::matcher)
+			.filter(Matcher::find)
+			.map((found) -> Math.max(0, Long.parseLong(found.group(1)) * NANOS_PER_SECOND - REST_MARGIN_NANOS))
 			.findFirst()
 			.orElse(USUAL_REST_NANOS);
 	}
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/Dispatcher.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/Dispatcher.java
@@ -254,7 +254,7 @@
 		private SendOutcome nobody(int remaining) {
 			Duration pause = RetryPause.of(Duration.ZERO, Duration.ofMillis(remaining));
 			return new SendOutcome.NotRun(new Failure(byKey() ? ErrorKind.NO_OWNER : ErrorKind.NO_BACKEND,
-					"no backend server of %s can take it now".formatted(this.service), pause), false);
+					"no backend server of " + this.service + " can take it now", pause), false);
 		}
 
 		private Promise<SendOutcome> send(Member target, String reason, int remaining, long now) {
--- a/standins/src/main/java/org/brasspier/standins/Ports.java
+++ b/standins/src/main/java/org/brasspier/standins/Ports.java
@@ -27,27 +27,8 @@
 
 	private static final int LAST = 32_000;
 
-	private static final int SLICES = (LAST - FIRST) / SLICE_PORTS;
-
-	private static final int PREFERRED = Integer.getInteger(SLICE_PROPERTY, 1);
-
 	private static final int MAX_TRIES = 1000;
 
-	private static final Set<Integer> given = new HashSet<>();
-
-	static {
-		if (PREFERRED < 1 || PREFERRED > SLICES) {
-			throw new IllegalStateException("%s is %d, not from 1 to %d".formatted(SLICE_PROPERTY, PREFERRED, SLICES));
-		}
-	}
-
-	// Never closed: it is this process's own for as long as it runs.
-	private static final PortSlice SLICE = PortSlice.claim(FIRST, SLICE_PORTS, PREFERRED, SLICES);
-
-	private static final int LOWEST = SLICE.lowest();
-
-	private static final int HIGHEST = LOWEST + SLICE_PORTS - 1;
-
 	private Ports() {
 	}
 
@@ -59,9 +40,9 @@
 		IllegalStateException none = new IllegalStateException(
 				"no free port was found in %d tries".formatted(MAX_TRIES));
 		for (int i = 0; i < MAX_TRIES; i++) {
-			int port = ThreadLocalRandom.current().nextInt(LOWEST, HIGHEST);
-			Optional<IOException> fault = given.contains(port) ? Optional.empty() : bind(port);
-			if (fault.isEmpty() && given.add(port)) {
+			int port = ThreadLocalRandom.current().nextInt(OwnSlice.LOWEST, OwnSlice.HIGHEST);
+			Optional<IOException> fault = OwnSlice.given.contains(port) ? Optional.empty() : bind(port);
+			if (fault.isEmpty() && OwnSlice.given.add(port)) {
 				return new InetSocketAddress("127.0.0.1", port);
 			}
 			fault.ifPresent(none::addSuppressed);
@@ -97,4 +78,32 @@
 		return address.getAddress().getHostAddress() + ":" + address.getPort();
 	}
 
+	/**
+	 * The slice of this process. Claimed when the first port is asked for, so that
+	 * programs that only read and write addresses have none.
+	 */
+	private static final class OwnSlice {
+
+		private static final int SLICES = (LAST - FIRST) / SLICE_PORTS;
+
+		private static final int PREFERRED = Integer.getInteger(SLICE_PROPERTY, 1);
+
+		static {
+			if (PREFERRED < 1 || PREFERRED > SLICES) {
+				throw new IllegalStateException(
+						"%s is %d, not from 1 to %d".formatted(SLICE_PROPERTY, PREFERRED, SLICES));
+			}
+		}
+
+		// Never closed: it is this process's own for as long as it runs.
+		private static final PortSlice SLICE = PortSlice.claim(FIRST, SLICE_PORTS, PREFERRED, SLICES);
+
+		static final int LOWEST = SLICE.lowest();
+
+		static final int HIGHEST = LOWEST + SLICE_PORTS - 1;
+
+		static final Set<Integer> given = new HashSet<>();
+
+	}
+
 }
