--- a/core/src/main/java/org/brasspier/core/choosing/SearchPace.java
+++ b/core/src/main/java/org/brasspier/core/choosing/SearchPace.java
@@ -9,7 +9,7 @@
  */
 public final class SearchPace {
 
-	/** One request in so many finds out at last that slots are free again. */
+	/** Requests in a row that go without a search, at most. */
 	private static final int MOST_WITHOUT = 16;
 
 	private int withoutNextTime = 1;
--- a/core/src/main/java/org/brasspier/core/mesh/ReaderChoice.java
+++ b/core/src/main/java/org/brasspier/core/mesh/ReaderChoice.java
@@ -116,9 +116,8 @@
 			this(instance, domain, 0);
 		}
 
-		// Written out: generated ones go through method handles, which take milliseconds
-		// to
-		// set up in a process that has just started.
+		// Written out: generated ones go through method handles, which take
+		// milliseconds to set up in a process that has just started.
 		@Override
 		public boolean equals(@Nullable Object other) {
 			return other instanceof Candidate that && this.linkMegabits == that.linkMegabits
--- a/core/src/test/java/org/brasspier/core/choosing/ManyChoosersTests.java
+++ b/core/src/test/java/org/brasspier/core/choosing/ManyChoosersTests.java
@@ -43,9 +43,8 @@
 		assertThat(result.refused()).isAtMost(0.02);
 	}
 
-	// Guards against servers that have turned slow and are asked on for as long as it
-	// takes
-	// each of many daemons to observe it.
+	// Guards against servers that have turned slow and are asked on until each of many
+	// daemons has observed it.
 	@ParameterizedTest
 	@ValueSource(longs = { 1, 2, 3, 4 })
 	void requestsOfManyDaemonsFindTheFreeSlotsWhenAThirdOfTheServersTurnsSlow(long seed) {
