--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopLink.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopLink.java
@@ -302,8 +302,7 @@
 	private void ping() {
 		long silent = System.nanoTime() - this.heardNanos;
 		if (silent >= SILENCE_NANOS) {
-			this.open.ifPresent((ready) -> ready
-				.close(new WireException("nothing came for %d ms".formatted(Duration.ofNanos(silent).toMillis()))));
+			this.open.ifPresent((ready) -> ready.close(silent(ready, silent)));
 			return;
 		}
 		if (silent >= PING_EVERY.toNanos() / 2) {
@@ -312,6 +311,13 @@
 		keepPinging();
 	}
 
+	private static WireException silent(PeerConnection ready, long silentNanos) {
+		long bytesAgo = System.nanoTime() - ready.receivedNanos();
+		return new WireException("nothing came for %d ms, bytes %d ms ago, %d of a message, %d unsent".formatted(
+				Duration.ofNanos(silentNanos).toMillis(), Duration.ofNanos(bytesAgo).toMillis(), ready.pendingBytes(),
+				ready.unsentBytes()));
+	}
+
 	private void receive(FrameReader frame) throws WireException {
 		this.heardNanos = System.nanoTime();
 		endProbes(true);
--- a/daemon/src/main/java/org/brasspier/daemon/internal/peer/PeerConnection.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/peer/PeerConnection.java
@@ -28,6 +28,8 @@
 
 	private long unsentBytes;
 
+	private long receivedNanos = System.nanoTime();
+
 	private FrameHandler handler = (frame) -> {
 		throw new WireException("a frame came before the handshake was over");
 	};
@@ -116,6 +118,7 @@
 	}
 
 	private void take(byte[] bytes) {
+		this.receivedNanos = System.nanoTime();
 		try {
 			for (FrameReader frame : this.decoder.accept(bytes)) {
 				this.handler.handle(frame);
@@ -159,6 +162,23 @@
 		return this.unsentBytes;
 	}
 
+	/**
+	 * When bytes last came, whether they made a frame whole or not.
+	 * @return the time by the steady clock, in nanoseconds; when the connection was
+	 * opened if none came yet
+	 */
+	public long receivedNanos() {
+		return this.receivedNanos;
+	}
+
+	/**
+	 * How much of a frame that is not whole yet has come.
+	 * @return bytes, at least 0
+	 */
+	public int pendingBytes() {
+		return this.decoder.pendingBytes();
+	}
+
 	/**
 	 * Whether a connection ended because the peer closed it in an orderly way.
 	 * @param reason what {@link #closed()} told
--- a/wire/src/main/java/org/brasspier/wire/FrameDecoder.java
+++ b/wire/src/main/java/org/brasspier/wire/FrameDecoder.java
@@ -59,6 +59,14 @@
 		return frames;
 	}
 
+	/**
+	 * How much of a frame that is not whole yet has come.
+	 * @return bytes, at least 0
+	 */
+	public int pendingBytes() {
+		return this.pending.length;
+	}
+
 	private int lengthAt(byte[] bytes, int position) throws WireException {
 		int length = (bytes[position] & 0xff) << 24 | (bytes[position + 1] & 0xff) << 16
 				| (bytes[position + 2] & 0xff) << 8 | (bytes[position + 3] & 0xff);
