Give an answer of the store up only once nothing of it comes any more

Callers: on Kliring grown requests met an older configuration up to 6.8 s after a change of 297 KB was acknowledged. Daemons that had lost their readers asked the store themselves, and each such call was given up 1,000 ms after it was asked, although its answer, 396 KB on 10 Mbit/s that are shared with other daemons, was coming; the next call began from nothing (, STORE_LOST with Promise timeout at twelve daemons at 25.8 s, at two of the last ones again and again).

The time for an answer's head is as before. Its body may take as long as it keeps coming.

--- a/daemon/src/main/java/org/brasspier/daemon/internal/loop/WholeBody.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/loop/WholeBody.java
@@ -1,11 +1,15 @@
 package org.brasspier.daemon.internal.loop;
 
 import java.io.ByteArrayOutputStream;
+import java.time.Duration;
+import java.util.Optional;
 
+import io.activej.async.exception.AsyncTimeoutException;
 import io.activej.bytebuf.ByteBuf;
 import io.activej.csp.supplier.ChannelSupplier;
 import io.activej.http.HttpMessage;
 import io.activej.promise.Promise;
+import io.activej.promise.Promises;
 import io.activej.promise.SettablePromise;
 
 /**
@@ -30,9 +34,12 @@
 
 	private final SettablePromise<byte[]> whole = new SettablePromise<>();
 
-	private WholeBody(ChannelSupplier<ByteBuf> stream, int maxBytes) {
+	private final Optional<Duration> silence;
+
+	private WholeBody(ChannelSupplier<ByteBuf> stream, int maxBytes, Optional<Duration> silence) {
 		this.stream = stream;
 		this.maxBytes = maxBytes;
+		this.silence = silence;
 	}
 
 	/**
@@ -42,14 +49,35 @@
 	 * @return the body, or {@link TooLargeException}, or why it was cut short
 	 */
 	public static Promise<byte[]> read(HttpMessage message, int maxBytes) {
-		WholeBody reading = new WholeBody(message.takeBodyStream(), maxBytes);
+		return read(message, maxBytes, Optional.empty());
+	}
+
+	/**
+	 * Reads a body that may take as long as it likes, if it keeps coming.
+	 * @param message the message
+	 * @param maxBytes the largest body accepted, in bytes
+	 * @param silence how long nothing of it may come
+	 * @return the body, or {@link TooLargeException} or {@link SilentException}, or why
+	 * it was cut short
+	 */
+	public static Promise<byte[]> read(HttpMessage message, int maxBytes, Duration silence) {
+		return read(message, maxBytes, Optional.of(silence));
+	}
+
+	private static Promise<byte[]> read(HttpMessage message, int maxBytes, Optional<Duration> silence) {
+		WholeBody reading = new WholeBody(message.takeBodyStream(), maxBytes, silence);
 		reading.next();
 		return reading.whole;
 	}
 
 	private void next() {
-		this.stream.get().whenComplete((buf, ex) -> {
-			if (ex != null) {
+		Promise<ByteBuf> read = this.stream.get();
+		Promise<ByteBuf> next = this.silence.map((longest) -> Promises.timeout(longest, read)).orElse(read);
+		next.whenComplete((buf, ex) -> {
+			if (ex instanceof AsyncTimeoutException) {
+				silent();
+			}
+			else if (ex != null) {
 				this.whole.trySetException(ex);
 			}
 			else if (buf == null) {
@@ -61,6 +89,12 @@
 		});
 	}
 
+	private void silent() {
+		SilentException reason = new SilentException(this.body.size());
+		this.whole.trySetException(reason);
+		this.stream.closeEx(reason);
+	}
+
 	private void take(byte[] bytes) {
 		if (this.body.size() + bytes.length > this.maxBytes) {
 			// The rest is left unread; closing the stream here would cut off the answer.
@@ -71,6 +105,19 @@
 		next();
 	}
 
+	/**
+	 * The rest of the body does not come.
+	 */
+	public static final class SilentException extends Exception {
+
+		private static final long serialVersionUID = 1;
+
+		SilentException(int bytes) {
+			super("nothing of the body came any more after %d bytes".formatted(bytes));
+		}
+
+	}
+
 	/**
 	 * The body is larger than the limit.
 	 */
