Have one daemon at a time tell another one the rows that it lacks

Now those who know more say how much, and the one behind asks one of them; the next one after a second without an answer. A daemon of an earlier build is told as before.

--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopLink.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopLink.java
@@ -357,7 +357,7 @@
 			case HopMessage.Cancelled ignored -> throw wrongSide();
 			case HopMessage.Ping ignored -> throw wrongSide();
 			case HopMessage.Load ignored -> throw wrongSide();
-			case HopMessage.RowsAsked ignored -> throw wrongSide();
+			case HopMessage.RowsAsked(KnownRows known) -> tell(this.rows.lacking(known));
 			case HopMessage.RowsFollowed ignored -> throw wrongSide();
 			case HopMessage.LeasesAsked ignored -> throw wrongSide();
 			case HopMessage.PromiseAsked ignored -> throw wrongSide();
@@ -366,11 +366,14 @@
 	}
 
 	private void compare(KnownRows known) {
-		RowExchange.Step step = this.differences.noticed(this.rows.known(), known, System.nanoTime());
+		long now = System.nanoTime();
+		RowExchange.Step step = this.differences.noticed(this.rows.known(), known, now);
 		if (step.tell()) {
-			tell(this.rows.lacking(known));
+			// It asks one of those who know more; a daemon of an earlier build can't ask.
+			boolean asks = this.sender.filter(HopSender::peerTakesPieces).isPresent();
+			tell(asks ? new HopMessage.Known(this.rows.known()) : this.rows.lacking(known));
 		}
-		if (step.ask()) {
+		if (step.ask() && this.rows.mayAsk(now)) {
 			tell(new HopMessage.RowsAsked(this.rows.known()));
 		}
 	}
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopServer.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopServer.java
@@ -158,7 +158,7 @@
 				case HopMessage.Replied ignored -> throw wrongSide();
 				case HopMessage.RowsAsked(KnownRows known) -> send(HopServer.this.rows.lacking(known));
 				case HopMessage.RowsTold told -> HopServer.this.rows.take(told);
-				case HopMessage.Known ignored -> throw wrongSide();
+				case HopMessage.Known(KnownRows known) -> noticed(known);
 				case HopMessage.RowsPassed ignored -> throw wrongSide();
 				case HopMessage.LeasesTold ignored -> throw wrongSide();
 				case HopMessage.Promised ignored -> throw wrongSide();
@@ -175,6 +175,14 @@
 			send(new HopMessage.Pong());
 		}
 
+		// Of all who say that they know more, one at a time is asked.
+		private void noticed(KnownRows known) {
+			KnownRows own = HopServer.this.rows.known();
+			if (known.aheadOf(own) && HopServer.this.rows.mayAsk(System.nanoTime())) {
+				send(new HopMessage.RowsAsked(own));
+			}
+		}
+
 		private static WireException wrongSide() {
 			return new WireException("a message came from the wrong side of the connection");
 		}
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/SharedRows.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/SharedRows.java
@@ -4,6 +4,7 @@
 import java.util.List;
 
 import org.brasspier.core.mesh.KnownRows;
+import org.brasspier.core.mesh.RowRequests;
 import org.brasspier.daemon.mesh.MetadataStore;
 
 /**
@@ -19,6 +20,8 @@
 
 	private final MeshLog log;
 
+	private final RowRequests requests = new RowRequests();
+
 	private Runnable told = () -> {
 	};
 
@@ -45,6 +48,15 @@
 		this.told = listener;
 	}
 
+	/**
+	 * Whether to ask another daemon for rows that it knows and this one doesn't.
+	 * @param now the time
+	 * @return false while another one is expected to tell them
+	 */
+	boolean mayAsk(long now) {
+		return this.requests.mayAsk(now);
+	}
+
 	KnownRows known() {
 		return new KnownRows(this.config.rowVersion(), this.directory.version());
 	}
@@ -85,6 +97,7 @@
 			this.meshBehind.run();
 		}
 		if (!known().equals(before)) {
+			this.requests.answered();
 			this.told.run();
 		}
 	}
--- /dev/null
+++ b/daemon/src/test/java/org/brasspier/daemon/internal/mesh/RowRepairTests.java
@@ -0,0 +1,120 @@
+package org.brasspier.daemon.internal.mesh;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.stream.IntStream;
+
+import com.codahale.metrics.MetricRegistry;
+import io.activej.eventloop.Eventloop;
+import io.vavr.control.Either;
+import org.brasspier.core.ErrorKind;
+import org.brasspier.core.Failure;
+import org.brasspier.core.FailureDomain;
+import org.brasspier.core.InstanceId;
+import org.brasspier.core.RequestClass;
+import org.brasspier.core.ServiceName;
+import org.brasspier.core.mesh.KnownRows;
+import org.brasspier.core.mesh.RoutingConfig;
+import org.brasspier.core.mesh.RowRequests;
+import org.brasspier.core.mesh.SendOutcome;
+import org.brasspier.daemon.internal.request.Cancellation;
+import org.brasspier.daemon.mesh.ConfigSource;
+import org.brasspier.daemon.mesh.MeshRequest;
+import org.brasspier.daemon.mesh.MetadataStore;
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Many daemons send requests to one that knows none of the rows that they know.
+ */
+class RowRepairTests {
+
+	private static final int OTHERS = 12;
+
+	private final Eventloop loop = Eventloop.create();
+
+	private final RowRequests requests = new RowRequests();
+
+	private final AtomicInteger announced = new AtomicInteger();
+
+	private final AtomicInteger told = new AtomicInteger();
+
+	private final CompletableFuture<Boolean> allAnnounced = new CompletableFuture<>();
+
+	private static HopClient client(Eventloop loop) {
+		MeshLog log = new MeshLog(new InstanceId("self"), new MetricRegistry());
+		ConfigSource source = new ConfigSource() {
+
+			@Override
+			public String table() {
+				return "table";
+			}
+
+			@Override
+			public String key() {
+				return "config";
+			}
+
+			@Override
+			public Either<Failure, RoutingConfig> read(byte[] value) {
+				return Either.right(new RoutingConfig(3, List.of(), List.of(), RoutingConfig.NONE.limits()));
+			}
+
+		};
+		ConfigHolder config = new ConfigHolder(source, log);
+		MetadataStore.Row row = new MetadataStore.Row("config", Optional.of("3".getBytes(StandardCharsets.UTF_8)), 5);
+		config.take(new MetadataStore.Rows(List.of(row), 5), ConfigHolder.Origin.STORE);
+		return new HopClient(loop, new SharedRows(config, new Directory(log), log));
+	}
+
+	// A daemon that is behind for as long as the test takes.
+	private List<HopMessage> answers(HopMessage message) {
+		return switch (message) {
+			case HopMessage.Asked asked -> List.of(
+					new HopMessage.Replied(asked.exchange(),
+							new SendOutcome.NotRun(Failure.of(ErrorKind.NO_CONFIGURATION, "none is known"), false)),
+					new HopMessage.Known(new KnownRows(0, 0)));
+			case HopMessage.Ping ignored -> List.of(new HopMessage.Pong());
+			case HopMessage.Known ignored -> {
+				if (this.announced.incrementAndGet() == OTHERS) {
+					this.allAnnounced.complete(true);
+				}
+				yield this.requests.mayAsk(System.nanoTime()) ? List.of(new HopMessage.RowsAsked(new KnownRows(0, 0)))
+						: List.of();
+			}
+			case HopMessage.RowsTold ignored -> {
+				this.told.incrementAndGet();
+				yield List.of();
+			}
+			default -> List.of();
+		};
+	}
+
+	/**
+	 * Guards against a daemon that is behind and gets the same large row from each other
+	 * daemon at once, so that its network carries nothing else for seconds.
+	 */
+	@Test
+	void theRowsAreToldByTheOneThatIsAskedOnly() throws Exception {
+		try (HopServerStandIn server = new HopServerStandIn(this::answers)) {
+			Member member = new Member(new InstanceId("other"), server.address(), new FailureDomain("z"),
+					new ServiceName("plain"), Optional.empty(), 1, true);
+			HopRequest ask = new HopRequest(member.service(), member.service(), RequestClass.LOOKUP, true, false, true,
+					new MeshRequest("r", "host", "GET", "/", List.of(), new byte[0], 5_000, OptionalInt.empty()));
+			this.loop.keepAlive(true);
+			Thread.ofPlatform().daemon().start(this.loop);
+			this.loop.execute(() -> IntStream.range(0, OTHERS)
+				.mapToObj((i) -> client(this.loop))
+				.forEach((client) -> client.send(member, ask, new Cancellation())));
+			assertThat(this.allAnnounced.get(30, TimeUnit.SECONDS)).isTrue();
+			assertThat(this.told.get()).isAtMost(1 + this.announced.get() / OTHERS);
+		}
+	}
+
+}
