Keep a request away from backend servers once it has crashed two or three

Nothing counted crashes, and a repeat has another id.

The gate beside a server notes the requests whose connections end without an answer, by method, host, path and body. It looks at the server's port 20 ms later: closed, or another life, is a crash; an answer to what was sent later clears the server. A crash and what ran then is told to all daemons at once and kept in a row of the store for those that start later. A request is kept away after two crashes that have no other suspect in common, after three in any case, for five minutes; it gets its 503 at once, at the entry and at the gate. Suspects run one at a time beside a server, so the next crash tells which one it was; what ends well is cleared everywhere. Daemons of an earlier build are told by the store's row only, and ignore it.

--- /dev/null
+++ b/core/src/test/java/org/brasspier/core/crash/CrashSuspectsTests.java
@@ -0,0 +1,117 @@
+package org.brasspier.core.crash;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Set;
+
+import org.brasspier.core.InstanceId;
+import org.brasspier.core.keys.BackendLife;
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+
+class CrashSuspectsTests {
+
+	private static final long CULPRIT = 1;
+
+	private static final InstanceId HERE = new InstanceId("here");
+
+	private final CrashSuspects suspects = new CrashSuspects();
+
+	private int lives;
+
+	// Another server crashes while it runs these.
+	private CrashNotes crash(Long... requests) {
+		this.lives++;
+		return new CrashNotes(List.of(new CrashReport(new BackendLife("server", this.lives), Set.of(requests))),
+				Set.of());
+	}
+
+	private void crashed(Long... requests) {
+		this.suspects.told(new InstanceId("instance-" + this.lives), crash(requests), 0);
+	}
+
+	@Test
+	void oneCrashKeepsNothingAway() {
+		crashed(CULPRIT, 2L, 3L);
+		assertThat(this.suspects.keepsAway(CULPRIT, 0)).isFalse();
+		assertThat(this.suspects.suspects(2)).isTrue();
+	}
+
+	/**
+	 * Load: fourteen slots in use on each of two servers, and one request that both run.
+	 */
+	@Test
+	void theOnlyRequestOfTwoCrashesIsKeptAwayAndNothingElse() {
+		crashed(CULPRIT, 2L, 3L, 4L);
+		crashed(CULPRIT, 5L, 6L, 7L);
+		assertThat(this.suspects.keepsAway(CULPRIT, 0)).isTrue();
+		assertThat(this.suspects.keptAway()).isEqualTo(1);
+	}
+
+	/**
+	 * Guards against a request that is refused because it was sent on to another server
+	 * together with the culprit.
+	 */
+	@Test
+	void whatTwoCrashesShareWithTheCulpritIsNotKeptAway() {
+		crashed(CULPRIT, 2L, 3L);
+		crashed(CULPRIT, 2L, 4L);
+		assertThat(this.suspects.keptAway()).isEqualTo(0);
+		crashed(CULPRIT, 5L);
+		assertThat(this.suspects.keepsAway(CULPRIT, 0)).isTrue();
+		assertThat(this.suspects.keptAway()).isEqualTo(1);
+	}
+
+	@Test
+	void whatWasPartOfThreeCrashesIsKeptAwayWhateverElseWas() {
+		crashed(CULPRIT, 2L);
+		crashed(CULPRIT, 2L);
+		crashed(CULPRIT, 2L);
+		assertThat(this.suspects.keepsAway(CULPRIT, 0)).isTrue();
+	}
+
+	/** Guards against innocent requests that are refused for good. */
+	@Test
+	void whatEndsWellIsClearedAndLeavesTheCulprit() {
+		crashed(CULPRIT, 2L);
+		assertThat(this.suspects.endedWell(HERE, 2, 0)).isTrue();
+		assertThat(this.suspects.endedWell(HERE, 2, 0)).isFalse();
+		crashed(CULPRIT, 2L);
+		assertThat(this.suspects.keepsAway(CULPRIT, 0)).isTrue();
+		assertThat(this.suspects.keepsAway(2, 0)).isFalse();
+		assertThat(this.suspects.notes(HERE).cleared()).containsExactly(2L);
+	}
+
+	/** Guards against one crash that counts as many because many tell of it. */
+	@Test
+	void theSameCrashToldTwiceCountsOnce() {
+		CrashNotes notes = crash(CULPRIT);
+		assertThat(this.suspects.told(HERE, notes, 0)).isTrue();
+		assertThat(this.suspects.told(HERE, notes, 0)).isFalse();
+		assertThat(this.suspects.keepsAway(CULPRIT, 0)).isFalse();
+	}
+
+	@Test
+	void aCrashCountsNoMoreAfterFiveMinutes() {
+		crashed(CULPRIT);
+		crashed(CULPRIT);
+		long later = Duration.ofMinutes(5).toNanos();
+		assertThat(this.suspects.keepsAway(CULPRIT, later - 1)).isTrue();
+		assertThat(this.suspects.keepsAway(CULPRIT, later)).isFalse();
+		assertThat(this.suspects.isEmpty()).isTrue();
+	}
+
+	@Test
+	void whatAnInstanceTellsIsBoundedAndHasTheLatestCrashes() {
+		CrashNotes notes = CrashNotes.NONE;
+		for (int i = 0; i < CrashNotes.MAX_REPORTS * 3; i++) {
+			notes = notes.with(crash((long) i).reports().get(0));
+			this.suspects.told(HERE, notes, 0);
+		}
+		assertThat(this.suspects.notes(HERE)).isEqualTo(notes);
+		assertThat(notes.reports()).hasSize(CrashNotes.MAX_REPORTS);
+		assertThat(notes.reports().get(CrashNotes.MAX_REPORTS - 1).life().bornMillis()).isEqualTo(this.lives);
+	}
+
+}
--- a/daemon/src/main/java/org/brasspier/daemon/internal/http/BackendPool.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/http/BackendPool.java
@@ -93,6 +93,20 @@
 		return run;
 	}
 
+	/**
+	 * Opens a connection and keeps it for the next order.
+	 * @return false if nothing listens at the server's address; never an exception
+	 */
+	public Promise<Boolean> open() {
+		return BackendSocket.connect(this.reactor, this.address, CONNECT_TIMEOUT, this.maxBodyBytes)
+			.then((socket, ex) -> {
+				if (ex == null) {
+					this.resting.addFirst(socket);
+				}
+				return Promise.of(!(ex instanceof ConnectException));
+			});
+	}
+
 	private void begin(BackendRun run, BackendSocket socket, RawRequest request, Predicate<Answer> own) {
 		run.on(socket);
 		socket.exchange(request, own).whenResult((reply) -> {
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/BackendGate.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/BackendGate.java
@@ -82,6 +82,8 @@
 
 	private final KeyOwnership keys;
 
+	private final BackendCrashes crashes;
+
 	private final MeshLog log;
 
 	private final AdmissionController admission = new AdmissionController(new AdmissionLimits(1, 1),
@@ -100,7 +102,8 @@
 	private boolean stopping;
 
 	BackendGate(NioReactor reactor, MeshSettings settings, BackendRegistration registration, BackendPool pool,
-			BackendProtocol protocol, Supplier<RoutingConfig> config, KeyOwnership keys, MeshLog log) {
+			BackendProtocol protocol, Supplier<RoutingConfig> config, KeyOwnership keys, BackendCrashes crashes,
+			MeshLog log) {
 		this.reactor = reactor;
 		this.settings = settings;
 		this.registration = registration;
@@ -108,6 +111,7 @@
 		this.protocol = protocol;
 		this.config = config;
 		this.keys = keys;
+		this.crashes = crashes;
 		this.log = log;
 		registration.listen(this::backendChanged);
 	}
@@ -187,7 +191,23 @@
 			return Optional.of(Failure.of(ErrorKind.DEADLINE_PASSED, "it was held up for %d ms between the daemons"
 				.formatted(Duration.ofNanos(heldUpNanos).toMillis())));
 		}
-		return unservable(ask, now);
+		return suspect(ask).or(() -> unservable(ask, now));
+	}
+
+	// Why a request under which servers may have crashed may not be handed over now.
+	private Optional<Failure> suspect(HopRequest ask) {
+		if (this.crashes.keepsAway(ask.request())) {
+			return Optional.of(keptAway());
+		}
+		return this.crashes.mustWait(ask.request())
+				? Optional
+					.of(new Failure(ErrorKind.OVERLOADED, "another request that may crash servers runs", RETRY_SOON))
+				: Optional.empty();
+	}
+
+	// Nobody knows when it may be tried again, so no pause is told.
+	static Failure keptAway() {
+		return Failure.of(ErrorKind.CRASHED_BACKENDS, "backend servers have crashed under this request");
 	}
 
 	private Optional<Failure> unservable(HopRequest ask, long now) {
@@ -253,7 +273,7 @@
 
 	private Promise<SendOutcome> start(long number, Order order) {
 		long now = System.nanoTime();
-		Optional<Failure> closed = unservable(order.ask, now);
+		Optional<Failure> closed = suspect(order.ask).or(() -> unservable(order.ask, now));
 		if (closed.isPresent() || this.registration.life().isEmpty() || order.cancellation.cancelled()) {
 			finished(number, RunOutcome.NOT_BEGUN);
 			Failure why = closed.orElseGet(() -> Failure.of(ErrorKind.DEADLINE_PASSED, "nobody waits for it"));
@@ -265,6 +285,7 @@
 	private Promise<SendOutcome> send(long number, Order order, BackendLife to, long now) {
 		int remaining = (int) Math.max(1, (order.deadlineNanos - now) / NANOS_PER_MILLI);
 		BackendOrder written = new BackendOrder(order.ask.request(), order.ask.caller(), to, remaining);
+		this.crashes.begun(order.ask.request());
 		BackendPool.BackendRun run = this.pool.run(this.protocol.order(written), order.ask.idempotent(),
 				(answer) -> this.protocol.verdict(written, answer) != BackendProtocol.Verdict.OTHER_ORDER,
 				() -> mayBeSent(order, to));
@@ -276,10 +297,31 @@
 		}
 		return run.reply().map((reply) -> {
 			timeout.cancel();
+			this.crashes.over(order.ask.request());
+			noteCrash(written, now, reply);
 			return ended(number, written, order, reply);
 		});
 	}
 
+	private void noteCrash(BackendOrder written, long sentNanos, BackendReply reply) {
+		switch (reply) {
+			case BackendReply.Whole(Answer answer) -> {
+				if (this.protocol.verdict(written, answer) != BackendProtocol.Verdict.NOT_RUN) {
+					this.crashes.answered(written.life(), written.request(), sentNanos);
+				}
+			}
+			case BackendReply.Broken ignored -> this.crashes.broke(written.life(), written.request());
+			case BackendReply.Garbled ignored -> this.crashes.broke(written.life(), written.request());
+			case BackendReply.Closed ignored -> this.crashes.closed(written.life());
+			case BackendReply.NotSent ignored -> {
+				// It says nothing of the server.
+			}
+			case BackendReply.GivenUp ignored -> {
+				// Neither does this.
+			}
+		}
+	}
+
 	// A connection may take as long to open as a leaving server may still be given work.
 	private boolean mayBeSent(Order order, BackendLife to) {
 		return this.registration.life().equals(Optional.of(to)) && unservable(order.ask, System.nanoTime()).isEmpty();
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/Directory.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/Directory.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.stream.Stream;
 
@@ -14,6 +15,7 @@
 import org.brasspier.core.Failure;
 import org.brasspier.core.InstanceId;
 import org.brasspier.core.ServiceName;
+import org.brasspier.core.crash.CrashNotes;
 import org.brasspier.core.keys.KeyMap;
 import org.brasspier.daemon.mesh.MetadataStore;
 
@@ -30,6 +32,8 @@
 
 	private final Map<ServiceName, Entry<KeyMap>> keys = new HashMap<>();
 
+	private final Map<InstanceId, Entry<CrashNotes>> crashes = new HashMap<>();
+
 	private final Map<ServiceName, List<Member>> serving = new HashMap<>();
 
 	private final Map<InetSocketAddress, Long> newestAt = new HashMap<>();
@@ -48,6 +52,9 @@
 	private Consumer<MetadataStore.Row> written = (row) -> {
 	};
 
+	private BiConsumer<InstanceId, CrashNotes> crashesTold = (instance, notes) -> {
+	};
+
 	private boolean known;
 
 	Directory(MeshLog log) {
@@ -59,6 +66,11 @@
 		this.listeners.add(listener);
 	}
 
+	// Called with what a row newly says of crashes.
+	void whenCrashesTold(BiConsumer<InstanceId, CrashNotes> listener) {
+		this.crashesTold = listener;
+	}
+
 	// Called after this daemon has written a row.
 	void whenWritten(Consumer<MetadataStore.Row> listener) {
 		this.written = listener;
@@ -101,6 +113,10 @@
 		else if (row.key().startsWith(StoredRows.KEYS_PREFIX) && row.value().isPresent()) {
 			takeKeys(row, row.key().substring(StoredRows.KEYS_PREFIX.length()), row.value().get());
 		}
+		else if (row.key().startsWith(StoredRows.CRASHES_PREFIX) && row.value().isPresent()) {
+			takeCrashes(row, new InstanceId(row.key().substring(StoredRows.CRASHES_PREFIX.length())),
+					row.value().get());
+		}
 	}
 
 	private void takeMember(MetadataStore.Row row, String instance) {
@@ -139,6 +155,29 @@
 		this.listeners.forEach(Runnable::run);
 	}
 
+	private void takeCrashes(MetadataStore.Row row, InstanceId instance, byte[] value) {
+		if (crashNotesVersion(instance) >= row.version()) {
+			return;
+		}
+		Either<Failure, CrashNotes> read = StoredRows.crashes(value);
+		if (read.isLeft()) {
+			this.log.record(MeshEvent.CRASHES_TOLD, "from", instance, "unreadable", read.getLeft().detail());
+			return;
+		}
+		this.crashes.put(instance, new Entry<>(read.get(), row));
+		this.newestVersion = Math.max(this.newestVersion, row.version());
+		this.crashesTold.accept(instance, read.get());
+	}
+
+	// What the store has of an instance's crashes.
+	CrashNotes crashNotes(InstanceId instance) {
+		return Optional.ofNullable(this.crashes.get(instance)).map(Entry::value).orElse(CrashNotes.NONE);
+	}
+
+	long crashNotesVersion(InstanceId instance) {
+		return Optional.ofNullable(this.crashes.get(instance)).map(Entry::version).orElse(0L);
+	}
+
 	// The newest version among the rows that are known, asked for with each message.
 	long version() {
 		return this.newestVersion;
@@ -154,7 +193,8 @@
 	 * @return them as the store has them
 	 */
 	List<MetadataStore.Row> rowsAfter(long version) {
-		return Stream.concat(this.members.values().stream(), this.keys.values().stream())
+		return Stream.of(this.members.values(), this.keys.values(), this.crashes.values())
+			.flatMap(Collection::stream)
 			.map(Entry::row)
 			.filter((row) -> row.version() > version)
 			.toList();
@@ -196,7 +236,8 @@
 	private void membersChanged() {
 		this.serving.clear();
 		this.indexed = false;
-		this.newestVersion = Math.max(newest(this.members.values()), newest(this.keys.values()));
+		this.newestVersion = Math.max(newest(this.crashes.values()),
+				Math.max(newest(this.members.values()), newest(this.keys.values())));
 	}
 
 	// Asked for several times a second and changes with members only: compared pair by
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/Dispatcher.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/Dispatcher.java
@@ -74,6 +74,8 @@
 
 	private final HopClient hops;
 
+	private final BackendCrashes crashes;
+
 	private final MeshLog log;
 
 	private final Map<ServiceName, BackendChooser> choosers = new HashMap<>();
@@ -89,12 +91,13 @@
 	private final SplittableRandom random = new SplittableRandom();
 
 	Dispatcher(MeshSettings settings, Directory directory, Supplier<RoutingConfig> config, BackendGate gate,
-			HopClient hops, MeshLog log) {
+			HopClient hops, BackendCrashes crashes, MeshLog log) {
 		this.settings = settings;
 		this.directory = directory;
 		this.config = config;
 		this.gate = gate;
 		this.hops = hops;
+		this.crashes = crashes;
 		this.log = log;
 	}
 
@@ -203,6 +206,9 @@
 				return Promise.of(new SendOutcome.NotRun(
 						Failure.of(ErrorKind.DEADLINE_PASSED, "the deadline passed before it was sent"), false));
 			}
+			if (Dispatcher.this.crashes.keepsAway(this.request)) {
+				return Promise.of(new SendOutcome.NotRun(BackendGate.keptAway(), false));
+			}
 			if (byKey()) {
 				return holder(now).map((target) -> send(target, "KEY", remaining, now))
 					.orElseGet(() -> Promise.of(nobody(remaining)));
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopClient.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopClient.java
@@ -60,6 +60,10 @@
 		peer(member).link.tell(message);
 	}
 
+	void tellCurrentBuild(Member member, HopMessage message) {
+		peer(member).link.tellCurrentBuild(message);
+	}
+
 	/**
 	 * Asks another daemon to leave this instance's keys alone for a while.
 	 * @param member the other instance
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopCodec.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopCodec.java
@@ -4,12 +4,16 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalInt;
+import java.util.Set;
 
 import org.brasspier.core.ErrorKind;
 import org.brasspier.core.Failure;
 import org.brasspier.core.InstanceId;
 import org.brasspier.core.RequestClass;
 import org.brasspier.core.ServiceName;
+import org.brasspier.core.crash.CrashNotes;
+import org.brasspier.core.crash.CrashReport;
+import org.brasspier.core.keys.BackendLife;
 import org.brasspier.core.keys.HolderLoad;
 import org.brasspier.core.keys.KeyLoad;
 import org.brasspier.core.keys.KeySpan;
@@ -70,6 +74,8 @@
 
 	private static final int COMPRESSED = 21;
 
+	private static final int CRASHES_TOLD = 22;
+
 	private static final double MILLI = 1000;
 
 	private static final int NO_KEY = -1;
@@ -103,6 +109,8 @@
 				frame.number(LEASES_ASKED).number(exchange).number(oldestMillis);
 			case HopMessage.LeasesTold(long exchange, var leases) ->
 				rows(frame.number(LEASES_TOLD).number(exchange).flag(leases.isPresent()), leases.orElse(List.of()));
+			case HopMessage.CrashesTold(InstanceId from, CrashNotes notes) ->
+				crashes(frame.number(CRASHES_TOLD).text(from.value()), notes);
 			case HopMessage.Ping(boolean takesPieces) -> frame.number(PING).flag(takesPieces);
 			case HopMessage.Pong(boolean takesPieces) -> frame.number(PONG).flag(takesPieces);
 			case HopMessage.Leaving ignored -> frame.number(LEAVING);
@@ -185,6 +193,7 @@
 			case ROWS_PASSED -> new HopMessage.RowsPassed(known(frame), known(frame), frame.flag(), told(frame));
 			case LEASES_ASKED -> new HopMessage.LeasesAsked(frame.number(), frame.small());
 			case LEASES_TOLD -> leasesTold(frame);
+			case CRASHES_TOLD -> new HopMessage.CrashesTold(instance(frame), crashes(frame));
 			case PING -> new HopMessage.Ping(takesPieces(frame));
 			case PONG -> new HopMessage.Pong(takesPieces(frame));
 			case LEAVING -> new HopMessage.Leaving();
@@ -247,6 +256,35 @@
 		}
 	}
 
+	private static void crashes(FrameWriter frame, CrashNotes notes) {
+		frame.count(notes.reports().size());
+		notes.reports().forEach((report) -> {
+			frame.text(report.life().id()).number(report.life().bornMillis());
+			numbers(frame, report.requests());
+		});
+		numbers(frame, notes.cleared());
+	}
+
+	private static void numbers(FrameWriter frame, Set<Long> numbers) {
+		frame.count(numbers.size());
+		numbers.forEach(frame::number);
+	}
+
+	private static CrashNotes crashes(FrameReader frame) throws WireException {
+		try {
+			List<CrashReport> reports = frame
+				.list((each) -> new CrashReport(new BackendLife(each.text(), each.number()), numbers(each)));
+			return new CrashNotes(reports, numbers(frame));
+		}
+		catch (IllegalArgumentException ex) {
+			throw new WireException("what another daemon tells of crashes makes no sense", ex);
+		}
+	}
+
+	private static Set<Long> numbers(FrameReader frame) throws WireException {
+		return Set.copyOf(frame.list(FrameReader::number));
+	}
+
 	// Rates travel as thousandths.
 	private static void load(FrameWriter frame, HolderLoad load) {
 		frame.text(load.instance().value()).number(Math.round(load.capacity() * MILLI)).count(load.pieces().size());
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopLink.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopLink.java
@@ -84,6 +84,9 @@
 
 	private final Promise<HopSender> connection;
 
+	// Whether the other daemon is of this build, once it has said so.
+	private final SettablePromise<Boolean> currentBuild = new SettablePromise<>();
+
 	private final Map<Long, SettablePromise<SendOutcome>> waiting = new HashMap<>();
 
 	private final Awaited<HopMessage.Promised> promises = new Awaited<>();
@@ -182,6 +185,15 @@
 		this.connection.whenResult((ready) -> ready.send(message));
 	}
 
+	// Sends what daemons of an earlier build can't read, to others only.
+	void tellCurrentBuild(HopMessage message) {
+		this.currentBuild.whenResult((current) -> {
+			if (current) {
+				tell(message);
+			}
+		});
+	}
+
 	/**
 	 * Asks the other daemon to leave this instance's keys alone for a while.
 	 * @param holder this instance
@@ -352,10 +364,14 @@
 			case HopMessage.RowsPassed passed -> passed(passed);
 			case HopMessage.Leaving ignored -> this.leaving = true;
 			case HopMessage.Stopping ignored -> this.stopping = true;
-			case HopMessage.Pong(boolean takes) -> this.sender.ifPresent((ready) -> ready.peerTakesPieces(takes));
+			case HopMessage.Pong(boolean takes) -> {
+				this.sender.ifPresent((ready) -> ready.peerTakesPieces(takes));
+				this.currentBuild.trySet(takes);
+			}
 			case HopMessage.Asked ignored -> throw wrongSide();
 			case HopMessage.Cancelled ignored -> throw wrongSide();
 			case HopMessage.Ping ignored -> throw wrongSide();
+			case HopMessage.CrashesTold ignored -> throw wrongSide();
 			case HopMessage.Load ignored -> throw wrongSide();
 			case HopMessage.RowsAsked(KnownRows known) -> tell(this.rows.lacking(known));
 			case HopMessage.RowsFollowed ignored -> throw wrongSide();
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopMessage.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopMessage.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 
 import org.brasspier.core.InstanceId;
+import org.brasspier.core.crash.CrashNotes;
 import org.brasspier.core.keys.HolderLoad;
 import org.brasspier.core.mesh.KnownRows;
 import org.brasspier.core.mesh.SendOutcome;
@@ -160,6 +161,15 @@
 	record LeasesTold(long exchange, Optional<List<MetadataStore.Row>> rows) implements HopMessage {
 	}
 
+	/**
+	 * What an instance knows of crashes of backend servers.
+	 *
+	 * @param from the instance
+	 * @param notes what it knows
+	 */
+	record CrashesTold(InstanceId from, CrashNotes notes) implements HopMessage {
+	}
+
 	/**
 	 * Asks whether the receiver still hears.
 	 *
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopServer.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopServer.java
@@ -45,6 +45,8 @@
 
 	private final RowFollowers followers;
 
+	private final BackendCrashes crashes;
+
 	private final MeshLog log;
 
 	private final RowFrames rowFrames = new RowFrames();
@@ -56,7 +58,7 @@
 	private boolean stopping;
 
 	HopServer(NioReactor reactor, InetSocketAddress address, BackendGate gate, KeyOwnership keys, SharedRows rows,
-			RowFollowers followers, MeshLog log) {
+			RowFollowers followers, BackendCrashes crashes, MeshLog log) {
 		this.server = SimpleServer.builder(reactor, this::accept)
 			.withListenAddress(address)
 			.withSocketSettings(HopLink.SOCKETS)
@@ -65,6 +67,7 @@
 		this.keys = keys;
 		this.rows = rows;
 		this.followers = followers;
+		this.crashes = crashes;
 		this.log = log;
 	}
 
@@ -155,6 +158,7 @@
 				case HopMessage.LeasesAsked asked -> HopServer.this.keys.leases(asked).whenResult(this::send);
 				case HopMessage.PromiseReleased(var holder) -> HopServer.this.keys.released(holder);
 				case HopMessage.RowsFollowed asked -> HopServer.this.followers.followed(this, asked, this);
+				case HopMessage.CrashesTold(var from, var notes) -> HopServer.this.crashes.told(from, notes);
 				case HopMessage.Replied ignored -> throw wrongSide();
 				case HopMessage.RowsAsked(KnownRows known) -> send(HopServer.this.rows.lacking(known));
 				case HopMessage.RowsTold told -> HopServer.this.rows.take(told);
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/MeshEvent.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/MeshEvent.java
@@ -36,6 +36,10 @@
 	BACKEND_CHANGED(1401),
 	/** A heartbeat or farewell was not believed. */
 	BACKEND_MESSAGE_IGNORED(1402),
+	/** The backend server beside this daemon crashed while it ran requests. */
+	BACKEND_CRASHED(1403),
+	/** Another instance told of crashes, or of requests that ended well after one. */
+	CRASHES_TOLD(1404),
 	/** Keys changed hands. */
 	KEYS_MOVED(1501),
 	/** This instance's lease was renewed after it had lapsed, or for the first time. */
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/MeshNode.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/MeshNode.java
@@ -56,6 +56,8 @@
 
 	private final KeyOwnership keys;
 
+	private final BackendCrashes crashes;
+
 	private final MemberWriter member;
 
 	private final MeshEntry entry;
@@ -99,19 +101,21 @@
 		this.registration.grantsFrom((beat, now) -> this.keys.answer(beat));
 		LagTimer lag = new LagTimer(reactor);
 		BackendPool pool = new BackendPool(reactor, settings.backend().address(), MAX_ANSWER_BYTES);
+		this.crashes = new BackendCrashes(reactor, settings.instance(), this.registration, pool, this.directory,
+				hopClient, adapter.store(), health, this.log);
 		this.gate = new BackendGate(reactor, settings, this.registration, pool, adapter.backends(), this.config,
-				this.keys, this.log);
+				this.keys, this.crashes, this.log);
 		this.keys.capacityFrom(this.gate::capacity);
 		this.member = new MemberWriter(reactor, settings, this.registration, this.directory, adapter.store(), health);
 		Dispatcher dispatcher = new Dispatcher(settings, this.directory, this.config, this.gate,
-				new HopClient(reactor, shared), this.log);
+				new HopClient(reactor, shared), this.crashes, this.log);
 		this.entry = new MeshEntry(adapter.callers(), this.config, dispatcher, lag, this.log, this.metrics);
 		this.callers = new CallerServer(reactor, settings.listen().callers(), this.entry,
 				() -> this.config.get().limits());
 		this.following = new StoreFollowing(reactor, settings, adapter, this.config, this.directory, hopClient, shared,
 				health, this.log);
 		this.hops = new HopServer(reactor, settings.listen().peers(), this.gate, this.keys, shared,
-				this.following.followers(), this.log);
+				this.following.followers(), this.crashes, this.log);
 		new MeshGauges(this.metrics).gate(this.gate, this.registration)
 			.keys(this.keys)
 			.known(this.config, this.directory)
@@ -140,6 +144,7 @@
 		this.callers.listen();
 		this.following.start();
 		this.member.start();
+		this.crashes.start();
 		this.keys.start();
 		this.log.record(MeshEvent.STARTED, "service", this.settings.backend().service(), "failure_domain",
 				this.settings.failureDomain());
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/StoredRows.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/StoredRows.java
@@ -7,6 +7,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
 
 import com.google.gson.Gson;
 import com.google.gson.JsonArray;
@@ -21,6 +23,8 @@
 import org.brasspier.core.Fence;
 import org.brasspier.core.InstanceId;
 import org.brasspier.core.ServiceName;
+import org.brasspier.core.crash.CrashNotes;
+import org.brasspier.core.crash.CrashReport;
 import org.brasspier.core.keys.BackendLife;
 import org.brasspier.core.keys.Deputy;
 import org.brasspier.core.keys.KeyHolder;
@@ -45,6 +49,8 @@
 
 	static final String KEYS_PREFIX = "keys/";
 
+	static final String CRASHES_PREFIX = "crashes/";
+
 	private static final int HEXADECIMAL = 16;
 
 	/** Where a span's row has what was handed over, if anything follows the fence. */
@@ -170,6 +176,35 @@
 		});
 	}
 
+	static byte[] crashes(CrashNotes notes) {
+		return bytes(new CrashesRow(notes.reports()
+			.stream()
+			.map((report) -> new CrashRow(report.life().id(), report.life().bornMillis(), hex(report.requests())))
+			.toList(), hex(notes.cleared())));
+	}
+
+	static Either<Failure, CrashNotes> crashes(byte[] value) {
+		return read(() -> {
+			CrashesRow row = GSON.fromJson(new String(value, StandardCharsets.UTF_8), CrashesRow.class);
+			List<CrashReport> reports = row.crashes()
+				.stream()
+				.map((crash) -> new CrashReport(new BackendLife(crash.backend(), crash.born()),
+						numbers(crash.requests())))
+				.toList();
+			return new CrashNotes(reports, numbers(row.cleared()));
+		});
+	}
+
+	private static List<String> hex(Set<Long> numbers) {
+		return numbers.stream().map(Long::toHexString).toList();
+	}
+
+	private static Set<Long> numbers(List<String> hex) {
+		return hex.stream()
+			.map((text) -> Long.parseUnsignedLong(text, HEXADECIMAL))
+			.collect(Collectors.toUnmodifiableSet());
+	}
+
 	private static byte[] bytes(Object row) {
 		return GSON.toJson(row).getBytes(StandardCharsets.UTF_8);
 	}
@@ -201,6 +236,12 @@
 
 	}
 
+	private record CrashesRow(List<CrashRow> crashes, List<String> cleared) {
+	}
+
+	private record CrashRow(String backend, long born, List<String> requests) {
+	}
+
 	private record LeaseText(@Nullable String service, @Nullable String deputy, @Nullable String process,
 			@Nullable String takenBy) {
 	}
--- a/daemon/src/main/java/org/brasspier/daemon/mesh/MeshRequest.java
+++ b/daemon/src/main/java/org/brasspier/daemon/mesh/MeshRequest.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.OptionalInt;
 
+import com.dynatrace.hash4j.hashing.Hashing;
 import org.brasspier.core.request.HeaderField;
 
 /**
@@ -36,6 +37,20 @@
 		return new MeshRequest(this.id, this.host, this.method, this.target, this.headers, this.body, millis, this.key);
 	}
 
+	/**
+	 * A hash of what stays the same when a caller sends a request again.
+	 * @return 64 bits
+	 */
+	public long fingerprint() {
+		return Hashing.komihash5_0()
+			.hashStream()
+			.putString(this.method)
+			.putString(this.host)
+			.putString(path())
+			.putByteArray(this.body)
+			.getAsLong();
+	}
+
 	/**
 	 * The path without the query.
 	 * @return the path
