--- a/daemon/src/main/java/org/brasspier/daemon/internal/request/ForwardLink.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/request/ForwardLink.java
@@ -196,7 +196,7 @@
 
 	private void ping() {
 		long now = System.nanoTime();
-		if (now - this.heardNanos >= SILENCE_NANOS) {
+		if (silentNanos(now) >= SILENCE_NANOS) {
 			this.open.ifPresent((ready) -> ready
 				.close(new WireException("nothing came for %d ms".formatted(SILENCE_NANOS / 1_000_000))));
 			return;
@@ -205,6 +205,14 @@
 		keepPinging();
 	}
 
+	// Any bytes count: a large answer takes longer to come on a narrow network than a
+	// link
+	// may be silent.
+	private long silentNanos(long now) {
+		long received = this.open.map(PeerConnection::receivedNanos).orElse(this.heardNanos);
+		return Math.min(now - received, now - this.heardNanos);
+	}
+
 	private void sendPing(PeerConnection ready, long nowNanos) {
 		this.pingedNanos = nowNanos;
 		send(ready, new ForwardMessage.Ping(this.nextExchange++));
--- a/daemon/src/test/java/org/brasspier/daemon/internal/mesh/NarrowNetwork.java
+++ b/daemon/src/test/java/org/brasspier/daemon/internal/mesh/NarrowNetwork.java
@@ -13,7 +13,7 @@
  * A network on loopback that carries few bytes a second in each direction and keeps few
  * of them on the way, so that a sender soon waits for its receiver.
  */
-final class NarrowNetwork implements AutoCloseable {
+public final class NarrowNetwork implements AutoCloseable {
 
 	private static final int STEP_MILLIS = 5;
 
@@ -25,7 +25,13 @@
 
 	private final int bytesInStep;
 
-	NarrowNetwork(InetSocketAddress target, int megabits) throws IOException {
+	/**
+	 * Begins to carry connections.
+	 * @param target where they lead
+	 * @param megabits what each direction of one carries, in megabits a second
+	 * @throws IOException if it can't listen
+	 */
+	public NarrowNetwork(InetSocketAddress target, int megabits) throws IOException {
 		this.target = target;
 		this.bytesInStep = megabits * 1_000 / 8 * STEP_MILLIS;
 		this.listening = new ServerSocket();
@@ -34,7 +40,11 @@
 		Thread.ofPlatform().daemon().start(this::accept);
 	}
 
-	InetSocketAddress address() {
+	/**
+	 * Where it takes connections.
+	 * @return the address
+	 */
+	public InetSocketAddress address() {
 		return (InetSocketAddress) this.listening.getLocalSocketAddress();
 	}
 
