--- a/daemon/src/test/java/org/brasspier/daemon/internal/mesh/DirectoryTests.java
+++ b/daemon/src/test/java/org/brasspier/daemon/internal/mesh/DirectoryTests.java
@@ -2,13 +2,17 @@
 
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 
 import com.codahale.metrics.MetricRegistry;
 import org.brasspier.core.FailureDomain;
 import org.brasspier.core.InstanceId;
 import org.brasspier.core.ServiceName;
+import org.brasspier.core.crash.CrashNotes;
+import org.brasspier.core.crash.CrashReport;
 import org.brasspier.core.keys.BackendLife;
 import org.brasspier.core.keys.KeyHolder;
 import org.brasspier.core.keys.KeyMap;
@@ -112,4 +116,20 @@
 		assertThat(this.directory.version()).isEqualTo(5);
 	}
 
+	// Guards against a daemon that learns of crashes from another one and does not pass
+	// them on.
+	@Test
+	void whatARowSaysOfCrashesIsToldOnceAndPassedOn() {
+		List<CrashNotes> told = new ArrayList<>();
+		this.directory.whenCrashesTold((instance, notes) -> told.add(notes));
+		CrashNotes notes = new CrashNotes(List.of(new CrashReport(new BackendLife("server", 1), Set.of(4L))), Set.of());
+		MetadataStore.Row row = new MetadataStore.Row(StoredRows.CRASHES_PREFIX + "a",
+				Optional.of(StoredRows.crashes(notes)), 6);
+		this.directory.take(new MetadataStore.Rows(List.of(row), 6), false);
+		this.directory.take(new MetadataStore.Rows(List.of(row), 6), true);
+		assertThat(told).containsExactly(notes);
+		assertThat(this.directory.version()).isEqualTo(6);
+		assertThat(this.directory.rowsAfter(5)).containsExactly(row);
+	}
+
 }
--- a/daemon/src/test/java/org/brasspier/daemon/internal/mesh/HopCodecTests.java
+++ b/daemon/src/test/java/org/brasspier/daemon/internal/mesh/HopCodecTests.java
@@ -3,11 +3,18 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.OptionalInt;
+import java.util.Set;
 
+import org.brasspier.core.InstanceId;
 import org.brasspier.core.RequestClass;
 import org.brasspier.core.ServiceName;
+import org.brasspier.core.crash.CrashNotes;
+import org.brasspier.core.crash.CrashReport;
+import org.brasspier.core.keys.BackendLife;
+import org.brasspier.core.mesh.KnownRows;
 import org.brasspier.daemon.mesh.MeshRequest;
 import org.brasspier.wire.FrameDecoder;
+import org.brasspier.wire.FrameWriter;
 import org.brasspier.wire.WireException;
 import org.junit.jupiter.api.Test;
 
@@ -46,4 +53,31 @@
 		assertThat(mayWait(earlier)).isTrue();
 	}
 
+	private static HopMessage read(byte[] frame) throws WireException {
+		return HopCodec.decode(new FrameDecoder(100_000).accept(frame).getFirst());
+	}
+
+	@Test
+	void whatIsKnownOfCrashesIsReadAsItWasWritten() throws WireException {
+		CrashReport report = new CrashReport(new BackendLife("server", 7), Set.of(1L, -2L));
+		HopMessage told = new HopMessage.CrashesTold(new InstanceId("a"),
+				new CrashNotes(List.of(report), Set.of(Long.MIN_VALUE)));
+		assertThat(read(HopCodec.encode(told))).isEqualTo(told);
+	}
+
+	@Test
+	void aCompressedMessageIsReadAsItWasWritten() throws WireException {
+		HopMessage known = new HopMessage.Known(new KnownRows(3, 4));
+		assertThat(read(HopCodec.encodeCompressed(known))).isEqualTo(known);
+	}
+
+	// Guards against large messages in pieces to daemons of an earlier build, which take
+	// them for damaged ones and close the connection.
+	@Test
+	void aPingThatSaysNothingOfPiecesIsOfADaemonThatTakesNone() throws WireException {
+		byte[] earlier = new FrameWriter().number(6).frame();
+		assertThat(read(earlier)).isEqualTo(new HopMessage.Ping(false));
+		assertThat(read(HopCodec.encode(new HopMessage.Ping()))).isEqualTo(new HopMessage.Ping(true));
+	}
+
 }
--- a/daemon/src/test/java/org/brasspier/daemon/internal/mesh/RowFollowersTests.java
+++ b/daemon/src/test/java/org/brasspier/daemon/internal/mesh/RowFollowersTests.java
@@ -92,4 +92,46 @@
 		assertThat(this.followers.any()).isFalse();
 	}
 
+	/**
+	 * Guards against a large row that is sent again while it is still being sent, so that
+	 * a follower on a narrow network gets it twice.
+	 */
+	@Test
+	void aFollowerIsNotToldAgainWhileTheFirstTellingIsStillBeingSent() throws InterruptedException {
+		RowFollowers.Sink narrow = new RowFollowers.Sink() {
+
+			@Override
+			public void send(HopMessage message) {
+				RowFollowersTests.this.sent.add((HopMessage.RowsPassed) message);
+			}
+
+			@Override
+			public boolean busy() {
+				return true;
+			}
+
+		};
+		HopMessage.RowsFollowed asked = new HopMessage.RowsFollowed(new KnownRows(0, 3), false);
+		this.followers.followed("narrow", asked, narrow);
+		Thread.sleep(1100);
+		this.followers.followed("narrow", asked, narrow);
+		assertThat(this.sent.stream().map((passed) -> passed.rows().mesh().size()).toList()).containsExactly(1, 0)
+			.inOrder();
+	}
+
+	/**
+	 * Guards against rows that are put together and compressed for each follower anew.
+	 */
+	@Test
+	void followersThatLackTheSameAreToldTheSameMessage() {
+		followed(5);
+		this.followers.followed("other", new HopMessage.RowsFollowed(new KnownRows(0, 5), false),
+				(message) -> this.sent.add((HopMessage.RowsPassed) message));
+		this.version = 6;
+		this.followers.changed();
+		this.loop.run();
+		assertThat(this.sent).hasSize(4);
+		assertThat(this.sent.get(2)).isSameInstanceAs(this.sent.get(3));
+	}
+
 }
--- a/daemon/src/test/java/org/brasspier/daemon/internal/mesh/StoredRowsTests.java
+++ b/daemon/src/test/java/org/brasspier/daemon/internal/mesh/StoredRowsTests.java
@@ -4,12 +4,17 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
 import java.util.stream.IntStream;
+import java.util.stream.LongStream;
 
 import org.brasspier.core.FailureDomain;
 import org.brasspier.core.Fence;
 import org.brasspier.core.InstanceId;
 import org.brasspier.core.ServiceName;
+import org.brasspier.core.crash.CrashNotes;
+import org.brasspier.core.crash.CrashReport;
 import org.brasspier.core.keys.BackendLife;
 import org.brasspier.core.keys.KeyHolder;
 import org.brasspier.core.keys.KeyHolding;
@@ -102,4 +107,31 @@
 		assertThat(StoredRows.keys(row.getBytes(StandardCharsets.UTF_8)).isLeft()).isTrue();
 	}
 
+	@Test
+	void theMostThatIsKnownOfCrashesFitsARowAndIsReadAsItWasWritten() {
+		List<CrashReport> reports = IntStream.range(0, CrashNotes.MAX_REPORTS)
+			.mapToObj((i) -> new CrashReport(new BackendLife("i-7f3a91c2aa", i),
+					numbers(i * 1000, CrashReport.MAX_REQUESTS)))
+			.toList();
+		CrashNotes notes = new CrashNotes(reports, numbers(90_000, CrashNotes.MAX_CLEARED));
+		byte[] row = StoredRows.crashes(notes);
+		assertThat(row.length).isAtMost(ROW_BYTES);
+		assertThat(StoredRows.crashes(row).get()).isEqualTo(notes);
+	}
+
+	private static Set<Long> numbers(long from, int count) {
+		return LongStream.range(0, count)
+			.mapToObj((i) -> -(from + i) * 31_415_926_535L)
+			.collect(Collectors.toUnmodifiableSet());
+	}
+
+	// Guards against a row of another writer that ends the process or keeps requests
+	// away.
+	@ParameterizedTest
+	@ValueSource(strings = { "", "{}", "[]", "{\"crashes\":[{}],\"cleared\":[]}",
+			"{\"crashes\":[],\"cleared\":[\"no number\"]}" })
+	void aRowOfCrashesThatMakesNoSenseIsRefused(String row) {
+		assertThat(StoredRows.crashes(row.getBytes(StandardCharsets.UTF_8)).isLeft()).isTrue();
+	}
+
 }
