Don't take a large request that is long on its way for one that was held up

Found by looking for the same class: a request that waits 400 ms between two daemons is refused, since its sender has given its connection up by then. A body of 500 KB takes as long on 10 Mbit/s, so it would have been refused each time, now that its connection stays. What comes in pieces has its deadline shortened by the time that it took, and is run. FramePiecesTests tells what came in pieces; the way through the server has no test of its own.

--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopServer.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopServer.java
@@ -35,6 +35,8 @@
 	 */
 	private static final long TELL_EVERY_NANOS = Duration.ofMillis(250).toNanos();
 
+	private static final long NANOS_PER_MILLI = 1_000_000;
+
 	private final SimpleServer server;
 
 	private final BackendGate gate;
@@ -150,7 +152,8 @@
 
 		private void receive(FrameReader frame) throws WireException {
 			switch (HopCodec.decode(frame)) {
-				case HopMessage.Asked(long exchange, long sentNanos, HopRequest ask) -> run(exchange, sentNanos, ask);
+				case HopMessage.Asked asked when frame.inPieces() -> runLarge(asked);
+				case HopMessage.Asked asked -> run(asked.exchange(), heldUpNanos(asked), asked.ask());
 				case HopMessage.Cancelled(long exchange) -> cancel(exchange);
 				case HopMessage.Ping(boolean takesPieces) -> pinged(takesPieces);
 				case HopMessage.Load(var load) -> HopServer.this.keys.reported(load);
@@ -191,13 +194,25 @@
 			return new WireException("a message came from the wrong side of the connection");
 		}
 
-		private void run(long exchange, long sentNanos, HopRequest ask) throws WireException {
+		private long heldUpNanos(HopMessage.Asked asked) {
+			return this.delay.heldUpNanos(asked.sentNanos(), System.nanoTime() - this.openedNanos);
+		}
+
+		// A large request is long on its way without being held up: its sender waits for
+		// as
+		// long as anything comes.
+		private void runLarge(HopMessage.Asked asked) throws WireException {
+			int onItsWayMillis = (int) (heldUpNanos(asked) / NANOS_PER_MILLI);
+			int remaining = Math.max(0, asked.ask().request().remainingMillis() - onItsWayMillis);
+			run(asked.exchange(), 0, asked.ask().within(remaining));
+		}
+
+		private void run(long exchange, long heldUpNanos, HopRequest ask) throws WireException {
 			Cancellation cancellation = new Cancellation();
 			if (this.running.put(exchange, cancellation) != null) {
 				throw new WireException("exchange %d was opened twice".formatted(exchange));
 			}
-			long heldUp = this.delay.heldUpNanos(sentNanos, System.nanoTime() - this.openedNanos);
-			Promise<SendOutcome> outcome = HopServer.this.gate.run(ask, heldUp, cancellation);
+			Promise<SendOutcome> outcome = HopServer.this.gate.run(ask, heldUpNanos, cancellation);
 			outcome.whenResult((end) -> {
 				this.running.remove(exchange);
 				send(new HopMessage.Replied(exchange, end));
--- a/wire/src/main/java/org/brasspier/wire/FrameDecoder.java
+++ b/wire/src/main/java/org/brasspier/wire/FrameDecoder.java
@@ -77,7 +77,7 @@
 		if (bytes[begin + 1] != FramePieces.LAST) {
 			return Optional.empty();
 		}
-		FrameReader whole = new FrameReader(this.pieces.toByteArray());
+		FrameReader whole = new FrameReader(this.pieces.toByteArray(), true);
 		this.pieces = new ByteArrayOutputStream();
 		return Optional.of(whole);
 	}
--- a/wire/src/main/java/org/brasspier/wire/FrameReader.java
+++ b/wire/src/main/java/org/brasspier/wire/FrameReader.java
@@ -18,8 +18,24 @@
 
 	private final MessageUnpacker unpacker;
 
+	private final boolean inPieces;
+
 	FrameReader(byte[] payload) {
+		this(payload, false);
+	}
+
+	FrameReader(byte[] payload, boolean inPieces) {
 		this.unpacker = MessagePack.newDefaultUnpacker(payload);
+		this.inPieces = inPieces;
+	}
+
+	/**
+	 * Whether the frame came in pieces, so that the first of it may have come long before
+	 * the last.
+	 * @return false if it came as a whole
+	 */
+	public boolean inPieces() {
+		return this.inPieces;
 	}
 
 	/**
--- a/wire/src/test/java/org/brasspier/wire/FramePiecesTests.java
+++ b/wire/src/test/java/org/brasspier/wire/FramePiecesTests.java
@@ -43,8 +43,10 @@
 		assertThat(taken).hasSize(8);
 		assertThat(decoder.pendingBytes()).isEqualTo(0);
 		FrameReader last = taken.get(7);
+		assertThat(last.inPieces()).isTrue();
 		assertThat(last.number()).isEqualTo(7);
 		assertThat(last.bytes()).isEqualTo(LARGE);
+		assertThat(taken.get(6).inPieces()).isFalse();
 		assertThat(taken.get(6).number()).isEqualTo(1);
 	}
 
