Keep a request away for what it ran alone in, not for three crashes in any case

Trace: right after the start the daemons did not know each other yet, so the crashes at a, b and c (0.23 s apart) were told 0.2 to 0.5 s later; all three reports named the lookup as well, and three crashes were enough.

Three reports with the same two suspects say nothing of either. Both run on, one at a time beside a server, and the next crash has one of them; five crashes are the bound in any case, which is less than the three repeats that are allowed after three.

--- a/core/src/main/java/org/brasspier/core/crash/CrashSuspects.java
+++ b/core/src/main/java/org/brasspier/core/crash/CrashSuspects.java
@@ -23,14 +23,14 @@
  *
  * <p>
  * All that a server ran when it crashed is suspect. A request is kept away once it was
- * part of two crashes that have no other suspect in common, or of three. What has ended
- * well anywhere is not suspect any more. Where a server is given one suspect at a time,
- * the next crash tells which one it was. Not thread-safe.
+ * part of two crashes or more that have no other suspect in common. What has ended well
+ * anywhere is not suspect any more. Where a server is given one suspect at a time, the
+ * next crash tells which one it was. Not thread-safe.
  */
 public final class CrashSuspects {
 
 	/** Crashes after which a request is kept away, whatever else was part of them. */
-	private static final int MAX_CRASHES = 3;
+	private static final int MAX_CRASHES = 5;
 
 	/** Crashes after which a request is kept away if it alone was part of all of them. */
 	private static final int SURE_CRASHES = 2;
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/BackendCrashes.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/BackendCrashes.java
@@ -53,6 +53,8 @@
 
 	private boolean looking;
 
+	private boolean untold;
+
 	BackendCrashes(NioReactor reactor, InstanceId self, BackendRegistration registration, BackendPool pool,
 			Directory directory, HopClient hops, MetadataStore store, StoreHealth health, MeshLog log) {
 		this.reactor = reactor;
@@ -69,6 +71,9 @@
 
 	void start() {
 		this.reactor.delayBackground(OwnRowWriter.LOOK_EVERY, () -> {
+			if (this.untold) {
+				tellOthers();
+			}
 			write();
 			start();
 		});
@@ -178,11 +183,13 @@
 	void answered(BackendLife by, MeshRequest request, long sentNanos) {
 		this.watch.answered(by, sentNanos);
 		if (!this.suspects.isEmpty() && this.suspects.endedWell(this.self, request.fingerprint(), System.nanoTime())) {
-			tellOthers();
+			// Many mostly end within a short while, and are told together.
+			this.untold = true;
 		}
 	}
 
 	private void tellOthers() {
+		this.untold = false;
 		HopMessage.CrashesTold told = new HopMessage.CrashesTold(this.self, this.suspects.notes(this.self));
 		this.directory.reachable()
 			.filter((member) -> !member.instance().equals(this.self))
