--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopServer.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopServer.java
@@ -198,9 +198,8 @@
 			return this.delay.heldUpNanos(asked.sentNanos(), System.nanoTime() - this.openedNanos);
 		}
 
-		// A large request is long on its way without being held up: its sender waits for
-		// as
-		// long as anything comes.
+		// A large request is long on its way, and nobody has given it up: its sender
+		// waits for as long as anything comes.
 		private void runLarge(HopMessage.Asked asked) throws WireException {
 			int onItsWayMillis = (int) (heldUpNanos(asked) / NANOS_PER_MILLI);
 			int remaining = Math.max(0, asked.ask().request().remainingMillis() - onItsWayMillis);
--- a/daemon/src/test/java/org/brasspier/daemon/internal/mesh/ConfigHolderTests.java
+++ b/daemon/src/test/java/org/brasspier/daemon/internal/mesh/ConfigHolderTests.java
@@ -6,11 +6,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 import com.codahale.metrics.MetricRegistry;
-import io.vavr.control.Either;
-import org.brasspier.core.Failure;
 import org.brasspier.core.InstanceId;
-import org.brasspier.core.mesh.RoutingConfig;
-import org.brasspier.daemon.mesh.ConfigSource;
 import org.brasspier.daemon.mesh.MetadataStore;
 import org.junit.jupiter.api.Test;
 
@@ -20,31 +16,16 @@
 
 	private final AtomicInteger reads = new AtomicInteger();
 
-	private final ConfigHolder config = new ConfigHolder(new ConfigSource() {
-
-		@Override
-		public String table() {
-			return "table";
-		}
-
-		@Override
-		public String key() {
-			return "config";
-		}
-
-		@Override
-		public Either<Failure, RoutingConfig> read(byte[] value) {
-			ConfigHolderTests.this.reads.incrementAndGet();
-			long version = Long.parseLong(new String(value, StandardCharsets.UTF_8));
-			return Either.right(new RoutingConfig(version, List.of(), List.of(), RoutingConfig.NONE.limits()));
-		}
-
-	}, new MeshLog(new InstanceId("self"), new MetricRegistry()));
+	private final ConfigHolder config = new ConfigHolder(new ConfigSourceStandIn((value) -> {
+		this.reads.incrementAndGet();
+		return Long.parseLong(new String(value, StandardCharsets.UTF_8));
+	}), new MeshLog(new InstanceId("self"), new MetricRegistry()));
 
 	private void take(long rowVersion, long configVersion) {
 		byte[] value = Long.toString(configVersion).getBytes(StandardCharsets.UTF_8);
 		this.config.take(
-				new MetadataStore.Rows(List.of(new MetadataStore.Row("config", Optional.of(value), rowVersion)), 0),
+				new MetadataStore.Rows(
+						List.of(new MetadataStore.Row(ConfigSourceStandIn.KEY, Optional.of(value), rowVersion)), 0),
 				ConfigHolder.Origin.PEER);
 	}
 
--- /dev/null
+++ b/daemon/src/test/java/org/brasspier/daemon/internal/mesh/ConfigSourceStandIn.java
@@ -0,0 +1,36 @@
+package org.brasspier.daemon.internal.mesh;
+
+import java.util.List;
+import java.util.function.ToLongFunction;
+
+import io.vavr.control.Either;
+import org.brasspier.core.Failure;
+import org.brasspier.core.mesh.RoutingConfig;
+import org.brasspier.daemon.mesh.ConfigSource;
+
+/**
+ * A configuration without routes of which only the version is read.
+ *
+ * @param version reads the version
+ */
+record ConfigSourceStandIn(ToLongFunction<byte[]> version) implements ConfigSource {
+
+	static final String KEY = "config";
+
+	@Override
+	public String table() {
+		return "table";
+	}
+
+	@Override
+	public String key() {
+		return KEY;
+	}
+
+	@Override
+	public Either<Failure, RoutingConfig> read(byte[] value) {
+		return Either.right(
+				new RoutingConfig(this.version.applyAsLong(value), List.of(), List.of(), RoutingConfig.NONE.limits()));
+	}
+
+}
--- a/daemon/src/test/java/org/brasspier/daemon/internal/mesh/NarrowLinkTests.java
+++ b/daemon/src/test/java/org/brasspier/daemon/internal/mesh/NarrowLinkTests.java
@@ -16,7 +16,6 @@
 
 import com.codahale.metrics.MetricRegistry;
 import io.activej.eventloop.Eventloop;
-import io.vavr.control.Either;
 import org.brasspier.core.ErrorKind;
 import org.brasspier.core.Failure;
 import org.brasspier.core.FailureDomain;
@@ -24,10 +23,8 @@
 import org.brasspier.core.RequestClass;
 import org.brasspier.core.ServiceName;
 import org.brasspier.core.mesh.KnownRows;
-import org.brasspier.core.mesh.RoutingConfig;
 import org.brasspier.core.mesh.SendOutcome;
 import org.brasspier.daemon.internal.request.Cancellation;
-import org.brasspier.daemon.mesh.ConfigSource;
 import org.brasspier.daemon.mesh.MeshRequest;
 import org.brasspier.daemon.mesh.MetadataStore;
 import org.junit.jupiter.api.Test;
@@ -52,25 +49,8 @@
 
 	private static HopClient client(Eventloop loop) {
 		MeshLog log = new MeshLog(SELF, new MetricRegistry());
-		ConfigSource none = new ConfigSource() {
-
-			@Override
-			public String table() {
-				return "none";
-			}
-
-			@Override
-			public String key() {
-				return "none";
-			}
-
-			@Override
-			public Either<Failure, RoutingConfig> read(byte[] value) {
-				return Either.right(RoutingConfig.NONE);
-			}
-
-		};
-		return new HopClient(loop, new SharedRows(new ConfigHolder(none, log), new Directory(log), log));
+		return new HopClient(loop,
+				new SharedRows(new ConfigHolder(new ConfigSourceStandIn((value) -> 0), log), new Directory(log), log));
 	}
 
 	private static Member member(InetSocketAddress address) {
--- a/daemon/src/test/java/org/brasspier/daemon/internal/mesh/RowRepairTests.java
+++ b/daemon/src/test/java/org/brasspier/daemon/internal/mesh/RowRepairTests.java
@@ -11,7 +11,6 @@
 
 import com.codahale.metrics.MetricRegistry;
 import io.activej.eventloop.Eventloop;
-import io.vavr.control.Either;
 import org.brasspier.core.ErrorKind;
 import org.brasspier.core.Failure;
 import org.brasspier.core.FailureDomain;
@@ -19,11 +18,9 @@
 import org.brasspier.core.RequestClass;
 import org.brasspier.core.ServiceName;
 import org.brasspier.core.mesh.KnownRows;
-import org.brasspier.core.mesh.RoutingConfig;
 import org.brasspier.core.mesh.RowRequests;
 import org.brasspier.core.mesh.SendOutcome;
 import org.brasspier.daemon.internal.request.Cancellation;
-import org.brasspier.daemon.mesh.ConfigSource;
 import org.brasspier.daemon.mesh.MeshRequest;
 import org.brasspier.daemon.mesh.MetadataStore;
 import org.junit.jupiter.api.Test;
@@ -49,26 +46,9 @@
 
 	private static HopClient client(Eventloop loop) {
 		MeshLog log = new MeshLog(new InstanceId("self"), new MetricRegistry());
-		ConfigSource source = new ConfigSource() {
-
-			@Override
-			public String table() {
-				return "table";
-			}
-
-			@Override
-			public String key() {
-				return "config";
-			}
-
-			@Override
-			public Either<Failure, RoutingConfig> read(byte[] value) {
-				return Either.right(new RoutingConfig(3, List.of(), List.of(), RoutingConfig.NONE.limits()));
-			}
-
-		};
-		ConfigHolder config = new ConfigHolder(source, log);
-		MetadataStore.Row row = new MetadataStore.Row("config", Optional.of("3".getBytes(StandardCharsets.UTF_8)), 5);
+		ConfigHolder config = new ConfigHolder(new ConfigSourceStandIn((value) -> 3), log);
+		MetadataStore.Row row = new MetadataStore.Row(ConfigSourceStandIn.KEY,
+				Optional.of("3".getBytes(StandardCharsets.UTF_8)), 5);
 		config.take(new MetadataStore.Rows(List.of(row), 5), ConfigHolder.Origin.STORE);
 		return new HopClient(loop, new SharedRows(config, new Directory(log), log));
 	}
