Log when a connection to the local backend server opens while no other is open

BACKEND_CONNECTED (1405) numbers the times between which connections to the server were open without a gap, with the incarnation known by then and the age of the latest heartbeat. Nothing is decided by it.

--- a/daemon/src/main/java/org/brasspier/daemon/internal/http/BackendPool.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/http/BackendPool.java
@@ -39,18 +39,22 @@
 
 	private final Deque<BackendSocket> idle = new ArrayDeque<>();
 
-	private InetSocketAddress address;
+	private final InetSocketAddress address;
+
+	private final ServerConnections connections;
 
 	/**
 	 * Creates an empty pool.
 	 * @param reactor the reactor of the request thread
 	 * @param address the address of the server
 	 * @param maxBodyBytes the maximum size of an answer body, in bytes
+	 * @param connections the connections to this server, of all its pools
 	 */
-	public BackendPool(NioReactor reactor, InetSocketAddress address, int maxBodyBytes) {
+	public BackendPool(NioReactor reactor, InetSocketAddress address, int maxBodyBytes, ServerConnections connections) {
 		this.reactor = reactor;
 		this.address = address;
 		this.maxBodyBytes = maxBodyBytes;
+		this.connections = connections;
 	}
 
 	/**
@@ -84,23 +88,22 @@
 			}
 			return run;
 		}
-		BackendSocket.connect(this.reactor, this.address, CONNECT_TIMEOUT, this.maxBodyBytes)
-			.whenComplete((socket, ex) -> {
-				if (ex != null) {
-					run.end((ex instanceof ConnectException) ? new BackendReply.Closed()
-							: new BackendReply.NotSent("no connection: " + ex.getMessage()));
-				}
-				else if (run.ended()) {
-					socket.close();
-				}
-				else if (!allowed.getAsBoolean()) {
-					socket.close();
-					run.end(new BackendReply.NotSent(NOT_ALLOWED));
-				}
-				else {
-					begin(run, socket, request, own);
-				}
-			});
+		connect().whenComplete((socket, ex) -> {
+			if (ex != null) {
+				run.end((ex instanceof ConnectException) ? new BackendReply.Closed()
+						: new BackendReply.NotSent("no connection: " + ex.getMessage()));
+			}
+			else if (run.ended()) {
+				socket.close();
+			}
+			else if (!allowed.getAsBoolean()) {
+				socket.close();
+				run.end(new BackendReply.NotSent(NOT_ALLOWED));
+			}
+			else {
+				begin(run, socket, request, own);
+			}
+		});
 		return run;
 	}
 
@@ -109,13 +112,16 @@
 	 * @return false if nothing listens at the server's address; never an exception
 	 */
 	public Promise<Boolean> open() {
-		return BackendSocket.connect(this.reactor, this.address, CONNECT_TIMEOUT, this.maxBodyBytes)
-			.then((socket, ex) -> {
-				if (ex == null) {
-					this.idle.addFirst(socket);
-				}
-				return Promise.of(!(ex instanceof ConnectException));
-			});
+		return connect().then((socket, ex) -> {
+			if (ex == null) {
+				this.idle.addFirst(socket);
+			}
+			return Promise.of(!(ex instanceof ConnectException));
+		});
+	}
+
+	private Promise<BackendSocket> connect() {
+		return BackendSocket.connect(this.reactor, this.address, CONNECT_TIMEOUT, this.maxBodyBytes, this.connections);
 	}
 
 	private void begin(BackendRun run, BackendSocket socket, RawRequest request, Predicate<Answer> own) {
--- a/daemon/src/main/java/org/brasspier/daemon/internal/http/BackendSocket.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/http/BackendSocket.java
@@ -51,6 +51,8 @@
 
 	private final int maxBodyBytes;
 
+	private final ServerConnections connections;
+
 	private Collector collector;
 
 	private HttpParser parser;
@@ -65,19 +67,25 @@
 
 	private long idleSinceNanos;
 
-	private BackendSocket(TcpSocket socket, int maxBodyBytes) {
+	private BackendSocket(TcpSocket socket, int maxBodyBytes, ServerConnections connections) {
 		this.socket = socket;
 		this.maxBodyBytes = maxBodyBytes;
+		this.connections = connections;
 		this.collector = new Collector(maxBodyBytes);
 		this.parser = new HttpParser(this.collector);
 	}
 
 	static Promise<BackendSocket> connect(NioReactor reactor, InetSocketAddress address, Duration timeout,
-			int maxBodyBytes) {
-		return TcpSocket.connect(reactor, address, timeout, SOCKETS).map((socket) -> {
-			BackendSocket connected = new BackendSocket(socket, maxBodyBytes);
-			connected.read();
-			return connected;
+			int maxBodyBytes, ServerConnections connections) {
+		return TcpSocket.connect(reactor, address, timeout, SOCKETS).then((socket) -> {
+			BackendSocket connected = new BackendSocket(socket, maxBodyBytes, connections);
+			SettablePromise<BackendSocket> joined = new SettablePromise<>();
+			reactor.post(() -> {
+				connections.opened(connected);
+				connected.read();
+				joined.set(connected);
+			});
+			return joined;
 		});
 	}
 
@@ -213,6 +221,7 @@
 	void close() {
 		if (!this.closed) {
 			this.closed = true;
+			this.connections.closed(this);
 			this.socket.closeEx(new AsyncCloseException("done"));
 		}
 	}
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/GrantSender.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/GrantSender.java
@@ -15,6 +15,7 @@
 import org.brasspier.core.keys.KeySpan;
 import org.brasspier.daemon.internal.http.BackendPool;
 import org.brasspier.daemon.internal.http.BackendReply;
+import org.brasspier.daemon.internal.http.ServerConnections;
 import org.brasspier.daemon.mesh.GrantProtocol;
 import org.brasspier.daemon.mesh.GrantProtocol.GrantReply;
 
@@ -46,6 +47,8 @@
 
 	private final GrantCallScheduler scheduler;
 
+	private final ServerConnections connections;
+
 	private final BackendPool grantConnections;
 
 	private final LongSupplier clock;
@@ -55,13 +58,14 @@
 	private final Runnable onEnded;
 
 	GrantSender(NioReactor reactor, InetSocketAddress server, GrantProtocol protocol, BackendRegistration registration,
-			GrantTracker tracker, LongSupplier clock, MeshLog log, Runnable onEnded) {
+			ServerConnections connections, GrantTracker tracker, LongSupplier clock, MeshLog log, Runnable onEnded) {
 		this.reactor = reactor;
 		this.server = server;
 		this.protocol = protocol;
 		this.registration = registration;
 		this.scheduler = new GrantCallScheduler(tracker);
-		this.grantConnections = new BackendPool(reactor, server, MAX_ANSWER_BYTES);
+		this.connections = connections;
+		this.grantConnections = new BackendPool(reactor, server, MAX_ANSWER_BYTES, connections);
 		this.clock = clock;
 		this.log = log;
 		this.onEnded = onEnded;
@@ -95,7 +99,7 @@
 			case GrantCall.Release ignored -> {
 				// A new connection is used, so that an answer on it can't belong to an
 				// earlier call.
-				BackendPool singleUse = new BackendPool(this.reactor, this.server, MAX_ANSWER_BYTES);
+				BackendPool singleUse = new BackendPool(this.reactor, this.server, MAX_ANSWER_BYTES, this.connections);
 				send(call, singleUse, RELEASE_TIMEOUT, singleUse::forget);
 			}
 		}
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/KeyOwnership.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/KeyOwnership.java
@@ -23,6 +23,7 @@
 import org.brasspier.core.keys.LeaseTiming;
 import org.brasspier.core.mesh.RoutingConfig;
 import org.brasspier.core.mesh.ServiceRule;
+import org.brasspier.daemon.internal.http.ServerConnections;
 import org.brasspier.daemon.mesh.GrantProtocol;
 import org.brasspier.daemon.mesh.Heartbeat;
 import org.brasspier.daemon.mesh.MeshSettings;
@@ -71,9 +72,9 @@
 
 	private final KeyPlanning planning;
 
-	KeyOwnership(NioReactor reactor, MeshSettings settings, BackendRegistration registration, Directory directory,
-			MetadataStore store, GrantProtocol grants, HopClient hops, Supplier<RoutingConfig> config,
-			LongSupplier clock, StoreHealth health, MeshLog log) {
+	KeyOwnership(NioReactor reactor, MeshSettings settings, BackendRegistration registration,
+			ServerConnections connections, Directory directory, MetadataStore store, GrantProtocol grants,
+			HopClient hops, Supplier<RoutingConfig> config, LongSupplier clock, StoreHealth health, MeshLog log) {
 		this.reactor = reactor;
 		this.self = settings.instance();
 		this.service = settings.backend().service();
@@ -90,7 +91,7 @@
 		this.writer = new KeyMapWriter(reactor, this.self, this.service, directory, store, hops, health, log, clock,
 				this::step);
 		this.delivery = settings.backend().grants();
-		this.grantSender = new GrantSender(reactor, settings.backend().address(), grants, registration,
+		this.grantSender = new GrantSender(reactor, settings.backend().address(), grants, registration, connections,
 				this.grantTracker, clock, log, this::step);
 		this.loads = new LoadReports(this.self, directory, hops, now);
 		this.planning = new KeyPlanning(settings, registration, directory, this.lease, this.writer, this.loads,
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/MeshEvent.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/MeshEvent.java
@@ -46,6 +46,10 @@
 	 * Another instance reported crashes, or suspect requests that have succeeded since.
 	 */
 	CRASHES_TOLD(1404),
+	/**
+	 * A connection to the local backend server was opened while no other one was open.
+	 */
+	BACKEND_CONNECTED(1405),
 	/** The assignment of keys to instances has changed, or a change failed. */
 	KEYS_MOVED(1501),
 	/**
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/MeshNode.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/MeshNode.java
@@ -11,6 +11,7 @@
 import org.brasspier.daemon.internal.evacuation.EvacuationRows;
 import org.brasspier.daemon.internal.http.BackendPool;
 import org.brasspier.daemon.internal.http.CallerServer;
+import org.brasspier.daemon.internal.http.ServerConnections;
 import org.brasspier.daemon.internal.operator.MetricsText;
 import org.brasspier.daemon.mesh.MeshAdapter;
 import org.brasspier.daemon.mesh.MeshSettings;
@@ -101,11 +102,12 @@
 		BootClock clock = new BootClock();
 		SharedRows shared = new SharedRows(this.config, this.evacuations, this.directory, this.log);
 		HopClient hopClient = new HopClient(reactor, shared);
-		this.keys = new KeyOwnership(reactor, settings, this.registration, this.directory, adapter.store(),
+		ServerConnections connections = connectionsToServer();
+		this.keys = new KeyOwnership(reactor, settings, this.registration, connections, this.directory, adapter.store(),
 				adapter.grants(), hopClient, this.config, clock::nanos, health, this.log);
 		this.registration.setGrantSource((heartbeat, now) -> this.keys.grantAnswer(heartbeat));
 		LagTimer lag = new LagTimer(reactor);
-		BackendPool pool = new BackendPool(reactor, settings.backend().address(), MAX_ANSWER_BYTES);
+		BackendPool pool = new BackendPool(reactor, settings.backend().address(), MAX_ANSWER_BYTES, connections);
 		this.crashes = new BackendCrashes(reactor, settings.instance(), this.registration, pool, this.directory,
 				hopClient, adapter.store(), health, this.log);
 		this.gate = new BackendGate(reactor, settings, this.registration, pool, adapter.backends(), this.config,
@@ -132,6 +134,15 @@
 		this.directory.addRowsListener(this::applyOwnRow);
 	}
 
+	private ServerConnections connectionsToServer() {
+		ServerConnections connections = new ServerConnections();
+		connections
+			.onSessionStarted(() -> this.log.record(MeshEvent.BACKEND_CONNECTED, "session", connections.session(),
+					"life", this.registration.incarnation().map(String::valueOf).orElse(""), "heartbeat_ms_ago",
+					Duration.ofNanos(this.registration.nanosSinceHeartbeat(System.nanoTime())).toMillis()));
+		return connections;
+	}
+
 	private void onEvacuationsChanged() {
 		this.log.record(MeshEvent.EVACUATION_CHANGED, "evacuated", this.evacuations.evacuated(), "own",
 				this.evacuations.isEvacuated(this.settings.failureDomain()), "version",
