Send each fence in one session of connections to a backend server only

Two processes with one fence can't be told apart by whatever the fence protects.

Cause: a grant by call names keys, fence and hold, but not the process. The daemon renewed at an address, with what it knew from heartbeats, so from the restart until the new server's first heartbeat its renewals reached the new process. BACKEND_CONNECTED shows it: a second session opens 772 ms after the latest heartbeat, still with the old incarnation known, and 1.8 s of renewals follow until BACKEND_CHANGED. A late heartbeat of the old server prolongs it, and so does a daemon that restarts meanwhile.

Change: connections to the server are divided into sessions. A session lasts while at least one connection is open; a process closes all of its connections before another one can listen at its address, so a session leads to one process. A fence is sent in one session only. In another one the key map gives the keys a higher fence first, once the server was heard from again; fences that were never sent go out at once. The last connection that can't be used again stays open until another one is. A new process of the daemon counts all fences of the first map as sent.

Also: a connection that was opened ahead of a request was never used, since its idle time counted from zero.

--- a/core/src/main/java/org/brasspier/core/keys/GrantCallScheduler.java
+++ b/core/src/main/java/org/brasspier/core/keys/GrantCallScheduler.java
@@ -7,6 +7,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 
 /**
@@ -45,6 +46,8 @@
 
 	private final Set<KeySpan> supersededSpans = new HashSet<>();
 
+	private final SentFences sentFences = new SentFences();
+
 	private boolean started;
 
 	/**
@@ -55,16 +58,28 @@
 		this.tracker = tracker;
 	}
 
+	/**
+	 * Records that fences may have been sent to the backend server by a previous process,
+	 * or otherwise than by calls.
+	 * @param limit the lowest fence that has certainly not been sent
+	 */
+	public void recordSentBelow(long limit) {
+		this.sentFences.recordSentBelow(limit);
+	}
+
 	/**
 	 * Returns the calls to send now. The outcome of each must be reported by exactly one
-	 * of the {@code on} methods.
+	 * of the {@code on} methods, and grants may be sent in the given session only.
 	 * @param map the current key map
 	 * @param incarnation the incarnation of the backend server
+	 * @param session the session in progress; empty if there is none, so that nothing may
+	 * be granted
 	 * @param leaseNanos remaining time of this instance's lease
 	 * @param now the current time, in nanoseconds
 	 * @return the calls, the most urgent first
 	 */
-	public List<GrantCall> dueCalls(KeyMap map, BackendIncarnation incarnation, long leaseNanos, long now) {
+	public List<GrantCall> dueCalls(KeyMap map, BackendIncarnation incarnation, Optional<ServerSession> session,
+			long leaseNanos, long now) {
 		if (!this.started) {
 			this.started = true;
 			this.tracker.recordPredecessorGrants();
@@ -76,22 +91,30 @@
 		holdings.stream()
 			.filter((held) -> held.nextHolder().isPresent() && isIdle(held.span()) && !this.tracker.wasReleased(held))
 			.forEach((held) -> calls.add(release(held, now)));
-		long hold = this.tracker.holdNanos(leaseNanos - MAX_ARRIVAL_NANOS);
-		if (hold > 0) {
-			long available = MAX_PENDING_GRANTS
-					- this.pending.stream().filter((call) -> call instanceof GrantCall.Grant).count();
-			holdings.stream()
-				.filter((held) -> held.nextHolder().isEmpty() && isIdle(held.span()))
-				.filter((held) -> now + hold - this.tracker.usableUntilNanos(held, now) >= Math.min(hold,
-						RENEWAL_GAIN_NANOS))
-				.sorted(Comparator.comparingLong((held) -> this.tracker.usableUntilNanos(held, now)))
-				.limit(Math.max(0, available))
-				.forEach((held) -> calls.add(grant(held, hold)));
-		}
+		session.ifPresent((current) -> calls.addAll(dueGrants(holdings, current.number(), leaseNanos, now)));
 		this.pending.addAll(calls);
 		return calls;
 	}
 
+	private List<GrantCall> dueGrants(List<KeyHolding> holdings, long session, long leaseNanos, long now) {
+		long hold = this.tracker.holdNanos(leaseNanos - MAX_ARRIVAL_NANOS);
+		if (hold == 0) {
+			return List.of();
+		}
+		long available = MAX_PENDING_GRANTS
+				- this.pending.stream().filter((call) -> call instanceof GrantCall.Grant).count();
+		List<KeyHolding> due = holdings.stream()
+			.filter((held) -> held.nextHolder().isEmpty() && isIdle(held.span()))
+			.filter((held) -> this.sentFences.maySend(held.fence(), session))
+			.filter((held) -> now + hold - this.tracker.usableUntilNanos(held, now) >= Math.min(hold,
+					RENEWAL_GAIN_NANOS))
+			.sorted(Comparator.comparingLong((held) -> this.tracker.usableUntilNanos(held, now)))
+			.limit(Math.max(0, available))
+			.toList();
+		due.forEach((held) -> this.sentFences.recordSent(held.fence(), session));
+		return due.stream().map((held) -> grant(held, hold)).toList();
+	}
+
 	private boolean isIdle(KeySpan span) {
 		return !this.retryAtNanos.containsKey(span)
 				&& this.pending.stream().noneMatch((call) -> call.span().overlaps(span));
@@ -133,13 +156,18 @@
 	}
 
 	/**
-	 * Returns whether a holding needs a higher fence before its backend server accepts
-	 * it.
+	 * Returns whether a holding needs a higher fence before it can be granted: its
+	 * backend server has seen a higher one, or its fence was sent in another session. In
+	 * the second case nothing is granted before the server is heard from, which usually
+	 * tells whether it is another incarnation.
 	 * @param held the holding
-	 * @return true if its latest grant was superseded
+	 * @param session the session in progress; empty if there is none
+	 * @return true if it needs a higher fence
 	 */
-	public boolean needsNewFence(KeyHolding held) {
-		return this.supersededSpans.contains(held.span());
+	public boolean needsNewFence(KeyHolding held, Optional<ServerSession> session) {
+		return this.supersededSpans.contains(held.span()) || session.filter(ServerSession::heardFrom)
+			.filter((current) -> !this.sentFences.maySend(held.fence(), current.number()))
+			.isPresent();
 	}
 
 	/**
--- a/core/src/test/java/org/brasspier/core/keys/GrantCallSchedulerTests.java
+++ b/core/src/test/java/org/brasspier/core/keys/GrantCallSchedulerTests.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 
 import org.junit.jupiter.api.Test;
 
@@ -23,7 +24,24 @@
 	private final KeyHolding own = this.map.heldBy(A).get(0);
 
 	private List<GrantCall> due(KeyMap current, long now) {
-		return this.scheduler.dueCalls(current, holder(A).incarnation(), LEASE_NANOS, now);
+		return due(current, session(1), now);
+	}
+
+	private List<GrantCall> due(KeyMap current, Optional<ServerSession> session, long now) {
+		return this.scheduler.dueCalls(current, holder(A).incarnation(), session, LEASE_NANOS, now);
+	}
+
+	private static Optional<ServerSession> session(long number) {
+		return Optional.of(new ServerSession(number, true));
+	}
+
+	private static Optional<ServerSession> silentSession(long number) {
+		return Optional.of(new ServerSession(number, false));
+	}
+
+	private KeyMap withNewFences(KeyMap current, Optional<ServerSession> session) {
+		return current.reassigned((held) -> held.holder().equals(A) && this.scheduler.needsNewFence(held, session),
+				(held) -> holder(A), KeyHolding::handover);
 	}
 
 	private KeyMap mapWithPlannedMove() {
@@ -71,13 +89,13 @@
 
 	@Test
 	void nothingIsGrantedAfterTheLeaseHasEnded() {
-		assertThat(this.scheduler.dueCalls(this.map, holder(A).incarnation(), 0, 0)).isEmpty();
+		assertThat(this.scheduler.dueCalls(this.map, holder(A).incarnation(), session(1), 0, 0)).isEmpty();
 	}
 
 	@Test
 	void holdThatStartsAtArrivalEndsWithinTheLease() {
 		GrantCall.Grant grant = (GrantCall.Grant) this.scheduler
-			.dueCalls(this.map, holder(A).incarnation(), millis(2000), 0)
+			.dueCalls(this.map, holder(A).incarnation(), session(1), millis(2000), 0)
 			.get(0);
 		assertThat(TIMING.plusDrift(grant.hold().toNanos())).isAtMost(millis(1500));
 	}
@@ -150,7 +168,7 @@
 	void supersededGrantNeedsANewFence() {
 		GrantCall.Grant grant = (GrantCall.Grant) due(this.map, AFTER_PREDECESSOR_NANOS).get(0);
 		this.scheduler.onSuperseded(grant, AFTER_PREDECESSOR_NANOS + millis(1));
-		assertThat(this.scheduler.needsNewFence(this.own)).isTrue();
+		assertThat(this.scheduler.needsNewFence(this.own, session(1))).isTrue();
 		assertThat(this.tracker.usable(this.own.span().from(), this.own, holder(A).incarnation(),
 				AFTER_PREDECESSOR_NANOS + millis(2)))
 			.isFalse();
@@ -162,10 +180,59 @@
 		KeyHolder second = new KeyHolder(A, new BackendIncarnation(holder(A).incarnation().id(), 2));
 		KeyMap renewed = KeyPlanner.reassignToIncarnation(this.map, second).orElseThrow();
 		GrantCall first = this.scheduler
-			.dueCalls(renewed, second.incarnation(), LEASE_NANOS, AFTER_PREDECESSOR_NANOS + millis(10))
+			.dueCalls(renewed, second.incarnation(), session(2), LEASE_NANOS, AFTER_PREDECESSOR_NANOS + millis(10))
 			.get(0);
 		assertThat(first.incarnation()).isEqualTo(second.incarnation());
 		assertThat(first.fence().value()).isAtLeast(this.map.nextFence());
 	}
 
+	@Test
+	void nothingIsGrantedWithoutAConnection() {
+		assertThat(due(this.map, Optional.empty(), 0)).isEmpty();
+	}
+
+	/** Guards against renewals that reach the next server at the same address. */
+	@Test
+	void aFenceIsNotSentAgainAfterAllConnectionsWereClosed() {
+		grantAll(0);
+		assertThat(due(this.map, session(2), millis(2000))).isEmpty();
+		assertThat(this.scheduler.needsNewFence(this.own, session(2))).isTrue();
+		assertThat(this.scheduler.needsNewFence(this.own, session(1))).isFalse();
+	}
+
+	@Test
+	void aNewSessionGrantsUnderHigherFences() {
+		grantAll(0);
+		KeyMap raised = withNewFences(this.map, session(2));
+		List<GrantCall> calls = due(raised, session(2), millis(2000));
+		assertThat(calls).isNotEmpty();
+		calls.forEach((call) -> assertThat(call.fence().value()).isAtLeast(this.map.nextFence()));
+	}
+
+	/**
+	 * Guards against a write of the key map for each server that crashes: a server that
+	 * is heard from is usually another incarnation, whose keys get new fences anyway.
+	 */
+	@Test
+	void noNewFenceIsNeededBeforeTheServerIsHeardFrom() {
+		grantAll(0);
+		assertThat(this.scheduler.needsNewFence(this.own, silentSession(2))).isFalse();
+		assertThat(due(this.map, silentSession(2), millis(2000))).isEmpty();
+	}
+
+	/** Guards against keys of a new server that wait for its second heartbeat. */
+	@Test
+	void aFenceThatWasNeverSentIsGrantedBeforeTheServerIsHeardFrom() {
+		assertThat(due(this.map, silentSession(1), 0)).isNotEmpty();
+	}
+
+	/** Guards against grants of a previous process that another server received. */
+	@Test
+	void fencesThatAPredecessorMayHaveSentAreNotSent() {
+		this.scheduler.recordSentBelow(this.map.nextFence());
+		assertThat(due(this.map, session(1), 0)).isEmpty();
+		KeyMap raised = withNewFences(this.map, session(1));
+		assertThat(due(raised, session(1), millis(1))).isNotEmpty();
+	}
+
 }
--- a/daemon/src/main/java/org/brasspier/daemon/internal/http/BackendPool.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/http/BackendPool.java
@@ -141,7 +141,7 @@
 			if (first.usable(now) && (repeatable || first.restedNanos(now) < RECENT_USE_NANOS)) {
 				return first;
 			}
-			first.close();
+			this.connections.retire(first);
 		}
 		return null;
 	}
--- a/daemon/src/main/java/org/brasspier/daemon/internal/http/BackendSocket.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/http/BackendSocket.java
@@ -53,6 +53,8 @@
 
 	private final ServerConnections connections;
 
+	private long session;
+
 	private Collector collector;
 
 	private HttpParser parser;
@@ -81,6 +83,7 @@
 			BackendSocket connected = new BackendSocket(socket, maxBodyBytes, connections);
 			SettablePromise<BackendSocket> joined = new SettablePromise<>();
 			reactor.post(() -> {
+				connected.rest(DEFAULT_IDLE_NANOS);
 				connections.opened(connected);
 				connected.read();
 				joined.set(connected);
@@ -89,6 +92,10 @@
 		});
 	}
 
+	void joinSession(long number) {
+		this.session = number;
+	}
+
 	// Sends a request and skips answers that belong to another one.
 	Promise<BackendReply> exchange(RawRequest request, Predicate<Answer> own) {
 		Exchange begun = new Exchange(own, new SettablePromise<>());
@@ -163,9 +170,7 @@
 		}
 		this.exchange = null;
 		if (reusable) {
-			long now = System.nanoTime();
-			this.idleSinceNanos = now;
-			this.reusableUntilNanos = now + maxIdleNanos(answer);
+			rest(maxIdleNanos(answer));
 		}
 		else {
 			close();
@@ -173,6 +178,12 @@
 		current.reply.trySet(new BackendReply.Whole(answer));
 	}
 
+	private void rest(long maxIdleNanos) {
+		long now = System.nanoTime();
+		this.idleSinceNanos = now;
+		this.reusableUntilNanos = now + maxIdleNanos;
+	}
+
 	private static long maxIdleNanos(Answer answer) {
 		return answer.headers()
 			.stream()
@@ -227,7 +238,8 @@
 	}
 
 	boolean usable(long now) {
-		return !this.closed && this.exchange == null && now < this.reusableUntilNanos;
+		return !this.closed && this.exchange == null && now < this.reusableUntilNanos
+				&& this.session == this.connections.session();
 	}
 
 	long restedNanos(long now) {
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/BackendRegistration.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/BackendRegistration.java
@@ -31,6 +31,9 @@
 
 	private final List<Runnable> listeners = new ArrayList<>();
 
+	private Runnable onServerReplaced = () -> {
+	};
+
 	private GrantSource grantSource = (heartbeat, now) -> Optional.empty();
 
 	private int slots = 1;
@@ -50,6 +53,12 @@
 		this.grantSource = source;
 	}
 
+	// Called before the listeners when another incarnation has taken the place of the
+	// known one.
+	void onServerReplaced(Runnable listener) {
+		this.onServerReplaced = listener;
+	}
+
 	// Listeners run after each change of the server process, its phase or its slots.
 	void addListener(Runnable listener) {
 		this.listeners.add(listener);
@@ -116,6 +125,7 @@
 		}
 		if (before.incarnation.isPresent() && !before.incarnation.equals(after.incarnation)) {
 			this.coldStart.onServerReplaced();
+			this.onServerReplaced.run();
 		}
 		this.log.record(MeshEvent.BACKEND_CHANGED, "life", after.incarnation.map(String::valueOf).orElse(""), "phase",
 				after.phase, "before", before.phase, "slots", after.slots, "sequence", this.tracker.sequence());
@@ -175,6 +185,12 @@
 				: Optional.empty();
 	}
 
+	// Returns when the latest accepted heartbeat arrived, in nanoseconds of the steady
+	// clock.
+	long lastHeartbeatNanos() {
+		return this.lastHeartbeatNanos;
+	}
+
 	long nanosSinceHeartbeat(long now) {
 		return this.tracker.silentNanos(now);
 	}
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/GrantSender.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/GrantSender.java
@@ -2,10 +2,13 @@
 
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.Optional;
+import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
 
 import io.activej.reactor.nio.NioReactor;
 import io.activej.reactor.schedule.ScheduledRunnable;
+import org.brasspier.core.InstanceId;
 import org.brasspier.core.keys.BackendIncarnation;
 import org.brasspier.core.keys.GrantCall;
 import org.brasspier.core.keys.GrantCallScheduler;
@@ -13,6 +16,7 @@
 import org.brasspier.core.keys.KeyHolding;
 import org.brasspier.core.keys.KeyMap;
 import org.brasspier.core.keys.KeySpan;
+import org.brasspier.core.keys.ServerSession;
 import org.brasspier.daemon.internal.http.BackendPool;
 import org.brasspier.daemon.internal.http.BackendReply;
 import org.brasspier.daemon.internal.http.ServerConnections;
@@ -37,8 +41,13 @@
 
 	private static final int MAX_ANSWER_BYTES = 64 << 10;
 
+	/** Shorter than the delay after which a call that failed is sent again. */
+	private static final Duration CONNECT_INTERVAL = Duration.ofMillis(100);
+
 	private final NioReactor reactor;
 
+	private final InstanceId self;
+
 	private final InetSocketAddress server;
 
 	private final GrantProtocol protocol;
@@ -57,9 +66,15 @@
 
 	private final Runnable onEnded;
 
-	GrantSender(NioReactor reactor, InetSocketAddress server, GrantProtocol protocol, BackendRegistration registration,
-			ServerConnections connections, GrantTracker tracker, LongSupplier clock, MeshLog log, Runnable onEnded) {
+	private boolean connecting;
+
+	private long lastConnectNanos = System.nanoTime() - CONNECT_INTERVAL.toNanos();
+
+	GrantSender(NioReactor reactor, InstanceId self, InetSocketAddress server, GrantProtocol protocol,
+			BackendRegistration registration, ServerConnections connections, GrantTracker tracker, LongSupplier clock,
+			MeshLog log, Runnable onEnded) {
 		this.reactor = reactor;
+		this.self = self;
 		this.server = server;
 		this.protocol = protocol;
 		this.registration = registration;
@@ -71,6 +86,15 @@
 		this.onEnded = onEnded;
 	}
 
+	/**
+	 * Records that fences may have been sent to the backend server otherwise than by this
+	 * sender.
+	 * @param limit the lowest fence that has certainly not been sent
+	 */
+	void recordSentBelow(long limit) {
+		this.scheduler.recordSentBelow(limit);
+	}
+
 	/**
 	 * Sends the grants and releases that are due.
 	 * @param map the current key map
@@ -78,13 +102,37 @@
 	 * @param leaseNanos remaining time of this instance's lease, in nanoseconds
 	 */
 	void sendDue(KeyMap map, BackendIncarnation incarnation, long leaseNanos) {
-		this.scheduler.dueCalls(map, incarnation, leaseNanos, this.clock.getAsLong()).forEach(this::send);
+		if (leaseNanos > 0 && !this.connections.isOpen() && !map.heldBy(this.self).isEmpty()) {
+			connect();
+		}
+		Optional<ServerSession> session = session();
+		this.scheduler.dueCalls(map, incarnation, session, leaseNanos, this.clock.getAsLong())
+			.forEach((call) -> send(call, session.map(ServerSession::number)));
+	}
+
+	private Optional<ServerSession> session() {
+		boolean heardFrom = this.registration.lastHeartbeatNanos() - this.connections.startedNanos() > 0;
+		return this.connections.isOpen() ? Optional.of(new ServerSession(this.connections.session(), heardFrom))
+				: Optional.empty();
+	}
+
+	private void connect() {
+		long now = System.nanoTime();
+		if (this.connecting || now - this.lastConnectNanos < CONNECT_INTERVAL.toNanos()) {
+			return;
+		}
+		this.connecting = true;
+		this.lastConnectNanos = now;
+		this.grantConnections.open().whenResult((listens) -> {
+			this.connecting = false;
+			this.registration.onConnectionAttempt(listens);
+			this.reactor.post(this.onEnded::run);
+		});
 	}
 
-	// Returns whether a holding needs a higher fence before its backend server accepts
-	// it.
+	// Returns whether a holding needs a higher fence before it can be granted.
 	boolean needsNewFence(KeyHolding held) {
-		return this.scheduler.needsNewFence(held);
+		return this.scheduler.needsNewFence(held, session());
 	}
 
 	// Returns whether the outcome of a grant of some of these keys is still unknown.
@@ -92,23 +140,24 @@
 		return this.scheduler.isGrantPending(span);
 	}
 
-	private void send(GrantCall call) {
+	private void send(GrantCall call, Optional<Long> session) {
 		switch (call) {
-			case GrantCall.Grant ignored -> send(call, this.grantConnections, GRANT_TIMEOUT, () -> {
-			});
+			case GrantCall.Grant ignored -> send(call, this.grantConnections, GRANT_TIMEOUT,
+					() -> session.equals(Optional.of(this.connections.session())), () -> {
+					});
 			case GrantCall.Release ignored -> {
 				// A new connection is used, so that an answer on it can't belong to an
 				// earlier call.
 				BackendPool singleUse = new BackendPool(this.reactor, this.server, MAX_ANSWER_BYTES, this.connections);
-				send(call, singleUse, RELEASE_TIMEOUT, singleUse::forget);
+				send(call, singleUse, RELEASE_TIMEOUT, () -> true, singleUse::forget);
 			}
 		}
 	}
 
-	private void send(GrantCall call, BackendPool pool, Duration timeout, Runnable done) {
+	private void send(GrantCall call, BackendPool pool, Duration timeout, BooleanSupplier allowed, Runnable done) {
 		long sentNanos = this.clock.getAsLong();
 		BackendPool.BackendRun run = pool.run(this.protocol.request(call, this.server), true, (answer) -> true,
-				() -> true);
+				allowed);
 		ScheduledRunnable timeoutTask = this.reactor.delay(timeout, run::giveUp);
 		run.reply().whenResult((reply) -> {
 			timeoutTask.cancel();
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/KeyOwnership.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/KeyOwnership.java
@@ -68,6 +68,8 @@
 
 	private boolean stepPosted;
 
+	private boolean predecessorFencesRecorded;
+
 	private final LoadReports loads;
 
 	private final KeyPlanning planning;
@@ -91,8 +93,8 @@
 		this.writer = new KeyMapWriter(reactor, this.self, this.service, directory, store, hops, health, log, clock,
 				this::step);
 		this.delivery = settings.backend().grants();
-		this.grantSender = new GrantSender(reactor, settings.backend().address(), grants, registration, connections,
-				this.grantTracker, clock, log, this::step);
+		this.grantSender = new GrantSender(reactor, this.self, settings.backend().address(), grants, registration,
+				connections, this.grantTracker, clock, log, this::step);
 		this.loads = new LoadReports(this.self, directory, hops, now);
 		this.planning = new KeyPlanning(settings, registration, directory, this.lease, this.writer, this.loads,
 				this::handover, this.grantSender::needsNewFence, now);
@@ -202,6 +204,7 @@
 			return Optional.empty();
 		}
 		long now = this.clock.getAsLong();
+		this.grantSender.recordSentBelow(map.get().nextFence());
 		Optional<GrantAnswer> answer = this.grantTracker.answerHeartbeat(map.get(), heartbeat.holds(),
 				this.lease.remainingNanos(now), now);
 		if (map.get().heldBy(this.self).stream().anyMatch((held) -> held.nextHolder().isPresent())) {
@@ -215,6 +218,7 @@
 			return;
 		}
 		long now = this.clock.getAsLong();
+		recordPredecessorFences();
 		this.lease.step(monitoredInstances(), !this.registration.isDead(), now);
 		sendGrants(now);
 		if (!this.writer.isWriting() && this.lease.rowKnown()) {
@@ -222,6 +226,15 @@
 		}
 	}
 
+	// Grants that a previous process of this daemon has sent are in the first map that
+	// this process reads after its own lease row.
+	private void recordPredecessorFences() {
+		if (!this.predecessorFencesRecorded && this.lease.mapTrusted()) {
+			this.predecessorFencesRecorded = true;
+			this.directory.keys(this.service).map(KeyMap::nextFence).ifPresent(this.grantSender::recordSentBelow);
+		}
+	}
+
 	private void sendGrants(long now) {
 		switch (delivery()) {
 			case GrantDelivery.ByCall ignored when this.lease.mapTrusted() -> this.directory.keys(this.service)
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/MeshNode.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/MeshNode.java
@@ -140,6 +140,7 @@
 			.onSessionStarted(() -> this.log.record(MeshEvent.BACKEND_CONNECTED, "session", connections.session(),
 					"life", this.registration.incarnation().map(String::valueOf).orElse(""), "heartbeat_ms_ago",
 					Duration.ofNanos(this.registration.nanosSinceHeartbeat(System.nanoTime())).toMillis()));
+		this.registration.onServerReplaced(connections::endSession);
 		return connections;
 	}
 
