Accept a new backend server at once if the port of the one before was closed

Cause: its heartbeats were ignored until the server before had been silent for 3 s, since a heartbeat of another id may be a late one. But a port that was found closed since the latest heartbeat shows that the known server has ended. Ids that were replaced before still wait for the silence, so late heartbeats of earlier servers change nothing.

Three tests in BackendTrackerTests; two were red without the change.

--- a/core/src/main/java/org/brasspier/core/mesh/BackendTracker.java
+++ b/core/src/main/java/org/brasspier/core/mesh/BackendTracker.java
@@ -20,8 +20,8 @@
 
 	/**
 	 * A server that does not report its start time is accepted as a new incarnation only
-	 * after the known one has been silent for this time: three heartbeats at the usual
-	 * interval.
+	 * after the known one has been silent for this time, three heartbeats at the usual
+	 * interval, or has closed its port.
 	 */
 	private static final long SILENCE_NANOS = Duration.ofSeconds(3).toNanos();
 
@@ -43,6 +43,9 @@
 
 	private final Map<BackendIncarnation, Long> lastSequences = new HashMap<>();
 
+	// Ids of earlier incarnations. Their heartbeats may still arrive.
+	private final Set<String> replacedIds = new HashSet<>();
+
 	private Optional<BackendIncarnation> incarnation = Optional.empty();
 
 	private BackendPhase phase = BackendPhase.ABSENT;
@@ -55,6 +58,8 @@
 
 	private boolean closed;
 
+	private boolean closedSinceHeartbeat;
+
 	private long closedSinceNanos;
 
 	private long closedCheckedNanos;
@@ -85,6 +90,7 @@
 		this.lastSequences.put(from, number);
 		this.lastHeartbeatNanos = nowNanos;
 		this.closed = false;
+		this.closedSinceHeartbeat = false;
 		// Draining is never reverted: daemons that were told of it must not send work
 		// again.
 		if (draining && this.phase == BackendPhase.READY) {
@@ -94,6 +100,8 @@
 	}
 
 	private void startIncarnation(BackendIncarnation from, boolean draining) {
+		this.incarnation.filter((known) -> !known.id().equals(from.id()))
+			.ifPresent((known) -> this.replacedIds.add(known.id()));
 		this.incarnation = Optional.of(from);
 		this.phase = draining ? BackendPhase.DRAINING : BackendPhase.READY;
 		this.seenReady = !draining;
@@ -117,7 +125,8 @@
 		if (from.startedMillis() > 0 && known.startedMillis() > 0) {
 			return from.startedMillis() > known.startedMillis();
 		}
-		return !from.id().equals(known.id()) && nowNanos - this.lastHeartbeatNanos >= SILENCE_NANOS;
+		boolean knownEnded = this.closedSinceHeartbeat && !this.replacedIds.contains(from.id());
+		return !from.id().equals(known.id()) && (knownEnded || nowNanos - this.lastHeartbeatNanos >= SILENCE_NANOS);
 	}
 
 	/**
@@ -190,6 +199,7 @@
 			this.closedSinceNanos = nowNanos;
 		}
 		this.closed = !open;
+		this.closedSinceHeartbeat |= !open;
 		this.closedCheckedNanos = nowNanos;
 	}
 
--- a/core/src/test/java/org/brasspier/core/mesh/BackendTrackerTests.java
+++ b/core/src/test/java/org/brasspier/core/mesh/BackendTrackerTests.java
@@ -209,4 +209,36 @@
 		assertThat(this.tracker.isDead(millis(3200))).isFalse();
 	}
 
+	private static BackendIncarnation withoutStart(String id) {
+		return new BackendIncarnation(id, 0);
+	}
+
+	/** Guards against keys that wait for three heartbeats of a server that has ended. */
+	@Test
+	void withoutStartTimesANewServerIsAcceptedAtOnceIfTheOldOnesPortWasClosed() {
+		this.tracker.onHeartbeat(withoutStart("i-1"), 5, false, 0);
+		this.tracker.onConnectionAttempt(false, 1);
+		this.tracker.onConnectionAttempt(true, 2);
+		assertThat(this.tracker.onHeartbeat(withoutStart("i-2"), 1, false, 3)).isTrue();
+	}
+
+	@Test
+	void aPortThatWasClosedBeforeTheLatestHeartbeatSaysNothingAboutTheServer() {
+		this.tracker.onHeartbeat(withoutStart("i-1"), 5, false, 0);
+		this.tracker.onConnectionAttempt(false, 1);
+		this.tracker.onHeartbeat(withoutStart("i-1"), 6, false, 2);
+		assertThat(this.tracker.onHeartbeat(withoutStart("i-2"), 1, false, 3)).isFalse();
+	}
+
+	/** Guards against a late heartbeat that takes the place of the server's successor. */
+	@Test
+	void aClosedPortDoesNotReviveAnEarlierServer() {
+		this.tracker.onHeartbeat(withoutStart("i-1"), 5, false, 0);
+		this.tracker.onConnectionAttempt(false, 1);
+		this.tracker.onHeartbeat(withoutStart("i-2"), 1, false, 2);
+		this.tracker.onConnectionAttempt(false, 3);
+		assertThat(this.tracker.onHeartbeat(withoutStart("i-1"), 6, false, 4)).isFalse();
+		assertThat(this.tracker.onHeartbeat(withoutStart("i-3"), 1, false, 5)).isTrue();
+	}
+
 }
