Let a connection join a session only after a member has answered since it opened

What callers would have seen: OWNER still, where a server ends and its connections stay open and silent: the next process's connection joined the old session and took its fences. Also: holdings that are to move were given new fences, which cancelled the move; a connection opened in vain closed the last one of a session.

Cause: the end of a connection was taken for a certain sign of the end of a process. Now the proof is an answer: a member that answers what was sent after a new connection opened still listened at the address then. Connections that wait are kept and not used for grants; members silent for 2 s meanwhile end the session.

--- a/core/src/main/java/org/brasspier/core/keys/GrantCallScheduler.java
+++ b/core/src/main/java/org/brasspier/core/keys/GrantCallScheduler.java
@@ -158,16 +158,18 @@
 	/**
 	 * Returns whether a holding needs a higher fence before it can be granted: its
 	 * backend server has seen a higher one, or its fence was sent in another session. In
-	 * the second case nothing is granted before the server is heard from, which usually
-	 * tells whether it is another incarnation.
+	 * the second case a heartbeat is awaited first: if it is of another incarnation, the
+	 * keys are given new fences with the change of the incarnation. Keys that are to move
+	 * are not granted again and need none.
 	 * @param held the holding
 	 * @param session the session in progress; empty if there is none
 	 * @return true if it needs a higher fence
 	 */
 	public boolean needsNewFence(KeyHolding held, Optional<ServerSession> session) {
-		return this.supersededSpans.contains(held.span()) || session.filter(ServerSession::heardFrom)
+		boolean sentElsewhere = held.nextHolder().isEmpty() && session.filter(ServerSession::heardFrom)
 			.filter((current) -> !this.sentFences.maySend(held.fence(), current.number()))
 			.isPresent();
+		return sentElsewhere || this.supersededSpans.contains(held.span());
 	}
 
 	/**
--- a/core/src/main/java/org/brasspier/core/keys/SentFences.java
+++ b/core/src/main/java/org/brasspier/core/keys/SentFences.java
@@ -33,16 +33,16 @@
 	 * @return false if it may have been sent before that session began
 	 */
 	boolean maySend(Fence fence, long inSession) {
-		return fence.value() >= unsentFrom(inSession);
+		return fence.value() >= firstUnsent(inSession);
 	}
 
 	void recordSent(Fence fence, long inSession) {
-		this.unsentFrom = unsentFrom(inSession);
+		this.unsentFrom = firstUnsent(inSession);
 		this.session = inSession;
 		this.highestSent = Math.max(this.highestSent, fence.value());
 	}
 
-	private long unsentFrom(long inSession) {
+	private long firstUnsent(long inSession) {
 		return (inSession == this.session) ? this.unsentFrom : Math.max(this.unsentFrom, this.highestSent + 1);
 	}
 
--- a/core/src/main/java/org/brasspier/core/keys/ServerSession.java
+++ b/core/src/main/java/org/brasspier/core/keys/ServerSession.java
@@ -1,9 +1,9 @@
 package org.brasspier.core.keys;
 
 /**
- * A time in which all calls to a backend server's address reach the same process, because
- * connections to it are open without a gap. Which incarnation that is may be unknown:
- * heartbeats can arrive late. Immutable and thread-safe.
+ * A set of connections that are known to lead to the same process at a backend server's
+ * address. Which incarnation that is may be unknown: heartbeats can arrive late.
+ * Immutable and thread-safe.
  *
  * @param number increases with each session of a daemon's process, and is positive
  * @param heardFrom whether a heartbeat of the backend server has arrived since the
--- a/core/src/test/java/org/brasspier/core/keys/GrantCallSchedulerTests.java
+++ b/core/src/test/java/org/brasspier/core/keys/GrantCallSchedulerTests.java
@@ -235,4 +235,11 @@
 		assertThat(due(raised, session(1), millis(1))).isNotEmpty();
 	}
 
+	/** Guards against a planned move that a new fence cancels. */
+	@Test
+	void keysThatAreLeavingNeedNoNewFence() {
+		grantAll(0);
+		assertThat(this.scheduler.needsNewFence(movingHolding(), session(2))).isFalse();
+	}
+
 }
--- a/daemon/src/main/java/org/brasspier/daemon/internal/http/BackendPool.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/http/BackendPool.java
@@ -5,6 +5,8 @@
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.List;
+import java.util.Optional;
 import java.util.function.BooleanSupplier;
 import java.util.function.Predicate;
 
@@ -107,6 +109,46 @@
 		return run;
 	}
 
+	/**
+	 * Sends a request to the process to which a session of connections leads.
+	 * @param request the request
+	 * @param session the number of the session
+	 * @return the running request; it is not sent if the session is over, or if a new
+	 * connection is needed, which is kept until it has joined the session
+	 */
+	public BackendRun runInSession(RawRequest request, long session) {
+		BackendRun run = new BackendRun();
+		if (session != this.connections.session() || !this.connections.isOpen()) {
+			run.end(new BackendReply.NotSent("the session is over"));
+			return run;
+		}
+		Optional<BackendSocket> member = takeIdleMember();
+		if (member.isPresent()) {
+			begin(run, member.get(), request, (answer) -> true);
+			return run;
+		}
+		connect().whenComplete((socket, ex) -> {
+			if (ex == null) {
+				this.idle.addLast(socket);
+			}
+			run.end((ex instanceof ConnectException) ? new BackendReply.Closed()
+					: new BackendReply.NotSent("a new connection has yet to join the session"));
+		});
+		return run;
+	}
+
+	// Connections that have yet to join stay idle.
+	private Optional<BackendSocket> takeIdleMember() {
+		long now = System.nanoTime();
+		List.copyOf(this.idle).stream().filter((socket) -> !socket.usable(now)).forEach((socket) -> {
+			this.idle.remove(socket);
+			this.connections.retire(socket);
+		});
+		Optional<BackendSocket> member = this.idle.stream().filter(this.connections::isMember).findFirst();
+		member.ifPresent(this.idle::remove);
+		return member;
+	}
+
 	/**
 	 * Opens a connection and keeps it for the next request.
 	 * @return false if nothing listens at the server's address; never an exception
--- a/daemon/src/main/java/org/brasspier/daemon/internal/http/BackendSocket.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/http/BackendSocket.java
@@ -53,7 +53,9 @@
 
 	private final ServerConnections connections;
 
-	private long session;
+	private final long openedNanos = System.nanoTime();
+
+	private final long openedMark;
 
 	private Collector collector;
 
@@ -73,32 +75,33 @@
 		this.socket = socket;
 		this.maxBodyBytes = maxBodyBytes;
 		this.connections = connections;
+		this.openedMark = connections.nextMark();
 		this.collector = new Collector(maxBodyBytes);
 		this.parser = new HttpParser(this.collector);
 	}
 
 	static Promise<BackendSocket> connect(NioReactor reactor, InetSocketAddress address, Duration timeout,
 			int maxBodyBytes, ServerConnections connections) {
-		return TcpSocket.connect(reactor, address, timeout, SOCKETS).then((socket) -> {
+		return TcpSocket.connect(reactor, address, timeout, SOCKETS).map((socket) -> {
 			BackendSocket connected = new BackendSocket(socket, maxBodyBytes, connections);
-			SettablePromise<BackendSocket> joined = new SettablePromise<>();
-			reactor.post(() -> {
-				connected.rest(DEFAULT_IDLE_NANOS);
-				connections.opened(connected);
-				connected.read();
-				joined.set(connected);
-			});
-			return joined;
+			connected.rest(DEFAULT_IDLE_NANOS);
+			connections.opened(connected);
+			connected.read();
+			return connected;
 		});
 	}
 
-	void joinSession(long number) {
-		this.session = number;
+	long openedNanos() {
+		return this.openedNanos;
+	}
+
+	long openedMark() {
+		return this.openedMark;
 	}
 
 	// Sends a request and skips answers that belong to another one.
 	Promise<BackendReply> exchange(RawRequest request, Predicate<Answer> own) {
-		Exchange begun = new Exchange(own, new SettablePromise<>());
+		Exchange begun = new Exchange(own, this.connections.nextMark(), new SettablePromise<>());
 		this.exchange = begun;
 		startOver();
 		this.parser.setHeadResponse(request.method().equals("HEAD"));
@@ -169,6 +172,7 @@
 			return;
 		}
 		this.exchange = null;
+		this.connections.answered(this, current.sentMark);
 		if (reusable) {
 			rest(maxIdleNanos(answer));
 		}
@@ -238,15 +242,14 @@
 	}
 
 	boolean usable(long now) {
-		return !this.closed && this.exchange == null && now < this.reusableUntilNanos
-				&& this.session == this.connections.session();
+		return !this.closed && this.exchange == null && now < this.reusableUntilNanos;
 	}
 
 	long restedNanos(long now) {
 		return now - this.idleSinceNanos;
 	}
 
-	private record Exchange(Predicate<Answer> own, SettablePromise<BackendReply> reply) {
+	private record Exchange(Predicate<Answer> own, long sentMark, SettablePromise<BackendReply> reply) {
 	}
 
 	/**
--- a/daemon/src/main/java/org/brasspier/daemon/internal/http/ServerConnections.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/http/ServerConnections.java
@@ -1,20 +1,31 @@
 package org.brasspier.daemon.internal.http;
 
+import java.time.Duration;
 import java.util.HashSet;
 import java.util.Set;
 
 import org.jspecify.annotations.Nullable;
 
 /**
- * The open connections to one server's address, divided into sessions. A session lasts as
- * long as at least one of its connections is open. A process that ends closes all its
- * connections, and only then can another one listen at its address, so all connections of
- * a session lead to the same process. Shared by the pools of one server. Not thread-safe;
- * confined to the request thread.
+ * The open connections to one server's address, and which of them are known to lead to
+ * the same process: the members of a session. A process that ends may leave its
+ * connections open and silent while the next one accepts new ones. So a new connection
+ * joins the session once a member has answered something that was sent after the new
+ * connection had opened: the member's process still listened at the address then. The
+ * first connection after a session starts the next one. Shared by the pools of one
+ * server. Not thread-safe; confined to the request thread.
  */
 public final class ServerConnections {
 
-	private final Set<BackendSocket> open = new HashSet<>();
+	/**
+	 * How long a connection waits to join. Longer than the interval at which grants are
+	 * renewed, so that a member carries an answer meanwhile.
+	 */
+	private static final Duration JOIN_TIMEOUT = Duration.ofSeconds(2);
+
+	private final Set<BackendSocket> members = new HashSet<>();
+
+	private final Set<BackendSocket> candidates = new HashSet<>();
 
 	private @Nullable BackendSocket retired;
 
@@ -25,6 +36,9 @@
 
 	private long startedNanos = System.nanoTime();
 
+	// Orders the opening of connections and the sending of requests.
+	private long mark;
+
 	/**
 	 * Sets what is called after each start of a session.
 	 * @param listener the listener
@@ -35,10 +49,10 @@
 
 	/**
 	 * Returns whether a session is in progress.
-	 * @return false if no connection is open
+	 * @return false if it has no open connection
 	 */
 	public boolean isOpen() {
-		return !this.open.isEmpty();
+		return !this.members.isEmpty();
 	}
 
 	/**
@@ -58,39 +72,78 @@
 	}
 
 	/**
-	 * Ends the session, since another process is known to listen at the address. Its
-	 * connections finish what they carry and are not used again.
+	 * Ends the session, since another process may listen at the address. Its connections
+	 * finish what they carry.
 	 */
 	public void endSession() {
-		this.open.clear();
-		this.session++;
+		this.members.clear();
+		this.candidates.clear();
 		closeRetired();
 	}
 
-	// Must be called after all events of the same poll: the end of an earlier connection
-	// may be among them.
+	/**
+	 * Ends the session if its members have been silent for too long while another
+	 * connection waits to join.
+	 */
+	public void endSilentSession() {
+		long now = System.nanoTime();
+		if (this.candidates.stream().anyMatch((each) -> now - each.openedNanos() >= JOIN_TIMEOUT.toNanos())) {
+			endSession();
+		}
+	}
+
+	boolean isMember(BackendSocket socket) {
+		return this.members.contains(socket);
+	}
+
+	long nextMark() {
+		this.mark++;
+		return this.mark;
+	}
+
 	void opened(BackendSocket socket) {
-		boolean first = this.open.isEmpty();
-		if (first) {
-			this.session++;
-			this.startedNanos = System.nanoTime();
+		if (!this.members.isEmpty()) {
+			this.candidates.add(socket);
+			return;
 		}
-		socket.joinSession(this.session);
-		this.open.add(socket);
-		closeRetired();
-		if (first) {
-			this.onStarted.run();
+		this.session++;
+		this.startedNanos = System.nanoTime();
+		this.members.add(socket);
+		this.onStarted.run();
+	}
+
+	/**
+	 * Records that a connection carried the answer to a request.
+	 * @param socket the connection
+	 * @param sentMark the mark at which the request was sent
+	 */
+	void answered(BackendSocket socket, long sentMark) {
+		if (!this.members.contains(socket)) {
+			return;
+		}
+		this.candidates.removeIf((candidate) -> {
+			boolean joins = candidate.openedMark() < sentMark;
+			if (joins) {
+				this.members.add(candidate);
+			}
+			return joins;
+		});
+		if (this.retired != socket && this.members.size() > 1) {
+			closeRetired();
 		}
 	}
 
 	void closed(BackendSocket socket) {
-		this.open.remove(socket);
+		this.candidates.remove(socket);
+		if (this.members.remove(socket) && this.members.isEmpty()) {
+			endSession();
+		}
 	}
 
-	// Closes a connection that can't be used any more. The last one is kept until another
-	// has opened, since the session would end with it.
+	// Closes a connection that can't be used any more. The last member is kept until
+	// another one has carried an answer, since the session would end with it.
 	void retire(BackendSocket socket) {
-		if (this.open.size() == 1 && this.open.contains(socket)) {
+		if (this.members.size() == 1 && this.members.contains(socket)) {
 			this.retired = socket;
 		}
 		else {
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/GrantSender.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/GrantSender.java
@@ -3,7 +3,6 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.Optional;
-import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
 
 import io.activej.reactor.nio.NioReactor;
@@ -22,11 +21,13 @@
 import org.brasspier.daemon.internal.http.ServerConnections;
 import org.brasspier.daemon.mesh.GrantProtocol;
 import org.brasspier.daemon.mesh.GrantProtocol.GrantReply;
+import org.brasspier.daemon.mesh.RawRequest;
 
 /**
  * Sends grants and releases to the backend server on this instance. They use separate
  * connections: on a shared connection, a late answer to a request could be mistaken for
- * the answer to a call. Not thread-safe; confined to the request thread.
+ * the answer to a call. Grants name no process, so each is sent in the session of
+ * connections for which it was made. Not thread-safe; confined to the request thread.
  */
 final class GrantSender {
 
@@ -102,12 +103,13 @@
 	 * @param leaseNanos remaining time of this instance's lease, in nanoseconds
 	 */
 	void sendDue(KeyMap map, BackendIncarnation incarnation, long leaseNanos) {
+		this.connections.endSilentSession();
 		if (leaseNanos > 0 && !this.connections.isOpen() && !map.heldBy(this.self).isEmpty()) {
 			connect();
 		}
 		Optional<ServerSession> session = session();
 		this.scheduler.dueCalls(map, incarnation, session, leaseNanos, this.clock.getAsLong())
-			.forEach((call) -> send(call, session.map(ServerSession::number)));
+			.forEach((call) -> send(call, session));
 	}
 
 	private Optional<ServerSession> session() {
@@ -140,29 +142,28 @@
 		return this.scheduler.isGrantPending(span);
 	}
 
-	private void send(GrantCall call, Optional<Long> session) {
+	private void send(GrantCall call, Optional<ServerSession> session) {
+		RawRequest request = this.protocol.request(call, this.server);
 		switch (call) {
-			case GrantCall.Grant ignored -> send(call, this.grantConnections, GRANT_TIMEOUT,
-					() -> session.equals(Optional.of(this.connections.session())), () -> {
-					});
+			case GrantCall.Grant ignored -> session.ifPresent((current) -> await(call,
+					this.grantConnections.runInSession(request, current.number()), GRANT_TIMEOUT));
 			case GrantCall.Release ignored -> {
 				// A new connection is used, so that an answer on it can't belong to an
 				// earlier call.
 				BackendPool singleUse = new BackendPool(this.reactor, this.server, MAX_ANSWER_BYTES, this.connections);
-				send(call, singleUse, RELEASE_TIMEOUT, () -> true, singleUse::forget);
+				BackendPool.BackendRun run = singleUse.run(request, true, (answer) -> true, () -> true);
+				await(call, run, RELEASE_TIMEOUT);
+				run.reply().whenResult(singleUse::forget);
 			}
 		}
 	}
 
-	private void send(GrantCall call, BackendPool pool, Duration timeout, BooleanSupplier allowed, Runnable done) {
+	private void await(GrantCall call, BackendPool.BackendRun run, Duration timeout) {
 		long sentNanos = this.clock.getAsLong();
-		BackendPool.BackendRun run = pool.run(this.protocol.request(call, this.server), true, (answer) -> true,
-				allowed);
 		ScheduledRunnable timeoutTask = this.reactor.delay(timeout, run::giveUp);
 		run.reply().whenResult((reply) -> {
 			timeoutTask.cancel();
 			onReply(call, sentNanos, reply);
-			done.run();
 			this.reactor.post(this.onEnded::run);
 		});
 	}
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/KeyOwnership.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/KeyOwnership.java
@@ -97,7 +97,7 @@
 				connections, this.grantTracker, clock, log, this::step);
 		this.loads = new LoadReports(this.self, directory, hops, now);
 		this.planning = new KeyPlanning(settings, registration, directory, this.lease, this.writer, this.loads,
-				this::handover, this.grantSender::needsNewFence, now);
+				this::handover, this::needsNewFence, now);
 		registration.addListener(this::step);
 		directory.addKeysListener(this::scheduleStep);
 	}
@@ -145,6 +145,14 @@
 		return this.config.get().service(this.service).flatMap(ServiceRule::grants).orElse(this.delivery);
 	}
 
+	// Answers to heartbeats reach their sender only, under whatever fence.
+	private boolean needsNewFence(KeyHolding held) {
+		return switch (delivery()) {
+			case GrantDelivery.ByCall ignored -> this.grantSender.needsNewFence(held);
+			case GrantDelivery.InHeartbeats ignored -> false;
+		};
+	}
+
 	private boolean isSharded() {
 		return this.config.get().service(this.service).filter((rule) -> rule.sharded()).isPresent();
 	}
