Limit the head and all other bytes of a backend server's answer

What callers saw: a server whose answer has header lines without end fills the heap of the daemon beside it, and the process ends with all requests in it.

Cause: the parser was made without a limit for the head, and nothing counted what isn't a body: interim answers, answers to others, chunk framing and extensions, trailers. Header fields are kept until the head ends.

Now BackendSocket counts what came for one request: 16 KB for a head, 256 KB for all that is not a body, and the body limit for the bodies of skipped answers and of its own together. Beyond them the answer is Garbled (BAD_ANSWER, 502, may have run) at once and the connection closes. The head limit of Jetty's own parser is not used: with assertions on, it raises an AssertionError for an answer with a status of 2xx, and the request then gets no reply.

Not covered here: a body may still take 64 MB (MeshNode.MAX_ANSWER_BYTES), for each connection.

--- a/daemon/src/main/java/org/brasspier/daemon/internal/http/BackendSocket.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/http/BackendSocket.java
@@ -47,6 +47,14 @@
 	 */
 	private static final long IDLE_MARGIN_NANOS = NANOS_PER_SECOND;
 
+	private static final int MAX_HEAD_BYTES = 16 << 10;
+
+	/**
+	 * Maximum number of bytes received for one request that are not part of a body:
+	 * heads, skipped answers, framing and trailers.
+	 */
+	private static final int MAX_NON_BODY_BYTES = 256 << 10;
+
 	private final TcpSocket socket;
 
 	private final int maxBodyBytes;
@@ -61,6 +69,12 @@
 
 	private @Nullable Exchange exchange;
 
+	private long nonBodyBytes;
+
+	private long skippedNonBodyBytes;
+
+	private long skippedBodyBytes;
+
 	private boolean closed;
 
 	private boolean endOfStream;
@@ -100,6 +114,9 @@
 	Promise<BackendReply> exchange(RawRequest request, Predicate<Answer> own) {
 		Exchange begun = new Exchange(own, new SettablePromise<>());
 		this.exchange = begun;
+		this.nonBodyBytes = 0;
+		this.skippedNonBodyBytes = 0;
+		this.skippedBodyBytes = 0;
 		startOver();
 		this.parser.setHeadResponse(request.method().equals("HEAD"));
 		this.socket.write(ByteBuf.wrapForReading(MessageText.request(request)))
@@ -145,8 +162,10 @@
 
 	private void parse(ByteBuffer bytes) {
 		int before = bytes.remaining();
+		int bodyBefore = this.collector.bodySize();
 		boolean stopped = this.parser.parseNext(bytes);
-		if (this.collector.fault().isPresent() || this.collector.tooLarge()) {
+		this.nonBodyBytes += before - bytes.remaining() - (this.collector.bodySize() - bodyBefore);
+		if (this.collector.fault().isPresent() || this.collector.tooLarge() || exceedsLimits()) {
 			garbled("the answer is no HTTP/1.1 or too large");
 		}
 		else if (this.collector.whole()) {
@@ -157,6 +176,12 @@
 		}
 	}
 
+	private boolean exceedsLimits() {
+		return (!this.collector.headComplete() && this.nonBodyBytes - this.skippedNonBodyBytes > MAX_HEAD_BYTES)
+				|| this.nonBodyBytes > MAX_NON_BODY_BYTES
+				|| this.skippedBodyBytes + this.collector.bodySize() > this.maxBodyBytes;
+	}
+
 	private void whole() {
 		Exchange current = this.exchange;
 		Answer answer = this.collector.answer();
@@ -165,6 +190,8 @@
 			return;
 		}
 		if (this.collector.informational() || !current.own.test(answer)) {
+			this.skippedBodyBytes += this.collector.bodySize();
+			this.skippedNonBodyBytes = this.nonBodyBytes;
 			startOver();
 			return;
 		}
--- a/daemon/src/main/java/org/brasspier/daemon/internal/http/MessageCollector.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/http/MessageCollector.java
@@ -62,6 +62,10 @@
 		return List.copyOf(this.headers);
 	}
 
+	int bodySize() {
+		return this.body.size();
+	}
+
 	byte[] bodyBytes() {
 		return this.body.toByteArray();
 	}
