Clear a suspect request only by an answer that is no server error

Cause: not shown. By reading, the gate took every whole answer, a 500 or 504 too, for proof that a suspect request is harmless, and what is cleared stays so for five minutes whatever crashes under it. A server that is slow or whose call fails answers so before it crashes.

Why this works: a server error leaves the request suspect; two crashes with no other suspect in common block it as before. Innocents are still cleared by any other answer.

Evidence: CrashSuspectsTests.aServerErrorDoesNotClearTheCulprit, 4 of 4 cases red on the rule as it was, green now (17 of 17 of its class, 6 of 6 of CrashDetectorTests, load average 50).

--- a/core/src/main/java/org/brasspier/core/crash/CrashSuspects.java
+++ b/core/src/main/java/org/brasspier/core/crash/CrashSuspects.java
@@ -24,8 +24,9 @@
  * <p>
  * All requests that a server was running when it crashed are suspect. A request is
  * blocked once it was part of two or more crashes that have no other suspect in common. A
- * request that succeeds on any instance is no longer suspect. If a server is given only
- * one suspect at a time, the next crash shows which one caused it. Not thread-safe.
+ * request that a server answers without a server error is no longer suspect. If a server
+ * is given only one suspect at a time, the next crash shows which one caused it. Not
+ * thread-safe.
  */
 public final class CrashSuspects {
 
@@ -35,6 +36,8 @@
 	/** Crashes after which a request is blocked if it alone was part of all of them. */
 	private static final int MIN_CRASHES_ALONE = 2;
 
+	private static final int MIN_SERVER_ERROR = 500;
+
 	/** After this time a crash no longer counts, and the request may be tried again. */
 	private static final long RETENTION_NANOS = Duration.ofMinutes(5).toNanos();
 
@@ -66,14 +69,19 @@
 	}
 
 	/**
-	 * Records that a request succeeded on an instance.
+	 * Records that a backend server answered a request on an instance. The request is
+	 * cleared by any answer but a server error: a server may answer with an error before
+	 * it reaches the code that crashes it, for example because the deadline passed or a
+	 * call of its own failed.
 	 * @param at the instance
 	 * @param request the request's fingerprint
+	 * @param status the HTTP status of the answer
 	 * @param nowNanos the current time, in nanoseconds of the steady clock
-	 * @return true if it was suspect, so that the other instances must be told
+	 * @return true if it was suspect and is cleared, so that the other instances must be
+	 * told
 	 */
-	public boolean recordSuccess(InstanceId at, long request, long nowNanos) {
-		if (!isSuspect(request)) {
+	public boolean recordAnswer(InstanceId at, long request, int status, long nowNanos) {
+		if (status >= MIN_SERVER_ERROR || !isSuspect(request)) {
 			return false;
 		}
 		this.cleared.put(request, new Cleared(at, nowNanos));
--- a/core/src/test/java/org/brasspier/core/crash/CrashSuspectsTests.java
+++ b/core/src/test/java/org/brasspier/core/crash/CrashSuspectsTests.java
@@ -7,6 +7,8 @@
 import org.brasspier.core.InstanceId;
 import org.brasspier.core.keys.BackendIncarnation;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static com.google.common.truth.Truth.assertThat;
 
@@ -94,14 +96,37 @@
 	@Test
 	void aRequestThatSucceedsIsClearedAndTheCulpritRemains() {
 		crashed(CULPRIT, 2L);
-		assertThat(this.suspects.recordSuccess(HERE, 2, 0)).isTrue();
-		assertThat(this.suspects.recordSuccess(HERE, 2, 0)).isFalse();
+		assertThat(this.suspects.recordAnswer(HERE, 2, 200, 0)).isTrue();
+		assertThat(this.suspects.recordAnswer(HERE, 2, 200, 0)).isFalse();
 		crashed(CULPRIT, 2L);
 		assertThat(this.suspects.isBlocked(CULPRIT, 0)).isTrue();
 		assertThat(this.suspects.isBlocked(2, 0)).isFalse();
 		assertThat(this.suspects.stateOf(HERE).cleared()).containsExactly(2L);
 	}
 
+	/**
+	 * Guards against sending a request to server after server because one of them
+	 * answered it with an error, such as a missed deadline, before it could crash.
+	 */
+	@ParameterizedTest
+	@ValueSource(ints = { 500, 502, 503, 504 })
+	void aServerErrorDoesNotClearTheCulprit(int status) {
+		crashed(CULPRIT, 2L);
+		assertThat(this.suspects.recordAnswer(HERE, CULPRIT, status, 0)).isFalse();
+		crashed(CULPRIT, 3L);
+		assertThat(this.suspects.isBlocked(CULPRIT, 0)).isTrue();
+		assertThat(this.suspects.stateOf(HERE).cleared()).isEmpty();
+	}
+
+	/** Guards against blocking a harmless request whose answer is no success. */
+	@ParameterizedTest
+	@ValueSource(ints = { 200, 302, 404, 422 })
+	void anAnswerThatIsNoServerErrorClearsTheRequest(int status) {
+		crashed(CULPRIT, 2L);
+		assertThat(this.suspects.recordAnswer(HERE, 2, status, 0)).isTrue();
+		assertThat(this.suspects.isSuspect(2)).isFalse();
+	}
+
 	/**
 	 * Guards against counting one crash several times because several instances report
 	 * it.
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/BackendCrashes.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/BackendCrashes.java
@@ -188,12 +188,13 @@
 	 * Records that the server answered a request.
 	 * @param incarnation the server process that answered
 	 * @param request the request
+	 * @param status the HTTP status of the answer
 	 * @param sentNanos when the request was sent, nanoseconds of the steady clock
 	 */
-	void onAnswer(BackendIncarnation incarnation, MeshRequest request, long sentNanos) {
+	void onAnswer(BackendIncarnation incarnation, MeshRequest request, int status, long sentNanos) {
 		this.detector.onAnswer(incarnation, sentNanos);
 		if (!this.suspects.isEmpty()
-				&& this.suspects.recordSuccess(this.self, request.fingerprint(), System.nanoTime())) {
+				&& this.suspects.recordAnswer(this.self, request.fingerprint(), status, System.nanoTime())) {
 			// Sent by the periodic task: many suspect requests usually end within a short
 			// time, and one update covers all of them.
 			this.updatePending = true;
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/BackendGate.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/BackendGate.java
@@ -410,7 +410,7 @@
 		switch (reply) {
 			case BackendReply.Whole(Answer answer) -> {
 				if (this.protocol.verdict(sent, answer) != BackendProtocol.Verdict.NOT_RUN) {
-					this.crashes.onAnswer(sent.incarnation(), sent.request(), sentNanos);
+					this.crashes.onAnswer(sent.incarnation(), sent.request(), answer.status(), sentNanos);
 				}
 			}
 			case BackendReply.Broken ignored -> this.crashes.onConnectionLost(sent.incarnation(), sent.request());
