Log which suspect request is cleared, and by which status

Until now only the number of cleared requests could be seen, at the other daemons (CRASHES_TOLD). No change of behaviour.

--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/BackendCrashes.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/BackendCrashes.java
@@ -195,6 +195,8 @@
 		this.detector.onAnswer(incarnation, sentNanos);
 		if (!this.suspects.isEmpty()
 				&& this.suspects.recordAnswer(this.self, request.fingerprint(), status, System.nanoTime())) {
+			this.log.record(MeshEvent.SUSPECT_CLEARED, "request", request.id(), "fingerprint",
+					Long.toHexString(request.fingerprint()), "status", status);
 			// Sent by the periodic task: many suspect requests usually end within a short
 			// time, and one update covers all of them.
 			this.updatePending = true;
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/MeshEvent.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/MeshEvent.java
@@ -50,6 +50,8 @@
 	 * A connection to the local backend server was opened while no other one was open.
 	 */
 	BACKEND_CONNECTED(1405),
+	/** A request that was part of a crash is no longer suspect. */
+	SUSPECT_CLEARED(1406),
 	/** The assignment of keys to instances has changed, or a change failed. */
 	KEYS_MOVED(1501),
 	/**
