Open one connection at a time to join a session, and end a session that blocks grants

Cause: a grant without an idle member opened a connection each time it was tried, and none of them could join, since the members were idle ones of the gate: without grants there are no requests, without requests no answers. The session would have ended after 2 s of waiting, but the waiting connections were closed as idle after one.

Now one connection at a time waits, and a session ends if a grant has waited for 0.5 s. Two tests in ServerConnectionsTests; not run without the change.

--- a/daemon/src/main/java/org/brasspier/daemon/internal/http/BackendPool.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/http/BackendPool.java
@@ -35,6 +35,8 @@
 
 	private static final String NOT_ALLOWED = "the backend server may no longer be given it";
 
+	private static final String YET_TO_JOIN = "a new connection has yet to join the session";
+
 	private final NioReactor reactor;
 
 	private final int maxBodyBytes;
@@ -45,6 +47,8 @@
 
 	private final ServerConnections connections;
 
+	private boolean openingToJoin;
+
 	/**
 	 * Creates an empty pool.
 	 * @param reactor the reactor of the request thread
@@ -114,7 +118,7 @@
 	 * @param request the request
 	 * @param session the number of the session
 	 * @return the running request; it is not sent if the session is over, or if a new
-	 * connection is needed, which is kept until it has joined the session
+	 * connection is needed; one at a time is opened and kept until it has joined
 	 */
 	public BackendRun runInSession(RawRequest request, long session) {
 		BackendRun run = new BackendRun();
@@ -127,12 +131,19 @@
 			begin(run, member.get(), request, (answer) -> true);
 			return run;
 		}
+		this.connections.recordBlocked();
+		if (this.openingToJoin || !this.idle.isEmpty()) {
+			run.end(new BackendReply.NotSent(YET_TO_JOIN));
+			return run;
+		}
+		this.openingToJoin = true;
 		connect().whenComplete((socket, ex) -> {
+			this.openingToJoin = false;
 			if (ex == null) {
 				this.idle.addLast(socket);
 			}
 			run.end((ex instanceof ConnectException) ? new BackendReply.Closed()
-					: new BackendReply.NotSent("a new connection has yet to join the session"));
+					: new BackendReply.NotSent(YET_TO_JOIN));
 		});
 		return run;
 	}
@@ -140,10 +151,13 @@
 	// Connections that have yet to join stay idle.
 	private Optional<BackendSocket> takeIdleMember() {
 		long now = System.nanoTime();
-		List.copyOf(this.idle).stream().filter((socket) -> !socket.usable(now)).forEach((socket) -> {
-			this.idle.remove(socket);
-			this.connections.retire(socket);
-		});
+		List.copyOf(this.idle)
+			.stream()
+			.filter((socket) -> !socket.usable(now) || this.connections.isOutside(socket))
+			.forEach((socket) -> {
+				this.idle.remove(socket);
+				this.connections.retire(socket);
+			});
 		Optional<BackendSocket> member = this.idle.stream().filter(this.connections::isMember).findFirst();
 		member.ifPresent(this.idle::remove);
 		return member;
--- a/daemon/src/main/java/org/brasspier/daemon/internal/http/ServerConnections.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/http/ServerConnections.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.HashSet;
+import java.util.OptionalLong;
 import java.util.Set;
 
 import org.jspecify.annotations.Nullable;
@@ -18,10 +19,10 @@
 public final class ServerConnections {
 
 	/**
-	 * How long a connection waits to join. Longer than the interval at which grants are
-	 * renewed, so that a member carries an answer meanwhile.
+	 * How long a call waits for a connection to join. A member that carries requests
+	 * answers sooner.
 	 */
-	private static final Duration JOIN_TIMEOUT = Duration.ofSeconds(2);
+	private static final Duration JOIN_TIMEOUT = Duration.ofMillis(500);
 
 	private final Set<BackendSocket> members = new HashSet<>();
 
@@ -36,6 +37,8 @@
 
 	private long startedNanos = System.nanoTime();
 
+	private OptionalLong blockedSinceNanos = OptionalLong.empty();
+
 	// Orders the opening of connections and the sending of requests.
 	private long mark;
 
@@ -78,24 +81,36 @@
 	public void endSession() {
 		this.members.clear();
 		this.candidates.clear();
+		this.blockedSinceNanos = OptionalLong.empty();
 		closeRetired();
 	}
 
 	/**
-	 * Ends the session if its members have been silent for too long while another
-	 * connection waits to join.
+	 * Ends the session if a call has waited for too long for a connection to join.
 	 */
 	public void endSilentSession() {
 		long now = System.nanoTime();
-		if (this.candidates.stream().anyMatch((each) -> now - each.openedNanos() >= JOIN_TIMEOUT.toNanos())) {
+		if (this.blockedSinceNanos.isPresent() && now - this.blockedSinceNanos.getAsLong() >= JOIN_TIMEOUT.toNanos()) {
 			endSession();
 		}
 	}
 
+	// Records that a call can't be sent until a connection has joined.
+	void recordBlocked() {
+		if (this.blockedSinceNanos.isEmpty()) {
+			this.blockedSinceNanos = OptionalLong.of(System.nanoTime());
+		}
+	}
+
 	boolean isMember(BackendSocket socket) {
 		return this.members.contains(socket);
 	}
 
+	// Returns whether a connection is of an earlier session and can't join this one.
+	boolean isOutside(BackendSocket socket) {
+		return !this.members.contains(socket) && !this.candidates.contains(socket);
+	}
+
 	long nextMark() {
 		this.mark++;
 		return this.mark;
@@ -125,6 +140,7 @@
 			boolean joins = candidate.openedMark() < sentMark;
 			if (joins) {
 				this.members.add(candidate);
+				this.blockedSinceNanos = OptionalLong.empty();
 			}
 			return joins;
 		});
--- a/daemon/src/test/java/org/brasspier/daemon/internal/http/ServerConnectionsTests.java
+++ b/daemon/src/test/java/org/brasspier/daemon/internal/http/ServerConnectionsTests.java
@@ -6,6 +6,7 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.Callable;
@@ -22,6 +23,7 @@
 import org.junit.jupiter.api.Test;
 
 import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 
 class ServerConnectionsTests {
 
@@ -185,4 +187,33 @@
 		assertThat(get(() -> Promise.of(this.connections.session()))).isEqualTo(2);
 	}
 
+	/** Guards against a server whose connections are used up by calls that wait. */
+	@Test
+	void oneConnectionAtATimeWaitsToJoin() throws Exception {
+		Socket silent = openFirst(pool());
+		BackendPool next = pool();
+		for (int i = 0; i < 5; i++) {
+			assertThat(callInFirstSession(next)).isInstanceOf(BackendReply.NotSent.class);
+		}
+		this.server.accept();
+		this.server.setSoTimeout(200);
+		assertThrows(SocketTimeoutException.class, this.server::accept);
+		silent.close();
+	}
+
+	/** Guards against calls that wait for members that never answer. */
+	@Test
+	void aSessionEndsIfACallWaitsForSilentMembers() throws Exception {
+		Socket silent = openFirst(pool());
+		BackendPool next = pool();
+		callInFirstSession(next);
+		for (int i = 0; i < 500 && get(() -> Promise.of(this.connections.isOpen())); i++) {
+			Thread.sleep(10);
+			callInFirstSession(next);
+			this.loop.execute(this.connections::endSilentSession);
+		}
+		assertThat(get(() -> Promise.of(this.connections.isOpen()))).isFalse();
+		silent.close();
+	}
+
 }
