--- a/core/src/test/java/org/brasspier/core/crash/CrashSuspectsTests.java
+++ b/core/src/test/java/org/brasspier/core/crash/CrashSuspectsTests.java
@@ -6,6 +6,7 @@
 
 import org.brasspier.core.InstanceId;
 import org.brasspier.core.keys.BackendIncarnation;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -118,6 +119,21 @@
 		assertThat(this.suspects.stateOf(HERE).cleared()).isEmpty();
 	}
 
+	/**
+	 * Guards against a request that ran well before it began to crash servers, for
+	 * example because a new release was installed.
+	 */
+	@Test
+	@Tag("known-red")
+	void aSuccessDoesNotClearCrashesThatComeAfterIt() {
+		crashed(CULPRIT, 2L);
+		assertThat(this.suspects.recordAnswer(HERE, CULPRIT, 200, 0)).isTrue();
+		crashed(CULPRIT, 3L);
+		assertThat(this.suspects.isBlocked(CULPRIT, 0)).isFalse();
+		crashed(CULPRIT, 4L);
+		assertThat(this.suspects.isBlocked(CULPRIT, 0)).isTrue();
+	}
+
 	/** Guards against blocking a harmless request whose answer is no success. */
 	@ParameterizedTest
 	@ValueSource(ints = { 200, 302, 404, 422 })
