--- a/core/src/main/java/org/brasspier/core/crash/CrashState.java
+++ b/core/src/main/java/org/brasspier/core/crash/CrashState.java
@@ -1,37 +1,36 @@
 package org.brasspier.core.crash;
 
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.List;
 import java.util.Set;
-import java.util.stream.Stream;
 
 /**
  * What one instance knows of crashes and replicates to the others. Immutable and
  * thread-safe.
  *
  * @param reports the latest crashes of its backend server, at most {@link #MAX_REPORTS}
- * @param cleared fingerprints of requests that were part of a crash on any instance and
- * have succeeded on this instance since, at most {@link #MAX_CLEARED}
+ * @param exonerations what has succeeded on this instance after a crash on any instance,
+ * at most {@link #MAX_EXONERATIONS}
+ * @param cleared the same for earlier builds, as {@link RequestFingerprint#untagged()} of
+ * requests, at most {@link #MAX_CLEARED}
  */
-public record CrashState(List<CrashReport> reports, Set<Long> cleared) {
+public record CrashState(List<CrashReport> reports, Set<Exoneration> exonerations, Set<Long> cleared) {
 
 	/** The maximum number of reports; the oldest are discarded first. */
 	public static final int MAX_REPORTS = 8;
 
-	/** Enough for all requests of the maximum number of reports. */
-	public static final int MAX_CLEARED = CrashReport.MAX_REQUESTS * MAX_REPORTS;
+	/** The maximum number of requests in all reports together. */
+	public static final int MAX_REPORTED_REQUESTS = CrashReport.MAX_REQUESTS;
 
-	/** The state without any crash. */
-	public static final CrashState EMPTY = new CrashState(List.of(), Set.of());
+	/** The maximum number of exonerations; the oldest are discarded first. */
+	public static final int MAX_EXONERATIONS = 384;
 
-	/**
-	 * Returns a copy with another crash.
-	 * @param report the crash
-	 * @return the copy, without the oldest crash if there would be too many
-	 */
-	public CrashState withReport(CrashReport report) {
-		List<CrashReport> all = Stream.concat(this.reports.stream(), Stream.of(report)).toList();
-		return new CrashState(all.subList(Math.max(0, all.size() - MAX_REPORTS), all.size()), this.cleared);
-	}
+	/** The maximum number that earlier builds accept. */
+	public static final int MAX_CLEARED = CrashReport.MAX_UNTAGGED * MAX_REPORTS;
+
+	/** The state without any crash. */
+	public static final CrashState EMPTY = new CrashState(List.of(), Set.of(), Set.of());
 
 	/**
 	 * Copies the collections.
@@ -39,11 +38,36 @@
 	 */
 	public CrashState {
 		reports = List.copyOf(reports);
+		exonerations = Set.copyOf(exonerations);
 		cleared = Set.copyOf(cleared);
-		if (reports.size() > MAX_REPORTS || cleared.size() > MAX_CLEARED) {
+		if (reports.size() > MAX_REPORTS || requestCount(reports) > MAX_REPORTED_REQUESTS
+				|| exonerations.size() > MAX_EXONERATIONS || cleared.size() > MAX_CLEARED) {
 			throw new IllegalArgumentException(
-					"%d crash reports and %d cleared requests are too many".formatted(reports.size(), cleared.size()));
+					"%d crash reports with %d requests, %d exonerations and %d cleared requests are too many"
+						.formatted(reports.size(), requestCount(reports), exonerations.size(), cleared.size()));
 		}
 	}
 
+	/**
+	 * Selects the latest reports that fit into a state.
+	 * @param reports all reports, the oldest first
+	 * @return the latest ones, the oldest first
+	 */
+	public static List<CrashReport> latest(List<CrashReport> reports) {
+		Deque<CrashReport> selected = new ArrayDeque<>();
+		int requests = 0;
+		for (CrashReport report : reports.reversed()) {
+			requests += report.requests().size();
+			if (selected.size() == MAX_REPORTS || requests > MAX_REPORTED_REQUESTS) {
+				break;
+			}
+			selected.addFirst(report);
+		}
+		return List.copyOf(selected);
+	}
+
+	private static int requestCount(List<CrashReport> reports) {
+		return reports.stream().mapToInt((report) -> report.requests().size()).sum();
+	}
+
 }
--- a/core/src/main/java/org/brasspier/core/crash/CrashSuspects.java
+++ b/core/src/main/java/org/brasspier/core/crash/CrashSuspects.java
@@ -1,19 +1,17 @@
 package org.brasspier.core.crash;
 
 import java.time.Duration;
-import java.util.ArrayList;
-import java.util.Comparator;
-import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Function;
+import java.util.function.ToLongFunction;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
 
+import com.dynatrace.hash4j.hashing.Hashing;
 import org.brasspier.core.InstanceId;
-import org.brasspier.core.keys.BackendIncarnation;
 
 /**
  * Determines which requests must not reach another backend server, from the crashes that
@@ -22,70 +20,120 @@
  * server by server, and again each time a server is back.
  *
  * <p>
- * All requests that a server was running when it crashed are suspect. A request is
- * blocked once it was part of two or more crashes that have no other suspect in common. A
- * request that a server answers without a server error is no longer suspect. If a server
- * is given only one suspect at a time, the next crash shows which one caused it. Not
- * thread-safe.
+ * All requests that a server was running when it crashed are suspect. A request that a
+ * server answers without a server error is exonerated of the crashes that are known by
+ * then, and of no others: it may crash servers later, for example after a release of
+ * their software. Crashes are counted for requests with the same query first; those that
+ * remain unexplained are counted for requests with any query. {@link CrashEvidence}
+ * states when a request is blocked and for how long. If a server is given only one
+ * suspect at a time, the next crash shows which one caused it. Not thread-safe.
  */
 public final class CrashSuspects {
 
-	/** Crashes after which a request is blocked, whatever else was part of them. */
-	private static final int MAX_CRASHES_WITH_OTHERS = 5;
-
-	/** Crashes after which a request is blocked if it alone was part of all of them. */
-	private static final int MIN_CRASHES_ALONE = 2;
+	/** After this time a crash no longer counts. */
+	static final Duration RETENTION = Duration.ofMinutes(5);
 
 	private static final int MIN_SERVER_ERROR = 500;
 
-	/** After this time a crash no longer counts, and the request may be tried again. */
-	private static final long RETENTION_NANOS = Duration.ofMinutes(5).toNanos();
+	private static final CrashEvidence NONE = CrashEvidence.of(List.of(), Set.of());
+
+	private final InstanceId self;
+
+	private final Map<Long, KnownReport> reports = new LinkedHashMap<>();
+
+	private final Map<Exoneration, Source> exonerations = new LinkedHashMap<>();
 
-	private final Map<BackendIncarnation, KnownReport> reports = new LinkedHashMap<>();
+	// Requests that earlier builds have cleared, or are to be told of as cleared.
+	private final Map<Long, Source> cleared = new LinkedHashMap<>();
 
-	private final Map<Long, Cleared> cleared = new LinkedHashMap<>();
+	private CrashEvidence exact = NONE;
 
-	private Set<Long> blocked = Set.of();
+	private CrashEvidence resources = NONE;
+
+	private CrashEvidence untagged = NONE;
+
+	/**
+	 * Creates an instance without any crash.
+	 * @param self the instance that decides
+	 */
+	public CrashSuspects(InstanceId self) {
+		this.self = self;
+	}
 
 	/**
-	 * Merges the state of an instance. Merging the same state again has no effect.
+	 * Merges the state of an instance. Merging the same state again has no effect, and
+	 * the order in which states are merged doesn't matter.
 	 * @param from the instance
 	 * @param state its state
 	 * @param nowNanos the current time, in nanoseconds of the steady clock
 	 * @return true if any of it was new
 	 */
 	public boolean merge(InstanceId from, CrashState state, long nowNanos) {
+		Source source = new Source(from, nowNanos);
 		boolean changed = false;
 		for (CrashReport report : state.reports()) {
-			changed |= this.reports.putIfAbsent(report.incarnation(), new KnownReport(from, report, nowNanos)) == null;
+			changed |= add(report, source);
+		}
+		for (Exoneration exoneration : state.exonerations()) {
+			changed |= this.exonerations.putIfAbsent(exoneration, source) == null;
 		}
 		for (long request : state.cleared()) {
-			changed |= this.cleared.putIfAbsent(request, new Cleared(from, nowNanos)) == null;
+			changed |= this.cleared.putIfAbsent(request, source) == null;
 		}
 		if (changed) {
-			updateBlocked(nowNanos);
+			evaluate(nowNanos);
 		}
 		return changed;
 	}
 
 	/**
-	 * Records that a backend server answered a request on an instance. The request is
-	 * cleared by any answer but a server error: a server may answer with an error before
-	 * it reaches the code that crashes it, for example because the deadline passed or a
-	 * call of its own failed.
-	 * @param at the instance
-	 * @param request the request's fingerprint
+	 * Records a crash of this instance's backend server.
+	 * @param report the crash
+	 * @param nowNanos the current time, in nanoseconds of the steady clock
+	 */
+	public void recordCrash(CrashReport report, long nowNanos) {
+		add(report, new Source(this.self, nowNanos));
+		evaluate(nowNanos);
+	}
+
+	private boolean add(CrashReport report, Source source) {
+		KnownReport known = this.reports.get(report.id());
+		KnownReport merged = (known != null) ? new KnownReport(known.report.mergedWith(report), known.source)
+				: new KnownReport(report, source);
+		this.reports.put(report.id(), merged);
+		return !merged.equals(known);
+	}
+
+	/**
+	 * Records that this instance's backend server answered a request. The request is
+	 * exonerated by any answer but a server error: a server may answer with an error
+	 * before it reaches the code that crashes it, for example because the deadline passed
+	 * or a call of its own failed.
+	 * @param request the request
 	 * @param status the HTTP status of the answer
+	 * @param sentNanos when the request was sent to the server; crashes that became known
+	 * later are not affected
 	 * @param nowNanos the current time, in nanoseconds of the steady clock
-	 * @return true if it was suspect and is cleared, so that the other instances must be
-	 * told
+	 * @return true if it was suspect and is exonerated, so that the other instances must
+	 * be told
 	 */
-	public boolean recordAnswer(InstanceId at, long request, int status, long nowNanos) {
+	public boolean recordAnswer(RequestFingerprint request, int status, long sentNanos, long nowNanos) {
 		if (status >= MIN_SERVER_ERROR || !isSuspect(request)) {
 			return false;
 		}
-		this.cleared.put(request, new Cleared(at, nowNanos));
-		updateBlocked(nowNanos);
+		List<CrashReport> earlier = this.reports.values()
+			.stream()
+			.filter((known) -> known.source.sinceNanos - sentNanos <= 0 && known.contains(request))
+			.map(KnownReport::report)
+			.toList();
+		if (earlier.isEmpty()) {
+			return false;
+		}
+		Source source = new Source(this.self, nowNanos);
+		earlier.forEach((report) -> this.exonerations
+			.put(new Exoneration(report.id(), request.exact(), request.resource()), source));
+		this.cleared.put(request.untagged(), source);
+		evaluate(nowNanos);
 		return true;
 	}
 
@@ -100,92 +148,152 @@
 
 	/**
 	 * Returns whether a request must not reach a backend server.
-	 * @param request the request's fingerprint
+	 * @param request the request
 	 * @param nowNanos the current time, in nanoseconds of the steady clock
 	 * @return true if it is blocked
 	 */
-	public boolean isBlocked(long request, long nowNanos) {
-		if (!this.blocked.contains(request)) {
+	public boolean isBlocked(RequestFingerprint request, long nowNanos) {
+		if (!isSuspect(request)) {
 			return false;
 		}
-		updateBlocked(nowNanos);
-		return this.blocked.contains(request);
+		if (expire(nowNanos)) {
+			evaluate(nowNanos);
+		}
+		return this.exact.isBlocked(request.exact(), this::jitter, nowNanos)
+				|| this.resources.isBlocked(request.resource(), this::jitter, nowNanos)
+				|| this.untagged.isBlocked(request.untagged(), this::jitter, nowNanos);
+	}
+
+	private double jitter(long request) {
+		long hash = Hashing.komihash5_0().hashStream().putString(this.self.value()).putLong(request).getAsLong();
+		return (hash >>> 11) * 0x1.0p-53;
 	}
 
 	/**
 	 * Returns whether a request was part of a crash and has not succeeded since.
-	 * @param request the request's fingerprint
+	 * @param request the request
 	 * @return true if it is suspect
 	 */
-	public boolean isSuspect(long request) {
-		return !this.cleared.containsKey(request)
-				&& this.reports.values().stream().anyMatch((known) -> known.report.requests().contains(request));
+	public boolean isSuspect(RequestFingerprint request) {
+		return this.exact.isSuspect(request.exact()) || this.resources.isSuspect(request.resource())
+				|| this.untagged.isSuspect(request.untagged());
 	}
 
 	/**
-	 * Returns the number of blocked requests.
+	 * Returns the number of crashes that a request was part of and for which it is still
+	 * suspect.
+	 * @param request the request
+	 * @return 0 if it is not suspect
+	 */
+	public int crashCount(RequestFingerprint request) {
+		return Math.max(this.exact.crashCount(request.exact()),
+				Math.max(this.resources.crashCount(request.resource()), this.untagged.crashCount(request.untagged())));
+	}
+
+	/**
+	 * Returns the number of requests that have been blocked; the blocks of some of them
+	 * may be over.
 	 * @return the number
 	 */
 	public int blockedCount() {
-		return this.blocked.size();
+		return this.exact.blocked().size() + this.resources.blocked().size() + this.untagged.blocked().size();
 	}
 
 	/**
-	 * Returns the state that an instance replicates to the others.
-	 * @param instance the instance
-	 * @return the latest reports and cleared requests of that instance
+	 * Returns the state that this instance replicates to the others.
+	 * @return its latest reports and what has succeeded on it
 	 */
-	public CrashState stateOf(InstanceId instance) {
-		List<CrashReport> own = latest(this.reports.values().stream().filter((known) -> known.from.equals(instance)),
-				CrashState.MAX_REPORTS)
+	public CrashState ownState() {
+		List<CrashReport> own = this.reports.values()
+			.stream()
+			.filter((known) -> known.source.at.equals(this.self))
 			.map(KnownReport::report)
 			.toList();
-		Set<Long> succeeded = latest(
-				this.cleared.entrySet().stream().filter((entry) -> entry.getValue().at.equals(instance)),
-				CrashState.MAX_CLEARED)
-			.map(Map.Entry::getKey)
-			.collect(Collectors.toUnmodifiableSet());
-		return new CrashState(own, succeeded);
-	}
-
-	// Both maps are in the order in which their entries became known.
-	private static <T> Stream<T> latest(Stream<T> all, int maxCount) {
-		List<T> list = all.toList();
-		return list.stream().skip(Math.max(0, list.size() - maxCount));
-	}
-
-	private void updateBlocked(long nowNanos) {
-		this.reports.values().removeIf((known) -> nowNanos - known.sinceNanos >= RETENTION_NANOS);
-		this.cleared.values().removeIf((each) -> nowNanos - each.sinceNanos >= RETENTION_NANOS);
-		Map<Long, List<Set<Long>>> crashes = new HashMap<>();
-		this.reports.values().forEach((known) -> {
-			Set<Long> suspects = new HashSet<>(known.report.requests());
-			suspects.removeAll(this.cleared.keySet());
-			suspects.forEach((request) -> crashes.computeIfAbsent(request, (key) -> new ArrayList<>()).add(suspects));
-		});
-		this.blocked = crashes.entrySet()
+		return new CrashState(CrashState.latest(own), latestOwn(this.exonerations, CrashState.MAX_EXONERATIONS),
+				latestOwn(this.cleared, CrashState.MAX_CLEARED));
+	}
+
+	// The maps are in the order in which their entries became known.
+	private <T> Set<T> latestOwn(Map<T, Source> all, int maxCount) {
+		List<T> own = all.entrySet()
 			.stream()
-			.filter((entry) -> shouldBlock(entry.getValue()))
+			.filter((entry) -> entry.getValue().at.equals(this.self))
 			.map(Map.Entry::getKey)
-			.collect(Collectors.toUnmodifiableSet());
+			.toList();
+		return Set.copyOf(own.subList(Math.max(0, own.size() - maxCount), own.size()));
+	}
+
+	private boolean expire(long nowNanos) {
+		boolean expired = this.reports.values().removeIf((known) -> known.source.isExpired(nowNanos));
+		this.exonerations.values().removeIf((source) -> source.isExpired(nowNanos));
+		this.cleared.values().removeIf((source) -> source.isExpired(nowNanos));
+		return expired;
+	}
+
+	private void evaluate(long nowNanos) {
+		expire(nowNanos);
+		Map<Long, List<Exoneration>> byCrash = this.exonerations.keySet()
+			.stream()
+			.collect(Collectors.groupingBy(Exoneration::crash));
+		List<KnownReport> current = this.reports.values()
+			.stream()
+			.filter((known) -> !known.report.isOfEarlierBuild())
+			.toList();
+		this.exact = CrashEvidence.of(crashes(current, byCrash, RequestFingerprint::exact, Exoneration::exact),
+				exonerated(Exoneration::exact));
+		List<KnownReport> unexplained = current.stream()
+			.filter((known) -> !this.exact.explains(known.report.id()))
+			.toList();
+		this.resources = CrashEvidence.of(
+				crashes(unexplained, byCrash, RequestFingerprint::resource, Exoneration::resource),
+				exonerated(Exoneration::resource));
+		this.untagged = (current.size() == this.reports.size()) ? NONE : CrashEvidence
+			.of(this.reports.values().stream().map(this::untaggedCrash).toList(), this.cleared.keySet());
 	}
 
-	private static boolean shouldBlock(List<Set<Long>> crashes) {
-		if (crashes.size() >= MAX_CRASHES_WITH_OTHERS) {
-			return true;
+	private Set<Long> exonerated(Function<Exoneration, Long> hash) {
+		return this.exonerations.keySet().stream().map(hash).collect(Collectors.toUnmodifiableSet());
+	}
+
+	private static List<CrashEvidence.Crash> crashes(List<KnownReport> reports, Map<Long, List<Exoneration>> byCrash,
+			ToLongFunction<RequestFingerprint> hash, Function<Exoneration, Long> exonerated) {
+		return reports.stream().map((known) -> {
+			Set<Long> innocent = byCrash.getOrDefault(known.report.id(), List.of())
+				.stream()
+				.map(exonerated)
+				.collect(Collectors.toSet());
+			return known.crash((report) -> report.requests()
+				.stream()
+				.map(hash::applyAsLong)
+				.filter((request) -> !innocent.contains(request)));
+		}).toList();
+	}
+
+	private CrashEvidence.Crash untaggedCrash(KnownReport known) {
+		return known
+			.crash((report) -> report.untagged().stream().filter((request) -> !this.cleared.containsKey(request)));
+	}
+
+	private record KnownReport(CrashReport report, Source source) {
+
+		boolean contains(RequestFingerprint request) {
+			return this.report.untagged().contains(request.untagged())
+					|| this.report.requests().stream().anyMatch((each) -> each.resource() == request.resource());
 		}
-		if (crashes.size() < MIN_CRASHES_ALONE) {
-			return false;
+
+		CrashEvidence.Crash crash(Function<CrashReport, Stream<Long>> suspects) {
+			return new CrashEvidence.Crash(this.report.id(),
+					suspects.apply(this.report).collect(Collectors.toUnmodifiableSet()), this.source.sinceNanos);
 		}
-		Set<Long> common = new HashSet<>(crashes.stream().min(Comparator.comparingInt(Set::size)).orElseThrow());
-		crashes.forEach(common::retainAll);
-		return common.size() == 1;
-	}
 
-	private record KnownReport(InstanceId from, CrashReport report, long sinceNanos) {
 	}
 
-	private record Cleared(InstanceId at, long sinceNanos) {
+	private record Source(InstanceId at, long sinceNanos) {
+
+		boolean isExpired(long nowNanos) {
+			return nowNanos - this.sinceNanos >= RETENTION.toNanos();
+		}
+
 	}
 
 }
--- a/daemon/src/main/java/org/brasspier/daemon/internal/http/BackendPool.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/http/BackendPool.java
@@ -7,6 +7,7 @@
 import java.util.Deque;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.function.BooleanSupplier;
 import java.util.function.Predicate;
 
@@ -221,6 +222,14 @@
 			return this.reply;
 		}
 
+		/**
+		 * Returns when the connection was opened that carries the request.
+		 * @return nanoseconds of the steady clock; empty while the request has none
+		 */
+		public OptionalLong connectionOpenedNanos() {
+			return (this.socket != null) ? OptionalLong.of(this.socket.openedNanos()) : OptionalLong.empty();
+		}
+
 		/**
 		 * Abandons the request by closing its connection; most servers then stop working
 		 * on it.
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/BackendCrashes.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/BackendCrashes.java
@@ -3,16 +3,21 @@
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.SplittableRandom;
 
 import io.activej.reactor.nio.NioReactor;
 import org.brasspier.core.InstanceId;
+import org.brasspier.core.ServiceName;
 import org.brasspier.core.crash.CrashDetector;
 import org.brasspier.core.crash.CrashReport;
 import org.brasspier.core.crash.CrashState;
 import org.brasspier.core.crash.CrashSuspects;
+import org.brasspier.core.crash.RequestFingerprint;
+import org.brasspier.core.crash.SuspectTurns;
 import org.brasspier.core.keys.BackendIncarnation;
 import org.brasspier.daemon.internal.http.BackendPool;
 import org.brasspier.daemon.mesh.MeshRequest;
@@ -29,6 +34,9 @@
 	/** By this time the port of a process that has crashed is closed as well. */
 	private static final Duration PORT_CHECK_DELAY = Duration.ofMillis(20);
 
+	/** By this time a connection that was lost has been replaced. */
+	private static final Duration REPEAT_DELAY = Duration.ofSeconds(1);
+
 	private final NioReactor reactor;
 
 	private final InstanceId self;
@@ -45,12 +53,16 @@
 
 	private final MeshLog log;
 
-	private final CrashDetector detector = new CrashDetector();
+	private final SplittableRandom random = new SplittableRandom();
+
+	private final CrashDetector detector = new CrashDetector(this.random::nextLong);
 
-	private final CrashSuspects suspects = new CrashSuspects();
+	private final CrashSuspects suspects;
 
-	// Fingerprints of suspect requests that are running, by request id.
-	private final Map<String, Long> runningSuspects = new HashMap<>();
+	private final SuspectTurns turns = new SuspectTurns(System.nanoTime());
+
+	// Suspect requests that are running, by request id.
+	private final Map<String, RequestFingerprint> runningSuspects = new HashMap<>();
 
 	private Optional<BackendIncarnation> incarnation = Optional.empty();
 
@@ -62,17 +74,21 @@
 	// example while the store is unavailable.
 	private final Set<InstanceId> told = new HashSet<>();
 
+	// An update may be lost with its connection, so each is sent twice.
+	private Optional<Long> repeatNanos = Optional.empty();
+
 	BackendCrashes(NioReactor reactor, InstanceId self, BackendRegistration registration, BackendPool pool,
 			Directory directory, HopClient hops, MetadataStore store, StoreHealth health, MeshLog log) {
 		this.reactor = reactor;
 		this.self = self;
+		this.suspects = new CrashSuspects(self);
 		this.registration = registration;
 		this.pool = pool;
 		this.directory = directory;
 		this.hops = hops;
 		this.writer = new OwnRowWriter(StoredRows.CRASHES_PREFIX + self.value(), directory, store, health);
 		this.log = log;
-		registration.addListener(this::onIncarnationChanged);
+		registration.addListener(this::onBackendChanged);
 		directory.addCrashListener(this::onCrashState);
 	}
 
@@ -81,19 +97,40 @@
 			if (this.updatePending) {
 				sendToOthers();
 			}
+			repeatUpdate();
 			sendToNewInstances();
 			write();
 			start();
 		});
 	}
 
+	private void repeatUpdate() {
+		if (this.repeatNanos.filter((at) -> System.nanoTime() - at >= 0).isPresent()) {
+			this.repeatNanos = Optional.empty();
+			this.told.clear();
+		}
+	}
+
 	/**
 	 * Returns whether a request must not be sent to a backend server.
 	 * @param request the request
+	 * @param caller the calling service
 	 * @return true if it is blocked because servers have crashed while running it
 	 */
-	boolean isBlocked(MeshRequest request) {
-		return !this.suspects.isEmpty() && this.suspects.isBlocked(request.fingerprint(), System.nanoTime());
+	boolean isBlocked(MeshRequest request, ServiceName caller) {
+		if (this.suspects.isEmpty()) {
+			return false;
+		}
+		RequestFingerprint fingerprint = request.fingerprint(caller);
+		if (!this.suspects.isBlocked(fingerprint, System.nanoTime())) {
+			return false;
+		}
+		recordRefusal(request.id(), fingerprint, "blocked");
+		return true;
+	}
+
+	boolean isBlocked(HopRequest request) {
+		return isBlocked(request.request(), request.caller());
 	}
 
 	/**
@@ -103,22 +140,44 @@
 	 * @param request the request
 	 * @return true if it is suspect and the server is running another suspect request
 	 */
-	boolean mustWait(MeshRequest request) {
+	boolean mustWait(HopRequest request) {
 		if (this.runningSuspects.isEmpty()) {
 			return false;
 		}
-		long fingerprint = request.fingerprint();
-		return this.suspects.isSuspect(fingerprint)
-				&& this.runningSuspects.values().stream().anyMatch((other) -> other != fingerprint);
+		RequestFingerprint fingerprint = request.fingerprint();
+		boolean waits = this.suspects.isSuspect(fingerprint)
+				&& this.runningSuspects.values().stream().anyMatch((other) -> !other.equals(fingerprint));
+		if (waits) {
+			recordRefusal(request.request().id(), fingerprint, "another suspect is running");
+		}
+		return waits;
+	}
+
+	private void recordRefusal(String id, RequestFingerprint fingerprint, String reason) {
+		this.log.record(MeshEvent.SUSPECT_REFUSED, "request", id, "fingerprint", fingerprint, "reason", reason,
+				"crashes", this.suspects.crashCount(fingerprint), "life",
+				this.registration.incarnation().map(String::valueOf).orElse(""));
+	}
+
+	/**
+	 * Reserves a turn for a suspect request that must wait.
+	 * @param run how long a request of its class usually runs
+	 * @return the time until its turn
+	 */
+	Duration reserveTurn(Duration run) {
+		return this.turns.reserve(run, System.nanoTime());
 	}
 
 	/**
 	 * Records that a request is sent to the server.
 	 * @param request the request
 	 */
-	void onRequestStarted(MeshRequest request) {
-		if (!this.suspects.isEmpty() && this.suspects.isSuspect(request.fingerprint())) {
-			this.runningSuspects.put(request.id(), request.fingerprint());
+	void onRequestStarted(HopRequest request) {
+		if (!this.suspects.isEmpty()) {
+			RequestFingerprint fingerprint = request.fingerprint();
+			if (this.suspects.isSuspect(fingerprint)) {
+				this.runningSuspects.put(request.request().id(), fingerprint);
+			}
 		}
 	}
 
@@ -132,20 +191,30 @@
 
 	/**
 	 * Records that a connection to the server was lost while a request was running on it.
-	 * @param incarnation the server process
 	 * @param request the request
 	 */
-	void onConnectionLost(BackendIncarnation incarnation, MeshRequest request) {
-		this.detector.onConnectionLost(incarnation, request.fingerprint(), System.nanoTime());
-		if (!this.portCheckScheduled) {
+	void onConnectionLost(SentRequest request) {
+		this.detector
+			.onConnectionLost(request.incarnation(), request.fingerprint(), request.connectionOpenedNanos(),
+					request.sentNanos(), System.nanoTime())
+			.ifPresent(this::recordCrash);
+		if (this.detector.hasUnexplainedLosses() && !this.portCheckScheduled) {
 			this.portCheckScheduled = true;
-			this.reactor.delay(PORT_CHECK_DELAY, () -> checkPort(incarnation));
+			this.reactor.delay(PORT_CHECK_DELAY, () -> checkPort(request.incarnation()));
 		}
 	}
 
+	/**
+	 * Records that a request was abandoned while it was running on the server.
+	 * @param request the request
+	 */
+	void onAbandoned(SentRequest request) {
+		this.detector.onAbandoned(request.incarnation(), request.fingerprint(), System.nanoTime());
+	}
+
 	// Checks whether the server's port is still open. A connection that opens stays in
 	// the pool for the next request.
-	private void checkPort(BackendIncarnation incarnation) {
+	private void checkPort(BackendIncarnation server) {
 		if (!this.detector.hasUnexplainedLosses()) {
 			this.portCheckScheduled = false;
 			return;
@@ -154,49 +223,52 @@
 			this.portCheckScheduled = false;
 			this.registration.onConnectionAttempt(listens);
 			if (!listens) {
-				onPortClosed(incarnation);
+				onPortClosed(server);
 			}
 		});
 	}
 
 	/**
 	 * Records that the server's port is closed.
-	 * @param incarnation the server process that had opened it
+	 * @param server the server process that had opened it
 	 */
-	void onPortClosed(BackendIncarnation incarnation) {
-		this.detector.onServerEnded(incarnation, System.nanoTime()).ifPresent(this::recordCrash);
+	void onPortClosed(BackendIncarnation server) {
+		this.detector.onServerEnded(server, this.suspects::isSuspect, System.nanoTime()).ifPresent(this::recordCrash);
 	}
 
-	private void onIncarnationChanged() {
+	private void onBackendChanged() {
 		Optional<BackendIncarnation> current = this.registration.incarnation();
 		if (!current.equals(this.incarnation)) {
 			this.incarnation.ifPresent(this::onPortClosed);
 			this.incarnation = current;
 		}
+		if (!this.registration.ready()) {
+			current.ifPresent(this.detector::onLeaving);
+		}
 	}
 
 	private void recordCrash(CrashReport report) {
-		long now = System.nanoTime();
-		CrashState before = this.suspects.stateOf(this.self);
-		this.suspects.merge(this.self, before.withReport(report), now);
+		this.suspects.recordCrash(report, System.nanoTime());
 		this.log.record(MeshEvent.BACKEND_CRASHED, "life", report.incarnation(), "running",
-				report.requests().stream().map(Long::toHexString).toList(), "kept_away", this.suspects.blockedCount());
+				List.copyOf(report.requests()), "kept_away", this.suspects.blockedCount(), "crash",
+				Long.toHexString(report.id()));
 		sendToOthers();
 	}
 
 	/**
 	 * Records that the server answered a request.
-	 * @param incarnation the server process that answered
 	 * @param request the request
 	 * @param status the HTTP status of the answer
-	 * @param sentNanos when the request was sent, nanoseconds of the steady clock
 	 */
-	void onAnswer(BackendIncarnation incarnation, MeshRequest request, int status, long sentNanos) {
-		this.detector.onAnswer(incarnation, sentNanos);
-		if (!this.suspects.isEmpty()
-				&& this.suspects.recordAnswer(this.self, request.fingerprint(), status, System.nanoTime())) {
-			this.log.record(MeshEvent.SUSPECT_CLEARED, "request", request.id(), "fingerprint",
-					Long.toHexString(request.fingerprint()), "status", status);
+	void onAnswer(SentRequest request, int status) {
+		this.detector.onAnswer(request.incarnation(), request.sentNanos());
+		if (this.suspects.isEmpty()) {
+			return;
+		}
+		RequestFingerprint fingerprint = request.fingerprint();
+		if (this.suspects.recordAnswer(fingerprint, status, request.sentNanos(), System.nanoTime())) {
+			this.log.record(MeshEvent.SUSPECT_CLEARED, "request", request.id(), "fingerprint", fingerprint, "status",
+					status, "life", request.incarnation());
 			// Sent by the periodic task: many suspect requests usually end within a short
 			// time, and one update covers all of them.
 			this.updatePending = true;
@@ -205,13 +277,14 @@
 
 	private void sendToOthers() {
 		this.updatePending = false;
+		this.repeatNanos = Optional.of(System.nanoTime() + REPEAT_DELAY.toNanos());
 		this.told.clear();
 		sendToNewInstances();
 		write();
 	}
 
 	private void sendToNewInstances() {
-		CrashState own = this.suspects.stateOf(this.self);
+		CrashState own = this.suspects.ownState();
 		if (own.equals(CrashState.EMPTY)) {
 			return;
 		}
@@ -229,12 +302,12 @@
 	void onCrashState(InstanceId instance, CrashState state) {
 		if (this.suspects.merge(instance, state, System.nanoTime())) {
 			this.log.record(MeshEvent.CRASHES_TOLD, "from", instance, "reports", state.reports().size(), "cleared",
-					state.cleared().size(), "kept_away", this.suspects.blockedCount());
+					state.exonerations().size(), "kept_away", this.suspects.blockedCount());
 		}
 	}
 
 	private void write() {
-		CrashState own = this.suspects.stateOf(this.self);
+		CrashState own = this.suspects.ownState();
 		if (this.writer.canWrite() && !own.equals(this.directory.crashState(this.self))) {
 			this.writer.write(this.directory.crashStateVersion(this.self), StoredRows.crashes(own), this::write);
 		}
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/BackendGate.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/BackendGate.java
@@ -285,13 +285,16 @@
 
 	// Returns why a request that may crash servers can't be accepted now, if it can't.
 	private Optional<Failure> suspectRejection(HopRequest hopRequest) {
-		if (this.crashes.isBlocked(hopRequest.request())) {
+		if (this.crashes.isBlocked(hopRequest)) {
 			return Optional.of(blockedFailure());
 		}
-		return this.crashes.mustWait(hopRequest.request())
-				? Optional.of(new Failure(ErrorKind.OVERLOADED,
-						"another request that is suspected of crashing backend servers is running", SHORT_RETRY_AFTER))
-				: Optional.empty();
+		if (!this.crashes.mustWait(hopRequest)) {
+			return Optional.empty();
+		}
+		Duration run = Duration.ofNanos(this.admission.meanRunNanos(hopRequest.requestClass()));
+		return Optional.of(new Failure(ErrorKind.OVERLOADED,
+				"another request that is suspected of crashing backend servers is running",
+				this.crashes.reserveTurn(run)));
 	}
 
 	// Has no retry-after time: when the request may be tried again is unknown.
@@ -385,7 +388,7 @@
 		int remaining = (int) Math.max(1, (accepted.deadlineNanos - now) / NANOS_PER_MILLI);
 		BackendRequest backendRequest = new BackendRequest(accepted.hopRequest.request(), accepted.hopRequest.caller(),
 				incarnation, remaining);
-		this.crashes.onRequestStarted(accepted.hopRequest.request());
+		this.crashes.onRequestStarted(accepted.hopRequest);
 		Sending sending = new Sending(accepted, incarnation);
 		BackendPool.BackendRun run = this.pool.run(this.protocol.request(backendRequest),
 				accepted.hopRequest.idempotent(),
@@ -401,27 +404,27 @@
 			timeout.cancel();
 			sending.end();
 			this.crashes.onRequestEnded(accepted.hopRequest.request());
-			updateCrashDetector(backendRequest, now, reply);
+			updateCrashDetector(
+					new SentRequest(accepted.hopRequest, incarnation, run.connectionOpenedNanos().orElse(now), now),
+					backendRequest, reply);
 			return onRequestEnded(number, backendRequest, accepted, reply);
 		});
 	}
 
-	private void updateCrashDetector(BackendRequest sent, long sentNanos, BackendReply reply) {
+	private void updateCrashDetector(SentRequest request, BackendRequest sent, BackendReply reply) {
 		switch (reply) {
 			case BackendReply.Whole(Answer answer) -> {
 				if (this.protocol.verdict(sent, answer) != BackendProtocol.Verdict.NOT_RUN) {
-					this.crashes.onAnswer(sent.incarnation(), sent.request(), answer.status(), sentNanos);
+					this.crashes.onAnswer(request, answer.status());
 				}
 			}
-			case BackendReply.Broken ignored -> this.crashes.onConnectionLost(sent.incarnation(), sent.request());
-			case BackendReply.Garbled ignored -> this.crashes.onConnectionLost(sent.incarnation(), sent.request());
+			case BackendReply.Broken ignored -> this.crashes.onConnectionLost(request);
+			case BackendReply.Garbled ignored -> this.crashes.onConnectionLost(request);
 			case BackendReply.Closed ignored -> this.crashes.onPortClosed(sent.incarnation());
+			case BackendReply.GivenUp ignored -> this.crashes.onAbandoned(request);
 			case BackendReply.NotSent ignored -> {
 				// Says nothing about the server.
 			}
-			case BackendReply.GivenUp ignored -> {
-				// Says nothing about the server.
-			}
 		}
 	}
 
@@ -438,7 +441,8 @@
 		releaseSlot(number, runOutcome(outcome, reply));
 		if (!(outcome instanceof SendOutcome.Answered)) {
 			this.log.record(MeshEvent.ORDER_FAILED, "request", accepted.hopRequest.request().id(), "life",
-					sent.incarnation(), "reply", reply, "outcome", outcome.getClass().getSimpleName());
+					sent.incarnation(), "reply", reply, "outcome", outcome.getClass().getSimpleName(), "fingerprint",
+					accepted.hopRequest.fingerprint());
 		}
 		return outcome;
 	}
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/Dispatcher.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/Dispatcher.java
@@ -214,7 +214,7 @@
 						Failure.of(ErrorKind.DEADLINE_PASSED, "the deadline passed before the request was sent"),
 						false));
 			}
-			if (Dispatcher.this.crashes.isBlocked(this.request)) {
+			if (Dispatcher.this.crashes.isBlocked(this.request, Dispatcher.this.settings.backend().service())) {
 				return Promise.of(new SendOutcome.NotRun(BackendGate.blockedFailure(), false));
 			}
 			if (sharded()) {
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopCodec.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopCodec.java
@@ -1,6 +1,7 @@
 package org.brasspier.daemon.internal.mesh;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalInt;
@@ -13,6 +14,8 @@
 import org.brasspier.core.ServiceName;
 import org.brasspier.core.crash.CrashReport;
 import org.brasspier.core.crash.CrashState;
+import org.brasspier.core.crash.Exoneration;
+import org.brasspier.core.crash.RequestFingerprint;
 import org.brasspier.core.keys.BackendIncarnation;
 import org.brasspier.core.keys.HolderLoad;
 import org.brasspier.core.keys.KeyLoad;
@@ -258,13 +261,23 @@
 		}
 	}
 
+	// Daemons of an earlier build read only the first part, up to the cleared requests.
 	private static void crashes(FrameWriter frame, CrashState state) {
 		frame.count(state.reports().size());
 		state.reports().forEach((report) -> {
 			frame.text(report.incarnation().id()).number(report.incarnation().startedMillis());
-			numbers(frame, report.requests());
+			numbers(frame, report.untagged());
 		});
 		numbers(frame, state.cleared());
+		state.reports().forEach((report) -> {
+			frame.number(report.id()).count(report.requests().size());
+			report.requests()
+				.forEach((request) -> frame.number(request.exact())
+					.number(request.resource())
+					.number(request.untagged()));
+		});
+		frame.count(state.exonerations().size());
+		state.exonerations().forEach((each) -> frame.number(each.crash()).number(each.exact()).number(each.resource()));
 	}
 
 	private static void numbers(FrameWriter frame, Set<Long> numbers) {
@@ -274,15 +287,30 @@
 
 	private static CrashState crashes(FrameReader frame) throws WireException {
 		try {
-			List<CrashReport> reports = frame
-				.list((each) -> new CrashReport(new BackendIncarnation(each.text(), each.number()), numbers(each)));
-			return new CrashState(reports, numbers(frame));
+			List<CrashReport> reports = frame.list((each) -> CrashReport
+				.ofEarlierBuild(new BackendIncarnation(each.text(), each.number()), numbers(each)));
+			Set<Long> cleared = numbers(frame);
+			return frame.hasMore() ? crashes(frame, reports, cleared) : new CrashState(reports, Set.of(), cleared);
 		}
 		catch (IllegalArgumentException ex) {
 			throw new WireException("a crash update of another daemon is invalid", ex);
 		}
 	}
 
+	private static CrashState crashes(FrameReader frame, List<CrashReport> untagged, Set<Long> cleared)
+			throws WireException {
+		List<CrashReport> reports = new ArrayList<>();
+		for (CrashReport report : untagged) {
+			reports.add(new CrashReport(frame.number(), report.incarnation(),
+					Set.copyOf(
+							frame.list((each) -> new RequestFingerprint(each.number(), each.number(), each.number()))),
+					report.untagged()));
+		}
+		List<Exoneration> exonerations = frame
+			.list((each) -> new Exoneration(each.number(), each.number(), each.number()));
+		return new CrashState(reports, Set.copyOf(exonerations), cleared);
+	}
+
 	private static Set<Long> numbers(FrameReader frame) throws WireException {
 		return Set.copyOf(frame.list(FrameReader::number));
 	}
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopRequest.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopRequest.java
@@ -2,6 +2,7 @@
 
 import org.brasspier.core.RequestClass;
 import org.brasspier.core.ServiceName;
+import org.brasspier.core.crash.RequestFingerprint;
 import org.brasspier.daemon.mesh.MeshRequest;
 
 /**
@@ -19,6 +20,10 @@
 record HopRequest(ServiceName service, ServiceName caller, RequestClass requestClass, boolean idempotent,
 		boolean overdue, boolean mayQueue, MeshRequest request) {
 
+	RequestFingerprint fingerprint() {
+		return this.request.fingerprint(this.caller);
+	}
+
 	HopRequest withRemainingMillis(int millis) {
 		return new HopRequest(this.service, this.caller, this.requestClass, this.idempotent, this.overdue,
 				this.mayQueue, this.request.withRemainingMillis(millis));
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/MeshEvent.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/MeshEvent.java
@@ -52,6 +52,8 @@
 	BACKEND_CONNECTED(1405),
 	/** A request that was part of a crash is no longer suspect. */
 	SUSPECT_CLEARED(1406),
+	/** A request was refused because it may crash backend servers. */
+	SUSPECT_REFUSED(1407),
 	/** The assignment of keys to instances has changed, or a change failed. */
 	KEYS_MOVED(1501),
 	/**
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/StoredRows.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/StoredRows.java
@@ -5,10 +5,12 @@
 import java.net.UnknownHostException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
 
 import com.google.gson.Gson;
 import com.google.gson.JsonArray;
@@ -25,6 +27,8 @@
 import org.brasspier.core.ServiceName;
 import org.brasspier.core.crash.CrashReport;
 import org.brasspier.core.crash.CrashState;
+import org.brasspier.core.crash.Exoneration;
+import org.brasspier.core.crash.RequestFingerprint;
 import org.brasspier.core.keys.BackendIncarnation;
 import org.brasspier.core.keys.Deputy;
 import org.brasspier.core.keys.KeyHolder;
@@ -186,22 +190,59 @@
 	}
 
 	static byte[] crashes(CrashState state) {
-		return bytes(new CrashesRow(state.reports()
-			.stream()
-			.map((report) -> new CrashRow(report.incarnation().id(), report.incarnation().startedMillis(),
-					hex(report.requests())))
-			.toList(), hex(state.cleared())));
+		return bytes(new CrashesRow(state.reports().stream().map(StoredRows::crash).toList(), hex(state.cleared()),
+				state.exonerations()
+					.stream()
+					.map((each) -> hex(each.crash(), each.exact(), each.resource()))
+					.toList()));
 	}
 
 	static Either<Failure, CrashState> crashes(byte[] value) {
 		return parse(() -> {
 			CrashesRow row = GSON.fromJson(new String(value, StandardCharsets.UTF_8), CrashesRow.class);
-			List<CrashReport> reports = row.crashes()
-				.stream()
-				.map((crash) -> new CrashReport(new BackendIncarnation(crash.backend(), crash.born()),
-						numbers(crash.requests())))
+			List<CrashReport> reports = row.crashes().stream().map(StoredRows::report).toList();
+			Set<Exoneration> exonerations = triples(row.exonerations())
+				.map((each) -> new Exoneration(each.get(0), each.get(1), each.get(2)))
+				.collect(Collectors.toUnmodifiableSet());
+			return new CrashState(reports, exonerations, numbers(row.cleared()));
+		});
+	}
+
+	private static CrashRow crash(CrashReport report) {
+		return new CrashRow(report.incarnation().id(), report.incarnation().startedMillis(), hex(report.untagged()),
+				Long.toHexString(report.id()),
+				report.requests()
+					.stream()
+					.map((request) -> hex(request.exact(), request.resource(), request.untagged()))
+					.toList());
+	}
+
+	// Rows of an earlier build have no crash ids.
+	private static CrashReport report(CrashRow row) {
+		BackendIncarnation incarnation = new BackendIncarnation(row.backend(), row.born());
+		if (row.id() == null) {
+			return CrashReport.ofEarlierBuild(incarnation, numbers(row.requests()));
+		}
+		Set<RequestFingerprint> requests = triples(row.fingerprints())
+			.map((each) -> new RequestFingerprint(each.get(0), each.get(1), each.get(2)))
+			.collect(Collectors.toUnmodifiableSet());
+		return new CrashReport(Long.parseUnsignedLong(row.id(), HEX_RADIX), incarnation, requests,
+				numbers(row.requests()));
+	}
+
+	private static String hex(long... numbers) {
+		return Arrays.stream(numbers).mapToObj(Long::toHexString).collect(Collectors.joining(","));
+	}
+
+	private static Stream<List<Long>> triples(@Nullable List<String> hex) {
+		return Stream.ofNullable(hex).flatMap(List::stream).map((text) -> {
+			List<Long> numbers = Arrays.stream(text.split(","))
+				.map((number) -> Long.parseUnsignedLong(number, HEX_RADIX))
 				.toList();
-			return new CrashState(reports, numbers(row.cleared()));
+			if (numbers.size() != 3) {
+				throw new IllegalArgumentException("three numbers expected in " + text);
+			}
+			return numbers;
 		});
 	}
 
@@ -246,10 +287,11 @@
 
 	}
 
-	private record CrashesRow(List<CrashRow> crashes, List<String> cleared) {
+	private record CrashesRow(List<CrashRow> crashes, List<String> cleared, @Nullable List<String> exonerations) {
 	}
 
-	private record CrashRow(String backend, long born, List<String> requests) {
+	private record CrashRow(String backend, long born, List<String> requests, @Nullable String id,
+			@Nullable List<String> fingerprints) {
 	}
 
 	private record LeaseText(@Nullable String service, @Nullable String deputy, @Nullable String process,
--- a/daemon/src/main/java/org/brasspier/daemon/mesh/MeshRequest.java
+++ b/daemon/src/main/java/org/brasspier/daemon/mesh/MeshRequest.java
@@ -4,6 +4,8 @@
 import java.util.OptionalInt;
 
 import com.dynatrace.hash4j.hashing.Hashing;
+import org.brasspier.core.ServiceName;
+import org.brasspier.core.crash.RequestFingerprint;
 import org.brasspier.core.request.HeaderField;
 
 /**
@@ -39,11 +41,27 @@
 	}
 
 	/**
-	 * Returns a hash of the parts of a request that stay the same when a caller sends it
+	 * Returns hashes of the parts of a request that stay the same when a caller sends it
 	 * again.
-	 * @return the 64-bit hash
+	 * @param caller the calling service
+	 * @return the hashes
 	 */
-	public long fingerprint() {
+	public RequestFingerprint fingerprint(ServiceName caller) {
+		return new RequestFingerprint(hash(caller.value(), this.target), hash(caller.value(), path()), untaggedHash());
+	}
+
+	private long hash(String caller, String pathOrTarget) {
+		return Hashing.komihash5_0()
+			.hashStream()
+			.putString(caller)
+			.putString(this.method)
+			.putString(this.host)
+			.putString(pathOrTarget)
+			.putByteArray(this.body)
+			.getAsLong();
+	}
+
+	private long untaggedHash() {
 		return Hashing.komihash5_0()
 			.hashStream()
 			.putString(this.method)
--- a/daemon/src/test/java/org/brasspier/daemon/internal/mesh/DirectoryTests.java
+++ b/daemon/src/test/java/org/brasspier/daemon/internal/mesh/DirectoryTests.java
@@ -13,6 +13,7 @@
 import org.brasspier.core.ServiceName;
 import org.brasspier.core.crash.CrashReport;
 import org.brasspier.core.crash.CrashState;
+import org.brasspier.core.crash.RequestFingerprint;
 import org.brasspier.core.keys.BackendIncarnation;
 import org.brasspier.core.keys.KeyHolder;
 import org.brasspier.core.keys.KeyMap;
@@ -130,8 +131,9 @@
 	void crashStateIsReportedOnceAndForwarded() {
 		List<CrashState> received = new ArrayList<>();
 		this.directory.addCrashListener((instance, state) -> received.add(state));
-		CrashState state = new CrashState(List.of(new CrashReport(new BackendIncarnation("server", 1), Set.of(4L))),
-				Set.of());
+		CrashState state = new CrashState(List
+			.of(new CrashReport(9, new BackendIncarnation("server", 1), Set.of(new RequestFingerprint(4, 5, 6)))),
+				Set.of(), Set.of());
 		MetadataStore.Row row = new MetadataStore.Row(StoredRows.CRASHES_PREFIX + "a",
 				Optional.of(StoredRows.crashes(state)), 6);
 		this.directory.apply(new MetadataStore.Rows(List.of(row), 6), false);
--- a/daemon/src/test/java/org/brasspier/daemon/internal/mesh/HopCodecTests.java
+++ b/daemon/src/test/java/org/brasspier/daemon/internal/mesh/HopCodecTests.java
@@ -10,6 +10,8 @@
 import org.brasspier.core.ServiceName;
 import org.brasspier.core.crash.CrashReport;
 import org.brasspier.core.crash.CrashState;
+import org.brasspier.core.crash.Exoneration;
+import org.brasspier.core.crash.RequestFingerprint;
 import org.brasspier.core.keys.BackendIncarnation;
 import org.brasspier.core.mesh.KnownRows;
 import org.brasspier.daemon.mesh.MeshRequest;
@@ -24,6 +26,8 @@
 
 	private static final int LENGTH_BYTES = 4;
 
+	private static final int CRASH_UPDATE = 22;
+
 	private static byte[] encodedRequest(boolean mayQueue) {
 		MeshRequest request = new MeshRequest("r-1", "host", "GET", "/", List.of(), new byte[] { 1 }, 500,
 				OptionalInt.empty());
@@ -59,12 +63,24 @@
 
 	@Test
 	void aCrashUpdateIsDecodedAsItWasEncoded() throws WireException {
-		CrashReport report = new CrashReport(new BackendIncarnation("server", 7), Set.of(1L, -2L));
+		CrashReport report = new CrashReport(-9, new BackendIncarnation("server", 7),
+				Set.of(new RequestFingerprint(1, -2, 3), new RequestFingerprint(4, 5, Long.MIN_VALUE)));
 		HopMessage update = new HopMessage.CrashUpdate(new InstanceId("a"),
-				new CrashState(List.of(report), Set.of(Long.MIN_VALUE)));
+				new CrashState(List.of(report), Set.of(new Exoneration(-1, 2, -3)), Set.of(Long.MIN_VALUE)));
 		assertThat(decode(HopCodec.encode(update))).isEqualTo(update);
 	}
 
+	/** Guards against crash updates of an earlier build that close the connection. */
+	@Test
+	void aCrashUpdateOfAnEarlierBuildIsDecoded() throws WireException {
+		FrameWriter frame = new FrameWriter().number(CRASH_UPDATE).text("a").count(1);
+		frame.text("server").number(7).count(2).number(1).number(-2).count(1).number(3);
+		assertThat(decode(frame.frame())).isEqualTo(new HopMessage.CrashUpdate(new InstanceId("a"),
+				new CrashState(
+						List.of(CrashReport.ofEarlierBuild(new BackendIncarnation("server", 7), Set.of(1L, -2L))),
+						Set.of(), Set.of(3L))));
+	}
+
 	@Test
 	void aCompressedMessageIsDecodedAsItWasEncoded() throws WireException {
 		HopMessage notice = new HopMessage.VersionsNotice(new KnownRows(3, 4));
--- a/daemon/src/test/java/org/brasspier/daemon/internal/mesh/StoredRowsTests.java
+++ b/daemon/src/test/java/org/brasspier/daemon/internal/mesh/StoredRowsTests.java
@@ -15,6 +15,8 @@
 import org.brasspier.core.ServiceName;
 import org.brasspier.core.crash.CrashReport;
 import org.brasspier.core.crash.CrashState;
+import org.brasspier.core.crash.Exoneration;
+import org.brasspier.core.crash.RequestFingerprint;
 import org.brasspier.core.keys.BackendIncarnation;
 import org.brasspier.core.keys.KeyHolder;
 import org.brasspier.core.keys.KeyHolding;
@@ -111,15 +113,33 @@
 	@Test
 	void theLargestCrashStateFitsIntoOneRowAndRoundTrips() {
 		List<CrashReport> reports = IntStream.range(0, CrashState.MAX_REPORTS)
-			.mapToObj((i) -> new CrashReport(new BackendIncarnation("i-7f3a91c2aa", i),
-					numbers(i * 1000, CrashReport.MAX_REQUESTS)))
+			.mapToObj((i) -> new CrashReport(-i, new BackendIncarnation("i-7f3a91c2aa", i),
+					fingerprints(i * 1000, CrashState.MAX_REPORTED_REQUESTS / CrashState.MAX_REPORTS)))
 			.toList();
-		CrashState notes = new CrashState(reports, numbers(90_000, CrashState.MAX_CLEARED));
+		Set<Exoneration> exonerations = numbers(50_000, CrashState.MAX_EXONERATIONS).stream()
+			.map((number) -> new Exoneration(number, number + 1, number + 2))
+			.collect(Collectors.toUnmodifiableSet());
+		CrashState notes = new CrashState(reports, exonerations, numbers(90_000, CrashState.MAX_CLEARED));
 		byte[] row = StoredRows.crashes(notes);
 		assertThat(row.length).isAtMost(MAX_ROW_BYTES);
 		assertThat(StoredRows.crashes(row).get()).isEqualTo(notes);
 	}
 
+	/** Guards against rows of daemons of an earlier build that can't be read. */
+	@Test
+	void theCrashStateOfAnEarlierBuildIsRead() {
+		String row = "{\"crashes\":[{\"backend\":\"i\",\"born\":7,\"requests\":[\"a\"]}],\"cleared\":[\"b\"]}";
+		assertThat(StoredRows.crashes(row.getBytes(StandardCharsets.UTF_8)).get())
+			.isEqualTo(new CrashState(List.of(CrashReport.ofEarlierBuild(new BackendIncarnation("i", 7), Set.of(10L))),
+					Set.of(), Set.of(11L)));
+	}
+
+	private static Set<RequestFingerprint> fingerprints(long from, int count) {
+		return numbers(from, count).stream()
+			.map((number) -> new RequestFingerprint(number, number + 1, number + 2))
+			.collect(Collectors.toUnmodifiableSet());
+	}
+
 	private static Set<Long> numbers(long from, int count) {
 		return LongStream.range(0, count)
 			.mapToObj((i) -> -(from + i) * 31_415_926_535L)
@@ -129,7 +149,9 @@
 	// Guards against a malformed row that ends the process or blocks requests.
 	@ParameterizedTest
 	@ValueSource(strings = { "", "{}", "[]", "{\"crashes\":[{}],\"cleared\":[]}",
-			"{\"crashes\":[],\"cleared\":[\"no number\"]}" })
+			"{\"crashes\":[],\"cleared\":[\"no number\"]}",
+			"{\"crashes\":[],\"cleared\":[],\"exonerations\":[\"1,2\"]}",
+			"{\"crashes\":[{\"backend\":\"i\",\"born\":7,\"requests\":[],\"id\":\"x\"}],\"cleared\":[]}" })
 	void aMalformedCrashStateIsRejected(String row) {
 		assertThat(StoredRows.crashes(row.getBytes(StandardCharsets.UTF_8)).isLeft()).isTrue();
 	}
