Do not clear a suspect request of the trial by a server error

A server may answer with an error before it reaches the code that crashes it. SuspectRequestsTests.aServerErrorDoesNotClearTheCrashingRequest calls a method that came with the change, so it was not run without it.

--- a/daemon/src/main/java/org/brasspier/daemon/internal/request/OwnerGate.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/request/OwnerGate.java
@@ -148,7 +148,7 @@
 
 	private void updateSuspects(CallerRequest request, Outcome outcome) {
 		switch (outcome) {
-			case Outcome.Answered ignored -> this.suspects.recordSuccess(request);
+			case Outcome.Answered answered -> this.suspects.recordAnswer(request, answered.answer().status());
 			case Outcome.Failed failed when failed.backendLost() -> this.suspects.recordCrash(request);
 			case Outcome.Failed ignored -> {
 			}
--- a/daemon/src/main/java/org/brasspier/daemon/internal/request/SuspectRequests.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/request/SuspectRequests.java
@@ -17,6 +17,8 @@
  */
 final class SuspectRequests {
 
+	private static final int MIN_SERVER_ERROR = 500;
+
 	private final CrashHistory marks;
 
 	private final EventLog events;
@@ -52,8 +54,9 @@
 				"running in %d losses of backend servers".formatted(crashes));
 	}
 
-	void recordSuccess(CallerRequest request) {
-		if (!this.marks.isEmpty()) {
+	// A server may answer with an error before it reaches the code that crashes it.
+	void recordAnswer(CallerRequest request, int status) {
+		if (!this.marks.isEmpty() && status < MIN_SERVER_ERROR) {
 			this.marks.recordSuccess(request.crashFingerprint());
 		}
 	}
--- a/daemon/src/test/java/org/brasspier/daemon/internal/request/SuspectRequestsTests.java
+++ b/daemon/src/test/java/org/brasspier/daemon/internal/request/SuspectRequestsTests.java
@@ -43,15 +43,28 @@
 	@Test
 	void marksOfOneGrantAreMergedOnce() {
 		this.suspects.mergeMarks(List.of(marked(8, 1)));
-		this.suspects.recordSuccess(CRASHING);
+		this.suspects.recordAnswer(CRASHING, 200);
 		this.suspects.mergeMarks(List.of(marked(8, 1)));
 		assertThat(this.suspects.isSuspect(CRASHING)).isFalse();
 	}
 
+	/**
+	 * Guards against a crashing request that is sent to server after server because one
+	 * of them answered it with an error before it crashed.
+	 */
+	@Test
+	void aServerErrorDoesNotClearTheCrashingRequest() {
+		this.suspects.mergeMarks(List.of(marked(8, CrashHistory.MAX_CRASHES)));
+		this.suspects.recordAnswer(CRASHING, 503);
+		assertThat(this.suspects.isBlocked(CRASHING)).isTrue();
+		this.suspects.recordAnswer(CRASHING, 404);
+		assertThat(this.suspects.isBlocked(CRASHING)).isFalse();
+	}
+
 	@Test
 	void marksOfALaterGrantAreMergedAgain() {
 		this.suspects.mergeMarks(List.of(marked(8, 1)));
-		this.suspects.recordSuccess(CRASHING);
+		this.suspects.recordAnswer(CRASHING, 200);
 		this.suspects.mergeMarks(List.of(marked(9, CrashHistory.MAX_CRASHES)));
 		assertThat(this.suspects.isBlocked(CRASHING)).isTrue();
 	}
