Let the crash detection read the replies of the backend server itself

What a reply says of a crash is decided beside what it leads to, and the gate is shorter. No change of behaviour; CrashingRequestTests passes before and after.

--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/BackendCrashes.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/BackendCrashes.java
@@ -19,7 +19,9 @@
 import org.brasspier.core.crash.RequestFingerprint;
 import org.brasspier.core.crash.SuspectTurns;
 import org.brasspier.core.keys.BackendIncarnation;
+import org.brasspier.core.request.Answer;
 import org.brasspier.daemon.internal.http.BackendPool;
+import org.brasspier.daemon.internal.http.BackendReply;
 import org.brasspier.daemon.mesh.MeshRequest;
 import org.brasspier.daemon.mesh.MetadataStore;
 
@@ -190,10 +192,30 @@
 	}
 
 	/**
-	 * Records that a connection to the server was lost while a request was running on it.
+	 * Records how a request that was sent to the server has ended.
 	 * @param request the request
+	 * @param reply the reply
+	 * @param ran whether the reply is an answer of a server that ran the request
 	 */
-	void onConnectionLost(SentRequest request) {
+	void onReply(SentRequest request, BackendReply reply, boolean ran) {
+		switch (reply) {
+			case BackendReply.Whole(Answer answer) -> {
+				if (ran) {
+					onAnswer(request, answer.status());
+				}
+			}
+			case BackendReply.Broken ignored -> onConnectionLost(request);
+			case BackendReply.Garbled ignored -> onConnectionLost(request);
+			case BackendReply.Closed ignored -> onPortClosed(request.incarnation());
+			case BackendReply.GivenUp ignored ->
+				this.detector.onAbandoned(request.incarnation(), request.fingerprint(), System.nanoTime());
+			case BackendReply.NotSent ignored -> {
+				// Says nothing about the server.
+			}
+		}
+	}
+
+	private void onConnectionLost(SentRequest request) {
 		this.detector
 			.onConnectionLost(request.incarnation(), request.fingerprint(), request.connectionOpenedNanos(),
 					request.sentNanos(), System.nanoTime())
@@ -204,14 +226,6 @@
 		}
 	}
 
-	/**
-	 * Records that a request was abandoned while it was running on the server.
-	 * @param request the request
-	 */
-	void onAbandoned(SentRequest request) {
-		this.detector.onAbandoned(request.incarnation(), request.fingerprint(), System.nanoTime());
-	}
-
 	// Checks whether the server's port is still open. A connection that opens stays in
 	// the pool for the next request.
 	private void checkPort(BackendIncarnation server) {
@@ -228,11 +242,7 @@
 		});
 	}
 
-	/**
-	 * Records that the server's port is closed.
-	 * @param server the server process that had opened it
-	 */
-	void onPortClosed(BackendIncarnation server) {
+	private void onPortClosed(BackendIncarnation server) {
 		this.detector.onServerEnded(server, this.suspects::isSuspect, System.nanoTime()).ifPresent(this::recordCrash);
 	}
 
@@ -255,12 +265,7 @@
 		sendToOthers();
 	}
 
-	/**
-	 * Records that the server answered a request.
-	 * @param request the request
-	 * @param status the HTTP status of the answer
-	 */
-	void onAnswer(SentRequest request, int status) {
+	private void onAnswer(SentRequest request, int status) {
 		this.detector.onAnswer(request.incarnation(), request.sentNanos());
 		if (this.suspects.isEmpty()) {
 			return;
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/BackendGate.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/BackendGate.java
@@ -404,28 +404,16 @@
 			timeout.cancel();
 			sending.end();
 			this.crashes.onRequestEnded(accepted.hopRequest.request());
-			updateCrashDetector(
+			this.crashes.onReply(
 					new SentRequest(accepted.hopRequest, incarnation, run.connectionOpenedNanos().orElse(now), now),
-					backendRequest, reply);
+					reply, ran(backendRequest, reply));
 			return onRequestEnded(number, backendRequest, accepted, reply);
 		});
 	}
 
-	private void updateCrashDetector(SentRequest request, BackendRequest sent, BackendReply reply) {
-		switch (reply) {
-			case BackendReply.Whole(Answer answer) -> {
-				if (this.protocol.verdict(sent, answer) != BackendProtocol.Verdict.NOT_RUN) {
-					this.crashes.onAnswer(request, answer.status());
-				}
-			}
-			case BackendReply.Broken ignored -> this.crashes.onConnectionLost(request);
-			case BackendReply.Garbled ignored -> this.crashes.onConnectionLost(request);
-			case BackendReply.Closed ignored -> this.crashes.onPortClosed(sent.incarnation());
-			case BackendReply.GivenUp ignored -> this.crashes.onAbandoned(request);
-			case BackendReply.NotSent ignored -> {
-				// Says nothing about the server.
-			}
-		}
+	private boolean ran(BackendRequest sent, BackendReply reply) {
+		return reply instanceof BackendReply.Whole(Answer answer)
+				&& this.protocol.verdict(sent, answer) != BackendProtocol.Verdict.NOT_RUN;
 	}
 
 	// Checked again once a connection is open, since opening one may take longer than the
