Keep to the limits that servers name, and drain servers that say that they leave

Cause: the headers were passed on unread. Nothing between the answer and the admission to that server knew them.

Change: the gate beside a server, through which alone requests reach it, spaces them at the named rate for as long as answers name one, by a further start limit of the one admission decision. A limit that lasts is in the member's row, so all daemons choose with it and a daemon that starts anew goes by it; after two seconds it is the capacity by which keys are planned. An answer that says that the server leaves drains it as a heartbeat does.

--- a/core/src/main/java/org/brasspier/core/admission/AdmissionController.java
+++ b/core/src/main/java/org/brasspier/core/admission/AdmissionController.java
@@ -411,7 +411,7 @@
 			retryAfter(requestClass).onRefused(now);
 		}
 		double interval = Math.max(this.times.mean(requestClass) / this.slots.limit(),
-				dequeueInterval(requestClass, now));
+				Math.max(dequeueInterval(requestClass, now), this.startLimit.interval().toNanos()));
 		Duration pause = retryAfter(requestClass).nextPause(now, expectedWait(requestClass, now), interval);
 		return new Failure(ErrorKind.OVERLOADED, detail, pause);
 	}
--- a/core/src/main/java/org/brasspier/core/choosing/BackendChooser.java
+++ b/core/src/main/java/org/brasspier/core/choosing/BackendChooser.java
@@ -221,7 +221,7 @@
 	private double expectedNanos(Candidate candidate, RequestClass requestClass, long now) {
 		ServerStatistics server = server(candidate.instance());
 		double run = this.times.mean(requestClass) * server.slowness(now);
-		double busy = server.inFlight() * this.daemonCount / (candidate.slots() * candidate.warmShare());
+		double busy = server.inFlight() * this.daemonCount / candidate.concurrency(run);
 		long wait = Math.max(0, server.fullUntilNanos() - now);
 		return candidate.roundTrip().toNanos() + wait + run * (1 + busy) / (1.01 - server.errorRate(now));
 	}
--- a/core/src/main/java/org/brasspier/core/coldstart/ColdStartLimiter.java
+++ b/core/src/main/java/org/brasspier/core/coldstart/ColdStartLimiter.java
@@ -99,10 +99,7 @@
 		this.starting++;
 	}
 
-	/**
-	 * Records that a started request is sent now.
-	 * @param now the current time
-	 */
+	@Override
 	public void onSent(long now) {
 		this.starting--;
 		if (this.limit != UNLIMITED) {
@@ -110,7 +107,7 @@
 		}
 	}
 
-	/** Records that a started request is not sent. */
+	@Override
 	public void onNotSent() {
 		this.starting--;
 	}
--- a/core/src/main/java/org/brasspier/core/coldstart/StartLimit.java
+++ b/core/src/main/java/org/brasspier/core/coldstart/StartLimit.java
@@ -22,6 +22,16 @@
 			// Nothing is counted.
 		}
 
+		@Override
+		public void onSent(long now) {
+			// Nothing is counted.
+		}
+
+		@Override
+		public void onNotSent() {
+			// Nothing is counted.
+		}
+
 		@Override
 		public Duration expectedWait(int position, long now) {
 			return Duration.ZERO;
@@ -39,6 +49,15 @@
 	/** Counts a request that starts. */
 	void onStarted();
 
+	/**
+	 * Records that a started request is sent now.
+	 * @param now the current time
+	 */
+	void onSent(long now);
+
+	/** Records that a started request is not sent. */
+	void onNotSent();
+
 	/**
 	 * Returns how long a request would have to wait.
 	 * @param position its position among the waiting requests, at least 1
@@ -47,4 +66,12 @@
 	 */
 	Duration expectedWait(int position, long now);
 
+	/**
+	 * Returns the time between two requests at the permitted rate.
+	 * @return zero if there is no such rate
+	 */
+	default Duration interval() {
+		return Duration.ZERO;
+	}
+
 }
--- /dev/null
+++ b/core/src/main/java/org/brasspier/core/limit/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Limits of requests that backend servers announce in their answers.
+ */
+@NullMarked
+package org.brasspier.core.limit;
+
+import org.jspecify.annotations.NullMarked;
--- a/core/src/main/java/org/brasspier/core/mesh/BackendTracker.java
+++ b/core/src/main/java/org/brasspier/core/mesh/BackendTracker.java
@@ -146,6 +146,17 @@
 		return true;
 	}
 
+	/**
+	 * Processes an answer in which a server says that it is leaving.
+	 * @param from the server's incarnation
+	 */
+	public void onLeavingAnnounced(BackendIncarnation from) {
+		this.leaving.add(from);
+		if (this.phase == BackendPhase.READY && this.incarnation.equals(Optional.of(from))) {
+			this.phase = BackendPhase.DRAINING;
+		}
+	}
+
 	/**
 	 * Restores that an earlier process of this daemon acknowledged a server's departure.
 	 * @param left the server's incarnation
--- /dev/null
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/limit/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * What the local backend server states about itself in its answers.
+ */
+@NullMarked
+package org.brasspier.daemon.internal.limit;
+
+import org.jspecify.annotations.NullMarked;
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/BackendGate.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/BackendGate.java
@@ -24,6 +24,8 @@
 import org.brasspier.core.admission.RefusedRequest;
 import org.brasspier.core.admission.RunOutcome;
 import org.brasspier.core.coldstart.ColdStartLimiter;
+import org.brasspier.core.coldstart.CombinedStartLimit;
+import org.brasspier.core.coldstart.StartLimit;
 import org.brasspier.core.evacuation.KeyGracePeriod;
 import org.brasspier.core.keys.BackendIncarnation;
 import org.brasspier.core.keys.KeyArrival;
@@ -38,6 +40,7 @@
 import org.brasspier.daemon.internal.evacuation.EvacuationRows;
 import org.brasspier.daemon.internal.http.BackendPool;
 import org.brasspier.daemon.internal.http.BackendReply;
+import org.brasspier.daemon.internal.limit.ServerNotices;
 import org.brasspier.daemon.internal.request.Cancellation;
 import org.brasspier.daemon.mesh.BackendProtocol;
 import org.brasspier.daemon.mesh.BackendRequest;
@@ -104,6 +107,11 @@
 
 	private final WarmthChecks warmthChecks;
 
+	private final ServerNotices notices;
+
+	// Both limits.
+	private final StartLimit startLimit;
+
 	private final AdmissionController admission;
 
 	private final Map<Long, QueuedRequest> queue = new HashMap<>();
@@ -122,7 +130,7 @@
 
 	BackendGate(NioReactor reactor, MeshSettings settings, BackendRegistration registration, BackendPool pool,
 			BackendProtocol protocol, Supplier<RoutingConfig> config, EvacuationRows evacuations, KeyOwnership keys,
-			BackendCrashes crashes, MeshLog log) {
+			BackendCrashes crashes, ServerNotices notices, MeshLog log) {
 		this.reactor = reactor;
 		this.settings = settings;
 		this.registration = registration;
@@ -137,7 +145,9 @@
 		this.coldStart = registration.coldStart();
 		this.keyQueue = new KeyQueue(reactor);
 		this.warmthChecks = new WarmthChecks(reactor, pool, protocol, this.coldStart);
-		this.admission = new AdmissionController(new AdmissionLimits(1, 1), AdmissionSettings.DEFAULT, this.coldStart);
+		this.notices = notices;
+		this.startLimit = new CombinedStartLimit(this.coldStart, notices.limit());
+		this.admission = new AdmissionController(new AdmissionLimits(1, 1), AdmissionSettings.DEFAULT, this.startLimit);
 		registration.addListener(this::backendChanged);
 		evacuations.addListener(this::evacuationChanged);
 	}
@@ -146,6 +156,7 @@
 		if (!this.registration.incarnation().equals(this.incarnation)) {
 			this.incarnation = this.registration.incarnation();
 			this.pool.forget();
+			this.notices.onServerEnded();
 		}
 		this.appliedConfigVersion = -1;
 	}
@@ -352,6 +363,9 @@
 	}
 
 	private SendOutcome reject(HopRequest hopRequest, Failure failure) {
+		if (failure.kind() == ErrorKind.OVERLOADED || failure.kind() == ErrorKind.NO_FREE_SLOT) {
+			this.notices.onRefused();
+		}
 		this.log.record(MeshEvent.GATE_TURNED_AWAY, "request", hopRequest.request().id(), "class",
 				hopRequest.requestClass(), "reason", failure.kind(), "detail", failure.detail(), "running",
 				this.admission.running(), "waiting", this.admission.waiting(), "left_ms",
@@ -376,7 +390,7 @@
 		Optional<Failure> rejection = suspectRejection(accepted.hopRequest)
 			.or(() -> backendRejection(accepted.hopRequest, now));
 		if (rejection.isPresent() || this.registration.incarnation().isEmpty() || accepted.cancellation.isCancelled()) {
-			this.coldStart.onNotSent();
+			this.startLimit.onNotSent();
 			releaseSlot(number, RunOutcome.NOT_STARTED);
 			Failure failure = rejection.orElseGet(() -> Failure.of(ErrorKind.DEADLINE_PASSED, "nobody waits for it"));
 			return Promise.of(reject(accepted.hopRequest, failure));
@@ -407,6 +421,7 @@
 			this.crashes.onReply(
 					new SentRequest(accepted.hopRequest, incarnation, run.connectionOpenedNanos().orElse(now), now),
 					reply, ran(backendRequest, reply));
+			applyNotice(backendRequest, now, reply);
 			return onRequestEnded(number, backendRequest, accepted, reply);
 		});
 	}
@@ -416,6 +431,20 @@
 				&& this.protocol.verdict(sent, answer) != BackendProtocol.Verdict.NOT_RUN;
 	}
 
+	private void applyNotice(BackendRequest sent, long sentNanos, BackendReply reply) {
+		if (!this.registration.incarnation().equals(Optional.of(sent.incarnation()))) {
+			return;
+		}
+		switch (reply) {
+			case BackendReply.Whole(Answer answer) -> this.protocol.notice(sent, answer)
+				.ifPresent((notice) -> this.notices.onAnswer(notice, sent.incarnation(), sentNanos));
+			case BackendReply.Closed ignored -> this.notices.onServerEnded();
+			default -> {
+				// States nothing.
+			}
+		}
+	}
+
 	// Checked again once a connection is open, since opening one may take longer than the
 	// time for which a draining server may still be sent requests.
 	private boolean maySend(AcceptedRequest accepted, BackendIncarnation incarnation) {
@@ -480,7 +509,7 @@
 		for (long number : next.run()) {
 			QueuedRequest queued = this.queue.remove(number);
 			if (queued == null) {
-				this.coldStart.onNotSent();
+				this.startLimit.onNotSent();
 				releaseSlot(number, RunOutcome.NOT_STARTED);
 			}
 			else {
@@ -513,10 +542,11 @@
 	}
 
 	// Returns how many lookups per second all slots together can run, from the recent run
-	// time of a lookup.
+	// time of a lookup, within the limit that the server names.
 	double lookupsPerSecond() {
 		long runNanos = Math.max(NANOS_PER_MILLI, this.admission.meanRunNanos(RequestClass.LOOKUP));
-		return this.registration.slots() * NANOS_PER_SECOND / runNanos;
+		double capacity = this.registration.slots() * NANOS_PER_SECOND / runNanos;
+		return Math.min(capacity, this.notices.limit().lastingPerSecond(System.nanoTime()).orElse(capacity));
 	}
 
 	boolean idle() {
@@ -563,7 +593,8 @@
 	}
 
 	/**
-	 * Tells the limiter of cold servers when, or that not, a started request was sent.
+	 * Tells the limits of starting requests when, or that not, a started request was
+	 * sent.
 	 */
 	private final class Sending {
 
@@ -581,14 +612,14 @@
 		boolean tryBegin() {
 			if (maySend(this.accepted, this.incarnation)) {
 				this.sent = true;
-				BackendGate.this.coldStart.onSent(System.nanoTime());
+				BackendGate.this.startLimit.onSent(System.nanoTime());
 			}
 			return this.sent;
 		}
 
 		void end() {
 			if (!this.sent) {
-				BackendGate.this.coldStart.onNotSent();
+				BackendGate.this.startLimit.onNotSent();
 			}
 		}
 
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/BackendRegistration.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/BackendRegistration.java
@@ -104,6 +104,16 @@
 		return Either.right(Optional.empty());
 	}
 
+	/**
+	 * Records that a server says in its answers that it is leaving.
+	 * @param incarnation the server process
+	 */
+	void announceLeaving(BackendIncarnation incarnation) {
+		State before = state();
+		this.tracker.onLeavingAnnounced(incarnation);
+		notifyIfChanged(before, System.nanoTime());
+	}
+
 	/**
 	 * Records that an earlier process of this instance has acknowledged the departure of
 	 * a server.
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/Dispatcher.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/Dispatcher.java
@@ -270,7 +270,7 @@
 			boolean sameDomain = member.failureDomain().equals(Dispatcher.this.settings.failureDomain());
 			Duration penalty = sameDomain ? Duration.ZERO
 					: Duration.ofNanos((long) (this.route.targetLatency().toNanos() * REMOTE_DOMAIN_PENALTY));
-			return new Candidate(member.instance(), penalty, member.slots(), 1);
+			return new Candidate(member.instance(), penalty, member.slots(), 1, member.perSecond());
 		}
 
 		private SendOutcome noTarget(int remaining) {
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/Member.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/Member.java
@@ -2,6 +2,7 @@
 
 import java.net.InetSocketAddress;
 import java.util.Optional;
+import java.util.OptionalDouble;
 
 import org.brasspier.core.FailureDomain;
 import org.brasspier.core.InstanceId;
@@ -22,9 +23,12 @@
  * @param passesRows whether its daemon forwards the store's rows to other daemons;
  * daemons of an earlier build don't
  * @param linkMegabits bandwidth of its network link in megabits per second; 0 if unknown
+ * @param perSecond requests per second that its backend server has said for some time
+ * that it takes; empty if it names no limit
  */
 record Member(InstanceId instance, InetSocketAddress address, FailureDomain failureDomain, ServiceName service,
-		Optional<BackendIncarnation> incarnation, int slots, boolean ready, boolean passesRows, int linkMegabits) {
+		Optional<BackendIncarnation> incarnation, int slots, boolean ready, boolean passesRows, int linkMegabits,
+		OptionalDouble perSecond) {
 
 	/**
 	 * Validates the number of slots.
@@ -38,7 +42,7 @@
 
 	Member(InstanceId instance, InetSocketAddress address, FailureDomain failureDomain, ServiceName service,
 			Optional<BackendIncarnation> incarnation, int slots, boolean ready) {
-		this(instance, address, failureDomain, service, incarnation, slots, ready, true, 0);
+		this(instance, address, failureDomain, service, incarnation, slots, ready, true, 0, OptionalDouble.empty());
 	}
 
 }
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/MeshEvent.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/MeshEvent.java
@@ -54,6 +54,10 @@
 	SUSPECT_CLEARED(1406),
 	/** A request was refused because it may crash backend servers. */
 	SUSPECT_REFUSED(1407),
+	/** The limit that the local backend server names in its answers has changed. */
+	BACKEND_LIMIT(1408),
+	/** The local backend server says in an answer that it is leaving. */
+	BACKEND_LEAVING(1409),
 	/** The assignment of keys to instances has changed, or a change failed. */
 	KEYS_MOVED(1501),
 	/**
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/MeshGauges.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/MeshGauges.java
@@ -6,6 +6,7 @@
 import com.codahale.metrics.MetricRegistry;
 import org.brasspier.core.FailureDomain;
 import org.brasspier.daemon.internal.evacuation.EvacuationRows;
+import org.brasspier.daemon.internal.limit.ServerNotices;
 
 /**
  * Gauges of a daemon of the mesh. Each reads a number that its part maintains anyway. Not
@@ -52,6 +53,15 @@
 		return this;
 	}
 
+	MeshGauges limits(ServerNotices notices, BackendRegistration registration) {
+		register("backend_limited", () -> notices.limit().perSecond().isPresent() ? 1 : 0);
+		register("backend_limit_per_second", () -> Math.round(notices.limit().perSecond().orElse(0)));
+		register("backend_limit_refused", notices::refusedCount);
+		register("backend_limits_malformed", notices::malformedCount);
+		register("backend_leaving", () -> (registration.incarnation().isPresent() && !registration.ready()) ? 1 : 0);
+		return this;
+	}
+
 	MeshGauges process(LagTimer lag) {
 		long started = System.currentTimeMillis();
 		register("start_time_millis", () -> started);
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/MeshNode.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/MeshNode.java
@@ -12,6 +12,7 @@
 import org.brasspier.daemon.internal.http.BackendPool;
 import org.brasspier.daemon.internal.http.CallerServer;
 import org.brasspier.daemon.internal.http.ServerConnections;
+import org.brasspier.daemon.internal.limit.ServerNotices;
 import org.brasspier.daemon.internal.operator.MetricsText;
 import org.brasspier.daemon.mesh.MeshAdapter;
 import org.brasspier.daemon.mesh.MeshSettings;
@@ -63,6 +64,8 @@
 
 	private final BackendCrashes crashes;
 
+	private final ServerNotices notices;
+
 	private final MemberWriter member;
 
 	private final MeshEntry entry;
@@ -110,11 +113,13 @@
 		BackendPool pool = new BackendPool(reactor, settings.backend().address(), MAX_ANSWER_BYTES, connections);
 		this.crashes = new BackendCrashes(reactor, settings.instance(), this.registration, pool, this.directory,
 				hopClient, adapter.store(), health, this.log);
+		this.notices = new ServerNotices(new NoticeListener(this.registration, this.log));
 		this.gate = new BackendGate(reactor, settings, this.registration, pool, adapter.backends(), this.config,
-				this.evacuations, this.keys, this.crashes, this.log);
+				this.evacuations, this.keys, this.crashes, this.notices, this.log);
 		this.evacuations.addListener(this::onEvacuationsChanged);
 		this.keys.setCapacitySource(this.gate::lookupsPerSecond);
-		this.member = new MemberWriter(reactor, settings, this.registration, this.directory, adapter.store(), health);
+		this.member = new MemberWriter(reactor, settings, this.registration, this.notices.limit(), this.directory,
+				adapter.store(), health);
 		Dispatcher dispatcher = new Dispatcher(settings, this.directory, this.config, this.gate,
 				new HopClient(reactor, shared), this.crashes, this.log);
 		this.entry = new MeshEntry(adapter.callers(), this.config, dispatcher, lag, this.log, this.metrics);
@@ -129,6 +134,7 @@
 			.configAndDirectory(this.config, this.directory)
 			.evacuation(this.evacuations, settings.failureDomain())
 			.coldStart(this.registration)
+			.limits(this.notices, this.registration)
 			.process(lag);
 		this.ports = new ControlPorts(reactor, this.log);
 		this.directory.addRowsListener(this::applyOwnRow);
@@ -158,6 +164,10 @@
 			.filter((member) -> !member.ready())
 			.flatMap(Member::incarnation)
 			.ifPresent(this.registration::restoreDeparture);
+		this.directory.member(this.settings.instance())
+			.filter((member) -> member.incarnation().isPresent()
+					&& member.incarnation().equals(this.registration.incarnation()))
+			.ifPresent((member) -> this.notices.restore(member.perSecond()));
 	}
 
 	/**
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/StoredRows.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/StoredRows.java
@@ -8,6 +8,7 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
@@ -76,7 +77,8 @@
 		MemberRow row = new MemberRow(text(member.address()), member.failureDomain().value(), member.service().value(),
 				member.incarnation().map(BackendIncarnation::id).orElse(null),
 				member.incarnation().map(BackendIncarnation::startedMillis).orElse(0L), member.slots(), member.ready(),
-				member.passesRows(), member.linkMegabits());
+				member.passesRows(), member.linkMegabits(),
+				member.perSecond().isPresent() ? member.perSecond().getAsDouble() : null);
 		return bytes(row);
 	}
 
@@ -87,7 +89,8 @@
 				.map((id) -> new BackendIncarnation(id, row.born()));
 			return new Member(new InstanceId(instance), address(row.address()), new FailureDomain(row.domain()),
 					new ServiceName(row.service()), incarnation, row.slots(), row.ready(), row.passesRows(),
-					row.linkMegabits());
+					row.linkMegabits(),
+					(row.perSecond() != null) ? OptionalDouble.of(row.perSecond()) : OptionalDouble.empty());
 		});
 	}
 
@@ -299,7 +302,7 @@
 	}
 
 	private record MemberRow(String address, String domain, String service, @Nullable String backend, long born,
-			int slots, boolean ready, boolean passesRows, int linkMegabits) {
+			int slots, boolean ready, boolean passesRows, int linkMegabits, @Nullable Double perSecond) {
 	}
 
 	private record HolderRow(String instance, String backend, long born) {
--- a/daemon/src/main/java/org/brasspier/daemon/mesh/BackendProtocol.java
+++ b/daemon/src/main/java/org/brasspier/daemon/mesh/BackendProtocol.java
@@ -27,6 +27,14 @@
 	 */
 	Verdict verdict(BackendRequest request, Answer answer);
 
+	/**
+	 * Reads what a backend server states about itself in an answer.
+	 * @param request the request that was sent
+	 * @param answer the answer received
+	 * @return the notice; empty if another server than the expected one answered
+	 */
+	Optional<ServerNotice> notice(BackendRequest request, Answer answer);
+
 	/**
 	 * Encodes a health check.
 	 * @param path the path of the health check
--- a/daemon/src/test/java/org/brasspier/daemon/internal/mesh/StoredRowsTests.java
+++ b/daemon/src/test/java/org/brasspier/daemon/internal/mesh/StoredRowsTests.java
@@ -4,6 +4,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
@@ -61,11 +62,15 @@
 	@Test
 	void aMemberRoundTripsAndARowOfAnEarlierBuildIsRead() {
 		Member member = new Member(new InstanceId("a"), new InetSocketAddress("127.0.0.1", 7600),
-				new FailureDomain("z"), new ServiceName("s"), Optional.of(INCARNATION), 4, true, true, 200);
+				new FailureDomain("z"), new ServiceName("s"), Optional.of(INCARNATION), 4, true, true, 200,
+				OptionalDouble.of(36.9));
 		byte[] row = StoredRows.member(member);
 		assertThat(StoredRows.member("a", row).get()).isEqualTo(member);
-		String earlier = new String(row, StandardCharsets.UTF_8).replace(",\"linkMegabits\":200", "");
-		assertThat(StoredRows.member("a", earlier.getBytes(StandardCharsets.UTF_8)).get().linkMegabits()).isEqualTo(0);
+		String earlier = new String(row, StandardCharsets.UTF_8).replace(",\"linkMegabits\":200,\"perSecond\":36.9",
+				"");
+		Member read = StoredRows.member("a", earlier.getBytes(StandardCharsets.UTF_8)).get();
+		assertThat(read.linkMegabits()).isEqualTo(0);
+		assertThat(read.perSecond()).isEqualTo(OptionalDouble.empty());
 	}
 
 	@Test
