Keep the limits of the local backend server in one place beside the gate

The gate asks one object for the limit of starting requests, the check of cold servers and the capacity, instead of three.

--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/BackendGate.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/BackendGate.java
@@ -23,8 +23,6 @@
 import org.brasspier.core.admission.PendingRequest;
 import org.brasspier.core.admission.RefusedRequest;
 import org.brasspier.core.admission.RunOutcome;
-import org.brasspier.core.coldstart.ColdStartLimiter;
-import org.brasspier.core.coldstart.CombinedStartLimit;
 import org.brasspier.core.coldstart.StartLimit;
 import org.brasspier.core.evacuation.KeyGracePeriod;
 import org.brasspier.core.keys.BackendIncarnation;
@@ -35,12 +33,11 @@
 import org.brasspier.core.mesh.SendOutcome;
 import org.brasspier.core.mesh.ServiceRule;
 import org.brasspier.core.request.Answer;
-import org.brasspier.daemon.internal.coldstart.WarmthChecks;
 import org.brasspier.daemon.internal.evacuation.DomainAdmission;
 import org.brasspier.daemon.internal.evacuation.EvacuationRows;
 import org.brasspier.daemon.internal.http.BackendPool;
 import org.brasspier.daemon.internal.http.BackendReply;
-import org.brasspier.daemon.internal.limit.ServerNotices;
+import org.brasspier.daemon.internal.limit.ServerLimits;
 import org.brasspier.daemon.internal.request.Cancellation;
 import org.brasspier.daemon.mesh.BackendProtocol;
 import org.brasspier.daemon.mesh.BackendRequest;
@@ -103,13 +100,8 @@
 
 	private final DomainAdmission domain;
 
-	private final ColdStartLimiter coldStart;
+	private final ServerLimits limits;
 
-	private final WarmthChecks warmthChecks;
-
-	private final ServerNotices notices;
-
-	// Both limits.
 	private final StartLimit startLimit;
 
 	private final AdmissionController admission;
@@ -130,7 +122,7 @@
 
 	BackendGate(NioReactor reactor, MeshSettings settings, BackendRegistration registration, BackendPool pool,
 			BackendProtocol protocol, Supplier<RoutingConfig> config, EvacuationRows evacuations, KeyOwnership keys,
-			BackendCrashes crashes, ServerNotices notices, MeshLog log) {
+			BackendCrashes crashes, ServerLimits limits, MeshLog log) {
 		this.reactor = reactor;
 		this.settings = settings;
 		this.registration = registration;
@@ -142,11 +134,9 @@
 		this.log = log;
 		this.domain = new DomainAdmission(evacuations, settings.failureDomain(),
 				new KeyGracePeriod(settings.bounds().evacuation(), settings.bounds().configApply()));
-		this.coldStart = registration.coldStart();
 		this.keyQueue = new KeyQueue(reactor);
-		this.warmthChecks = new WarmthChecks(reactor, pool, protocol, this.coldStart);
-		this.notices = notices;
-		this.startLimit = new CombinedStartLimit(this.coldStart, notices.limit());
+		this.limits = limits;
+		this.startLimit = limits.startLimit();
 		this.admission = new AdmissionController(new AdmissionLimits(1, 1), AdmissionSettings.DEFAULT, this.startLimit);
 		registration.addListener(this::backendChanged);
 		evacuations.addListener(this::evacuationChanged);
@@ -156,7 +146,7 @@
 		if (!this.registration.incarnation().equals(this.incarnation)) {
 			this.incarnation = this.registration.incarnation();
 			this.pool.forget();
-			this.notices.onServerEnded();
+			this.limits.onServerReplaced();
 		}
 		this.appliedConfigVersion = -1;
 	}
@@ -189,22 +179,17 @@
 			.orElse(this.registration.slots());
 		this.admission.updateLimits(new AdmissionLimits(this.registration.slots(), connections));
 		this.admission.updateRules(current.admissionSettings(this.settings.backend().service()), Map.of());
-		double overage = this.settings.bounds().cold().factor();
-		coldRule().filter((rule) -> overage > 0)
-			.ifPresentOrElse(
-					(rule) -> this.coldStart.limit(rule.perSecond() * overage + this.settings.bounds().cold().slack()),
-					this.coldStart::unlimited);
+		this.limits.applyColdRule(coldRule());
 	}
 
 	private Optional<ServiceRule.ColdStart> coldRule() {
 		return this.config.get().service(this.settings.backend().service()).flatMap(ServiceRule::coldStart);
 	}
 
-	// Sends a health check if the server may have become cold unnoticed.
 	private void checkWarmth(long now) {
 		this.registration.incarnation()
-			.ifPresent((server) -> coldRule().ifPresent((rule) -> this.warmthChecks.sendIfDue(rule.healthPath(), server,
-					now, () -> applyDecisions(this.admission.advance(System.nanoTime())))));
+			.ifPresent((server) -> coldRule().ifPresent((rule) -> this.limits.checkWarmth(rule, server, now,
+					() -> applyDecisions(this.admission.advance(System.nanoTime())))));
 	}
 
 	/**
@@ -364,7 +349,7 @@
 
 	private SendOutcome reject(HopRequest hopRequest, Failure failure) {
 		if (failure.kind() == ErrorKind.OVERLOADED || failure.kind() == ErrorKind.NO_FREE_SLOT) {
-			this.notices.onRefused();
+			this.limits.onRefused();
 		}
 		this.log.record(MeshEvent.GATE_TURNED_AWAY, "request", hopRequest.request().id(), "class",
 				hopRequest.requestClass(), "reason", failure.kind(), "detail", failure.detail(), "running",
@@ -421,7 +406,9 @@
 			this.crashes.onReply(
 					new SentRequest(accepted.hopRequest, incarnation, run.connectionOpenedNanos().orElse(now), now),
 					reply, ran(backendRequest, reply));
-			applyNotice(backendRequest, now, reply);
+			if (this.registration.incarnation().equals(Optional.of(incarnation))) {
+				this.limits.onReply(backendRequest, now, reply);
+			}
 			return onRequestEnded(number, backendRequest, accepted, reply);
 		});
 	}
@@ -431,20 +418,6 @@
 				&& this.protocol.verdict(sent, answer) != BackendProtocol.Verdict.NOT_RUN;
 	}
 
-	private void applyNotice(BackendRequest sent, long sentNanos, BackendReply reply) {
-		if (!this.registration.incarnation().equals(Optional.of(sent.incarnation()))) {
-			return;
-		}
-		switch (reply) {
-			case BackendReply.Whole(Answer answer) -> this.protocol.notice(sent, answer)
-				.ifPresent((notice) -> this.notices.onAnswer(notice, sent.incarnation(), sentNanos));
-			case BackendReply.Closed ignored -> this.notices.onServerEnded();
-			default -> {
-				// States nothing.
-			}
-		}
-	}
-
 	// Checked again once a connection is open, since opening one may take longer than the
 	// time for which a draining server may still be sent requests.
 	private boolean maySend(AcceptedRequest accepted, BackendIncarnation incarnation) {
@@ -545,8 +518,7 @@
 	// time of a lookup, within the limit that the server names.
 	double lookupsPerSecond() {
 		long runNanos = Math.max(NANOS_PER_MILLI, this.admission.meanRunNanos(RequestClass.LOOKUP));
-		double capacity = this.registration.slots() * NANOS_PER_SECOND / runNanos;
-		return Math.min(capacity, this.notices.limit().lastingPerSecond(System.nanoTime()).orElse(capacity));
+		return this.limits.lastingCapacity(this.registration.slots() * NANOS_PER_SECOND / runNanos);
 	}
 
 	boolean idle() {
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/MeshNode.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/MeshNode.java
@@ -8,10 +8,12 @@
 import com.codahale.metrics.MetricRegistry;
 import io.activej.reactor.nio.NioReactor;
 import org.brasspier.core.mesh.RoutingConfig;
+import org.brasspier.daemon.internal.coldstart.WarmthChecks;
 import org.brasspier.daemon.internal.evacuation.EvacuationRows;
 import org.brasspier.daemon.internal.http.BackendPool;
 import org.brasspier.daemon.internal.http.CallerServer;
 import org.brasspier.daemon.internal.http.ServerConnections;
+import org.brasspier.daemon.internal.limit.ServerLimits;
 import org.brasspier.daemon.internal.limit.ServerNotices;
 import org.brasspier.daemon.internal.operator.MetricsText;
 import org.brasspier.daemon.mesh.MeshAdapter;
@@ -114,8 +116,11 @@
 		this.crashes = new BackendCrashes(reactor, settings.instance(), this.registration, pool, this.directory,
 				hopClient, adapter.store(), health, this.log);
 		this.notices = new ServerNotices(new NoticeListener(this.registration, this.log));
+		ServerLimits limits = new ServerLimits(this.registration.coldStart(),
+				new WarmthChecks(reactor, pool, adapter.backends(), this.registration.coldStart()), this.notices,
+				adapter.backends(), settings.bounds().cold());
 		this.gate = new BackendGate(reactor, settings, this.registration, pool, adapter.backends(), this.config,
-				this.evacuations, this.keys, this.crashes, this.notices, this.log);
+				this.evacuations, this.keys, this.crashes, limits, this.log);
 		this.evacuations.addListener(this::onEvacuationsChanged);
 		this.keys.setCapacitySource(this.gate::lookupsPerSecond);
 		this.member = new MemberWriter(reactor, settings, this.registration, this.notices.limit(), this.directory,
