Go by the limit in the member's row when a daemon starts anew

What callers saw: nothing yet. The row was read before the server's first heartbeat, when it is not known whose limit it is, and was then overwritten without a limit, so a daemon that started beside a server in need sent as much as it could until the first answer.

Now the limit is restored at the first heartbeat as well, counts as lasting at once, and an empty row ends nothing.

--- a/core/src/main/java/org/brasspier/core/limit/AnnouncedLimit.java
+++ b/core/src/main/java/org/brasspier/core/limit/AnnouncedLimit.java
@@ -73,13 +73,14 @@
 
 	/**
 	 * Records the limit that was last known of the server when this process started. It
-	 * holds until an answer of the server tells.
-	 * @param named the requests per second; empty if there was none
+	 * holds until an answer of the server tells, and had lasted.
+	 * @param named the requests per second
 	 * @param now the current time
 	 */
-	public void restore(OptionalDouble named, long now) {
+	public void restore(double named, long now) {
 		if (!this.counted) {
-			set(named, now);
+			set(OptionalDouble.of(named), now);
+			this.lasting = this.perSecond;
 		}
 	}
 
--- a/core/src/test/java/org/brasspier/core/limit/AnnouncedLimitTests.java
+++ b/core/src/test/java/org/brasspier/core/limit/AnnouncedLimitTests.java
@@ -107,10 +107,11 @@
 	/** Guards against a restored limit that replaces what an answer has told. */
 	@Test
 	void aRestoredLimitHoldsUntilTheFirstAnswer() {
-		this.limit.restore(OptionalDouble.of(10), 0);
+		this.limit.restore(10, 0);
 		assertThat(this.limit.perSecond()).isEqualTo(OptionalDouble.of(10));
+		assertThat(this.limit.lastingPerSecond(0)).isEqualTo(OptionalDouble.of(10));
 		notNamed(1, 2);
-		this.limit.restore(OptionalDouble.of(10), 3);
+		this.limit.restore(10, 3);
 		assertThat(this.limit.perSecond()).isEqualTo(OptionalDouble.empty());
 	}
 
--- a/daemon/src/main/java/org/brasspier/daemon/internal/limit/ServerNotices.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/limit/ServerNotices.java
@@ -68,9 +68,9 @@
 
 	/**
 	 * Applies the limit that an earlier process of this instance knew last.
-	 * @param perSecond the requests per second; empty if there was none
+	 * @param perSecond the requests per second
 	 */
-	public void restore(OptionalDouble perSecond) {
+	public void restore(double perSecond) {
 		this.limit.restore(perSecond, System.nanoTime());
 		reportLimit();
 	}
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/MeshNode.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/MeshNode.java
@@ -121,6 +121,7 @@
 				adapter.backends(), settings.bounds().cold());
 		this.gate = new BackendGate(reactor, settings, this.registration, pool, adapter.backends(), this.config,
 				this.evacuations, this.keys, this.crashes, limits, this.log);
+		this.registration.addListener(this::restoreLimit);
 		this.evacuations.addListener(this::onEvacuationsChanged);
 		this.keys.setCapacitySource(this.gate::lookupsPerSecond);
 		this.member = new MemberWriter(reactor, settings, this.registration, this.notices.limit(), this.directory,
@@ -169,10 +170,15 @@
 			.filter((member) -> !member.ready())
 			.flatMap(Member::incarnation)
 			.ifPresent(this.registration::restoreDeparture);
+		restoreLimit();
+	}
+
+	// An earlier process of this instance may have known a limit of the same server.
+	private void restoreLimit() {
 		this.directory.member(this.settings.instance())
 			.filter((member) -> member.incarnation().isPresent()
 					&& member.incarnation().equals(this.registration.incarnation()))
-			.ifPresent((member) -> this.notices.restore(member.perSecond()));
+			.ifPresent((member) -> member.perSecond().ifPresent(this.notices::restore));
 	}
 
 	/**
