--- a/core/src/main/java/org/brasspier/core/crash/CrashSuspects.java
+++ b/core/src/main/java/org/brasspier/core/crash/CrashSuspects.java
@@ -21,10 +21,10 @@
  *
  * <p>
  * All requests that a server was running when it crashed are suspect. A request that a
- * server answers without a server error is exonerated of the crashes that are known by
- * then, and of no others: it may crash servers later, for example after a release of
- * their software. Crashes are counted for requests with the same query first; those that
- * remain unexplained are counted for requests with any query. {@link CrashEvidence}
+ * server answers without a server error is exonerated of the crashes that were known when
+ * it was sent, and of no others: it may crash servers later, for example after a release
+ * of their software. Crashes are counted for requests with the same query first; those
+ * that remain unexplained are counted for requests with any query. {@link CrashEvidence}
  * states when a request is blocked and for how long. If a server is given only one
  * suspect at a time, the next crash shows which one caused it. Not thread-safe.
  */
--- a/core/src/test/java/org/brasspier/core/mesh/BackendTrackerTests.java
+++ b/core/src/test/java/org/brasspier/core/mesh/BackendTrackerTests.java
@@ -55,6 +55,24 @@
 		assertThat(this.tracker.phase()).isEqualTo(BackendPhase.DRAINING);
 	}
 
+	/** Guards against new requests to a server that says in an answer that it leaves. */
+	@Test
+	void aServerThatAnnouncesItsLeavingDrainsThoughItsHeartbeatsSayReady() {
+		this.tracker.onHeartbeat(FIRST, 1, false, 0);
+		this.tracker.onLeavingAnnounced(FIRST);
+		assertThat(this.tracker.phase()).isEqualTo(BackendPhase.DRAINING);
+		this.tracker.onHeartbeat(FIRST, 2, false, 1);
+		assertThat(this.tracker.phase()).isEqualTo(BackendPhase.DRAINING);
+	}
+
+	/** Guards against draining a server because the one before it was leaving. */
+	@Test
+	void theLeavingOfAnEarlierIncarnationDoesNotDrainTheCurrentOne() {
+		this.tracker.onHeartbeat(RESTARTED, 1, false, 0);
+		this.tracker.onLeavingAnnounced(FIRST);
+		assertThat(this.tracker.phase()).isEqualTo(BackendPhase.READY);
+	}
+
 	@Test
 	void aLateHeartbeatDoesNotReviveADepartedServer() {
 		this.tracker.onHeartbeat(FIRST, 1, false, 0);
