Log where a request was when its caller left

The entry writes CALLER_LEFT, each gate REQUEST_CANCELLED with the place, both when the request has ended. No decision changes.

--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/BackendGate.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/BackendGate.java
@@ -38,6 +38,7 @@
 import org.brasspier.daemon.internal.calls.GateCalls;
 import org.brasspier.daemon.internal.evacuation.DomainAdmission;
 import org.brasspier.daemon.internal.evacuation.EvacuationRows;
+import org.brasspier.daemon.internal.gate.CancelPlace;
 import org.brasspier.daemon.internal.gate.KeyQueue;
 import org.brasspier.daemon.internal.gate.ReplyOutcomes;
 import org.brasspier.daemon.internal.http.BackendPool;
@@ -335,6 +336,7 @@
 		this.queue.put(number, queued);
 		accepted.cancellation.addCancelListener(() -> {
 			if (this.admission.cancelWaiting(number)) {
+				logIfCancelled(accepted, CancelPlace.QUEUE);
 				rejectQueued(new RefusedRequest(number, Failure.of(ErrorKind.DEADLINE_PASSED, "the caller is gone")));
 			}
 		});
@@ -347,6 +349,7 @@
 		Optional<Failure> rejection = this.checks.suspectRejection(accepted.hopRequest)
 			.or(() -> this.checks.backendRejection(accepted.hopRequest, now));
 		if (rejection.isPresent() || this.registration.incarnation().isEmpty() || accepted.cancellation.isCancelled()) {
+			logIfCancelled(accepted, CancelPlace.ARRIVING);
 			this.startLimit.onNotSent();
 			releaseSlot(number, RunOutcome.NOT_STARTED);
 			Failure failure = rejection.orElseGet(() -> Failure.of(ErrorKind.DEADLINE_PASSED, "nobody waits for it"));
@@ -375,6 +378,7 @@
 		return run.reply().map((reply) -> {
 			timeout.cancel();
 			sending.end();
+			logIfCancelled(accepted, sending.sent ? CancelPlace.RUNNING : CancelPlace.CONNECTING);
 			this.crashes.onRequestEnded(accepted.hopRequest.request());
 			this.crashes.onReply(
 					new SentRequest(accepted.hopRequest, incarnation, run.connectionOpenedNanos().orElse(now), now),
@@ -405,6 +409,17 @@
 		return outcome;
 	}
 
+	private void logIfCancelled(AcceptedRequest accepted, CancelPlace place) {
+		logIfCancelled(accepted.hopRequest, accepted.cancellation, place);
+	}
+
+	private void logIfCancelled(HopRequest hopRequest, Cancellation cancellation, CancelPlace place) {
+		cancellation.elapsed(System.nanoTime())
+			.ifPresent((elapsed) -> this.log.record(MeshEvent.REQUEST_CANCELLED, "request", hopRequest.request().id(),
+					"route", hopRequest.route(), "place", place, "idempotent", hopRequest.idempotent(),
+					"ended_after_ms", elapsed.toMillis()));
+	}
+
 	private void releaseSlot(long number, RunOutcome outcome) {
 		applyDecisions(this.admission.finished(number, outcome, System.nanoTime()));
 	}
@@ -512,6 +527,7 @@
 
 		@Override
 		public Promise<SendOutcome> proceed() {
+			logIfCancelled(this.hopRequest, this.cancellation, CancelPlace.KEY_QUEUE);
 			long now = System.nanoTime();
 			int left = this.hopRequest.request().remainingMillis()
 					- (int) ((now - this.receivedNanos) / NANOS_PER_MILLI);
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/MeshEntry.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/MeshEntry.java
@@ -95,6 +95,8 @@
 		ReturnStatus status = returnStatus(request, route.get(), startNanos);
 		return this.dispatcher.dispatch(request, route.get(), status, cancellation).map((outcome) -> {
 			this.open--;
+			cancellation.elapsed(System.nanoTime())
+				.ifPresent((elapsed) -> logCallerLeft(request, route.get(), outcome, elapsed, startNanos));
 			return answer(raw, request, route.get(), status, outcome, startNanos);
 		});
 	}
@@ -194,6 +196,15 @@
 				this.config.get().version());
 	}
 
+	private void logCallerLeft(MeshRequest request, RouteRule route, SendOutcome outcome, Duration elapsed,
+			long startNanos) {
+		long tookMillis = (System.nanoTime() - startNanos) / NANOS_PER_MILLI;
+		this.log.record(MeshEvent.CALLER_LEFT, "request", request.id(), "route", route.name(), "idempotent",
+				route.idempotent(), "outcome", Dispatcher.describe(outcome), "left_after_ms",
+				tookMillis - elapsed.toMillis(), "ended_after_ms", elapsed.toMillis(), "deadline_ms",
+				request.remainingMillis());
+	}
+
 	private void logRefusal(MeshRequest request, RouteRule route, String outcome, long tookMillis, ReturnStatus status,
 			Failure answered) {
 		this.log.record(MeshEvent.REQUEST_REFUSED, "request", request.id(), "route", route.name(), "key",
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/MeshEvent.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/MeshEvent.java
@@ -84,12 +84,16 @@
 	REQUEST_SENT(2005),
 	/** The reported load of a service's backend servers starts or ceases to be used. */
 	LOAD_REPORTS_USED(2006),
+	/** The caller of a request left before it was answered, and the request has ended. */
+	CALLER_LEFT(2007),
 	/** Admission control for the local backend server rejected a request. */
 	GATE_TURNED_AWAY(2101),
 	/** A request to the local backend server failed. */
 	ORDER_FAILED(2102),
 	/** The routes that are known to carry calls to the local backend server changed. */
 	CALL_ROUTES_CHANGED(2103),
+	/** A request has ended at the gate whose caller had left. */
+	REQUEST_CANCELLED(2104),
 	/** A caller sent a malformed request. */
 	BAD_CALLER_INPUT(3001),
 	/** Another daemon sent an invalid message. */
--- a/daemon/src/main/java/org/brasspier/daemon/internal/request/Cancellation.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/request/Cancellation.java
@@ -1,7 +1,9 @@
 package org.brasspier.daemon.internal.request;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 
 /**
  * Notifies listeners once the caller of a request has disconnected. Not thread-safe; used
@@ -13,6 +15,8 @@
 
 	private boolean cancelled;
 
+	private long cancelledNanos;
+
 	/**
 	 * Calls all listeners. Has no effect after the first call.
 	 */
@@ -21,6 +25,7 @@
 			return;
 		}
 		this.cancelled = true;
+		this.cancelledNanos = System.nanoTime();
 		this.listeners.forEach(Runnable::run);
 		this.listeners.clear();
 	}
@@ -47,4 +52,13 @@
 		return this.cancelled;
 	}
 
+	/**
+	 * Returns how long ago the caller disconnected.
+	 * @param now the current time, in nanoseconds of the steady clock
+	 * @return empty if it has not disconnected
+	 */
+	public Optional<Duration> elapsed(long now) {
+		return this.cancelled ? Optional.of(Duration.ofNanos(now - this.cancelledNanos)) : Optional.empty();
+	}
+
 }
