Send nothing to a backend server once the caller has left

A request that can't be repeated was sent to its server although its caller left while the connection to the server was being opened: only idempotent runs were given up then, and the last check before sending looked at the server alone. A request that waited for its key was admitted first and given up afterwards, and one that was not sent for this reason counted as a missing backend server.

The last check before sending asks for the caller too; a request that is not sent yet is given up whatever its kind; a request that waits for its key is refused at once.

BackendPoolTests.aRequestThatIsGivenUpBeforeItsConnectionIsOpenIsNotSent comes with the change, since the method that it calls is new.

--- a/daemon/src/main/java/org/brasspier/daemon/internal/gate/ReplyOutcomes.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/gate/ReplyOutcomes.java
@@ -43,6 +43,7 @@
 						? new SendOutcome.NotRun(new Failure(ErrorKind.OVERLOADED,
 								"the backend server declined the request", DECLINED_RETRY_AFTER), true)
 						: new SendOutcome.Answered(answer);
+			case BackendReply.NotSent ignored when cancelled -> new SendOutcome.NotRun(callerLeft(), false);
 			case BackendReply.NotSent(String reason) ->
 				new SendOutcome.NotRun(Failure.of(ErrorKind.NO_BACKEND, reason), false);
 			case BackendReply.Closed ignored ->
@@ -68,10 +69,11 @@
 	/**
 	 * Returns what admission control learns from the end of a request.
 	 * @param outcome the outcome of the request
+	 * @param cancelled whether its caller no longer waits
 	 * @param reply the server's reply
 	 * @return how its run ended
 	 */
-	public static RunOutcome runOutcome(SendOutcome outcome, BackendReply reply) {
+	public static RunOutcome runOutcome(SendOutcome outcome, boolean cancelled, BackendReply reply) {
 		return switch (outcome) {
 			case SendOutcome.Answered ignored -> RunOutcome.ANSWERED;
 			// Slots are counted exactly at the gate, so a server that declines a request
@@ -80,10 +82,18 @@
 			// fewer and fewer, and half of its capacity stayed unused.
 			case SendOutcome.NotRun ignored -> RunOutcome.NOT_STARTED;
 			case SendOutcome.Unknown ignored ->
-				(reply instanceof BackendReply.GivenUp) ? RunOutcome.INTERRUPTED : RunOutcome.NOT_STARTED;
+				(reply instanceof BackendReply.GivenUp && !cancelled) ? RunOutcome.INTERRUPTED : RunOutcome.NOT_STARTED;
 		};
 	}
 
+	/**
+	 * Returns the failure of a request that was not sent since its caller left.
+	 * @return the failure
+	 */
+	public static Failure callerLeft() {
+		return Failure.of(ErrorKind.DEADLINE_PASSED, "the caller has left");
+	}
+
 	private static SendOutcome unknown(ErrorKind kind, String detail) {
 		return new SendOutcome.Unknown(Failure.of(kind, detail));
 	}
--- a/daemon/src/main/java/org/brasspier/daemon/internal/http/BackendPool.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/http/BackendPool.java
@@ -246,6 +246,15 @@
 			}
 		}
 
+		/**
+		 * Abandons the request if it has not been sent yet.
+		 */
+		public void giveUpIfUnsent() {
+			if (this.socket == null) {
+				giveUp();
+			}
+		}
+
 		private void on(BackendSocket taken) {
 			this.socket = taken;
 		}
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/BackendGate.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/BackendGate.java
@@ -337,7 +337,7 @@
 		accepted.cancellation.addCancelListener(() -> {
 			if (this.admission.cancelWaiting(number)) {
 				logIfCancelled(accepted, CancelPlace.QUEUE);
-				rejectQueued(new RefusedRequest(number, Failure.of(ErrorKind.DEADLINE_PASSED, "the caller is gone")));
+				rejectQueued(new RefusedRequest(number, ReplyOutcomes.callerLeft()));
 			}
 		});
 		scheduleExpiryCheck();
@@ -352,7 +352,7 @@
 			logIfCancelled(accepted, CancelPlace.ARRIVING);
 			this.startLimit.onNotSent();
 			releaseSlot(number, RunOutcome.NOT_STARTED);
-			Failure failure = rejection.orElseGet(() -> Failure.of(ErrorKind.DEADLINE_PASSED, "nobody waits for it"));
+			Failure failure = rejection.orElseGet(ReplyOutcomes::callerLeft);
 			return Promise.of(reject(accepted.hopRequest, failure));
 		}
 		return send(number, accepted, this.registration.incarnation().get(), now);
@@ -372,9 +372,7 @@
 		ScheduledRunnable timeout = this.reactor.delay(remaining + 1L, run::giveUp);
 		// A running request that is not idempotent is not aborted: its effects remain
 		// even if the caller is gone, and the outcome of an aborted request is unknown.
-		if (accepted.hopRequest.idempotent()) {
-			accepted.cancellation.addCancelListener(run::giveUp);
-		}
+		accepted.cancellation.addCancelListener(accepted.hopRequest.idempotent() ? run::giveUp : run::giveUpIfUnsent);
 		return run.reply().map((reply) -> {
 			timeout.cancel();
 			sending.end();
@@ -393,14 +391,14 @@
 	// Checked again once a connection is open, since opening one may take longer than the
 	// time for which a draining server may still be sent requests.
 	private boolean maySend(AcceptedRequest accepted, BackendIncarnation incarnation) {
-		return this.registration.incarnation().equals(Optional.of(incarnation))
+		return !accepted.cancellation.isCancelled() && this.registration.incarnation().equals(Optional.of(incarnation))
 				&& this.checks.backendRejection(accepted.hopRequest, System.nanoTime()).isEmpty();
 	}
 
 	private SendOutcome onRequestEnded(long number, BackendRequest sent, AcceptedRequest accepted, BackendReply reply) {
 		SendOutcome outcome = this.outcomes.outcome(sent, accepted.cancellation.isCancelled(), reply);
 		this.registration.onConnectionAttempt(!(reply instanceof BackendReply.Closed));
-		releaseSlot(number, ReplyOutcomes.runOutcome(outcome, reply));
+		releaseSlot(number, ReplyOutcomes.runOutcome(outcome, accepted.cancellation.isCancelled(), reply));
 		if (!(outcome instanceof SendOutcome.Answered)) {
 			this.log.record(MeshEvent.ORDER_FAILED, "request", accepted.hopRequest.request().id(), "life",
 					sent.incarnation(), "reply", reply, "outcome", outcome.getClass().getSimpleName(), "fingerprint",
@@ -527,7 +525,10 @@
 
 		@Override
 		public Promise<SendOutcome> proceed() {
-			logIfCancelled(this.hopRequest, this.cancellation, CancelPlace.KEY_QUEUE);
+			if (this.cancellation.isCancelled()) {
+				logIfCancelled(this.hopRequest, this.cancellation, CancelPlace.KEY_QUEUE);
+				return Promise.of(reject(this.hopRequest, ReplyOutcomes.callerLeft()));
+			}
 			long now = System.nanoTime();
 			int left = this.hopRequest.request().remainingMillis()
 					- (int) ((now - this.receivedNanos) / NANOS_PER_MILLI);
--- a/daemon/src/test/java/org/brasspier/daemon/internal/http/BackendPoolTests.java
+++ b/daemon/src/test/java/org/brasspier/daemon/internal/http/BackendPoolTests.java
@@ -71,6 +71,33 @@
 		}
 	}
 
+	/**
+	 * Guards against a request that can't be repeated and reaches its server although its
+	 * caller left while the connection was being opened.
+	 */
+	@Test
+	void aRequestThatIsGivenUpBeforeItsConnectionIsOpenIsNotSent() throws Exception {
+		try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+			Eventloop loop = Eventloop.create();
+			BackendPool pool = new BackendPool(loop, (InetSocketAddress) server.getLocalSocketAddress(), MAX_BODY_BYTES,
+					new ServerConnections());
+			CompletableFuture<BackendReply> reply = new CompletableFuture<>();
+			loop.keepAlive(true);
+			Thread thread = Thread.ofPlatform().start(loop);
+			loop.execute(() -> {
+				BackendPool.BackendRun run = pool.run(LOOKUP, false, (answer) -> true, () -> true);
+				run.reply().whenResult(reply::complete);
+				run.giveUpIfUnsent();
+			});
+			assertThat(reply.get()).isInstanceOf(BackendReply.NotSent.class);
+			try (Socket socket = server.accept()) {
+				assertThat(socket.getInputStream().read()).isEqualTo(-1);
+			}
+			loop.execute(() -> loop.keepAlive(false));
+			thread.join();
+		}
+	}
+
 	// The connection stays open until the process ends.
 	private static void readOneByte(ServerSocket server) {
 		try {
