Learn nothing from requests whose caller has left

A run that was cut off since its caller left counted as a lower bound of its route's run time, so callers that leave early, but later than the mean, raised the estimate and never lowered it; a route could look dear until it was refused. At the entry such a request could also count as a missing server or as a sign of a healthy one. Both are left out now. Found in a review and by reading.

--- a/core/src/main/java/org/brasspier/core/admission/RunOutcome.java
+++ b/core/src/main/java/org/brasspier/core/admission/RunOutcome.java
@@ -12,14 +12,15 @@
 	SHED,
 
 	/**
-	 * The request never started, for a reason unrelated to the backend server's load: the
-	 * caller disconnected, the deadline or the lease ended, or the fence was refused.
+	 * The run says nothing about the backend server: the request never started, because
+	 * the deadline or the lease ended or the fence was refused, or its caller
+	 * disconnected at whatever time.
 	 */
 	NOT_STARTED,
 
 	/**
-	 * The request was cancelled, timed out or lost its connection; its duration is only a
-	 * lower bound of the full run time.
+	 * The request timed out or lost its connection; its duration is only a lower bound of
+	 * the full run time.
 	 */
 	INTERRUPTED
 
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/Dispatcher.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/Dispatcher.java
@@ -412,6 +412,10 @@
 			if (sharded()) {
 				return;
 			}
+			if (this.cancellation.isCancelled()) {
+				chooser(this.service).onCancelled(target.instance());
+				return;
+			}
 			long now = System.nanoTime();
 			if (outcome instanceof SendOutcome.NotRun notRun && notRun.failure().kind() == ErrorKind.NO_BACKEND) {
 				Dispatcher.this.backoff.recordFailure(target.instance(), now);
@@ -422,11 +426,7 @@
 			long tookNanos = now - sentNanos;
 			boolean failed = !(outcome instanceof SendOutcome.Answered answered)
 					|| answered.answer().status() >= ErrorKind.INTERNAL_ERROR.status();
-			if (this.cancellation.isCancelled()) {
-				chooser(this.service).onCancelled(target.instance());
-			}
-			else if (outcome instanceof SendOutcome.NotRun notRun
-					&& notRun.failure().kind() == ErrorKind.NO_FREE_SLOT) {
+			if (outcome instanceof SendOutcome.NotRun notRun && notRun.failure().kind() == ErrorKind.NO_FREE_SLOT) {
 				Duration wait = notRun.failure().retryAfter();
 				chooser(this.service).onFull(target.instance(), wait, now);
 				this.search.onFull(target.instance(), wait);
