Cancel forwarded requests before or right behind their last byte

Callers that left while their request was on its way to another daemon: the request was still sent when the connection opened (150 ms at most), and its cancellation waited behind all large requests that were queued on the connection after it, for which no bound was known. A large request that had not been begun was sent whole and then cancelled.

A request that waits for its connection or for the link is withdrawn; one that was begun is followed by its cancellation before other large requests. The order of a request and its own cancellation stays, so daemons of the build before see nothing new.

--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopLink.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopLink.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.LongFunction;
 
@@ -26,6 +27,7 @@
 import org.brasspier.core.mesh.LinkDelay;
 import org.brasspier.core.mesh.RowExchange;
 import org.brasspier.core.mesh.SendOutcome;
+import org.brasspier.daemon.internal.gate.ReplyOutcomes;
 import org.brasspier.daemon.internal.link.LinkFlow;
 import org.brasspier.daemon.internal.peer.PeerConnection;
 import org.brasspier.daemon.internal.request.Cancellation;
@@ -190,7 +192,16 @@
 	Promise<SendOutcome> send(HopRequest request, Cancellation cancellation) {
 		SettablePromise<SendOutcome> outcome = new SettablePromise<>();
 		long requestedNanos = System.nanoTime();
+		// Until the request is sent, nothing is awaited from the other daemon.
+		cancellation.addCancelListener(() -> {
+			if (!this.connection.isComplete()) {
+				outcome.trySet(callerLeft());
+			}
+		});
 		this.connection.whenComplete((ready, ex) -> {
+			if (outcome.isComplete()) {
+				return;
+			}
 			int left = request.request().remainingMillis()
 					- (int) ((System.nanoTime() - requestedNanos) / NANOS_PER_MILLI);
 			if (ex != null || this.closed || this.stopping) {
@@ -337,18 +348,23 @@
 		return new SendOutcome.NotRun(Failure.of(kind, detail), false);
 	}
 
+	private static SendOutcome callerLeft() {
+		return new SendOutcome.NotRun(ReplyOutcomes.callerLeft(), false);
+	}
+
 	private void send(HopSender ready, HopRequest request, Cancellation cancellation,
 			SettablePromise<SendOutcome> outcome) {
 		long exchange = beginExchange();
 		this.pendingRequests.put(exchange, outcome);
-		ready.send(new HopMessage.ForwardedRequest(exchange, System.nanoTime() - this.openedNanos, request));
+		BooleanSupplier cancel = ready
+			.sendRequest(new HopMessage.ForwardedRequest(exchange, System.nanoTime() - this.openedNanos, request));
 		ScheduledRunnable timeout = this.reactor.delay(request.request().remainingMillis() + 1L,
 				() -> complete(exchange, new SendOutcome.Unknown(Failure.of(ErrorKind.TIMED_OUT,
 						"the deadline passed while another daemon was handling the request"))));
 		outcome.whenResult(timeout::cancel);
 		cancellation.addCancelListener(() -> {
-			if (this.pendingRequests.containsKey(exchange)) {
-				ready.send(new HopMessage.Cancel(exchange));
+			if (this.pendingRequests.containsKey(exchange) && cancel.getAsBoolean()) {
+				complete(exchange, callerLeft());
 			}
 		});
 		schedulePing();
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopSender.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopSender.java
@@ -1,5 +1,6 @@
 package org.brasspier.daemon.internal.mesh;
 
+import java.util.function.BooleanSupplier;
 import java.util.function.Function;
 
 import org.brasspier.daemon.internal.peer.PeerConnection;
@@ -76,12 +77,21 @@
 		switch (message) {
 			case HopMessage.RowsResponse rows when !rows.isEmpty() -> sendRows(rows);
 			case HopMessage.RowChanges rows -> sendRows(rows);
-			// A cancellation must not overtake the large request that it cancels.
-			case HopMessage.Cancel cancelled -> this.connection.sendInOrder(HopCodec.encode(cancelled));
 			default -> this.connection.send(HopCodec.encode(message));
 		}
 	}
 
+	/**
+	 * Sends a request.
+	 * @param request the request
+	 * @return cancels the request; returns whether it was withdrawn before any of it was
+	 * sent
+	 */
+	BooleanSupplier sendRequest(HopMessage.ForwardedRequest request) {
+		PeerConnection.FrameCancellation sent = this.connection.sendCancellable(HopCodec.encode(request));
+		return () -> sent.cancel(HopCodec.encode(new HopMessage.Cancel(request.exchange())));
+	}
+
 	private void sendRows(HopMessage rows) {
 		this.connection.sendInOrder(this.acceptsPieces ? this.compressedRows.apply(rows) : HopCodec.encode(rows));
 	}
--- a/daemon/src/main/java/org/brasspier/daemon/internal/peer/PeerConnection.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/peer/PeerConnection.java
@@ -1,7 +1,9 @@
 package org.brasspier.daemon.internal.peer;
 
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.Deque;
+import java.util.List;
 import java.util.Optional;
 import java.util.function.LongConsumer;
 
@@ -226,6 +228,31 @@
 		}
 	}
 
+	/**
+	 * Sends a frame that may be cancelled later.
+	 * @param frame the complete frame including its length
+	 * @return cancels the frame
+	 */
+	public FrameCancellation sendCancellable(byte[] frame) {
+		send(frame);
+		return (followUp) -> cancel(frame, followUp);
+	}
+
+	private boolean cancel(byte[] frame, byte[] followUp) {
+		Optional<LargeFrame> waiting = this.pieces.stream().filter((each) -> each.pieces.isOf(frame)).findFirst();
+		if (waiting.isPresent() && !waiting.get().pieces.isBegun()) {
+			this.pieces.remove(waiting.get());
+			this.unsentBytes -= waiting.get().pieces.remainingBytes();
+			if (this.pieces.isEmpty()) {
+				this.channel.ifPresent(LinkChannel::onQueueEmpty);
+			}
+			updateHeldBytes();
+			return true;
+		}
+		waiting.ifPresentOrElse((begun) -> begun.followUps.add(followUp), () -> send(followUp));
+		return false;
+	}
+
 	/**
 	 * Sends a frame after all large frames that were sent before.
 	 * @param frame the complete frame including its length
@@ -243,7 +270,7 @@
 		else if (!this.socket.isClosed()) {
 			FramePieces large = new FramePieces(frame, PIECE_BYTES);
 			this.unsentBytes += large.remainingBytes();
-			this.pieces.add(new LargeFrame(large, inOrder, System.nanoTime()));
+			this.pieces.add(new LargeFrame(large, inOrder, System.nanoTime(), new ArrayList<>(1)));
 			updateHeldBytes();
 			sendPieces();
 		}
@@ -324,7 +351,7 @@
 		this.unsentBytes -= before - first.remainingBytes();
 		updateHeldBytes();
 		if (!first.hasNext()) {
-			this.pieces.removeFirst();
+			this.pieces.removeFirst().followUps.forEach(this::sendNow);
 		}
 		if (this.pieces.isEmpty()) {
 			this.channel.ifPresent(LinkChannel::onQueueEmpty);
@@ -395,7 +422,8 @@
 		return this.closed;
 	}
 
-	private record LargeFrame(FramePieces pieces, boolean inOrder, long queuedNanos) {
+	// Holds frames that are sent right after it.
+	private record LargeFrame(FramePieces pieces, boolean inOrder, long queuedNanos, List<byte[]> followUps) {
 	}
 
 	private static final class PeerClosedException extends WireException {
@@ -422,6 +450,22 @@
 
 	}
 
+	/**
+	 * Cancels a frame that was given to the connection.
+	 */
+	public interface FrameCancellation {
+
+		/**
+		 * Withdraws the frame if no part of it was sent. Otherwise sends another frame
+		 * right after it, before other large frames that wait.
+		 * @param followUp a small frame that tells the receiver to ignore the cancelled
+		 * one
+		 * @return whether the frame was withdrawn
+		 */
+		boolean cancel(byte[] followUp);
+
+	}
+
 	/**
 	 * Receives frames.
 	 */
--- a/wire/src/main/java/org/brasspier/wire/FramePieces.java
+++ b/wire/src/main/java/org/brasspier/wire/FramePieces.java
@@ -54,6 +54,15 @@
 		return this.frame.length - this.position;
 	}
 
+	/**
+	 * Returns whether these are the pieces of a frame.
+	 * @param other a complete frame
+	 * @return true if it is the same array
+	 */
+	public boolean isOf(byte[] other) {
+		return this.frame == other;
+	}
+
 	/**
 	 * Returns whether part of the frame was returned.
 	 * @return true if it was
