Admit returning callers by rank, and pass over floods with strict targets

Estimators are kept for each class and rank, a return counts what goes before it, and the time after which a request is not passed over is half of its own.

--- a/core/src/main/java/org/brasspier/core/admission/AdmissionController.java
+++ b/core/src/main/java/org/brasspier/core/admission/AdmissionController.java
@@ -63,7 +63,7 @@
 	 */
 	private static final double OVER_SHARE_QUEUE = 0.5;
 
-	private final Map<RequestClass, RetryAfterEstimator> retryAfter = new EnumMap<>(RequestClass.class);
+	private final RetryAfterEstimators retryAfter = new RetryAfterEstimators();
 
 	private final Map<RequestClass, RankedQueue> queues = new EnumMap<>(RequestClass.class);
 
@@ -117,7 +117,7 @@
 	public AdmissionDecision offer(PendingRequest request, long now) {
 		this.slots.onOffered(request.requestClass(), now);
 		if (request.isPunctualReturn()) {
-			retryAfter(request.requestClass()).takePlace(now);
+			this.retryAfter.of(request).takePlace(now);
 		}
 		if (this.draining) {
 			return new Refuse(Failure.of(ErrorKind.NO_BACKEND, "the backend server is draining"));
@@ -132,7 +132,7 @@
 			start(request, now);
 			return new Run();
 		}
-		if (request.overdue() && retryAfter(request.requestClass()).isOverloaded(now)) {
+		if (request.overdue() && this.retryAfter.of(request).isOverloaded(now)) {
 			return new Refuse(overloaded("its target latency has passed and no slot is free", request, now));
 		}
 		return enqueue(request, now);
@@ -458,8 +458,7 @@
 		Optional<RequestClass> nextClass = this.scheduler
 			.next((requestClass) -> !queue(requestClass).isEmpty() && mayStart(requestClass, now));
 		Optional<PendingRequest> next = nextClass
-			.flatMap((requestClass) -> queue(requestClass).take(this.slots.limit(), now,
-					now + this.settings.of(requestClass).maxWait().toNanos() / 2))
+			.flatMap((requestClass) -> queue(requestClass).take(this.slots.limit(), now))
 			.map(WaitingRequest::request);
 		next.ifPresent((request) -> {
 			this.waiting.remove(request.id());
@@ -480,7 +479,7 @@
 		this.work.onStarted(request.id(), expected, this.times.highQuantile(request), now);
 		this.slots.take(request.requestClass(), now);
 		this.startLimit.onStarted();
-		retryAfter(request.requestClass()).onStarted(now);
+		this.retryAfter.of(request).onStarted(now);
 		this.shares.charge(request.caller(), expected);
 		entryShares(request.requestClass()).charge(request.origin(), expected, 1, now);
 		this.shares.onStarted(request.caller());
@@ -488,16 +487,15 @@
 	}
 
 	// A new request waits for those that wait already and for the returns whose places
-	// are due until then; an on-time return goes before the new requests of its class.
+	// are due until then; an on-time return goes before the new requests of its rank.
 	private double expectedWait(PendingRequest request, long now) {
-		RequestClass requestClass = request.requestClass();
-		RankedQueue queue = queue(requestClass);
+		RankedQueue queue = queue(request.requestClass());
 		if (request.isPunctualReturn()) {
-			return expectedWait(request, queue.onTimeReturns(), now);
+			return expectedWait(request, queue.sizeAheadOfReturn(request.urgency()), now);
 		}
 		int ahead = queue.sizeAhead(request.urgency());
 		double wait = expectedWait(request, ahead, now);
-		int due = retryAfter(requestClass).placesDue(now, now + (long) wait);
+		int due = this.retryAfter.placesDue(request, now, now + (long) wait);
 		return (due == 0) ? wait : expectedWait(request, ahead + due, now);
 	}
 
@@ -534,12 +532,12 @@
 	private Failure overloaded(String detail, PendingRequest request, long now) {
 		RequestClass requestClass = request.requestClass();
 		if (!request.overdue()) {
-			retryAfter(requestClass).onRefused(now);
+			this.retryAfter.of(request).onRefused(now);
 		}
 		double interval = Math.max(this.times.mean(requestClass) / this.slots.limit(),
 				Math.max(dequeueInterval(request, now), this.startLimit.interval().toNanos()));
 		double wait = expectedWait(request, queue(requestClass).sizeAhead(request.urgency()), now);
-		RetryAfterEstimator estimator = retryAfter(requestClass);
+		RetryAfterEstimator estimator = this.retryAfter.of(request);
 		Duration pause = getsPlace(request, now)
 				? estimator.reservePause(now, wait, interval, longestPause(request, now))
 				: estimator.nextPause(now, wait, interval);
@@ -569,10 +567,6 @@
 		return queue(requestClass).entryShares();
 	}
 
-	private RetryAfterEstimator retryAfter(RequestClass requestClass) {
-		return this.retryAfter.computeIfAbsent(requestClass, (key) -> new RetryAfterEstimator());
-	}
-
 	// Where other classes or ranks have priority, the queue drains more slowly than the
 	// server runs requests.
 	private double dequeueInterval(PendingRequest request, long now) {
--- a/core/src/main/java/org/brasspier/core/admission/ClassQueue.java
+++ b/core/src/main/java/org/brasspier/core/admission/ClassQueue.java
@@ -75,22 +75,22 @@
 
 	// Returns the next request: the most urgent one of the caller that used the least
 	// slot time. Callers at their limit come after all others.
-	Optional<WaitingRequest> next(int slots, long now, long urgentUntil) {
+	Optional<WaitingRequest> next(int slots, long now) {
 		return this.waiting.entrySet()
 			.stream()
 			.min(Comparator.comparing(
 					(Map.Entry<CallerId, TreeSet<WaitingRequest>> entry) -> this.shares.atLimit(entry.getKey(), slots))
 				.thenComparingDouble((entry) -> this.shares.virtualUsage(entry.getKey())))
-			.map((entry) -> next(entry.getValue(), now, urgentUntil));
+			.map((entry) -> next(entry.getValue(), now));
 	}
 
 	// Returns the first request, unless its instance of entry has had clearly more slot
 	// time than others, and a request of another one with the same precedence waits. A
 	// request that must start soon is not passed over, since it would be refused after a
 	// long wait.
-	private WaitingRequest next(TreeSet<WaitingRequest> own, long now, long urgentUntil) {
+	private WaitingRequest next(TreeSet<WaitingRequest> own, long now) {
 		WaitingRequest first = own.first();
-		if (first.latestStartNanos() <= urgentUntil) {
+		if (first.mustStartSoon(now)) {
 			return first;
 		}
 		for (WaitingRequest each : own) {
--- a/core/src/main/java/org/brasspier/core/admission/RankedQueue.java
+++ b/core/src/main/java/org/brasspier/core/admission/RankedQueue.java
@@ -60,13 +60,11 @@
 		return size;
 	}
 
-	// Returns the number of waiting on-time returns.
-	int onTimeReturns() {
-		int returns = 0;
-		for (ClassQueue queue : this.ranks.values()) {
-			returns += queue.onTimeReturns();
-		}
-		return returns;
+	// Returns the number of requests that go before an on-time return: those of more
+	// urgent ranks, and the on-time returns of its own.
+	int sizeAheadOfReturn(Urgency urgency) {
+		ClassQueue own = this.ranks.get(urgency.rank());
+		return size(this.ranks.headMap(urgency.rank(), false)) + ((own != null) ? own.onTimeReturns() : 0);
 	}
 
 	EntryShares entryShares() {
@@ -90,12 +88,12 @@
 
 	// Removes the next request. Only the first request of each rank is considered, from
 	// the most urgent to the least urgent rank.
-	Optional<WaitingRequest> take(int slots, long now, long urgentUntil) {
+	Optional<WaitingRequest> take(int slots, long now) {
 		Optional<WaitingRequest> next = Optional.empty();
 		int position = 0;
 		int nextPosition = 0;
 		for (ClassQueue queue : this.ranks.values()) {
-			Optional<WaitingRequest> first = queue.next(slots, now, urgentUntil);
+			Optional<WaitingRequest> first = queue.next(slots, now);
 			if (next.isEmpty() || first.isPresent() && goesBefore(first.get(), next.get(), position - nextPosition)) {
 				next = first;
 				nextPosition = position;
--- a/core/src/main/java/org/brasspier/core/admission/WaitingRequest.java
+++ b/core/src/main/java/org/brasspier/core/admission/WaitingRequest.java
@@ -23,4 +23,9 @@
 		.thenComparingLong(WaitingRequest::latestStartNanos)
 		.thenComparingLong((waiting) -> waiting.request().id());
 
+	// Returns whether at most half of the time is left for which the request may wait.
+	boolean mustStartSoon(long now) {
+		return now - this.sinceNanos >= (this.latestStartNanos - this.sinceNanos) / 2;
+	}
+
 }
