--- a/daemon/src/test/java/org/brasspier/daemon/internal/request/RequestPathTests.java
+++ b/daemon/src/test/java/org/brasspier/daemon/internal/request/RequestPathTests.java
@@ -15,6 +15,8 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 import static com.google.common.truth.Truth.assertThat;
 
@@ -287,19 +289,32 @@
 		PathFixture.await(() -> member.events.after(0).stream().anyMatch((event) -> event.kind().number() == 308));
 	}
 
-	@Test
-	void aRequestIsCancelledAcrossTheHopWhenItsCallerDisconnects() throws Exception {
+	/**
+	 * Guards against requests that run on for callers that have left, also if these sent
+	 * nothing more on their connection or another request behind the first.
+	 */
+	@ParameterizedTest
+	@CsvSource({ "1.1,keep-alive,''", "1.1,close,''", "1.0,close,''", "1.1,keep-alive,gone-2", "1.1,close,gone-2" })
+	void aRequestIsCancelledAcrossTheHopWhenItsCallerDisconnects(String version, String connection, String behind)
+			throws Exception {
 		CountDownLatch finish = new CountDownLatch(1);
 		this.a.server.behaviour = (exchange, body) -> finish.await(20, TimeUnit.SECONDS);
 		try (RawCaller caller = new RawCaller(this.b.callerPort)) {
-			caller.send(
-					"GET /v1/hullbook/x HTTP/1.1\r\nHost: x\r\nBrasspier-Key: k\r\nBrasspier-Request-Id: gone-1\r\n\r\n");
+			caller.send(lookup(version, connection, "gone-1"));
 			PathFixture.await(() -> !this.a.server.orders.isEmpty());
+			if (!behind.isEmpty()) {
+				caller.send(lookup(version, connection, behind));
+			}
 		}
 		PathFixture.await(() -> this.a.server.cancelled.stream().anyMatch((body) -> body.contains("gone-1")));
 		finish.countDown();
 	}
 
+	private static String lookup(String version, String connection, String id) {
+		return "GET /v1/hullbook/x HTTP/%s\r\nHost: x\r\nConnection: %s\r\nBrasspier-Key: k\r\nBrasspier-Request-Id: %s\r\n\r\n"
+			.formatted(version, connection, id);
+	}
+
 	@Test
 	void aServerThatChecksFencesGetsNoOrderBeforeItsGrant() throws Exception {
 		this.a.get("/v1/hullbook/x", "Brasspier-Key", "hull-7");
