Forget the time of a caller that came early once that has passed

A caller that comes early and is refused after its time has passed was told a new time that the entry did not remember: it could come back at any moment and go first. The refusal is now forgotten and the new time remembered. Found by review; ReturnMemoryTests.anEarlyReturnThatIsRefused... comes with the change, since the method is new.

--- a/core/src/main/java/org/brasspier/core/returns/ReturnMemory.java
+++ b/core/src/main/java/org/brasspier/core/returns/ReturnMemory.java
@@ -78,12 +78,20 @@
 	}
 
 	/**
-	 * Returns when the caller of a request may come back, if it was refused before.
+	 * Determines when the caller of a request that came early and is refused again may
+	 * come back. It keeps the time that it was told before. If that has passed, the
+	 * refusal is forgotten, and the caller is to be told a new time.
 	 * @param request hash of the request's contents
-	 * @return the earliest time, in nanoseconds; empty if no refusal is remembered
+	 * @param now the current time, in nanoseconds
+	 * @return the time, in nanoseconds; empty if it has passed or is not remembered
 	 */
-	public Optional<Long> due(long request) {
-		return Optional.ofNullable(this.byRequest.get(request)).map((refusals) -> refusals.element().dueNanos());
+	public Optional<Long> onEarlyRefused(long request, long now) {
+		Optional<Refusal> earliest = Optional.ofNullable(this.byRequest.get(request)).map(PriorityQueue::element);
+		Optional<Long> kept = earliest.map(Refusal::dueNanos).filter((due) -> due > now);
+		if (kept.isEmpty()) {
+			earliest.ifPresent(this::forget);
+		}
+		return kept;
 	}
 
 	/**
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/MeshEntry.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/MeshEntry.java
@@ -168,11 +168,10 @@
 		this.metrics.counter("refusals." + RefusalCause.of(told, status).name().toLowerCase(Locale.ROOT)).inc();
 		long now = System.nanoTime();
 		long hash = returnHash(request, route);
-		if (status == ReturnStatus.EARLY) {
-			return this.returns.due(hash)
-				.filter((due) -> due > now)
-				.map((due) -> new Failure(told.kind(), told.detail(), Duration.ofNanos(due - now)))
-				.orElse(told);
+		Optional<Long> kept = (status == ReturnStatus.EARLY) ? this.returns.onEarlyRefused(hash, now)
+				: Optional.empty();
+		if (kept.isPresent()) {
+			return new Failure(told.kind(), told.detail(), Duration.ofNanos(kept.get() - now));
 		}
 		if (ReturnTime.mayComeBack(told.retryAfter(), Duration.ofMillis(Math.max(0, remainingMillis)))) {
 			this.returns.onRefused(hash, now + told.retryAfter().toNanos(), now);
