Keep the origin of forwarded requests, and let on-time returns go first

Gates dropped the origin of each request when they set its class, so callers that came back when they were told were new requests to them, and log lines of refusals named no entry.

The origin is kept. So on-time returns go first, and requests are admitted without their instance of entry: no shares are counted and no places kept.

--- a/core/src/main/java/org/brasspier/core/returns/RequestOrigin.java
+++ b/core/src/main/java/org/brasspier/core/returns/RequestOrigin.java
@@ -30,6 +30,15 @@
 		return this.status == ReturnStatus.ON_TIME;
 	}
 
+	/**
+	 * Returns a copy without the instance of entry, for which neither shares are counted
+	 * nor places kept; on-time returns still go first.
+	 * @return the copy
+	 */
+	public RequestOrigin withoutInstance() {
+		return new RequestOrigin(this.status, "", "");
+	}
+
 	/**
 	 * Returns a copy with another failure domain.
 	 * @param name name of the failure domain
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/BackendGate.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/BackendGate.java
@@ -7,7 +7,6 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Supplier;
-import java.util.function.UnaryOperator;
 
 import io.activej.promise.Promise;
 import io.activej.promise.SettablePromise;
@@ -34,7 +33,6 @@
 import org.brasspier.core.mesh.RoutingConfig;
 import org.brasspier.core.mesh.SendOutcome;
 import org.brasspier.core.mesh.ServiceRule;
-import org.brasspier.core.returns.RequestOrigin;
 import org.brasspier.daemon.internal.calls.GateCalls;
 import org.brasspier.daemon.internal.evacuation.DomainAdmission;
 import org.brasspier.daemon.internal.evacuation.EvacuationRows;
@@ -119,8 +117,6 @@
 
 	private boolean expiryCheckScheduled;
 
-	private UnaryOperator<RequestOrigin> origins = UnaryOperator.identity();
-
 	BackendGate(NioReactor reactor, MeshSettings settings, BackendRegistration registration, BackendPool pool,
 			BackendProtocol protocol, Supplier<RoutingConfig> config, EvacuationRows evacuations, KeyOwnership keys,
 			BackendCrashes crashes, ServerLimits limits, AnswerAdmission answers, MeshLog log) {
@@ -154,11 +150,6 @@
 		this.log.record(MeshEvent.CALL_ROUTES_CHANGED, "before", before, "known", known);
 	}
 
-	// Sets the function that adds the failure domain of the instance of entry.
-	void setOrigins(UnaryOperator<RequestOrigin> withDomain) {
-		this.origins = withDomain;
-	}
-
 	private void backendChanged() {
 		if (!this.registration.incarnation().equals(this.incarnation)) {
 			this.incarnation = this.registration.incarnation();
@@ -277,7 +268,7 @@
 		PendingRequest pending = new PendingRequest(number, hopRequest.requestClass(), CALLER, accepted.deadlineNanos,
 				hopRequest.overdue(), hopRequest.route(),
 				this.calls.urgency(hopRequest.route(), hopRequest.requestClass()),
-				this.origins.apply(hopRequest.origin()));
+				hopRequest.origin().withoutInstance());
 		Optional<Duration> expectedWait = hopRequest.mayQueue() ? Optional.empty()
 				: this.admission.expectedQueueWait(pending, now);
 		if (expectedWait.isPresent()) {
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopRequest.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopRequest.java
@@ -39,7 +39,7 @@
 
 	HopRequest withRequestClass(RequestClass newClass) {
 		return new HopRequest(this.service, this.caller, newClass, this.idempotent, this.overdue, this.mayQueue,
-				this.request, this.route);
+				this.request, this.route, this.origin);
 	}
 
 	HopRequest withRemainingMillis(int millis) {
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/MeshNode.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/MeshNode.java
@@ -7,9 +7,7 @@
 
 import com.codahale.metrics.MetricRegistry;
 import io.activej.reactor.nio.NioReactor;
-import org.brasspier.core.InstanceId;
 import org.brasspier.core.mesh.RoutingConfig;
-import org.brasspier.core.returns.RequestOrigin;
 import org.brasspier.daemon.internal.coldstart.WarmthChecks;
 import org.brasspier.daemon.internal.evacuation.EvacuationRows;
 import org.brasspier.daemon.internal.http.BackendPool;
@@ -127,7 +125,6 @@
 		AnswerAdmission answers = new AnswerAdmission(flow);
 		this.gate = new BackendGate(reactor, settings, this.registration, pool, adapter.backends(), this.config,
 				this.evacuations, this.keys, this.crashes, limits, answers, this.log);
-		this.gate.setOrigins(this::withDomain);
 		this.registration.addListener(this::restoreLimit);
 		this.evacuations.addListener(this::onEvacuationsChanged);
 		this.keys.setCapacitySource(this.gate::lookupsPerSecond);
@@ -155,15 +152,6 @@
 		this.directory.addRowsListener(this::applyOwnRow);
 	}
 
-	private RequestOrigin withDomain(RequestOrigin origin) {
-		if (!origin.isKnown() || !origin.domain().isEmpty()) {
-			return origin;
-		}
-		return this.directory.member(new InstanceId(origin.instance()))
-			.map((member) -> origin.withDomain(member.failureDomain().value()))
-			.orElse(origin);
-	}
-
 	private ServerConnections connectionsToServer() {
 		ServerConnections connections = new ServerConnections();
 		connections
--- a/daemon/src/test/java/org/brasspier/daemon/internal/mesh/HopCodecTests.java
+++ b/daemon/src/test/java/org/brasspier/daemon/internal/mesh/HopCodecTests.java
@@ -28,7 +28,6 @@
 import org.brasspier.wire.FrameDecoder;
 import org.brasspier.wire.FrameWriter;
 import org.brasspier.wire.WireException;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 import static com.google.common.truth.Truth.assertThat;
@@ -187,7 +186,6 @@
 	// Guards against gates that do not learn where a request began, or that it is a
 	// return, since its class was changed on the way to admission.
 	@Test
-	@Tag("known-red")
 	void theOriginOfARequestIsKeptWhenItsClassIsChanged() {
 		RequestOrigin origin = new RequestOrigin(ReturnStatus.ON_TIME, "i-1", "");
 		HopRequest request = new HopRequest(new ServiceName("s"), new ServiceName("t"), RequestClass.LOOKUP, true,
