Close connections with overlapping requests at a planned stop

Cause: an answer closed its connection only if nothing else was in flight on it, and further requests were taken meanwhile, so a connection on which requests overlap never closed. Evidence: STOPPED now tells the open connections of callers and when the latest request was read; before the change, 5.3 s after STOPPING: open 3, gate [0, 0], connections 1, taken_ms_ago 7. That rules out slow requests that were taken early, and cuts at the gate.

Change: while leaving, no further request is taken from a connection with an unanswered one, and one from each other; the answer to the last one taken closes the connection. What was sent behind it counts as not read. Since more has probably been sent, the connection closes in one direction first and stays open for up to a second, also during the stop, so that a reset can't discard the last answer.

--- a/daemon/src/main/java/org/brasspier/daemon/internal/http/CallerServer.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/http/CallerServer.java
@@ -49,6 +49,8 @@
 
 	private @Nullable ServerSocketChannel channel;
 
+	private long lastRequestNanos = System.nanoTime();
+
 	private boolean leaving;
 
 	/**
@@ -95,10 +97,12 @@
 	}
 
 	/**
-	 * Closes the connection with each later answer.
+	 * Closes each connection with the answer to its last request: no further request is
+	 * taken from a connection that has an unanswered one, and one from each other.
 	 */
 	public void leave() {
 		this.leaving = true;
+		List.copyOf(this.sockets).forEach(CallerSocket::leave);
 	}
 
 	/**
@@ -128,16 +132,34 @@
 	 * @return whether none are left
 	 */
 	public boolean closeIdle() {
-		List.copyOf(this.sockets).forEach(CallerSocket::closeIfIdle);
+		long now = System.nanoTime();
+		List.copyOf(this.sockets).forEach((socket) -> socket.closeIfIdle(now));
 		return this.sockets.isEmpty();
 	}
 
+	/**
+	 * Returns the number of open connections.
+	 * @return at least 0
+	 */
+	public int openConnections() {
+		return this.sockets.size();
+	}
+
+	/**
+	 * Returns how long ago a whole request was received.
+	 * @return the time; since the port was opened if there was no request
+	 */
+	public Duration sinceLastRequest() {
+		return Duration.ofNanos(System.nanoTime() - this.lastRequestNanos);
+	}
+
 	boolean leaving() {
 		return this.leaving;
 	}
 
 	// A task that a local task schedules without delay runs after the next poll.
 	void serveAfterNextPoll(CallerSocket socket) {
+		this.lastRequestNanos = System.nanoTime();
 		this.received.add(socket);
 		if (this.received.size() == 1) {
 			this.reactor.post(() -> this.reactor.delay(Duration.ZERO, this::serveReceived));
--- a/daemon/src/main/java/org/brasspier/daemon/internal/http/CallerSocket.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/http/CallerSocket.java
@@ -26,7 +26,9 @@
 /**
  * The connection of one caller. Pipelined requests run concurrently; answers are sent in
  * the order of the requests. The connection is read for as long as it is open, since only
- * a read shows that the caller has left. Not thread-safe; confined to the request thread.
+ * a read shows that the caller has left. Once the daemon is leaving, at most one more
+ * request is taken, and the answer to the last request that was taken closes the
+ * connection. Not thread-safe; confined to the request thread.
  */
 final class CallerSocket {
 
@@ -44,9 +46,9 @@
 	private static final int MAX_READ_AHEAD_BYTES = 64 << 10;
 
 	/**
-	 * How long a connection whose caller sent more than was read stays open after the
-	 * last answer. If it were closed at once, the system could discard the answer before
-	 * the caller reads it.
+	 * How long a connection whose caller may have sent more than was read stays open
+	 * after the last answer. If it were closed at once, the system could discard the
+	 * answer before the caller reads it.
 	 */
 	private static final long LINGER_NANOS = Duration.ofSeconds(1).toNanos();
 
@@ -74,8 +76,12 @@
 
 	private boolean endOfStream;
 
+	/** Whether no further request is taken. */
 	private boolean last;
 
+	/** Whether the caller has announced that it sends nothing behind the last request. */
+	private boolean closeAnnounced;
+
 	/** Whether bytes behind the last request were dropped. */
 	private boolean dropped;
 
@@ -143,10 +149,23 @@
 				}
 			}
 		}
-		this.last |= this.unparsed.remaining() > MAX_READ_AHEAD_BYTES;
-		if (this.last) {
-			this.dropped |= this.unparsed.hasRemaining();
-			this.unparsed = EMPTY;
+		if (this.last || this.unparsed.remaining() > MAX_READ_AHEAD_BYTES) {
+			takeNoMore();
+		}
+	}
+
+	private void takeNoMore() {
+		this.last = true;
+		this.dropped |= this.unparsed.hasRemaining();
+		this.unparsed = EMPTY;
+	}
+
+	// What was sent behind the last answer counts as not read, so every request that was
+	// taken is answered first. A connection that stayed open for as long as its requests
+	// overlap would never close, and the end of the process would cut off its last ones.
+	void leave() {
+		if (!this.open.isEmpty()) {
+			takeNoMore();
 		}
 	}
 
@@ -158,10 +177,10 @@
 
 	private void accept() {
 		RawRequest request = this.collector.request();
-		boolean close = this.collector.saysClose() || this.collector.version != HttpVersion.HTTP_1_1;
+		this.closeAnnounced = this.collector.saysClose() || this.collector.version != HttpVersion.HTTP_1_1;
 		this.collector.startOver();
 		this.parser.reset();
-		this.last = close;
+		this.last = this.closeAnnounced || this.server.leaving();
 		Open opened = new Open(request, new Cancellation());
 		this.open.add(opened);
 		this.unserved.add(opened);
@@ -209,9 +228,7 @@
 		}
 		while (!this.open.isEmpty() && this.open.peek().answer != null) {
 			Open next = this.open.remove();
-			boolean close = this.open.isEmpty() && (this.last || this.server.leaving());
-			this.last |= close;
-			write(next, close);
+			write(next, this.open.isEmpty() && this.last);
 		}
 		if (!this.last) {
 			parse();
@@ -232,7 +249,8 @@
 	}
 
 	private void closeAfterLastAnswer() {
-		if (this.dropped && !this.closed && !this.endOfStream) {
+		boolean mayHaveSentMore = this.dropped || !this.closeAnnounced;
+		if (mayHaveSentMore && !this.closed && !this.endOfStream) {
 			this.lingering = true;
 			this.socket.write(null).whenException((ex) -> onDisconnect());
 		}
@@ -262,8 +280,7 @@
 	// reads.
 	private void onEndOfStream() {
 		this.endOfStream = true;
-		this.last = true;
-		this.unparsed = EMPTY;
+		takeNoMore();
 		if (this.open.isEmpty()) {
 			close();
 		}
@@ -283,19 +300,22 @@
 		return this.open.isEmpty() && this.parser.isStart() && !this.unparsed.hasRemaining();
 	}
 
-	boolean closeIfIdle() {
-		if (idle() || this.lingering) {
+	void closeIfIdle(long now) {
+		if (this.lingering ? lingeredEnough(now) : idle()) {
 			close();
 		}
-		return this.closed;
+	}
+
+	private boolean lingeredEnough(long now) {
+		return now - this.lastActivityNanos > LINGER_NANOS;
 	}
 
 	// Without these timeouts a caller that stops within a request, or stays idle, would
 	// hold its socket forever.
 	void checkTimeouts(long now) {
 		long inactiveNanos = now - this.lastActivityNanos;
-		if (this.lingering && inactiveNanos > LINGER_NANOS) {
-			close();
+		if (this.lingering) {
+			closeIfIdle(now);
 		}
 		else if (this.open.isEmpty() && idle() && inactiveNanos > this.limits.idleTimeout().toNanos()) {
 			close();
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/MeshNode.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/MeshNode.java
@@ -264,7 +264,9 @@
 		long leftNanos = this.settings.bounds().stopTimeout().toNanos() - (System.nanoTime() - this.stoppingSinceNanos);
 		if (closed && othersKnow && this.gate.idle() || leftNanos <= 0) {
 			recordProcessorTimes();
-			this.log.record(MeshEvent.STOPPED, "open", this.entry.openRequests(), "gate", this.gate.load());
+			this.log.record(MeshEvent.STOPPED, "open", this.entry.openRequests(), "gate", this.gate.load(),
+					"connections", this.callers.openConnections(), "taken_ms_ago",
+					this.callers.sinceLastRequest().toMillis());
 			this.ports.close();
 			this.hops.close();
 			// A listening port stays open until the event loop has polled once more. If
--- /dev/null
+++ b/daemon/src/test/java/org/brasspier/daemon/internal/http/StoppingCallerServerTests.java
@@ -0,0 +1,91 @@
+package org.brasspier.daemon.internal.http;
+
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.brasspier.daemon.internal.http.RunningCallerServer.await;
+import static org.brasspier.daemon.internal.http.RunningCallerServer.request;
+import static org.brasspier.daemon.internal.http.RunningCallerServer.send;
+
+class StoppingCallerServerTests {
+
+	private RunningCallerServer requests;
+
+	@BeforeEach
+	void listen() throws Exception {
+		this.requests = new RunningCallerServer(Duration.ofSeconds(30));
+	}
+
+	@AfterEach
+	void stop() {
+		this.requests.close();
+	}
+
+	/**
+	 * Guards against requests that are cut off when the process ends, because a
+	 * connection on which requests overlap is never closed with an answer.
+	 */
+	@ParameterizedTest
+	@ValueSource(ints = { 1, 3, 16 })
+	void aConnectionWithOverlappingRequestsIsClosedWithTheAnswerToTheLastOneTaken(int taken) throws Exception {
+		try (Socket caller = this.requests.connect()) {
+			send(caller, request("1.1", "").repeat(taken));
+			await("the requests are taken", () -> this.requests.served.get() == taken);
+			this.requests.onLoop(this.requests.server()::leave);
+			for (int i = 0; i < 10; i++) {
+				send(caller, request("1.1", ""));
+			}
+			this.requests.onLoop(this.requests::answerAll);
+			String answers = new String(caller.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+			assertThat(answers.split("HTTP/1.1 200", -1)).hasLength(taken + 1);
+			assertThat(answers.split("Connection: close", -1)).hasLength(2);
+			assertThat(answers).endsWith("Connection: close\r\n\r\n");
+		}
+		assertThat(this.requests.served.get()).isEqualTo(taken);
+	}
+
+	/** Guards against callers that are turned away although nothing else is in flight. */
+	@Test
+	void anIdleConnectionIsGivenOneMoreRequestWhichClosesIt() throws Exception {
+		try (Socket caller = this.requests.connect()) {
+			this.requests.onLoop(this.requests.server()::leave);
+			send(caller, request("1.1", "").repeat(3));
+			await("the request is taken", () -> this.requests.served.get() == 1);
+			this.requests.onLoop(this.requests::answerAll);
+			String answers = new String(caller.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+			assertThat(answers.split("HTTP/1.1 200", -1)).hasLength(2);
+			assertThat(answers).contains("Connection: close");
+		}
+		assertThat(this.requests.served.get()).isEqualTo(1);
+	}
+
+	/**
+	 * Guards against an answer that the system discards, since its connection was reset
+	 * by what the caller sent before it could read the answer.
+	 */
+	@Test
+	void theLastAnswerIsReadableAlsoIfTheCallerGoesOnSending() throws Exception {
+		try (Socket caller = this.requests.connect()) {
+			send(caller, request("1.1", ""));
+			await("the request is taken", () -> this.requests.served.get() == 1);
+			this.requests.onLoop(this.requests.server()::leave);
+			this.requests.onLoop(this.requests::answerAll);
+			for (int i = 0; i < 10; i++) {
+				send(caller, request("1.1", ""));
+				this.requests.onLoop(this.requests.server()::closeIdle);
+			}
+			String answer = new String(caller.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+			assertThat(answer).startsWith("HTTP/1.1 200");
+		}
+		await("the connection is closed", () -> this.requests.server().openConnections() == 0);
+	}
+
+}
