Refuse requests that a stopping daemon can't finish

Callers could see: in a planned stop a posting whose body ended late was passed on with all the time its caller gave it, run by a backend server, and cut off without an answer when the daemon ended (LOST; reported by operators of a similar system). It may not be repeated.

Cause: the entry did not know of the stop; only a gate refuses late requests, and only for its own server.

Evidence: StoppingDaemonTests plays 20 postings, one ending each 230 ms after the stop begins, each running for 1.5 s. Before (twice): three run by the server and not answered, REQUEST_SENT with left_ms 3999 up to 3.8 s after STOPPING, STOPPED with open 3 and connections 3.

Change: core.stop.StopPlan decides by the time that is left. For 2.5 s all are taken, as callers learn late of the stop; afterwards what ends in time by its deadline or, if it may be repeated, by its route's target latency. Others get 503 at once. No request is given more time than the daemon has. Connections from the accept queue are polled before they count as idle.

After: every posting that ran was answered; StopPlanTests 12 of 12. StopPlan refuses more late postings than before (those that would have been served in less than their deadline); they may be repeated.

--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/MeshEntry.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/MeshEntry.java
@@ -20,6 +20,7 @@
 import org.brasspier.core.returns.ReturnMemory;
 import org.brasspier.core.returns.ReturnStatus;
 import org.brasspier.core.returns.ReturnTime;
+import org.brasspier.core.stop.StopPlan;
 import org.brasspier.daemon.internal.http.CallerServer;
 import org.brasspier.daemon.internal.request.Cancellation;
 import org.brasspier.daemon.mesh.CallerProtocol;
@@ -48,6 +49,8 @@
 
 	private final ReturnMemory returns = new ReturnMemory();
 
+	private Optional<StopPlan> stopPlan = Optional.empty();
+
 	private int open;
 
 	MeshEntry(CallerProtocol protocol, Supplier<RoutingConfig> config, Dispatcher dispatcher, LagTimer lag, MeshLog log,
@@ -60,6 +63,11 @@
 		this.metrics = metrics;
 	}
 
+	// Takes only requests that fit into the plan from now on.
+	void stop(StopPlan plan) {
+		this.stopPlan = Optional.of(plan);
+	}
+
 	// Returns the number of requests that are not answered yet.
 	int openRequests() {
 		return this.open;
@@ -91,13 +99,31 @@
 					new Failure(ErrorKind.OVERLOADED, "this daemon is overloaded: its event loop lags behind",
 							Duration.ofNanos(lag.lagNanos(startNanos)))));
 		}
+		return switch (stopDecision(request, route.get(), startNanos)) {
+			case StopPlan.Decision.Refuse(Duration untilEnd) ->
+				Promise.of(reject(raw, request, new Failure(ErrorKind.NO_BACKEND,
+						"this daemon is stopping and may end before the request does", untilEnd)));
+			case StopPlan.Decision.Take(Duration remaining) -> dispatch(raw,
+					request.withRemainingMillis((int) remaining.toMillis()), route.get(), cancellation, startNanos);
+		};
+	}
+
+	private StopPlan.Decision stopDecision(MeshRequest request, RouteRule route, long now) {
+		Duration remaining = Duration.ofMillis(request.remainingMillis());
+		Duration longest = (remaining.compareTo(route.timeout()) < 0) ? remaining : route.timeout();
+		return this.stopPlan.map((plan) -> plan.decide(route.idempotent(), longest, route.targetLatency(), now))
+			.orElse(new StopPlan.Decision.Take(remaining));
+	}
+
+	private Promise<Answer> dispatch(RawRequest raw, MeshRequest request, RouteRule route, Cancellation cancellation,
+			long startNanos) {
 		this.open++;
-		ReturnStatus status = returnStatus(request, route.get(), startNanos);
-		return this.dispatcher.dispatch(request, route.get(), status, cancellation).map((outcome) -> {
+		ReturnStatus status = returnStatus(request, route, startNanos);
+		return this.dispatcher.dispatch(request, route, status, cancellation).map((outcome) -> {
 			this.open--;
 			cancellation.elapsed(System.nanoTime())
-				.ifPresent((elapsed) -> logCallerLeft(request, route.get(), outcome, elapsed, startNanos));
-			return answer(raw, request, route.get(), status, outcome, startNanos);
+				.ifPresent((elapsed) -> logCallerLeft(request, route, outcome, elapsed, startNanos));
+			return answer(raw, request, route, status, outcome, startNanos);
 		});
 	}
 
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/MeshNode.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/MeshNode.java
@@ -8,6 +8,7 @@
 import com.codahale.metrics.MetricRegistry;
 import io.activej.reactor.nio.NioReactor;
 import org.brasspier.core.mesh.RoutingConfig;
+import org.brasspier.core.stop.StopPlan;
 import org.brasspier.daemon.internal.coldstart.WarmthChecks;
 import org.brasspier.daemon.internal.evacuation.EvacuationRows;
 import org.brasspier.daemon.internal.http.BackendPool;
@@ -247,13 +248,16 @@
 		this.stopping = true;
 		this.stoppingSinceNanos = System.nanoTime();
 		this.log.record(MeshEvent.STOPPING, "open", this.entry.openRequests(), "gate", this.gate.load());
+		this.entry
+			.stop(new StopPlan(this.stoppingSinceNanos, ACCEPT_WHILE_STOPPING, this.settings.bounds().stopTimeout()));
 		this.callers.leave();
 		this.hops.leave();
 		this.reactor.delay(ACCEPT_WHILE_STOPPING, () -> {
 			this.callers.refuseNew();
 			this.gate.stop();
 			this.hops.stop();
-			finishWhenIdle(onStopped);
+			// Connections that were accepted last are polled before they count as idle.
+			this.reactor.delay(IDLE_CHECK_INTERVAL, () -> finishWhenIdle(onStopped));
 		});
 	}
 
