Go on following the store beside rows that can't be read

Callers could see: one row of another writer whose key holds no name (`member/`, `keys/`, `member/a b`, ...) ends the feed of the mesh's table at every daemon for good, and a daemon that starts is never ready; such a row among the leases keeps holders from knowing their own lease.

Cause: Directory and LeaseRenewal made names of keys outside of the parser whose errors are caught, and TableFeed scheduled its next poll only after the receiver of an answer had returned.

Change: keys are read where values are; what can't be read is left out alone, told once (ROW_IGNORED) and not passed on. Feeds schedule the next poll in any case. Other loops that would end with an exception in their step schedule first now.

--- a/daemon/src/main/java/org/brasspier/daemon/internal/gate/KeyQueue.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/gate/KeyQueue.java
@@ -68,9 +68,13 @@
 			this.checkScheduled = true;
 			this.reactor.delay(CHECK_INTERVAL, () -> {
 				this.checkScheduled = false;
-				check(System.nanoTime());
-				if (!this.waiting.isEmpty()) {
-					scheduleCheck();
+				try {
+					check(System.nanoTime());
+				}
+				finally {
+					if (!this.waiting.isEmpty()) {
+						scheduleCheck();
+					}
 				}
 			});
 		}
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/BackendCrashes.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/BackendCrashes.java
@@ -96,13 +96,13 @@
 
 	void start() {
 		this.reactor.delayBackground(OwnRowWriter.CHECK_INTERVAL, () -> {
+			start();
 			if (this.updatePending) {
 				sendToOthers();
 			}
 			repeatUpdate();
 			sendToNewInstances();
 			write();
-			start();
 		});
 	}
 
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/BackendGate.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/BackendGate.java
@@ -443,9 +443,13 @@
 		this.expiryCheckScheduled = true;
 		this.reactor.delay(EXPIRY_CHECK_INTERVAL, () -> {
 			this.expiryCheckScheduled = false;
-			applyDecisions(this.admission.advance(System.nanoTime()));
-			if (this.admission.waiting() > 0) {
-				scheduleExpiryCheck();
+			try {
+				applyDecisions(this.admission.advance(System.nanoTime()));
+			}
+			finally {
+				if (this.admission.waiting() > 0) {
+					scheduleExpiryCheck();
+				}
 			}
 		});
 	}
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/Directory.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/Directory.java
@@ -115,26 +115,32 @@
 		this.rowsAppliedListener.run();
 	}
 
+	// A row that can't be read, whoever has written it, is left out alone.
 	private void apply(MetadataStore.Row row) {
-		if (row.key().startsWith(StoredRows.MEMBER_PREFIX)) {
-			applyMember(row, row.key().substring(StoredRows.MEMBER_PREFIX.length()));
-		}
-		else if (row.key().startsWith(StoredRows.KEYS_PREFIX) && row.value().isPresent()) {
-			applyKeys(row, row.key().substring(StoredRows.KEYS_PREFIX.length()), row.value().get());
+		Either<Failure, StoredRows.RowSubject> subject = StoredRows.subject(row.key());
+		if (subject.isLeft()) {
+			this.log.record(MeshEvent.ROW_IGNORED, "key", row.key(), "version", row.version(), "reason",
+					subject.getLeft().detail());
+			return;
 		}
-		else if (row.key().startsWith(StoredRows.CRASHES_PREFIX) && row.value().isPresent()) {
-			applyCrashState(row, new InstanceId(row.key().substring(StoredRows.CRASHES_PREFIX.length())),
-					row.value().get());
+		switch (subject.get()) {
+			case StoredRows.RowSubject.OfMember(InstanceId instance) -> applyMember(row, instance);
+			case StoredRows.RowSubject.OfKeys(ServiceName service) ->
+				row.value().ifPresent((value) -> applyKeys(row, service, value));
+			case StoredRows.RowSubject.OfCrashes(InstanceId instance) ->
+				row.value().ifPresent((value) -> applyCrashState(row, instance, value));
+			case StoredRows.RowSubject.OfOthers ignored -> {
+			}
 		}
 	}
 
-	private void applyMember(MetadataStore.Row row, String instance) {
+	private void applyMember(MetadataStore.Row row, InstanceId instance) {
 		if (row.value().isEmpty()) {
-			this.members.remove(new InstanceId(instance));
+			this.members.remove(instance);
 			membersChanged();
 			return;
 		}
-		if (memberVersion(new InstanceId(instance)) >= row.version()) {
+		if (memberVersion(instance) >= row.version()) {
 			return;
 		}
 		Either<Failure, Member> read = StoredRows.member(instance, row.value().get());
@@ -149,9 +155,8 @@
 				member.ready(), "life", member.incarnation().map(String::valueOf).orElse(""), "version", row.version());
 	}
 
-	private void applyKeys(MetadataStore.Row row, String service, byte[] value) {
-		ServiceName name = new ServiceName(service);
-		if (keysVersion(name) >= row.version()) {
+	private void applyKeys(MetadataStore.Row row, ServiceName service, byte[] value) {
+		if (keysVersion(service) >= row.version()) {
 			return;
 		}
 		Either<Failure, KeyMap> read = StoredRows.keys(value);
@@ -159,7 +164,7 @@
 			this.log.record(MeshEvent.KEYS_MOVED, "service", service, "unreadable", read.getLeft().detail());
 			return;
 		}
-		this.keys.put(name, new Entry<>(read.get(), row));
+		this.keys.put(service, new Entry<>(read.get(), row));
 		this.newestVersion = Math.max(this.newestVersion, row.version());
 		this.keysListeners.forEach(Runnable::run);
 	}
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/KeyOwnership.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/KeyOwnership.java
@@ -118,8 +118,8 @@
 
 	void start() {
 		this.reactor.delayBackground(STEP_INTERVAL, () -> {
-			step();
 			start();
+			step();
 		});
 	}
 
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/LeaseRenewal.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/LeaseRenewal.java
@@ -3,11 +3,11 @@
 import java.security.SecureRandom;
 import java.time.Duration;
 import java.util.List;
+import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.LongSupplier;
-import java.util.stream.Collectors;
 
 import io.activej.promise.Promise;
 import io.activej.reactor.nio.NioReactor;
@@ -104,6 +104,8 @@
 
 	private boolean renewing;
 
+	private long newestIgnoredVersion;
+
 	private boolean readingRows;
 
 	private boolean rowKnown;
@@ -284,9 +286,11 @@
 	}
 
 	private void onRowsRead(MetadataStore.Rows rows) {
-		Map<InstanceId, LeaseRow> leases = rows.rows()
-			.stream()
-			.collect(Collectors.toMap((row) -> new InstanceId(row.key()), this::row));
+		Map<InstanceId, LeaseRow> leases = new HashMap<>();
+		rows.rows()
+			.forEach((row) -> StoredRows.leaseInstance(row.key())
+				.peek((instance) -> leases.put(instance, row(row)))
+				.peekLeft((failure) -> logIgnored(row, failure)));
 		this.monitor.onRowsRead(leases, this.clock.getAsLong());
 		long own = Optional.ofNullable(leases.get(this.self)).map(LeaseRow::version).orElse(0L);
 		if (!this.rowKnown || own > this.lease.rowVersion()) {
@@ -296,6 +300,15 @@
 		}
 	}
 
+	// The table is read again and again, and an unreadable row stays in it.
+	private void logIgnored(MetadataStore.Row row, Failure failure) {
+		if (row.version() > this.newestIgnoredVersion) {
+			this.newestIgnoredVersion = row.version();
+			this.log.record(MeshEvent.ROW_IGNORED, "key", row.key(), "version", row.version(), "reason",
+					failure.detail());
+		}
+	}
+
 	// A row that can't be parsed still counts with its version.
 	private LeaseRow row(MetadataStore.Row row) {
 		Either<Failure, LeaseRow> read = StoredRows.lease(row.version(), row.value().orElseGet(() -> new byte[0]));
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/Member.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/Member.java
@@ -32,13 +32,22 @@
 		OptionalDouble perSecond) {
 
 	/**
-	 * Validates the number of slots.
-	 * @throws IllegalArgumentException if {@code slots} is less than 1
+	 * Validates the numbers.
+	 * @throws IllegalArgumentException if the port is 0, {@code slots} is less than 1,
+	 * {@code linkMegabits} is negative, or {@code perSecond} is negative or infinite
 	 */
 	Member {
 		if (slots < 1) {
 			throw new IllegalArgumentException("instance %s: slots %d must be at least 1".formatted(instance, slots));
 		}
+		if (address.getPort() == 0 || linkMegabits < 0) {
+			throw new IllegalArgumentException("instance %s: the port of %s must not be 0, nor the link of %d negative"
+				.formatted(instance, address, linkMegabits));
+		}
+		if (perSecond.isPresent() && !(perSecond.getAsDouble() >= 0 && Double.isFinite(perSecond.getAsDouble()))) {
+			throw new IllegalArgumentException(
+					"instance %s: limit %s must be a number of requests".formatted(instance, perSecond));
+		}
 	}
 
 	Member(InstanceId instance, InetSocketAddress address, FailureDomain failureDomain, ServiceName service,
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/MemberWriter.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/MemberWriter.java
@@ -47,8 +47,8 @@
 
 	void start() {
 		this.reactor.delayBackground(OwnRowWriter.CHECK_INTERVAL, () -> {
-			writeIfChanged();
 			start();
+			writeIfChanged();
 		});
 	}
 
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/MeshEvent.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/MeshEvent.java
@@ -32,6 +32,8 @@
 	ROWS_TOLD(1203),
 	/** The set of evacuated failure domains has changed. */
 	EVACUATION_CHANGED(1204),
+	/** A row of the store was left out, since its key can't be read. */
+	ROW_IGNORED(1205),
 	/** An instance was added, or its row has changed. */
 	MEMBER_CHANGED(1301),
 	/**
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/MeshNode.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/MeshNode.java
@@ -209,8 +209,8 @@
 
 	private void scheduleProcessorTimes() {
 		this.reactor.delay(PROCESSOR_TIMES_INTERVAL, () -> {
-			recordProcessorTimes();
 			scheduleProcessorTimes();
+			recordProcessorTimes();
 		});
 	}
 
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/StoreFollowing.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/StoreFollowing.java
@@ -118,8 +118,8 @@
 
 	private void scheduleStep() {
 		this.reactor.delayBackground(STEP_INTERVAL, () -> {
-			step();
 			scheduleStep();
+			step();
 		});
 	}
 
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/StoredRows.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/StoredRows.java
@@ -2,7 +2,6 @@
 
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.UnknownHostException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -10,6 +9,7 @@
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.Set;
+import java.util.function.Supplier;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
 
@@ -73,6 +73,26 @@
 	private StoredRows() {
 	}
 
+	/**
+	 * Decodes the key of a row of the table {@link #MESH}.
+	 * @param key the key
+	 * @return what the row holds, or why the key can't be read
+	 */
+	static Either<Failure, RowSubject> subject(String key) {
+		return parse(() -> {
+			if (key.startsWith(MEMBER_PREFIX)) {
+				return new RowSubject.OfMember(new InstanceId(key.substring(MEMBER_PREFIX.length())));
+			}
+			if (key.startsWith(KEYS_PREFIX)) {
+				return new RowSubject.OfKeys(new ServiceName(key.substring(KEYS_PREFIX.length())));
+			}
+			if (key.startsWith(CRASHES_PREFIX)) {
+				return new RowSubject.OfCrashes(new InstanceId(key.substring(CRASHES_PREFIX.length())));
+			}
+			return new RowSubject.OfOthers();
+		});
+	}
+
 	static byte[] member(Member member) {
 		MemberRow row = new MemberRow(text(member.address()), member.failureDomain().value(), member.service().value(),
 				member.incarnation().map(BackendIncarnation::id).orElse(null),
@@ -82,12 +102,12 @@
 		return bytes(row);
 	}
 
-	static Either<Failure, Member> member(String instance, byte[] value) {
+	static Either<Failure, Member> member(InstanceId instance, byte[] value) {
 		return parse(() -> {
 			MemberRow row = GSON.fromJson(new String(value, StandardCharsets.UTF_8), MemberRow.class);
 			Optional<BackendIncarnation> incarnation = Optional.ofNullable(row.backend())
 				.map((id) -> new BackendIncarnation(id, row.born()));
-			return new Member(new InstanceId(instance), address(row.address()), new FailureDomain(row.domain()),
+			return new Member(instance, address(row.address()), new FailureDomain(row.domain()),
 					new ServiceName(row.service()), incarnation, row.slots(), row.ready(), row.passesRows(),
 					row.linkMegabits(),
 					(row.perSecond() != null) ? OptionalDouble.of(row.perSecond()) : OptionalDouble.empty());
@@ -181,6 +201,15 @@
 		return bytes(new LeaseText(null, null, null, newHolder.value()));
 	}
 
+	/**
+	 * Decodes the key of a row of the table {@link #LEASES}.
+	 * @param key the key
+	 * @return the instance whose lease it is, or why the key can't be read
+	 */
+	static Either<Failure, InstanceId> leaseInstance(String key) {
+		return parse(() -> new InstanceId(key));
+	}
+
 	static Either<Failure, LeaseRow> lease(long version, byte[] value) {
 		return parse(() -> {
 			LeaseText row = GSON.fromJson(new String(value, StandardCharsets.UTF_8), LeaseText.class);
@@ -263,12 +292,12 @@
 		return GSON.toJson(row).getBytes(StandardCharsets.UTF_8);
 	}
 
-	private static <T> Either<Failure, T> parse(Parser<T> parser) {
+	private static <T> Either<Failure, T> parse(Supplier<T> parser) {
 		try {
-			return Either.right(parser.parse());
+			return Either.right(parser.get());
 		}
 		catch (JsonParseException | IllegalArgumentException | IllegalStateException | UnsupportedOperationException
-				| ClassCastException | NullPointerException | IndexOutOfBoundsException | UnknownHostException ex) {
+				| ClassCastException | NullPointerException | IndexOutOfBoundsException ex) {
 			return Either.left(Failure.of(ErrorKind.STATE_UNREADABLE, "a row of the store can't be parsed: " + ex));
 		}
 	}
@@ -277,16 +306,44 @@
 		return address.getAddress().getHostAddress() + ":" + address.getPort();
 	}
 
-	private static InetSocketAddress address(String text) throws UnknownHostException {
+	private static InetSocketAddress address(String text) {
 		int colon = text.lastIndexOf(':');
-		// The host is always an IP address, so this does no DNS lookup.
-		return new InetSocketAddress(InetAddress.getByName(text.substring(0, colon)),
+		return new InetSocketAddress(InetAddress.ofLiteral(text.substring(0, colon)),
 				Integer.parseInt(text.substring(colon + 1)));
 	}
 
-	private interface Parser<T> {
+	/**
+	 * What a row of the table {@link #MESH} holds.
+	 */
+	sealed interface RowSubject {
+
+		/**
+		 * An instance's entry.
+		 *
+		 * @param instance the instance
+		 */
+		record OfMember(InstanceId instance) implements RowSubject {
+		}
+
+		/**
+		 * The key map of a service.
+		 *
+		 * @param service the service
+		 */
+		record OfKeys(ServiceName service) implements RowSubject {
+		}
 
-		T parse() throws UnknownHostException;
+		/**
+		 * The crash state that an instance tells.
+		 *
+		 * @param instance the instance
+		 */
+		record OfCrashes(InstanceId instance) implements RowSubject {
+		}
+
+		/** Something that this build doesn't know. */
+		record OfOthers() implements RowSubject {
+		}
 
 	}
 
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/TableFeed.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/TableFeed.java
@@ -207,10 +207,15 @@
 		else {
 			boolean changed = wholeTable || rows.filter((each) -> !each.rows().isEmpty()).isPresent();
 			this.timing.onAnswer(changed);
-			apply(rows, wholeTable);
-			notifyIfSuspicionChanged(wasSuspect);
-			this.batching = changed && !wholeTable;
-			schedulePoll(this.batching ? this.batchDelay : Duration.ZERO);
+			try {
+				apply(rows, wholeTable);
+				notifyIfSuspicionChanged(wasSuspect);
+			}
+			finally {
+				// A feed that ends for a failure in a receiver would never resume.
+				this.batching = changed && !wholeTable;
+				schedulePoll(this.batching ? this.batchDelay : Duration.ZERO);
+			}
 		}
 		this.health.recordCall(this.table, failure);
 	}
--- a/daemon/src/test/java/org/brasspier/daemon/internal/mesh/DirectoryTests.java
+++ b/daemon/src/test/java/org/brasspier/daemon/internal/mesh/DirectoryTests.java
@@ -2,6 +2,7 @@
 
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -20,6 +21,8 @@
 import org.brasspier.daemon.internal.evacuation.EvacuationRows;
 import org.brasspier.daemon.mesh.MetadataStore;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static com.google.common.truth.Truth.assertThat;
 
@@ -143,4 +146,38 @@
 		assertThat(this.directory.rowsAfter(5)).containsExactly(row);
 	}
 
+	/**
+	 * Guards against one unreadable row that hides all rows behind it, since it ends the
+	 * feed that delivered them.
+	 */
+	@ParameterizedTest
+	@ValueSource(strings = { "member/", "member/a b", "member/a/b", "keys/", "keys/a b", "crashes/", "crashes/a b",
+			"member/12345678901234567890123456789012345678901234567890123456789012345", "unknown/a" })
+	void aRowWithAnUnreadableKeyIsLeftOutAlone(String key) {
+		for (Optional<byte[]> value : List.of(Optional.of(new byte[] { '{', '}' }), Optional.<byte[]>empty())) {
+			Member sound = new Member(new InstanceId("sound"), ADDRESS, new FailureDomain("duluth"), SERVICE,
+					Optional.empty(), 1, true);
+			this.directory
+				.apply(new MetadataStore.Rows(List.of(new MetadataStore.Row(key, value, 5), new MetadataStore.Row(
+						StoredRows.MEMBER_PREFIX + "sound", Optional.of(StoredRows.member(sound)), 6)), 6), true);
+			assertThat(this.directory.serving(SERVICE)).containsExactly(sound);
+			assertThat(this.directory.rowsAfter(0)).hasSize(1);
+		}
+	}
+
+	/** Guards against values that can be read but can't be true. */
+	@ParameterizedTest
+	@ValueSource(strings = { "\"10.0.0.1:70000\"", "\"10.0.0.1:0\"", "\"host.example:80\"", "\"10.0.0.1:-1\"", "7",
+			"null", "\"10.0.0.1:80\",\"slots\":1e99", "\"10.0.0.1:80\",\"linkMegabits\":-1",
+			"\"10.0.0.1:80\",\"perSecond\":1e999", "\"10.0.0.1:80\",\"perSecond\":-1" })
+	void aMemberWithImpossibleValuesIsLeftOut(String address) {
+		String row = "{\"domain\":\"d\",\"service\":\"%s\",\"slots\":1,\"ready\":true,\"address\":%s}"
+			.formatted(SERVICE, address);
+		this.directory.apply(
+				new MetadataStore.Rows(List
+					.of(new MetadataStore.Row("member/a", Optional.of(row.getBytes(StandardCharsets.UTF_8)), 5)), 5),
+				false);
+		assertThat(this.directory.serving(SERVICE)).isEmpty();
+	}
+
 }
--- a/daemon/src/test/java/org/brasspier/daemon/internal/mesh/StoredRowsTests.java
+++ b/daemon/src/test/java/org/brasspier/daemon/internal/mesh/StoredRowsTests.java
@@ -65,10 +65,10 @@
 				new FailureDomain("z"), new ServiceName("s"), Optional.of(INCARNATION), 4, true, true, 200,
 				OptionalDouble.of(36.9));
 		byte[] row = StoredRows.member(member);
-		assertThat(StoredRows.member("a", row).get()).isEqualTo(member);
+		assertThat(StoredRows.member(new InstanceId("a"), row).get()).isEqualTo(member);
 		String earlier = new String(row, StandardCharsets.UTF_8).replace(",\"linkMegabits\":200,\"perSecond\":36.9",
 				"");
-		Member read = StoredRows.member("a", earlier.getBytes(StandardCharsets.UTF_8)).get();
+		Member read = StoredRows.member(new InstanceId("a"), earlier.getBytes(StandardCharsets.UTF_8)).get();
 		assertThat(read.linkMegabits()).isEqualTo(0);
 		assertThat(read.perSecond()).isEqualTo(OptionalDouble.empty());
 	}
--- a/daemon/src/test/java/org/brasspier/daemon/internal/mesh/TableFeedTests.java
+++ b/daemon/src/test/java/org/brasspier/daemon/internal/mesh/TableFeedTests.java
@@ -48,6 +48,26 @@
 		assertThat(this.received).containsExactly(5L);
 	}
 
+	/**
+	 * Guards against a feed that ends for good because a change that it delivered could
+	 * not be handled.
+	 */
+	@Test
+	void aFeedGoesOnIfAChangeCannotBeHandled() {
+		TableFeed failing = new TableFeed(this.loop, this.store, "table", Duration.ZERO,
+				(timing) -> timing.nextWait(0, 1), this.health, this.log, (rows, wholeTable) -> {
+					throw new IllegalStateException("can't be handled");
+				});
+		failing.start();
+		try {
+			this.store.reads.get(0).set(ROWS_AT_VERSION_5);
+		}
+		catch (IllegalStateException ex) {
+			// The event loop reports it.
+		}
+		assertThat(this.store.afters).containsExactly(5L);
+	}
+
 	/**
 	 * Guards against a feed that waits on a silent connection after another call has
 	 * shown that the store is unavailable.
