--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/LeaseRenewal.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/LeaseRenewal.java
@@ -2,8 +2,8 @@
 
 import java.security.SecureRandom;
 import java.time.Duration;
-import java.util.List;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
--- a/daemon/src/test/java/org/brasspier/daemon/internal/http/LeavingCallerTests.java
+++ b/daemon/src/test/java/org/brasspier/daemon/internal/http/LeavingCallerTests.java
@@ -13,9 +13,6 @@
 import org.junit.jupiter.params.provider.CsvSource;
 
 import static com.google.common.truth.Truth.assertThat;
-import static org.brasspier.daemon.internal.http.RunningCallerServer.await;
-import static org.brasspier.daemon.internal.http.RunningCallerServer.request;
-import static org.brasspier.daemon.internal.http.RunningCallerServer.send;
 
 class LeavingCallerTests {
 
@@ -53,10 +50,10 @@
 			throws Exception {
 		int taken = Math.min(count, MAX_UNANSWERED);
 		Socket caller = this.requests.connect();
-		send(caller, request(version, field).repeat(count));
-		await("the requests are taken", () -> this.requests.served.get() == taken);
+		RunningCallerServer.send(caller, RunningCallerServer.request(version, field).repeat(count));
+		RunningCallerServer.await("the requests are taken", () -> this.requests.served.get() == taken);
 		leave(caller, reset);
-		await("all are cancelled", () -> this.requests.cancelled.get() == taken);
+		RunningCallerServer.await("all are cancelled", () -> this.requests.cancelled.get() == taken);
 		assertThat(this.requests.served.get()).isEqualTo(taken);
 	}
 
@@ -78,12 +75,12 @@
 			}
 		});
 		Socket caller = this.requests.connect();
-		send(caller, request("1.1", field));
+		RunningCallerServer.send(caller, RunningCallerServer.request("1.1", field));
 		leave(caller, reset);
 		behind.countDown();
 		Socket next = this.requests.connect();
-		send(next, request("1.1", ""));
-		await("a later request is served", () -> this.requests.served.get() > 0);
+		RunningCallerServer.send(next, RunningCallerServer.request("1.1", ""));
+		RunningCallerServer.await("a later request is served", () -> this.requests.served.get() > 0);
 		this.requests.onLoop(() -> {
 		});
 		assertThat(this.requests.served.get()).isEqualTo(1);
@@ -94,9 +91,10 @@
 	@Test
 	void bytesBehindTheLastRequestNeverBecomeARequest() throws Exception {
 		try (Socket caller = this.requests.connect()) {
-			send(caller, request("1.1", "Connection: close") + request("1.1", "").repeat(3));
-			await("the request is taken", () -> this.requests.served.get() == 1);
-			send(caller, request("1.1", ""));
+			RunningCallerServer.send(caller, RunningCallerServer.request("1.1", "Connection: close")
+					+ RunningCallerServer.request("1.1", "").repeat(3));
+			RunningCallerServer.await("the request is taken", () -> this.requests.served.get() == 1);
+			RunningCallerServer.send(caller, RunningCallerServer.request("1.1", ""));
 			this.requests.onLoop(() -> this.requests.answerAll());
 			String answers = new String(caller.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
 			assertThat(answers.split("HTTP/1.1 200", -1)).hasLength(2);
@@ -112,14 +110,14 @@
 	@CsvSource({ "Connection: close,1", "'',16" })
 	void aCallerThatSendsWithoutEndIsReadUntilItLeaves(String field, int taken) throws Exception {
 		Socket caller = this.requests.connect();
-		send(caller, request("1.1", field).repeat(taken));
-		await("the requests are taken", () -> this.requests.served.get() == taken);
-		byte[] more = request("1.1", "").repeat(1000).getBytes(StandardCharsets.US_ASCII);
+		RunningCallerServer.send(caller, RunningCallerServer.request("1.1", field).repeat(taken));
+		RunningCallerServer.await("the requests are taken", () -> this.requests.served.get() == taken);
+		byte[] more = RunningCallerServer.request("1.1", "").repeat(1000).getBytes(StandardCharsets.US_ASCII);
 		for (int i = 0; i < 500; i++) {
 			caller.getOutputStream().write(more);
 		}
 		leave(caller, false);
-		await("all are cancelled", () -> this.requests.cancelled.get() == taken);
+		RunningCallerServer.await("all are cancelled", () -> this.requests.cancelled.get() == taken);
 		assertThat(this.requests.served.get()).isEqualTo(taken);
 	}
 
@@ -131,8 +129,9 @@
 	@Test
 	void aCallerThatSendsTooMuchAheadGetsTheAnswersToWhatWasParsed() throws Exception {
 		try (Socket caller = this.requests.connect()) {
-			send(caller, request("1.1", "").repeat(10_000));
-			await("the first requests are taken", () -> this.requests.served.get() == MAX_UNANSWERED);
+			RunningCallerServer.send(caller, RunningCallerServer.request("1.1", "").repeat(10_000));
+			RunningCallerServer.await("the first requests are taken",
+					() -> this.requests.served.get() == MAX_UNANSWERED);
 			this.requests.onLoop(() -> this.requests.answerAll());
 			String answers = new String(caller.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
 			assertThat(answers.split("HTTP/1.1 200", -1)).hasLength(MAX_UNANSWERED + 1);
@@ -148,10 +147,10 @@
 	@Test
 	void aCallerThatOnlyStopsSendingGetsTheAnswerOfWhatRan() throws Exception {
 		try (Socket caller = this.requests.connect()) {
-			send(caller, request("1.1", ""));
-			await("the request is taken", () -> this.requests.served.get() == 1);
+			RunningCallerServer.send(caller, RunningCallerServer.request("1.1", ""));
+			RunningCallerServer.await("the request is taken", () -> this.requests.served.get() == 1);
 			caller.shutdownOutput();
-			await("it is cancelled", () -> this.requests.cancelled.get() == 1);
+			RunningCallerServer.await("it is cancelled", () -> this.requests.cancelled.get() == 1);
 			this.requests.onLoop(() -> this.requests.answerAll());
 			String answer = new String(caller.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
 			assertThat(answer).startsWith("HTTP/1.1 200");
--- a/daemon/src/test/java/org/brasspier/daemon/internal/http/StoppingCallerServerTests.java
+++ b/daemon/src/test/java/org/brasspier/daemon/internal/http/StoppingCallerServerTests.java
@@ -11,9 +11,6 @@
 import org.junit.jupiter.params.provider.ValueSource;
 
 import static com.google.common.truth.Truth.assertThat;
-import static org.brasspier.daemon.internal.http.RunningCallerServer.await;
-import static org.brasspier.daemon.internal.http.RunningCallerServer.request;
-import static org.brasspier.daemon.internal.http.RunningCallerServer.send;
 
 class StoppingCallerServerTests {
 
@@ -37,11 +34,11 @@
 	@ValueSource(ints = { 1, 3, 16 })
 	void aConnectionWithOverlappingRequestsIsClosedWithTheAnswerToTheLastOneTaken(int taken) throws Exception {
 		try (Socket caller = this.requests.connect()) {
-			send(caller, request("1.1", "").repeat(taken));
-			await("the requests are taken", () -> this.requests.served.get() == taken);
+			RunningCallerServer.send(caller, RunningCallerServer.request("1.1", "").repeat(taken));
+			RunningCallerServer.await("the requests are taken", () -> this.requests.served.get() == taken);
 			this.requests.onLoop(this.requests.server()::leave);
 			for (int i = 0; i < 10; i++) {
-				send(caller, request("1.1", ""));
+				RunningCallerServer.send(caller, RunningCallerServer.request("1.1", ""));
 			}
 			this.requests.onLoop(this.requests::answerAll);
 			String answers = new String(caller.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
@@ -57,8 +54,8 @@
 	void anIdleConnectionIsGivenOneMoreRequestWhichClosesIt() throws Exception {
 		try (Socket caller = this.requests.connect()) {
 			this.requests.onLoop(this.requests.server()::leave);
-			send(caller, request("1.1", "").repeat(3));
-			await("the request is taken", () -> this.requests.served.get() == 1);
+			RunningCallerServer.send(caller, RunningCallerServer.request("1.1", "").repeat(3));
+			RunningCallerServer.await("the request is taken", () -> this.requests.served.get() == 1);
 			this.requests.onLoop(this.requests::answerAll);
 			String answers = new String(caller.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
 			assertThat(answers.split("HTTP/1.1 200", -1)).hasLength(2);
@@ -74,18 +71,18 @@
 	@Test
 	void theLastAnswerIsReadableAlsoIfTheCallerGoesOnSending() throws Exception {
 		try (Socket caller = this.requests.connect()) {
-			send(caller, request("1.1", ""));
-			await("the request is taken", () -> this.requests.served.get() == 1);
+			RunningCallerServer.send(caller, RunningCallerServer.request("1.1", ""));
+			RunningCallerServer.await("the request is taken", () -> this.requests.served.get() == 1);
 			this.requests.onLoop(this.requests.server()::leave);
 			this.requests.onLoop(this.requests::answerAll);
 			for (int i = 0; i < 10; i++) {
-				send(caller, request("1.1", ""));
+				RunningCallerServer.send(caller, RunningCallerServer.request("1.1", ""));
 				this.requests.onLoop(this.requests.server()::closeIdle);
 			}
 			String answer = new String(caller.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
 			assertThat(answer).startsWith("HTTP/1.1 200");
 		}
-		await("the connection is closed", () -> this.requests.server().openConnections() == 0);
+		RunningCallerServer.await("the connection is closed", () -> this.requests.server().openConnections() == 0);
 	}
 
 }
--- a/daemon/src/test/java/org/brasspier/daemon/internal/mesh/DirectoryTests.java
+++ b/daemon/src/test/java/org/brasspier/daemon/internal/mesh/DirectoryTests.java
@@ -2,7 +2,6 @@
 
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
