Bound the bodies of all messages together by the heap

Reported by operators of a similar system: a server's answer without end was kept until the process ran out of memory. Here each was kept up to 64 MB, more than the heap can hold, and nothing bounded them together.

Cause: limits were for one message, larger than the heap, and a body took several times its size (a doubling array and copies).

Change: BodyBudget, a part of the heap each for bodies of requests and of answers. A body of known length is not received before all of it has memory; its connection waits in order, a request for a second (then 503, not run), an answer until its deadline. Others fail at once: too large 413 or 502, no memory 503 or 502. Small bodies have a part of their own. Arrays are allocated once and handed on. Gauges for both.

Open: large answers that callers or other daemons read slowly.

--- a/daemon/src/main/java/org/brasspier/daemon/internal/http/BackendPool.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/http/BackendPool.java
@@ -40,7 +40,7 @@
 
 	private final NioReactor reactor;
 
-	private final int maxBodyBytes;
+	private final BodyBudget bodies;
 
 	private final Deque<BackendSocket> idle = new ArrayDeque<>();
 
@@ -54,13 +54,14 @@
 	 * Creates an empty pool.
 	 * @param reactor the reactor of the request thread
 	 * @param address the address of the server
-	 * @param maxBodyBytes the maximum size of an answer body, in bytes
+	 * @param bodies the memory for the bodies of answers
 	 * @param connections the connections to this server, of all its pools
 	 */
-	public BackendPool(NioReactor reactor, InetSocketAddress address, int maxBodyBytes, ServerConnections connections) {
+	public BackendPool(NioReactor reactor, InetSocketAddress address, BodyBudget bodies,
+			ServerConnections connections) {
 		this.reactor = reactor;
 		this.address = address;
-		this.maxBodyBytes = maxBodyBytes;
+		this.bodies = bodies;
 		this.connections = connections;
 	}
 
@@ -178,7 +179,7 @@
 	}
 
 	private Promise<BackendSocket> connect() {
-		return BackendSocket.connect(this.reactor, this.address, CONNECT_TIMEOUT, this.maxBodyBytes, this.connections);
+		return BackendSocket.connect(this.reactor, this.address, CONNECT_TIMEOUT, this.bodies, this.connections);
 	}
 
 	private void begin(BackendRun run, BackendSocket socket, RawRequest request, Predicate<Answer> own) {
--- a/daemon/src/main/java/org/brasspier/daemon/internal/http/BackendSocket.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/http/BackendSocket.java
@@ -18,6 +18,7 @@
 import org.brasspier.core.request.HeaderField;
 import org.brasspier.daemon.mesh.RawRequest;
 import org.eclipse.jetty.http.HttpParser;
+import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.http.HttpVersion;
 import org.jspecify.annotations.Nullable;
 
@@ -56,7 +57,7 @@
 
 	private final TcpSocket socket;
 
-	private final int maxBodyBytes;
+	private final BodyBudget bodies;
 
 	private final ServerConnections connections;
 
@@ -84,19 +85,19 @@
 
 	private long idleSinceNanos;
 
-	private BackendSocket(TcpSocket socket, int maxBodyBytes, ServerConnections connections) {
+	private BackendSocket(TcpSocket socket, BodyBudget bodies, ServerConnections connections) {
 		this.socket = socket;
-		this.maxBodyBytes = maxBodyBytes;
+		this.bodies = bodies;
 		this.connections = connections;
 		this.openedMark = connections.nextMark();
-		this.collector = new Collector(maxBodyBytes);
+		this.collector = new Collector(bodies);
 		this.parser = new HttpParser(this.collector);
 	}
 
 	static Promise<BackendSocket> connect(NioReactor reactor, InetSocketAddress address, Duration timeout,
-			int maxBodyBytes, ServerConnections connections) {
+			BodyBudget bodies, ServerConnections connections) {
 		return TcpSocket.connect(reactor, address, timeout, SOCKETS).map((socket) -> {
-			BackendSocket connected = new BackendSocket(socket, maxBodyBytes, connections);
+			BackendSocket connected = new BackendSocket(socket, bodies, connections);
 			connected.rest(DEFAULT_IDLE_NANOS);
 			connections.opened(connected);
 			connected.read();
@@ -120,14 +121,16 @@
 		this.skippedNonBodyBytes = 0;
 		this.skippedBodyBytes = 0;
 		startOver();
-		this.parser.setHeadResponse(request.method().equals("HEAD"));
+		this.collector.toHead = request.method().equals("HEAD");
+		this.parser.setHeadResponse(this.collector.toHead);
 		this.socket.write(ByteBuf.wrapForReading(MessageText.request(request)))
 			.whenException((ex) -> broken("sending failed: " + ex.getMessage()));
 		return begun.reply;
 	}
 
 	private void startOver() {
-		this.collector = new Collector(this.maxBodyBytes);
+		this.collector.release();
+		this.collector = new Collector(this.bodies);
 		this.parser = new HttpParser(this.collector);
 	}
 
@@ -153,6 +156,10 @@
 		}
 		while (bytes.hasRemaining() && this.exchange != null && !this.closed) {
 			parse(bytes);
+			if (this.collector.waitsForMemory()) {
+				awaitMemory(bytes);
+				return;
+			}
 		}
 		if (this.exchange == null && bytes.hasRemaining()) {
 			broken("bytes came behind an answer");
@@ -170,6 +177,9 @@
 		if (this.collector.fault().isPresent() || this.collector.tooLarge() || exceedsLimits()) {
 			garbled("the answer is no HTTP/1.1 or too large");
 		}
+		else if (this.collector.outOfMemory()) {
+			garbled("other answers take up the memory that this one needs");
+		}
 		else if (this.collector.whole()) {
 			whole();
 		}
@@ -178,10 +188,27 @@
 		}
 	}
 
+	// The answer is read on once there is memory for all of it, or never, if its request
+	// is given up before.
+	private void awaitMemory(ByteBuffer unread) {
+		Collector waiting = this.collector;
+		waiting.awaitMemory(() -> {
+			if (this.closed || waiting != this.collector) {
+				return true;
+			}
+			waiting.reserveStatedLength();
+			if (waiting.waitsForMemory()) {
+				return false;
+			}
+			take(unread);
+			return true;
+		});
+	}
+
 	private boolean exceedsLimits() {
 		return (!this.collector.headComplete() && this.nonBodyBytes - this.skippedNonBodyBytes > MAX_HEAD_BYTES)
 				|| this.nonBodyBytes > MAX_NON_BODY_BYTES
-				|| this.skippedBodyBytes + this.collector.bodySize() > this.maxBodyBytes;
+				|| this.skippedBodyBytes + this.collector.bodySize() > this.bodies.largestBody();
 	}
 
 	private void whole() {
@@ -198,6 +225,7 @@
 			return;
 		}
 		this.exchange = null;
+		this.collector.release();
 		this.connections.answered(this, current.sentMark);
 		if (reusable) {
 			rest(maxIdleNanos(answer));
@@ -262,6 +290,7 @@
 	void close() {
 		if (!this.closed) {
 			this.closed = true;
+			this.collector.release();
 			this.connections.closed(this);
 			this.socket.closeEx(new AsyncCloseException("done"));
 		}
@@ -285,12 +314,14 @@
 
 		private static final int FIRST_FINAL_STATUS = 200;
 
+		private boolean toHead;
+
 		private int status;
 
 		private HttpVersion version = HttpVersion.HTTP_1_1;
 
-		Collector(int maxBodyBytes) {
-			super(maxBodyBytes);
+		Collector(BodyBudget bodies) {
+			super(Integer.MAX_VALUE, bodies);
 		}
 
 		@Override
@@ -299,6 +330,16 @@
 			this.status = newStatus;
 		}
 
+		@Override
+		public boolean headerComplete() {
+			boolean hasBody = !this.toHead && this.status != HttpStatus.NOT_MODIFIED_304
+					&& this.status != HttpStatus.NO_CONTENT_204 && !informational();
+			if (hasBody) {
+				reserveStatedLength();
+			}
+			return super.headerComplete() || waitsForMemory();
+		}
+
 		boolean informational() {
 			return this.status < FIRST_FINAL_STATUS;
 		}
--- a/daemon/src/main/java/org/brasspier/daemon/internal/http/CallerServer.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/http/CallerServer.java
@@ -43,6 +43,8 @@
 
 	private final Supplier<CallerLimits> limits;
 
+	private final BodyBudget bodies;
+
 	private final Set<CallerSocket> sockets = new HashSet<>();
 
 	private final List<CallerSocket> received = new ArrayList<>();
@@ -59,12 +61,15 @@
 	 * @param address the address to listen on
 	 * @param handler serves the requests
 	 * @param limits supplies the limits currently in force
+	 * @param bodies the memory for the bodies of requests
 	 */
-	public CallerServer(NioReactor reactor, InetSocketAddress address, Handler handler, Supplier<CallerLimits> limits) {
+	public CallerServer(NioReactor reactor, InetSocketAddress address, Handler handler, Supplier<CallerLimits> limits,
+			BodyBudget bodies) {
 		this.reactor = reactor;
 		this.address = address;
 		this.handler = handler;
 		this.limits = limits;
+		this.bodies = bodies;
 	}
 
 	/**
@@ -80,7 +85,7 @@
 	private void accept(SocketChannel accepted) {
 		try {
 			TcpSocket socket = TcpSocket.wrapChannel(this.reactor, accepted, SOCKETS);
-			CallerSocket caller = new CallerSocket(socket, this, this.limits.get(), System.nanoTime());
+			CallerSocket caller = new CallerSocket(socket, this, this.limits.get(), this.bodies, System.nanoTime());
 			this.sockets.add(caller);
 			caller.begin();
 		}
--- a/daemon/src/main/java/org/brasspier/daemon/internal/http/CallerSocket.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/http/CallerSocket.java
@@ -52,6 +52,12 @@
 	 */
 	private static final long LINGER_NANOS = Duration.ofSeconds(1).toNanos();
 
+	/** How long a body may wait for memory before its request is refused. */
+	private static final long BODY_WAIT_NANOS = Duration.ofSeconds(1).toNanos();
+
+	/** Time in which most large bodies have been passed on. */
+	private static final Duration BODY_RETRY_AFTER = Duration.ofMillis(500);
+
 	private static final ByteBuffer EMPTY = ByteBuffer.allocate(0);
 
 	private static final byte[] CONTINUE = "HTTP/1.1 100 Continue\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
@@ -89,11 +95,11 @@
 
 	private long lastActivityNanos;
 
-	CallerSocket(ITcpSocket socket, CallerServer server, CallerLimits limits, long now) {
+	CallerSocket(ITcpSocket socket, CallerServer server, CallerLimits limits, BodyBudget bodies, long now) {
 		this.socket = socket;
 		this.server = server;
 		this.limits = limits;
-		this.collector = new Collector(limits.maxBodyBytes());
+		this.collector = new Collector(limits.maxBodyBytes(), bodies);
 		this.parser = new HttpParser(this.collector, limits.maxHeaderBytes());
 		this.lastActivityNanos = now;
 	}
@@ -112,13 +118,46 @@
 			}
 			else {
 				take(buf.asArray());
-				if (!this.closed) {
-					read();
-				}
+				readOn();
 			}
 		});
 	}
 
+	private void readOn() {
+		if (!this.closed && !this.collector.waitsForMemory()) {
+			read();
+		}
+	}
+
+	/**
+	 * Goes on with a request whose body waits for memory, if there is enough.
+	 * @return whether it need not wait any more
+	 */
+	private boolean tryResume() {
+		if (this.closed || !this.collector.waitsForMemory()) {
+			return true;
+		}
+		this.collector.reserveStatedLength();
+		if (this.collector.waitsForMemory()) {
+			return false;
+		}
+		parse();
+		readOn();
+		return true;
+	}
+
+	private void refuseForMemory() {
+		refuse(new Failure(ErrorKind.OVERLOADED, "other requests take up the memory that its body needs",
+				BODY_RETRY_AFTER));
+	}
+
+	// The rest of the body is dropped, if it comes at all.
+	private void stopWaiting() {
+		this.collector.stopWaiting();
+		refuseForMemory();
+		readOn();
+	}
+
 	private void take(byte[] bytes) {
 		if (this.last) {
 			this.dropped = true;
@@ -133,14 +172,21 @@
 	}
 
 	private void parse() {
-		while (this.unparsed.hasRemaining() && this.open.size() < MAX_UNANSWERED && !this.closed && !this.last) {
+		while (this.unparsed.hasRemaining() && this.open.size() < MAX_UNANSWERED && !this.closed && !this.last
+				&& !this.collector.waitsForMemory()) {
 			this.parser.parseNext(this.unparsed);
 			if (this.collector.fault().isPresent()) {
 				malformed(this.collector.fault().get());
 			}
 			else if (this.collector.tooLarge()) {
 				refuse(Failure.of(ErrorKind.BODY_TOO_LARGE,
-						"the body is larger than %d bytes".formatted(this.limits.maxBodyBytes())));
+						"the body is larger than %d bytes".formatted(this.collector.largestBody())));
+			}
+			else if (this.collector.outOfMemory()) {
+				refuseForMemory();
+			}
+			else if (this.collector.waitsForMemory()) {
+				this.collector.awaitMemory(this::tryResume);
 			}
 			else {
 				askForBody();
@@ -178,10 +224,10 @@
 	private void accept() {
 		RawRequest request = this.collector.request();
 		this.closeAnnounced = this.collector.saysClose() || this.collector.version != HttpVersion.HTTP_1_1;
+		Open opened = new Open(request, new Cancellation(), this.collector.takeReservation());
 		this.collector.startOver();
 		this.parser.reset();
 		this.last = this.closeAnnounced || this.server.leaving();
-		Open opened = new Open(request, new Cancellation());
 		this.open.add(opened);
 		this.unserved.add(opened);
 		if (this.unserved.size() == 1) {
@@ -216,13 +262,14 @@
 
 	private void refuse(Failure failure) {
 		this.last = true;
-		Open opened = new Open(this.collector.request(), new Cancellation());
+		Open opened = new Open(this.collector.request(), new Cancellation(), this.collector.takeReservation());
 		this.open.add(opened);
 		answered(opened, this.server.failed(opened.request, failure));
 	}
 
 	private void answered(Open opened, Answer answer) {
 		opened.answer = answer;
+		opened.reservation.release();
 		if (this.closed) {
 			return;
 		}
@@ -290,6 +337,7 @@
 	void close() {
 		if (!this.closed) {
 			this.closed = true;
+			this.collector.release();
 			this.socket.closeEx(new AsyncCloseException("done"));
 			this.server.closed(this);
 		}
@@ -320,6 +368,9 @@
 		else if (this.open.isEmpty() && idle() && inactiveNanos > this.limits.idleTimeout().toNanos()) {
 			close();
 		}
+		else if (this.collector.waitsForMemory() && inactiveNanos > BODY_WAIT_NANOS) {
+			stopWaiting();
+		}
 		else if (!this.parser.isStart() && !this.last && inactiveNanos > this.limits.headerTimeout().toNanos()) {
 			refuse(Failure.of(ErrorKind.REQUEST_TIMEOUT, "the request did not come whole in time"));
 		}
@@ -334,11 +385,14 @@
 
 		private final Cancellation cancellation;
 
+		private final BodyBudget.Reservation reservation;
+
 		private @Nullable Answer answer;
 
-		Open(RawRequest request, Cancellation cancellation) {
+		Open(RawRequest request, Cancellation cancellation, BodyBudget.Reservation reservation) {
 			this.request = request;
 			this.cancellation = cancellation;
+			this.reservation = reservation;
 		}
 
 	}
@@ -356,8 +410,8 @@
 
 		private boolean expects;
 
-		Collector(int maxBodyBytes) {
-			super(maxBodyBytes);
+		Collector(int maxBodyBytes, BodyBudget bodies) {
+			super(maxBodyBytes, bodies);
 		}
 
 		@Override
@@ -370,7 +424,8 @@
 		@Override
 		public boolean headerComplete() {
 			this.expects = hasField("Expect", CallerSocket::isContinue);
-			return super.headerComplete();
+			reserveStatedLength();
+			return super.headerComplete() || tooLarge() || waitsForMemory();
 		}
 
 		boolean takeExpectation() {
--- a/daemon/src/main/java/org/brasspier/daemon/internal/http/MessageCollector.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/http/MessageCollector.java
@@ -1,16 +1,18 @@
 package org.brasspier.daemon.internal.http;
 
-import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
+import java.util.function.BooleanSupplier;
 import java.util.function.Predicate;
 
 import org.brasspier.core.request.HeaderField;
 import org.eclipse.jetty.http.HttpException;
 import org.eclipse.jetty.http.HttpField;
+import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.http.HttpParser;
 
 /**
@@ -19,11 +21,25 @@
  */
 abstract class MessageCollector implements HttpParser.HttpHandler {
 
+	private static final int FIRST_BODY_BYTES = 256;
+
 	private final int maxBodyBytes;
 
+	private final BodyBudget budget;
+
 	private final List<HeaderField> headers = new ArrayList<>();
 
-	private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+	private byte[] body = new byte[0];
+
+	private int bodySize;
+
+	private long statedBytes;
+
+	private BodyBudget.Reservation reservation;
+
+	private boolean waitsForMemory;
+
+	private boolean outOfMemory;
 
 	private boolean whole;
 
@@ -33,13 +49,20 @@
 
 	private Optional<HttpException> fault = Optional.empty();
 
-	MessageCollector(int maxBodyBytes) {
+	MessageCollector(int maxBodyBytes, BodyBudget budget) {
 		this.maxBodyBytes = maxBodyBytes;
+		this.budget = budget;
+		this.reservation = budget.open();
 	}
 
+	// The memory of the body stays reserved for whoever has taken the reservation.
 	void startOver() {
 		this.headers.clear();
-		this.body.reset();
+		this.reservation.release();
+		this.reservation = this.budget.open();
+		this.body = new byte[0];
+		this.bodySize = 0;
+		this.statedBytes = 0;
 		this.whole = false;
 		this.headComplete = false;
 	}
@@ -56,6 +79,56 @@
 		return this.tooLarge;
 	}
 
+	// Whether the body would fit if other bodies did not take up the memory.
+	boolean outOfMemory() {
+		return this.outOfMemory;
+	}
+
+	// Returns the reservation of the body, which its taker has to release.
+	BodyBudget.Reservation takeReservation() {
+		BodyBudget.Reservation taken = this.reservation;
+		this.reservation = this.budget.open();
+		return taken;
+	}
+
+	void release() {
+		this.reservation.release();
+	}
+
+	// Reserves the memory for the whole body as soon as its length is known, so that it
+	// can wait for the memory before it is received.
+	void reserveStatedLength() {
+		this.tooLarge |= this.statedBytes > largestBody();
+		this.waitsForMemory = !this.tooLarge && !this.reservation.growTo(this.statedBytes);
+	}
+
+	void awaitMemory(BooleanSupplier tryResume) {
+		this.budget.await(tryResume);
+	}
+
+	// Whether the body must not be received until its memory is reserved.
+	boolean waitsForMemory() {
+		return this.waitsForMemory;
+	}
+
+	void stopWaiting() {
+		this.waitsForMemory = false;
+		this.budget.recordRefused();
+	}
+
+	long largestBody() {
+		return Math.min(this.maxBodyBytes, this.budget.largestBody());
+	}
+
+	private boolean hasRoomFor(long size) {
+		this.tooLarge |= size > largestBody();
+		this.outOfMemory |= !this.tooLarge && !this.reservation.growTo(size);
+		if (this.outOfMemory) {
+			this.budget.recordRefused();
+		}
+		return !this.tooLarge && !this.outOfMemory;
+	}
+
 	Optional<HttpException> fault() {
 		return this.fault;
 	}
@@ -65,11 +138,11 @@
 	}
 
 	int bodySize() {
-		return this.body.size();
+		return this.bodySize;
 	}
 
 	byte[] bodyBytes() {
-		return this.body.toByteArray();
+		return (this.bodySize == this.body.length) ? this.body : Arrays.copyOf(this.body, this.bodySize);
 	}
 
 	boolean saysClose() {
@@ -89,6 +162,9 @@
 	public void parsedHeader(HttpField field) {
 		String value = field.getValue();
 		this.headers.add(new HeaderField(field.getName(), (value != null) ? value : ""));
+		if (field.getHeader() == HttpHeader.CONTENT_LENGTH) {
+			this.statedBytes = field.getLongValue();
+		}
 	}
 
 	@Override
@@ -99,16 +175,29 @@
 
 	@Override
 	public boolean content(ByteBuffer item) {
-		byte[] bytes = new byte[item.remaining()];
-		item.get(bytes);
-		if (this.body.size() + bytes.length > this.maxBodyBytes) {
-			this.tooLarge = true;
+		int added = item.remaining();
+		long size = (long) this.bodySize + added;
+		if (!hasRoomFor(size)) {
+			item.position(item.limit());
 			return true;
 		}
-		this.body.writeBytes(bytes);
+		if (size > this.body.length) {
+			this.body = Arrays.copyOf(this.body, capacity((int) size));
+		}
+		item.get(this.body, this.bodySize, added);
+		this.bodySize = (int) size;
 		return false;
 	}
 
+	// A body of known length gets its array at once if all of it is reserved.
+	private int capacity(int size) {
+		if (this.statedBytes >= size && this.reservation.bytes() >= this.statedBytes) {
+			return (int) this.statedBytes;
+		}
+		long doubled = Math.max(FIRST_BODY_BYTES, 2L * size);
+		return (int) Math.max(size, Math.min(doubled, this.budget.largestBody()));
+	}
+
 	@Override
 	public boolean contentComplete() {
 		return false;
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/GrantSender.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/GrantSender.java
@@ -18,6 +18,7 @@
 import org.brasspier.core.keys.ServerSession;
 import org.brasspier.daemon.internal.http.BackendPool;
 import org.brasspier.daemon.internal.http.BackendReply;
+import org.brasspier.daemon.internal.http.BodyBudget;
 import org.brasspier.daemon.internal.http.ServerConnections;
 import org.brasspier.daemon.mesh.GrantProtocol;
 import org.brasspier.daemon.mesh.GrantProtocol.GrantReply;
@@ -42,6 +43,8 @@
 
 	private static final int MAX_ANSWER_BYTES = 64 << 10;
 
+	private final BodyBudget answers;
+
 	/** Shorter than the delay after which a call that failed is sent again. */
 	private static final Duration CONNECT_INTERVAL = Duration.ofMillis(100);
 
@@ -81,7 +84,8 @@
 		this.registration = registration;
 		this.scheduler = new GrantCallScheduler(tracker);
 		this.connections = connections;
-		this.grantConnections = new BackendPool(reactor, server, MAX_ANSWER_BYTES, connections);
+		this.answers = new BodyBudget(reactor, MAX_ANSWER_BYTES);
+		this.grantConnections = new BackendPool(reactor, server, this.answers, connections);
 		this.clock = clock;
 		this.log = log;
 		this.onEnded = onEnded;
@@ -150,7 +154,7 @@
 			case GrantCall.Release ignored -> {
 				// A new connection is used, so that an answer on it can't belong to an
 				// earlier call.
-				BackendPool singleUse = new BackendPool(this.reactor, this.server, MAX_ANSWER_BYTES, this.connections);
+				BackendPool singleUse = new BackendPool(this.reactor, this.server, this.answers, this.connections);
 				BackendPool.BackendRun run = singleUse.run(request, true, (answer) -> true, () -> true);
 				await(call, run, RELEASE_TIMEOUT);
 				run.reply().whenResult(singleUse::forget);
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/MeshGauges.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/MeshGauges.java
@@ -6,6 +6,7 @@
 import com.codahale.metrics.MetricRegistry;
 import org.brasspier.core.FailureDomain;
 import org.brasspier.daemon.internal.evacuation.EvacuationRows;
+import org.brasspier.daemon.internal.http.BodyBudget;
 import org.brasspier.daemon.internal.limit.ServerNotices;
 import org.brasspier.daemon.internal.link.AnswerAdmission;
 import org.brasspier.daemon.internal.link.LinkFlow;
@@ -81,6 +82,14 @@
 		return this;
 	}
 
+	MeshGauges bodies(BodyBudget requests, BodyBudget answers) {
+		register("request_body_bytes", requests::heldBytes);
+		register("request_bodies_refused", requests::refusedCount);
+		register("answer_body_bytes", answers::heldBytes);
+		register("answer_bodies_refused", answers::refusedCount);
+		return this;
+	}
+
 	MeshGauges process(LagTimer lag) {
 		long started = System.currentTimeMillis();
 		register("start_time_millis", () -> started);
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/MeshNode.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/MeshNode.java
@@ -12,6 +12,7 @@
 import org.brasspier.daemon.internal.coldstart.WarmthChecks;
 import org.brasspier.daemon.internal.evacuation.EvacuationRows;
 import org.brasspier.daemon.internal.http.BackendPool;
+import org.brasspier.daemon.internal.http.BodyBudget;
 import org.brasspier.daemon.internal.http.CallerServer;
 import org.brasspier.daemon.internal.http.ServerConnections;
 import org.brasspier.daemon.internal.limit.ServerLimits;
@@ -45,7 +46,13 @@
 
 	private static final Duration PROCESSOR_TIMES_INTERVAL = Duration.ofSeconds(10);
 
-	private static final int MAX_ANSWER_BYTES = 64 << 20;
+	/**
+	 * Parts of the heap for the bodies of requests and of answers. A body is copied a few
+	 * times on its way, so that all of them together fit into the heap beside the rest.
+	 */
+	private static final int REQUEST_BODIES_DIVISOR = 10;
+
+	private static final int ANSWER_BODIES_DIVISOR = 7;
 
 	private final NioReactor reactor;
 
@@ -116,7 +123,10 @@
 				adapter.grants(), hopClient, this.config, clock::nanos, health, this.log);
 		this.registration.setGrantSource((heartbeat, now) -> this.keys.grantAnswer(heartbeat));
 		LagTimer lag = new LagTimer(reactor);
-		BackendPool pool = new BackendPool(reactor, settings.backend().address(), MAX_ANSWER_BYTES, connections);
+		long heapBytes = Runtime.getRuntime().maxMemory();
+		BodyBudget requestBodies = new BodyBudget(reactor, heapBytes / REQUEST_BODIES_DIVISOR);
+		BodyBudget answerBodies = new BodyBudget(reactor, heapBytes / ANSWER_BODIES_DIVISOR);
+		BackendPool pool = new BackendPool(reactor, settings.backend().address(), answerBodies, connections);
 		this.crashes = new BackendCrashes(reactor, settings.instance(), this.registration, pool, this.directory,
 				hopClient, adapter.store(), health, this.log);
 		this.notices = new ServerNotices(new NoticeListener(this.registration, this.log));
@@ -135,7 +145,7 @@
 				new HopClient(reactor, shared, flow), this.crashes, this.log);
 		this.entry = new MeshEntry(adapter.callers(), this.config, dispatcher, lag, this.log, this.metrics);
 		this.callers = new CallerServer(reactor, settings.listen().callers(), this.entry,
-				() -> this.config.get().limits());
+				() -> this.config.get().limits(), requestBodies);
 		this.following = new StoreFollowing(reactor, settings, adapter, this.config, this.evacuations, this.directory,
 				hopClient, shared, health, this.log);
 		this.hops = new HopServer(reactor, settings.listen().peers(), this.gate, this.keys, shared,
@@ -148,6 +158,7 @@
 			.coldStart(this.registration)
 			.limits(this.notices, this.registration)
 			.link(flow, answers)
+			.bodies(requestBodies, answerBodies)
 			.process(lag);
 		this.ports = new ControlPorts(reactor, this.log);
 		this.directory.addRowsListener(this::applyOwnRow);
