Deliver answers that callers read slowly

Cause: a connection counted as idle once its last answer was handed to the socket, and idle connections are closed; what was not written was dropped.

Evidence: StoppingCallerServerTests on the code before: a pass over idle connections cuts an answer of 32 MB, and a caller that reads 1 MB each 0.2 s is cut at an idle timeout of 1 s; both red.

Change: SocketOutput keeps unwritten bytes in order and hands over 64 KB at a time; a connection with any is not idle, and each piece counts as activity, so that only a caller which reads nothing is let go. A stop also waits for answers to other daemons that were not sent. Bodies over 64 KB are not copied behind their head. A caller that expects 100-continue is told to go on also after a wait for memory.

--- a/daemon/src/main/java/org/brasspier/daemon/internal/http/CallerSocket.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/http/CallerSocket.java
@@ -8,9 +8,7 @@
 import java.util.List;
 
 import io.activej.async.exception.AsyncCloseException;
-import io.activej.bytebuf.ByteBuf;
 import io.activej.net.socket.tcp.ITcpSocket;
-import io.activej.promise.Promise;
 import org.brasspier.core.ErrorKind;
 import org.brasspier.core.Failure;
 import org.brasspier.core.mesh.CallerLimits;
@@ -72,6 +70,8 @@
 
 	private final HttpParser parser;
 
+	private final SocketOutput output;
+
 	private final Deque<Open> open = new ArrayDeque<>();
 
 	private final Deque<Open> unserved = new ArrayDeque<>();
@@ -101,6 +101,7 @@
 		this.limits = limits;
 		this.collector = new Collector(limits.maxBodyBytes(), bodies);
 		this.parser = new HttpParser(this.collector, limits.maxHeaderBytes());
+		this.output = new SocketOutput(socket, this::onProgress, this::onDisconnect);
 		this.lastActivityNanos = now;
 	}
 
@@ -141,6 +142,7 @@
 		if (this.collector.waitsForMemory()) {
 			return false;
 		}
+		askForBody();
 		parse();
 		readOn();
 		return true;
@@ -217,7 +219,7 @@
 
 	private void askForBody() {
 		if (this.collector.takeExpectation()) {
-			write(CONTINUE);
+			this.output.write(CONTINUE);
 		}
 	}
 
@@ -289,12 +291,16 @@
 		}
 		this.lastActivityNanos = System.nanoTime();
 		boolean toHead = next.request.method().equals("HEAD");
-		Promise<Void> written = write(MessageText.answer(answer, toHead, close));
+		MessageText.answer(answer, toHead, close).forEach(this.output::write);
 		if (close) {
-			written.whenComplete(this::closeAfterLastAnswer);
+			this.output.whenWritten(this::closeAfterLastAnswer);
 		}
 	}
 
+	private void onProgress() {
+		this.lastActivityNanos = System.nanoTime();
+	}
+
 	private void closeAfterLastAnswer() {
 		boolean mayHaveSentMore = this.dropped || !this.closeAnnounced;
 		if (mayHaveSentMore && !this.closed && !this.endOfStream) {
@@ -306,13 +312,6 @@
 		}
 	}
 
-	private Promise<Void> write(byte[] bytes) {
-		if (this.closed) {
-			return Promise.complete();
-		}
-		return this.socket.write(ByteBuf.wrapForReading(bytes)).whenException((ex) -> onDisconnect());
-	}
-
 	// Nobody will read the answers.
 	private void onDisconnect() {
 		close();
@@ -337,15 +336,16 @@
 	void close() {
 		if (!this.closed) {
 			this.closed = true;
+			this.output.close();
 			this.collector.release();
 			this.socket.closeEx(new AsyncCloseException("done"));
 			this.server.closed(this);
 		}
 	}
 
-	// Whether no request is in flight or partly received.
+	// Whether no request is in flight or partly received, and no answer partly sent.
 	boolean idle() {
-		return this.open.isEmpty() && this.parser.isStart() && !this.unparsed.hasRemaining();
+		return this.open.isEmpty() && this.output.isEmpty() && this.parser.isStart() && !this.unparsed.hasRemaining();
 	}
 
 	void closeIfIdle(long now) {
@@ -365,7 +365,7 @@
 		if (this.lingering) {
 			closeIfIdle(now);
 		}
-		else if (this.open.isEmpty() && idle() && inactiveNanos > this.limits.idleTimeout().toNanos()) {
+		else if ((idle() || !this.output.isEmpty()) && inactiveNanos > this.limits.idleTimeout().toNanos()) {
 			close();
 		}
 		else if (this.collector.waitsForMemory() && inactiveNanos > BODY_WAIT_NANOS) {
--- a/daemon/src/main/java/org/brasspier/daemon/internal/http/MessageText.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/http/MessageText.java
@@ -21,6 +21,8 @@
 	/** Header fields of a single connection, or rewritten here. */
 	private static final Set<String> OWN = Set.of("connection", "keep-alive", "content-length", "transfer-encoding");
 
+	private static final int LARGE_BODY_BYTES = 64 << 10;
+
 	private static final int NO_CONTENT = 204;
 
 	private static final int NOT_MODIFIED = 304;
@@ -42,7 +44,8 @@
 		return message(head, request.body());
 	}
 
-	static byte[] answer(Answer answer, boolean toHead, boolean close) {
+	// A large body is left as it is instead of being copied behind its head.
+	static List<byte[]> answer(Answer answer, boolean toHead, boolean close) {
 		StringBuilder head = new StringBuilder(256).append("HTTP/1.1 ")
 			.append(answer.status())
 			.append(' ')
@@ -55,7 +58,9 @@
 		if (close) {
 			head.append("Connection: close").append(LINE_END);
 		}
-		return message(head, toHead ? new byte[0] : answer.body());
+		byte[] body = toHead ? new byte[0] : answer.body();
+		return (body.length > LARGE_BODY_BYTES) ? List.of(message(head, new byte[0]), body)
+				: List.of(message(head, body));
 	}
 
 	private static void fields(StringBuilder head, List<HeaderField> fields) {
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopServer.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopServer.java
@@ -97,6 +97,11 @@
 		List.copyOf(this.connections).forEach((each) -> each.send(message));
 	}
 
+	// Returns whether answers, or other messages, have not left this process yet.
+	boolean hasUnsentData() {
+		return this.connections.stream().anyMatch(Connection::hasUnsentData);
+	}
+
 	void close() {
 		this.server.close();
 		List.copyOf(this.connections).forEach(Connection::close);
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/MeshNode.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/MeshNode.java
@@ -277,7 +277,7 @@
 		boolean othersKnow = System.nanoTime() - this.stoppingSinceNanos >= ACCEPT_WHILE_STOPPING.plus(NOTICE_DELAY)
 			.toNanos();
 		long leftNanos = this.settings.bounds().stopTimeout().toNanos() - (System.nanoTime() - this.stoppingSinceNanos);
-		if (closed && othersKnow && this.gate.idle() || leftNanos <= 0) {
+		if (closed && othersKnow && this.gate.idle() && !this.hops.hasUnsentData() || leftNanos <= 0) {
 			recordProcessorTimes();
 			this.log.record(MeshEvent.STOPPED, "open", this.entry.openRequests(), "gate", this.gate.load(),
 					"connections", this.callers.openConnections(), "taken_ms_ago",
--- a/daemon/src/test/java/org/brasspier/daemon/internal/http/StoppingCallerServerTests.java
+++ b/daemon/src/test/java/org/brasspier/daemon/internal/http/StoppingCallerServerTests.java
@@ -14,6 +14,9 @@
 
 class StoppingCallerServerTests {
 
+	/** More than the sockets of both ends hold. */
+	private static final int LARGE_BYTES = 32 << 20;
+
 	private RunningCallerServer requests;
 
 	@BeforeEach
@@ -85,4 +88,52 @@
 		RunningCallerServer.await("the connection is closed", () -> this.requests.server().openConnections() == 0);
 	}
 
+	/**
+	 * Guards against a connection that counts as idle while its answer is partly sent:
+	 * its caller then gets half of the answer.
+	 */
+	@Test
+	void anAnswerThatIsReadSlowlyIsNotCutOffWhenIdleConnectionsClose() throws Exception {
+		try (Socket caller = this.requests.connect()) {
+			RunningCallerServer.send(caller, RunningCallerServer.request("1.1", ""));
+			RunningCallerServer.await("the request is taken", () -> this.requests.served.get() == 1);
+			this.requests.onLoop(this.requests.server()::leave);
+			this.requests.onLoop(() -> this.requests.answerAll(new byte[LARGE_BYTES]));
+			for (int i = 0; i < 10; i++) {
+				this.requests.onLoop(this.requests.server()::closeIdle);
+			}
+			assertThat(caller.getInputStream().readAllBytes().length).isGreaterThan(LARGE_BYTES);
+		}
+	}
+
+	/** Guards against the same without a stop, when the idle timeout is over. */
+	@Test
+	void anAnswerThatIsReadSlowlyIsNotCutOffAtTheIdleTimeout() throws Exception {
+		try (RunningCallerServer impatient = new RunningCallerServer(Duration.ofSeconds(1));
+				Socket caller = impatient.connect()) {
+			RunningCallerServer.send(caller, RunningCallerServer.request("1.1", "Connection: close"));
+			RunningCallerServer.await("the request is taken", () -> impatient.served.get() == 1);
+			impatient.onLoop(() -> impatient.answerAll(new byte[LARGE_BYTES]));
+			int received = 0;
+			for (int i = 0; i < 20; i++) {
+				Thread.sleep(200);
+				received += caller.getInputStream().readNBytes(1 << 20).length;
+			}
+			received += caller.getInputStream().readAllBytes().length;
+			assertThat(received).isGreaterThan(LARGE_BYTES);
+		}
+	}
+
+	/** Guards against a caller that reads nothing and holds its answer for ever. */
+	@Test
+	void aCallerThatDoesNotReadIsDisconnectedAtTheIdleTimeout() throws Exception {
+		try (RunningCallerServer impatient = new RunningCallerServer(Duration.ofSeconds(1));
+				Socket caller = impatient.connect()) {
+			RunningCallerServer.send(caller, RunningCallerServer.request("1.1", ""));
+			RunningCallerServer.await("the request is taken", () -> impatient.served.get() == 1);
+			impatient.onLoop(() -> impatient.answerAll(new byte[LARGE_BYTES]));
+			RunningCallerServer.await("the connection is closed", () -> impatient.server().openConnections() == 0);
+		}
+	}
+
 }
