Withdraw a cancelled message from the send window

Cause: a connection whose only waiting message was cancelled stayed announced to the send window, which granted it a piece that it did not have, and counted that as sent.

Change: SendWindow.withdraw when a connection's queue is empty; after a cancellation the next message is announced with its own size.

Evidence: CancelledMessageTests, red before (one piece granted), green now; HopCancellationTests, SharedLinkTests and LowBandwidthLinkTests pass.

--- a/core/src/main/java/org/brasspier/core/link/SendWindow.java
+++ b/core/src/main/java/org/brasspier/core/link/SendWindow.java
@@ -126,6 +126,14 @@
 		this.waiting.add(stream);
 	}
 
+	/**
+	 * Withdraws what a connection has announced, since it has nothing to send any more.
+	 * @param stream the connection
+	 */
+	public void withdraw(LinkStream stream) {
+		this.waiting.remove(stream);
+	}
+
 	/**
 	 * Returns the connection that sends its piece now; the piece then counts as sent.
 	 * @param now the time
--- a/daemon/src/main/java/org/brasspier/daemon/internal/link/LinkFlow.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/link/LinkFlow.java
@@ -78,6 +78,7 @@
 	}
 
 	void onQueueEmpty(LinkChannel channel) {
+		this.window.withdraw(channel.stream());
 		this.queued.remove(channel);
 	}
 
--- a/daemon/src/main/java/org/brasspier/daemon/internal/peer/PeerConnection.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/peer/PeerConnection.java
@@ -247,6 +247,8 @@
 				this.channel.ifPresent(LinkChannel::onQueueEmpty);
 			}
 			updateHeldBytes();
+			// The next frame is announced in place of the cancelled one.
+			sendPieces();
 			return true;
 		}
 		waiting.ifPresentOrElse((begun) -> begun.followUps.add(followUp), () -> send(followUp));
