Let bodies behind one that gave up waiting for memory find room

BodyBudgetTests.aBodyBehindOneThatWasRefusedIsTaken and the cancellation in StoppingCallerServerTests.aCallerThatDoesNotRead... came with the change; they were not run on the code before. 79 tests of the connections pass.

--- a/daemon/src/main/java/org/brasspier/daemon/internal/http/BodyBudget.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/http/BodyBudget.java
@@ -77,7 +77,7 @@
 		this.waiting.add(tryResume);
 	}
 
-	private void scheduleResume() {
+	void resumeWaitingLater() {
 		if (!this.resumeScheduled && !this.waiting.isEmpty()) {
 			this.resumeScheduled = true;
 			this.reactor.post(() -> {
@@ -137,7 +137,7 @@
 			if (this.bytes > 0) {
 				BodyBudget.this.heldBytes -= this.bytes;
 				this.bytes = 0;
-				scheduleResume();
+				resumeWaitingLater();
 			}
 		}
 
--- a/daemon/src/main/java/org/brasspier/daemon/internal/http/CallerSocket.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/http/CallerSocket.java
@@ -78,6 +78,8 @@
 
 	private ByteBuffer unparsed = EMPTY;
 
+	private boolean reading;
+
 	private boolean closed;
 
 	private boolean endOfStream;
@@ -110,7 +112,12 @@
 	}
 
 	private void read() {
+		if (this.reading) {
+			return;
+		}
+		this.reading = true;
 		this.socket.read().whenComplete((buf, ex) -> {
+			this.reading = false;
 			if (ex != null) {
 				onDisconnect();
 			}
@@ -366,7 +373,7 @@
 			closeIfIdle(now);
 		}
 		else if ((idle() || !this.output.isEmpty()) && inactiveNanos > this.limits.idleTimeout().toNanos()) {
-			close();
+			onDisconnect();
 		}
 		else if (this.collector.waitsForMemory() && inactiveNanos > BODY_WAIT_NANOS) {
 			stopWaiting();
--- a/daemon/src/main/java/org/brasspier/daemon/internal/http/MessageCollector.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/http/MessageCollector.java
@@ -55,7 +55,6 @@
 		this.reservation = budget.open();
 	}
 
-	// The memory of the body stays reserved for whoever has taken the reservation.
 	void startOver() {
 		this.headers.clear();
 		this.reservation.release();
@@ -93,6 +92,15 @@
 
 	void release() {
 		this.reservation.release();
+		endWait();
+	}
+
+	// Bodies behind this one may find room.
+	private void endWait() {
+		if (this.waitsForMemory) {
+			this.waitsForMemory = false;
+			this.budget.resumeWaitingLater();
+		}
 	}
 
 	// Reserves the memory for the whole body as soon as its length is known, so that it
@@ -112,7 +120,7 @@
 	}
 
 	void stopWaiting() {
-		this.waitsForMemory = false;
+		endWait();
 		this.budget.recordRefused();
 	}
 
--- a/daemon/src/test/java/org/brasspier/daemon/internal/http/BodyBudgetTests.java
+++ b/daemon/src/test/java/org/brasspier/daemon/internal/http/BodyBudgetTests.java
@@ -78,6 +78,22 @@
 		}
 	}
 
+	/** Guards against bodies that wait behind one that was given up. */
+	@Test
+	void aBodyBehindOneThatWasRefusedIsTaken() throws Exception {
+		try (RunningCallerServer requests = new RunningCallerServer(Duration.ofSeconds(30), 2 * LARGE);
+				Socket first = requests.connect();
+				Socket second = requests.connect();
+				Socket third = requests.connect()) {
+			RunningCallerServer.send(first, post(LARGE) + "x".repeat(LARGE));
+			RunningCallerServer.await("the first is taken", () -> requests.served.get() == 1);
+			RunningCallerServer.send(second, post(2 * LARGE));
+			Thread.sleep(600);
+			RunningCallerServer.send(third, post(LARGE) + "x".repeat(LARGE));
+			RunningCallerServer.await("the third is taken", () -> requests.served.get() == 2);
+		}
+	}
+
 	/** Guards against a body that no memory can hold and that waits for it. */
 	@Test
 	void aBodyThatIsLargerThanTheBudgetIsRefusedAtOnce() throws Exception {
--- a/daemon/src/test/java/org/brasspier/daemon/internal/http/StoppingCallerServerTests.java
+++ b/daemon/src/test/java/org/brasspier/daemon/internal/http/StoppingCallerServerTests.java
@@ -132,7 +132,10 @@
 			RunningCallerServer.send(caller, RunningCallerServer.request("1.1", ""));
 			RunningCallerServer.await("the request is taken", () -> impatient.served.get() == 1);
 			impatient.onLoop(() -> impatient.answerAll(new byte[LARGE_BYTES]));
+			RunningCallerServer.send(caller, RunningCallerServer.request("1.1", ""));
+			RunningCallerServer.await("the next request is taken", () -> impatient.served.get() == 2);
 			RunningCallerServer.await("the connection is closed", () -> impatient.server().openConnections() == 0);
+			assertThat(impatient.cancelled.get()).isEqualTo(1);
 		}
 	}
 
