--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/MeshNode.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/MeshNode.java
@@ -54,6 +54,9 @@
 
 	private static final int ANSWER_BODIES_DIVISOR = 7;
 
+	/** The largest answer, however large the heap is. */
+	private static final long MAX_ANSWER_BYTES = 64 << 20;
+
 	private final NioReactor reactor;
 
 	private final MeshSettings settings;
@@ -125,7 +128,8 @@
 		LagTimer lag = new LagTimer(reactor);
 		long heapBytes = Runtime.getRuntime().maxMemory();
 		BodyBudget requestBodies = new BodyBudget(reactor, heapBytes / REQUEST_BODIES_DIVISOR);
-		BodyBudget answerBodies = new BodyBudget(reactor, heapBytes / ANSWER_BODIES_DIVISOR);
+		BodyBudget answerBodies = new BodyBudget(reactor,
+				Math.min(MAX_ANSWER_BYTES, heapBytes / ANSWER_BODIES_DIVISOR));
 		BackendPool pool = new BackendPool(reactor, settings.backend().address(), answerBodies, connections);
 		this.crashes = new BackendCrashes(reactor, settings.instance(), this.registration, pool, this.directory,
 				hopClient, adapter.store(), health, this.log);
