Replicate crashes to every connection, and compare rows when one opens

What callers saw: while the store is unavailable, a request that had crashed three servers is sent to others, whose daemons were never told.

Cause: two daemons compared their rows only with answers, and acted only on a difference of 400 ms, so one that had started just before the outage stayed unknown to those that sent it nothing. And an update that was lost with its connection was repeated once and then never.

The versions of the rows are sent when a connection opens, and compared again after the tolerance. The crash state is sent on each connection, and without crashes that have expired.

The cases of HopClientTests and CrashSuspectsTests need the new methods.

--- a/core/src/main/java/org/brasspier/core/crash/CrashSuspects.java
+++ b/core/src/main/java/org/brasspier/core/crash/CrashSuspects.java
@@ -200,10 +200,15 @@
 	}
 
 	/**
-	 * Returns the state that this instance replicates to the others.
+	 * Returns the state that this instance replicates to the others. It contains nothing
+	 * that no longer counts here: another instance would count it from its receipt on.
+	 * @param nowNanos the current time, in nanoseconds of the steady clock
 	 * @return its latest reports and what has succeeded on it
 	 */
-	public CrashState ownState() {
+	public CrashState ownState(long nowNanos) {
+		if (expire(nowNanos)) {
+			evaluate(nowNanos);
+		}
 		List<CrashReport> own = this.reports.values()
 			.stream()
 			.filter((known) -> known.source.at.equals(this.self))
--- a/core/src/main/java/org/brasspier/core/mesh/RowExchange.java
+++ b/core/src/main/java/org/brasspier/core/mesh/RowExchange.java
@@ -12,10 +12,11 @@
 public final class RowExchange {
 
 	/**
-	 * Feeds differ by a few milliseconds, and by some hundred if the store is slow. Well
-	 * below the two seconds within which a configuration must be in force.
+	 * Time for which two daemons may differ before they exchange rows. Feeds differ by a
+	 * few milliseconds, and by some hundred if the store is slow. Well below the two
+	 * seconds within which a configuration must be in force.
 	 */
-	private static final long DIFFERENCE_TOLERANCE_NANOS = Duration.ofMillis(400).toNanos();
+	public static final Duration DIFFERENCE_TOLERANCE = Duration.ofMillis(400);
 
 	/**
 	 * Leaves rows that were sent or requested time to take effect before the next
@@ -50,7 +51,7 @@
 			this.differSinceNanos = nowNanos;
 		}
 		boolean otherIsEmpty = other.config() == 0 || other.mesh() == 0;
-		boolean due = otherIsEmpty || nowNanos - this.differSinceNanos >= DIFFERENCE_TOLERANCE_NANOS;
+		boolean due = otherIsEmpty || nowNanos - this.differSinceNanos >= DIFFERENCE_TOLERANCE.toNanos();
 		if (!due || (this.acted && nowNanos - this.actedNanos < REPEAT_INTERVAL_NANOS)) {
 			return Action.NOTHING;
 		}
--- a/core/src/test/java/org/brasspier/core/crash/CrashModel.java
+++ b/core/src/test/java/org/brasspier/core/crash/CrashModel.java
@@ -300,7 +300,7 @@
 		}
 
 		private void tellOthers() {
-			CrashState state = this.suspects.ownState();
+			CrashState state = this.suspects.ownState(CrashModel.this.now);
 			CrashModel.this.daemons.stream()
 				.filter((other) -> other != this && !this.cutOff && !other.cutOff)
 				.filter((other) -> CrashModel.this.random.nextInt(100) >= CrashModel.this.settings.lossPercent)
@@ -323,12 +323,12 @@
 
 		// A process that starts reads what all have written to the store.
 		private void readRows() {
-			CrashModel.this.daemons
-				.forEach((each) -> at(500 * MILLI, () -> receive(each.instance, each.suspects.ownState())));
+			CrashModel.this.daemons.forEach((each) -> at(500 * MILLI,
+					() -> receive(each.instance, each.suspects.ownState(CrashModel.this.now))));
 		}
 
 		void restart() {
-			CrashState own = this.suspects.ownState();
+			CrashState own = this.suspects.ownState(CrashModel.this.now);
 			this.running.clear();
 			this.suspects = new CrashSuspects(this.instance);
 			this.detector = new CrashDetector(() -> ++CrashModel.this.crashIds);
--- a/core/src/test/java/org/brasspier/core/crash/CrashSuspectsTests.java
+++ b/core/src/test/java/org/brasspier/core/crash/CrashSuspectsTests.java
@@ -127,8 +127,8 @@
 		crashed(CULPRIT, 2L);
 		assertThat(isBlocked(CULPRIT, 0)).isTrue();
 		assertThat(isBlocked(2, 0)).isFalse();
-		assertThat(this.suspects.ownState().exonerations()).containsExactly(new Exoneration(1, 2, 2));
-		assertThat(this.suspects.ownState().cleared()).containsExactly(2L);
+		assertThat(this.suspects.ownState(0).exonerations()).containsExactly(new Exoneration(1, 2, 2));
+		assertThat(this.suspects.ownState(0).cleared()).containsExactly(2L);
 	}
 
 	/**
@@ -142,8 +142,8 @@
 		assertThat(answered(CULPRIT, status)).isFalse();
 		crashed(CULPRIT, 3L);
 		assertThat(isBlocked(CULPRIT, 0)).isTrue();
-		assertThat(this.suspects.ownState().exonerations()).isEmpty();
-		assertThat(this.suspects.ownState().cleared()).isEmpty();
+		assertThat(this.suspects.ownState(0).exonerations()).isEmpty();
+		assertThat(this.suspects.ownState(0).cleared()).isEmpty();
 	}
 
 	/**
@@ -310,11 +310,23 @@
 			reports.add(report);
 			this.suspects.recordCrash(report, 0);
 		}
-		CrashState state = this.suspects.ownState();
+		CrashState state = this.suspects.ownState(0);
 		assertThat(state.reports()).hasSize(CrashState.MAX_REPORTS);
 		assertThat(state.reports()).containsExactlyElementsIn(CrashState.latest(reports)).inOrder();
 		assertThat(state.reports().get(CrashState.MAX_REPORTS - 1).incarnation().startedMillis())
 			.isEqualTo(this.incarnations);
 	}
 
+	/**
+	 * Guards against a crash that no longer counts here and is counted anew by each
+	 * instance that connects later.
+	 */
+	@Test
+	void theStateOfAnInstanceContainsNoCrashThatNoLongerCounts() {
+		this.suspects.recordCrash(crash(CULPRIT).reports().get(0), 0);
+		long retention = CrashSuspects.RETENTION.toNanos();
+		assertThat(this.suspects.ownState(retention - 1).reports()).hasSize(1);
+		assertThat(this.suspects.ownState(retention)).isEqualTo(CrashState.EMPTY);
+	}
+
 }
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/BackendCrashes.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/BackendCrashes.java
@@ -2,11 +2,9 @@
 
 import java.time.Duration;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.SplittableRandom;
 
 import io.activej.reactor.nio.NioReactor;
@@ -36,9 +34,6 @@
 	/** By this time the port of a process that has crashed is closed as well. */
 	private static final Duration PORT_CHECK_DELAY = Duration.ofMillis(20);
 
-	/** By this time a connection that was lost has been replaced. */
-	private static final Duration REPEAT_DELAY = Duration.ofSeconds(1);
-
 	private final NioReactor reactor;
 
 	private final InstanceId self;
@@ -70,15 +65,6 @@
 
 	private boolean portCheckScheduled;
 
-	private boolean updatePending;
-
-	// Instances that were sent the latest state. Others may become known later, for
-	// example while the store is unavailable.
-	private final Set<InstanceId> told = new HashSet<>();
-
-	// An update may be lost with its connection, so each is sent twice.
-	private Optional<Long> repeatNanos = Optional.empty();
-
 	BackendCrashes(NioReactor reactor, InstanceId self, BackendRegistration registration, BackendPool pool,
 			Directory directory, HopClient hops, MetadataStore store, StoreHealth health, MeshLog log) {
 		this.reactor = reactor;
@@ -97,22 +83,10 @@
 	void start() {
 		this.reactor.delayBackground(OwnRowWriter.CHECK_INTERVAL, () -> {
 			start();
-			if (this.updatePending) {
-				sendToOthers();
-			}
-			repeatUpdate();
-			sendToNewInstances();
-			write();
+			replicate();
 		});
 	}
 
-	private void repeatUpdate() {
-		if (this.repeatNanos.filter((at) -> System.nanoTime() - at >= 0).isPresent()) {
-			this.repeatNanos = Optional.empty();
-			this.told.clear();
-		}
-	}
-
 	/**
 	 * Returns whether a request must not be sent to a backend server.
 	 * @param request the request
@@ -262,7 +236,7 @@
 		this.log.record(MeshEvent.BACKEND_CRASHED, "life", report.incarnation(), "running",
 				List.copyOf(report.requests()), "kept_away", this.suspects.blockedCount(), "crash",
 				Long.toHexString(report.id()));
-		sendToOthers();
+		replicate();
 	}
 
 	private void onAnswer(SentRequest request, int status) {
@@ -274,29 +248,25 @@
 		if (this.suspects.recordAnswer(fingerprint, status, request.sentNanos(), System.nanoTime())) {
 			this.log.record(MeshEvent.SUSPECT_CLEARED, "request", request.id(), "fingerprint", fingerprint, "status",
 					status, "life", request.incarnation());
-			// Sent by the periodic task: many suspect requests usually end within a short
-			// time, and one update covers all of them.
-			this.updatePending = true;
+			// Replicated by the periodic task: many suspect requests usually end within a
+			// short time, and one update covers all of them.
 		}
 	}
 
-	private void sendToOthers() {
-		this.updatePending = false;
-		this.repeatNanos = Optional.of(System.nanoTime() + REPEAT_DELAY.toNanos());
-		this.told.clear();
-		sendToNewInstances();
-		write();
-	}
-
-	private void sendToNewInstances() {
-		CrashState own = this.suspects.ownState();
+	// Sends the state to the daemons that have not been sent it, among them those that
+	// become known or reachable later, and writes it to the store.
+	private void replicate() {
+		CrashState own = this.suspects.ownState(System.nanoTime());
 		if (own.equals(CrashState.EMPTY)) {
-			return;
+			this.hops.setReplicatedState(Optional.empty());
+		}
+		else {
+			this.hops.setReplicatedState(Optional.of(new HopMessage.CrashUpdate(this.self, own)));
+			this.directory.reachable()
+				.filter((member) -> !member.instance().equals(this.self))
+				.forEach(this.hops::replicateTo);
 		}
-		HopMessage.CrashUpdate update = new HopMessage.CrashUpdate(this.self, own);
-		this.directory.reachable()
-			.filter((member) -> !member.instance().equals(this.self) && this.told.add(member.instance()))
-			.forEach((member) -> this.hops.sendToCurrentBuild(member, update));
+		write();
 	}
 
 	/**
@@ -312,7 +282,7 @@
 	}
 
 	private void write() {
-		CrashState own = this.suspects.ownState();
+		CrashState own = this.suspects.ownState(System.nanoTime());
 		if (this.writer.canWrite() && !own.equals(this.directory.crashState(this.self))) {
 			this.writer.write(this.directory.crashStateVersion(this.self), StoredRows.crashes(own), this::write);
 		}
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopClient.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopClient.java
@@ -42,6 +42,8 @@
 
 	private final Map<InstanceId, Peer> peers = new HashMap<>();
 
+	private Optional<HopMessage> replicatedState = Optional.empty();
+
 	private BiConsumer<InstanceId, GateReport> reportReceiver = (instance, report) -> {
 	};
 
@@ -85,8 +87,33 @@
 		peer(member).link.sendOneWay(message);
 	}
 
-	void sendToCurrentBuild(Member member, HopMessage message) {
-		peer(member).link.sendToCurrentBuild(message);
+	/**
+	 * Sets the state of this instance that is replicated to other daemons. Each daemon
+	 * that it is replicated to is sent it again on every later connection, since what was
+	 * sent on an earlier one may be lost.
+	 * @param state the state, which daemons of an earlier build are not sent; empty if
+	 * there is nothing to replicate
+	 */
+	void setReplicatedState(Optional<HopMessage> state) {
+		this.replicatedState = state;
+	}
+
+	/**
+	 * Sends the replicated state to another daemon that has not been sent it on its
+	 * current connection. A daemon that can't be reached is sent it once it answers a
+	 * probe.
+	 * @param member the other instance
+	 */
+	void replicateTo(Member member) {
+		Peer peer = knownPeer(member);
+		if (peer.link.isClosed() && !peer.lost) {
+			open(peer);
+		}
+		replicate(peer);
+	}
+
+	private void replicate(Peer peer) {
+		this.replicatedState.ifPresent((state) -> peer.link.replicate(state).whenResult(() -> probeIfClosed(peer)));
 	}
 
 	/**
@@ -142,7 +169,7 @@
 				return;
 			}
 			if (peer.link.isClosed()) {
-				peer.link = link(peer.instance, peer.address);
+				open(peer);
 			}
 			peer.link.probe().whenResult((answered) -> {
 				peer.lost = !answered;
@@ -159,20 +186,32 @@
 				(report) -> this.reportReceiver.accept(instance, report));
 	}
 
+	private void open(Peer peer) {
+		peer.link = link(peer.instance, peer.address);
+		replicate(peer);
+	}
+
 	private Peer peer(Member member) {
-		InetSocketAddress address = member.address();
-		Peer known = this.peers.get(member.instance());
-		if (known == null || !known.address.equals(address)) {
-			Peer opened = new Peer(member.instance(), address, link(member.instance(), address));
-			Optional.ofNullable(this.peers.put(member.instance(), opened)).ifPresent((old) -> old.replaced = true);
-			return opened;
-		}
+		Peer known = knownPeer(member);
 		if (known.link.isClosed()) {
-			known.link = link(member.instance(), address);
+			open(known);
 		}
 		return known;
 	}
 
+	// Its connection may be closed.
+	private Peer knownPeer(Member member) {
+		InetSocketAddress address = member.address();
+		Peer known = this.peers.get(member.instance());
+		if (known != null && known.address.equals(address)) {
+			return known;
+		}
+		Peer opened = new Peer(member.instance(), address, link(member.instance(), address));
+		Optional.ofNullable(this.peers.put(member.instance(), opened)).ifPresent((old) -> old.replaced = true);
+		replicate(opened);
+		return opened;
+	}
+
 	private static final class Peer {
 
 		private final InstanceId instance;
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopLink.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopLink.java
@@ -105,7 +105,7 @@
 	private final Promise<HopSender> connection;
 
 	// Completes with whether the other daemon runs this build, once its first answer says
-	// so.
+	// so; with false if the connection is closed first.
 	private final SettablePromise<Boolean> currentBuild = new SettablePromise<>();
 
 	private final Map<Long, SettablePromise<SendOutcome>> pendingRequests = new HashMap<>();
@@ -121,6 +121,10 @@
 	private Consumer<HopMessage.RowChanges> changesReceiver = (changes) -> {
 	};
 
+	// The state of this instance that the other daemon has been sent, or will be once its
+	// build is known.
+	private Optional<HopMessage> replicated = Optional.empty();
+
 	private Optional<PeerConnection> open = Optional.empty();
 
 	private Optional<HopSender> sender = Optional.empty();
@@ -133,6 +137,10 @@
 
 	private boolean pingScheduled;
 
+	private KnownRows reportedVersions = new KnownRows(0, 0);
+
+	private boolean comparisonScheduled;
+
 	private boolean closed;
 
 	private boolean leaving;
@@ -158,7 +166,10 @@
 			opening.send(new HopMessage.Ping());
 			this.sender = Optional.of(opening);
 			return opening;
-		}).whenException((ex) -> this.closed = true);
+		}).whenException((ex) -> {
+			this.closed = true;
+			this.currentBuild.trySet(false);
+		});
 	}
 
 	// Any received byte counts, not only a whole message: on a slow network a large
@@ -225,12 +236,21 @@
 		this.connection.whenResult((ready) -> ready.send(message));
 	}
 
-	// Sends a message that daemons of an earlier build can't decode; does nothing if the
-	// other daemon runs such a build.
-	void sendToCurrentBuild(HopMessage message) {
-		this.currentBuild.whenResult((current) -> {
-			if (current) {
-				sendOneWay(message);
+	/**
+	 * Sends a state of this instance unless it was sent on this connection before.
+	 * Daemons of an earlier build can't decode it and are not sent it.
+	 * @param state the state
+	 * @return completes once the build of the other daemon is known or the connection is
+	 * closed
+	 */
+	Promise<Boolean> replicate(HopMessage state) {
+		if (this.replicated.filter(state::equals).isPresent()) {
+			return this.currentBuild;
+		}
+		this.replicated = Optional.of(state);
+		return this.currentBuild.whenResult((current) -> {
+			if (current && this.replicated.filter(state::equals).isPresent()) {
+				sendOneWay(state);
 			}
 		});
 	}
@@ -414,7 +434,7 @@
 			}
 			case HopMessage.PromiseResponse response -> this.pendingPromises.complete(response.exchange(), response);
 			case HopMessage.LeasesResponse response -> this.pendingLeases.complete(response.exchange(), response);
-			case HopMessage.VersionsNotice(KnownRows versions) -> compareVersions(versions);
+			case HopMessage.VersionsNotice(KnownRows versions) -> onVersionsNotice(versions);
 			case HopMessage.RowsResponse response -> this.rows.applyAndLog(response);
 			case HopMessage.RowChanges changes -> onRowChanges(changes);
 			case HopMessage.Leaving ignored -> this.leaving = true;
@@ -442,7 +462,22 @@
 		this.reportReceiver.accept(report);
 	}
 
-	private void compareVersions(KnownRows versions) {
+	private void onVersionsNotice(KnownRows versions) {
+		this.reportedVersions = versions;
+		if (compareVersions(versions).equals(RowExchange.Action.NOTHING) && !this.comparisonScheduled
+				&& !versions.equals(this.rows.knownVersions())) {
+			// The next notice comes with an answer, and there may be none for long.
+			this.comparisonScheduled = true;
+			this.reactor.delayBackground(RowExchange.DIFFERENCE_TOLERANCE, () -> {
+				this.comparisonScheduled = false;
+				if (!this.closed) {
+					compareVersions(this.reportedVersions);
+				}
+			});
+		}
+	}
+
+	private RowExchange.Action compareVersions(KnownRows versions) {
 		long now = System.nanoTime();
 		RowExchange.Action action = this.rowExchange.compare(this.rows.knownVersions(), versions, now);
 		if (action.send()) {
@@ -456,6 +491,7 @@
 		if (action.request() && this.rows.tryRequestRows(now)) {
 			sendOneWay(new HopMessage.RowsRequest(this.rows.knownVersions()));
 		}
+		return action;
 	}
 
 	private static WireException wrongDirection() {
@@ -472,6 +508,7 @@
 
 	private void onClosed(Exception reason) {
 		this.closed = true;
+		this.currentBuild.trySet(false);
 		completeProbes(false);
 		completeFollows(Optional.empty());
 		this.pendingPromises.onConnectionLost();
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopServer.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopServer.java
@@ -198,6 +198,7 @@
 				this.sender.ifPresent((ready) -> ready.peerAccepts(true, ping.acknowledgesPieces()));
 			}
 			send(new HopMessage.Pong());
+			sendVersionsIfDue();
 		}
 
 		// If several daemons know newer rows, they are requested from one of them at a
--- a/daemon/src/test/java/org/brasspier/daemon/internal/mesh/HopClientTests.java
+++ b/daemon/src/test/java/org/brasspier/daemon/internal/mesh/HopClientTests.java
@@ -10,23 +10,28 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalInt;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Predicate;
 
 import com.codahale.metrics.MetricRegistry;
+import com.google.common.primitives.Bytes;
 import io.activej.eventloop.Eventloop;
 import org.brasspier.core.FailureDomain;
 import org.brasspier.core.InstanceId;
 import org.brasspier.core.RequestClass;
 import org.brasspier.core.ServiceName;
+import org.brasspier.core.crash.CrashState;
 import org.brasspier.core.mesh.SendOutcome;
 import org.brasspier.daemon.internal.evacuation.EvacuationRows;
 import org.brasspier.daemon.internal.request.Cancellation;
 import org.brasspier.daemon.mesh.ConfigSource;
 import org.brasspier.daemon.mesh.MeshRequest;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static com.google.common.truth.Truth.assertThat;
 
@@ -154,6 +159,65 @@
 		}
 	}
 
+	/**
+	 * Guards against a daemon that never learns of a crash, because the connection on
+	 * which it was told was lost while the store was unavailable too.
+	 */
+	@ParameterizedTest
+	@ValueSource(booleans = { false, true })
+	void aReplicatedStateIsSentAgainAfterItsConnectionWasLost(boolean answersFirst) throws Exception {
+		try (ServerSocket server = new ServerSocket(0, 8, InetAddress.getLoopbackAddress())) {
+			HopMessage.CrashUpdate state = new HopMessage.CrashUpdate(new InstanceId("self"),
+					new CrashState(List.of(), Set.of(), Set.of(7L)));
+			CompletableFuture<Boolean> received = CompletableFuture
+				.supplyAsync(() -> receivesAfterLostConnection(server, answersFirst, HopCodec.encode(state)));
+			HopClient client = client();
+			Member member = new Member(OTHER, (InetSocketAddress) server.getLocalSocketAddress(),
+					new FailureDomain("z"), new ServiceName("keyed"), Optional.empty(), 1, true);
+			this.loop.keepAlive(true);
+			Thread.ofPlatform().daemon().start(this.loop);
+			this.loop.execute(() -> {
+				client.setReplicatedState(Optional.of(state));
+				replicatePeriodically(client, member);
+			});
+			assertThat(received.get(30, TimeUnit.SECONDS)).isTrue();
+		}
+	}
+
+	private void replicatePeriodically(HopClient client, Member member) {
+		client.replicateTo(member);
+		this.loop.delayBackground(50L, () -> replicatePeriodically(client, member));
+	}
+
+	// Closes the first connection and waits until the message is received on the second
+	// one.
+	private static boolean receivesAfterLostConnection(ServerSocket server, boolean answersFirst, byte[] message) {
+		try {
+			try (Socket lost = server.accept()) {
+				if (answersFirst) {
+					lost.getOutputStream().write(HopCodec.encode(new HopMessage.Pong(true, false)));
+				}
+				lost.getInputStream().read();
+			}
+			try (Socket socket = server.accept()) {
+				socket.setSoTimeout(10_000);
+				socket.getOutputStream().write(HopCodec.encode(new HopMessage.Pong(true, false)));
+				byte[] received = new byte[0];
+				while (Bytes.indexOf(received, message) < 0) {
+					int next = socket.getInputStream().read();
+					if (next < 0) {
+						return false;
+					}
+					received = Bytes.concat(received, new byte[] { (byte) next });
+				}
+				return true;
+			}
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+	}
+
 	// Accepts some connections and sends nothing until they are closed, then answers one.
 	private static void staySilentFor(ServerSocket server, int connections, AtomicInteger silent) {
 		try {
--- a/daemon/src/test/java/org/brasspier/daemon/internal/mesh/RowRepairTests.java
+++ b/daemon/src/test/java/org/brasspier/daemon/internal/mesh/RowRepairTests.java
@@ -100,4 +100,29 @@
 		}
 	}
 
+	/**
+	 * Guards against an instance that the others do not know for as long as it sends them
+	 * no requests: they compared their rows only with each answer.
+	 */
+	@Test
+	void aDaemonThatStaysBehindIsToldAlthoughItAnswersNoRequest() throws Exception {
+		CompletableFuture<KnownRows> told = new CompletableFuture<>();
+		try (HopServerStandIn server = new HopServerStandIn((message) -> switch (message) {
+			case HopMessage.Ping ignored ->
+				List.of(new HopMessage.Pong(), new HopMessage.VersionsNotice(new KnownRows(4, 1)));
+			case HopMessage.VersionsNotice(KnownRows versions) -> {
+				told.complete(versions);
+				yield List.of();
+			}
+			default -> List.of();
+		})) {
+			Member member = new Member(new InstanceId("other"), server.address(), new FailureDomain("z"),
+					new ServiceName("plain"), Optional.empty(), 1, true);
+			this.loop.keepAlive(true);
+			Thread.ofPlatform().daemon().start(this.loop);
+			this.loop.execute(() -> client(this.loop).sendOneWay(member, new HopMessage.Ping()));
+			assertThat(told.get(30, TimeUnit.SECONDS)).isEqualTo(new KnownRows(5, 0));
+		}
+	}
+
 }
