End a connection, not its reading, when handling what it sent fails

What callers would see: no answer and no end of the connection; a request without an outcome until its deadline; requests that were received together with one whose handling failed are never served.

Cause: the callback of a read schedules the next one after it has handled the bytes, so a failure ends the reading for good, and tasks that run over several connections did not isolate them.

IsolatedTask reports a failure like any other of the event loop and ends what failed: callers get 400 or 502, answers count as garbled, frames that can't be handled close the connection between daemons, and a failed run for another daemon is answered as unknown.

--- a/daemon/src/main/java/org/brasspier/daemon/internal/http/BackendSocket.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/http/BackendSocket.java
@@ -16,6 +16,7 @@
 import io.activej.reactor.nio.NioReactor;
 import org.brasspier.core.request.Answer;
 import org.brasspier.core.request.HeaderField;
+import org.brasspier.daemon.internal.loop.IsolatedTask;
 import org.brasspier.daemon.mesh.RawRequest;
 import org.eclipse.jetty.http.HttpParser;
 import org.eclipse.jetty.http.HttpStatus;
@@ -140,14 +141,20 @@
 				broken("the connection broke: " + ex.getMessage());
 			}
 			else if (buf == null) {
-				ended();
+				isolate(this::ended);
 			}
 			else {
-				take(ByteBuffer.wrap(buf.asArray()));
+				ByteBuffer bytes = ByteBuffer.wrap(buf.asArray());
+				isolate(() -> take(bytes));
 			}
 		});
 	}
 
+	// A failure ends the connection, so that its request gets an outcome.
+	private void isolate(Runnable handling) {
+		IsolatedTask.run(handling, () -> garbled("the answer can't be handled"));
+	}
+
 	private void take(ByteBuffer bytes) {
 		if (this.exchange == null) {
 			// Unsolicited bytes: the boundaries of later answers are unknown.
@@ -200,7 +207,7 @@
 			if (waiting.waitsForMemory()) {
 				return false;
 			}
-			take(unread);
+			isolate(() -> take(unread));
 			return true;
 		});
 	}
--- a/daemon/src/main/java/org/brasspier/daemon/internal/http/BodyBudget.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/http/BodyBudget.java
@@ -88,11 +88,22 @@
 	}
 
 	private void resumeWaiting() {
-		while (!this.waiting.isEmpty() && this.waiting.peek().getAsBoolean()) {
+		while (!this.waiting.isEmpty() && resumes(this.waiting.peek())) {
 			this.waiting.remove();
 		}
 	}
 
+	// A connection that fails no longer waits, or those behind it would wait for good.
+	private boolean resumes(BooleanSupplier tryResume) {
+		try {
+			return tryResume.getAsBoolean();
+		}
+		catch (RuntimeException | Error ex) {
+			this.reactor.logFatalError(ex, tryResume);
+			return true;
+		}
+	}
+
 	void recordRefused() {
 		this.refused++;
 	}
--- a/daemon/src/main/java/org/brasspier/daemon/internal/http/CallerServer.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/http/CallerServer.java
@@ -19,6 +19,7 @@
 import org.brasspier.core.Failure;
 import org.brasspier.core.mesh.CallerLimits;
 import org.brasspier.core.request.Answer;
+import org.brasspier.daemon.internal.loop.IsolatedTask;
 import org.brasspier.daemon.internal.request.Cancellation;
 import org.brasspier.daemon.mesh.RawRequest;
 import org.jspecify.annotations.Nullable;
@@ -98,7 +99,8 @@
 	private void checkTimeouts() {
 		this.reactor.delayBackground(TIMEOUT_CHECK_INTERVAL, this::checkTimeouts);
 		long now = System.nanoTime();
-		List.copyOf(this.sockets).forEach((socket) -> socket.checkTimeouts(now));
+		List.copyOf(this.sockets)
+			.forEach((socket) -> IsolatedTask.run(() -> socket.checkTimeouts(now), socket::onDisconnect));
 	}
 
 	/**
@@ -174,7 +176,7 @@
 	private void serveReceived() {
 		List<CallerSocket> ready = List.copyOf(this.received);
 		this.received.clear();
-		ready.forEach(CallerSocket::serveReceived);
+		ready.forEach((socket) -> IsolatedTask.run(socket::serveReceived, socket::onDisconnect));
 	}
 
 	Answer abandoned(RawRequest request) {
--- a/daemon/src/main/java/org/brasspier/daemon/internal/http/CallerSocket.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/http/CallerSocket.java
@@ -13,6 +13,7 @@
 import org.brasspier.core.Failure;
 import org.brasspier.core.mesh.CallerLimits;
 import org.brasspier.core.request.Answer;
+import org.brasspier.daemon.internal.loop.IsolatedTask;
 import org.brasspier.daemon.internal.request.Cancellation;
 import org.brasspier.daemon.mesh.RawRequest;
 import org.eclipse.jetty.http.HttpException;
@@ -180,7 +181,23 @@
 		parse();
 	}
 
+	// A failure in reading leaves the parser in an unknown state, so what follows is not
+	// read. Requests that were taken before are still answered.
 	private void parse() {
+		IsolatedTask.run(this::parseUnparsed, () -> IsolatedTask.run(this::refuseUnreadable, this::onDisconnect));
+	}
+
+	private void refuseUnreadable() {
+		this.unparsed = EMPTY;
+		if (!this.last) {
+			refuse(Failure.of(ErrorKind.BAD_REQUEST, "it can't be read"));
+		}
+		else if (this.open.isEmpty()) {
+			onDisconnect();
+		}
+	}
+
+	private void parseUnparsed() {
 		while (this.unparsed.hasRemaining() && this.open.size() < MAX_UNANSWERED && !this.closed && !this.last
 				&& !this.collector.waitsForMemory()) {
 			this.parser.parseNext(this.unparsed);
@@ -249,12 +266,25 @@
 	void serveReceived() {
 		while (!this.unserved.isEmpty()) {
 			Open next = this.unserved.remove();
-			if (next.cancellation.isCancelled()) {
-				answered(next, this.server.abandoned(next.request));
-			}
-			else {
-				this.server.serve(next.request, next.cancellation).whenResult((answer) -> answered(next, answer));
-			}
+			IsolatedTask.run(() -> serve(next), () -> failed(next));
+		}
+	}
+
+	private void serve(Open next) {
+		if (next.cancellation.isCancelled()) {
+			answered(next, this.server.abandoned(next.request));
+		}
+		else {
+			this.server.serve(next.request, next.cancellation)
+				.whenResult((answer) -> answered(next, answer))
+				.whenException(() -> failed(next));
+		}
+	}
+
+	private void failed(Open opened) {
+		if (opened.answer == null) {
+			answered(opened, this.server.failed(opened.request,
+					Failure.of(ErrorKind.OUTCOME_UNKNOWN, "the daemon failed while it was handling the request")));
 		}
 	}
 
@@ -320,7 +350,7 @@
 	}
 
 	// Nobody will read the answers.
-	private void onDisconnect() {
+	void onDisconnect() {
 		close();
 		// Cancelling answers some requests at once, and the queue must be empty by then.
 		List<Open> unanswered = List.copyOf(this.open);
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopServer.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopServer.java
@@ -14,6 +14,8 @@
 import io.activej.net.socket.tcp.ITcpSocket;
 import io.activej.promise.Promise;
 import io.activej.reactor.nio.NioReactor;
+import org.brasspier.core.ErrorKind;
+import org.brasspier.core.Failure;
 import org.brasspier.core.mesh.KnownRows;
 import org.brasspier.core.mesh.LinkDelay;
 import org.brasspier.core.mesh.SendOutcome;
@@ -233,11 +235,17 @@
 				throw new WireException("exchange %d was opened twice".formatted(exchange));
 			}
 			Promise<SendOutcome> outcome = HopServer.this.gate.runForPeer(request, delayNanos, cancellation);
-			outcome.whenResult((result) -> {
-				this.running.remove(exchange);
-				send(new HopMessage.ForwardedResponse(exchange, result, HopServer.this.gate.report(request)));
-				sendVersionsIfDue();
-			});
+			outcome.whenResult((result) -> respond(exchange, result, request));
+			outcome.whenException((ex) -> respond(exchange,
+					new SendOutcome.Unknown(
+							Failure.of(ErrorKind.OUTCOME_UNKNOWN, "another daemon failed while it ran the request")),
+					request));
+		}
+
+		private void respond(long exchange, SendOutcome outcome, HopRequest request) {
+			this.running.remove(exchange);
+			send(new HopMessage.ForwardedResponse(exchange, outcome, HopServer.this.gate.report(request)));
+			sendVersionsIfDue();
 		}
 
 		private void sendVersionsIfDue() {
--- a/daemon/src/main/java/org/brasspier/daemon/internal/peer/PeerConnection.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/peer/PeerConnection.java
@@ -11,6 +11,7 @@
 import io.activej.net.socket.tcp.ITcpSocket;
 import io.activej.promise.Promise;
 import io.activej.promise.SettablePromise;
+import io.activej.reactor.Reactor;
 import org.brasspier.core.link.SendWindow;
 import org.brasspier.daemon.internal.link.LinkChannel;
 import org.brasspier.daemon.internal.link.LinkFlow;
@@ -164,6 +165,10 @@
 		catch (WireException ex) {
 			close(ex);
 		}
+		catch (RuntimeException | Error ex) {
+			Reactor.getCurrentReactor().logFatalError(ex, this);
+			close(new WireException("a frame can't be handled", ex));
+		}
 	}
 
 	private void acknowledge() {
--- a/daemon/src/test/java/org/brasspier/daemon/internal/http/RunningCallerServer.java
+++ b/daemon/src/test/java/org/brasspier/daemon/internal/http/RunningCallerServer.java
@@ -11,6 +11,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.BooleanSupplier;
@@ -36,6 +37,8 @@
 
 	final AtomicInteger cancelled = new AtomicInteger();
 
+	private final AtomicBoolean failsNext = new AtomicBoolean();
+
 	private final Eventloop loop = Eventloop.create();
 
 	private final List<SettablePromise<Answer>> open = new ArrayList<>();
@@ -127,6 +130,9 @@
 
 	@Override
 	public Promise<Answer> serve(RawRequest request, Cancellation cancellation) {
+		if (this.failsNext.getAndSet(false)) {
+			throw new IllegalStateException("expected");
+		}
 		this.served.incrementAndGet();
 		cancellation.addCancelListener(this.cancelled::incrementAndGet);
 		SettablePromise<Answer> answer = new SettablePromise<>();
@@ -134,6 +140,11 @@
 		return answer;
 	}
 
+	/** Makes the handling of the next request fail. */
+	void failNext() {
+		this.failsNext.set(true);
+	}
+
 	void answerAll() {
 		answerAll(new byte[0]);
 	}
