Ignore the case of a request's host

Routes were looked up by the text of the host; both sides are compared in lower case now, and the server still gets the host as it was written.

Red before: RoutingConfigTests.theCaseOfAHostIsIgnored.

--- a/core/src/main/java/org/brasspier/core/mesh/RoutingConfig.java
+++ b/core/src/main/java/org/brasspier/core/mesh/RoutingConfig.java
@@ -6,6 +6,7 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -79,7 +80,7 @@
 		this.routes = List.copyOf(routes);
 		this.services = services.stream().collect(Collectors.toUnmodifiableMap(ServiceRule::name, Function.identity()));
 		this.limits = limits;
-		this.byHost = this.routes.stream().collect(Collectors.groupingBy(RouteRule::host));
+		this.byHost = this.routes.stream().collect(Collectors.groupingBy((rule) -> lowerCase(rule.host())));
 		this.byHost.replaceAll((host, rules) -> longestPrefixFirst(rules));
 		this.byName = this.routes.stream()
 			.collect(Collectors.toUnmodifiableMap(RouteRule::name, Function.identity(), (first, other) -> first));
@@ -87,6 +88,10 @@
 		this.routes.stream().filter(RouteRule::idempotent).forEach(this::noteRank);
 	}
 
+	private static String lowerCase(String host) {
+		return host.toLowerCase(Locale.ROOT);
+	}
+
 	private void noteRank(RouteRule route) {
 		route.services().forEach((part) -> this.leastUrgentLookup.merge(part.service(), route.rank(), Math::max));
 	}
@@ -139,12 +144,12 @@
 	/**
 	 * Finds the route of a request: the one for its host with the longest matching path
 	 * prefix.
-	 * @param host the host that the request names
+	 * @param host the host that the request names; case is ignored
 	 * @param path its path
 	 * @return empty if there is none
 	 */
 	public Optional<RouteRule> route(String host, String path) {
-		return this.byHost.getOrDefault(host, List.of())
+		return this.byHost.getOrDefault(lowerCase(host), List.of())
 			.stream()
 			.filter((rule) -> path.startsWith(rule.prefix()))
 			.findFirst();
--- a/core/src/test/java/org/brasspier/core/mesh/RoutingConfigTests.java
+++ b/core/src/test/java/org/brasspier/core/mesh/RoutingConfigTests.java
@@ -35,6 +35,15 @@
 		assertThat(config.route("host", "/b")).isEmpty();
 	}
 
+	/**
+	 * Guards against requests refused with 404 because their caller writes the host in
+	 * another case than the configuration does.
+	 */
+	@Test
+	void theCaseOfAHostIsIgnored() {
+		assertThat(config(route("r", "/a/", 1)).route("HOST", "/a/")).isPresent();
+	}
+
 	@Test
 	void aRouteToAServiceThatIsNotConfiguredIsRejected() {
 		assertThrows(IllegalArgumentException.class,
