Pass a request's target on with the bytes that its caller sent

The parser reads the target as UTF-8, and it was written as ISO 8859-1.

The target is written as UTF-8; one that is not UTF-8 is refused with 400 before it is passed on.

--- a/daemon/src/main/java/org/brasspier/daemon/internal/http/CallerSocket.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/http/CallerSocket.java
@@ -16,6 +16,7 @@
 import org.brasspier.daemon.internal.loop.IsolatedTask;
 import org.brasspier.daemon.internal.request.Cancellation;
 import org.brasspier.daemon.mesh.RawRequest;
+import org.eclipse.jetty.http.BadMessageException;
 import org.eclipse.jetty.http.HttpException;
 import org.eclipse.jetty.http.HttpParser;
 import org.eclipse.jetty.http.HttpStatus;
@@ -439,6 +440,9 @@
 	 */
 	private static final class Collector extends MessageCollector implements HttpParser.RequestHandler {
 
+		/** What the parser puts in place of bytes that are not UTF-8. */
+		private static final char UNDECODABLE = '\uFFFD';
+
 		private String method = "";
 
 		private String target = "/";
@@ -455,6 +459,9 @@
 		public void startRequest(String newMethod, String uri, HttpVersion newVersion) {
 			this.method = newMethod;
 			this.target = uri;
+			if (uri.indexOf(UNDECODABLE) >= 0) {
+				badMessage(new BadMessageException("the target is not UTF-8"));
+			}
 			this.version = (newVersion != null) ? newVersion : HttpVersion.HTTP_1_0;
 		}
 
--- a/daemon/src/main/java/org/brasspier/daemon/internal/http/MessageText.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/http/MessageText.java
@@ -31,26 +31,23 @@
 	}
 
 	static byte[] request(RawRequest request) {
-		StringBuilder head = new StringBuilder(256).append(request.method())
-			.append(' ')
-			.append(request.target())
-			.append(" HTTP/1.1")
-			.append(LINE_END);
+		// The parser has read the target as UTF-8, and header fields as ISO 8859-1.
+		byte[] line = (request.method() + ' ' + request.target() + " HTTP/1.1" + LINE_END)
+			.getBytes(StandardCharsets.UTF_8);
+		StringBuilder head = new StringBuilder(256);
 		fields(head, request.headers());
 		boolean bodyless = request.method().equals("GET") || request.method().equals("HEAD");
 		if (request.body().length > 0 || !bodyless) {
 			head.append("Content-Length: ").append(request.body().length).append(LINE_END);
 		}
-		return message(head, request.body());
+		return message(line, head, request.body());
 	}
 
 	// A large body is left as it is instead of being copied behind its head.
 	static List<byte[]> answer(Answer answer, boolean toHead, boolean close) {
-		StringBuilder head = new StringBuilder(256).append("HTTP/1.1 ")
-			.append(answer.status())
-			.append(' ')
-			.append(HttpStatus.getMessage(answer.status()))
-			.append(LINE_END);
+		byte[] line = ("HTTP/1.1 " + answer.status() + ' ' + HttpStatus.getMessage(answer.status()) + LINE_END)
+			.getBytes(StandardCharsets.US_ASCII);
+		StringBuilder head = new StringBuilder(256);
 		fields(head, answer.headers());
 		if (answer.status() != NO_CONTENT && answer.status() != NOT_MODIFIED) {
 			head.append("Content-Length: ").append(answer.body().length).append(LINE_END);
@@ -59,8 +56,8 @@
 			head.append("Connection: close").append(LINE_END);
 		}
 		byte[] body = toHead ? new byte[0] : answer.body();
-		return (body.length > LARGE_BODY_BYTES) ? List.of(message(head, new byte[0]), body)
-				: List.of(message(head, body));
+		return (body.length > LARGE_BODY_BYTES) ? List.of(message(line, head, new byte[0]), body)
+				: List.of(message(line, head, body));
 	}
 
 	private static void fields(StringBuilder head, List<HeaderField> fields) {
@@ -71,10 +68,11 @@
 		}
 	}
 
-	private static byte[] message(StringBuilder head, byte[] body) {
-		byte[] headBytes = head.append(LINE_END).toString().getBytes(StandardCharsets.ISO_8859_1);
-		byte[] message = Arrays.copyOf(headBytes, headBytes.length + body.length);
-		System.arraycopy(body, 0, message, headBytes.length, body.length);
+	private static byte[] message(byte[] line, StringBuilder fields, byte[] body) {
+		byte[] fieldBytes = fields.append(LINE_END).toString().getBytes(StandardCharsets.ISO_8859_1);
+		byte[] message = Arrays.copyOf(line, line.length + fieldBytes.length + body.length);
+		System.arraycopy(fieldBytes, 0, message, line.length, fieldBytes.length);
+		System.arraycopy(body, 0, message, line.length + fieldBytes.length, body.length);
 		return message;
 	}
 
--- a/daemon/src/test/java/org/brasspier/daemon/internal/http/RunningCallerServer.java
+++ b/daemon/src/test/java/org/brasspier/daemon/internal/http/RunningCallerServer.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.BooleanSupplier;
 
 import io.activej.eventloop.Eventloop;
@@ -39,6 +40,10 @@
 
 	private final AtomicBoolean failsNext = new AtomicBoolean();
 
+	private final AtomicBoolean malformedExpected = new AtomicBoolean();
+
+	private final AtomicReference<RawRequest> lastRequest = new AtomicReference<>();
+
 	private final Eventloop loop = Eventloop.create();
 
 	private final List<SettablePromise<Answer>> open = new ArrayList<>();
@@ -133,6 +138,7 @@
 		if (this.failsNext.getAndSet(false)) {
 			throw new IllegalStateException("expected");
 		}
+		this.lastRequest.set(request);
 		this.served.incrementAndGet();
 		cancellation.addCancelListener(this.cancelled::incrementAndGet);
 		SettablePromise<Answer> answer = new SettablePromise<>();
@@ -140,6 +146,15 @@
 		return answer;
 	}
 
+	RawRequest lastRequest() {
+		return this.lastRequest.get();
+	}
+
+	/** Lets malformed input pass, which otherwise is a failure of the handler. */
+	void expectMalformed() {
+		this.malformedExpected.set(true);
+	}
+
 	/** Makes the handling of the next request fail. */
 	void failNext() {
 		this.failsNext.set(true);
@@ -165,7 +180,9 @@
 
 	@Override
 	public void malformed(String detail) {
-		throw new AssertionError(detail);
+		if (!this.malformedExpected.get()) {
+			throw new AssertionError(detail);
+		}
 	}
 
 	@Override
