Fail a test whose caller server meets malformed input unexpectedly

Cause: since an AssertionError in the record of malformed input is isolated and answered with 400, so it no longer failed tests such as LeavingCallerTests, which had relied on it: a check loosened by mistake.

The server of these tests keeps the input and fails the test when it is closed. Trial: TargetBytesTests without its expectation fails with "malformed input: [the target is not UTF-8]". The six classes that use it or sit beside it pass: 86 tests, 0 failures.

--- a/daemon/src/test/java/org/brasspier/daemon/internal/http/FailingHandlingTests.java
+++ b/daemon/src/test/java/org/brasspier/daemon/internal/http/FailingHandlingTests.java
@@ -61,6 +61,7 @@
 	void aConnectionWhoseReadingFailsIsAnsweredAndClosed() throws Exception {
 		try (RunningCallerServer server = new RunningCallerServer(Duration.ofMinutes(1));
 				Socket caller = server.connect()) {
+			server.failOnMalformed();
 			RunningCallerServer.send(caller, "no request\r\n\r\n");
 			assertThat(statusLine(caller)).isEqualTo("HTTP/1.1 400");
 			assertThat(caller.getInputStream().readAllBytes()).isNotNull();
--- a/daemon/src/test/java/org/brasspier/daemon/internal/http/RunningCallerServer.java
+++ b/daemon/src/test/java/org/brasspier/daemon/internal/http/RunningCallerServer.java
@@ -10,6 +10,8 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -42,6 +44,10 @@
 
 	private final AtomicBoolean malformedExpected = new AtomicBoolean();
 
+	private final AtomicBoolean failsOnMalformed = new AtomicBoolean();
+
+	private final Queue<String> malformed = new ConcurrentLinkedQueue<>();
+
 	private final AtomicReference<RawRequest> lastRequest = new AtomicReference<>();
 
 	private final Eventloop loop = Eventloop.create();
@@ -150,11 +156,17 @@
 		return this.lastRequest.get();
 	}
 
-	/** Lets malformed input pass, which otherwise is a failure of the handler. */
+	/** Lets malformed input pass, which otherwise fails the test when it closes this. */
 	void expectMalformed() {
 		this.malformedExpected.set(true);
 	}
 
+	/** Lets malformed input pass, and makes the record of it fail. */
+	void failOnMalformed() {
+		expectMalformed();
+		this.failsOnMalformed.set(true);
+	}
+
 	/** Makes the handling of the next request fail. */
 	void failNext() {
 		this.failsNext.set(true);
@@ -180,14 +192,19 @@
 
 	@Override
 	public void malformed(String detail) {
-		if (!this.malformedExpected.get()) {
-			throw new AssertionError(detail);
+		this.malformed.add(detail);
+		if (this.failsOnMalformed.get()) {
+			throw new IllegalStateException("expected");
 		}
 	}
 
 	@Override
 	public void close() {
 		this.loop.execute(this.loop::breakEventloop);
+		// An exception in the event loop would not reach the test.
+		if (!this.malformedExpected.get() && !this.malformed.isEmpty()) {
+			throw new AssertionError("malformed input: " + this.malformed);
+		}
 	}
 
 }
