Stop the clients of finished tests

Seen once, in the daemon's whole module on: a caller server met malformed input with a first byte of 0 on connections that its test had not opened (StoppingCallerServerTests).

Suspected, not traced: event loops of HopClientTests and RowRepairTests ran on, and their probes went to the port of a lost server, which another test had by then; frames begin with a byte of 0. They are stopped after each test.

--- a/daemon/src/test/java/org/brasspier/daemon/internal/mesh/HopClientTests.java
+++ b/daemon/src/test/java/org/brasspier/daemon/internal/mesh/HopClientTests.java
@@ -29,6 +29,7 @@
 import org.brasspier.daemon.internal.request.Cancellation;
 import org.brasspier.daemon.mesh.ConfigSource;
 import org.brasspier.daemon.mesh.MeshRequest;
+import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -41,6 +42,13 @@
 
 	private final Eventloop loop = Eventloop.create();
 
+	// A client that still runs goes on connecting to the port of its lost server, which
+	// may be that of another test by then.
+	@AfterEach
+	void stop() {
+		this.loop.execute(this.loop::breakEventloop);
+	}
+
 	private HopClient client() {
 		MeshLog log = new MeshLog(new InstanceId("self"), new MetricRegistry());
 		ConfigSource none = new ConfigSourceStandIn((value) -> 0);
--- a/daemon/src/test/java/org/brasspier/daemon/internal/mesh/RowRepairTests.java
+++ b/daemon/src/test/java/org/brasspier/daemon/internal/mesh/RowRepairTests.java
@@ -24,6 +24,7 @@
 import org.brasspier.daemon.internal.request.Cancellation;
 import org.brasspier.daemon.mesh.MeshRequest;
 import org.brasspier.daemon.mesh.MetadataStore;
+import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
 import static com.google.common.truth.Truth.assertThat;
@@ -45,6 +46,13 @@
 
 	private final CompletableFuture<Boolean> allNoticesReceived = new CompletableFuture<>();
 
+	// A client that still runs goes on connecting to the port of its lost server, which
+	// may be that of another test by then.
+	@AfterEach
+	void stop() {
+		this.loop.execute(this.loop::breakEventloop);
+	}
+
 	private static HopClient client(Eventloop loop) {
 		MeshLog log = new MeshLog(new InstanceId("self"), new MetricRegistry());
 		ConfigSourceStandIn source = new ConfigSourceStandIn((value) -> 3);
