Log what tells apart whose answer came on a server's connection

Callers got a success where the server had answered another status, and no log line named the connection of a request, its place there, the status that the server gave, or an answer that was skipped. No logic changes: the choice of connections and the matching of answers are as before.

New events: ANSWER_SKIPPED, BYTES_BEHIND_ANSWER, REQUEST_ID_REPEATED, BACKEND_ERROR, each with connection, exchange, request and server; ORDER_FAILED names connection and exchange too. New gauges: connections opened and requests sent. Whether an answer belongs to a request (BackendProtocol.match) is now apart from what it says (verdict), with three cases instead of two; an answer without an id is still taken.

--- /dev/null
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/exchange/ExchangeFinding.java
@@ -0,0 +1,45 @@
+package org.brasspier.daemon.internal.exchange;
+
+import java.util.Optional;
+
+/**
+ * An irregularity on a connection to the backend server. Immutable and thread-safe.
+ */
+public sealed interface ExchangeFinding {
+
+	/**
+	 * Returns where it was found.
+	 * @return the exchange
+	 */
+	ExchangeId exchange();
+
+	/**
+	 * An answer to another request came while this one was in progress.
+	 *
+	 * @param exchange the exchange in progress
+	 * @param status HTTP status of the answer
+	 * @param answeredId the id in the answer; empty if it has none
+	 */
+	record AnswerSkipped(ExchangeId exchange, int status, Optional<String> answeredId) implements ExchangeFinding {
+	}
+
+	/**
+	 * Bytes came behind an answer while no request was in progress, so the connection was
+	 * closed.
+	 *
+	 * @param exchange the latest exchange
+	 * @param bytes how many bytes came at once
+	 */
+	record BytesBehindAnswer(ExchangeId exchange, int bytes) implements ExchangeFinding {
+	}
+
+	/**
+	 * A request was sent whose id an open connection has, or may have, carried before.
+	 *
+	 * @param exchange the exchange of the request now
+	 * @param sameConnection whether this connection itself has carried the id
+	 */
+	record IdRepeated(ExchangeId exchange, boolean sameConnection) implements ExchangeFinding {
+	}
+
+}
--- a/daemon/src/main/java/org/brasspier/daemon/internal/http/BackendPool.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/http/BackendPool.java
@@ -15,6 +15,9 @@
 import io.activej.promise.SettablePromise;
 import io.activej.reactor.nio.NioReactor;
 import org.brasspier.core.request.Answer;
+import org.brasspier.daemon.internal.exchange.ExchangeFinding;
+import org.brasspier.daemon.internal.exchange.ExchangeId;
+import org.brasspier.daemon.internal.exchange.ServerCall;
 import org.brasspier.daemon.mesh.RawRequest;
 
 /**
@@ -75,7 +78,7 @@
 	}
 
 	/**
-	 * Sends a request.
+	 * Sends a request whose answer names no request.
 	 * @param request the request
 	 * @param repeatable whether the request may run twice
 	 * @param own accepts the answer to this request and no answer to an earlier one
@@ -84,11 +87,22 @@
 	 * @return the running request
 	 */
 	public BackendRun run(RawRequest request, boolean repeatable, Predicate<Answer> own, BooleanSupplier allowed) {
+		return run(ServerCall.withoutId(request, repeatable, own), allowed);
+	}
+
+	/**
+	 * Sends a request.
+	 * @param call the request
+	 * @param allowed whether the request may still be sent, evaluated immediately before
+	 * it is sent
+	 * @return the running request
+	 */
+	public BackendRun run(ServerCall call, BooleanSupplier allowed) {
 		BackendRun run = new BackendRun();
-		BackendSocket kept = takeIdle(repeatable);
+		BackendSocket kept = takeIdle(call.repeatable());
 		if (kept != null) {
 			if (allowed.getAsBoolean()) {
-				begin(run, kept, request, own);
+				begin(run, kept, call);
 			}
 			else {
 				this.idle.addFirst(kept);
@@ -109,7 +123,7 @@
 				run.end(new BackendReply.NotSent(NOT_ALLOWED));
 			}
 			else {
-				begin(run, socket, request, own);
+				begin(run, socket, call);
 			}
 		});
 		return run;
@@ -130,7 +144,7 @@
 		}
 		Optional<BackendSocket> member = takeIdleMember();
 		if (member.isPresent()) {
-			begin(run, member.get(), request, (answer) -> true);
+			begin(run, member.get(), ServerCall.withoutId(request, true, (answer) -> true));
 			return run;
 		}
 		this.connections.recordBlocked();
@@ -182,9 +196,14 @@
 		return BackendSocket.connect(this.reactor, this.address, CONNECT_TIMEOUT, this.bodies, this.connections);
 	}
 
-	private void begin(BackendRun run, BackendSocket socket, RawRequest request, Predicate<Answer> own) {
-		run.on(socket);
-		socket.exchange(request, own).whenResult((reply) -> {
+	private void begin(BackendRun run, BackendSocket socket, ServerCall call) {
+		boolean carriedBefore = call.id().filter(socket::mayHaveCarried).isPresent();
+		Promise<BackendReply> exchange = socket.exchange(call);
+		run.on(socket, socket.latestExchange());
+		if (carriedBefore) {
+			this.connections.exchanges().record(new ExchangeFinding.IdRepeated(socket.latestExchange(), true));
+		}
+		exchange.whenResult((reply) -> {
 			if (socket.usable(System.nanoTime())) {
 				this.idle.addFirst(socket);
 			}
@@ -213,6 +232,8 @@
 
 		private @org.jspecify.annotations.Nullable BackendSocket socket;
 
+		private @org.jspecify.annotations.Nullable ExchangeId exchange;
+
 		private boolean ended;
 
 		/**
@@ -231,6 +252,14 @@
 			return (this.socket != null) ? OptionalLong.of(this.socket.openedNanos()) : OptionalLong.empty();
 		}
 
+		/**
+		 * Returns the exchange that carries the request.
+		 * @return the exchange; empty while the request has no connection
+		 */
+		public Optional<ExchangeId> exchange() {
+			return Optional.ofNullable(this.exchange);
+		}
+
 		/**
 		 * Abandons the request by closing its connection; most servers then stop working
 		 * on it.
@@ -256,8 +285,9 @@
 			}
 		}
 
-		private void on(BackendSocket taken) {
+		private void on(BackendSocket taken, ExchangeId begun) {
 			this.socket = taken;
+			this.exchange = begun;
 		}
 
 		private boolean ended() {
--- a/daemon/src/main/java/org/brasspier/daemon/internal/http/BackendSocket.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/http/BackendSocket.java
@@ -3,7 +3,7 @@
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.time.Duration;
-import java.util.function.Predicate;
+import java.util.Optional;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
@@ -16,8 +16,12 @@
 import io.activej.reactor.nio.NioReactor;
 import org.brasspier.core.request.Answer;
 import org.brasspier.core.request.HeaderField;
+import org.brasspier.daemon.internal.exchange.CarriedRequests;
+import org.brasspier.daemon.internal.exchange.ExchangeFinding;
+import org.brasspier.daemon.internal.exchange.ExchangeId;
+import org.brasspier.daemon.internal.exchange.ServerCall;
 import org.brasspier.daemon.internal.loop.IsolatedTask;
-import org.brasspier.daemon.mesh.RawRequest;
+import org.brasspier.daemon.mesh.AnswerMatch;
 import org.eclipse.jetty.http.HttpParser;
 import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.http.HttpVersion;
@@ -66,6 +70,10 @@
 
 	private final long openedMark;
 
+	private final CarriedRequests carried = new CarriedRequests();
+
+	private ExchangeId latest;
+
 	private Collector collector;
 
 	private HttpParser parser;
@@ -91,6 +99,7 @@
 		this.bodies = bodies;
 		this.connections = connections;
 		this.openedMark = connections.nextMark();
+		this.latest = ExchangeId.opened(connections.exchanges().connectionOpened());
 		this.collector = new Collector(bodies);
 		this.parser = new HttpParser(this.collector);
 	}
@@ -114,17 +123,30 @@
 		return this.openedMark;
 	}
 
+	// Returns the latest exchange on this connection.
+	ExchangeId latestExchange() {
+		return this.latest;
+	}
+
+	// Returns whether a request with this id may have been sent on this connection.
+	boolean mayHaveCarried(String id) {
+		return this.carried.mayContain(id);
+	}
+
 	// Sends a request and skips answers that belong to another one.
-	Promise<BackendReply> exchange(RawRequest request, Predicate<Answer> own) {
-		Exchange begun = new Exchange(own, this.connections.nextMark(), new SettablePromise<>());
+	Promise<BackendReply> exchange(ServerCall call) {
+		Exchange begun = new Exchange(call, this.connections.nextMark(), new SettablePromise<>());
 		this.exchange = begun;
+		this.latest = this.latest.next(call.name());
+		call.id().ifPresent(this.carried::add);
+		this.connections.exchanges().exchangeBegun();
 		this.nonBodyBytes = 0;
 		this.skippedNonBodyBytes = 0;
 		this.skippedBodyBytes = 0;
 		startOver();
-		this.collector.toHead = request.method().equals("HEAD");
+		this.collector.toHead = call.request().method().equals("HEAD");
 		this.parser.setHeadResponse(this.collector.toHead);
-		this.socket.write(ByteBuf.wrapForReading(MessageText.request(request)))
+		this.socket.write(ByteBuf.wrapForReading(MessageText.request(call.request())))
 			.whenException((ex) -> broken("sending failed: " + ex.getMessage()));
 		return begun.reply;
 	}
@@ -158,7 +180,7 @@
 	private void take(ByteBuffer bytes) {
 		if (this.exchange == null) {
 			// Unsolicited bytes: the boundaries of later answers are unknown.
-			broken("received bytes while no request was in progress");
+			unsolicited(bytes);
 			return;
 		}
 		while (bytes.hasRemaining() && this.exchange != null && !this.closed) {
@@ -169,13 +191,20 @@
 			}
 		}
 		if (this.exchange == null && bytes.hasRemaining()) {
-			broken("bytes came behind an answer");
+			unsolicited(bytes);
 		}
 		if (!this.closed) {
 			read();
 		}
 	}
 
+	private void unsolicited(ByteBuffer bytes) {
+		if (!this.closed) {
+			this.connections.exchanges().record(new ExchangeFinding.BytesBehindAnswer(this.latest, bytes.remaining()));
+		}
+		broken("received bytes while no request was in progress");
+	}
+
 	private void parse(ByteBuffer bytes) {
 		int before = bytes.remaining();
 		int bodyBefore = this.collector.bodySize();
@@ -225,12 +254,28 @@
 		if (current == null) {
 			return;
 		}
-		if (this.collector.informational() || !current.own.test(answer)) {
-			this.skippedBodyBytes += this.collector.bodySize();
-			this.skippedNonBodyBytes = this.nonBodyBytes;
-			startOver();
+		if (this.collector.informational()) {
+			skip();
 			return;
 		}
+		switch (current.call.matcher().apply(answer)) {
+			case AnswerMatch.Own ignored -> answered(current, answer, reusable);
+			case AnswerMatch.Unnamed ignored -> answered(current, answer, reusable);
+			case AnswerMatch.Other(Optional<String> id) -> {
+				this.connections.exchanges()
+					.record(new ExchangeFinding.AnswerSkipped(this.latest, answer.status(), id));
+				skip();
+			}
+		}
+	}
+
+	private void skip() {
+		this.skippedBodyBytes += this.collector.bodySize();
+		this.skippedNonBodyBytes = this.nonBodyBytes;
+		startOver();
+	}
+
+	private void answered(Exchange current, Answer answer, boolean reusable) {
 		this.exchange = null;
 		this.collector.release();
 		this.connections.answered(this, current.sentMark);
@@ -311,7 +356,7 @@
 		return now - this.idleSinceNanos;
 	}
 
-	private record Exchange(Predicate<Answer> own, long sentMark, SettablePromise<BackendReply> reply) {
+	private record Exchange(ServerCall call, long sentMark, SettablePromise<BackendReply> reply) {
 	}
 
 	/**
--- a/daemon/src/main/java/org/brasspier/daemon/internal/http/ServerConnections.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/http/ServerConnections.java
@@ -5,6 +5,7 @@
 import java.util.OptionalLong;
 import java.util.Set;
 
+import org.brasspier.daemon.internal.exchange.ExchangeRecorder;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -28,6 +29,8 @@
 
 	private final Set<BackendSocket> candidates = new HashSet<>();
 
+	private final ExchangeRecorder exchanges = new ExchangeRecorder();
+
 	private @Nullable BackendSocket retired;
 
 	private Runnable onStarted = () -> {
@@ -50,6 +53,14 @@
 		this.onStarted = listener;
 	}
 
+	/**
+	 * Returns what is recorded of the exchanges on these connections.
+	 * @return the recorder
+	 */
+	public ExchangeRecorder exchanges() {
+		return this.exchanges;
+	}
+
 	/**
 	 * Returns whether a session is in progress.
 	 * @return false if it has no open connection
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/BackendGate.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/BackendGate.java
@@ -36,6 +36,8 @@
 import org.brasspier.daemon.internal.calls.GateCalls;
 import org.brasspier.daemon.internal.evacuation.DomainAdmission;
 import org.brasspier.daemon.internal.evacuation.EvacuationRows;
+import org.brasspier.daemon.internal.exchange.ExchangeId;
+import org.brasspier.daemon.internal.exchange.ServerCall;
 import org.brasspier.daemon.internal.gate.CancelPlace;
 import org.brasspier.daemon.internal.gate.KeyQueue;
 import org.brasspier.daemon.internal.gate.ReplyOutcomes;
@@ -356,10 +358,10 @@
 		this.crashes.onRequestStarted(accepted.hopRequest);
 		this.calls.onRunStarted(accepted.hopRequest.route(), now);
 		Sending sending = new Sending(accepted, incarnation);
-		BackendPool.BackendRun run = this.pool.run(this.protocol.request(backendRequest),
-				accepted.hopRequest.idempotent(),
-				(answer) -> this.protocol.verdict(backendRequest, answer) != BackendProtocol.Verdict.OTHER_REQUEST,
-				sending::tryBegin);
+		ServerCall call = new ServerCall(this.protocol.request(backendRequest),
+				Optional.of(accepted.hopRequest.request().id()), accepted.hopRequest.idempotent(),
+				(answer) -> this.protocol.match(backendRequest, answer));
+		BackendPool.BackendRun run = this.pool.run(call, sending::tryBegin);
 		ScheduledRunnable timeout = this.reactor.delay(remaining + 1L, run::giveUp);
 		// A running request that is not idempotent is not aborted: its effects remain
 		// even if the caller is gone, and the outcome of an aborted request is unknown.
@@ -375,7 +377,7 @@
 			if (this.registration.incarnation().equals(Optional.of(incarnation))) {
 				this.limits.onReply(backendRequest, now, reply);
 			}
-			return onRequestEnded(number, backendRequest, accepted, reply);
+			return onRequestEnded(number, backendRequest, accepted, reply, run.exchange());
 		});
 	}
 
@@ -386,14 +388,22 @@
 				&& this.checks.backendRejection(accepted.hopRequest, System.nanoTime()).isEmpty();
 	}
 
-	private SendOutcome onRequestEnded(long number, BackendRequest sent, AcceptedRequest accepted, BackendReply reply) {
+	private SendOutcome onRequestEnded(long number, BackendRequest sent, AcceptedRequest accepted, BackendReply reply,
+			Optional<ExchangeId> exchange) {
 		SendOutcome outcome = this.outcomes.outcome(sent, accepted.cancellation.isCancelled(), reply);
 		this.registration.onConnectionAttempt(!(reply instanceof BackendReply.Closed));
 		releaseSlot(number, ReplyOutcomes.runOutcome(outcome, accepted.cancellation.isCancelled(), reply));
-		if (!(outcome instanceof SendOutcome.Answered)) {
+		if (!(outcome instanceof SendOutcome.Answered answered)) {
 			this.log.record(MeshEvent.ORDER_FAILED, "request", accepted.hopRequest.request().id(), "life",
 					sent.incarnation(), "reply", reply, "outcome", outcome.getClass().getSimpleName(), "fingerprint",
-					accepted.hopRequest.fingerprint());
+					accepted.hopRequest.fingerprint(), "connection", exchange.map(ExchangeId::connection).orElse(0L),
+					"exchange", exchange.map(ExchangeId::number).orElse(0L));
+		}
+		else if (answered.answer().status() >= ErrorKind.INTERNAL_ERROR.status()) {
+			this.log.record(MeshEvent.BACKEND_ERROR, "request", accepted.hopRequest.request().id(), "life",
+					sent.incarnation(), "status", answered.answer().status(), "connection",
+					exchange.map(ExchangeId::connection).orElse(0L), "exchange",
+					exchange.map(ExchangeId::number).orElse(0L));
 		}
 		return outcome;
 	}
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/MeshEvent.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/MeshEvent.java
@@ -96,6 +96,20 @@
 	CALL_ROUTES_CHANGED(2103),
 	/** A request has ended at the gate whose caller had left. */
 	REQUEST_CANCELLED(2104),
+	/** The local backend server answered another request than the one in progress. */
+	ANSWER_SKIPPED(2105),
+	/**
+	 * A connection to the local backend server was closed, since bytes came that no
+	 * request awaited.
+	 */
+	BYTES_BEHIND_ANSWER(2106),
+	/**
+	 * A request was sent to the local backend server whose id an open connection to it
+	 * has carried before.
+	 */
+	REQUEST_ID_REPEATED(2107),
+	/** The local backend server answered a request with an error of its own. */
+	BACKEND_ERROR(2108),
 	/** A caller sent a malformed request. */
 	BAD_CALLER_INPUT(3001),
 	/** Another daemon sent an invalid message. */
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/MeshGauges.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/MeshGauges.java
@@ -6,6 +6,7 @@
 import com.codahale.metrics.MetricRegistry;
 import org.brasspier.core.FailureDomain;
 import org.brasspier.daemon.internal.evacuation.EvacuationRows;
+import org.brasspier.daemon.internal.exchange.ExchangeRecorder;
 import org.brasspier.daemon.internal.http.BodyBudget;
 import org.brasspier.daemon.internal.limit.ServerNotices;
 import org.brasspier.daemon.internal.link.AnswerAdmission;
@@ -35,6 +36,12 @@
 		return this;
 	}
 
+	MeshGauges exchanges(ExchangeRecorder exchanges) {
+		register("backend_connections_opened", exchanges::connectionsOpened);
+		register("backend_requests_sent", exchanges::exchangesBegun);
+		return this;
+	}
+
 	MeshGauges keys(KeyOwnership keys) {
 		register("mesh_lease_millis_left", keys::leaseMillisLeft);
 		register("mesh_spans_held", keys::spansHeld);
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/MeshNode.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/MeshNode.java
@@ -2,7 +2,9 @@
 
 import java.io.IOException;
 import java.time.Duration;
+import java.util.Arrays;
 import java.util.Locale;
+import java.util.Optional;
 import java.util.stream.Stream;
 
 import com.codahale.metrics.MetricRegistry;
@@ -11,6 +13,8 @@
 import org.brasspier.core.stop.StopPlan;
 import org.brasspier.daemon.internal.coldstart.WarmthChecks;
 import org.brasspier.daemon.internal.evacuation.EvacuationRows;
+import org.brasspier.daemon.internal.exchange.ExchangeFinding;
+import org.brasspier.daemon.internal.exchange.ExchangeId;
 import org.brasspier.daemon.internal.http.BackendPool;
 import org.brasspier.daemon.internal.http.BodyBudget;
 import org.brasspier.daemon.internal.http.CallerServer;
@@ -161,6 +165,7 @@
 			.evacuation(this.evacuations, settings.failureDomain())
 			.coldStart(this.registration)
 			.limits(this.notices, this.registration)
+			.exchanges(connections.exchanges())
 			.link(flow, answers)
 			.bodies(requestBodies, answerBodies)
 			.process(lag);
@@ -175,9 +180,29 @@
 					"life", this.registration.incarnation().map(String::valueOf).orElse(""), "heartbeat_ms_ago",
 					Duration.ofNanos(this.registration.nanosSinceHeartbeat(System.nanoTime())).toMillis()));
 		this.registration.onServerReplaced(connections::endSession);
+		connections.exchanges().setListener(this::logFinding);
 		return connections;
 	}
 
+	private void logFinding(ExchangeFinding finding) {
+		switch (finding) {
+			case ExchangeFinding.AnswerSkipped(ExchangeId ignored, int status, Optional<String> answered) ->
+				logFinding(MeshEvent.ANSWER_SKIPPED, finding, "status", status, "answered", answered.orElse(""));
+			case ExchangeFinding.BytesBehindAnswer(ExchangeId ignored, int bytes) ->
+				logFinding(MeshEvent.BYTES_BEHIND_ANSWER, finding, "bytes", bytes);
+			case ExchangeFinding.IdRepeated(ExchangeId ignored, boolean sameConnection) ->
+				logFinding(MeshEvent.REQUEST_ID_REPEATED, finding, "same_connection", sameConnection);
+		}
+	}
+
+	private void logFinding(MeshEvent event, ExchangeFinding finding, Object... fields) {
+		ExchangeId exchange = finding.exchange();
+		Object[] common = { "request", exchange.request(), "life",
+				this.registration.incarnation().map(String::valueOf).orElse(""), "connection", exchange.connection(),
+				"exchange", exchange.number() };
+		this.log.record(event, Stream.concat(Arrays.stream(common), Arrays.stream(fields)).toArray());
+	}
+
 	private void onEvacuationsChanged() {
 		this.log.record(MeshEvent.EVACUATION_CHANGED, "evacuated", this.evacuations.evacuated(), "own",
 				this.evacuations.isEvacuated(this.settings.failureDomain()), "version",
--- a/daemon/src/main/java/org/brasspier/daemon/mesh/BackendProtocol.java
+++ b/daemon/src/main/java/org/brasspier/daemon/mesh/BackendProtocol.java
@@ -20,9 +20,17 @@
 	RawRequest request(BackendRequest request);
 
 	/**
-	 * Interprets an answer.
+	 * Determines whether an answer belongs to a request, by what it says itself.
 	 * @param request the request that was sent
 	 * @param answer the answer received
+	 * @return the match
+	 */
+	AnswerMatch match(BackendRequest request, Answer answer);
+
+	/**
+	 * Interprets the answer to a request.
+	 * @param request the request that was sent
+	 * @param answer its answer
 	 * @return the verdict
 	 */
 	Verdict verdict(BackendRequest request, Answer answer);
@@ -59,11 +67,7 @@
 		/** The request ran, and this is its answer. */
 		RAN,
 		/** The backend server states that the request did not run. */
-		NOT_RUN,
-		/**
-		 * The answer belongs to an earlier request; the right answer may still arrive.
-		 */
-		OTHER_REQUEST
+		NOT_RUN
 
 	}
 
