Send no id twice on one connection to a server

What callers saw: a success where the server had answered a failure, or "not run" for a request that ran and was then run once more. A gate recognized an answer by the request id alone, and the pool gave out the connection that was used last. A server that answers a second time, late, sends the copy where the next answer on that connection is expected; if the id is sent there again, the copy is taken for the answer.

An answer that names no request is taken only as the first one of its connection; elsewhere the outcome is unknown. A connection on which an answer was skipped finishes its request and is not used again. The new collector behind a skipped answer knows that the request was a HEAD.

The platform's tests were not run yet.

--- a/daemon/src/main/java/org/brasspier/daemon/internal/exchange/ExchangeFinding.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/exchange/ExchangeFinding.java
@@ -34,12 +34,13 @@
 	}
 
 	/**
-	 * A request was sent whose id an open connection has, or may have, carried before.
+	 * A request is to be sent whose id an open connection has, or may have, carried
+	 * before; it goes on another one.
 	 *
-	 * @param exchange the exchange of the request now
-	 * @param sameConnection whether this connection itself has carried the id
+	 * @param exchange the latest exchange of that connection
+	 * @param request id of the request
 	 */
-	record IdRepeated(ExchangeId exchange, boolean sameConnection) implements ExchangeFinding {
+	record IdRepeated(ExchangeId exchange, String request) implements ExchangeFinding {
 	}
 
 }
--- a/daemon/src/main/java/org/brasspier/daemon/internal/http/BackendPool.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/http/BackendPool.java
@@ -91,7 +91,8 @@
 	}
 
 	/**
-	 * Sends a request.
+	 * Sends a request on a connection that has not carried its id, so that a late answer
+	 * to an earlier request with this id can't be taken for the answer to this one.
 	 * @param call the request
 	 * @param allowed whether the request may still be sent, evaluated immediately before
 	 * it is sent
@@ -99,13 +100,13 @@
 	 */
 	public BackendRun run(ServerCall call, BooleanSupplier allowed) {
 		BackendRun run = new BackendRun();
-		BackendSocket kept = takeIdle(call.repeatable());
-		if (kept != null) {
+		Optional<BackendSocket> kept = takeIdle(call);
+		if (kept.isPresent()) {
 			if (allowed.getAsBoolean()) {
-				begin(run, kept, call);
+				begin(run, kept.get(), call);
 			}
 			else {
-				this.idle.addFirst(kept);
+				this.idle.addFirst(kept.get());
 				run.end(new BackendReply.NotSent(NOT_ALLOWED));
 			}
 			return run;
@@ -197,12 +198,8 @@
 	}
 
 	private void begin(BackendRun run, BackendSocket socket, ServerCall call) {
-		boolean carriedBefore = call.id().filter(socket::mayHaveCarried).isPresent();
 		Promise<BackendReply> exchange = socket.exchange(call);
 		run.on(socket, socket.latestExchange());
-		if (carriedBefore) {
-			this.connections.exchanges().record(new ExchangeFinding.IdRepeated(socket.latestExchange(), true));
-		}
 		exchange.whenResult((reply) -> {
 			if (socket.usable(System.nanoTime())) {
 				this.idle.addFirst(socket);
@@ -211,16 +208,32 @@
 		});
 	}
 
-	private @org.jspecify.annotations.Nullable BackendSocket takeIdle(boolean repeatable) {
-		long now = System.nanoTime();
-		while (!this.idle.isEmpty()) {
+	private Optional<BackendSocket> takeIdle(ServerCall call) {
+		Deque<BackendSocket> passedOver = new ArrayDeque<>();
+		Optional<BackendSocket> taken = Optional.empty();
+		while (taken.isEmpty() && !this.idle.isEmpty()) {
 			BackendSocket first = this.idle.removeFirst();
-			if (first.usable(now) && (repeatable || first.restedNanos(now) < RECENT_USE_NANOS)) {
-				return first;
+			if (!isUsable(first, call.repeatable())) {
+				this.connections.retire(first);
+			}
+			else if (first.mayHaveCarried(call)) {
+				passedOver.addFirst(first);
+			}
+			else {
+				taken = Optional.of(first);
 			}
-			this.connections.retire(first);
 		}
-		return null;
+		if (!passedOver.isEmpty()) {
+			this.connections.exchanges()
+				.record(new ExchangeFinding.IdRepeated(passedOver.getLast().latestExchange(), call.name()));
+			passedOver.forEach(this.idle::addFirst);
+		}
+		return taken;
+	}
+
+	private static boolean isUsable(BackendSocket socket, boolean repeatable) {
+		long now = System.nanoTime();
+		return socket.usable(now) && (repeatable || socket.restedNanos(now) < RECENT_USE_NANOS);
 	}
 
 	/**
--- a/daemon/src/main/java/org/brasspier/daemon/internal/http/BackendSocket.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/http/BackendSocket.java
@@ -86,6 +86,9 @@
 
 	private long skippedBodyBytes;
 
+	/** Whether an answer came on this connection that belonged to no request on it. */
+	private boolean skippedAnswer;
+
 	private boolean closed;
 
 	private boolean endOfStream;
@@ -128,9 +131,10 @@
 		return this.latest;
 	}
 
-	// Returns whether a request with this id may have been sent on this connection.
-	boolean mayHaveCarried(String id) {
-		return this.carried.mayContain(id);
+	// Returns whether an answer that comes next on this connection can belong to an
+	// earlier call with the same id.
+	boolean mayHaveCarried(ServerCall call) {
+		return call.id().filter(this.carried::mayContain).isPresent();
 	}
 
 	// Sends a request and skips answers that belong to another one.
@@ -144,8 +148,6 @@
 		this.skippedNonBodyBytes = 0;
 		this.skippedBodyBytes = 0;
 		startOver();
-		this.collector.toHead = call.request().method().equals("HEAD");
-		this.parser.setHeadResponse(this.collector.toHead);
 		this.socket.write(ByteBuf.wrapForReading(MessageText.request(call.request())))
 			.whenException((ex) -> broken("sending failed: " + ex.getMessage()));
 		return begun.reply;
@@ -154,7 +156,9 @@
 	private void startOver() {
 		this.collector.release();
 		this.collector = new Collector(this.bodies);
+		this.collector.toHead = this.exchange != null && this.exchange.call.request().method().equals("HEAD");
 		this.parser = new HttpParser(this.collector);
+		this.parser.setHeadResponse(this.collector.toHead);
 	}
 
 	private void read() {
@@ -260,8 +264,10 @@
 		}
 		switch (current.call.matcher().apply(answer)) {
 			case AnswerMatch.Own ignored -> answered(current, answer, reusable);
-			case AnswerMatch.Unnamed ignored -> answered(current, answer, reusable);
+			case AnswerMatch.Unnamed ignored when firstOnConnection() -> answered(current, answer, reusable);
+			case AnswerMatch.Unnamed ignored -> garbled("the answer names no request, and may be another one's");
 			case AnswerMatch.Other(Optional<String> id) -> {
+				this.skippedAnswer = true;
 				this.connections.exchanges()
 					.record(new ExchangeFinding.AnswerSkipped(this.latest, answer.status(), id));
 				skip();
@@ -269,6 +275,10 @@
 		}
 	}
 
+	private boolean firstOnConnection() {
+		return this.latest.number() == 1 && !this.skippedAnswer;
+	}
+
 	private void skip() {
 		this.skippedBodyBytes += this.collector.bodySize();
 		this.skippedNonBodyBytes = this.nonBodyBytes;
@@ -279,11 +289,15 @@
 		this.exchange = null;
 		this.collector.release();
 		this.connections.answered(this, current.sentMark);
-		if (reusable) {
-			rest(maxIdleNanos(answer));
+		if (!reusable) {
+			close();
+		}
+		else if (this.skippedAnswer || this.carried.isFull()) {
+			rest(0);
+			this.connections.retire(this);
 		}
 		else {
-			close();
+			rest(maxIdleNanos(answer));
 		}
 		current.reply.trySet(new BackendReply.Whole(answer));
 	}
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/MeshEvent.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/MeshEvent.java
@@ -104,8 +104,8 @@
 	 */
 	BYTES_BEHIND_ANSWER(2106),
 	/**
-	 * A request was sent to the local backend server whose id an open connection to it
-	 * has carried before.
+	 * A request for the local backend server has an id that an open connection has
+	 * carried before, and goes on another one.
 	 */
 	REQUEST_ID_REPEATED(2107),
 	/** The local backend server answered a request with an error of its own. */
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/MeshNode.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/MeshNode.java
@@ -190,8 +190,8 @@
 				logFinding(MeshEvent.ANSWER_SKIPPED, finding, "status", status, "answered", answered.orElse(""));
 			case ExchangeFinding.BytesBehindAnswer(ExchangeId ignored, int bytes) ->
 				logFinding(MeshEvent.BYTES_BEHIND_ANSWER, finding, "bytes", bytes);
-			case ExchangeFinding.IdRepeated(ExchangeId ignored, boolean sameConnection) ->
-				logFinding(MeshEvent.REQUEST_ID_REPEATED, finding, "same_connection", sameConnection);
+			case ExchangeFinding.IdRepeated(ExchangeId ignored, String request) ->
+				logFinding(MeshEvent.REQUEST_ID_REPEATED, finding, "repeated", request);
 		}
 	}
 
--- /dev/null
+++ b/daemon/src/test/java/org/brasspier/daemon/internal/http/ExchangeIdentityTests.java
@@ -0,0 +1,233 @@
+package org.brasspier.daemon.internal.http;
+
+import java.io.IOException;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.stream.IntStream;
+
+import io.activej.eventloop.Eventloop;
+import org.brasspier.core.request.Answer;
+import org.brasspier.core.request.HeaderField;
+import org.brasspier.daemon.internal.exchange.CarriedRequests;
+import org.brasspier.daemon.internal.exchange.ExchangeFinding;
+import org.brasspier.daemon.internal.exchange.ServerCall;
+import org.brasspier.daemon.mesh.AnswerMatch;
+import org.brasspier.daemon.mesh.RawRequest;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Tests with a server that answers a request a second time where the answer to the next
+ * one is expected.
+ */
+class ExchangeIdentityTests {
+
+	private static final int MAX_BODY_BYTES = 1 << 20;
+
+	private final Eventloop loop = Eventloop.create();
+
+	private final ServerConnections connections = new ServerConnections();
+
+	private final List<ExchangeFinding> findings = new CopyOnWriteArrayList<>();
+
+	private ScriptedServer server;
+
+	private BackendPool pool;
+
+	private void serve(ScriptedServer.Script script) throws IOException {
+		this.server = new ScriptedServer(script);
+		this.pool = new BackendPool(this.loop, this.server.address(), new BodyBudget(this.loop, MAX_BODY_BYTES),
+				this.connections);
+		this.connections.exchanges().setListener(this.findings::add);
+		this.loop.keepAlive(true);
+		Thread.ofPlatform().daemon().start(this.loop);
+	}
+
+	@AfterEach
+	void stop() throws IOException {
+		this.loop.execute(this.loop::breakEventloop);
+		this.server.close();
+	}
+
+	// Returns the status of the answer, or the class of the reply if there is none.
+	private String send(String method, String id) throws Exception {
+		RawRequest request = new RawRequest(method, "/records/7",
+				List.of(new HeaderField("Host", "h"), new HeaderField("Request", id)), new byte[0]);
+		CompletableFuture<BackendReply> reply = new CompletableFuture<>();
+		this.loop.execute(() -> this.pool
+			.run(new ServerCall(request, Optional.of(id), true, (answer) -> match(answer, id)), () -> true)
+			.reply()
+			.whenResult(reply::complete));
+		return switch (reply.get(30, TimeUnit.SECONDS)) {
+			case BackendReply.Whole(Answer answer) -> answer.status() + new String(answer.body());
+			case BackendReply other -> other.getClass().getSimpleName();
+		};
+	}
+
+	private String send(String id) throws Exception {
+		return send("GET", id);
+	}
+
+	private static AnswerMatch match(Answer answer, String id) {
+		Optional<String> named = answer.headers()
+			.stream()
+			.filter((field) -> field.name().equals("Request"))
+			.map(HeaderField::value)
+			.findFirst();
+		if (named.isEmpty()) {
+			return new AnswerMatch.Unnamed();
+		}
+		return named.get().equals(id) ? new AnswerMatch.Own() : new AnswerMatch.Other(named);
+	}
+
+	// Answers each request at once, and before that the previous one again.
+	private static void answerEachTwice(ScriptedServer.Connection connection, String... answers) throws IOException {
+		String late = "";
+		for (String answer : answers) {
+			String id = connection.read();
+			String own = ScriptedServer.answer(Integer.parseInt(answer), id, " from " + connection.number());
+			connection.write(late + own);
+			late = own;
+		}
+		connection.read();
+	}
+
+	/**
+	 * Guards against a caller that gets the answer of an earlier run of its request: a
+	 * success where the server failed, or "not run" for a request that runs.
+	 */
+	@ParameterizedTest
+	@ValueSource(strings = { "503,200", "200,500", "500,200", "421,200" })
+	void aLateSecondAnswerIsNotTakenForThatOfTheNextRunOfItsRequest(String statuses) throws Exception {
+		String[] answers = statuses.split(",");
+		serve((connection) -> answerEachTwice(connection,
+				(connection.number() == 1) ? answers : new String[] { answers[1] }));
+		assertThat(send("a")).startsWith(answers[0]);
+		assertThat(send("a")).startsWith(answers[1]);
+	}
+
+	/** Guards against a connection for each request, which costs a server slots. */
+	@Test
+	void requestsWithDifferentIdsShareAConnection() throws Exception {
+		serve((connection) -> {
+			while (true) {
+				connection.write(ScriptedServer.answer(200, connection.read(), ""));
+			}
+		});
+		for (int i = 0; i < 200; i++) {
+			assertThat(send("r" + i)).isEqualTo("200");
+		}
+		assertThat(this.server.connections()).isEqualTo(1);
+	}
+
+	/**
+	 * Guards against one id that is repeated and costs the server a connection each time.
+	 */
+	@Test
+	void aConnectionThatHasCarriedAnIdStillServesOthers() throws Exception {
+		serve((connection) -> {
+			while (true) {
+				connection.write(ScriptedServer.answer(200, connection.read(), " from " + connection.number()));
+			}
+		});
+		assertThat(send("a")).isEqualTo("200 from 1");
+		assertThat(send("a")).isEqualTo("200 from 2");
+		for (int i = 0; i < 5; i++) {
+			assertThat(send("b" + i)).isEqualTo("200 from 2");
+		}
+		assertThat(this.server.connections()).isEqualTo(2);
+	}
+
+	/** Guards against memory that grows with the requests of a connection. */
+	@Test
+	void aConnectionIsReplacedOnceItHasCarriedAsManyRequestsAsItRemembers() throws Exception {
+		AtomicInteger mostOnOne = new AtomicInteger();
+		serve((connection) -> {
+			for (int carried = 1;; carried++) {
+				String id = connection.read();
+				mostOnOne.accumulateAndGet(carried, Math::max);
+				connection.write(ScriptedServer.answer(200, id, ""));
+			}
+		});
+		int requests = 2 * CarriedRequests.CAPACITY;
+		for (int i = 0; i < requests; i++) {
+			assertThat(send("r" + i)).isEqualTo("200");
+		}
+		assertThat(mostOnOne.get()).isAtMost(CarriedRequests.CAPACITY);
+		assertThat(this.server.connections()).isAtMost(requests / 1000);
+	}
+
+	/**
+	 * Guards against an answer that names no request and is a late second one of an
+	 * earlier request.
+	 */
+	@Test
+	void anAnswerWithoutIdIsTakenOnlyOnAConnectionThatHasCarriedNoOtherRequest() throws Exception {
+		serve((connection) -> {
+			connection.read();
+			connection.write(ScriptedServer.answer(500, ""));
+			connection.read();
+			connection.write(ScriptedServer.answer(500, "late") + ScriptedServer.answer(200, "b", ""));
+			connection.read();
+		});
+		assertThat(send("a")).isEqualTo("500");
+		assertThat(send("b")).isEqualTo("Garbled");
+	}
+
+	/** Guards against further late answers of a server that has sent one. */
+	@Test
+	void aConnectionOnWhichAnAnswerWasSkippedIsNotUsedAgain() throws Exception {
+		serve((connection) -> answerEachTwice(connection, "200", "200", "200"));
+		assertThat(send("a")).isEqualTo("200 from 1");
+		assertThat(send("b")).isEqualTo("200 from 1");
+		assertThat(send("c")).isEqualTo("200 from 2");
+		assertThat(this.findings.stream().filter((finding) -> finding instanceof ExchangeFinding.AnswerSkipped).count())
+			.isEqualTo(1);
+	}
+
+	/**
+	 * Guards against an answer to HEAD that is waited for in vain, since the answer that
+	 * was skipped before it had a body.
+	 */
+	@Test
+	void theAnswerToHeadHasNoBodyAlsoBehindAnAnswerThatWasSkipped() throws Exception {
+		serve((connection) -> {
+			connection.write(ScriptedServer.answer(200, connection.read(), ""));
+			String id = connection.read();
+			connection.write(ScriptedServer.answer(200, "a", "") + "HTTP/1.1 200 Any\r\nRequest: " + id
+					+ "\r\nContent-Length: 100\r\n\r\n");
+			connection.read();
+		});
+		assertThat(send("a")).isEqualTo("200");
+		assertThat(send("HEAD", "b")).isEqualTo("200");
+	}
+
+	/** Guards against an answer that was sent twice at once and is taken twice. */
+	@Test
+	void bytesBehindAnAnswerEndTheConnection() throws Exception {
+		serve((connection) -> {
+			String id = connection.read();
+			connection.write(ScriptedServer.answer(200, id, "").repeat(2));
+			connection.read();
+		});
+		List<String> statuses = IntStream.range(0, 3).mapToObj((i) -> {
+			try {
+				return send("r" + i);
+			}
+			catch (Exception ex) {
+				throw new IllegalStateException(ex);
+			}
+		}).toList();
+		assertThat(statuses).containsExactly("200", "200", "200");
+		assertThat(this.server.connections()).isEqualTo(3);
+	}
+
+}
