--- a/daemon/src/main/java/org/brasspier/daemon/internal/http/BackendSocket.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/http/BackendSocket.java
@@ -264,8 +264,7 @@
 		}
 		switch (current.call.matcher().apply(answer)) {
 			case AnswerMatch.Own ignored -> answered(current, answer, reusable);
-			case AnswerMatch.Unnamed ignored when firstOnConnection() -> answered(current, answer, reusable);
-			case AnswerMatch.Unnamed ignored -> garbled("the answer names no request, and may be another one's");
+			case AnswerMatch.Unnamed ignored -> garbled("the answer names no request");
 			case AnswerMatch.Other(Optional<String> id) -> {
 				this.skippedAnswer = true;
 				this.connections.exchanges()
@@ -275,10 +274,6 @@
 		}
 	}
 
-	private boolean firstOnConnection() {
-		return this.latest.number() == 1 && !this.skippedAnswer;
-	}
-
 	private void skip() {
 		this.skippedBodyBytes += this.collector.bodySize();
 		this.skippedNonBodyBytes = this.nonBodyBytes;
@@ -323,7 +318,7 @@
 	// An answer without a length ends at the end of the connection.
 	private void ended() {
 		this.endOfStream = true;
-		if (this.exchange != null) {
+		if (this.exchange != null && this.collector.headComplete()) {
 			this.parser.atEOF();
 			this.parser.parseNext(ByteBuffer.allocate(0));
 			if (this.collector.whole() && this.collector.fault().isEmpty()) {
--- a/daemon/src/main/java/org/brasspier/daemon/mesh/AnswerMatch.java
+++ b/daemon/src/main/java/org/brasspier/daemon/mesh/AnswerMatch.java
@@ -22,8 +22,7 @@
 	}
 
 	/**
-	 * The answer names no request, so only its place on the connection says to which one
-	 * it belongs.
+	 * The answer is a failure that names no request, so it may belong to any or none.
 	 */
 	record Unnamed() implements AnswerMatch {
 	}
--- a/daemon/src/test/java/org/brasspier/daemon/internal/http/ExchangeIdentityTests.java
+++ b/daemon/src/test/java/org/brasspier/daemon/internal/http/ExchangeIdentityTests.java
@@ -166,20 +166,22 @@
 	}
 
 	/**
-	 * Guards against an answer that names no request and is a late second one of an
-	 * earlier request.
+	 * Guards against a failure that belongs to another request, or to none, and is passed
+	 * on or taken for a statement that this one did not run.
 	 */
 	@Test
-	void anAnswerWithoutIdIsTakenOnlyOnAConnectionThatHasCarriedNoOtherRequest() throws Exception {
+	void anAnswerThatNamesNoRequestIsNoAnswer() throws Exception {
 		serve((connection) -> {
-			connection.read();
-			connection.write(ScriptedServer.answer(500, ""));
-			connection.read();
-			connection.write(ScriptedServer.answer(500, "late") + ScriptedServer.answer(200, "b", ""));
+			if (connection.number() == 2) {
+				connection.write(ScriptedServer.answer(200, connection.read(), ""));
+			}
+			String id = connection.read();
+			connection.write(ScriptedServer.answer(503, "") + ScriptedServer.answer(200, id, ""));
 			connection.read();
 		});
-		assertThat(send("a")).isEqualTo("500");
-		assertThat(send("b")).isEqualTo("Garbled");
+		assertThat(send("first on its connection")).isEqualTo("Garbled");
+		assertThat(send("a")).isEqualTo("200");
+		assertThat(send("later on its connection")).isEqualTo("Garbled");
 	}
 
 	/** Guards against further late answers of a server that has sent one. */
