Name the promise that a withdrawal is about

What could happen: two holders of a key. A holder that gives its lease up withdraws its deputy's promise by a message that names the holder only. One that a cut held up on an earlier connection and that arrives after a new promise was given withdraws the new one, and the deputy may take keys that the holder grants.

Requests for a promise and withdrawals now carry a mark: the holder's process and the time by its clock. A withdrawal leaves promises alone that were asked for later or by another process. The fields are optional at the end of the message, so builds without them behave as before, and beside one the fault stays.

DeputyLeaseTests.aLateWithdrawalLeaves... can't be written for the code before, which has no marks: there each withdrawal removes the promise.

--- a/core/src/main/java/org/brasspier/core/keys/PromiseTracker.java
+++ b/core/src/main/java/org/brasspier/core/keys/PromiseTracker.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 
 import org.brasspier.core.InstanceId;
 
@@ -14,7 +15,7 @@
 
 	private final LeaseTiming timing;
 
-	private final Map<InstanceId, Long> boundUntilNanos = new HashMap<>();
+	private final Map<InstanceId, Promised> promised = new HashMap<>();
 
 	private final Map<InstanceId, Long> attemptedVersions = new HashMap<>();
 
@@ -32,24 +33,32 @@
 	 * after it was sent, and only a newer row makes it fail.
 	 * @param holder the holder
 	 * @param rowVersion the version of its lease row as known to the holder
+	 * @param mark identifies the promise; empty if the holder is of an earlier build
 	 * @param now the current time, in nanoseconds
 	 * @return whether the promise was given
 	 */
-	public boolean promise(InstanceId holder, long rowVersion, long now) {
+	public boolean promise(InstanceId holder, long rowVersion, Optional<PromiseMark> mark, long now) {
 		Long tried = this.attemptedVersions.get(holder);
 		if (tried != null && tried >= rowVersion) {
 			return false;
 		}
-		this.boundUntilNanos.put(holder, now + this.timing.plusDrift(this.timing.promise().toNanos()));
+		this.promised.put(holder, new Promised(now + this.timing.plusDrift(this.timing.promise().toNanos()), mark));
 		return true;
 	}
 
 	/**
-	 * Withdraws the promise to a holder that grants nothing any more.
+	 * Withdraws the promise to a holder that grants nothing any more, unless the holder
+	 * has asked for it later.
 	 * @param holder the holder
+	 * @param mark when the holder withdrew it; empty if it is of an earlier build
 	 */
-	public void release(InstanceId holder) {
-		this.boundUntilNanos.remove(holder);
+	public void release(InstanceId holder, Optional<PromiseMark> mark) {
+		Promised latest = this.promised.get(holder);
+		boolean later = latest != null && mark.isPresent()
+				&& latest.mark.filter((asked) -> !mark.get().covers(asked)).isPresent();
+		if (!later) {
+			this.promised.remove(holder);
+		}
 	}
 
 	/**
@@ -59,8 +68,8 @@
 	 * @return true if this process must not take its keys
 	 */
 	public boolean isBound(InstanceId holder, long now) {
-		Long until = this.boundUntilNanos.get(holder);
-		return until != null && now - until < 0;
+		Promised latest = this.promised.get(holder);
+		return latest != null && now - latest.untilNanos < 0;
 	}
 
 	/**
@@ -72,4 +81,7 @@
 		this.attemptedVersions.merge(holder, rowVersion, Math::max);
 	}
 
+	private record Promised(long untilNanos, Optional<PromiseMark> mark) {
+	}
+
 }
--- a/core/src/test/java/org/brasspier/core/keys/DeputyLeaseTests.java
+++ b/core/src/test/java/org/brasspier/core/keys/DeputyLeaseTests.java
@@ -28,7 +28,7 @@
 	 */
 	@Test
 	void deputyCanTakeKeysOfLostHolderWhenItsPromiseHasEnded() {
-		this.promises.promise(A, 7, 0);
+		this.promises.promise(A, 7, Optional.empty(), 0);
 		this.monitor.onRowsRead(Map.of(A, LeaseRow.of(7, Optional.of(DEPUTY))), millis(100));
 		assertThat(this.monitor.endedRowVersion(A, PROMISE_NANOS)).isEmpty();
 		assertThat(this.monitor.endedRowVersion(A, TIMING.plusDrift(PROMISE_NANOS))).hasValue(7L);
@@ -98,10 +98,10 @@
 	 */
 	@Test
 	void deputyRefusesPromisesAfterTakeoverAttemptUntilTheLeaseIsRenewed() {
-		assertThat(this.promises.promise(A, 7, 0)).isTrue();
+		assertThat(this.promises.promise(A, 7, Optional.empty(), 0)).isTrue();
 		this.promises.recordTakeoverAttempt(A, 7);
-		assertThat(this.promises.promise(A, 7, millis(5_000))).isFalse();
-		assertThat(this.promises.promise(A, 8, millis(6_000))).isTrue();
+		assertThat(this.promises.promise(A, 7, Optional.empty(), millis(5_000))).isFalse();
+		assertThat(this.promises.promise(A, 8, Optional.empty(), millis(6_000))).isTrue();
 	}
 
 	/**
@@ -113,10 +113,10 @@
 	void relinquishedLeaseFreesKeysImmediately() {
 		this.lease.onPromise(DEPUTY, 0);
 		this.lease.onRenewed(0, 7, Optional.of(DEPUTY));
-		this.promises.promise(A, 7, 0);
+		this.promises.promise(A, 7, Optional.empty(), 0);
 		this.monitor.onRowsRead(Map.of(A, LeaseRow.of(7, Optional.of(DEPUTY))), millis(100));
 		this.lease.relinquish(millis(150));
-		this.promises.release(A);
+		this.promises.release(A, Optional.empty());
 		assertThat(this.lease.remainingNanos(millis(200))).isEqualTo(0);
 		assertThat(this.monitor.endedRowVersion(A, millis(200))).hasValue(7L);
 	}
@@ -164,4 +164,22 @@
 		assertThat(this.lease.remainingNanos(millis(5_000))).isEqualTo(0);
 	}
 
+	/**
+	 * Guards against two holders of a key: a withdrawal that a cut has held up on an
+	 * earlier connection arrives after the holder was given a new promise, and the deputy
+	 * takes the keys that the holder grants.
+	 */
+	@Test
+	void aLateWithdrawalLeavesPromisesInForceThatWereAskedForAfterIt() {
+		PromiseMark withdrawn = new PromiseMark(1, millis(200));
+		this.promises.promise(A, 8, Optional.of(new PromiseMark(1, millis(300))), millis(300));
+		this.promises.release(A, Optional.of(withdrawn));
+		assertThat(this.promises.isBound(A, millis(400))).isTrue();
+		this.promises.promise(A, 8, Optional.of(new PromiseMark(2, millis(100))), millis(500));
+		this.promises.release(A, Optional.of(withdrawn));
+		assertThat(this.promises.isBound(A, millis(600))).isTrue();
+		this.promises.release(A, Optional.of(new PromiseMark(2, millis(700))));
+		assertThat(this.promises.isBound(A, millis(800))).isFalse();
+	}
+
 }
--- a/core/src/test/java/org/brasspier/core/keys/LeaseModel.java
+++ b/core/src/test/java/org/brasspier/core/keys/LeaseModel.java
@@ -316,9 +316,10 @@
 
 		private void requestPromise(Process own, Instance other, long localNanos) {
 			long version = own.lease.rowVersion();
+			Optional<PromiseMark> mark = Optional.of(new PromiseMark(own.deputy.process(), localNanos));
 			deliver(this, other, () -> {
 				Process promising = other.process;
-				boolean promised = promising.promises.promise(this.id, version, other.clock());
+				boolean promised = promising.promises.promise(this.id, version, mark, other.clock());
 				deliver(other, this, () -> answer(own, () -> {
 					own.lease.onProcessSeen(promising.deputy, clock());
 					if (promised) {
@@ -334,9 +335,10 @@
 				return;
 			}
 			own.lease.relinquish(localNanos);
+			Optional<PromiseMark> mark = Optional.of(new PromiseMark(own.deputy.process(), localNanos));
 			LeaseModel.this.instances.stream()
 				.filter((other) -> own.lease.deputy().filter(other.process.deputy::equals).isPresent())
-				.forEach((deputy) -> deliver(this, deputy, () -> deputy.process.promises.release(this.id)));
+				.forEach((deputy) -> deliver(this, deputy, () -> deputy.process.promises.release(this.id, mark)));
 		}
 
 		private boolean fresh(Process own, Deputy deputy, long localNanos) {
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/DeputySelector.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/DeputySelector.java
@@ -12,6 +12,7 @@
 import org.brasspier.core.ServiceName;
 import org.brasspier.core.keys.Deputy;
 import org.brasspier.core.keys.OwnLease;
+import org.brasspier.core.keys.PromiseMark;
 import org.brasspier.daemon.mesh.MeshSettings;
 
 /**
@@ -61,17 +62,21 @@
 
 	private final LongSupplier clock;
 
+	private final long process;
+
 	private final Map<InstanceId, DeputyAnswer> latestAnswers = new HashMap<>();
 
 	private long lastRequestNanos;
 
-	DeputySelector(MeshSettings settings, Directory directory, HopClient hops, OwnLease lease, LongSupplier clock) {
+	DeputySelector(MeshSettings settings, Directory directory, HopClient hops, OwnLease lease, LongSupplier clock,
+			long process) {
 		this.self = settings.instance();
 		this.settings = settings;
 		this.directory = directory;
 		this.hops = hops;
 		this.lease = lease;
 		this.clock = clock;
+		this.process = process;
 		this.lastRequestNanos = clock.getAsLong() - REQUEST_INTERVAL_NANOS;
 	}
 
@@ -116,7 +121,8 @@
 	}
 
 	private void requestPromise(Member member, long requestedNanos) {
-		this.hops.requestPromise(member, this.self, this.lease.rowVersion())
+		PromiseMark mark = new PromiseMark(this.process, this.clock.getAsLong());
+		this.hops.requestPromise(member, this.self, this.lease.rowVersion(), mark)
 			.whenResult((answer) -> answer.ifPresent((response) -> {
 				Deputy deputy = new Deputy(member.instance(), response.process());
 				this.lease.onProcessSeen(deputy, this.clock.getAsLong());
@@ -137,7 +143,8 @@
 		this.lease.deputy()
 			.map(Deputy::instance)
 			.flatMap(this.directory::member)
-			.ifPresent((member) -> this.hops.sendOneWay(member, new HopMessage.PromiseRelease(this.self)));
+			.ifPresent((member) -> this.hops.sendOneWay(member, new HopMessage.PromiseRelease(this.self,
+					Optional.of(new PromiseMark(this.process, this.clock.getAsLong())))));
 	}
 
 	// Returns whether an instance has promised recently and reports that it can take over
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopClient.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopClient.java
@@ -11,6 +11,7 @@
 import io.activej.promise.Promise;
 import io.activej.reactor.nio.NioReactor;
 import org.brasspier.core.InstanceId;
+import org.brasspier.core.keys.PromiseMark;
 import org.brasspier.core.load.GateReport;
 import org.brasspier.core.mesh.SendOutcome;
 import org.brasspier.daemon.internal.link.LinkFlow;
@@ -121,11 +122,13 @@
 	 * @param member the other instance
 	 * @param holder this instance
 	 * @param rowVersion version of this instance's lease row
+	 * @param mark identifies the promise
 	 * @return its answer; empty if the connection was lost first
 	 */
-	Promise<Optional<HopMessage.PromiseResponse>> requestPromise(Member member, InstanceId holder, long rowVersion) {
+	Promise<Optional<HopMessage.PromiseResponse>> requestPromise(Member member, InstanceId holder, long rowVersion,
+			PromiseMark mark) {
 		Peer peer = peer(member);
-		return peer.link.requestPromise(holder, rowVersion).whenResult(() -> probeIfClosed(peer));
+		return peer.link.requestPromise(holder, rowVersion, mark).whenResult(() -> probeIfClosed(peer));
 	}
 
 	/**
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopCodec.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopCodec.java
@@ -20,6 +20,7 @@
 import org.brasspier.core.keys.HolderLoad;
 import org.brasspier.core.keys.KeyLoad;
 import org.brasspier.core.keys.KeySpan;
+import org.brasspier.core.keys.PromiseMark;
 import org.brasspier.core.load.GateReport;
 import org.brasspier.core.load.ServerLoad;
 import org.brasspier.core.mesh.KnownRows;
@@ -105,11 +106,12 @@
 			}
 			case HopMessage.Cancel(long exchange) -> frame.number(CANCEL).number(exchange);
 			case HopMessage.LoadReport(HolderLoad load) -> load(frame.number(LOAD_REPORT), load);
-			case HopMessage.PromiseRequest(long exchange, InstanceId holder, long rowVersion) ->
-				frame.number(PROMISE_REQUEST).number(exchange).text(holder.value()).number(rowVersion);
+			case HopMessage.PromiseRequest(long exchange, InstanceId holder, long rowVersion, var mark) ->
+				mark(frame.number(PROMISE_REQUEST).number(exchange).text(holder.value()).number(rowVersion), mark);
 			case HopMessage.PromiseResponse(long exchange, long process, boolean promised, boolean canTakeOver) ->
 				frame.number(PROMISE_RESPONSE).number(exchange).number(process).flag(promised).flag(canTakeOver);
-			case HopMessage.PromiseRelease(InstanceId holder) -> frame.number(PROMISE_RELEASE).text(holder.value());
+			case HopMessage.PromiseRelease(InstanceId holder, var mark) ->
+				mark(frame.number(PROMISE_RELEASE).text(holder.value()), mark);
 			case HopMessage.VersionsNotice(KnownRows rows) -> versions(frame.number(VERSIONS_NOTICE), rows);
 			case HopMessage.RowsRequest(KnownRows rows) -> versions(frame.number(ROWS_REQUEST), rows);
 			case HopMessage.RowsResponse response -> rowsResponse(frame.number(ROWS_RESPONSE), response);
@@ -227,10 +229,11 @@
 			case UNKNOWN -> response(frame.number(), new SendOutcome.Unknown(failure(frame)), frame);
 			case CANCEL -> new HopMessage.Cancel(frame.number());
 			case LOAD_REPORT -> new HopMessage.LoadReport(load(frame));
-			case PROMISE_REQUEST -> new HopMessage.PromiseRequest(frame.number(), instance(frame), frame.number());
+			case PROMISE_REQUEST ->
+				new HopMessage.PromiseRequest(frame.number(), instance(frame), frame.number(), mark(frame));
 			case PROMISE_RESPONSE ->
 				new HopMessage.PromiseResponse(frame.number(), frame.number(), frame.flag(), frame.flag());
-			case PROMISE_RELEASE -> new HopMessage.PromiseRelease(instance(frame));
+			case PROMISE_RELEASE -> new HopMessage.PromiseRelease(instance(frame), mark(frame));
 			case VERSIONS_NOTICE -> new HopMessage.VersionsNotice(versions(frame));
 			case ROWS_REQUEST -> new HopMessage.RowsRequest(versions(frame));
 			case ROWS_RESPONSE -> rowsResponse(frame);
@@ -254,6 +257,15 @@
 		return frame.hasMore() && frame.flag();
 	}
 
+	private static void mark(FrameWriter frame, Optional<PromiseMark> mark) {
+		mark.ifPresent((known) -> frame.number(known.process()).number(known.askedNanos()));
+	}
+
+	// Daemons of an earlier build send no mark.
+	private static Optional<PromiseMark> mark(FrameReader frame) throws WireException {
+		return frame.hasMore() ? Optional.of(new PromiseMark(frame.number(), frame.number())) : Optional.empty();
+	}
+
 	private static FrameWriter versions(FrameWriter frame, KnownRows versions) {
 		return frame.number(versions.config()).number(versions.mesh());
 	}
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopLink.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopLink.java
@@ -21,6 +21,7 @@
 import org.brasspier.core.ErrorKind;
 import org.brasspier.core.Failure;
 import org.brasspier.core.InstanceId;
+import org.brasspier.core.keys.PromiseMark;
 import org.brasspier.core.link.SilenceAllowance;
 import org.brasspier.core.load.GateReport;
 import org.brasspier.core.mesh.KnownRows;
@@ -259,10 +260,12 @@
 	 * Asks the other daemon to promise not to take over this instance's keys for a while.
 	 * @param holder this instance
 	 * @param rowVersion version of this instance's lease row
+	 * @param mark identifies the promise
 	 * @return its answer; empty if the connection was lost first
 	 */
-	Promise<Optional<HopMessage.PromiseResponse>> requestPromise(InstanceId holder, long rowVersion) {
-		return request(this.pendingPromises, (exchange) -> new HopMessage.PromiseRequest(exchange, holder, rowVersion));
+	Promise<Optional<HopMessage.PromiseResponse>> requestPromise(InstanceId holder, long rowVersion, PromiseMark mark) {
+		return request(this.pendingPromises,
+				(exchange) -> new HopMessage.PromiseRequest(exchange, holder, rowVersion, Optional.of(mark)));
 	}
 
 	/**
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopMessage.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopMessage.java
@@ -6,6 +6,7 @@
 import org.brasspier.core.InstanceId;
 import org.brasspier.core.crash.CrashState;
 import org.brasspier.core.keys.HolderLoad;
+import org.brasspier.core.keys.PromiseMark;
 import org.brasspier.core.load.GateReport;
 import org.brasspier.core.mesh.KnownRows;
 import org.brasspier.core.mesh.SendOutcome;
@@ -67,8 +68,10 @@
 	 * @param exchange number of the exchange, repeated in the answer
 	 * @param holder the holder
 	 * @param rowVersion version of the holder's lease row that the holder knows
+	 * @param mark identifies the promise; empty if the holder is of an earlier build
 	 */
-	record PromiseRequest(long exchange, InstanceId holder, long rowVersion) implements HopMessage {
+	record PromiseRequest(long exchange, InstanceId holder, long rowVersion,
+			Optional<PromiseMark> mark) implements HopMessage {
 	}
 
 	/**
@@ -87,8 +90,10 @@
 	 * receiver may take them over.
 	 *
 	 * @param holder the holder
+	 * @param mark when it was sent; promises that were asked for later stay in force.
+	 * Empty if the holder is of an earlier build
 	 */
-	record PromiseRelease(InstanceId holder) implements HopMessage {
+	record PromiseRelease(InstanceId holder, Optional<PromiseMark> mark) implements HopMessage {
 	}
 
 	/**
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopServer.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopServer.java
@@ -178,7 +178,7 @@
 				case HopMessage.LoadReport(var load) -> HopServer.this.keys.onLoadReport(load);
 				case HopMessage.PromiseRequest message -> send(HopServer.this.keys.promise(message));
 				case HopMessage.LeasesRequest message -> HopServer.this.keys.leaseRows(message).whenResult(this::send);
-				case HopMessage.PromiseRelease(var holder) -> HopServer.this.keys.onPromiseReleased(holder);
+				case HopMessage.PromiseRelease release -> HopServer.this.keys.onPromiseReleased(release);
 				case HopMessage.FollowRequest message -> HopServer.this.followers.follow(this, message, this);
 				case HopMessage.CrashUpdate(var instance, var state) ->
 					HopServer.this.crashes.onCrashState(instance, state);
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/KeyOwnership.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/KeyOwnership.java
@@ -293,10 +293,10 @@
 
 	/**
 	 * Handles the notification that a holder grants no keys any more.
-	 * @param holder the holder
+	 * @param release the notification
 	 */
-	void onPromiseReleased(InstanceId holder) {
-		this.lease.onPromiseReleased(holder);
+	void onPromiseReleased(HopMessage.PromiseRelease release) {
+		this.lease.onPromiseReleased(release);
 		step();
 	}
 
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/LeaseRenewal.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/LeaseRenewal.java
@@ -136,7 +136,7 @@
 		this.promises = new PromiseTracker(timing);
 		this.ownProcess = new Deputy(this.self, processNumber(clock));
 		this.monitor = new LeaseMonitor(timing, this.ownProcess, this.promises);
-		this.deputies = new DeputySelector(settings, directory, hops, this.lease, clock);
+		this.deputies = new DeputySelector(settings, directory, hops, this.lease, clock, this.ownProcess.process());
 		long now = clock.getAsLong();
 		this.lastRenewalNanos = now - timing.lease().toNanos();
 		this.lastReadNanos = now - READ_INTERVAL_NANOS;
@@ -206,12 +206,13 @@
 	 * @return the answer
 	 */
 	HopMessage.PromiseResponse promise(HopMessage.PromiseRequest request, boolean canTakeOver) {
-		boolean promised = this.promises.promise(request.holder(), request.rowVersion(), this.clock.getAsLong());
+		boolean promised = this.promises.promise(request.holder(), request.rowVersion(), request.mark(),
+				this.clock.getAsLong());
 		return new HopMessage.PromiseResponse(request.exchange(), this.ownProcess.process(), promised, canTakeOver);
 	}
 
-	void onPromiseReleased(InstanceId holder) {
-		this.promises.release(holder);
+	void onPromiseReleased(HopMessage.PromiseRelease release) {
+		this.promises.release(release.holder(), release.mark());
 	}
 
 	// Must be called before the write that takes over keys is sent.
--- a/daemon/src/test/java/org/brasspier/daemon/internal/mesh/HopClientTests.java
+++ b/daemon/src/test/java/org/brasspier/daemon/internal/mesh/HopClientTests.java
@@ -24,6 +24,7 @@
 import org.brasspier.core.RequestClass;
 import org.brasspier.core.ServiceName;
 import org.brasspier.core.crash.CrashState;
+import org.brasspier.core.keys.PromiseMark;
 import org.brasspier.core.mesh.SendOutcome;
 import org.brasspier.daemon.internal.evacuation.EvacuationRows;
 import org.brasspier.daemon.internal.request.Cancellation;
@@ -38,6 +39,8 @@
 
 class HopClientTests {
 
+	private static final PromiseMark MARK = new PromiseMark(1, 1);
+
 	private static final InstanceId OTHER = new InstanceId("other");
 
 	private final Eventloop loop = Eventloop.create();
@@ -76,7 +79,7 @@
 			Thread.ofPlatform().daemon().start(this.loop);
 			this.loop.execute(() -> {
 				Predicate<InstanceId> avoided = (instance) -> client.shouldAvoid(instance, System.nanoTime());
-				client.requestPromise(member, new InstanceId("self"), 1)
+				client.requestPromise(member, new InstanceId("self"), 1, MARK)
 					.whenResult(() -> avoidedWhileOpen.complete(false));
 				pollUntil(avoided, avoidedWhileOpen);
 			});
@@ -103,7 +106,7 @@
 			// Open connections keep the event loop running; its daemon thread ends with
 			// the JVM.
 			Thread.ofPlatform().daemon().start(this.loop);
-			this.loop.execute(() -> client.requestPromise(member, new InstanceId("self"), 1).whenResult(() -> {
+			this.loop.execute(() -> client.requestPromise(member, new InstanceId("self"), 1, MARK).whenResult(() -> {
 				avoidedAtFirst.complete(client.shouldAvoid(OTHER, System.nanoTime()));
 				pollUntil((instance) -> !client.shouldAvoid(instance, System.nanoTime()), noLonger);
 			}));
@@ -131,7 +134,7 @@
 			// Open connections keep the event loop running; its daemon thread ends with
 			// the JVM.
 			Thread.ofPlatform().daemon().start(this.loop);
-			this.loop.execute(() -> client.requestPromise(member, new InstanceId("self"), 1).whenResult(() -> {
+			this.loop.execute(() -> client.requestPromise(member, new InstanceId("self"), 1, MARK).whenResult(() -> {
 				available.thenRun(() -> silentBefore.complete(silent.get()));
 				pollUntil((instance) -> !client.shouldAvoid(instance, System.nanoTime()), available);
 			}));
--- a/daemon/src/test/java/org/brasspier/daemon/internal/mesh/HopCodecTests.java
+++ b/daemon/src/test/java/org/brasspier/daemon/internal/mesh/HopCodecTests.java
@@ -17,6 +17,7 @@
 import org.brasspier.core.crash.Exoneration;
 import org.brasspier.core.crash.RequestFingerprint;
 import org.brasspier.core.keys.BackendIncarnation;
+import org.brasspier.core.keys.PromiseMark;
 import org.brasspier.core.load.GateReport;
 import org.brasspier.core.load.ServerLoad;
 import org.brasspier.core.mesh.KnownRows;
@@ -193,4 +194,17 @@
 		assertThat(request.withRequestClass(RequestClass.INTERNAL).origin()).isEqualTo(origin);
 	}
 
+	@Test
+	void theMarkOfAPromiseIsEncodedAndDecoded() throws WireException {
+		InstanceId holder = new InstanceId("h");
+		Optional<PromiseMark> mark = Optional.of(new PromiseMark(-5, 1L << 60));
+		for (HopMessage message : List.of(new HopMessage.PromiseRequest(1, holder, 7, mark),
+				new HopMessage.PromiseRelease(holder, mark),
+				new HopMessage.PromiseRequest(1, holder, 7, Optional.empty()),
+				new HopMessage.PromiseRelease(holder, Optional.empty()))) {
+			assertThat(HopCodec.decode(new FrameDecoder(1000).decode(HopCodec.encode(message)).getFirst()))
+				.isEqualTo(message);
+		}
+	}
+
 }
