--- a/daemon/src/test/java/org/brasspier/daemon/internal/http/ExchangeIdentityTests.java
+++ b/daemon/src/test/java/org/brasspier/daemon/internal/http/ExchangeIdentityTests.java
@@ -18,6 +18,7 @@
 import org.brasspier.daemon.mesh.AnswerMatch;
 import org.brasspier.daemon.mesh.RawRequest;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -195,6 +196,35 @@
 			.isEqualTo(1);
 	}
 
+	/**
+	 * Guards against a grant that is taken to be in force, since a late second answer to
+	 * the grant before it came on its connection.
+	 */
+	@Test
+	@Tag("known-red")
+	void aLateSecondAnswerToAGrantIsNotTakenForTheAnswerToTheNextOne() throws Exception {
+		serve((connection) -> {
+			connection.read();
+			connection.write(ScriptedServer.answer(200, ""));
+			connection.read();
+			connection.write(ScriptedServer.answer(200, "") + ScriptedServer.answer(409, ""));
+			connection.read();
+		});
+		CompletableFuture<Boolean> open = new CompletableFuture<>();
+		this.loop.execute(() -> this.pool.open().whenResult(open::complete));
+		assertThat(open.get(30, TimeUnit.SECONDS)).isTrue();
+		assertThat(grant()).isEqualTo(200);
+		assertThat(grant()).isNotEqualTo(200);
+	}
+
+	// Returns the status of the answer to a grant; 0 if it has none.
+	private int grant() throws Exception {
+		RawRequest request = new RawRequest("POST", "/grant", List.of(new HeaderField("Host", "h")), new byte[0]);
+		CompletableFuture<BackendReply> reply = new CompletableFuture<>();
+		this.loop.execute(() -> this.pool.runInSession(request, 1).reply().whenResult(reply::complete));
+		return (reply.get(30, TimeUnit.SECONDS) instanceof BackendReply.Whole(Answer answer)) ? answer.status() : 0;
+	}
+
 	/**
 	 * Guards against an answer to HEAD that is waited for in vain, since the answer that
 	 * was skipped before it had a body.
