Replace a connection that was passed over, and keep a session's only one

A connection that was passed over for a repeated id stayed open beside the new one, so each further use of an id left one more open, up to the server's limit; now the oldest of them is closed first. A session's only member on which an answer was skipped was retired, and connections that had opened meanwhile could never join, so the session ended; it now goes on until another one has joined, which is safe since each id is sent on it once.

--- a/daemon/src/main/java/org/brasspier/daemon/internal/http/BackendPool.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/http/BackendPool.java
@@ -226,6 +226,12 @@
 		if (!passedOver.isEmpty()) {
 			this.connections.exchanges()
 				.record(new ExchangeFinding.IdRepeated(passedOver.getLast().latestExchange(), call.name()));
+			if (taken.isEmpty()) {
+				// The connection that will be opened replaces one, or each use of an id
+				// would
+				// leave one more open.
+				this.connections.retire(passedOver.removeFirst());
+			}
 			passedOver.forEach(this.idle::addFirst);
 		}
 		return taken;
--- a/daemon/src/main/java/org/brasspier/daemon/internal/http/BackendSocket.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/http/BackendSocket.java
@@ -287,7 +287,7 @@
 		if (!reusable) {
 			close();
 		}
-		else if (this.skippedAnswer || this.carried.isFull()) {
+		else if (this.carried.isFull() || (this.skippedAnswer && !this.connections.isOnlyMember(this))) {
 			rest(0);
 			this.connections.retire(this);
 		}
--- a/daemon/src/main/java/org/brasspier/daemon/internal/http/ServerConnections.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/http/ServerConnections.java
@@ -117,6 +117,12 @@
 		return this.members.contains(socket);
 	}
 
+	// Returns whether other connections can join the session only by the next answer on
+	// this one.
+	boolean isOnlyMember(BackendSocket socket) {
+		return this.members.size() == 1 && this.members.contains(socket);
+	}
+
 	// Returns whether a connection is of an earlier session and can't join this one.
 	boolean isOutside(BackendSocket socket) {
 		return !this.members.contains(socket) && !this.candidates.contains(socket);
@@ -170,7 +176,7 @@
 	// Closes a connection that can't be used any more. The last member is kept until
 	// another one has carried an answer, since the session would end with it.
 	void retire(BackendSocket socket) {
-		if (this.members.size() == 1 && this.members.contains(socket)) {
+		if (isOnlyMember(socket)) {
 			this.retired = socket;
 		}
 		else {
