--- a/daemon/src/main/java/org/brasspier/daemon/internal/exchange/ExchangeFinding.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/exchange/ExchangeFinding.java
@@ -19,8 +19,30 @@
 	 * @param exchange the exchange in progress
 	 * @param status HTTP status of the answer
 	 * @param answeredId the id in the answer; empty if it has none
+	 * @param start the first bytes of the answer
 	 */
-	record AnswerSkipped(ExchangeId exchange, int status, Optional<String> answeredId) implements ExchangeFinding {
+	record AnswerSkipped(ExchangeId exchange, int status, Optional<String> answeredId,
+			String start) implements ExchangeFinding {
+	}
+
+	/**
+	 * An interim answer came, after which the exchange goes on.
+	 *
+	 * @param exchange the exchange in progress
+	 * @param status HTTP status of the answer
+	 * @param start the first bytes of the answer
+	 */
+	record InterimAnswer(ExchangeId exchange, int status, String start) implements ExchangeFinding {
+	}
+
+	/**
+	 * An exchange was completed by an answer that was not the first one to arrive in it.
+	 *
+	 * @param exchange the exchange
+	 * @param status HTTP status of the answer taken
+	 * @param passedOver how many answers had come before it
+	 */
+	record LaterAnswerTaken(ExchangeId exchange, int status, int passedOver) implements ExchangeFinding {
 	}
 
 	/**
--- a/daemon/src/main/java/org/brasspier/daemon/internal/http/BackendSocket.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/http/BackendSocket.java
@@ -16,6 +16,7 @@
 import io.activej.reactor.nio.NioReactor;
 import org.brasspier.core.request.Answer;
 import org.brasspier.core.request.HeaderField;
+import org.brasspier.daemon.internal.exchange.AnswerStart;
 import org.brasspier.daemon.internal.exchange.CarriedRequests;
 import org.brasspier.daemon.internal.exchange.ExchangeFinding;
 import org.brasspier.daemon.internal.exchange.ExchangeId;
@@ -72,6 +73,8 @@
 
 	private final CarriedRequests carried = new CarriedRequests();
 
+	private final AnswerStart answerStart = new AnswerStart();
+
 	private ExchangeId latest;
 
 	private Collector collector;
@@ -86,6 +89,8 @@
 
 	private long skippedBodyBytes;
 
+	private int passedOver;
+
 	/** Whether an answer came on this connection that belonged to no request on it. */
 	private boolean skippedAnswer;
 
@@ -147,6 +152,7 @@
 		this.nonBodyBytes = 0;
 		this.skippedNonBodyBytes = 0;
 		this.skippedBodyBytes = 0;
+		this.passedOver = 0;
 		startOver();
 		this.socket.write(ByteBuf.wrapForReading(MessageText.request(call.request())))
 			.whenException((ex) -> broken("sending failed: " + ex.getMessage()));
@@ -154,6 +160,7 @@
 	}
 
 	private void startOver() {
+		this.answerStart.clear();
 		this.collector.release();
 		this.collector = new Collector(this.bodies);
 		this.collector.toHead = this.exchange != null && this.exchange.call.request().method().equals("HEAD");
@@ -204,7 +211,7 @@
 
 	private void unsolicited(ByteBuffer bytes) {
 		if (!this.closed) {
-			this.connections.exchanges().record(new ExchangeFinding.BytesBehindAnswer(this.latest, bytes.remaining()));
+			record(new ExchangeFinding.BytesBehindAnswer(this.latest, bytes.remaining()));
 		}
 		broken("received bytes while no request was in progress");
 	}
@@ -212,7 +219,9 @@
 	private void parse(ByteBuffer bytes) {
 		int before = bytes.remaining();
 		int bodyBefore = this.collector.bodySize();
+		ByteBuffer received = bytes.duplicate();
 		boolean stopped = this.parser.parseNext(bytes);
+		this.answerStart.add(received.limit(bytes.position()));
 		this.nonBodyBytes += before - bytes.remaining() - (this.collector.bodySize() - bodyBefore);
 		if (this.collector.fault().isPresent() || this.collector.tooLarge() || exceedsLimits()) {
 			garbled("the answer is no HTTP/1.1 or too large");
@@ -259,6 +268,7 @@
 			return;
 		}
 		if (this.collector.informational()) {
+			record(new ExchangeFinding.InterimAnswer(this.latest, answer.status(), this.answerStart.toString()));
 			skip();
 			return;
 		}
@@ -267,14 +277,19 @@
 			case AnswerMatch.Unnamed ignored -> garbled("the answer names no request");
 			case AnswerMatch.Other(Optional<String> id) -> {
 				this.skippedAnswer = true;
-				this.connections.exchanges()
-					.record(new ExchangeFinding.AnswerSkipped(this.latest, answer.status(), id));
+				record(new ExchangeFinding.AnswerSkipped(this.latest, answer.status(), id,
+						this.answerStart.toString()));
 				skip();
 			}
 		}
 	}
 
+	private void record(ExchangeFinding finding) {
+		this.connections.exchanges().record(finding);
+	}
+
 	private void skip() {
+		this.passedOver++;
 		this.skippedBodyBytes += this.collector.bodySize();
 		this.skippedNonBodyBytes = this.nonBodyBytes;
 		startOver();
@@ -284,6 +299,9 @@
 		this.exchange = null;
 		this.collector.release();
 		this.connections.answered(this, current.sentMark);
+		if (this.passedOver > 0) {
+			record(new ExchangeFinding.LaterAnswerTaken(this.latest, answer.status(), this.passedOver));
+		}
 		if (!reusable) {
 			close();
 		}
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/MeshEvent.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/MeshEvent.java
@@ -110,6 +110,10 @@
 	REQUEST_ID_REPEATED(2107),
 	/** The local backend server answered a request with an error of its own. */
 	BACKEND_ERROR(2108),
+	/** The local backend server gave an interim answer; its final one may follow. */
+	INTERIM_ANSWER(2109),
+	/** A request was answered by an answer that was not the first one to come for it. */
+	LATER_ANSWER_TAKEN(2110),
 	/** A caller sent a malformed request. */
 	BAD_CALLER_INPUT(3001),
 	/** Another daemon sent an invalid message. */
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/MeshNode.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/MeshNode.java
@@ -186,8 +186,13 @@
 
 	private void logFinding(ExchangeFinding finding) {
 		switch (finding) {
-			case ExchangeFinding.AnswerSkipped(ExchangeId ignored, int status, Optional<String> answered) ->
-				logFinding(MeshEvent.ANSWER_SKIPPED, finding, "status", status, "answered", answered.orElse(""));
+			case ExchangeFinding.AnswerSkipped(ExchangeId ignored, int status, Optional<String> answered, String start) ->
+				logFinding(MeshEvent.ANSWER_SKIPPED, finding, "status", status, "answered", answered.orElse(""),
+						"start", start);
+			case ExchangeFinding.InterimAnswer(ExchangeId ignored, int status, String start) ->
+				logFinding(MeshEvent.INTERIM_ANSWER, finding, "status", status, "start", start);
+			case ExchangeFinding.LaterAnswerTaken(ExchangeId ignored, int status, int passedOver) ->
+				logFinding(MeshEvent.LATER_ANSWER_TAKEN, finding, "status", status, "passed_over", passedOver);
 			case ExchangeFinding.BytesBehindAnswer(ExchangeId ignored, int bytes) ->
 				logFinding(MeshEvent.BYTES_BEHIND_ANSWER, finding, "bytes", bytes);
 			case ExchangeFinding.IdRepeated(ExchangeId ignored, String request) ->
