Take no answer behind one that belongs to no request

Callers got a success although their server had answered a failure. A gate passed over every message that was not the awaited answer (the id of another request, an empty id, a success without id or stamp, a status below 200) and took the next one with the id of the request. A server that answers twice thus completed an exchange with its second answer, whatever its first one had been.

AnswerClassifier now decides what a message is, for requests, calls and health checks: the awaited final answer (status 200 to 599, HTTP/1.0 or 1.1, one id, a success with one stamp), an interim one (100 to 199 without 101, without id, stamp or body), a further answer to a request that this connection has carried before, or none of these. Only an interim answer and a further answer to an earlier request may come before the awaited one. Anything else ends the connection, and the outcome is unknown at once: retried where that is allowed, 502 otherwise. Nothing is called not run by it. Statuses 600 and above are refused by the same rule.

Whether a connection has carried an id decides now whether what follows may be trusted, so the filter that erred for one id in a thousand is replaced by keyed hashes of 64 bits. A connection is replaced after 2,048 requests (8,192 before), which bounds them to some 130 KB by estimate.

AnswersWithoutEndTests: answers to others are now further answers to an earlier request, since those of no request end the exchange. The test of BackendHttp.match moved to AnswerClassifierTests, with more cases; its expected 'Other' of answers that no connection has carried is now a refusal.

--- a/core/src/main/java/org/brasspier/core/request/Answer.java
+++ b/core/src/main/java/org/brasspier/core/request/Answer.java
@@ -12,6 +12,12 @@
  */
 public record Answer(int status, List<HeaderField> headers, byte[] body) {
 
+	/** The lowest status of a final answer. */
+	public static final int FIRST_FINAL_STATUS = 200;
+
+	/** The lowest number that is no status any more. */
+	public static final int STATUS_END = 600;
+
 	/**
 	 * Copies the header fields.
 	 */
@@ -19,4 +25,13 @@
 		headers = List.copyOf(headers);
 	}
 
+	/**
+	 * Returns whether a status is that of a final answer.
+	 * @param status the status
+	 * @return true from 200 to 599
+	 */
+	public static boolean isFinal(int status) {
+		return status >= FIRST_FINAL_STATUS && status < STATUS_END;
+	}
+
 }
--- a/daemon/src/main/java/org/brasspier/daemon/internal/coldstart/WarmthChecks.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/coldstart/WarmthChecks.java
@@ -6,6 +6,7 @@
 import io.activej.reactor.nio.NioReactor;
 import org.brasspier.core.coldstart.ColdStartLimiter;
 import org.brasspier.core.keys.BackendIncarnation;
+import org.brasspier.daemon.internal.exchange.ServerCall;
 import org.brasspier.daemon.internal.http.BackendPool;
 import org.brasspier.daemon.internal.http.BackendReply;
 import org.brasspier.daemon.mesh.BackendProtocol;
@@ -53,8 +54,9 @@
 			return;
 		}
 		this.limiter.onCheckSent(now);
-		BackendPool.BackendRun check = this.pool.run(this.protocol.healthCheck(path), true,
-				(answer) -> this.protocol.coldRemaining(server, answer).isPresent(), () -> true);
+		ServerCall call = ServerCall.withoutId(this.protocol.healthCheck(path), true, this.protocol::identity,
+				(answer) -> this.protocol.coldRemaining(server, answer).isPresent());
+		BackendPool.BackendRun check = this.pool.run(call, () -> true);
 		this.reactor.delay(TIMEOUT, check::giveUp);
 		check.reply().whenResult((reply) -> {
 			record(server, reply, now);
--- a/daemon/src/main/java/org/brasspier/daemon/internal/exchange/CarriedRequests.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/exchange/CarriedRequests.java
@@ -1,43 +1,54 @@
 package org.brasspier.daemon.internal.exchange;
 
-import com.google.common.hash.BloomFilter;
-import com.google.common.hash.Funnels;
+import java.security.SecureRandom;
+import java.util.HashSet;
+import java.util.Set;
+
+import com.google.common.hash.HashFunction;
+import com.google.common.hash.Hashing;
 
 /**
  * The ids of the requests that one connection has carried. A server may answer a request
  * a second time at any later moment, so an id identifies an answer only on a connection
- * that has carried it once. Takes up a fixed amount of memory. Not thread-safe.
+ * that has carried it once, and an answer with an id that it has not carried is nobody's.
+ * Keeps a keyed hash of 64 bits of each id, some 60 bytes. Not thread-safe.
  */
 public final class CarriedRequests {
 
 	/** The number of requests that a connection may carry. */
-	public static final int CAPACITY = 8192;
+	public static final int CAPACITY = 2048;
 
-	/** At most this share of the ids that were not carried count as carried. */
-	private static final double MAX_FALSE_POSITIVES = 0.001;
+	// Callers choose the ids and must not be able to choose two with one hash.
+	private static final HashFunction HASH = keyedHash(new SecureRandom());
 
-	@SuppressWarnings("UnstableApiUsage")
-	private final BloomFilter<CharSequence> ids = BloomFilter.create(Funnels.unencodedCharsFunnel(), CAPACITY,
-			MAX_FALSE_POSITIVES);
+	private final Set<Long> hashes = new HashSet<>();
 
 	private int count;
 
+	private static HashFunction keyedHash(SecureRandom random) {
+		return Hashing.sipHash24(random.nextLong(), random.nextLong());
+	}
+
+	private static long hash(String id) {
+		return HASH.hashUnencodedChars(id).asLong();
+	}
+
 	/**
 	 * Adds the id of a request that is about to be sent.
 	 * @param id the id
 	 */
 	public void add(String id) {
-		this.ids.put(id);
+		this.hashes.add(hash(id));
 		this.count++;
 	}
 
 	/**
-	 * Returns whether the connection may have carried an id.
+	 * Returns whether the connection has carried an id.
 	 * @param id the id
-	 * @return false if it certainly has not
+	 * @return true if it has; wrongly for one of 10^15 ids that it has not
 	 */
-	public boolean mayContain(String id) {
-		return this.ids.mightContain(id);
+	public boolean contains(String id) {
+		return this.hashes.contains(hash(id));
 	}
 
 	/**
--- a/daemon/src/main/java/org/brasspier/daemon/internal/exchange/ExchangeFinding.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/exchange/ExchangeFinding.java
@@ -1,7 +1,5 @@
 package org.brasspier.daemon.internal.exchange;
 
-import java.util.Optional;
-
 /**
  * An irregularity on a connection to the backend server. Immutable and thread-safe.
  */
@@ -14,14 +12,26 @@
 	ExchangeId exchange();
 
 	/**
-	 * An answer to another request came while this one was in progress.
+	 * A further answer to a request that the connection carried before came while this
+	 * one was in progress.
 	 *
 	 * @param exchange the exchange in progress
 	 * @param status HTTP status of the answer
-	 * @param answeredId the id in the answer; empty if it has none
+	 * @param answeredId the id in the answer
 	 * @param start the first bytes of the answer
 	 */
-	record AnswerSkipped(ExchangeId exchange, int status, Optional<String> answeredId,
+	record AnswerSkipped(ExchangeId exchange, int status, String answeredId, String start) implements ExchangeFinding {
+	}
+
+	/**
+	 * Something came that is no answer, and the exchange and its connection have ended.
+	 *
+	 * @param exchange the exchange that was in progress
+	 * @param status HTTP status; 0 if none was read
+	 * @param reason why it is none
+	 * @param start the first bytes received
+	 */
+	record AnswerRefused(ExchangeId exchange, int status, AnswerRefusal reason,
 			String start) implements ExchangeFinding {
 	}
 
--- a/daemon/src/main/java/org/brasspier/daemon/internal/http/BackendPool.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/http/BackendPool.java
@@ -78,7 +78,7 @@
 	}
 
 	/**
-	 * Sends a request whose answer names no request.
+	 * Sends a request whose answer names nothing.
 	 * @param request the request
 	 * @param repeatable whether the request may run twice
 	 * @param own accepts the answer to this request and no answer to an earlier one
@@ -87,7 +87,7 @@
 	 * @return the running request
 	 */
 	public BackendRun run(RawRequest request, boolean repeatable, Predicate<Answer> own, BooleanSupplier allowed) {
-		return run(ServerCall.withoutId(request, repeatable, own), allowed);
+		return run(ServerCall.withoutId(request, repeatable, ServerCall.NAMES_NOTHING, own), allowed);
 	}
 
 	/**
@@ -145,7 +145,7 @@
 		}
 		Optional<BackendSocket> member = takeIdleMember();
 		if (member.isPresent()) {
-			begin(run, member.get(), ServerCall.withoutId(request, true, (answer) -> true));
+			begin(run, member.get(), ServerCall.unidentified(request, true));
 			return run;
 		}
 		this.connections.recordBlocked();
@@ -216,7 +216,7 @@
 			if (!isUsable(first, call.repeatable())) {
 				this.connections.retire(first);
 			}
-			else if (first.mayHaveCarried(call)) {
+			else if (first.hasCarried(call)) {
 				passedOver.addFirst(first);
 			}
 			else {
--- a/daemon/src/main/java/org/brasspier/daemon/internal/http/BackendSocket.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/http/BackendSocket.java
@@ -3,7 +3,6 @@
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.time.Duration;
-import java.util.Optional;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
@@ -16,13 +15,15 @@
 import io.activej.reactor.nio.NioReactor;
 import org.brasspier.core.request.Answer;
 import org.brasspier.core.request.HeaderField;
+import org.brasspier.daemon.internal.exchange.AnswerClassifier;
+import org.brasspier.daemon.internal.exchange.AnswerRefusal;
 import org.brasspier.daemon.internal.exchange.AnswerStart;
 import org.brasspier.daemon.internal.exchange.CarriedRequests;
 import org.brasspier.daemon.internal.exchange.ExchangeFinding;
 import org.brasspier.daemon.internal.exchange.ExchangeId;
+import org.brasspier.daemon.internal.exchange.ReceivedAnswer;
 import org.brasspier.daemon.internal.exchange.ServerCall;
 import org.brasspier.daemon.internal.loop.IsolatedTask;
-import org.brasspier.daemon.mesh.AnswerMatch;
 import org.eclipse.jetty.http.HttpParser;
 import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.http.HttpVersion;
@@ -91,7 +92,7 @@
 
 	private int passedOver;
 
-	/** Whether an answer came on this connection that belonged to no request on it. */
+	/** Whether a request of this connection was answered again. */
 	private boolean skippedAnswer;
 
 	private boolean closed;
@@ -138,11 +139,11 @@
 
 	// Returns whether an answer that comes next on this connection can belong to an
 	// earlier call with the same id.
-	boolean mayHaveCarried(ServerCall call) {
-		return call.id().filter(this.carried::mayContain).isPresent();
+	boolean hasCarried(ServerCall call) {
+		return call.id().filter(this.carried::contains).isPresent();
 	}
 
-	// Sends a request and skips answers that belong to another one.
+	// Sends a request and skips further answers to earlier ones.
 	Promise<BackendReply> exchange(ServerCall call) {
 		Exchange begun = new Exchange(call, this.connections.nextMark(), new SettablePromise<>());
 		this.exchange = begun;
@@ -224,7 +225,7 @@
 		this.answerStart.add(received.limit(bytes.position()));
 		this.nonBodyBytes += before - bytes.remaining() - (this.collector.bodySize() - bodyBefore);
 		if (this.collector.fault().isPresent() || this.collector.tooLarge() || exceedsLimits()) {
-			garbled("the answer is no HTTP/1.1 or too large");
+			refuse(AnswerRefusal.MALFORMED);
 		}
 		else if (this.collector.outOfMemory()) {
 			garbled("other answers take up the memory that this one needs");
@@ -267,23 +268,30 @@
 		if (current == null) {
 			return;
 		}
-		if (this.collector.informational()) {
-			record(new ExchangeFinding.InterimAnswer(this.latest, answer.status(), this.answerStart.toString()));
-			skip();
-			return;
-		}
-		switch (current.call.matcher().apply(answer)) {
-			case AnswerMatch.Own ignored -> answered(current, answer, reusable);
-			case AnswerMatch.Unnamed ignored -> garbled("the answer names no request");
-			case AnswerMatch.Other(Optional<String> id) -> {
+		AnswerClassifier.Message message = new AnswerClassifier.Message(this.collector.version(),
+				this.collector.statesBody(), answer);
+		switch (AnswerClassifier.classify(current.call, message, this.carried::contains)) {
+			case ReceivedAnswer.Final ignored -> answered(current, answer, reusable);
+			case ReceivedAnswer.Interim ignored -> {
+				record(new ExchangeFinding.InterimAnswer(this.latest, answer.status(), this.answerStart.toString()));
+				skip();
+			}
+			case ReceivedAnswer.LateCopy(String id) -> {
 				this.skippedAnswer = true;
 				record(new ExchangeFinding.AnswerSkipped(this.latest, answer.status(), id,
 						this.answerStart.toString()));
 				skip();
 			}
+			case ReceivedAnswer.Refused(AnswerRefusal reason) -> refuse(reason);
 		}
 	}
 
+	private void refuse(AnswerRefusal reason) {
+		record(new ExchangeFinding.AnswerRefused(this.latest, this.collector.status, reason,
+				this.answerStart.toString()));
+		garbled(reason.sentence());
+	}
+
 	private void record(ExchangeFinding finding) {
 		this.connections.exchanges().record(finding);
 	}
@@ -391,8 +399,6 @@
 	 */
 	private static final class Collector extends MessageCollector implements HttpParser.ResponseHandler {
 
-		private static final int FIRST_FINAL_STATUS = 200;
-
 		private boolean toHead;
 
 		private int status;
@@ -420,13 +426,21 @@
 		}
 
 		boolean informational() {
-			return this.status < FIRST_FINAL_STATUS;
+			return this.status < Answer.FIRST_FINAL_STATUS;
 		}
 
 		boolean persistent() {
 			return this.version == HttpVersion.HTTP_1_1;
 		}
 
+		HttpVersion version() {
+			return this.version;
+		}
+
+		boolean statesBody() {
+			return hasField("Content-Length", (value) -> true) || hasField("Transfer-Encoding", (value) -> true);
+		}
+
 		Answer answer() {
 			return new Answer(this.status, headers(), bodyBytes());
 		}
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/BackendGate.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/BackendGate.java
@@ -358,9 +358,8 @@
 		this.crashes.onRequestStarted(accepted.hopRequest);
 		this.calls.onRunStarted(accepted.hopRequest.route(), now);
 		Sending sending = new Sending(accepted, incarnation);
-		ServerCall call = new ServerCall(this.protocol.request(backendRequest),
-				Optional.of(accepted.hopRequest.request().id()), accepted.hopRequest.idempotent(),
-				(answer) -> this.protocol.match(backendRequest, answer));
+		ServerCall call = ServerCall.withId(this.protocol.request(backendRequest), accepted.hopRequest.request().id(),
+				accepted.hopRequest.idempotent(), this.protocol::identity);
 		BackendPool.BackendRun run = this.pool.run(call, sending::tryBegin);
 		ScheduledRunnable timeout = this.reactor.delay(remaining + 1L, run::giveUp);
 		// A running request that is not idempotent is not aborted: its effects remain
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/MeshEvent.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/MeshEvent.java
@@ -96,7 +96,10 @@
 	CALL_ROUTES_CHANGED(2103),
 	/** A request has ended at the gate whose caller had left. */
 	REQUEST_CANCELLED(2104),
-	/** The local backend server answered another request than the one in progress. */
+	/**
+	 * The local backend server answered a request again, while a later one was in
+	 * progress on its connection.
+	 */
 	ANSWER_SKIPPED(2105),
 	/**
 	 * A connection to the local backend server was closed, since bytes came that no
@@ -114,6 +117,11 @@
 	INTERIM_ANSWER(2109),
 	/** A request was answered by an answer that was not the first one to come for it. */
 	LATER_ANSWER_TAKEN(2110),
+	/**
+	 * The local backend server sent something that is no answer to the request in
+	 * progress, whose outcome is unknown.
+	 */
+	ANSWER_REFUSED(2111),
 	/** A caller sent a malformed request. */
 	BAD_CALLER_INPUT(3001),
 	/** Another daemon sent an invalid message. */
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/MeshNode.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/MeshNode.java
@@ -4,7 +4,6 @@
 import java.time.Duration;
 import java.util.Arrays;
 import java.util.Locale;
-import java.util.Optional;
 import java.util.stream.Stream;
 
 import com.codahale.metrics.MetricRegistry;
@@ -13,6 +12,7 @@
 import org.brasspier.core.stop.StopPlan;
 import org.brasspier.daemon.internal.coldstart.WarmthChecks;
 import org.brasspier.daemon.internal.evacuation.EvacuationRows;
+import org.brasspier.daemon.internal.exchange.AnswerRefusal;
 import org.brasspier.daemon.internal.exchange.ExchangeFinding;
 import org.brasspier.daemon.internal.exchange.ExchangeId;
 import org.brasspier.daemon.internal.http.BackendPool;
@@ -186,9 +186,10 @@
 
 	private void logFinding(ExchangeFinding finding) {
 		switch (finding) {
-			case ExchangeFinding.AnswerSkipped(ExchangeId ignored, int status, Optional<String> answered, String start) ->
-				logFinding(MeshEvent.ANSWER_SKIPPED, finding, "status", status, "answered", answered.orElse(""),
-						"start", start);
+			case ExchangeFinding.AnswerSkipped(ExchangeId ignored, int status, String answered, String start) ->
+				logFinding(MeshEvent.ANSWER_SKIPPED, finding, "status", status, "answered", answered, "start", start);
+			case ExchangeFinding.AnswerRefused(ExchangeId ignored, int status, AnswerRefusal reason, String start) ->
+				logFinding(MeshEvent.ANSWER_REFUSED, finding, "status", status, "reason", reason, "start", start);
 			case ExchangeFinding.InterimAnswer(ExchangeId ignored, int status, String start) ->
 				logFinding(MeshEvent.INTERIM_ANSWER, finding, "status", status, "start", start);
 			case ExchangeFinding.LaterAnswerTaken(ExchangeId ignored, int status, int passedOver) ->
--- a/daemon/src/main/java/org/brasspier/daemon/mesh/BackendProtocol.java
+++ b/daemon/src/main/java/org/brasspier/daemon/mesh/BackendProtocol.java
@@ -1,10 +1,12 @@
 package org.brasspier.daemon.mesh;
 
 import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
 
 import org.brasspier.core.keys.BackendIncarnation;
 import org.brasspier.core.request.Answer;
+import org.brasspier.core.request.HeaderField;
 
 /**
  * Encodes requests to backend servers and interprets their answers. Implementations are
@@ -20,12 +22,11 @@
 	RawRequest request(BackendRequest request);
 
 	/**
-	 * Determines whether an answer belongs to a request, by what it says itself.
-	 * @param request the request that was sent
-	 * @param answer the answer received
-	 * @return the match
+	 * Reads what an answer says of the request that it belongs to.
+	 * @param headers the header fields of the answer
+	 * @return what it names
 	 */
-	AnswerMatch match(BackendRequest request, Answer answer);
+	AnswerIdentity identity(List<HeaderField> headers);
 
 	/**
 	 * Interprets the answer to a request.
--- a/daemon/src/test/java/org/brasspier/daemon/internal/http/AnswersWithoutEndTests.java
+++ b/daemon/src/test/java/org/brasspier/daemon/internal/http/AnswersWithoutEndTests.java
@@ -14,9 +14,11 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
 
 import io.activej.eventloop.Eventloop;
 import org.brasspier.core.request.HeaderField;
+import org.brasspier.daemon.internal.exchange.ServerCall;
 import org.brasspier.daemon.mesh.RawRequest;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -47,6 +49,8 @@
 	private static final RawRequest LOOKUP = new RawRequest("GET", "/records/7", List.of(new HeaderField("Host", "h")),
 			new byte[0]);
 
+	private static final RawRequest EARLIER = new RawRequest("GET", "/earlier", LOOKUP.headers(), new byte[0]);
+
 	private final Eventloop loop = Eventloop.create();
 
 	private final AtomicLong sentBytes = new AtomicLong();
@@ -77,8 +81,13 @@
 	private void answerOnce(String beginning, String repeated, Duration pause) {
 		byte[] bytes = repeated.getBytes(StandardCharsets.ISO_8859_1);
 		try (Socket socket = this.server.accept()) {
-			socket.getInputStream().read(new byte[4096]);
 			OutputStream out = socket.getOutputStream();
+			byte[] request = new byte[4096];
+			int read = socket.getInputStream().read(request);
+			if (new String(request, 0, read, StandardCharsets.ISO_8859_1).contains(EARLIER.target())) {
+				out.write(ScriptedServer.answer(200, "earlier", "").getBytes(StandardCharsets.ISO_8859_1));
+				socket.getInputStream().read(request);
+			}
 			out.write(beginning.getBytes(StandardCharsets.ISO_8859_1));
 			while (this.sentBytes.get() <= 4 * MAX_SENT_BYTES) {
 				out.write(bytes);
@@ -94,12 +103,24 @@
 		}
 	}
 
+	// Sends a request, behind an earlier one on its connection if further answers to that
+	// one are to come.
+	private void send(boolean behindEarlier, Consumer<BackendPool.BackendRun> begun) {
+		ServerCall call = ServerCall.withoutId(LOOKUP, true, ScriptedServer::identity, (answer) -> true);
+		if (!behindEarlier) {
+			begun.accept(this.pool.run(call, () -> true));
+			return;
+		}
+		this.pool.run(ServerCall.withId(EARLIER, "earlier", true, ScriptedServer::identity), () -> true)
+			.reply()
+			.whenResult((earlier) -> begun.accept(this.pool.run(call, () -> true)));
+	}
+
 	private CompletableFuture<BackendReply> exchange(String beginning, String repeated, Duration pause) {
 		Thread.ofPlatform().daemon().start(() -> answerOnce(beginning, repeated, pause));
 		CompletableFuture<BackendReply> reply = new CompletableFuture<>();
-		this.loop.execute(() -> this.pool.run(LOOKUP, true, (answer) -> answer.status() != 203, () -> true)
-			.reply()
-			.whenResult(reply::complete));
+		this.loop
+			.execute(() -> send(Endless.isBehindEarlier(repeated), (run) -> run.reply().whenResult(reply::complete)));
 		return reply;
 	}
 
@@ -183,11 +204,10 @@
 	void anAnswerThatComesSlowlyWithoutEndEndsWhenItIsGivenUp(Endless endless) throws Exception {
 		Thread.ofPlatform().daemon().start(() -> answerOnce(endless.beginning, endless.piece, PAUSE));
 		CompletableFuture<BackendReply> reply = new CompletableFuture<>();
-		this.loop.execute(() -> {
-			BackendPool.BackendRun run = this.pool.run(LOOKUP, true, (answer) -> answer.status() != 203, () -> true);
+		this.loop.execute(() -> send(Endless.isBehindEarlier(endless.piece), (run) -> {
 			run.reply().whenResult(reply::complete);
 			this.loop.delay(PAUSE.multipliedBy(10), run::giveUp);
-		});
+		}));
 		// A length that no memory can hold is not waited for.
 		Class<? extends BackendReply> end = (endless == Endless.BODY_OF_LARGE_LENGTH) ? BackendReply.Garbled.class
 				: BackendReply.GivenUp.class;
@@ -225,7 +245,7 @@
 
 		INTERIM_ANSWERS("", "HTTP/1.1 103 Early Hints\r\n\r\n"),
 
-		ANSWERS_TO_OTHERS("", "HTTP/1.1 203 Other\r\nContent-Length: 4\r\n\r\nmore"),
+		ANSWERS_TO_OTHERS("", "HTTP/1.1 203 Other\r\nRequest: earlier\r\nContent-Length: 4\r\n\r\nmore"),
 
 		CHUNKS("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "400\r\n" + "m".repeat(1024) + "\r\n"),
 
@@ -252,6 +272,10 @@
 			this.piece = piece;
 		}
 
+		static boolean isBehindEarlier(String repeated) {
+			return repeated.startsWith(ANSWERS_TO_OTHERS.piece);
+		}
+
 		String repeated() {
 			return this.piece.repeat(Math.max(1, PIECE_BYTES / this.piece.length()));
 		}
--- a/daemon/src/test/java/org/brasspier/daemon/internal/http/CutAnswerTests.java
+++ b/daemon/src/test/java/org/brasspier/daemon/internal/http/CutAnswerTests.java
@@ -2,7 +2,6 @@
 
 import java.io.IOException;
 import java.util.List;
-import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -13,7 +12,6 @@
 import org.brasspier.core.request.Answer;
 import org.brasspier.core.request.HeaderField;
 import org.brasspier.daemon.internal.exchange.ServerCall;
-import org.brasspier.daemon.mesh.AnswerMatch;
 import org.brasspier.daemon.mesh.RawRequest;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -80,7 +78,7 @@
 	private BackendReply exchange(int sentBytes) {
 		this.bytes.set(sentBytes);
 		CompletableFuture<BackendReply> reply = new CompletableFuture<>();
-		ServerCall call = new ServerCall(LOOKUP, Optional.of("a"), true, (answer) -> new AnswerMatch.Own());
+		ServerCall call = ServerCall.withId(LOOKUP, "a", true, ScriptedServer::identity);
 		this.loop.execute(() -> this.pool.run(call, () -> true).reply().whenResult(reply::complete));
 		return reply.orTimeout(30, TimeUnit.SECONDS).join();
 	}
--- a/daemon/src/test/java/org/brasspier/daemon/internal/http/ExchangeIdentityTests.java
+++ b/daemon/src/test/java/org/brasspier/daemon/internal/http/ExchangeIdentityTests.java
@@ -2,7 +2,6 @@
 
 import java.io.IOException;
 import java.util.List;
-import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
@@ -15,7 +14,6 @@
 import org.brasspier.daemon.internal.exchange.CarriedRequests;
 import org.brasspier.daemon.internal.exchange.ExchangeFinding;
 import org.brasspier.daemon.internal.exchange.ServerCall;
-import org.brasspier.daemon.mesh.AnswerMatch;
 import org.brasspier.daemon.mesh.RawRequest;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Tag;
@@ -63,10 +61,10 @@
 		RawRequest request = new RawRequest(method, "/records/7",
 				List.of(new HeaderField("Host", "h"), new HeaderField("Request", id)), new byte[0]);
 		CompletableFuture<BackendReply> reply = new CompletableFuture<>();
-		this.loop.execute(() -> this.pool
-			.run(new ServerCall(request, Optional.of(id), true, (answer) -> match(answer, id)), () -> true)
-			.reply()
-			.whenResult(reply::complete));
+		this.loop
+			.execute(() -> this.pool.run(ServerCall.withId(request, id, true, ScriptedServer::identity), () -> true)
+				.reply()
+				.whenResult(reply::complete));
 		return switch (reply.get(30, TimeUnit.SECONDS)) {
 			case BackendReply.Whole(Answer answer) -> answer.status() + new String(answer.body());
 			case BackendReply other -> other.getClass().getSimpleName();
@@ -77,18 +75,6 @@
 		return send("GET", id);
 	}
 
-	private static AnswerMatch match(Answer answer, String id) {
-		Optional<String> named = answer.headers()
-			.stream()
-			.filter((field) -> field.name().equals("Request"))
-			.map(HeaderField::value)
-			.findFirst();
-		if (named.isEmpty()) {
-			return new AnswerMatch.Unnamed();
-		}
-		return named.get().equals(id) ? new AnswerMatch.Own() : new AnswerMatch.Other(named);
-	}
-
 	// Answers each request at once, and before that the previous one again.
 	private static void answerEachTwice(ScriptedServer.Connection connection, String... answers) throws IOException {
 		String late = "";
--- a/daemon/src/test/java/org/brasspier/daemon/internal/http/ScriptedServer.java
+++ b/daemon/src/test/java/org/brasspier/daemon/internal/http/ScriptedServer.java
@@ -8,8 +8,12 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.concurrent.atomic.AtomicInteger;
 
+import org.brasspier.core.request.HeaderField;
+import org.brasspier.daemon.mesh.AnswerIdentity;
+
 /**
  * A server whose connections each follow a script, in a thread of their own.
  */
@@ -60,6 +64,16 @@
 			.formatted(status, id, body.length(), body);
 	}
 
+	// Reads what an answer of such a server names. Each that names a request counts as
+	// stamped.
+	static AnswerIdentity identity(List<HeaderField> headers) {
+		List<String> ids = headers.stream()
+			.filter((field) -> field.name().equals("Request"))
+			.map(HeaderField::value)
+			.toList();
+		return new AnswerIdentity(ids, ids.isEmpty() ? List.of() : List.of("stamp"));
+	}
+
 	// An answer that names no request.
 	static String answer(int status, String body) {
 		return "HTTP/1.1 %d Any\r\nKeep-Alive: timeout=10\r\nContent-Length: %d\r\n\r\n%s".formatted(status,
