--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopCodec.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/HopCodec.java
@@ -435,7 +435,13 @@
 	private static SendOutcome answered(FrameReader frame) throws WireException {
 		int status = frame.integer();
 		List<HeaderField> headers = frame.list(HopCodec::header);
-		return new SendOutcome.Answered(new Answer(status, headers, frame.bytes()));
+		byte[] body = frame.bytes();
+		if (!Answer.isFinal(status)) {
+			// Daemons of an earlier build pass on any status.
+			return new SendOutcome.Unknown(
+					Failure.of(ErrorKind.BAD_ANSWER, "another daemon passed on an answer with status " + status));
+		}
+		return new SendOutcome.Answered(new Answer(status, headers, body));
 	}
 
 	private static Failure failure(FrameReader frame) throws WireException {
--- a/daemon/src/test/java/org/brasspier/daemon/internal/mesh/HopCodecTests.java
+++ b/daemon/src/test/java/org/brasspier/daemon/internal/mesh/HopCodecTests.java
@@ -30,6 +30,8 @@
 import org.brasspier.wire.FrameWriter;
 import org.brasspier.wire.WireException;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static com.google.common.truth.Truth.assertThat;
 
@@ -131,6 +133,17 @@
 		assertThat(((HopMessage.ForwardedResponse) decoded).report()).isEqualTo(report);
 	}
 
+	/** Guards against a status that no server may give, passed on by an earlier build. */
+	@ParameterizedTest
+	@ValueSource(ints = { -1, 0, 99, 100, 103, 199, 600, 999 })
+	void anAnswerOfAnotherDaemonWithAStatusThatDoesNotExistHasAnUnknownOutcome(int status) throws WireException {
+		SendOutcome answered = new SendOutcome.Answered(new Answer(status, List.of(), new byte[0]));
+		HopMessage decoded = decode(HopCodec.encode(new HopMessage.ForwardedResponse(5, answered)));
+		SendOutcome outcome = ((HopMessage.ForwardedResponse) decoded).outcome();
+		assertThat(outcome).isInstanceOf(SendOutcome.Unknown.class);
+		assertThat(((SendOutcome.Unknown) outcome).failure().kind()).isEqualTo(ErrorKind.BAD_ANSWER);
+	}
+
 	// Guards against responses of the previous build that can't be decoded.
 	@Test
 	void aResponseOfThePreviousBuildHasNoReport() throws WireException {
