Use no connection again that has carried HEAD

A late second answer to HEAD states the length of a body and has none. Where the answer to another method was awaited, the parser took the next bytes, the awaited answer, for that body, so the answer was lost and its request waited until its deadline. Such a connection is replaced; HEAD is rare.

ExchangeIdentityTests.aLateSecondAnswerToHeadCutsNoOtherAnswer: no answer within 30 s on the commit before, passes now (13 of 13 in its class).

--- a/daemon/src/main/java/org/brasspier/daemon/internal/http/BackendSocket.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/http/BackendSocket.java
@@ -313,7 +313,8 @@
 		if (!reusable) {
 			close();
 		}
-		else if (this.carried.isFull() || (this.skippedAnswer && !this.connections.isOnlyMember(this))) {
+		else if (this.carried.isFull() || isAnswerToHead(current)
+				|| (this.skippedAnswer && !this.connections.isOnlyMember(this))) {
 			rest(0);
 			this.connections.retire(this);
 		}
@@ -323,6 +324,13 @@
 		current.reply.trySet(new BackendReply.Whole(answer));
 	}
 
+	// A further answer to HEAD states a length without having a body, which can't be told
+	// apart from one to another method, so that its body would be looked for in the next
+	// answer.
+	private static boolean isAnswerToHead(Exchange ended) {
+		return ended.call.request().method().equals("HEAD");
+	}
+
 	private void rest(long maxIdleNanos) {
 		long now = System.nanoTime();
 		this.idleSinceNanos = now;
--- a/daemon/src/test/java/org/brasspier/daemon/internal/http/ExchangeIdentityTests.java
+++ b/daemon/src/test/java/org/brasspier/daemon/internal/http/ExchangeIdentityTests.java
@@ -269,6 +269,27 @@
 		assertThat(send("HEAD", "b")).isEqualTo("200");
 	}
 
+	/**
+	 * Guards against an answer of which a part is taken for the body that a late second
+	 * answer to HEAD states and does not have.
+	 */
+	@Test
+	void aLateSecondAnswerToHeadCutsNoOtherAnswer() throws Exception {
+		serve((connection) -> {
+			String late = "";
+			while (true) {
+				String id = connection.read();
+				String head = "HTTP/1.1 200 Any\r\nKeep-Alive: timeout=10\r\nRequest: " + id
+						+ "\r\nContent-Length: 100\r\n\r\n";
+				boolean toHead = id.startsWith("head");
+				connection.write(late + (toHead ? head : ScriptedServer.answer(200, id, " whole")));
+				late = toHead ? head : "";
+			}
+		});
+		assertThat(send("HEAD", "head")).isEqualTo("200");
+		assertThat(send("a")).isEqualTo("200 whole");
+	}
+
 	/** Guards against an answer that was sent twice at once and is taken twice. */
 	@Test
 	void bytesBehindAnAnswerEndTheConnection() throws Exception {
