Refuse an answer by its head, without waiting for its body

An answer that belongs to no request was refused once it was complete, so a request waited until its deadline where the rest of that answer did not come, and its body took up memory. The head is now classified as soon as it is complete.

--- a/daemon/src/main/java/org/brasspier/daemon/internal/exchange/ReceivedAnswer.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/exchange/ReceivedAnswer.java
@@ -1,9 +1,8 @@
 package org.brasspier.daemon.internal.exchange;
 
 /**
- * What a complete message of the backend server is for the exchange in progress. The
- * awaited answer may only follow an interim one or a late copy. Immutable and
- * thread-safe.
+ * What a message of the backend server is for the exchange in progress. The awaited
+ * answer may only follow an interim one or a late copy. Immutable and thread-safe.
  */
 public sealed interface ReceivedAnswer {
 
--- a/daemon/src/main/java/org/brasspier/daemon/internal/exchange/ServerCall.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/exchange/ServerCall.java
@@ -18,7 +18,7 @@
  * @param repeatable whether the call may be carried out twice
  * @param identities reads from header fields what an answer names
  * @param ownIfUnnamed accepts the answers without an id that may belong to a call without
- * one
+ * one, by their heads
  */
 public record ServerCall(RawRequest request, Optional<String> id, boolean repeatable,
 		Function<List<HeaderField>, AnswerIdentity> identities, Predicate<Answer> ownIfUnnamed) {
--- a/daemon/src/main/java/org/brasspier/daemon/internal/http/BackendSocket.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/http/BackendSocket.java
@@ -16,6 +16,7 @@
 import org.brasspier.core.request.Answer;
 import org.brasspier.core.request.HeaderField;
 import org.brasspier.daemon.internal.exchange.AnswerClassifier;
+import org.brasspier.daemon.internal.exchange.AnswerHead;
 import org.brasspier.daemon.internal.exchange.AnswerRefusal;
 import org.brasspier.daemon.internal.exchange.AnswerStart;
 import org.brasspier.daemon.internal.exchange.CarriedRequests;
@@ -76,6 +77,9 @@
 
 	private final AnswerStart answerStart = new AnswerStart();
 
+	/** What the message that arrives is; unknown until its head is complete. */
+	private @Nullable ReceivedAnswer received;
+
 	private ExchangeId latest;
 
 	private Collector collector;
@@ -162,6 +166,7 @@
 
 	private void startOver() {
 		this.answerStart.clear();
+		this.received = null;
 		this.collector.release();
 		this.collector = new Collector(this.bodies);
 		this.collector.toHead = this.exchange != null && this.exchange.call.request().method().equals("HEAD");
@@ -227,6 +232,9 @@
 		if (this.collector.fault().isPresent() || this.collector.tooLarge() || exceedsLimits()) {
 			refuse(AnswerRefusal.MALFORMED);
 		}
+		else if (classifyHead() instanceof ReceivedAnswer.Refused(AnswerRefusal reason)) {
+			refuse(reason);
+		}
 		else if (this.collector.outOfMemory()) {
 			garbled("other answers take up the memory that this one needs");
 		}
@@ -268,9 +276,10 @@
 		if (current == null) {
 			return;
 		}
-		AnswerClassifier.Message message = new AnswerClassifier.Message(this.collector.version(),
-				this.collector.statesBody(), answer);
-		switch (AnswerClassifier.classify(current.call, message, this.carried::contains)) {
+		switch (classifyHead()) {
+			case null -> {
+				// Complete without a head: nothing was received.
+			}
 			case ReceivedAnswer.Final ignored -> answered(current, answer, reusable);
 			case ReceivedAnswer.Interim ignored -> {
 				record(new ExchangeFinding.InterimAnswer(this.latest, answer.status(), this.answerStart.toString()));
@@ -286,6 +295,18 @@
 		}
 	}
 
+	// Classifies an answer as soon as its head is complete: the body of one that is
+	// refused
+	// is not waited for. Returns null before.
+	private @Nullable ReceivedAnswer classifyHead() {
+		Exchange current = this.exchange;
+		if (this.received == null && current != null && this.collector.headComplete()) {
+			AnswerHead head = this.collector.head();
+			this.received = AnswerClassifier.classify(current.call, head, this.carried::contains);
+		}
+		return this.received;
+	}
+
 	private void refuse(AnswerRefusal reason) {
 		record(new ExchangeFinding.AnswerRefused(this.latest, this.collector.status, reason,
 				this.answerStart.toString()));
@@ -441,12 +462,10 @@
 			return this.version == HttpVersion.HTTP_1_1;
 		}
 
-		HttpVersion version() {
-			return this.version;
-		}
-
-		boolean statesBody() {
-			return hasField("Content-Length", (value) -> true) || hasField("Transfer-Encoding", (value) -> true);
+		AnswerHead head() {
+			boolean statesBody = hasField("Content-Length", (value) -> true)
+					|| hasField("Transfer-Encoding", (value) -> true);
+			return new AnswerHead(this.version, this.status, headers(), statesBody);
 		}
 
 		Answer answer() {
--- a/daemon/src/test/java/org/brasspier/daemon/internal/exchange/AnswerClassifierTests.java
+++ b/daemon/src/test/java/org/brasspier/daemon/internal/exchange/AnswerClassifierTests.java
@@ -4,7 +4,6 @@
 import java.util.Optional;
 import java.util.stream.Stream;
 
-import org.brasspier.core.request.Answer;
 import org.brasspier.core.request.HeaderField;
 import org.brasspier.daemon.mesh.AnswerIdentity;
 import org.brasspier.daemon.mesh.RawRequest;
@@ -42,9 +41,8 @@
 	}
 
 	private static String classify(ServerCall call, int status, HttpVersion version, List<HeaderField> headers) {
-		AnswerClassifier.Message message = new AnswerClassifier.Message(version, false,
-				new Answer(status, headers, new byte[0]));
-		return describe(AnswerClassifier.classify(call, message, "carried"::equals));
+		AnswerHead head = new AnswerHead(version, status, headers, false);
+		return describe(AnswerClassifier.classify(call, head, "carried"::equals));
 	}
 
 	/**
@@ -93,9 +91,8 @@
 	void anInterimAnswerStatesNoBody(boolean statesBody, String expected) {
 		ServerCall call = new ServerCall(REQUEST, Optional.of("own"), true, AnswerClassifierTests::identity,
 				(answer) -> false);
-		AnswerClassifier.Message message = new AnswerClassifier.Message(HttpVersion.HTTP_1_1, statesBody,
-				new Answer(103, List.of(), new byte[0]));
-		assertThat(describe(AnswerClassifier.classify(call, message, (id) -> false))).isEqualTo(expected);
+		AnswerHead head = new AnswerHead(HttpVersion.HTTP_1_1, 103, List.of(), statesBody);
+		assertThat(describe(AnswerClassifier.classify(call, head, (id) -> false))).isEqualTo(expected);
 	}
 
 }
--- a/daemon/src/test/java/org/brasspier/daemon/internal/http/ExchangeIdentityTests.java
+++ b/daemon/src/test/java/org/brasspier/daemon/internal/http/ExchangeIdentityTests.java
@@ -269,6 +269,23 @@
 		assertThat(send("HEAD", "b")).isEqualTo("200");
 	}
 
+	/**
+	 * Guards against a request that waits for the rest of an answer that is not its own.
+	 */
+	@ParameterizedTest
+	@ValueSource(strings = { "HTTP/1.1 200 Any\r\nRequest: foreign\r\nContent-Length: 100\r\n\r\n",
+			"HTTP/1.1 500 Any\r\nContent-Length: 100\r\n\r\nbegun",
+			"HTTP/1.1 600 Any\r\nRequest: a\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nbegun\r\n",
+			"HTTP/1.1 200 Any\r\nRequest: foreign\r\n\r\nbegun" })
+	void theBodyOfAnAnswerThatIsNotTheOwnOneIsNotWaitedFor(String beginning) throws Exception {
+		serve((connection) -> {
+			connection.read();
+			connection.write(beginning);
+			connection.read();
+		});
+		assertThat(send("a")).isEqualTo("Garbled");
+	}
+
 	/**
 	 * Guards against an answer of which a part is taken for the body that a late second
 	 * answer to HEAD states and does not have.
