Frame each answer by the method of the request that it names

Where HEAD was awaited, the body of a late second answer to GET was read as answers: an ordinary body lost the ready answer to HEAD, and a body that looks like an answer was taken for it, 200 where the server had answered 500.

A head that names an earlier request of the connection is now framed by that request's method.

--- a/daemon/src/main/java/org/brasspier/daemon/internal/http/BackendSocket.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/http/BackendSocket.java
@@ -55,6 +55,8 @@
 	 */
 	private static final long IDLE_MARGIN_NANOS = NANOS_PER_SECOND;
 
+	private static final String HEAD = "HEAD";
+
 	private static final int MAX_HEAD_BYTES = 16 << 10;
 
 	/**
@@ -75,6 +77,9 @@
 
 	private final CarriedRequests carried = new CarriedRequests();
 
+	/** Those of the carried requests whose answers have no body. */
+	private final CarriedRequests carriedHeads = new CarriedRequests();
+
 	private final AnswerStart answerStart = new AnswerStart();
 
 	/** What the message that arrives is; unknown until its head is complete. */
@@ -153,6 +158,9 @@
 		this.exchange = begun;
 		this.latest = this.latest.next(call.name());
 		call.id().ifPresent(this.carried::add);
+		if (call.request().method().equals(HEAD)) {
+			call.id().ifPresent(this.carriedHeads::add);
+		}
 		this.connections.exchanges().exchangeBegun();
 		this.nonBodyBytes = 0;
 		this.skippedNonBodyBytes = 0;
@@ -169,11 +177,21 @@
 		this.received = null;
 		this.collector.release();
 		this.collector = new Collector(this.bodies);
-		this.collector.toHead = this.exchange != null && this.exchange.call.request().method().equals("HEAD");
+		this.collector.beforeBody = this::frameBody;
+		this.collector.toHead = this.exchange != null && this.exchange.call.request().method().equals(HEAD);
 		this.parser = new HttpParser(this.collector);
 		this.parser.setHeadResponse(this.collector.toHead);
 	}
 
+	// The method of the request that an answer names decides whether it has a body, which
+	// matters where it is not the one that is awaited.
+	private void frameBody() {
+		if (classifyHead() instanceof ReceivedAnswer.LateCopy(String id)) {
+			this.collector.toHead = this.carriedHeads.contains(id);
+			this.parser.setHeadResponse(this.collector.toHead);
+		}
+	}
+
 	private void read() {
 		this.socket.read().whenComplete((buf, ex) -> {
 			if (ex != null) {
@@ -334,8 +352,7 @@
 		if (!reusable) {
 			close();
 		}
-		else if (this.carried.isFull() || isAnswerToHead(current)
-				|| (this.skippedAnswer && !this.connections.isOnlyMember(this))) {
+		else if (this.carried.isFull() || (this.skippedAnswer && !this.connections.isOnlyMember(this))) {
 			rest(0);
 			this.connections.retire(this);
 		}
@@ -345,13 +362,6 @@
 		current.reply.trySet(new BackendReply.Whole(answer));
 	}
 
-	// A further answer to HEAD states a length without having a body, which can't be told
-	// apart from one to another method, so that its body would be looked for in the next
-	// answer.
-	private static boolean isAnswerToHead(Exchange ended) {
-		return ended.call.request().method().equals("HEAD");
-	}
-
 	private void rest(long maxIdleNanos) {
 		long now = System.nanoTime();
 		this.idleSinceNanos = now;
@@ -430,6 +440,9 @@
 
 		private boolean toHead;
 
+		private Runnable beforeBody = () -> {
+		};
+
 		private int status;
 
 		private HttpVersion version = HttpVersion.HTTP_1_1;
@@ -446,12 +459,14 @@
 
 		@Override
 		public boolean headerComplete() {
+			boolean stops = super.headerComplete();
+			this.beforeBody.run();
 			boolean hasBody = !this.toHead && this.status != HttpStatus.NOT_MODIFIED_304
 					&& this.status != HttpStatus.NO_CONTENT_204 && !informational();
 			if (hasBody) {
 				reserveStatedLength();
 			}
-			return super.headerComplete() || waitsForMemory();
+			return stops || waitsForMemory();
 		}
 
 		boolean informational() {
--- a/daemon/src/test/java/org/brasspier/daemon/internal/http/ExchangeIdentityTests.java
+++ b/daemon/src/test/java/org/brasspier/daemon/internal/http/ExchangeIdentityTests.java
@@ -307,6 +307,43 @@
 		assertThat(send("a")).isEqualTo("200 whole");
 	}
 
+	/**
+	 * Guards against an answer to HEAD that is lost, or taken from a body, since a late
+	 * second answer before it has one.
+	 */
+	@ParameterizedTest
+	@ValueSource(strings = { "some body",
+			"HTTP/1.1 200 Any\r\nKeep-Alive: timeout=10\r\nRequest: b\r\nContent-Length: 0\r\n\r\n" })
+	void aLateSecondAnswerWithABodyIsReadWholeWhereHeadIsAwaited(String body) throws Exception {
+		serve((connection) -> {
+			String answer = ScriptedServer.answer(200, connection.read(), body);
+			connection.write(answer);
+			String id = connection.read();
+			connection.write(answer + ScriptedServer.answer(500, id, ""));
+			connection.read();
+		});
+		assertThat(send("a")).startsWith("200");
+		assertThat(send("HEAD", "b")).isEqualTo("500");
+	}
+
+	/**
+	 * Guards against a session that ends, since its only member is not used again after
+	 * HEAD and no other connection can join.
+	 */
+	@Test
+	void aConnectionThatHasCarriedHeadIsUsedAgain() throws Exception {
+		serve((connection) -> {
+			while (true) {
+				String id = connection.read();
+				connection.write(ScriptedServer.answer(200, id, id.equals("a") ? "" : " from " + connection.number()));
+			}
+		});
+		assertThat(send("HEAD", "a")).isEqualTo("200");
+		assertThat(send("b")).isEqualTo("200 from 1");
+		assertThat(this.connections.session()).isEqualTo(1);
+		assertThat(this.server.connections()).isEqualTo(1);
+	}
+
 	/** Guards against an answer that was sent twice at once and is taken twice. */
 	@Test
 	void bytesBehindAnAnswerEndTheConnection() throws Exception {
