Close a connection with bytes behind an answer before its reply is known

The reply of an exchange was given out before the rest of the bytes received with it was looked at. The next queued request was sent on the same connection at once, and the rest, which the server had sent before, was taken for its answer: it failed by a foreign one or by a second copy that names the request before. Bytes behind an answer now end the connection first.

--- a/daemon/src/main/java/org/brasspier/daemon/internal/http/BackendSocket.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/http/BackendSocket.java
@@ -257,7 +257,7 @@
 			garbled("other answers take up the memory that this one needs");
 		}
 		else if (this.collector.whole()) {
-			whole();
+			whole(bytes.remaining());
 		}
 		else if (!stopped && bytes.remaining() == before && before > 0) {
 			garbled("the answer can't be read on");
@@ -287,7 +287,8 @@
 				|| this.skippedBodyBytes + this.collector.bodySize() > this.bodies.largestBody();
 	}
 
-	private void whole() {
+	// Handles a complete answer behind which some bytes have already come.
+	private void whole(int bytesBehind) {
 		Exchange current = this.exchange;
 		Answer answer = this.collector.answer();
 		boolean reusable = !this.collector.saysClose() && !this.endOfStream && this.collector.persistent();
@@ -298,7 +299,7 @@
 			case null -> {
 				// Complete without a head: nothing was received.
 			}
-			case ReceivedAnswer.Final ignored -> answered(current, answer, reusable);
+			case ReceivedAnswer.Final ignored -> answered(current, answer, reusable, bytesBehind);
 			case ReceivedAnswer.Interim ignored -> {
 				record(new ExchangeFinding.InterimAnswer(this.latest, answer.status(), this.answerStart.toString()));
 				skip();
@@ -342,14 +343,20 @@
 		startOver();
 	}
 
-	private void answered(Exchange current, Answer answer, boolean reusable) {
+	private void answered(Exchange current, Answer answer, boolean reusable, int bytesBehind) {
 		this.exchange = null;
 		this.collector.release();
 		this.connections.answered(this, current.sentMark);
 		if (this.passedOver > 0) {
 			record(new ExchangeFinding.LaterAnswerTaken(this.latest, answer.status(), this.passedOver));
 		}
-		if (!reusable) {
+		if (bytesBehind > 0) {
+			// Closed before the reply is known: the next request would be sent on this
+			// connection, and the bytes be taken for its answer.
+			record(new ExchangeFinding.BytesBehindAnswer(this.latest, bytesBehind));
+			close();
+		}
+		else if (!reusable) {
 			close();
 		}
 		else if (this.carried.isFull() || (this.skippedAnswer && !this.connections.isOnlyMember(this))) {
@@ -387,7 +394,7 @@
 			this.parser.atEOF();
 			this.parser.parseNext(ByteBuffer.allocate(0));
 			if (this.collector.whole() && this.collector.fault().isEmpty()) {
-				whole();
+				whole(0);
 			}
 		}
 		broken("the server closed the connection");
--- a/daemon/src/test/java/org/brasspier/daemon/internal/http/ExchangeIdentityTests.java
+++ b/daemon/src/test/java/org/brasspier/daemon/internal/http/ExchangeIdentityTests.java
@@ -56,21 +56,27 @@
 		this.server.close();
 	}
 
-	// Returns the status of the answer, or the class of the reply if there is none.
-	private String send(String method, String id) throws Exception {
+	private BackendPool.BackendRun run(String method, String id) {
 		RawRequest request = new RawRequest(method, "/records/7",
 				List.of(new HeaderField("Host", "h"), new HeaderField("Request", id)), new byte[0]);
-		CompletableFuture<BackendReply> reply = new CompletableFuture<>();
-		this.loop
-			.execute(() -> this.pool.run(ServerCall.withId(request, id, true, ScriptedServer::identity), () -> true)
-				.reply()
-				.whenResult(reply::complete));
-		return switch (reply.get(30, TimeUnit.SECONDS)) {
+		return this.pool.run(ServerCall.withId(request, id, true, ScriptedServer::identity), () -> true);
+	}
+
+	// Returns the status and body of the answer, or the class of the reply if there is
+	// none.
+	private static String describe(BackendReply reply) {
+		return switch (reply) {
 			case BackendReply.Whole(Answer answer) -> answer.status() + new String(answer.body());
 			case BackendReply other -> other.getClass().getSimpleName();
 		};
 	}
 
+	private String send(String method, String id) throws Exception {
+		CompletableFuture<BackendReply> reply = new CompletableFuture<>();
+		this.loop.execute(() -> run(method, id).reply().whenResult(reply::complete));
+		return describe(reply.get(30, TimeUnit.SECONDS));
+	}
+
 	private String send(String id) throws Exception {
 		return send("GET", id);
 	}
@@ -344,6 +350,26 @@
 		assertThat(this.server.connections()).isEqualTo(1);
 	}
 
+	/**
+	 * Guards against a request that is sent as soon as another one is answered, and fails
+	 * by what came behind that answer.
+	 */
+	@ParameterizedTest
+	@ValueSource(strings = { "foreign", "a" })
+	void bytesThatCameBeforeARequestWasSentAreNotItsAnswer(String idBehind) throws Exception {
+		serve((connection) -> {
+			while (true) {
+				String id = connection.read();
+				connection.write(ScriptedServer.answer(200, id, " from " + connection.number())
+						+ (id.equals("a") ? ScriptedServer.answer(500, idBehind, "") : ""));
+			}
+		});
+		CompletableFuture<BackendReply> next = new CompletableFuture<>();
+		this.loop.execute(() -> run("GET", "a").reply()
+			.whenResult((first) -> run("GET", "b").reply().whenResult(next::complete)));
+		assertThat(describe(next.get(30, TimeUnit.SECONDS))).isEqualTo("200 from 2");
+	}
+
 	/** Guards against an answer that was sent twice at once and is taken twice. */
 	@Test
 	void bytesBehindAnAnswerEndTheConnection() throws Exception {
