--- a/daemon/src/main/java/org/brasspier/daemon/internal/http/BackendSocket.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/http/BackendSocket.java
@@ -245,7 +245,8 @@
 		int bodyBefore = this.collector.bodySize();
 		ByteBuffer received = bytes.duplicate();
 		boolean stopped = this.parser.parseNext(bytes);
-		this.answerStart.add(received.limit(bytes.position()));
+		// The parser drops what it can't read.
+		this.answerStart.add(this.collector.fault().isPresent() ? received : received.limit(bytes.position()));
 		this.nonBodyBytes += before - bytes.remaining() - (this.collector.bodySize() - bodyBefore);
 		if (this.collector.fault().isPresent() || this.collector.tooLarge() || exceedsLimits()) {
 			refuse(AnswerRefusal.MALFORMED);
--- a/daemon/src/test/java/org/brasspier/daemon/internal/http/ExchangeIdentityTests.java
+++ b/daemon/src/test/java/org/brasspier/daemon/internal/http/ExchangeIdentityTests.java
@@ -370,6 +370,23 @@
 		assertThat(describe(next.get(30, TimeUnit.SECONDS))).isEqualTo("200 from 2");
 	}
 
+	/**
+	 * Guards against a log that does not show what a server sent instead of an answer.
+	 */
+	@ParameterizedTest
+	@ValueSource(strings = { "HTTP/1.1 000 Any\r\n\r\n", "no answer\r\n\r\n" })
+	void theFirstBytesOfWhatIsNoAnswerAreRecorded(String bytes) throws Exception {
+		serve((connection) -> {
+			connection.read();
+			connection.write(bytes);
+			connection.read();
+		});
+		assertThat(send("a")).isEqualTo("Garbled");
+		assertThat(this.findings.stream()
+			.map((finding) -> (finding instanceof ExchangeFinding.AnswerRefused refused) ? refused.start() : "")
+			.toList()).containsExactly(bytes);
+	}
+
 	/** Guards against an answer that was sent twice at once and is taken twice. */
 	@Test
 	void bytesBehindAnAnswerEndTheConnection() throws Exception {
