End only the run of a crash suspect that has ended

Suspects that run were remembered by request id. Of two runs with one id at a gate, for example after a caller's repetition, the end of one ended both, also if the one that ended was harmless. Another suspect could then run beside the other, and a crash of both would not show which one is to blame. The entry is now that of the run, under the gate's number for it, which is never reused.

--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/BackendCrashes.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/BackendCrashes.java
@@ -58,8 +58,8 @@
 
 	private final SuspectTurns turns = new SuspectTurns(System.nanoTime());
 
-	// Suspect requests that are running, by request id.
-	private final Map<String, RequestFingerprint> runningSuspects = new HashMap<>();
+	// Suspect requests that are running, by run: several runs may have one request id.
+	private final Map<Long, RequestFingerprint> runningSuspects = new HashMap<>();
 
 	private Optional<BackendIncarnation> incarnation = Optional.empty();
 
@@ -146,23 +146,24 @@
 
 	/**
 	 * Records that a request is sent to the server.
+	 * @param run the number of the run, which no other run on this instance has
 	 * @param request the request
 	 */
-	void onRequestStarted(HopRequest request) {
+	void onRequestStarted(long run, HopRequest request) {
 		if (!this.suspects.isEmpty()) {
 			RequestFingerprint fingerprint = request.fingerprint();
 			if (this.suspects.isSuspect(fingerprint)) {
-				this.runningSuspects.put(request.request().id(), fingerprint);
+				this.runningSuspects.put(run, fingerprint);
 			}
 		}
 	}
 
 	/**
-	 * Records that a request has ended, with whatever outcome.
-	 * @param request the request
+	 * Records that a run has ended, with whatever outcome.
+	 * @param run the number of the run
 	 */
-	void onRequestEnded(MeshRequest request) {
-		this.runningSuspects.remove(request.id());
+	void onRequestEnded(long run) {
+		this.runningSuspects.remove(run);
 	}
 
 	/**
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/BackendGate.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/BackendGate.java
@@ -355,7 +355,7 @@
 		int remaining = (int) Math.max(1, (accepted.deadlineNanos - now) / NANOS_PER_MILLI);
 		BackendRequest backendRequest = new BackendRequest(accepted.hopRequest.request(), accepted.hopRequest.caller(),
 				incarnation, remaining);
-		this.crashes.onRequestStarted(accepted.hopRequest);
+		this.crashes.onRequestStarted(number, accepted.hopRequest);
 		this.calls.onRunStarted(accepted.hopRequest.route(), now);
 		Sending sending = new Sending(accepted, incarnation);
 		ServerCall call = ServerCall.withId(this.protocol.request(backendRequest), accepted.hopRequest.request().id(),
@@ -369,7 +369,7 @@
 			timeout.cancel();
 			sending.end();
 			logIfCancelled(accepted, sending.sent ? CancelPlace.RUNNING : CancelPlace.CONNECTING);
-			this.crashes.onRequestEnded(accepted.hopRequest.request());
+			this.crashes.onRequestEnded(number);
 			this.crashes.onReply(
 					new SentRequest(accepted.hopRequest, incarnation, run.connectionOpenedNanos().orElse(now), now),
 					reply, this.outcomes.ran(backendRequest, reply));
