--- a/daemon/src/test/java/org/brasspier/daemon/internal/http/ExchangeIdentityTests.java
+++ b/daemon/src/test/java/org/brasspier/daemon/internal/http/ExchangeIdentityTests.java
@@ -387,6 +387,50 @@
 			.toList()).containsExactly(bytes);
 	}
 
+	/**
+	 * Guards against a failure that is taken for the body of a late second answer to
+	 * another request, and replaced by what comes behind it.
+	 */
+	@Test
+	@Tag("known-red")
+	void aLateSecondAnswerWithoutItsBodyHidesNoFailure() throws Exception {
+		serve((connection) -> {
+			String earlier = connection.read();
+			connection.write(ScriptedServer.answer(200, earlier, ""));
+			String id = connection.read();
+			String failure = ScriptedServer.answer(500, id, "failed");
+			connection.write("HTTP/1.1 200 Any\r\nRequest: " + earlier + "\r\nContent-Length: " + failure.length()
+					+ "\r\n\r\n" + failure + ScriptedServer.answer(200, id, "second"));
+			connection.read();
+		});
+		assertThat(send("a")).isEqualTo("200");
+		assertThat(send("b")).isNotEqualTo("200second");
+	}
+
+	/**
+	 * Guards against a session that ends, since its only member has carried as many
+	 * requests as it remembers and no other connection can join.
+	 */
+	@Test
+	@Tag("known-red")
+	void otherConnectionsJoinTheSessionAlsoOnceItsOnlyMemberIsFull() throws Exception {
+		serve((connection) -> {
+			while (true) {
+				connection.write(ScriptedServer.answer(200, connection.read(), ""));
+			}
+		});
+		for (int i = 0; i < CarriedRequests.CAPACITY; i++) {
+			assertThat(send("r" + i)).isEqualTo("200");
+		}
+		int granted = 0;
+		for (int i = 0; i < 30; i++) {
+			assertThat(send("s" + i)).isEqualTo("200");
+			granted += (grant() == 200) ? 1 : 0;
+			TimeUnit.MILLISECONDS.sleep(20);
+		}
+		assertThat(granted).isAtLeast(1);
+	}
+
 	/** Guards against an answer that was sent twice at once and is taken twice. */
 	@Test
 	void bytesBehindAnAnswerEndTheConnection() throws Exception {
