Take anything for the own answer again in CutAnswerTests

The matcher of CutAnswerTests took any answer for the own one. Not covered by either form, by the review's mutation: the check that the head is complete before the end of a connection ends a body.

--- a/daemon/src/test/java/org/brasspier/daemon/internal/http/CutAnswerTests.java
+++ b/daemon/src/test/java/org/brasspier/daemon/internal/http/CutAnswerTests.java
@@ -78,7 +78,7 @@
 	private BackendReply exchange(int sentBytes) {
 		this.bytes.set(sentBytes);
 		CompletableFuture<BackendReply> reply = new CompletableFuture<>();
-		ServerCall call = ServerCall.withId(LOOKUP, "a", true, ScriptedServer::identity);
+		ServerCall call = ServerCall.unidentified(LOOKUP, true);
 		this.loop.execute(() -> this.pool.run(call, () -> true).reply().whenResult(reply::complete));
 		return reply.orTimeout(30, TimeUnit.SECONDS).join();
 	}
