--- a/daemon/src/test/java/org/brasspier/daemon/internal/http/ExchangeIdentityTests.java
+++ b/daemon/src/test/java/org/brasspier/daemon/internal/http/ExchangeIdentityTests.java
@@ -430,6 +430,21 @@
 		assertThat(granted).isAtLeast(1);
 	}
 
+	/**
+	 * Guards against a status that does not exist and counts as the answer to a grant.
+	 */
+	@ParameterizedTest
+	@ValueSource(strings = { "000", "099", "101", "600", "999" })
+	void aStatusThatDoesNotExistIsNoAnswerToACallWithoutAnId(String status) throws Exception {
+		serve((connection) -> {
+			connection.read();
+			connection.write("HTTP/1.1 " + status + " Any\r\nContent-Length: 0\r\n\r\n");
+			connection.read();
+		});
+		assertThat(open()).isTrue();
+		assertThat(grant()).isEqualTo(0);
+	}
+
 	/** Guards against an answer that was sent twice at once and is taken twice. */
 	@Test
 	void bytesBehindAnAnswerEndTheConnection() throws Exception {
