--- a/review/lib-2/Backend.java
+++ b/review/lib-2/Backend.java
@@ -41,6 +41,23 @@
 
 	volatile boolean open = true;
 
+	/** How an answer is written to a connection. */
+	interface Wire {
+
+		/**
+		 * Writes an answer.
+		 * @param out the connection
+		 * @param request the request
+		 * @param answer its answer
+		 * @param before the id of the request before it on this connection; empty if none
+		 */
+		void send(OutputStream out, Http request, byte[] answer, String before)
+				throws IOException, InterruptedException;
+
+	}
+
+	volatile Wire wire = (out, request, answer, before) -> out.write(answer);
+
 	/** How a request is run and answered. */
 	interface Work {
 
@@ -97,11 +114,13 @@
 		try (socket) {
 			accepted(socket);
 			InputStream in = input(socket);
+			String before = "";
 			for (Http request = Http.read(in, true); request != null; request = Http.read(in, true)) {
 				byte[] answer = answer(request);
 				OutputStream out = socket.getOutputStream();
-				out.write(answer);
+				this.wire.send(out, request, answer, before);
 				out.flush();
+				before = request.field("X-Request-Id");
 			}
 		}
 		catch (IOException | InterruptedException ex) {
@@ -144,7 +163,7 @@
 	void ran(Http request) {
 	}
 
-	private static byte[] message(int status, String fields, byte[] body) {
+	static byte[] message(int status, String fields, byte[] body) {
 		byte[] head = ("HTTP/1.1 " + status + " X\r\n" + fields + "Keep-Alive: timeout=10\r\nContent-Length: "
 				+ body.length + "\r\n\r\n")
 			.getBytes(StandardCharsets.ISO_8859_1);
--- a/review/lib-2/Store.java
+++ b/review/lib-2/Store.java
@@ -169,9 +169,9 @@
 			.stream()
 			.filter((row) -> row.table.equals(table) && row.part.equals(query.getOrDefault("part", "")))
 			.filter((row) -> !row.deleted && row.key.compareTo(from) >= 0)
-			.limit(500)
 			.toList();
-		return "{\"rows\":" + rows(found) + ",\"truncated\":false,\"row_version\":" + this.version + ",\"now\":"
+		boolean truncated = found.size() > 500;
+		return "{\"rows\":" + rows(truncated ? found.subList(0, 500) : found) + ",\"truncated\":" + truncated + ",\"row_version\":" + this.version + ",\"now\":"
 				+ now() + "}";
 	}
 
