--- a/review/lib-2/DepartedServer.java
+++ b/review/lib-2/DepartedServer.java
@@ -11,7 +11,9 @@
 /**
  * A backend leaves while the store is down, and its daemon acknowledges that. The daemon
  * is killed and starts again; a heartbeat that the backend sent before it left arrives
- * late. Broken if requests reach the backend after that, once all machines are in touch.
+ * late. Broken if requests reach the backend after that: later than drain after the
+ * machine on which they began had passed on an answer that says that the backend leaves,
+ * or, with all machines in touch, after the acknowledgement.
  */
 final class DepartedServer {
 
@@ -21,6 +23,12 @@
 
 	private final boolean trouble = !"0".equals(System.getenv("TROUBLE"));
 
+	/** How late the heartbeat arrives. */
+	private final int lateMillis = Integer.parseInt(System.getenv().getOrDefault("LATE_MS", "5200"));
+
+	/** Whether the answers of a backend that leaves say so. */
+	private final boolean saysLeaving = !"0".equals(System.getenv("SAYS_LEAVING"));
+
 	private final boolean outage = this.trouble && !Boolean.getBoolean("noOutage");
 
 	private final boolean kill = this.trouble && !Boolean.getBoolean("noKill");
@@ -33,6 +41,10 @@
 
 	private final Set<String> served = ConcurrentHashMap.newKeySet();
 
+	private volatile boolean left;
+
+	private volatile long passedOn = Long.MAX_VALUE;
+
 	private volatile boolean stopped;
 
 	private DepartedServer(Log log) {
@@ -71,7 +83,8 @@
 			for (Backend each : List.of(server, other)) {
 				each.work = (request) -> {
 					Thread.sleep(150);
-					return new Backend.Done(200, "", "done".getBytes(StandardCharsets.UTF_8));
+					String fields = (this.saysLeaving && this.left && each == server) ? "Server-Leaving: 1\r\n" : "";
+					return new Backend.Done(200, fields, "done".getBytes(StandardCharsets.UTF_8));
 				};
 			}
 			all.others.add(server);
@@ -94,9 +107,11 @@
 			}
 			Thread.sleep(500);
 			String late = server.heartbeat();
+			long madeAt = this.log.millis();
 			server.beating = false;
 			this.log.line("heartbeat of i-leaving, held up on its way: %s", late);
 			Thread.sleep(200);
+			this.left = true;
 			Http answer = server.send("departure", "");
 			long acknowledged = this.log.millis();
 			if (answer == null || answer.status() != 200) {
@@ -112,35 +127,48 @@
 				leaving.start();
 				inTouch = Math.max(inTouch, this.log.millis() + STABLE_WINDOW);
 			}
-			sleepUntil(acknowledged + 2300);
-			answer = sendLate(server, late);
-			this.log.say("the late heartbeat arrives, %d ms after the departure was acknowledged: %s",
-					this.log.millis() - acknowledged, answer.first());
 			if (this.outage) {
-				sleepUntil(acknowledged + 2500);
+				sleepUntil(acknowledged + 1500);
 				all.store.mode(Store.Mode.UP);
 				this.log.say("the store answers again");
 				inTouch = Math.max(inTouch, this.log.millis() + STABLE_WINDOW);
 			}
-			long bound = Math.max(acknowledged + DRAIN, inTouch) + 200;
-			sleepUntil(bound + 4000);
+			sleepUntil(madeAt + this.lateMillis);
+			answer = sendLate(server, late);
+			this.log.say("the late heartbeat arrives, %d ms after the departure was acknowledged: %s",
+					this.log.millis() - acknowledged, answer.first());
+			sleepUntil(acknowledged + 9000);
 			server.close();
 			this.log.say("i-leaving exits");
-			Thread.sleep(2000);
+			Thread.sleep(1000);
 			this.stopped = true;
 			for (Thread each : clients) {
 				each.join();
 			}
-			long broken = this.reached.stream().filter((id) -> this.sentMillis.get(id) > bound).count();
-			long sent = this.sentMillis.values().stream().filter((at) -> at > bound).count();
-			this.log.say("%d of %d requests that were sent over %d ms after the acknowledgement, with all machines in touch, "
-					+ "reached i-leaving", broken, sent, bound - acknowledged);
-			long cut = this.reached.stream().filter((id) -> this.sentMillis.get(id) > bound && !this.served.contains(id)).count();
-			this.log.say("%d orders of these were begun by i-leaving and never answered with a success", cut);
-			return (broken > 0) ? 1 : 0;
+			long acknowledgedBound = Math.max(acknowledged + DRAIN, inTouch);
+			long passedOnBound = (this.passedOn == Long.MAX_VALUE) ? Long.MAX_VALUE : this.passedOn + DRAIN;
+			long afterNotice = after(passedOnBound);
+			long afterAcknowledgement = after(acknowledgedBound);
+			if (this.passedOn < Long.MAX_VALUE) {
+				this.log.say("m-1 passed on an answer with Server-Leaving first %d ms after the acknowledgement",
+						this.passedOn - acknowledged);
+				this.log.say("%d requests that clients sent to m-1 more than %d ms after that reached i-leaving",
+						afterNotice, DRAIN);
+			}
+			this.log.say("%d requests that were sent %d ms and more after the acknowledgement, with all machines in touch, "
+					+ "reached i-leaving", afterAcknowledgement, acknowledgedBound - acknowledged);
+			long cut = this.reached.stream()
+				.filter((id) -> this.sentMillis.get(id) > acknowledgedBound && !this.served.contains(id))
+				.count();
+			this.log.say("%d of the latter were begun by i-leaving and lost as it exited", cut);
+			return (afterNotice + afterAcknowledgement > 0) ? 1 : 0;
 		}
 	}
 
+	private long after(long bound) {
+		return this.reached.stream().filter((id) -> this.sentMillis.get(id) > bound).count();
+	}
+
 	// A daemon that starts again opens its port after a moment.
 	private static Http sendLate(Backend server, String heartbeat) throws Exception {
 		for (int i = 0;; i++) {
@@ -179,6 +207,9 @@
 				if (answer.status() == 200) {
 					this.served.add(id);
 				}
+				if (answer.field("Server-Leaving").equals("1")) {
+					this.passedOn = Math.min(this.passedOn, this.log.millis());
+				}
 				Thread.sleep(30);
 			}
 			catch (IOException ex) {
