Review case 6: a late write makes a live machine count as replaced

Claim: the store does a write of a lost machine's member row late; the machine that has its address by then counts as replaced, and its keys are given to another backend while its own holds them and works on them (OWNER).

--- a/review/lib-2/Backend.java
+++ b/review/lib-2/Backend.java
@@ -84,7 +84,14 @@
 		this.port.setReuseAddress(true);
 		this.port.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), machine.backendPort), 256);
 		Thread.ofVirtual().start(this::accept);
-		Thread.ofVirtual().start(this::beat);
+		if (beats()) {
+			Thread.ofVirtual().start(this::beat);
+		}
+	}
+
+	/** Whether heartbeats are sent without a look at their answers. */
+	boolean beats() {
+		return true;
 	}
 
 	private void accept() {
@@ -150,7 +157,7 @@
 		try {
 			this.log.line("backend %s runs %s %s %s", this.id, id, request.method(), request.target());
 			ran(request);
-			Done done = this.work.run(request);
+			Done done = tryRun(request);
 			return message(done.status, "X-Request-Id: " + id + "\r\nX-Server-Stamp: " + this.id + "." + id + "\r\n"
 					+ done.fields, done.body);
 		}
@@ -159,6 +166,11 @@
 		}
 	}
 
+	/** Runs a request, or says that it does not. */
+	Done tryRun(Http request) throws InterruptedException, IOException {
+		return this.work.run(request);
+	}
+
 	/** Called when the backend begins to work on a request. */
 	void ran(Http request) {
 	}
--- a/review/lib-2/Log.java
+++ b/review/lib-2/Log.java
@@ -10,8 +10,21 @@
 
 	private final long startNanos = System.nanoTime();
 
+	private final String part;
+
 	Log(Path path) throws IOException {
 		this.out = new PrintWriter(Files.newBufferedWriter(path), true);
+		this.part = "";
+	}
+
+	private Log(PrintWriter out, String part) {
+		this.out = out;
+		this.part = part;
+	}
+
+	/** The part of the record that belongs to one of several deployments. */
+	Log part(String name) {
+		return new Log(this.out, name + "  ");
 	}
 
 	long millis() {
@@ -19,13 +32,13 @@
 	}
 
 	synchronized void line(String format, Object... values) {
-		this.out.println("%7d ms  %s".formatted(millis(), format.formatted(values)));
+		this.out.println("%7d ms  %s%s".formatted(millis(), this.part, format.formatted(values)));
 	}
 
 	/** Also to the terminal. */
 	void say(String format, Object... values) {
 		line(format, values);
-		System.out.println(format.formatted(values));
+		System.out.println(this.part + format.formatted(values));
 	}
 
 	@Override
--- a/review/lib-2/Machine.java
+++ b/review/lib-2/Machine.java
@@ -42,6 +42,19 @@
 
 	private int starts;
 
+	/** A machine at the address of another one that is gone. */
+	Machine(String name, String service, Machine before) {
+		this.name = name;
+		this.zone = before.zone;
+		this.service = service;
+		this.first = before.first;
+		this.backendPort = before.backendPort;
+		this.folder = before.folder;
+		this.log = before.log;
+		this.store = before.store;
+		this.grants = before.grants;
+	}
+
 	Machine(String name, String zone, String service, String store, String grants, Path folder, Log log)
 			throws IOException {
 		this.name = name;
@@ -55,16 +68,15 @@
 		this.backendPort = this.first + 5;
 	}
 
-	/** What stands before the command, such as a limit that the settings name. */
-	List<String> before = List.of();
-
 	int port(int place) {
 		return this.first + place;
 	}
 
-	private static int freePorts() throws IOException {
+	private static final java.util.Set<Integer> TAKEN = new java.util.HashSet<>();
+
+	private static synchronized int freePorts() throws IOException {
 		while (true) {
-			int first = ThreadLocalRandom.current().nextInt(11_000, 31_000);
+			int first = ThreadLocalRandom.current().nextInt(1_100, 3_100) * 10;
 			int free = 0;
 			while (free < 6) {
 				try (ServerSocket probe = new ServerSocket(first + free, 1, InetAddress.getLoopbackAddress())) {
@@ -74,7 +86,7 @@
 					break;
 				}
 			}
-			if (free == 6) {
+			if (free == 6 && TAKEN.add(first)) {
 				return first;
 			}
 		}
@@ -105,9 +117,7 @@
 			throw new IOException("deploy/system.toml has no command");
 		}
 		this.starts++;
-		List<String> line = new ArrayList<>(this.before);
-		line.addAll(List.of(command.group(1).split(" +")));
-		ProcessBuilder builder = new ProcessBuilder(line);
+		ProcessBuilder builder = new ProcessBuilder(List.of(command.group(1).split(" +")));
 		builder.environment().put("BRASSPIER_SETTINGS", settings.toString());
 		builder.redirectErrorStream(true);
 		builder.redirectOutput(this.folder.resolve(this.name + "." + this.starts + ".log").toFile());
--- a/review/lib-2/Store.java
+++ b/review/lib-2/Store.java
@@ -36,6 +36,40 @@
 
 	private volatile Mode mode = Mode.UP;
 
+	private volatile String lostKey = "";
+
+	private volatile int lateMillis;
+
+	/** The next write of a row is not answered, and is done late. */
+	void loseNextWrite(String key, int doneAfterMillis) {
+		this.lateMillis = doneAfterMillis;
+		this.lostKey = key;
+	}
+
+	private boolean isLost(String body) {
+		String key = this.lostKey;
+		if (key.isEmpty() || !body.contains("\"" + key + "\"") || !body.contains("puts")) {
+			return false;
+		}
+		this.lostKey = "";
+		Thread.ofVirtual().start(() -> {
+			try {
+				Thread.sleep(this.lateMillis);
+				int[] status = { 200 };
+				commit(body, status);
+				this.lateResult.accept(status[0]);
+			}
+			catch (InterruptedException ex) {
+				Thread.currentThread().interrupt();
+			}
+		});
+		return true;
+	}
+
+	/** Is told the status of the write that is done late, and 0 when it is lost. */
+	volatile java.util.function.IntConsumer lateResult = (status) -> {
+	};
+
 	Store() throws IOException {
 		this.server = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 512);
 		this.server.setExecutor(Executors.newVirtualThreadPerTaskExecutor());
@@ -77,6 +111,12 @@
 				exchange.sendResponseHeaders(503, -1);
 				return;
 			}
+			String text = new String(body, StandardCharsets.UTF_8);
+			if (exchange.getRequestURI().toString().contains("/rows-tx") && isLost(text)) {
+				this.lateResult.accept(0);
+				Thread.sleep(20_000);
+				return;
+			}
 			int[] status = { 200 };
 			String answer = answer(exchange.getRequestURI().toString(), new String(body, StandardCharsets.UTF_8),
 					status);
