--- a/review/lib-2/FailingServer.java
+++ b/review/lib-2/FailingServer.java
@@ -54,7 +54,7 @@
 		catch (Exception ex) {
 			System.out.println("the case could not run: " + ex);
 		}
-		System.exit(status);
+		System.exit(100 + status);
 	}
 
 	private int run() throws Exception {
--- a/review/lib-2/ReusedAddress.java
+++ b/review/lib-2/ReusedAddress.java
@@ -59,7 +59,7 @@
 			status = all.contains(1) ? 1 : all.contains(2) ? 2 : 0;
 			log.say("broken in %d of %d deployments", all.stream().filter((each) -> each == 1).count(), all.size());
 		}
-		System.exit(status);
+		System.exit(100 + status);
 	}
 
 	private int run() throws Exception {
