--- a/review/lib-2/KeyedBackend.java
+++ b/review/lib-2/KeyedBackend.java
@@ -66,8 +66,9 @@
 		return this.open && this.fence[key] != 0 && now - this.untilNanos < 0;
 	}
 
-	boolean isWorking(int key) {
-		return this.open && this.working[key] > 0;
+	/** Whether the backend is at work on a key, and its hold has not run out. */
+	boolean isWorking(int key, long now) {
+		return holds(key, now) && this.working[key] > 0;
 	}
 
 	long fence(int key) {
--- a/review/lib-2/Keys.java
+++ b/review/lib-2/Keys.java
@@ -33,6 +33,7 @@
 
 	/** Called with the keys that a backend has just been given. */
 	synchronized void given(KeyedBackend receiver, List<Integer> keys) {
+		long now = System.nanoTime();
 		for (KeyedBackend other : this.backends) {
 			if (other == receiver) {
 				continue;
@@ -40,7 +41,7 @@
 			int atWork = 0;
 			int first = -1;
 			for (int key : keys) {
-				if (other.isWorking(key) && !this.taken[key]) {
+				if (other.isWorking(key, now) && !this.taken[key]) {
 					this.taken[key] = true;
 					this.takenAtWork++;
 					atWork++;
