--- a/review/lib-3/ColdAgain.java
+++ b/review/lib-3/ColdAgain.java
@@ -42,13 +42,13 @@
 		List<Kit.Backend> backends = new ArrayList<>();
 		int exit = 2;
 		try {
-			Kit.Store store = new Kit.Store("127.0.1.1");
+			Kit.Store store = new Kit.Store("127.0.11.1");
 			store.write("op", "config",
 					Kit.config(3, Kit.route("post", "levy.example", "/post/", "levysvc", "unsafe", 2500), """
 							{"name":"levysvc","health_check_path":"/health","max_connections":580,"protocol":"h1","tls":false,
 							"cold_start":"3s","cold_per_s":7.7}"""));
 			for (int i = 1; i <= 3; i++) {
-				Kit.Machine machine = new Kit.Machine(folder, "m" + i, "z" + i, "127.0.1." + (10 + i), "levysvc",
+				Kit.Machine machine = new Kit.Machine(folder, "m" + i, "z" + i, "127.0.11." + (10 + i), "levysvc",
 						store.address, "heartbeat");
 				machine.fields.getAsJsonObject("bounds").addProperty("cold_overage", OVERAGE);
 				machine.fields.getAsJsonObject("bounds").addProperty("cold_slack", SLACK);
--- a/review/lib-3/DrainReopened.java
+++ b/review/lib-3/DrainReopened.java
@@ -33,12 +33,12 @@
 		List<Kit.Backend> backends = new ArrayList<>();
 		int exit = 2;
 		try {
-			Kit.Store store = new Kit.Store("127.0.1.1");
+			Kit.Store store = new Kit.Store("127.0.10.1");
 			store.write("op", "config",
 					Kit.config(3, Kit.route("book", "book.example", "/book/", "booksvc", "unsafe", 1500),
 							Kit.service("booksvc", true, "heartbeat")));
 			for (int i = 1; i <= 3; i++) {
-				machines.add(new Kit.Machine(folder, "m" + i, "z" + i, "127.0.1." + (10 + i), "booksvc", store.address,
+				machines.add(new Kit.Machine(folder, "m" + i, "z" + i, "127.0.10." + (10 + i), "booksvc", store.address,
 						"heartbeat"));
 			}
 			for (Kit.Machine machine : machines) {
@@ -120,7 +120,7 @@
 			Kit.log("departure acknowledged with %d", leaving.depart(leaving.control, 1000).status());
 			return true;
 		}
-		try (ServerSocket proxy = new ServerSocket(0, 10, InetAddress.getByName("127.0.1.1"))) {
+		try (ServerSocket proxy = new ServerSocket(0, 10, InetAddress.getByName("127.0.10.1"))) {
 			Kit.quietly(() -> {
 				Socket from = proxy.accept();
 				Kit.Message request = Kit.read(new BufferedInputStream(from.getInputStream()));
--- a/review/lib-3/Kit.java
+++ b/review/lib-3/Kit.java
@@ -764,6 +764,7 @@
 			builder.redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.appendTo(this.output.toFile()));
 			this.process = builder.start();
 			log("%s daemon started, process %d", this.name, this.process.pid());
+			Runtime.getRuntime().addShutdownHook(new Thread(this::kill));
 		}
 
 		boolean ready() {
--- a/review/lib-3/QueueOfLeaving.java
+++ b/review/lib-3/QueueOfLeaving.java
@@ -38,14 +38,14 @@
 		List<Kit.Backend> backends = new ArrayList<>();
 		int exit = 2;
 		try {
-			Kit.Store store = new Kit.Store("127.0.1.1");
+			Kit.Store store = new Kit.Store("127.0.9.1");
 			store.write("op", "config",
 					Kit.config(3,
 							Kit.route("look", "book.example", "/look/", "booksvc", "safe", TIMEOUT_MILLIS)
 								.replace("\"200ms\"", "\"3125ms\""),
 							Kit.service("booksvc", false, "heartbeat").replace("120", "580")));
 			for (int i = 1; i <= 2; i++) {
-				machines.add(new Kit.Machine(folder, "m" + i, "z" + i, "127.0.1." + (10 + i), "booksvc", store.address,
+				machines.add(new Kit.Machine(folder, "m" + i, "z" + i, "127.0.9." + (10 + i), "booksvc", store.address,
 						"heartbeat"));
 			}
 			for (Kit.Machine machine : machines) {
--- a/review/lib-3/SlowReaders.java
+++ b/review/lib-3/SlowReaders.java
@@ -62,13 +62,13 @@
 		List<Kit.Backend> backends = new ArrayList<>();
 		int exit = 2;
 		try {
-			Kit.Store store = new Kit.Store("127.0.1.1");
+			Kit.Store store = new Kit.Store("127.0.8.1");
 			store.write("op", "config",
 					Kit.config(3, Kit.route("pack", "cat.example", "/pack/", "catsvc", "download", 10000) + ","
 							+ Kit.route("post", "cat.example", "/post/", "catsvc", "unsafe", POST_TIMEOUT_MILLIS),
 							Kit.service("catsvc", false, "heartbeat")));
 			for (int i = 1; i <= 3; i++) {
-				machines.add(new Kit.Machine(folder, "m" + i, "z" + i, "127.0.1." + (10 + i), "catsvc", store.address,
+				machines.add(new Kit.Machine(folder, "m" + i, "z" + i, "127.0.8." + (10 + i), "catsvc", store.address,
 						"heartbeat"));
 			}
 			for (Kit.Machine machine : machines) {
