Log how long a server has been leaving

BACKEND_CHANGED named the phases of a server, not since when its drain time is counted, so a log could not tell a drain time that starts again from a request that was accepted in time and sent late. It has leaving_ms now; no logic is changed.

--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/BackendRegistration.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/BackendRegistration.java
@@ -139,7 +139,8 @@
 			this.onServerReplaced.run();
 		}
 		this.log.record(MeshEvent.BACKEND_CHANGED, "life", after.incarnation.map(String::valueOf).orElse(""), "phase",
-				after.phase, "before", before.phase, "slots", after.slots, "sequence", this.tracker.sequence());
+				after.phase, "before", before.phase, "slots", after.slots, "sequence", this.tracker.sequence(), "leaving_ms",
+				ready() ? -1 : drainingFor(now).map(Duration::toMillis).orElse(-1L));
 		this.listeners.forEach(Runnable::run);
 	}
 
