Start a server's drain time with its first word of leaving only

Cause: the drain time was counted from the latest change between phases of a server that isn't ready, so the departure that follows draining, or an answer that says the server leaves, started it again. BackendTracker now records the first word of leaving, and what comes later changes the phase only.

Evidence: with leaving_ms in the log, the case on the code before says DRAINING with 0 ms and DEPARTED, 3.461 s later, with 0 ms once more.

--- a/core/src/main/java/org/brasspier/core/mesh/BackendTracker.java
+++ b/core/src/main/java/org/brasspier/core/mesh/BackendTracker.java
@@ -52,6 +52,8 @@
 
 	private boolean seenReady;
 
+	private long leavingSinceNanos;
+
 	private long sequence;
 
 	private long lastHeartbeatNanos;
@@ -93,12 +95,19 @@
 		this.closedSinceHeartbeat = false;
 		// Draining is never reverted: daemons that were told of it must not send work
 		// again.
-		if (draining && this.phase == BackendPhase.READY) {
-			this.phase = BackendPhase.DRAINING;
+		if (draining) {
+			leave(nowNanos);
 		}
 		return true;
 	}
 
+	private void leave(long nowNanos) {
+		if (this.phase == BackendPhase.READY) {
+			this.phase = BackendPhase.DRAINING;
+			this.leavingSinceNanos = nowNanos;
+		}
+	}
+
 	private void startIncarnation(BackendIncarnation from, boolean draining) {
 		this.incarnation.filter((known) -> !known.id().equals(from.id()))
 			.ifPresent((known) -> this.replacedIds.add(known.id()));
@@ -134,14 +143,16 @@
 	 * id of an unknown server is remembered, since an earlier heartbeat of it may still
 	 * arrive.
 	 * @param id the server's id
+	 * @param nowNanos the current time
 	 * @return false if it is not the current server
 	 */
-	public boolean onDeparture(String id) {
+	public boolean onDeparture(String id, long nowNanos) {
 		if (this.incarnation.filter((known) -> known.id().equals(id)).isEmpty()) {
 			this.leavingIds.add(id);
 			return false;
 		}
 		this.incarnation.ifPresent(this.leaving::add);
+		leave(nowNanos);
 		this.phase = BackendPhase.DEPARTED;
 		return true;
 	}
@@ -149,11 +160,12 @@
 	/**
 	 * Processes an answer in which a server says that it is leaving.
 	 * @param from the server's incarnation
+	 * @param nowNanos the current time
 	 */
-	public void onLeavingAnnounced(BackendIncarnation from) {
+	public void onLeavingAnnounced(BackendIncarnation from, long nowNanos) {
 		this.leaving.add(from);
-		if (this.phase == BackendPhase.READY && this.incarnation.equals(Optional.of(from))) {
-			this.phase = BackendPhase.DRAINING;
+		if (this.incarnation.equals(Optional.of(from))) {
+			leave(nowNanos);
 		}
 	}
 
@@ -176,6 +188,19 @@
 		return this.seenReady;
 	}
 
+	/**
+	 * Returns how long the current incarnation has been leaving, from the first message
+	 * or answer that said so.
+	 * @param nowNanos the current time
+	 * @return empty if it is not leaving, or if this process has never seen it ready and
+	 * so can't tell when it began to leave
+	 */
+	public Optional<Duration> leavingFor(long nowNanos) {
+		boolean leaves = this.phase == BackendPhase.DRAINING || this.phase == BackendPhase.DEPARTED;
+		return (leaves && this.seenReady) ? Optional.of(Duration.ofNanos(nowNanos - this.leavingSinceNanos))
+				: Optional.empty();
+	}
+
 	/**
 	 * Returns the current incarnation, the one that was last heard from.
 	 * @return empty if no server was ever heard from
--- a/core/src/test/java/org/brasspier/core/mesh/BackendTrackerTests.java
+++ b/core/src/test/java/org/brasspier/core/mesh/BackendTrackerTests.java
@@ -59,7 +59,7 @@
 	@Test
 	void aServerThatAnnouncesItsLeavingDrainsThoughItsHeartbeatsSayReady() {
 		this.tracker.onHeartbeat(FIRST, 1, false, 0);
-		this.tracker.onLeavingAnnounced(FIRST);
+		this.tracker.onLeavingAnnounced(FIRST, 0);
 		assertThat(this.tracker.phase()).isEqualTo(BackendPhase.DRAINING);
 		this.tracker.onHeartbeat(FIRST, 2, false, 1);
 		assertThat(this.tracker.phase()).isEqualTo(BackendPhase.DRAINING);
@@ -69,14 +69,14 @@
 	@Test
 	void theLeavingOfAnEarlierIncarnationDoesNotDrainTheCurrentOne() {
 		this.tracker.onHeartbeat(RESTARTED, 1, false, 0);
-		this.tracker.onLeavingAnnounced(FIRST);
+		this.tracker.onLeavingAnnounced(FIRST, 0);
 		assertThat(this.tracker.phase()).isEqualTo(BackendPhase.READY);
 	}
 
 	@Test
 	void aLateHeartbeatDoesNotReviveADepartedServer() {
 		this.tracker.onHeartbeat(FIRST, 1, false, 0);
-		assertThat(this.tracker.onDeparture("i-1")).isTrue();
+		assertThat(this.tracker.onDeparture("i-1", 0)).isTrue();
 		assertThat(this.tracker.onHeartbeat(FIRST, 2, false, 1)).isFalse();
 		assertThat(this.tracker.phase()).isEqualTo(BackendPhase.DEPARTED);
 		assertThat(this.tracker.onHeartbeat(OTHER, 1, false, 2)).isTrue();
@@ -86,7 +86,7 @@
 	@Test
 	void aDepartureOfAnotherServerIsIgnored() {
 		this.tracker.onHeartbeat(OTHER, 1, false, 0);
-		assertThat(this.tracker.onDeparture("i-1")).isFalse();
+		assertThat(this.tracker.onDeparture("i-1", 0)).isFalse();
 		assertThat(this.tracker.phase()).isEqualTo(BackendPhase.READY);
 	}
 
@@ -106,7 +106,7 @@
 	@Test
 	void aLateHeartbeatDoesNotMakeAServerReadyThatDepartedWhileUnknown() {
 		BackendIncarnation unknown = new BackendIncarnation("i-1", 0);
-		this.tracker.onDeparture("i-1");
+		this.tracker.onDeparture("i-1", 0);
 		this.tracker.onHeartbeat(unknown, 35, false, millis(2100));
 		assertThat(this.tracker.phase()).isNotEqualTo(BackendPhase.READY);
 		assertThat(this.tracker.seenReady()).isFalse();
@@ -122,7 +122,7 @@
 		BackendIncarnation next = new BackendIncarnation("i-2", 0);
 		this.tracker.onHeartbeat(crashed, 9, false, 0);
 		assertThat(this.tracker.onHeartbeat(next, 1, false, millis(2000))).isFalse();
-		this.tracker.onDeparture("i-2");
+		this.tracker.onDeparture("i-2", 0);
 		this.tracker.onHeartbeat(next, 1, false, millis(4100));
 		assertThat(this.tracker.phase()).isNotEqualTo(BackendPhase.READY);
 	}
@@ -160,7 +160,7 @@
 	@Test
 	void aServerThatRestartsUnderTheIdOfADepartedOneIsReady() {
 		this.tracker.restoreDeparture(FIRST);
-		this.tracker.onDeparture("i-1");
+		this.tracker.onDeparture("i-1", 0);
 		this.tracker.onHeartbeat(RESTARTED, 1, false, 0);
 		assertThat(this.tracker.phase()).isEqualTo(BackendPhase.READY);
 	}
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/BackendRegistration.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/BackendRegistration.java
@@ -41,8 +41,6 @@
 
 	private long lastHeartbeatNanos;
 
-	private long drainingSinceNanos;
-
 	private final ColdStartLimiter coldStart = new ColdStartLimiter(System.nanoTime());
 
 	BackendRegistration(MeshSettings.Backend backend, MeshLog log) {
@@ -98,7 +96,7 @@
 
 	private Either<Failure, Optional<GrantAnswer>> departure(String id, long now) {
 		State before = state();
-		if (!this.tracker.onDeparture(id)) {
+		if (!this.tracker.onDeparture(id, now)) {
 			this.log.record(MeshEvent.BACKEND_MESSAGE_IGNORED, "life", id, "reason", "another life goes on");
 		}
 		notifyIfChanged(before, now);
@@ -111,8 +109,9 @@
 	 */
 	void announceLeaving(BackendIncarnation incarnation) {
 		State before = state();
-		this.tracker.onLeavingAnnounced(incarnation);
-		notifyIfChanged(before, System.nanoTime());
+		long now = System.nanoTime();
+		this.tracker.onLeavingAnnounced(incarnation, now);
+		notifyIfChanged(before, now);
 	}
 
 	/**
@@ -131,16 +130,13 @@
 		if (before.equals(after)) {
 			return;
 		}
-		if (!ready() && !before.phase.equals(after.phase)) {
-			this.drainingSinceNanos = now;
-		}
 		if (before.incarnation.isPresent() && !before.incarnation.equals(after.incarnation)) {
 			this.coldStart.onServerReplaced();
 			this.onServerReplaced.run();
 		}
 		this.log.record(MeshEvent.BACKEND_CHANGED, "life", after.incarnation.map(String::valueOf).orElse(""), "phase",
-				after.phase, "before", before.phase, "slots", after.slots, "sequence", this.tracker.sequence(), "leaving_ms",
-				ready() ? -1 : drainingFor(now).map(Duration::toMillis).orElse(-1L));
+				after.phase, "before", before.phase, "slots", after.slots, "sequence", this.tracker.sequence(),
+				"leaving_ms", this.tracker.leavingFor(now).map(Duration::toMillis).orElse(-1L));
 		this.listeners.forEach(Runnable::run);
 	}
 
@@ -190,11 +186,11 @@
 		return this.tracker.isDead(System.nanoTime());
 	}
 
-	// Returns how long the server has been draining. Empty if this process has never seen
-	// it ready, because it can't tell then when the drain began.
+	// Returns how long the server has been draining. Empty if it isn't, or if this
+	// process
+	// has never seen it ready, because it can't tell then when the drain began.
 	Optional<Duration> drainingFor(long now) {
-		return this.tracker.seenReady() ? Optional.of(Duration.ofNanos(now - this.drainingSinceNanos))
-				: Optional.empty();
+		return this.tracker.leavingFor(now);
 	}
 
 	// Returns when the latest accepted heartbeat arrived, in nanoseconds of the steady
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/GateChecks.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/GateChecks.java
@@ -7,7 +7,6 @@
 
 import org.brasspier.core.ErrorKind;
 import org.brasspier.core.Failure;
-import org.brasspier.core.mesh.BackendTracker.BackendPhase;
 import org.brasspier.core.mesh.LinkDelay;
 import org.brasspier.core.mesh.RoutingConfig;
 import org.brasspier.daemon.internal.evacuation.DomainAdmission;
@@ -128,11 +127,8 @@
 	// Returns whether a draining server may still serve its keys. It serves them until
 	// another server holds them, but no longer than the configured drain time.
 	private boolean mayStillServe(long now) {
-		boolean draining = this.registration.phase() == BackendPhase.DRAINING
-				|| this.registration.phase() == BackendPhase.DEPARTED;
 		Duration maxDrainTime = this.settings.bounds().drain().minus(DRAIN_MARGIN);
-		return draining
-				&& this.registration.drainingFor(now).filter((since) -> since.compareTo(maxDrainTime) < 0).isPresent();
+		return this.registration.drainingFor(now).filter((since) -> since.compareTo(maxDrainTime) < 0).isPresent();
 	}
 
 	// Returns when this server is expected to hold the key: keys are granted in the
