Relay no status that promises "not run" for a request that has run

Cause: between server and daemon such a status says nothing unless a field goes with it, between daemon and caller it is a promise; the entry relayed it as it was. The entry now gives the caller 502 of our own, without the server's stamp.

It does so whatever the kind of the request: "not run" must be true for all, and callers of idempotent requests repeat them after any failure.

--- a/core/src/main/java/org/brasspier/core/ErrorKind.java
+++ b/core/src/main/java/org/brasspier/core/ErrorKind.java
@@ -66,7 +66,10 @@
 	 */
 	OUTCOME_UNKNOWN(502, Ran.UNKNOWN, 8),
 
-	/** The response of the backend server is not HTTP or is truncated. */
+	/**
+	 * The response of the backend server is not HTTP, is truncated, or has a status that
+	 * promises that the request was not run although it was.
+	 */
 	BAD_ANSWER(502, Ran.UNKNOWN, 8),
 
 	/** An earlier owner may have run this posting; it was not run again. */
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/MeshEntry.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/MeshEntry.java
@@ -123,10 +123,21 @@
 			this.open--;
 			cancellation.elapsed(System.nanoTime())
 				.ifPresent((elapsed) -> logCallerLeft(request, route, outcome, elapsed, startNanos));
-			return answer(raw, request, route, status, outcome, startNanos);
+			return answer(raw, request, route, status, withoutFalsePromise(outcome), startNanos);
 		});
 	}
 
+	// A server may answer a request that it has run with a status that tells the caller
+	// the opposite. The caller would send the request again, and it would run twice.
+	private SendOutcome withoutFalsePromise(SendOutcome outcome) {
+		return switch (outcome) {
+			case SendOutcome.Answered(Answer answer) when this.protocol.promisesNotRun(answer.status()) ->
+				new SendOutcome.Unknown(Failure.of(ErrorKind.BAD_ANSWER,
+						"the backend server ran the request and answered status " + answer.status()));
+			default -> outcome;
+		};
+	}
+
 	// Where no refusal is remembered, nothing is hashed.
 	private ReturnStatus returnStatus(MeshRequest request, RouteRule route, long now) {
 		if (this.returns.isEmpty()) {
--- a/daemon/src/main/java/org/brasspier/daemon/mesh/CallerProtocol.java
+++ b/daemon/src/main/java/org/brasspier/daemon/mesh/CallerProtocol.java
@@ -25,6 +25,14 @@
 	 */
 	Answer relayedAnswer(Answer answer);
 
+	/**
+	 * Returns whether a status promises to the caller that its request has not run and
+	 * never will. Such a status must not be relayed if the request has run.
+	 * @param status a final HTTP status
+	 * @return true if the caller may rely on it
+	 */
+	boolean promisesNotRun(int status);
+
 	/**
 	 * Builds the answer to a request that failed in the daemon.
 	 * @param raw the request that failed
