Start queued requests one after another, not within each other

Cause: a slot that becomes free starts the next waiting request; one that may not start released its slot within its own start, which started the next one, and so on, so that the stack held a round for each waiting request and overflowed (StackOverflowError, 256 KB). The error left all rounds at once; their requests were in no queue any more, and their slots stayed taken. SequentialHandler runs what is added while it runs afterwards, so the depth doesn't depend on the queue.

--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/BackendGate.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/BackendGate.java
@@ -41,6 +41,7 @@
 import org.brasspier.daemon.internal.gate.CancelPlace;
 import org.brasspier.daemon.internal.gate.KeyQueue;
 import org.brasspier.daemon.internal.gate.ReplyOutcomes;
+import org.brasspier.daemon.internal.gate.SequentialHandler;
 import org.brasspier.daemon.internal.http.BackendPool;
 import org.brasspier.daemon.internal.http.BackendReply;
 import org.brasspier.daemon.internal.limit.ServerLimits;
@@ -103,6 +104,9 @@
 
 	private final Map<Long, QueuedRequest> queue = new HashMap<>();
 
+	// A queued request that can't start any more frees its slot for the next one.
+	private final SequentialHandler<Long> starts = new SequentialHandler<>(this::startQueued);
+
 	private final KeyQueue keyQueue;
 
 	private final GateChecks checks;
@@ -424,15 +428,17 @@
 
 	private void applyDecisions(NextRequests next) {
 		next.refused().forEach(this::rejectQueued);
-		for (long number : next.run()) {
-			QueuedRequest queued = this.queue.remove(number);
-			if (queued == null) {
-				this.startLimit.onNotSent();
-				releaseSlot(number, RunOutcome.NOT_STARTED);
-			}
-			else {
-				start(number, queued.accepted).whenResult(queued.outcome::trySet);
-			}
+		next.run().forEach(this.starts::add);
+	}
+
+	private void startQueued(long number) {
+		QueuedRequest queued = this.queue.remove(number);
+		if (queued == null) {
+			this.startLimit.onNotSent();
+			releaseSlot(number, RunOutcome.NOT_STARTED);
+		}
+		else {
+			start(number, queued.accepted).whenResult(queued.outcome::trySet);
 		}
 	}
 
