Reject waiting requests at once when their server leaves

What callers saw: a request that waited for a slot of a server that began to leave went on waiting until a slot was free, and was sent elsewhere, or refused, only then. Where all slots run long requests, that is as long as the shortest of them, of the time that the caller has. That the server won't run it is known at once. Requests for keys that a draining server still serves wait on until its drain time is over.

Fails before: BackendGateTests.waitingRequestsAreRejectedBeforeASlotIsFreeOnceTheirServerLeaves, 2 of 2 rows (departure, an answer that says so), by time-outs of 30 s.

--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/BackendGate.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/BackendGate.java
@@ -163,17 +163,24 @@
 			this.limits.onServerReplaced();
 		}
 		this.appliedConfigVersion = -1;
+		if (!this.registration.ready()) {
+			rejectWaiting(this.checks.remainingForKeys(System.nanoTime()));
+		}
 	}
 
-	// Waiting requests are rejected at once, so that they can still be sent elsewhere;
-	// those for keys that the server holds, when the keys had time to move.
 	private void evacuationChanged() {
 		if (this.domain.isEvacuated()) {
-			rejectInadmissible();
-			this.reactor.delay(this.domain.remainingForKeys(System.nanoTime()), this::rejectInadmissible);
+			rejectWaiting(this.domain.remainingForKeys(System.nanoTime()));
 		}
 	}
 
+	// Waiting requests are rejected at once, so that they can still be sent elsewhere;
+	// those for keys that the server holds, when the keys had time to move.
+	private void rejectWaiting(Duration remainingForKeys) {
+		rejectInadmissible();
+		this.reactor.delay(remainingForKeys, this::rejectInadmissible);
+	}
+
 	private void rejectInadmissible() {
 		long now = System.nanoTime();
 		Map.copyOf(this.queue)
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/GateChecks.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/GateChecks.java
@@ -114,7 +114,7 @@
 		if (domainRejection.isPresent()) {
 			return domainRejection;
 		}
-		if (!this.registration.ready() && !(sharded && mayStillServe(now))) {
+		if (!this.registration.ready() && !(sharded && remainingForKeys(now).isPositive())) {
 			return noBackend("the backend server is " + this.registration.phase());
 		}
 		if (sharded && !this.keys.usable(hopRequest.request().key().getAsInt())) {
@@ -124,11 +124,14 @@
 		return Optional.empty();
 	}
 
-	// Returns whether a draining server may still serve its keys. It serves them until
+	// Returns how long a draining server may still serve its keys. It serves them until
 	// another server holds them, but no longer than the configured drain time.
-	private boolean mayStillServe(long now) {
+	Duration remainingForKeys(long now) {
 		Duration maxDrainTime = this.settings.bounds().drain().minus(DRAIN_MARGIN);
-		return this.registration.drainingFor(now).filter((since) -> since.compareTo(maxDrainTime) < 0).isPresent();
+		return this.registration.drainingFor(now)
+			.map(maxDrainTime::minus)
+			.filter(Duration::isPositive)
+			.orElse(Duration.ZERO);
 	}
 
 	// Returns when this server is expected to hold the key: keys are granted in the
--- a/daemon/src/test/java/org/brasspier/daemon/internal/mesh/BackendGateTests.java
+++ b/daemon/src/test/java/org/brasspier/daemon/internal/mesh/BackendGateTests.java
@@ -321,6 +321,30 @@
 		assertThat(inLoop(this.gate::idle)).isTrue();
 	}
 
+	private static Stream<Named<Consumer<BackendGateTests>>> leavings() {
+		return obstacles().limit(2);
+	}
+
+	/**
+	 * Guards against requests that wait for a slot of a server that takes none of them
+	 * any more, instead of being sent elsewhere.
+	 */
+	@ParameterizedTest
+	@MethodSource("leavings")
+	void waitingRequestsAreRejectedBeforeASlotIsFreeOnceTheirServerLeaves(Consumer<BackendGateTests> leaving)
+			throws Exception {
+		List<Future<SendOutcome>> running = takeSlots();
+		List<Future<SendOutcome>> waiting = fillQueue();
+		inLoop(() -> {
+			leaving.accept(this);
+			return true;
+		});
+		assertAllEnd(waiting, SendOutcome.NotRun.class);
+		assertThat(inLoop(this.gate::load)).containsExactly(SLOTS, 0).inOrder();
+		this.release.countDown();
+		assertAllEnd(running, SendOutcome.Answered.class);
+	}
+
 	/**
 	 * A store that never answers.
 	 */
