Count what a cold server was sent before its first heartbeat

Cause: at the first heartbeat of another process the limiter forgot what had been sent, though requests had reached that process before. It is the class of the drain time that started again: a count that belongs to what was sent starts anew with a later message. What was sent counts now whichever process it reached; ColdStartLimiter.onServerReplaced is gone.

Fails before: BackendRegistrationTests.theFirstHeartbeatOfARestartedServerForgetsNothingThatItWasSent.

--- a/core/src/main/java/org/brasspier/core/coldstart/ColdStartLimiter.java
+++ b/core/src/main/java/org/brasspier/core/coldstart/ColdStartLimiter.java
@@ -10,8 +10,10 @@
  * server may become cold at any moment, and its heartbeats tell so late. So all requests
  * are limited that were sent after the last health check that found the server warm: with
  * enough checks, a warm server is never delayed. A cold phase that no report tells of is
- * assumed to be over for a second before the next one begins. All times are nanoseconds
- * of one steady clock. Not thread-safe.
+ * assumed to be over for a second before the next one begins. What was sent counts also
+ * if another process has taken the server's place since, because it may have been sent to
+ * that one: its first heartbeat arrives later than its first requests. All times are
+ * nanoseconds of one steady clock. Not thread-safe.
  * <p>
  * Usage: call {@link #onStarted} for a request that {@link #mayStart}, and then either
  * {@link #onSent} at the moment of sending, or {@link #onNotSent}. Send a health check
@@ -194,14 +196,6 @@
 		}
 	}
 
-	/**
-	 * Records that another server process runs now, which has received none of the
-	 * requests.
-	 */
-	public void onServerReplaced() {
-		this.sentNanos.clear();
-	}
-
 	/**
 	 * Returns whether the server is known to be cold.
 	 * @param now the current time
--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/BackendRegistration.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/BackendRegistration.java
@@ -131,7 +131,6 @@
 			return;
 		}
 		if (before.incarnation.isPresent() && !before.incarnation.equals(after.incarnation)) {
-			this.coldStart.onServerReplaced();
 			this.onServerReplaced.run();
 		}
 		this.log.record(MeshEvent.BACKEND_CHANGED, "life", after.incarnation.map(String::valueOf).orElse(""), "phase",
--- a/daemon/src/test/java/org/brasspier/daemon/internal/mesh/BackendRegistrationTests.java
+++ b/daemon/src/test/java/org/brasspier/daemon/internal/mesh/BackendRegistrationTests.java
@@ -11,6 +11,7 @@
 import com.codahale.metrics.MetricRegistry;
 import org.brasspier.core.InstanceId;
 import org.brasspier.core.ServiceName;
+import org.brasspier.core.coldstart.ColdStartLimiter;
 import org.brasspier.core.keys.BackendIncarnation;
 import org.brasspier.core.keys.GrantDelivery;
 import org.brasspier.core.keys.HoldReport;
@@ -54,6 +55,12 @@
 		return (registration) -> registration.receive(new BackendMessage.HeartbeatMessage(heartbeat));
 	}
 
+	// The first heartbeat of another process under the same id.
+	private static BackendMessage restarted() {
+		return new BackendMessage.HeartbeatMessage(new Heartbeat(SERVICE, ADDRESS, 4, false, Duration.ZERO, 1,
+				new HoldReport(new BackendIncarnation(SERVER.id(), 2), List.of(), List.of())));
+	}
+
 	private static Stream<Named<List<Consumer<BackendRegistration>>>> leavings() {
 		return Stream.of(Named.of("heartbeat, departure", List.of(REPORTS_DRAINING, DEPARTS)),
 				Named.of("heartbeat, answer", List.of(REPORTS_DRAINING, ANNOUNCES_LEAVING)),
@@ -97,12 +104,28 @@
 	void theDrainTimeOfARestartedServerStartsWithItsOwnLeaving() {
 		heartbeat(1, false).accept(this.registration);
 		REPORTS_DRAINING.accept(this.registration);
-		BackendIncarnation restarted = new BackendIncarnation(SERVER.id(), 2);
-		this.registration.receive(new BackendMessage.HeartbeatMessage(new Heartbeat(SERVICE, ADDRESS, 4, false,
-				Duration.ZERO, 1, new HoldReport(restarted, List.of(), List.of()))));
+		this.registration.receive(restarted());
 		long beforeLeaving = System.nanoTime();
 		DEPARTS.accept(this.registration);
 		assertThat(this.registration.drainingFor(beforeLeaving).map(Duration::isPositive)).hasValue(false);
 	}
 
+	/**
+	 * Guards against a cold server that gets the limit of a second twice: once before its
+	 * first heartbeat, and once more after it.
+	 */
+	@Test
+	void theFirstHeartbeatOfARestartedServerForgetsNothingThatItWasSent() {
+		heartbeat(1, false).accept(this.registration);
+		ColdStartLimiter limiter = this.registration.coldStart();
+		limiter.limit(10);
+		long sent = System.nanoTime() + Duration.ofSeconds(5).toNanos();
+		while (limiter.mayStart(sent)) {
+			limiter.onStarted();
+			limiter.onSent(sent);
+		}
+		this.registration.receive(restarted());
+		assertThat(limiter.mayStart(sent)).isFalse();
+	}
+
 }
