--- a/daemon/src/main/java/org/brasspier/daemon/internal/mesh/BackendRegistration.java
+++ b/daemon/src/main/java/org/brasspier/daemon/internal/mesh/BackendRegistration.java
@@ -185,9 +185,9 @@
 		return this.tracker.isDead(System.nanoTime());
 	}
 
-	// Returns how long the server has been draining. Empty if it isn't, or if this
-	// process
-	// has never seen it ready, because it can't tell then when the drain began.
+	// Returns how long the server has been draining. Empty if it isn't draining, or if
+	// this process has never seen it ready, because it can't tell then when the drain
+	// began.
 	Optional<Duration> drainingFor(long now) {
 		return this.tracker.leavingFor(now);
 	}
