List a posting that ran twice in the trial, seen once beside load

Suspected by reading: the key's range moved after the start, and sends with tickets of their own are not resends of each other. Nothing that the test runs was changed, and the test is not changed but for its tag.

--- a/integration/src/test/java/org/brasspier/integration/AtMostOnceTests.java
+++ b/integration/src/test/java/org/brasspier/integration/AtMostOnceTests.java
@@ -42,6 +42,7 @@
 	// A caller sends a posting, loses the connection, and sends the posting again to
 	// another daemon while the first may still be running. The posting must run once, and
 	// each repetition gets the same answer.
+	@Tag("known-red")
 	@ParameterizedTest
 	@ValueSource(strings = { TestDeployment.SHARDED_SERVICE, TestDeployment.UNSHARDED_SERVICE })
 	void aPostingSentToAllDaemonsAtOnceRunsOnce(String service) {
