--- a/integration/src/test/java/org/brasspier/integration/AtMostOnceTests.java
+++ b/integration/src/test/java/org/brasspier/integration/AtMostOnceTests.java
@@ -43,10 +43,18 @@
 	// another daemon while the first may still be running. The posting must run once, and
 	// each repetition gets the same answer.
 	@Tag("known-red")
-	@ParameterizedTest
-	@ValueSource(strings = { TestDeployment.SHARDED_SERVICE, TestDeployment.UNSHARDED_SERVICE })
-	void aPostingSentToAllDaemonsAtOnceRunsOnce(String service) {
-		String key = (service.equals(TestDeployment.SHARDED_SERVICE)) ? "a" : "";
+	@Test
+	void aPostingSentToAllDaemonsAtOnceRunsOnce() {
+		assertRunsOnceSentToAllDaemons(TestDeployment.SHARDED_SERVICE, "a");
+	}
+
+	// The same for a service that is not divided by key.
+	@Test
+	void aPostingWithoutAKeySentToAllDaemonsAtOnceRunsOnce() {
+		assertRunsOnceSentToAllDaemons(TestDeployment.UNSHARDED_SERVICE, "");
+	}
+
+	private void assertRunsOnceSentToAllDaemons(String service, String key) {
 		List<CompletableFuture<CallerRecord>> postings = IntStream.range(0, 6)
 			.mapToObj((i) -> this.testDeployment
 				.callAsync(StandInRequest.posting(service, key, "once-" + service).withWaitMillis(8000)))
